--- /dev/null
+++ b/features/run.py
@@ -0,0 +1,113 @@
+"""Runs the features, passes over the known failures, and prints one closing line."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import NamedTuple
+
+ROOT = Path(__file__).resolve().parent.parent
+KNOWN_FAILURES = ROOT / "KNOWN-RED.txt"
+FEATURE_TIMEOUT_S = 540
+PARALLEL_FEATURES = 4
+
+
+class Outcome(NamedTuple):
+    """Result of one scenario; the name is ``FILE: SCENARIO``."""
+
+    name: str
+    status: str
+
+
+def run_feature(path: Path, tags: str) -> tuple[list[Outcome], str]:
+    """Run one feature file in a process of its own and return its outcomes."""
+    with tempfile.NamedTemporaryFile(suffix=".json") as report:
+        command = [sys.executable, "-m", "behave", str(path)]
+        command += ["--format", "json", "--outfile", report.name]
+        command += ["--format", "plain", "--no-capture", "--tags", tags]
+        try:
+            done = subprocess.run(
+                command,
+                cwd=ROOT / "features",
+                capture_output=True,
+                text=True,
+                timeout=FEATURE_TIMEOUT_S,
+                check=False,
+            )
+            text = Path(report.name).read_text()
+        except subprocess.TimeoutExpired:
+            return [Outcome(f"{path.name}: (timed out)", "failed")], "timed out"
+    try:
+        content = json.loads(text)
+    except ValueError:
+        failed = Outcome(f"{path.name}: (did not run)", "failed")
+        return [failed], done.stdout + done.stderr
+    outcomes = list_outcomes(path, content)
+    ran = [outcome for outcome in outcomes if outcome.status != "skipped"]
+    if done.returncode != 0 and all(item.status == "passed" for item in ran):
+        outcomes.append(Outcome(f"{path.name}: (ended with an error)", "failed"))
+    return outcomes, done.stdout + done.stderr
+
+
+def list_outcomes(path: Path, content: list[dict]) -> list[Outcome]:
+    """Return the outcome of every scenario in a behave report."""
+    return [
+        Outcome(f"{path.name}: {element['name']}", element.get("status", "failed"))
+        for feature in content
+        for element in feature.get("elements", [])
+        if element["type"] == "scenario"
+    ]
+
+
+def read_known_failures() -> list[str]:
+    """Return the scenario names listed in KNOWN-RED.txt, one on each ``test:`` line."""
+    lines = KNOWN_FAILURES.read_text().splitlines()
+    return [line.removeprefix("test:").strip() for line in lines if "test:" in line[:5]]
+
+
+def main() -> int:
+    """Run the features that match; return 1 if one fails that is not known to."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--tags", default="not @long")
+    parser.add_argument("--only", default="", help="part of a feature file's name")
+    parser.add_argument("--verbose", action="store_true")
+    arguments = parser.parse_args()
+    paths = sorted(ROOT.glob("features/*.feature"))
+    paths = [path for path in paths if arguments.only in path.name]
+    with ThreadPoolExecutor(PARALLEL_FEATURES) as executor:
+        results = list(
+            executor.map(lambda path: run_feature(path, arguments.tags), paths)
+        )
+    known = read_known_failures()
+    outcomes: list[Outcome] = []
+    for part, output in results:
+        unexpected = [o for o in part if o.status == "failed" and o.name not in known]
+        if unexpected or arguments.verbose:
+            print(output)
+        outcomes += part
+    return print_summary(outcomes, known)
+
+
+def print_summary(outcomes: list[Outcome], known: list[str]) -> int:
+    """Print known failures, unexpected ones and the closing line."""
+    ran = [outcome for outcome in outcomes if outcome.status != "skipped"]
+    passed = [outcome for outcome in ran if outcome.status == "passed"]
+    failed = [outcome for outcome in ran if outcome.status != "passed"]
+    unexpected = [outcome for outcome in failed if outcome.name not in known]
+    for outcome in failed:
+        label = "FAILED" if outcome in unexpected else "known failure"
+        print(f"{label}: {outcome.name} ({outcome.status})")
+    for name in known:
+        if name in {outcome.name for outcome in passed}:
+            print(f"listed in KNOWN-RED.txt but passes: {name}")
+    print(f"{len(passed)} passed, {len(unexpected)} failed")
+    return 1 if unexpected or not passed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/briarshed-cli/src/briarshed_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line of briarshed for operators."""
--- /dev/null
+++ b/packages/briarshed-entry/src/briarshed_entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry of briarshed: serves callers, operators and peers."""
--- /dev/null
+++ b/packages/briarshed-standins/src/briarshed_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the outside systems; used by tests and measurements."""
--- /dev/null
+++ b/packages/briarshed/src/briarshed/events.py
@@ -0,0 +1,90 @@
+"""The catalogue of log events; docs/events.md lists the same numbers."""
+
+from __future__ import annotations
+
+from typing import Literal, NamedTuple
+
+Level = Literal["DEBUG", "INFO", "WARNING", "ERROR"]
+
+
+class Event(NamedTuple):
+    """A kind of log event.
+
+    Attributes
+    ----------
+    number : int
+        Stable number: 1xx process, 2xx callers and jobs, 3xx endpoints, 4xx store
+        and configuration, 5xx members and grants, 6xx operators, 7xx maintenance.
+    level : str
+        Log level.
+    text : str
+        Message with named fields in braces.
+    """
+
+    number: int
+    level: Level
+    text: str
+
+
+ENTRY_STARTED = Event(101, "INFO", "entry {name} started in {data_centre}")
+ENTRY_READY = Event(102, "INFO", "entry {name} is ready for callers")
+ENTRY_STOPPING = Event(103, "INFO", "entry {name} is stopping: {reason}")
+ENTRY_STOPPED = Event(104, "INFO", "entry {name} stopped with {jobs} jobs unfinished")
+ENTRY_NOT_READY = Event(105, "WARNING", "entry {name} is not ready: {reason}")
+LOOP_FAILED = Event(106, "ERROR", "background task {task} failed: {error}")
+
+JOB_REFUSED = Event(201, "DEBUG", "job {job_id} refused: {code}")
+JOB_UNKNOWN = Event(202, "WARNING", "outcome of job {job_id} is unknown: {code}")
+CALLER_LEFT = Event(203, "DEBUG", "caller of job {job_id} disconnected")
+
+ANSWER_DROPPED = Event(
+    301, "WARNING", "endpoint {address} answered attempt {got} instead of {expected}"
+)
+CONNECTION_SILENT = Event(
+    302, "WARNING", "connection to endpoint {address} is silent; probing {attempt}"
+)
+ENDPOINT_EJECTED = Event(303, "WARNING", "endpoint {address} ejected for {seconds} s")
+ENDPOINT_READMITTED = Event(304, "INFO", "endpoint {address} readmitted")
+
+STORE_FAILING = Event(401, "WARNING", "store reads fail: {error}")
+STORE_RECOVERED = Event(402, "INFO", "store reads succeed again")
+DOCUMENT_UPDATED = Event(403, "INFO", "document {key} is now at version {version}")
+DOCUMENT_STALE = Event(
+    404, "WARNING", "ignored version {offered} of {key}; version {held} is held"
+)
+AUTHORITY_LOST = Event(405, "WARNING", "no authority for keyed work: {reason}")
+AUTHORITY_GAINED = Event(406, "INFO", "authority for keyed work: {reason}")
+
+MEMBER_REGISTERED = Event(501, "INFO", "registered as {name}/{incarnation}")
+MEMBER_ESTABLISHED = Event(502, "INFO", "every registered member knows this entry")
+MEMBER_REMOVED = Event(503, "INFO", "removed member {name}/{incarnation}: {reason}")
+PEER_REJECTED = Event(504, "WARNING", "dropped a message from a peer: {reason}")
+GRANTS_SWAPPED = Event(505, "DEBUG", "grants are at version {version}")
+GRANTS_FREED = Event(506, "INFO", "freed the grants of {owner}")
+
+CHANGE_ACCEPTED = Event(601, "INFO", "{who} changed {document} to {version}: {what}")
+CHANGE_REFUSED = Event(602, "WARNING", "command of {who} refused: {reason}")
+CHANGE_IN_FORCE = Event(603, "INFO", "version {version} of {document} is in force")
+CHANGE_PENDING = Event(
+    604, "WARNING", "version {version} of {document} is not in force at {members}"
+)
+OPERATOR_REJECTED = Event(605, "WARNING", "an operator's key was not recognized")
+
+INSTANCE_MOVED = Event(701, "INFO", "instance {instance}: {before} to {after}")
+WAVE_STARTED = Event(702, "INFO", "wave {wave} started over {count} instances")
+WAVE_HALTED = Event(703, "WARNING", "wave {wave} halted: {reason}")
+WAVE_DONE = Event(704, "INFO", "wave {wave} is done")
+PLATFORM_FAILING = Event(705, "WARNING", "platform calls fail: {error}")
+INSTANCE_FAILED = Event(706, "WARNING", "instance {instance} failed: {reason}")
+MOVE_PLANNED = Event(
+    707, "INFO", "instance {instance} moves from pool {before} to {after}"
+)
+
+
+def list_events() -> dict[str, Event]:
+    """Return every event of the catalogue by its name."""
+    return {name: value for name, value in globals().items() if _is_event(value)}
+
+
+def _is_event(value: object) -> bool:
+    return isinstance(value, Event)
--- /dev/null
+++ b/packages/briarshed/src/briarshed/settings.py
@@ -0,0 +1,267 @@
+"""Settings of an entry: their types, and the check of a whole file."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Annotated, Any, Literal, NamedTuple, get_type_hints
+
+from pydantic import Field, StringConstraints, TypeAdapter, ValidationError
+from returns.result import Failure, Result, Success
+
+from briarshed._commented_json import (
+    CommentedJsonError,
+    Parsed,
+    Place,
+    parse_commented_json,
+)
+from briarshed.findings import Finding, suggest_name
+
+Name = Annotated[str, StringConstraints(pattern=r"^[a-z0-9][a-z0-9.-]*$")]
+Address = Annotated[
+    str, StringConstraints(pattern=r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}$")
+]
+Milliseconds = Annotated[int, Field(gt=0)]
+Bytes = Annotated[int, Field(gt=0)]
+Sha256 = Annotated[str, StringConstraints(pattern=r"^[0-9a-f]{64}$")]
+CurveKey = Annotated[str, StringConstraints(min_length=40, max_length=40)]
+
+
+class Tls(NamedTuple):
+    """Paths of the certificate chain and the private key, both PEM."""
+
+    certificate: str
+    key: str
+
+
+class CallersSettings(NamedTuple):
+    """The callers' port."""
+
+    address: Address
+    max_body_bytes: Bytes = 1_048_576
+    default_deadline_ms: Milliseconds = 30_000
+    max_deadline_ms: Milliseconds = 60_000
+    body_timeout_ms: Milliseconds = 10_000
+    tls: Tls | None = None
+
+
+class OperatorsSettings(NamedTuple):
+    """The operators' port; keys map an operator's name to a SHA-256 in hex."""
+
+    address: Address
+    keys: dict[Name, Sha256]
+
+
+class PeersSettings(NamedTuple):
+    """The port for other entries.
+
+    ``allowed_keys`` maps entry names to their public CURVE keys. ``routes`` maps
+    an entry name to an address that replaces the registered one.
+    """
+
+    address: Address
+    public_key: CurveKey
+    secret_key: CurveKey
+    allowed_keys: dict[Name, CurveKey]
+    routes: dict[Name, Address] = {}
+
+
+class StoreSettings(NamedTuple):
+    """The key-value service that holds what must last."""
+
+    url: str
+    timeout_ms: Milliseconds = 1_000
+    poll_ms: Milliseconds = 1_000
+    lease_ms: Milliseconds = 10_000
+
+
+class PlatformSettings(NamedTuple):
+    """The platform's instance list, drain and reboot."""
+
+    url: str
+    timeout_ms: Milliseconds = 2_000
+    poll_ms: Milliseconds = 2_000
+
+
+class EndpointsSettings(NamedTuple):
+    """Calls to endpoints.
+
+    ``routes`` maps an endpoint's address to one that replaces it, for networks
+    that translate addresses.
+    """
+
+    connections: Annotated[int, Field(gt=0)] = 7
+    connect_timeout_ms: Milliseconds = 1_000
+    probe_after_ms: Milliseconds = 1_000
+    probe_timeout_ms: Milliseconds = 2_000
+    max_answer_bytes: Bytes = 8_388_608
+    routes: dict[Address, Address] = {}
+
+
+class TimingSettings(NamedTuple):
+    """Times that the decisions use; docs/design.md section 5 gives the reasons."""
+
+    freshness_ms: Milliseconds = 4_000
+    consent_ms: Milliseconds = 3_000
+    max_outage_ms: Milliseconds = 1_800_000
+    margin_ms: Milliseconds = 500
+    task_lease_ms: Milliseconds = 60_000
+    ping_ms: Milliseconds = 1_000
+    balancer_notice_ms: Milliseconds = 5_000
+    in_force_timeout_ms: Milliseconds = 6_000
+    plan_ms: Milliseconds = 1_000
+    slow_start_ms: Milliseconds = 10_000
+
+
+class WeightsSettings(NamedTuple):
+    """How much a deployment minds each measure when instances move."""
+
+    buffer: float = 1.0
+    moves: float = 1.0
+    share: float = 1.0
+
+
+class LogSettings(NamedTuple):
+    """Log output: JSON, one object a line, or readable text."""
+
+    format: Literal["json", "text"] = "json"
+    level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
+
+
+class StatsdSettings(NamedTuple):
+    """Where metrics go, by UDP."""
+
+    address: Address
+    prefix: str = "briarshed"
+    interval_ms: Milliseconds = 10_000
+
+
+class Settings(NamedTuple):
+    """All settings of one entry."""
+
+    name: Name
+    data_centre: Name
+    callers: CallersSettings
+    operators: OperatorsSettings
+    peers: PeersSettings
+    store: StoreSettings
+    platform: PlatformSettings | None = None
+    endpoints: EndpointsSettings = EndpointsSettings()
+    timing: TimingSettings = TimingSettings()
+    weights: WeightsSettings = WeightsSettings()
+    log: LogSettings = LogSettings()
+    statsd: StatsdSettings | None = None
+
+
+def load_settings(path: Path) -> Result[Settings, Sequence[Finding]]:
+    """Read and check a settings file.
+
+    Returns
+    -------
+    Result
+        The settings, or every finding with its place.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return Failure((Finding(str(path), 1, 1, f"cannot be read: {error}"),))
+    return check_settings(text, str(path))
+
+
+def check_settings(text: str, source: str) -> Result[Settings, Sequence[Finding]]:
+    """Check the text of a settings file as a whole."""
+    try:
+        parsed = parse_commented_json(text)
+    except CommentedJsonError as error:
+        return Failure((Finding(source, *error.place, str(error)),))
+    findings = [
+        Finding(source, *place, f"'{path[-1]}' is given more than once")
+        for path, place in parsed.repeated
+    ]
+    if not isinstance(parsed.value, dict):
+        place = parsed.places[()]
+        return Failure((Finding(source, *place, "settings must be an object"),))
+    try:
+        settings = TypeAdapter(Settings).validate_python(parsed.value)
+    except ValidationError as error:
+        findings += [
+            _make_finding(problem, parsed, source)
+            for problem in error.errors(include_url=False)
+        ]
+        return Failure(_sort_findings(findings))
+    findings += _check_relations(settings, parsed, source)
+    if findings:
+        return Failure(_sort_findings(findings))
+    return Success(settings)
+
+
+def _sort_findings(findings: Sequence[Finding]) -> tuple[Finding, ...]:
+    return tuple(sorted(set(findings), key=lambda found: (found.line, found.column)))
+
+
+def _make_finding(problem: Any, parsed: Parsed, source: str) -> Finding:
+    path = tuple(part for part in problem["loc"] if part != "[key]")
+    name = ".".join(str(part) for part in path)
+    place = _find_place(path, parsed)
+    match problem["type"]:
+        case "extra_forbidden" | "unexpected_keyword_argument":
+            known = _list_names(path[:-1])
+            hint = suggest_name(str(path[-1]), known)
+            return Finding(source, *place, f"unknown setting '{name}'", hint)
+        case "missing" | "missing_argument":
+            return Finding(source, *place, f"setting '{name}' is missing")
+        case _:
+            return Finding(source, *place, f"setting '{name}': {problem['msg']}")
+
+
+def _find_place(path: tuple[Any, ...], parsed: Parsed) -> Place:
+    while path not in parsed.places:
+        path = path[:-1]
+    return parsed.places[path]
+
+
+def _list_names(path: tuple[Any, ...]) -> Sequence[str]:
+    current: Any = Settings
+    for part in path:
+        current = get_type_hints(current).get(str(part))
+        for member in getattr(current, "__args__", ()):
+            if hasattr(member, "_fields"):
+                current = member
+        if not hasattr(current, "_fields"):
+            return ()
+    return current._fields
+
+
+def _check_relations(
+    settings: Settings, parsed: Parsed, source: str
+) -> Sequence[Finding]:
+    findings = []
+
+    def report(path: tuple[str, ...], message: str) -> None:
+        findings.append(Finding(source, *_find_place(path, parsed), message))
+
+    timing = settings.timing
+    if settings.callers.max_deadline_ms > timing.task_lease_ms:
+        report(
+            ("callers", "max_deadline_ms"),
+            "setting 'callers.max_deadline_ms' must not exceed 'timing.task_lease_ms',"
+            " since a task ends with its lease",
+        )
+    if settings.callers.default_deadline_ms > settings.callers.max_deadline_ms:
+        report(
+            ("callers", "default_deadline_ms"),
+            "setting 'callers.default_deadline_ms' must not exceed"
+            " 'callers.max_deadline_ms'",
+        )
+    if settings.store.poll_ms + settings.store.timeout_ms >= timing.freshness_ms:
+        report(
+            ("timing", "freshness_ms"),
+            "setting 'timing.freshness_ms' must exceed 'store.poll_ms' plus"
+            " 'store.timeout_ms', or one slow read costs the authority",
+        )
+    if 2 * timing.ping_ms >= timing.consent_ms:
+        report(
+            ("timing", "consent_ms"),
+            "setting 'timing.consent_ms' must exceed twice 'timing.ping_ms'",
+        )
+    return findings
