--- /dev/null
+++ b/packages/briarshed-entry/src/briarshed_entry/main.py
@@ -0,0 +1,152 @@
+"""The program ``briarshed-entry``: wiring, signals, graceful shutdown."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import ssl
+import sys
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from pathlib import Path
+from typing import Annotated
+
+import typer
+from aiohttp import web
+from returns.pipeline import is_successful
+
+from briarshed.events import ENTRY_STARTED, ENTRY_STOPPED, ENTRY_STOPPING
+from briarshed.exceptions import BriarshedError, SettingsError
+from briarshed.settings import Settings, Tls, load_settings
+from briarshed_entry import callers, operators
+from briarshed_entry.coordinator import Coordinator
+from briarshed_entry.endpoints import EndpointsClient
+from briarshed_entry.logs import configure_logs, log_event
+from briarshed_entry.maintenance import Maintenance
+from briarshed_entry.metrics import Metrics, make_middleware
+from briarshed_entry.platform import PlatformClient
+from briarshed_entry.replica import Replica
+from briarshed_entry.scheduler import Scheduler
+from briarshed_entry.store import StoreClient
+
+MILLISECONDS = 1_000
+
+application = typer.Typer(add_completion=False)
+
+
+@application.command()
+def start(
+    settings_file: Annotated[Path, typer.Argument(help="JSON with comments.")],
+    check: Annotated[
+        bool, typer.Option("--check", help="Check the settings and exit.")
+    ] = False,
+) -> None:
+    """Serve callers, operators and peers until SIGTERM or SIGINT."""
+    result = load_settings(settings_file)
+    if not is_successful(result):
+        raise SettingsError(result.failure())
+    if check:
+        typer.echo(f"{settings_file}: no findings")
+        return
+    settings = result.unwrap()
+    configure_logs(settings.log)
+    asyncio.run(serve(settings))
+
+
+def run() -> None:
+    """Run the program; errors are shown as text with their exit code."""
+    try:
+        application()
+    except BriarshedError as error:
+        typer.echo(error.format_message(), err=True)
+        sys.exit(error.exit_code)
+
+
+async def serve(settings: Settings) -> None:
+    """Run one entry until a signal asks it to stop."""
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    async with AsyncExitStack() as stack:
+        enter = stack.enter_async_context
+        store = await enter(StoreClient(settings.store))
+        replica = await enter(Replica(settings, store))
+        coordinator = await enter(Coordinator(settings, replica, store))
+        endpoints = await enter(EndpointsClient(settings.endpoints))
+        scheduler = await enter(Scheduler(settings, replica, coordinator, endpoints))
+        if settings.platform is not None:
+            platform = await enter(PlatformClient(settings.platform))
+            await enter(
+                Maintenance(
+                    settings, replica, coordinator, platform, endpoints.check_health
+                )
+            )
+
+        def read_gauges() -> dict[str, float]:
+            return {
+                "authority": float(coordinator.find_authority().granted),
+                "jobs.held": float(len(scheduler.list_jobs())),
+                "configuration.version": float(replica.configuration["version"]),
+                "fleet.version": float(replica.fleet["version"]),
+            }
+
+        metrics = await enter(Metrics(settings.statsd, read_gauges))
+        jobs = callers.make_application(settings, replica, coordinator, scheduler)
+        jobs.middlewares.append(make_middleware(metrics))
+        commands = operators.make_application(settings, replica, coordinator, scheduler)
+        bound = [
+            await enter(
+                _open_port(jobs, settings.callers.address, settings.callers.tls)
+            ),
+            await enter(_open_port(commands, settings.operators.address, None)),
+        ]
+        log_event(ENTRY_STARTED, name=settings.name, data_centre=settings.data_centre)
+        # A launcher that lets the system choose ports reads them here.
+        print(json.dumps({"callers": bound[0], "operators": bound[1]}), flush=True)
+        await stopping.wait()
+        await _stop(settings, coordinator, scheduler)
+
+
+async def _stop(
+    settings: Settings, coordinator: Coordinator, scheduler: Scheduler
+) -> None:
+    log_event(ENTRY_STOPPING, name=settings.name, reason="a signal was received")
+    # The balancer goes on sending callers here until it has noticed readyz.
+    scheduler.announce_stop()
+    await asyncio.sleep(settings.timing.balancer_notice_ms / MILLISECONDS)
+    await scheduler.drain()
+    await coordinator.leave()
+    unfinished = len(scheduler.list_jobs())
+    log_event(ENTRY_STOPPED, name=settings.name, jobs=unfinished)
+
+
+@asynccontextmanager
+async def _open_port(
+    served: web.Application, address: str, tls: Tls | None
+) -> AsyncIterator[str]:
+    host, _, port = address.rpartition(":")
+    runner = web.AppRunner(served, access_log=None, handler_cancellation=True)
+    await runner.setup()
+    site = web.TCPSite(
+        runner, host.strip("[]"), int(port), ssl_context=_make_tls_context(tls)
+    )
+    await site.start()
+    try:
+        bound = runner.addresses[0]
+        yield f"{bound[0]}:{bound[1]}"
+    finally:
+        await runner.cleanup()
+
+
+def _make_tls_context(tls: Tls | None) -> ssl.SSLContext | None:
+    if tls is None:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(tls.certificate, tls.key)
+    return context
+
+
+if __name__ == "__main__":
+    run()
