--- /dev/null
+++ b/packages/briarshed-standins/src/briarshed_standins/endpoint.py
@@ -0,0 +1,388 @@
+"""Stand-in of endpoints: tasks under leases, fences, and records of what ran.
+
+``python -m briarshed_standins.endpoint --address 127.0.0.1:0`` serves one endpoint for
+each ``--address``. Each has its own slots, faults and tasks. ``--record FILE`` appends
+a JSON line when a task starts and when it ends, before either can be seen from
+outside, so the record survives a SIGKILL.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable, Sequence
+from contextlib import suppress
+from pathlib import Path
+from typing import Annotated, Any, Literal, NamedTuple, TypedDict
+
+import typer
+from aiohttp import web
+
+from briarshed_standins.programs import (
+    Faults,
+    abort_connection,
+    make_application,
+    now,
+    run_program,
+    stay_silent,
+)
+from briarshed_standins.tasks import make_answer, read_orders
+
+FAULTS = {
+    "down": "resets every connection",
+    "frozen": "answers nothing until cleared; tasks do not finish, leases still end",
+    "silent": "starts the task; its connection stays silent for good, new ones work",
+    "silent_unstarted": "as silent, but the task never arrives",
+    "fail": "starts each task, which then fails",
+    "impossible": "rejects each task with 422",
+    "full": "refuses each task as full",
+    "late_ms": "sends each answer this much after the task has ended",
+    "lost": "runs the task to its end and resets the connection without an answer",
+    "lost_unstarted": "resets the connection without starting the task",
+    "truncated": "sends half of the declared answer and closes",
+    "wrong_attempt": "names another attempt in the answer, with another body",
+    "repeated": "sends the answer twice on the connection",
+}
+UNKNOWN_ATTEMPT = "00000000000000000000000000000000"
+State = Literal["serving", "leaving", "off"]
+
+
+class Limits(NamedTuple):
+    """What one endpoint can do; the duration is that of tasks without orders."""
+
+    slots: int
+    connections: int
+    duration_ms: int
+
+
+class Record(TypedDict):
+    """One line of the record; times in seconds of ``CLOCK_BOOTTIME``."""
+
+    event: Literal["start", "end", "killed"]
+    at: float
+    endpoint: str
+    attempt: str
+    job: str
+    team: str
+    key: str
+    queue: str
+    idempotent: bool
+    result: str
+
+
+class Task:
+    """One attempt that started here."""
+
+    def __init__(self, request: web.Request, body: bytes) -> None:
+        self.attempt = request.match_info["attempt"]
+        self.headers = request.headers
+        self.body = body
+        self.state = "running"
+        self.ended = asyncio.Event()
+        self.runner: asyncio.Task[None] | None = None
+        self.fails = False
+
+
+class Endpoint:
+    """One endpoint; ``write`` takes the lines of its record."""
+
+    def __init__(self, limits: Limits, write: Callable[[Record], None]) -> None:
+        self.limits = limits
+        self.state: State = "serving"
+        self.faults = Faults(FAULTS)
+        self.address = ""
+        self.most_connections = 0
+        self.refused_connections = 0
+        self._write = write
+        self._tasks: dict[str, Task] = {}
+        self._fenced: set[str] = set()
+        self._silent: set[int] = set()
+        self._transports: set[asyncio.BaseTransport] = set()
+
+    def count_running(self) -> int:
+        """Return how many tasks run."""
+        return sum(task.state == "running" for task in self._tasks.values())
+
+    async def guard(self, request: web.Request) -> web.StreamResponse | None:
+        """Apply the faults that concern whole connections."""
+        self.address = self.address or _find_address(request)
+        open_now = self._count_connections(request)
+        self.most_connections = max(self.most_connections, open_now)
+        if open_now > self.limits.connections:
+            self.refused_connections += 1
+            return abort_connection(request)
+        if self.state == "off" or self.faults.read("down"):
+            return abort_connection(request)
+        if id(request.protocol) in self._silent:
+            return await stay_silent(request)
+        await self._wait_until_thawed()
+        return None
+
+    async def answer_post(self, request: web.Request) -> web.StreamResponse:
+        """Start a task, or say why not; answer when it has ended."""
+        body = await request.read()
+        if self.faults.take("lost_unstarted"):
+            return abort_connection(request)
+        if self.faults.take("silent_unstarted"):
+            return await self._silence(request)
+        refusal = self._find_refusal(request.match_info["attempt"], body)
+        if refusal is not None:
+            return refusal
+        task = self._start(request, body)
+        if self.faults.take("silent"):
+            return await self._silence(request)
+        await task.ended.wait()
+        await asyncio.sleep(self.faults.read("late_ms", 0) / 1000)
+        await self._wait_until_thawed()
+        if self.state == "off":
+            return abort_connection(request)
+        return await self._send_result(request, task)
+
+    async def answer_get(self, request: web.Request) -> web.Response:
+        """Tell the state of a task."""
+        task = self._tasks.get(request.match_info["attempt"])
+        return self._answer({"state": task.state if task else "never"})
+
+    async def answer_get_answer(self, request: web.Request) -> web.StreamResponse:
+        """Send the answer of a finished task."""
+        task = self._tasks.get(request.match_info["attempt"])
+        if task is None or task.state != "finished":
+            return self._answer({"state": task.state if task else "never"}, 404)
+        return await self._send_result(request, task)
+
+    async def answer_delete(self, request: web.Request) -> web.Response:
+        """Fence an attempt: stop it if it runs, refuse it if it arrives later."""
+        attempt = request.match_info["attempt"]
+        task = self._tasks.get(attempt)
+        if task is None:
+            self._fenced.add(attempt)
+            return self._answer({"state": "never"})
+        if task.state == "running":
+            self._end(task, "fenced")
+        return self._answer({"state": task.state})
+
+    async def answer_health(self, _request: web.Request) -> web.Response:
+        """Tell state and load."""
+        return self._answer(
+            {
+                "state": self.state,
+                "running": self.count_running(),
+                "slots": self.limits.slots,
+            }
+        )
+
+    async def change_state(self, request: web.Request) -> web.Response:
+        """Take the state from the platform stand-in; ``off`` cuts what runs."""
+        content = await request.json()
+        self.address = self.address or _find_address(request)
+        self.state = content["state"]
+        if self.state == "off":
+            for task in list(self._tasks.values()):
+                if task.state == "running":
+                    self._end(task, "interrupted")
+        return web.json_response({"state": self.state, "running": self.count_running()})
+
+    async def change_limits(self, request: web.Request) -> web.Response:
+        """Replace some limits, such as the duration of tasks without orders."""
+        self.limits = self.limits._replace(**await request.json())
+        return web.json_response(self.limits._asdict())
+
+    async def answer_counts(self, _request: web.Request) -> web.Response:
+        """Tell the highest number of connections that were open at once."""
+        return web.json_response(
+            {
+                "most_connections": self.most_connections,
+                "refused_connections": self.refused_connections,
+                "running": self.count_running(),
+            }
+        )
+
+    def _find_refusal(self, attempt: str, body: bytes) -> web.Response | None:
+        if attempt in self._tasks:
+            # Not a refusal of the protocol: the attempt has started, so that "not
+            # run" would be false.
+            return self._answer({"state": self._tasks[attempt].state}, 409)
+        code = ""
+        if attempt in self._fenced:
+            code = "fenced"
+        elif self.state == "leaving":
+            code = "leaving"
+        elif self.count_running() >= self.limits.slots or self.faults.take("full"):
+            code = "full"
+        if code:
+            return self._answer({"outcome": "not run", "code": code}, 503)
+        if read_orders(body).outcome == 422 or self.faults.take("impossible"):
+            return self._answer({"outcome": "not run", "code": "impossible"}, 422)
+        return None
+
+    def _start(self, request: web.Request, body: bytes) -> Task:
+        task = Task(request, body)
+        orders = read_orders(body)
+        task.fails = self.faults.take("fail") or orders.outcome == 500
+        self._tasks[task.attempt] = task
+        self._record("start", task, "")
+        duration_ms = self.limits.duration_ms if orders.ms is None else orders.ms
+        task.runner = asyncio.create_task(self._run(task, duration_ms / 1000))
+        return task
+
+    async def _run(self, task: Task, duration_s: float) -> None:
+        lease_s = int(task.headers.get("Briarshed-Lease-Ms", "60000")) / 1000
+        with suppress(TimeoutError):
+            async with asyncio.timeout(lease_s):
+                await asyncio.sleep(duration_s)
+                await self._wait_until_thawed()
+                self._end(task, "failed" if task.fails else "finished")
+                return
+        self._end(task, "lease-ended")
+
+    def _end(self, task: Task, result: str) -> None:
+        if task.state != "running":
+            return
+        task.state = "finished" if result == "finished" else "stopped"
+        self._record("end", task, result)
+        task.ended.set()
+        if task.runner is not None and task.runner is not asyncio.current_task():
+            task.runner.cancel()
+
+    def _record(self, event: Any, task: Task, result: str) -> None:
+        headers = task.headers
+        self._write(
+            {
+                "event": event,
+                "at": now(),
+                "endpoint": self.address,
+                "attempt": task.attempt,
+                "job": headers.get("Briarshed-Job-Id", ""),
+                "team": headers.get("Briarshed-Team", ""),
+                "key": headers.get("Briarshed-Key-Id", ""),
+                "queue": headers.get("Briarshed-Queue", ""),
+                "idempotent": headers.get("Briarshed-Idempotent") == "true",
+                "result": result,
+            }
+        )
+
+    def _count_connections(self, request: web.Request) -> int:
+        if request.transport is not None:
+            self._transports.add(request.transport)
+        self._transports = {one for one in self._transports if not one.is_closing()}
+        return len(self._transports)
+
+    async def _wait_until_thawed(self) -> None:
+        while self.faults.read("frozen"):
+            await self.faults.changed.wait()
+
+    async def _silence(self, request: web.Request) -> web.Response:
+        self._silent.add(id(request.protocol))
+        try:
+            return await stay_silent(request)
+        finally:
+            self._silent.discard(id(request.protocol))
+
+    def _list_headers(self) -> dict[str, str]:
+        return {"Briarshed-Load": f"{self.count_running()}/{self.limits.slots}"}
+
+    def _answer(self, content: dict[str, Any], status: int = 200) -> web.Response:
+        return web.json_response(content, status=status, headers=self._list_headers())
+
+    async def _send_result(
+        self, request: web.Request, task: Task
+    ) -> web.StreamResponse:
+        if task.state != "finished":
+            headers = self._list_headers() | {"Briarshed-Attempt": task.attempt}
+            return web.json_response({"code": "failed"}, status=500, headers=headers)
+        answer = make_answer(task.body)
+        attempt = task.attempt
+        if self.faults.take("lost"):
+            return abort_connection(request)
+        if self.faults.take("wrong_attempt"):
+            attempt, answer = UNKNOWN_ATTEMPT, make_answer(b"another body")
+        headers = self._list_headers() | {"Briarshed-Attempt": attempt}
+        if self.faults.take("truncated"):
+            return await _send_half(request, answer, headers)
+        if self.faults.take("repeated"):
+            _send_extra(request, answer, headers)
+        return web.Response(body=answer, headers=headers)
+
+
+async def _send_half(
+    request: web.Request, answer: bytes, headers: dict[str, str]
+) -> web.StreamResponse:
+    response = web.StreamResponse(headers=headers)
+    response.content_length = len(answer)
+    await response.prepare(request)
+    await response.write(answer[: len(answer) // 2])
+    if request.transport is not None:
+        request.transport.close()
+    return response
+
+
+def _send_extra(request: web.Request, answer: bytes, headers: dict[str, str]) -> None:
+    fields = headers | {"Content-Length": str(len(answer))}
+    lines = ["HTTP/1.1 200 OK", *(f"{name}: {text}" for name, text in fields.items())]
+    if request.transport is not None:
+        head = "\r\n".join([*lines, "", ""]).encode()
+        request.transport.write(head + answer)
+
+
+def _find_address(request: web.Request) -> str:
+    transport = request.transport
+    if transport is None:
+        return ""
+    host, port = transport.get_extra_info("sockname")[:2]
+    return f"{host}:{port}"
+
+
+def make_endpoint(limits: Limits, write: Callable[[Record], None]) -> web.Application:
+    """Return one endpoint as an application."""
+    lines: list[Record] = []
+
+    def keep(line: Record) -> None:
+        write(line)
+        lines.append(line)
+
+    async def answer_records(_request: web.Request) -> web.Response:
+        return web.json_response(lines)
+
+    endpoint = Endpoint(limits, keep)
+    application = make_application(endpoint.guard)
+    router = application.router
+    router.add_post("/tasks/{attempt}", endpoint.answer_post)
+    router.add_get("/tasks/{attempt}", endpoint.answer_get)
+    router.add_get("/tasks/{attempt}/answer", endpoint.answer_get_answer)
+    router.add_delete("/tasks/{attempt}", endpoint.answer_delete)
+    router.add_get("/healthz", endpoint.answer_health)
+    router.add_post("/_state", endpoint.change_state)
+    router.add_post("/_limits", endpoint.change_limits)
+    router.add_get("/_counts", endpoint.answer_counts)
+    router.add_get("/_records", answer_records)
+    endpoint.faults.add_routes(application)
+    return application
+
+
+def open_record(path: str) -> Callable[[Record], None]:
+    """Return a function that appends lines to a record; an empty path drops them."""
+    if not path:
+        return lambda _line: None
+    file = Path(path).open("a", buffering=1, encoding="utf-8")  # noqa: SIM115
+    return lambda line: print(json.dumps(line), file=file)
+
+
+def serve_endpoints(addresses: Sequence[str], limits: Limits, record: str = "") -> None:
+    """Serve one endpoint an address until a signal arrives."""
+    write = open_record(record)
+    run_program(lambda: [make_endpoint(limits, write) for _ in addresses], addresses)
+
+
+def main(
+    address: Annotated[list[str], typer.Option()],
+    slots: Annotated[int, typer.Option()] = 8,
+    connections: Annotated[int, typer.Option()] = 64,
+    duration_ms: Annotated[int, typer.Option()] = 50,
+    record: Annotated[str, typer.Option()] = "",
+) -> None:
+    """Serve endpoints until a signal arrives."""
+    serve_endpoints(address, Limits(slots, connections, duration_ms), record)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/packages/briarshed-standins/src/briarshed_standins/fleet.py
@@ -0,0 +1,711 @@
+"""Starts a whole fleet on loopback; ``make fleet`` keeps one until Ctrl-C."""
+
+from __future__ import annotations
+
+import json
+import shutil
+import signal
+import sys
+import tempfile
+import time
+from collections.abc import Iterator, Mapping, Sequence
+from contextlib import contextmanager, suppress
+from pathlib import Path
+from types import FrameType, TracebackType
+from typing import Any, NamedTuple, Self
+
+import zmq
+from briarshed.documents import FLEET_KEY, decode_document, make_empty
+from briarshed.keys import hash_key, make_key
+
+from briarshed_standins.checker import Outage
+from briarshed_standins.processes import (
+    FleetError,
+    Process,
+    Reaper,
+    Reply,
+    call,
+    choose_address,
+    end_processes,
+    wait_until,
+)
+from briarshed_standins.programs import now
+from briarshed_standins.storecalls import read_key
+
+READY_TIMEOUT_S = 30.0
+SPARE_NAMES = 6
+"""Entries that can be added later; their CURVE keys are allowed from the start."""
+
+SHORT_TIMES = {"slow_start_ms": 1_000, "balancer_notice_ms": 500}
+"""Times shortened by default, since they delay every start and stop of a fleet."""
+
+
+class PoolPlan(NamedTuple):
+    """A pool, and how many instances it has in all data centres together."""
+
+    name: str
+    instances: int
+    budget: int = 1
+    spare: bool = False
+    slots: int = 8
+    connections: int = 64
+
+
+class TeamPlan(NamedTuple):
+    """A team, its weight and its upper limit in jobs."""
+
+    name: str
+    share: float
+    limit: int
+
+
+class QueuePlan(NamedTuple):
+    """A queue; ``open`` queues need no key, and no teams means all teams."""
+
+    name: str
+    pool: str
+    teams: tuple[str, ...] = ()
+    open: bool = False
+
+
+class Plan(NamedTuple):
+    """What a fleet consists of.
+
+    Attributes
+    ----------
+    entries : int
+        Number of entries, named ``entry-1`` and so on, in turn over data centres.
+    links : tuple of str
+        Where links stand: ``store``, ``platform``, ``peers``, ``endpoints`` or
+        ``callers``. Links are named ``CLIENT>TARGET``, such as ``entry-1>store``,
+        ``entry-1>entry-2``, ``entry-1>i-3`` or ``callers>entry-1``.
+    endpoints_per_process : int
+        1 makes each endpoint a process that can be killed alone.
+    duration_ms : int
+        Duration of tasks without orders in their bodies.
+    settings : Mapping
+        Sections of the settings file, merged into those that the fleet writes.
+    command : tuple of str
+        Starts an entry; the path of its settings is appended.
+    configure : bool
+        Whether the sample configuration is loaded.
+    """
+
+    entries: int = 3
+    data_centres: tuple[str, ...] = ("dc1", "dc2")
+    pools: tuple[PoolPlan, ...] = (
+        PoolPlan("proofs", 4),
+        PoolPlan("prints", 2),
+        PoolPlan("reserve", 2, spare=True),
+    )
+    teams: tuple[TeamPlan, ...] = (
+        TeamPlan("hotels", 3, 20),
+        TeamPlan("schools", 2, 20),
+        TeamPlan("ministries", 1, 10),
+    )
+    queues: tuple[QueuePlan, ...] = (
+        QueuePlan("proofing", "proofs", ("hotels", "schools")),
+        QueuePlan("printing", "prints"),
+        QueuePlan("samples", "proofs", open=True),
+    )
+    links: tuple[str, ...] = ()
+    endpoints_per_process: int = 1
+    duration_ms: int = 50
+    lag_ms: int = 1_000
+    reboot_ms: int = 1_000
+    instances_per_rack: int = 2
+    settings: Mapping[str, Any] = {}
+    command: tuple[str, ...] = (str(Path(sys.executable).with_name("briarshed-entry")),)
+    configure: bool = True
+
+
+class Instance(NamedTuple):
+    """An instance, its endpoint's address, and the role of the process behind it."""
+
+    name: str
+    pool: str
+    rack: str
+    data_centre: str
+    address: str
+    role: str
+
+
+class Entry(NamedTuple):
+    """An entry: where callers, operators and peers reach it."""
+
+    name: str
+    data_centre: str
+    url: str
+    operators: str
+    settings: Path
+
+
+class Fleet:
+    """A running fleet; the context manager ends all of its processes.
+
+    Attributes
+    ----------
+    entries : dict[str, Entry]
+    instances : dict[str, Instance]
+    keys : dict[str, str]
+        Team to the text of its key; ``key_ids`` has the ids.
+    processes : dict[str, Process]
+        Role, such as ``store`` or ``entry-1``, to its process.
+    outages : list[Outage]
+        When which entry could not answer, for the checker.
+    """
+
+    def __init__(self, plan: Plan | None = None) -> None:
+        self.plan = plan or Plan()
+        self.directory = Path(tempfile.mkdtemp(prefix="briarshed-"))
+        self.processes: dict[str, Process] = {}
+        self.entries: dict[str, Entry] = {}
+        self.instances: dict[str, Instance] = {}
+        self.keys: dict[str, str] = {}
+        self.key_ids: dict[str, str] = {}
+        self.outages: list[Outage] = []
+        self.operator_key = make_key().text
+        self.store_url = ""
+        self.platform_url = ""
+        self._links_url = ""
+        self._links: dict[str, str] = {}
+        self._faults: dict[str, dict[str, Any]] = {}
+        self._reaper = Reaper()
+        self._curve = {
+            self._name_entry(number): tuple(key.decode() for key in zmq.curve_keypair())
+            for number in range(1, self.plan.entries + SPARE_NAMES + 1)
+        }
+        self._peers = {name: choose_address() for name in self._curve}
+
+    def __enter__(self) -> Self:
+        try:
+            self._start()
+        except BaseException:
+            self.close()
+            raise
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """End all processes and remove the settings and logs."""
+        end_processes(list(self.processes.values()))
+        self._reaper.close()
+        shutil.rmtree(self.directory, ignore_errors=True)
+
+    # Processes
+
+    def kill(self, role: str) -> None:
+        """End a process with SIGKILL; what ran on its endpoints ends with it."""
+        process = self.processes[role]
+        # The time before the signal: after it, the work may already run elsewhere.
+        at = now()
+        process.kill()
+        self._reaper.remove(process.pid)
+        self._note_outage(role, at)
+        self._record_killed(role, at)
+
+    def stop(self, role: str) -> None:
+        """Pause a process with SIGSTOP."""
+        self._note_outage(role, now())
+        self.processes[role].stop()
+
+    def resume(self, role: str) -> None:
+        """Continue a paused process."""
+        self.processes[role].resume()
+        self._end_outage(role)
+
+    def terminate(self, role: str) -> None:
+        """Ask a process to end, with SIGTERM."""
+        self.processes[role].terminate()
+
+    def wait_ended(self, role: str, timeout_s: float) -> int:
+        """Return the exit code of a process that ends in time."""
+        process = self.processes[role]
+        code = process.wait(timeout_s)
+        self._reaper.remove(process.pid)
+        return code
+
+    def add_entry(self, data_centre: str = "", ready: bool = True) -> Entry:
+        """Start one more entry under the next name."""
+        number = len(self.entries) + 1
+        data_centres = self.plan.data_centres
+        data_centre = data_centre or data_centres[(number - 1) % len(data_centres)]
+        entry = self._write_entry(self._name_entry(number), data_centre)
+        self.entries[entry.name] = entry
+        self._start_process(entry.name, [*self.plan.command, str(entry.settings)])
+        if ready:
+            self.wait_ready(entry.name)
+        return entry
+
+    def restart_entry(self, name: str, ready: bool = True) -> Entry:
+        """Start an ended entry again, under its name, settings and addresses."""
+        entry = self.entries[name]
+        if self.processes[name].is_running():
+            raise FleetError(f"{name} still runs")
+        self._start_process(name, [*self.plan.command, str(entry.settings)])
+        if ready:
+            self.wait_ready(name)
+        self._end_outage(name)
+        return entry
+
+    def restart_endpoint(self, role: str) -> None:
+        """Start an ended process of endpoints again, under its addresses."""
+        self._start_endpoints(role, self._list_addresses(role))
+        self._read_url(role)
+
+    def find_endpoint_role(self, instance: str) -> str:
+        """Return the role of the process that serves an instance's endpoint."""
+        return self.instances[instance].role
+
+    # Faults
+
+    def set_faults(self, target: str, **faults: Any) -> None:
+        """Replace the faults of ``store``, ``platform`` or an instance's endpoint."""
+        url = {"store": self.store_url, "platform": self.platform_url}.get(target)
+        if url is None:
+            url = f"http://{self.instances[target].address}"
+        self._expect(call("POST", f"{url}/_faults", faults))
+
+    def set_link_faults(self, pattern: str, **faults: Any) -> None:
+        """Replace the faults of links whose names match; no faults heal them."""
+        self._faults.pop(pattern, None)
+        if faults:
+            self._faults[pattern] = faults
+        self._expect(call("POST", f"{self._links_url}/_faults", self._faults))
+
+    def cut(self, *patterns: str) -> None:
+        """Cut links: open connections and new ones are reset."""
+        for pattern in patterns:
+            self.set_link_faults(pattern, cut=True)
+
+    def silence(self, *patterns: str) -> None:
+        """Hold all bytes of links, as a partition does."""
+        for pattern in patterns:
+            self.set_link_faults(pattern, silent=True)
+
+    def heal(self) -> None:
+        """Clear the faults of all links."""
+        self._faults.clear()
+        self._expect(call("POST", f"{self._links_url}/_faults", {}))
+
+    def list_links_between(
+        self, data_centre: str, include_store: bool = False
+    ) -> list[str]:
+        """Return the links that cross the border of a data centre.
+
+        Store and platform stand outside all data centres.
+        """
+        places = {entry.name: entry.data_centre for entry in self.entries.values()}
+        places |= {one.name: one.data_centre for one in self.instances.values()}
+        crossing = []
+        for name in self._links:
+            client, _, target = name.partition(">")
+            if client == "callers" or (target not in places and not include_store):
+                continue
+            if data_centre in (places[client], places.get(target, "")) and (
+                places[client] != places.get(target, "")
+            ):
+                crossing.append(name)
+        return crossing
+
+    # Operators and callers
+
+    def command(self, script: str, entry: str = "") -> Reply:
+        """Post a script of operators' commands to one entry."""
+        target = self.entries[entry] if entry else next(iter(self.entries.values()))
+        headers = {"Authorization": f"Bearer {self.operator_key}"}
+        url = f"{target.operators}/operator/commands"
+        return call("POST", url, script, headers)
+
+    def list_urls(self) -> list[str]:
+        """Return the callers' URL of every entry whose process runs."""
+        return [
+            entry.url
+            for entry in self.entries.values()
+            if self.processes[entry.name].is_running()
+        ]
+
+    def wait_ready(self, *names: str, timeout_s: float = READY_TIMEOUT_S) -> None:
+        """Wait until ``readyz`` of the entries, or of all, answers 200."""
+        for name in names or tuple(self.entries):
+            entry = self.entries[name]
+
+            def check(entry: Entry = entry) -> bool:
+                process = self.processes[entry.name]
+                if not process.is_running():
+                    raise FleetError(f"{entry.name} ended; {process.read_log()}")
+                return call("GET", f"{entry.url}/readyz").status == 200
+
+            with self._explain(name):
+                wait_until(f"{name} ready", check, timeout_s)
+
+    def wait_serving(self, *names: str, timeout_s: float = READY_TIMEOUT_S) -> None:
+        """Wait until the fleet document has the instances, or all, as serving."""
+        wanted = set(names or self.instances)
+
+        def check() -> bool:
+            found = self.read_document(FLEET_KEY)["instances"]
+            return all(found.get(name, {}).get("state") == "serving" for name in wanted)
+
+        with self._explain(next(iter(self.entries))):
+            wait_until("all instances serving", check, timeout_s)
+
+    def wait_idle(self, timeout_s: float = READY_TIMEOUT_S) -> None:
+        """Wait until no endpoint that answers runs a task."""
+
+        def check() -> bool:
+            return not any(self._count_running(one) for one in self.instances.values())
+
+        wait_until("endpoints idle", check, timeout_s)
+
+    def read_document(self, key: str) -> Any:
+        """Return a document as the store holds it now."""
+        data = read_key(self.store_url, key)
+        return decode_document(key, data) if data else make_empty(key)
+
+    def read_records(self) -> list[dict[str, Any]]:
+        """Return the records of all endpoints, in the order of time."""
+        lines: list[dict[str, Any]] = []
+        for path in sorted(self.directory.glob("*.jsonl")):
+            lines += [json.loads(line) for line in path.read_text().splitlines()]
+        return sorted(lines, key=lambda line: line["at"])
+
+    def describe(self) -> dict[str, Any]:
+        """Return what ``make fleet`` prints."""
+        return {
+            "entries": [
+                {"name": one.name, "url": one.url, "data_centre": one.data_centre}
+                for one in self.entries.values()
+            ],
+            "operators": [
+                {"url": one.operators, "key": self.operator_key}
+                for one in self.entries.values()
+            ],
+            "teams": self.keys,
+            "queues": [
+                {"name": one.name, "pool": one.pool, "open": one.open}
+                for one in self.plan.queues
+            ],
+            "endpoints": [
+                {
+                    "instance": one.name,
+                    "address": one.address,
+                    "pool": one.pool,
+                    "records": f"http://{one.address}/_records",
+                }
+                for one in self.instances.values()
+            ],
+            "processes": {
+                role: process.pid for role, process in self.processes.items()
+            },
+        }
+
+    # Start
+
+    def _start(self) -> None:
+        lag = ["--lag-ms", str(self.plan.lag_ms)]
+        lag += ["--reboot-ms", str(self.plan.reboot_ms)]
+        self._start_program("store", "store", [])
+        self._start_program("platform", "platform", lag)
+        if self.plan.links:
+            self._start_program("links", "link", [])
+        self._start_instances()
+        urls = {role: self._read_url(role) for role in self.processes}
+        self.store_url = urls["store"]
+        self.platform_url = urls["platform"]
+        self._links_url = urls.get("links", "")
+        self._list_at_platform()
+        for number in range(self.plan.entries):
+            data_centres = self.plan.data_centres
+            self.add_entry(data_centres[number % len(data_centres)], ready=False)
+        if self.entries:
+            self.wait_ready()
+            if self.plan.configure:
+                self.load_configuration()
+                self.wait_serving()
+
+    def _start_process(self, role: str, command: Sequence[str]) -> Process:
+        process = Process(role, command, self.directory)
+        self._reaper.add(process.pid)
+        self.processes[role] = process
+        return process
+
+    def _start_program(self, role: str, module: str, options: Sequence[str]) -> None:
+        command = [sys.executable, "-m", f"briarshed_standins.{module}", *options]
+        self._start_process(role, command)
+
+    def _read_url(self, role: str) -> str:
+        return f"http://{self.processes[role].read_line()['address']}"
+
+    def _start_instances(self) -> None:
+        number = 0
+        for pool in self.plan.pools:
+            group: list[str] = []
+            for index in range(pool.instances):
+                number += 1
+                if index % self.plan.endpoints_per_process == 0:
+                    role = f"endpoint-{number}"
+                data_centre = self.plan.data_centres[
+                    index % len(self.plan.data_centres)
+                ]
+                place = index // len(self.plan.data_centres)
+                rack = f"{data_centre}-r{place // self.plan.instances_per_rack + 1}"
+                name = f"i-{number}"
+                address = choose_address()
+                self.instances[name] = Instance(
+                    name, pool.name, rack, data_centre, address, role
+                )
+                group.append(role)
+            for role in dict.fromkeys(group):
+                self._start_endpoints(role, self._list_addresses(role), pool)
+
+    def _list_at_platform(self) -> None:
+        listed = [
+            {
+                "id": one.name,
+                "data_centre": one.data_centre,
+                "rack": one.rack,
+                "address": one.address,
+            }
+            for one in self.instances.values()
+        ]
+        self._expect(call("POST", f"{self.platform_url}/_instances", listed))
+
+    def _list_addresses(self, role: str) -> list[str]:
+        return [one.address for one in self.instances.values() if one.role == role]
+
+    def _start_endpoints(
+        self, role: str, addresses: Sequence[str], pool: PoolPlan | None = None
+    ) -> None:
+        if pool is None:
+            served = next(one for one in self.instances.values() if one.role == role)
+            pool = next(one for one in self.plan.pools if one.name == served.pool)
+        options = [word for one in addresses for word in ("--address", one)]
+        options += ["--slots", str(pool.slots)]
+        options += ["--connections", str(pool.connections)]
+        options += ["--duration-ms", str(self.plan.duration_ms)]
+        options += ["--record", str(self._find_record(role))]
+        self._start_program(role, "endpoint", options)
+
+    def _find_record(self, role: str) -> Path:
+        return self.directory / f"{role}.jsonl"
+
+    @staticmethod
+    def _name_entry(number: int) -> str:
+        return f"entry-{number}"
+
+    def _write_entry(self, name: str, data_centre: str) -> Entry:
+        callers = choose_address()
+        operators = choose_address()
+        public, secret = self._curve[name]
+        content: dict[str, Any] = {
+            "name": name,
+            "data_centre": data_centre,
+            "callers": {"address": callers},
+            "operators": {
+                "address": operators,
+                "keys": {"maria": hash_key(self.operator_key)},
+            },
+            "peers": {
+                "address": self._peers[name],
+                "public_key": public,
+                "secret_key": secret,
+                "allowed_keys": {
+                    other: keys[0]
+                    for other, keys in self._curve.items()
+                    if other != name
+                },
+                "routes": self._make_peer_routes(name),
+            },
+            "store": {"url": self._route_url(name, "store", self.store_url)},
+            "platform": {"url": self._route_url(name, "platform", self.platform_url)},
+            "endpoints": {"routes": self._make_endpoint_routes(name)},
+            "timing": dict(SHORT_TIMES),
+        }
+        for section, values in self.plan.settings.items():
+            if isinstance(values, Mapping):
+                content[section] = content.get(section, {}) | dict(values)
+            else:
+                content[section] = values
+        path = self.directory / f"{name}.json"
+        path.write_text(json.dumps(content, indent=2), encoding="utf-8")
+        shown = callers
+        if "callers" in self.plan.links:
+            shown = self._open_link(f"callers>{name}", callers)
+        return Entry(name, data_centre, f"http://{shown}", f"http://{operators}", path)
+
+    def _make_peer_routes(self, name: str) -> dict[str, str]:
+        if "peers" not in self.plan.links:
+            return {}
+        return {
+            other: self._open_link(f"{name}>{other}", address)
+            for other, address in self._peers.items()
+            if other != name
+        }
+
+    def _make_endpoint_routes(self, name: str) -> dict[str, str]:
+        if "endpoints" not in self.plan.links:
+            return {}
+        return {
+            one.address: self._open_link(f"{name}>{one.name}", one.address)
+            for one in self.instances.values()
+        }
+
+    def _route_url(self, name: str, target: str, url: str) -> str:
+        if target not in self.plan.links:
+            return url
+        link = self._open_link(f"{name}>{target}", url.removeprefix("http://"))
+        return f"http://{link}"
+
+    def _open_link(self, name: str, target: str) -> str:
+        content = {"name": name, "target": target}
+        reply = self._expect(call("POST", f"{self._links_url}/_links", content))
+        self._links[name] = reply["address"]
+        return reply["address"]
+
+    # Configuration
+
+    def load_configuration(self) -> None:
+        """Post the plan's pools, teams, queues, keys and instances to one entry."""
+        results = self._change(make_configuration_script(self.plan))
+        keys = _find_keys(results)
+        if len(keys) != len(self.plan.teams):
+            raise FleetError(f"the entry answered {len(keys)} keys: {results}")
+        for team, row in zip(self.plan.teams, keys, strict=True):
+            self.keys[team.name] = row["key"]
+            self.key_ids[team.name] = row["key_id"]
+        if self.instances:
+            lines = [_make_instance_command(one) for one in self.instances.values()]
+            self._change("\n".join(lines) + "\n")
+
+    def _change(self, script: str) -> Any:
+        def post() -> Any:
+            reply = self.command(script)
+            if reply.status in (400, 401, 403, 422):
+                raise FleetError(f"commands refused: {reply.content}\n{script}")
+            if reply.status != 200 or not reply.content.get("accepted"):
+                raise ValueError(f"status {reply.status}: {reply.content}")
+            return reply.content
+
+        # An entry that is not yet established refuses changes.
+        with self._explain(next(iter(self.entries))):
+            content = wait_until("commands accepted", post, READY_TIMEOUT_S)
+        if not content.get("in_force"):
+            raise FleetError(f"accepted but not in force: {content}")
+        return content["results"]
+
+    # Helpers
+
+    @contextmanager
+    def _explain(self, role: str) -> Iterator[None]:
+        try:
+            yield
+        except FleetError as error:
+            raise FleetError(f"{error}; {self.processes[role].read_log()}") from error
+
+    @staticmethod
+    def _expect(reply: Reply) -> Any:
+        if reply.status != 200:
+            raise FleetError(f"status {reply.status}: {reply.content}")
+        return reply.content
+
+    @staticmethod
+    def _count_running(instance: Instance) -> int:
+        with suppress(OSError):
+            counts = call("GET", f"http://{instance.address}/_counts").content
+            return int(counts["running"])
+        return 0
+
+    def _note_outage(self, role: str, at: float) -> None:
+        if role in self.entries:
+            self.outages.append(Outage(self.entries[role].url, at, None))
+
+    def _end_outage(self, role: str) -> None:
+        url = self.entries[role].url if role in self.entries else ""
+        self.outages = [
+            one._replace(until=now()) if one.entry == url and one.until is None else one
+            for one in self.outages
+        ]
+
+    def _record_killed(self, role: str, at: float) -> None:
+        addresses = self._list_addresses(role)
+        with self._find_record(role).open("a", encoding="utf-8") as file:
+            for address in addresses:
+                line = {"event": "killed", "at": at, "endpoint": address}
+                print(json.dumps(line), file=file)
+
+
+def make_configuration_script(plan: Plan) -> str:
+    """Return the commands that create pools, teams, queues and keys, one a line."""
+    lines = []
+    for pool in plan.pools:
+        line = f"create pool {pool.name} budget {pool.budget}"
+        if pool.spare:
+            lines.append(f"{line} spare")
+        else:
+            lines.append(f"{line} slots {pool.slots} connections {pool.connections}")
+    for team in plan.teams:
+        lines.append(f"create team {team.name} share {team.share:g} limit {team.limit}")
+    for queue in plan.queues:
+        line = f"create queue {queue.name} pool {queue.pool}"
+        if queue.open:
+            line += " open"
+        elif queue.teams:
+            line += f" teams {', '.join(queue.teams)}"
+        lines.append(line)
+    lines += [f"create key for team {team.name}" for team in plan.teams]
+    return "\n".join(lines) + "\n"
+
+
+def _make_instance_command(instance: Instance) -> str:
+    return (
+        f"add instance {instance.name} pool {instance.pool} rack {instance.rack}"
+        f" data-centre {instance.data_centre} address {instance.address}"
+    )
+
+
+def _find_keys(results: Any) -> list[dict[str, Any]]:
+    if isinstance(results, Mapping):
+        if "key_id" in results and "key" in results:
+            return [dict(results)]
+        results = list(results.values())
+    if isinstance(results, list):
+        return [row for part in results for row in _find_keys(part)]
+    return []
+
+
+def _raise_interrupt(_number: int, _frame: FrameType | None) -> None:
+    raise KeyboardInterrupt
+
+
+def end_on_signals() -> None:
+    """Let SIGTERM and SIGHUP end a program as Ctrl-C does, with its fleet."""
+    signal.signal(signal.SIGTERM, _raise_interrupt)
+    signal.signal(signal.SIGHUP, _raise_interrupt)
+
+
+def main() -> int:
+    """Keep a fleet until Ctrl-C."""
+    end_on_signals()
+    try:
+        with Fleet() as fleet:
+            print(json.dumps(fleet.describe()), flush=True)
+            print("The fleet runs; Ctrl-C ends it.", file=sys.stderr)
+            while True:
+                time.sleep(1)
+    except KeyboardInterrupt:
+        return 0
+    except FleetError as error:
+        print(f"The fleet did not start: {error}", file=sys.stderr)
+        return 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/briarshed-standins/src/briarshed_standins/storecalls.py
@@ -0,0 +1,23 @@
+"""Reads of the store stand-in from outside the entries, for conditions and tests."""
+
+from __future__ import annotations
+
+import base64
+from typing import Any
+
+from briarshed_standins.processes import FleetError, call
+
+
+def encode(text: str | bytes) -> str:
+    """Return text in base64, as the gateway takes keys and values."""
+    data = text.encode() if isinstance(text, str) else text
+    return base64.b64encode(data).decode()
+
+
+def read_key(url: str, key: str) -> bytes | None:
+    """Return the value of a key, or None if it is absent."""
+    reply = call("POST", f"{url}/v3/kv/range", {"key": encode(key)})
+    if reply.status != 200:
+        raise FleetError(f"the store answered {reply.status}: {reply.content}")
+    entries: list[dict[str, Any]] = reply.content.get("kvs", [])
+    return base64.b64decode(entries[0].get("value", "")) if entries else None
