--- /dev/null
+++ b/packages/briarshed-entry/src/briarshed_entry/callers.py
@@ -0,0 +1,297 @@
+"""The callers' HTTP port (section 6.1 of the design)."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+import secrets
+import time
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
+from typing import Any
+
+import msgspec
+from aiohttp import ClientError, web
+from briarshed.events import CALLER_LEFT, JOB_REFUSED, JOB_UNKNOWN
+from briarshed.exceptions import BriarshedError
+from briarshed.keys import KeyOwner, find_key
+from briarshed.settings import Settings
+
+from briarshed_entry import clock
+from briarshed_entry.dispatch import Job, Outcome, refuse
+from briarshed_entry.logs import log_event
+
+JOB_ID_BYTES = 12
+JOB_ID_PATTERN = re.compile(r"[!-~]{1,128}")
+DEADLINE_PATTERN = re.compile(r"[0-9]{1,9}")
+UNKNOWN_STATUSES = (HTTPStatus.BAD_GATEWAY, HTTPStatus.GATEWAY_TIMEOUT)
+
+_HEADERS = (
+    "Authorization",
+    "Briarshed-Idempotent",
+    "Briarshed-Deadline-Ms",
+    "Briarshed-Urgent",
+    "Briarshed-Job-Id",
+)
+
+
+class RefusedError(BriarshedError):
+    """The request is refused before it becomes a job."""
+
+    def __init__(self, outcome: Outcome) -> None:
+        super().__init__(outcome.message)
+        self.outcome = outcome
+
+
+class ShortBodyError(ClientError):
+    """The caller closed its side before the body was complete."""
+
+
+def make_application(
+    settings: Settings, replica: Any, coordinator: Any, scheduler: Any
+) -> web.Application:
+    """Return the application for callers; serve it with ``make_runner``."""
+
+    async def submit(request: web.Request) -> web.Response:
+        job_id = "j-" + secrets.token_hex(JOB_ID_BYTES)
+        try:
+            job_id = _read_job_id(request) or job_id
+            job = await _read_job(request, job_id, settings, replica, coordinator)
+            outcome = await scheduler.run(job)
+        except RefusedError as error:
+            outcome = error.outcome
+        except asyncio.CancelledError:
+            log_event(CALLER_LEFT, job_id=job_id)
+            raise
+        response = _make_response(outcome, job_id)
+        if not request.content.is_eof():
+            # The rest of the body must not be read as the next request.
+            response.force_close()
+        return response
+
+    async def report_health(request: web.Request) -> web.Response:
+        return web.json_response({"state": "live"})
+
+    async def report_readiness(request: web.Request) -> web.Response:
+        reason = ""
+        if scheduler.stopping:
+            reason = "stopping"
+        elif replica.configuration["version"] == 0:
+            reason = "starting: no configuration was read yet"
+        if reason:
+            status = HTTPStatus.SERVICE_UNAVAILABLE
+            return web.json_response(
+                {"state": "not ready", "reason": reason}, status=status
+            )
+        return web.json_response({"state": "ready"})
+
+    application = web.Application(
+        middlewares=[_refuse_in_json], client_max_size=settings.callers.max_body_bytes
+    )
+    application.router.add_post("/queues/{queue}/jobs", submit)
+    application.router.add_get("/healthz", report_health)
+    application.router.add_get("/readyz", report_readiness)
+    return application
+
+
+def make_runner(application: web.Application) -> web.AppRunner:
+    """Return the runner that serves the application for callers."""
+    return web.AppRunner(application, handler_cancellation=True, access_log=None)
+
+
+async def _read_job(
+    request: web.Request,
+    job_id: str,
+    settings: Settings,
+    replica: Any,
+    coordinator: Any,
+) -> Job:
+    arrived = clock.now()
+    _check_repeated(request)
+    idempotent = _read_flag(request, "Briarshed-Idempotent")
+    urgent = _read_flag(request, "Briarshed-Urgent")
+    deadline_ms = _read_deadline(request, settings)
+    owner = _find_owner(request, replica, coordinator)
+    body = await _read_body(request, settings)
+    return Job(
+        job_id,
+        request.match_info["queue"],
+        owner.team if owner else None,
+        owner.key_id if owner else None,
+        idempotent,
+        urgent,
+        arrived + deadline_ms / 1000,
+        body,
+    )
+
+
+def _find_owner(
+    request: web.Request, replica: Any, coordinator: Any
+) -> KeyOwner | None:
+    """Return who the key belongs to; None for an open queue without a key."""
+    name = request.match_info["queue"]
+    queue = replica.configuration["queues"].get(name)
+    text = request.headers.get("Authorization")
+    if queue is not None and queue["open"] and text is None:
+        return None
+    # A key or queue that is not known here may be new: only a current configuration
+    # tells that it does not exist.
+    if not coordinator.find_authority().granted:
+        raise _make_refusal(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            "configuration-not-fresh",
+            "this entry cannot confirm that its configuration is current",
+        )
+    if queue is None:
+        raise _make_refusal(
+            HTTPStatus.NOT_FOUND, "no-such-queue", f"there is no queue {name[:80]!r}"
+        )
+    if text is None:
+        raise _make_refusal(
+            HTTPStatus.UNAUTHORIZED, "key-missing", "header 'Authorization' is missing"
+        )
+    scheme, _, key = text.partition(" ")
+    if scheme.lower() != "bearer" or not key.strip():
+        raise _make_refusal(
+            HTTPStatus.UNAUTHORIZED,
+            "key-missing",
+            "header 'Authorization' must be 'Bearer KEY'",
+        )
+    owner = find_key(replica.configuration, key.strip(), time.time())
+    if owner is None:
+        raise _make_refusal(
+            HTTPStatus.UNAUTHORIZED, "key-not-valid", "the key is not valid"
+        )
+    if queue["teams"] and owner.team not in queue["teams"]:
+        raise _make_refusal(
+            HTTPStatus.FORBIDDEN,
+            "team-not-allowed",
+            f"team {owner.team} may not use queue {name}",
+        )
+    return owner
+
+
+def _check_repeated(request: web.Request) -> None:
+    for name in _HEADERS:
+        if len(request.headers.getall(name, ())) > 1:
+            raise _make_bad_header(name, "is given more than once")
+
+
+def _read_job_id(request: web.Request) -> str | None:
+    text = request.headers.get("Briarshed-Job-Id")
+    if text is not None and not JOB_ID_PATTERN.fullmatch(text):
+        raise _make_bad_header(
+            "Briarshed-Job-Id", "must be 1 to 128 visible ASCII characters"
+        )
+    return text
+
+
+def _read_flag(request: web.Request, name: str) -> bool:
+    text = request.headers.get(name, "false")
+    if text not in ("true", "false"):
+        raise _make_bad_header(name, f"must be 'true' or 'false', not {text[:40]!r}")
+    return text == "true"
+
+
+def _read_deadline(request: web.Request, settings: Settings) -> int:
+    name = "Briarshed-Deadline-Ms"
+    text = request.headers.get(name)
+    if text is None:
+        return settings.callers.default_deadline_ms
+    highest = settings.callers.max_deadline_ms
+    if not DEADLINE_PATTERN.fullmatch(text) or not 0 < int(text) <= highest:
+        raise _make_bad_header(
+            name, f"must be a whole number from 1 to {highest}, not {text[:40]!r}"
+        )
+    return int(text)
+
+
+async def _read_body(request: web.Request, settings: Settings) -> bytes:
+    limit = settings.callers.max_body_bytes
+    declared = request.content_length
+    if declared is not None and declared > limit:
+        raise _make_too_large(limit)
+    parts: list[bytes] = []
+    size = 0
+    try:
+        async with asyncio.timeout(settings.callers.body_timeout_ms / 1000):
+            async for part in request.content.iter_any():
+                size += len(part)
+                if size > limit:
+                    raise _make_too_large(limit)
+                parts.append(part)
+    except TimeoutError as error:
+        raise _make_refusal(
+            HTTPStatus.REQUEST_TIMEOUT,
+            "slow-sender",
+            f"the body did not arrive within {settings.callers.body_timeout_ms} ms",
+        ) from error
+    except (ClientError, web.RequestPayloadError, ConnectionError) as error:
+        raise _make_short(size, declared) from error
+    if declared is not None and size < declared:
+        raise _make_short(size, declared)
+    return b"".join(parts)
+
+
+def _make_short(size: int, declared: int | None) -> RefusedError:
+    expected = f"{declared} were declared" if declared else "its end is missing"
+    return _make_refusal(
+        HTTPStatus.BAD_REQUEST, "short-body", f"the body has {size} bytes; {expected}"
+    )
+
+
+def _make_too_large(limit: int) -> RefusedError:
+    return _make_refusal(
+        HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+        "body-too-large",
+        f"the body exceeds {limit} bytes",
+    )
+
+
+def _make_bad_header(name: str, problem: str) -> RefusedError:
+    return _make_refusal(
+        HTTPStatus.BAD_REQUEST, "bad-header", f"header '{name}' {problem}"
+    )
+
+
+def _make_refusal(status: HTTPStatus, code: str, message: str) -> RefusedError:
+    return RefusedError(refuse(status, code, message))
+
+
+def _make_response(outcome: Outcome, job_id: str) -> web.Response:
+    headers = {**outcome.headers, "Briarshed-Job-Id": job_id}
+    if outcome.status == HTTPStatus.OK:
+        return web.Response(body=outcome.body, headers=headers)
+    unknown = outcome.status in UNKNOWN_STATUSES
+    log_event(JOB_UNKNOWN if unknown else JOB_REFUSED, job_id=job_id, code=outcome.code)
+    content = {
+        "outcome": "unknown" if unknown else "not run",
+        "code": outcome.code,
+        "message": outcome.message,
+        "job_id": job_id,
+    }
+    return web.Response(
+        status=outcome.status,
+        body=msgspec.json.encode(content),
+        headers={**headers, "Content-Type": "application/json"},
+    )
+
+
+@web.middleware
+async def _refuse_in_json(
+    request: web.Request,
+    handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
+) -> web.StreamResponse:
+    """Answer what the router refuses, and errors of this program, in JSON too."""
+    try:
+        return await handler(request)
+    except web.HTTPException as error:
+        if error.status < HTTPStatus.BAD_REQUEST:
+            raise
+        code = error.reason.lower().replace(" ", "-")
+        response = _make_response(
+            refuse(HTTPStatus(error.status), code, error.reason), ""
+        )
+        if "Allow" in error.headers:
+            response.headers["Allow"] = error.headers["Allow"]
+        return response
--- /dev/null
+++ b/packages/briarshed-entry/src/briarshed_entry/endpoints.py
@@ -0,0 +1,391 @@
+"""Calls to endpoints; the only module that knows the endpoint's protocol.
+
+Every call uses a connection of its own. A late or repeated answer of an earlier task
+therefore cannot be read as the answer to a later one, and a kept connection that the
+endpoint closes at the same moment cannot make an outcome unknown.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter, defaultdict
+from collections.abc import Callable, Mapping
+from contextlib import suppress
+from types import SimpleNamespace, TracebackType
+from typing import Any, Literal, NamedTuple, Self
+
+import aiohttp
+import msgspec
+from briarshed.events import ANSWER_DROPPED
+from briarshed.exceptions import AnswerLostError, EndpointUnreachableError
+from briarshed.settings import Settings
+
+from briarshed_entry import clock
+from briarshed_entry.logs import log_event
+
+MAX_CONTROL_BYTES = 65_536
+"""Longest control response that is read."""
+
+MAX_CODE_LENGTH = 64
+"""Longest reason code of an endpoint that is repeated in a message."""
+
+TaskState = Literal["running", "finished", "stopped", "never"]
+FenceState = Literal["never", "stopped", "finished"]
+ReplyKind = Literal["answered", "refused", "failed", "impossible", "too-large"]
+
+_LENGTH_HEADERS = {"Content-Length", "Transfer-Encoding"}
+
+
+class Load(NamedTuple):
+    """Running tasks and slots, as an endpoint reported them."""
+
+    running: int
+    slots: int
+
+
+class Reply(NamedTuple):
+    """A complete response of an endpoint to one attempt.
+
+    Attributes
+    ----------
+    kind : str
+        ``answered`` carries the body; ``refused`` and ``impossible`` mean that the
+        task did not start; ``failed`` and ``too-large`` that it started.
+    code : str
+        The endpoint's reason for a refusal.
+    body : bytes
+        The complete body of an answer.
+    content_type : str
+        Its type.
+    load : Load or None
+        The load that came with the response.
+    """
+
+    kind: ReplyKind
+    code: str = ""
+    body: bytes = b""
+    content_type: str = "application/octet-stream"
+    load: Load | None = None
+
+
+class TaskRequest(NamedTuple):
+    """One attempt as it is sent; ``lease_ms`` is how long the task may run."""
+
+    attempt: str
+    job_id: str
+    team: str | None
+    key_id: str | None
+    queue: str
+    idempotent: bool
+    lease_ms: int
+    body: bytes
+
+
+class Health(NamedTuple):
+    """Result of an endpoint's health check."""
+
+    state: str
+    running: int
+    slots: int
+
+
+class Progress:
+    """How far an exchange has come.
+
+    Attributes
+    ----------
+    written : bool
+        Whether a byte of the request may have been written.
+    last_byte_at : float
+        Seconds of the clock at the last byte of the response, or at the start.
+    """
+
+    def __init__(self) -> None:
+        self.written = False
+        self.last_byte_at = clock.now()
+
+
+class NotAllowedError(EndpointUnreachableError):
+    """The check made right before the first byte forbade the start."""
+
+
+class Endpoints:
+    """Connections to the endpoints; an asynchronous context manager.
+
+    Attributes
+    ----------
+    counts : Counter
+        Dropped responses by reason.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self.counts: Counter[str] = Counter()
+        self._settings = settings.endpoints
+        self._permits: defaultdict[str, asyncio.Semaphore] = defaultdict(
+            lambda: asyncio.Semaphore(self._settings.connections)
+        )
+        self._session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> Self:
+        trace = aiohttp.TraceConfig()
+        trace.on_connection_create_end.append(_allow_writing)
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(force_close=True, limit=0),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            auto_decompress=False,
+            timeout=aiohttp.ClientTimeout(
+                total=None, sock_connect=self._settings.connect_timeout_ms / 1000
+            ),
+            trace_configs=[trace],
+        )
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        if self._session is not None:
+            await self._session.close()
+
+    async def start_task(
+        self,
+        address: str,
+        request: TaskRequest,
+        progress: Progress,
+        allow: Callable[[], bool],
+    ) -> Reply:
+        """Send an attempt and read the complete response.
+
+        Parameters
+        ----------
+        address : str
+            Registered address of the endpoint.
+        request : TaskRequest
+            The attempt.
+        progress : Progress
+            Updated as bytes move.
+        allow : callable
+            Called once the connection stands, right before the first byte.
+
+        Raises
+        ------
+        NotAllowedError
+            If ``allow`` returned false; nothing was written.
+        EndpointUnreachableError
+            If nothing was written.
+        AnswerLostError
+            If the request may have arrived and no complete response of its own came.
+        """
+        headers = {
+            "Briarshed-Job-Id": request.job_id,
+            "Briarshed-Team": request.team or "",
+            "Briarshed-Key-Id": request.key_id or "",
+            "Briarshed-Queue": request.queue,
+            "Briarshed-Lease-Ms": str(request.lease_ms),
+            "Briarshed-Idempotent": "true" if request.idempotent else "false",
+            "Content-Type": "application/octet-stream",
+        }
+        path = f"/tasks/{request.attempt}"
+        context = SimpleNamespace(progress=progress, allow=allow)
+        try:
+            async with (
+                self._permits[address],
+                self._call(
+                    "POST", address, path, context, headers, request.body
+                ) as got,
+            ):
+                reply = await self._read_reply(address, request.attempt, got, progress)
+                progress.last_byte_at = clock.now()
+                return reply
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            if not progress.written:
+                message = f"endpoint {address} cannot be reached: {error!r}"
+                raise EndpointUnreachableError(message) from error
+            raise AnswerLostError(f"endpoint {address}: {error!r}") from error
+
+    async def find_state(self, address: str, attempt: str, timeout: float) -> TaskState:
+        """Ask over a new connection what became of an attempt.
+
+        Raises
+        ------
+        AnswerLostError
+            If no valid answer came within ``timeout`` seconds.
+        """
+        path = f"/tasks/{attempt}"
+        content = await self._control("GET", address, path, timeout)
+        return _check_state(content, ("running", "finished", "stopped", "never"))
+
+    async def fence(self, address: str, attempt: str, timeout: float) -> FenceState:
+        """Forbid an attempt to start, or stop it, over a new connection.
+
+        Raises
+        ------
+        AnswerLostError
+            If no valid answer came within ``timeout`` seconds.
+        """
+        path = f"/tasks/{attempt}"
+        content = await self._control("DELETE", address, path, timeout)
+        return _check_state(content, ("never", "stopped", "finished"))
+
+    async def fetch_answer(
+        self, address: str, attempt: str, progress: Progress, timeout: float
+    ) -> Reply:
+        """Return the kept answer of a finished attempt.
+
+        Raises
+        ------
+        AnswerLostError
+            If it did not arrive complete within ``timeout`` seconds.
+        """
+        path = f"/tasks/{attempt}/answer"
+        try:
+            async with (
+                asyncio.timeout(timeout),
+                self._permits[address],
+                self._call("GET", address, path) as got,
+            ):
+                return await self._read_reply(address, attempt, got, progress, True)
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            raise AnswerLostError(f"endpoint {address}: {error!r}") from error
+
+    async def check_health(self, address: str, timeout: float) -> Health | None:
+        """Return an endpoint's health, or None if it does not answer."""
+        try:
+            content = await self._control("GET", address, "/healthz", timeout)
+            return Health(
+                str(content["state"]), int(content["running"]), int(content["slots"])
+            )
+        except (AnswerLostError, KeyError, TypeError, ValueError):
+            return None
+
+    def _call(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        context: Any = None,
+        headers: Mapping[str, str] | None = None,
+        body: bytes | None = None,
+    ) -> Any:
+        assert self._session is not None
+        target = self._settings.routes.get(address, address)
+        return self._session.request(
+            method,
+            f"http://{target}{path}",
+            data=body,
+            headers=headers,
+            allow_redirects=False,
+            trace_request_ctx=context,
+        )
+
+    async def _control(
+        self, method: str, address: str, path: str, timeout: float
+    ) -> Mapping[str, Any]:
+        # The time spent waiting for a connection counts: calls to an endpoint that
+        # answers release theirs within milliseconds.
+        try:
+            async with (
+                asyncio.timeout(timeout),
+                self._permits[address],
+                self._call(method, address, path) as got,
+            ):
+                body = await _read_body(got, MAX_CONTROL_BYTES, None)
+                if got.status != 200 or body is None:
+                    raise AnswerLostError(f"endpoint {address}: status {got.status}")
+                return msgspec.json.decode(body, type=dict)
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            raise AnswerLostError(f"endpoint {address}: {error!r}") from error
+        except msgspec.MsgspecError as error:
+            raise AnswerLostError(f"endpoint {address}: {error}") from error
+
+    async def _read_reply(
+        self,
+        address: str,
+        attempt: str,
+        got: aiohttp.ClientResponse,
+        progress: Progress,
+        attempt_in_path: bool = False,
+    ) -> Reply:
+        progress.last_byte_at = clock.now()
+        named = got.headers.getall("Briarshed-Attempt", [])
+        needed = got.status == 200 and not attempt_in_path
+        if (needed and not named) or any(name != attempt for name in named):
+            self.counts["wrong-attempt"] += 1
+            got_attempt = named[0][:MAX_CODE_LENGTH] if named else "none"
+            log_event(
+                ANSWER_DROPPED, address=address, got=got_attempt, expected=attempt
+            )
+            raise AnswerLostError(f"endpoint {address} answered another attempt")
+        if not _LENGTH_HEADERS & {name.title() for name in got.headers}:
+            # Without a declared length a truncated body looks complete.
+            self.counts["no-length"] += 1
+            raise AnswerLostError(f"endpoint {address} declared no length")
+        body = await _read_body(got, self._settings.max_answer_bytes, progress)
+        load = _parse_load(got.headers.get("Briarshed-Load", ""))
+        return _make_reply(address, got, body, load)
+
+
+async def _allow_writing(session: Any, context: Any, parameters: Any) -> None:
+    request = context.trace_request_ctx
+    if request is None:
+        return
+    if not request.allow():
+        raise NotAllowedError("the start was no longer allowed")
+    request.progress.written = True
+
+
+async def _read_body(
+    got: aiohttp.ClientResponse, limit: int, progress: Progress | None
+) -> bytes | None:
+    parts: list[bytes] = []
+    size = 0
+    async for part in got.content.iter_any():
+        if progress is not None:
+            progress.last_byte_at = clock.now()
+        size += len(part)
+        if size > limit:
+            return None
+        parts.append(part)
+    return b"".join(parts)
+
+
+def _make_reply(
+    address: str, got: aiohttp.ClientResponse, body: bytes | None, load: Load | None
+) -> Reply:
+    match got.status:
+        case 200 if body is None:
+            return Reply("too-large", load=load)
+        case 200:
+            content_type = got.headers.get("Content-Type", "application/octet-stream")
+            return Reply("answered", "", body, content_type, load)
+        case 500:
+            return Reply("failed", load=load)
+        case 422:
+            return Reply("impossible", load=load)
+        case 503 if body is not None and (code := _find_refusal(body)):
+            return Reply("refused", code, load=load)
+    raise AnswerLostError(f"endpoint {address}: unexpected status {got.status}")
+
+
+def _find_refusal(body: bytes) -> str:
+    with suppress(msgspec.MsgspecError):
+        content = msgspec.json.decode(body)
+        if isinstance(content, dict) and content.get("outcome") == "not run":
+            return str(content.get("code") or "refused")[:MAX_CODE_LENGTH]
+    return ""
+
+
+def _parse_load(text: str) -> Load | None:
+    running, _, slots = text.partition("/")
+    if running.isdecimal() and slots.isdecimal():
+        return Load(int(running), int(slots))
+    return None
+
+
+def _check_state(content: Mapping[str, Any], allowed: tuple[str, ...]) -> Any:
+    state = content.get("state")
+    if state not in allowed:
+        raise AnswerLostError(f"unknown task state {str(state)[:MAX_CODE_LENGTH]!r}")
+    return state
--- /dev/null
+++ b/packages/briarshed-entry/src/briarshed_entry/scheduler.py
@@ -0,0 +1,614 @@
+"""Queued and running jobs of this entry."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections import Counter, defaultdict
+from collections.abc import Mapping
+from http import HTTPStatus
+from typing import Any, NamedTuple
+
+from briarshed import admission, retries
+from briarshed.documents import (
+    CONFIGURATION_KEY,
+    FLEET_KEY,
+    GRANTS_KEY,
+    Configuration,
+    Instance,
+    Pool,
+    Queue,
+)
+from briarshed.events import ENDPOINT_EJECTED, ENDPOINT_READMITTED
+from briarshed.exceptions import AnswerLostError
+from briarshed.fairness import FairQueue, Line
+from briarshed.health import Action, Ejected, PoolHealth
+from briarshed.placement import FULL_S, Placement, Site
+from briarshed.retries import RetryBudget
+from briarshed.settings import Settings
+
+from briarshed_entry import clock
+from briarshed_entry.dispatch import Job, Outcome, Place, Result, Steps, refuse, run_job
+from briarshed_entry.endpoints import Endpoints
+from briarshed_entry.logs import log_event
+
+TICK_S = 0.1
+"""Period at which waiting teams are considered again, far below the 4 s for urgent."""
+
+REFRESH_S = 1.0
+"""Period at which the order takes new running counts of other entries."""
+
+SETTLE_S = 1.0
+"""Seconds between fences of an attempt whose end is unknown."""
+
+LEAVING_S = 1.0
+"""How long an endpoint that says it is leaving gets nothing.
+
+By then the fleet document names it as leaving.
+"""
+
+MAX_RETRY_AFTER_S = 60.0
+
+NEUTRAL = frozenset({"refused", "impossible", "not-allowed", "abandoned"})
+"""Results that tell nothing about the endpoint's health.
+
+A job that can never run must not eject the endpoints that say so.
+"""
+
+_NO_TEAM = ""
+
+
+class _Pool:
+    """Queued jobs and endpoints of one pool."""
+
+    def __init__(self, name: str, scheduler: Scheduler, slow_start_s: float) -> None:
+        self.name = name
+        self.queue: FairQueue[_Life] = FairQueue(scheduler.find_load)
+        self.placement = Placement(slow_start_s)
+        self.health = PoolHealth()
+        self.budget = RetryBudget()
+        self.shares = 0.0
+        self.timer: asyncio.TimerHandle | None = None
+        self.refreshed_at = 0.0
+
+
+class _Life:
+    """A job of this entry from its acceptance to its outcome."""
+
+    def __init__(self, job: Job, pool: _Pool) -> None:
+        self.job = job
+        self.pool = pool
+        self.line = Line(job.team or _NO_TEAM, job.urgent)
+        self.since = clock.now()
+        self.turn: asyncio.Future[Place | Outcome] | None = None
+        self.tried: frozenset[str] = frozenset()
+        self.place: Place | None = None
+        self.sent_at = 0.0
+        self.attempts = 0
+        self.held_back = ""
+        self.caller_left = False
+
+
+class JobRow(NamedTuple):
+    """A job as an operator's query shows it; ``age`` is in seconds."""
+
+    job_id: str
+    queue: str
+    team: str | None
+    urgent: bool
+    state: str
+    endpoint: str | None
+    attempts: int
+    age: float
+
+
+class Scheduler:
+    """Runs the jobs of this entry.
+
+    Attributes
+    ----------
+    counts : Counter
+        Jobs by outcome code, attempts, retries and unsettled attempts.
+    stopping : bool
+        Whether a planned stop was announced; jobs are still accepted until ``drain``.
+    draining : bool
+        Whether new jobs are refused.
+    """
+
+    def __init__(
+        self, settings: Settings, replica: Any, coordinator: Any, endpoints: Endpoints
+    ) -> None:
+        self.counts: Counter[str] = Counter()
+        self.stopping = False
+        self.draining = False
+        self._settings = settings
+        self._replica = replica
+        self._coordinator = coordinator
+        self._endpoints = endpoints
+        self._random = random.Random()
+        self._pools: dict[str, _Pool] = {}
+        self._lives: dict[int, _Life] = {}
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._queued: Counter[str] = Counter()
+        self._held_bytes: Counter[str] = Counter()
+        self._waiting: Counter[str] = Counter()
+        self._parked_in: defaultdict[str, set[str]] = defaultdict(set)
+        self._open_running = 0
+        self._run_times: dict[str, float] = {}
+        self._idle = asyncio.Event()
+        self._tick: asyncio.TimerHandle | None = None
+        self._update_pools()
+        replica.updates.subscribe(self._note_update)
+
+    async def run(self, job: Job) -> Outcome:
+        """Run a job to its outcome.
+
+        If the calling task is cancelled because the caller left, a queued job is
+        dropped at once, a running idempotent one is fenced, and another one runs to
+        its end.
+        """
+        admitted = self._admit(job)
+        if isinstance(admitted, Outcome):
+            self.counts[admitted.code] += 1
+            return admitted
+        life = admitted
+        self._lives[id(life)] = life
+        task = self._spawn(self._live(life))
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            life.caller_left = True
+            if life.place is None or job.idempotent:
+                task.cancel()
+            raise
+
+    def list_jobs(self) -> list[JobRow]:
+        """Return a row for every queued and running job."""
+        now = clock.now()
+        return [_make_row(life, now) for life in self._lives.values()]
+
+    def announce_stop(self) -> None:
+        """Make the entry unready while it still accepts jobs."""
+        self.stopping = True
+
+    async def drain(self) -> None:
+        """Refuse new jobs, and return when no job and no attempt is left."""
+        self.stopping = True
+        self.draining = True
+        while self._tasks:
+            await asyncio.wait(self._tasks)
+
+    def find_load(self, team: str) -> float:
+        """Return a team's running jobs over its share."""
+        if team == _NO_TEAM:
+            return float(self._open_running)
+        return self._coordinator.count_running(team) / self._find_share(team)
+
+    # Admission
+
+    def _admit(self, job: Job) -> _Life | Outcome:
+        if self.draining:
+            message = "this entry is stopping"
+            return refuse(HTTPStatus.SERVICE_UNAVAILABLE, "stopping", message)
+        queue = self._replica.configuration["queues"].get(job.queue)
+        if queue is None:
+            return refuse(HTTPStatus.NOT_FOUND, "no-such-queue", "no such queue")
+        refusal = self._check_right(job)
+        if refusal is not None:
+            return refusal
+        pool = self._find_pool(queue["pool"])
+        return self._check_bounds(job, queue, pool) or _Life(job, pool)
+
+    def _check_bounds(self, job: Job, queue: Queue, pool: _Pool) -> Outcome | None:
+        wait = self._expect_wait(job, pool)
+        bound = admission.find_full_bound(
+            queue, self._queued[job.queue], self._held_bytes[job.queue], len(job.body)
+        )
+        retry_after = min(MAX_RETRY_AFTER_S, wait)
+        if bound:
+            status = HTTPStatus.TOO_MANY_REQUESTS
+            return refuse(status, "queue-full", bound, retry_after)
+        if wait > job.deadline - clock.now():
+            message = f"the expected wait of {wait:.1f} s exceeds the deadline"
+            status = HTTPStatus.TOO_MANY_REQUESTS
+            return refuse(status, "wait-too-long", message, retry_after)
+        return None
+
+    def _expect_wait(self, job: Job, pool: _Pool) -> float:
+        line = Line(job.team or _NO_TEAM, job.urgent)
+        share = self._find_share(line.team)
+        ahead = admission.count_ahead(
+            len(pool.queue),
+            pool.queue.count_team(line.team),
+            share,
+            pool.shares + share,
+        )
+        if job.urgent:
+            urgent = pool.queue.count_urgent() * admission.URGENT_STRETCH
+            ahead = min(ahead, urgent)
+        entries = max(1, len(self._replica.members["members"]))
+        slots = pool.placement.count_slots()
+        own = pool.placement.count_own()
+        return admission.expect_wait(
+            ahead,
+            self._run_times.get(job.queue),
+            max(slots / entries, own),
+            1 if pool.placement.has_available(clock.now()) and not pool.queue else 0,
+        )
+
+    def _check_right(self, job: Job) -> Outcome | None:
+        """Return why the job's key gives no right to start it now, if so."""
+        if job.team is None:
+            return None
+        if not self._coordinator.find_authority().granted:
+            return refuse(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                "configuration-not-fresh",
+                "this entry cannot confirm that its configuration is current",
+            )
+        configuration: Configuration = self._replica.configuration
+        key = configuration["keys"].get(job.key_id or "")
+        if key is None or key["team"] != job.team or _has_expired(key["expires_at"]):
+            return refuse(
+                HTTPStatus.UNAUTHORIZED, "key-not-valid", "the key is not valid"
+            )
+        queue = configuration["queues"].get(job.queue)
+        if queue is None:
+            return refuse(HTTPStatus.NOT_FOUND, "no-such-queue", "no such queue")
+        if queue["teams"] and job.team not in queue["teams"]:
+            message = f"team {job.team} may not use queue {job.queue}"
+            return refuse(HTTPStatus.FORBIDDEN, "team-not-allowed", message)
+        return None
+
+    # Life of a job
+
+    async def _live(self, life: _Life) -> Outcome:
+        steps = Steps(
+            lambda tried: self._acquire(life, tried),
+            lambda place, attempt, result: self._release(life, place, attempt, result),
+            lambda: self._may_start_now(life),
+            lambda count: self._take_retry(life, count),
+        )
+        try:
+            outcome = await run_job(life.job, self._settings, self._endpoints, steps)
+            self.counts[outcome.code or "finished"] += 1
+            return outcome
+        finally:
+            del self._lives[id(life)]
+
+    async def _acquire(self, life: _Life, tried: frozenset[str]) -> Place | Outcome:
+        if life.caller_left:
+            message = "the caller disconnected"
+            return refuse(HTTPStatus.SERVICE_UNAVAILABLE, "caller-left", message)
+        refusal = self._check_right(life.job)
+        if refusal is not None:
+            return refusal
+        life.turn = asyncio.get_running_loop().create_future()
+        life.tried = tried
+        self._enqueue(life)
+        self._pump(life.pool)
+        try:
+            left = life.job.deadline - clock.now()
+            await asyncio.wait({life.turn}, timeout=max(0.0, left))
+            if life.turn.done():
+                return life.turn.result()
+            return self._explain_deadline(life)
+        except asyncio.CancelledError:
+            if life.turn.done() and isinstance(found := life.turn.result(), Place):
+                self._free(life, found)
+            raise
+        finally:
+            self._dequeue(life)
+
+    def _enqueue(self, life: _Life) -> None:
+        pool, job, team = life.pool, life.job, life.line.team
+        if pool.queue.count_team(team) == 0:
+            pool.shares += self._find_share(team)
+        pool.queue.add(life.line, _job_key(life), life, first=life.attempts > 0)
+        self._queued[job.queue] += 1
+        self._held_bytes[job.queue] += len(job.body)
+        self._note_waiting(team, 1)
+        if self._tick is None:
+            loop = asyncio.get_running_loop()
+            self._tick = loop.call_later(TICK_S, self._run_tick)
+
+    def _dequeue(self, life: _Life) -> None:
+        """Take a job out of the queue's accounts, if it is still queued."""
+        if life.pool.queue.remove(life.line, _job_key(life)):
+            self._note_left_queue(life)
+
+    def _note_left_queue(self, life: _Life) -> None:
+        pool, job, team = life.pool, life.job, life.line.team
+        if pool.queue.count_team(team) == 0:
+            pool.shares = max(0.0, pool.shares - self._find_share(team))
+        if len(pool.queue) == 0:
+            pool.shares = 0.0
+        self._queued[job.queue] -= 1
+        self._held_bytes[job.queue] -= len(job.body)
+        self._note_waiting(team, -1)
+
+    def _note_waiting(self, team: str, change: int) -> None:
+        self._waiting[team] += change
+        if team != _NO_TEAM:
+            self._coordinator.set_waiting(team, self._waiting[team])
+
+    def _explain_deadline(self, life: _Life) -> Outcome:
+        if life.pool.queue.is_parked(life.line.team):
+            message = f"team {life.job.team} is at its upper limit"
+            status = HTTPStatus.TOO_MANY_REQUESTS
+            return refuse(status, "team-limit", message, 1.0)
+        message = "no endpoint was free before the deadline"
+        return refuse(HTTPStatus.SERVICE_UNAVAILABLE, "no-endpoint-in-time", message)
+
+    def _may_start_now(self, life: _Life) -> bool:
+        """Check again right before the first byte, since connecting took time."""
+        place = life.place
+        return (
+            clock.now() < life.job.deadline
+            and place is not None
+            and life.pool.placement.holds(place.endpoint, place.address)
+            and self._check_right(life.job) is None
+        )
+
+    def _take_retry(self, life: _Life, count: int) -> float | None:
+        if life.caller_left or not life.pool.budget.take_token():
+            return None
+        self.counts["retries"] += 1
+        return retries.find_delay(count, self._random.random())
+
+    # Starts and ends
+
+    def _pump(self, pool: _Pool) -> None:
+        """Start queued jobs of a pool as long as one can start."""
+        set_aside: list[_Life] = []
+        now = clock.now()
+        while pool.placement.has_available(now):
+            choice = pool.queue.choose()
+            if choice is None:
+                break
+            line, key, life = choice
+            refusal = self._check_right(life.job)
+            if refusal is not None:
+                self._resolve(life, refusal)
+                continue
+            team = life.job.team
+            if team is not None and self._coordinator.may_start(team):
+                pool.queue.park(line.team)
+                self._parked_in[line.team].add(pool.name)
+                continue
+            found = pool.placement.choose(now, self._random, life.tried)
+            if found is None:
+                # Only endpoints that this job has tried are free.
+                pool.queue.remove(line, key)
+                set_aside.append(life)
+                continue
+            self._start(life, Place(*found), now)
+        for life in reversed(set_aside):
+            pool.queue.add(life.line, _job_key(life), life, first=True)
+        if pool.queue:
+            self._set_timer(pool, now)
+
+    def _resolve(self, life: _Life, outcome: Outcome) -> None:
+        self._dequeue(life)
+        assert life.turn is not None
+        life.turn.set_result(outcome)
+
+    def _start(self, life: _Life, place: Place, now: float) -> None:
+        pool = life.pool
+        pool.queue.note_started(life.line, _job_key(life))
+        self._note_left_queue(life)
+        if life.job.team is None:
+            self._open_running += 1
+        else:
+            self._coordinator.note_started(life.job.team)
+        pool.placement.note_started(place.endpoint, now)
+        if life.attempts == 0:
+            pool.budget.note_first_attempt()
+        life.attempts += 1
+        life.place = place
+        life.sent_at = now
+        self.counts["attempts"] += 1
+        assert life.turn is not None
+        life.turn.set_result(place)
+
+    def _release(self, life: _Life, place: Place, attempt: str, result: Result) -> None:
+        now = clock.now()
+        life.place = None
+        pool = life.pool
+        self._judge(life, place, result, now)
+        if result.kind in ("lost", "abandoned"):
+            self.counts["unsettled"] += 1
+            self._spawn(self._settle(life, place, attempt))
+        else:
+            self._free(life, place)
+        reply = result.reply
+        if reply is not None and reply.load is not None:
+            pool.placement.note_load(place.endpoint, reply.load.running, now)
+        if result.kind == "refused":
+            code = reply.code if reply is not None else ""
+            span = LEAVING_S if code == "leaving" else FULL_S
+            pool.placement.block(place.endpoint, now + span, now)
+        if result.kind == "answered":
+            queue = life.job.queue
+            average = self._run_times.get(queue)
+            taken = now - life.sent_at
+            self._run_times[queue] = admission.learn_run_time(average, taken)
+        self._pump(pool)
+
+    def _free(self, life: _Life, place: Place) -> None:
+        """Count an attempt as ended."""
+        life.place = None
+        team = life.job.team
+        now = clock.now()
+        life.pool.placement.note_ended(place.endpoint, place.address, now)
+        if team is None:
+            self._open_running -= 1
+        else:
+            self._coordinator.note_ended(team)
+        self._reconsider(life.line.team)
+        life.pool.queue.refresh(life.line.team)
+
+    async def _settle(self, life: _Life, place: Place, attempt: str) -> None:
+        """Keep an attempt counted until its lease ended or its endpoint says so."""
+        timing = self._settings.timing
+        end = life.sent_at + (timing.task_lease_ms + timing.margin_ms) / 1000
+        timeout = self._settings.endpoints.probe_timeout_ms / 1000
+        try:
+            while (left := end - clock.now()) > 0:
+                try:
+                    await self._endpoints.fence(
+                        place.address, attempt, min(left, timeout)
+                    )
+                    return
+                except AnswerLostError:
+                    await asyncio.sleep(min(SETTLE_S, max(0.0, end - clock.now())))
+        finally:
+            self.counts["unsettled"] -= 1
+            self._free(life, place)
+            self._pump(life.pool)
+
+    def _judge(self, life: _Life, place: Place, result: Result, now: float) -> None:
+        """Take a result into account for the endpoint's health."""
+        if result.kind in NEUTRAL:
+            return
+        late = now >= life.job.deadline
+        if late and result.kind in ("stopped", "never"):
+            # This entry ended a slow task at the deadline.
+            return
+        health = life.pool.health
+        if result.kind in ("answered", "too-large"):
+            actions = health.note_success(place.endpoint)
+        else:
+            actions = health.note_failure(place.endpoint, now)
+        self._apply(life.pool, actions, now)
+
+    def _apply(self, pool: _Pool, actions: list[Action], now: float) -> None:
+        for action in actions:
+            if isinstance(action, Ejected):
+                pool.placement.set_probation(action.endpoint, True, now)
+                pool.placement.block(action.endpoint, action.until, now)
+                log_event(
+                    ENDPOINT_EJECTED, address=action.endpoint, seconds=action.seconds
+                )
+            else:
+                pool.placement.set_probation(action.endpoint, False, now)
+                log_event(ENDPOINT_READMITTED, address=action.endpoint)
+
+    # Wake-ups
+
+    def _run_tick(self) -> None:
+        """Consider waiting teams again: a grant or the authority may have come."""
+        self._tick = None
+        now = clock.now()
+        for pool in self._pools.values():
+            if not pool.queue:
+                continue
+            if now - pool.refreshed_at >= REFRESH_S:
+                pool.refreshed_at = now
+                pool.queue.refresh_all()
+            for team in pool.queue.list_parked():
+                pool.queue.unpark(team)
+            self._pump(pool)
+        if any(pool.queue for pool in self._pools.values()):
+            loop = asyncio.get_running_loop()
+            self._tick = loop.call_later(TICK_S, self._run_tick)
+
+    def _reconsider(self, team: str) -> None:
+        for name in self._parked_in.pop(team, ()):
+            pool = self._pools.get(name)
+            if pool is not None:
+                pool.queue.unpark(team)
+                asyncio.get_running_loop().call_soon(self._pump, pool)
+
+    def _set_timer(self, pool: _Pool, now: float) -> None:
+        due = pool.placement.find_next_due()
+        if due is None or due - now >= TICK_S:
+            return
+        if pool.timer is not None:
+            pool.timer.cancel()
+        loop = asyncio.get_running_loop()
+        pool.timer = loop.call_later(max(0.0, due - now), self._pump, pool)
+
+    def _spawn(self, work: Any) -> asyncio.Task[Any]:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    # Documents
+
+    def _note_update(self, key: str) -> None:
+        if key in (CONFIGURATION_KEY, FLEET_KEY):
+            self._update_pools()
+        if key in (CONFIGURATION_KEY, FLEET_KEY, GRANTS_KEY):
+            for pool in list(self._pools.values()):
+                for team in pool.queue.list_parked():
+                    pool.queue.unpark(team)
+                if pool.queue:
+                    self._pump(pool)
+
+    def _find_pool(self, name: str) -> _Pool:
+        pool = self._pools.get(name)
+        if pool is None:
+            slow_start_s = self._settings.timing.slow_start_ms / 1000
+            pool = self._pools[name] = _Pool(name, self, slow_start_s)
+        return pool
+
+    def _find_share(self, team: str) -> float:
+        found = self._replica.configuration["teams"].get(team)
+        return found["share"] if found is not None and found["share"] > 0 else 1.0
+
+    def _update_pools(self) -> None:
+        now = clock.now()
+        pools: Mapping[str, Pool] = self._replica.configuration["pools"]
+        sites: defaultdict[str, dict[str, Site]] = defaultdict(dict)
+        for name, instance in self._replica.fleet["instances"].items():
+            pool = pools.get(instance["pool"])
+            if pool is not None and instance["state"] in ("serving", "returning"):
+                site = self._make_site(instance, pool)
+                sites[instance["pool"]][name] = site
+        for name in set(self._pools) | set(pools):
+            pool_state = self._find_pool(name)
+            pool_state.placement.update(sites[name], now)
+            self._apply(pool_state, pool_state.health.set_serving(sites[name]), now)
+
+    def _make_site(self, instance: Instance, pool: Pool) -> Site:
+        address = instance["address"]
+        if ":" not in address.rpartition("]")[2]:
+            address = f"{address}:{pool['port']}"
+        # One connection is kept for probes and fences.
+        limit = max(1, self._settings.endpoints.connections - 1)
+        return Site(
+            address,
+            instance["data_centre"] == self._settings.data_centre,
+            pool["slots"],
+            limit,
+            instance["state"] == "returning",
+        )
+
+
+def _job_key(life: _Life) -> str:
+    # A caller may submit two jobs with the same id.
+    return str(id(life))
+
+
+def _has_expired(expires_at: float | None) -> bool:
+    return expires_at is not None and time.time() >= expires_at
+
+
+def _make_row(life: _Life, now: float) -> JobRow:
+    job = life.job
+    queued = life.turn is not None and not life.turn.done()
+    state = "queued" if queued else "running" if life.place else "waiting to retry"
+    endpoint = life.place.endpoint if life.place else None
+    return JobRow(
+        job.job_id,
+        job.queue,
+        job.team,
+        job.urgent,
+        state,
+        endpoint,
+        life.attempts,
+        now - life.since,
+    )
--- /dev/null
+++ b/packages/briarshed/src/briarshed/admission.py
@@ -0,0 +1,79 @@
+"""Bounds of a queue, learned run time and expected wait."""
+
+from __future__ import annotations
+
+from briarshed.documents import Queue
+
+LEARNING_RATE = 0.1
+"""Weight of the newest run time in the moving average."""
+
+MAX_RUN_TIME_S = 60.0
+"""Cap of a learned run time: the longest task lease."""
+
+MAX_WAIT_S = 600.0
+"""Cap of an expected wait, so that one wrong estimate cannot grow without bound."""
+
+URGENT_STRETCH = 4 / 3
+"""Urgent jobs get 3 of 4 starts, so a queue of them takes a third longer."""
+
+
+def learn_run_time(average: float | None, seconds: float) -> float:
+    """Return the moving average of a queue's run time after one more job."""
+    seconds = min(seconds, MAX_RUN_TIME_S)
+    if average is None:
+        return seconds
+    return average + LEARNING_RATE * (seconds - average)
+
+
+def find_full_bound(queue: Queue, jobs: int, held: int, size: int) -> str:
+    """Return which bound forbids one more job, or an empty text.
+
+    Parameters
+    ----------
+    queue : Queue
+        Its bounds.
+    jobs, held : int
+        Jobs queued at this entry, and the bytes of their bodies.
+    size : int
+        Bytes of the new job's body.
+    """
+    if jobs >= queue["max_jobs"]:
+        return f"{jobs} jobs are queued and the queue holds {queue['max_jobs']}"
+    if held + size > queue["max_bytes"]:
+        return f"{held} bytes are queued and the queue holds {queue['max_bytes']}"
+    return ""
+
+
+def count_ahead(total: int, own: int, share: float, all_shares: float) -> float:
+    """Return how many queued jobs start before a new one of a team.
+
+    While the team's own jobs start, others start in proportion to their shares. The
+    rest of a long queue of another team does not delay it.
+
+    Parameters
+    ----------
+    total, own : int
+        Queued jobs of all teams and of this one.
+    share, all_shares : float
+        Share of this team, and of all waiting teams with it.
+    """
+    return min(float(total), (own + 1) * all_shares / share - 1)
+
+
+def expect_wait(ahead: float, run_time: float | None, slots: float, free: int) -> float:
+    """Return the seconds that a new job will wait; 0 while nothing is known.
+
+    Parameters
+    ----------
+    ahead : float
+        Jobs that start before it.
+    run_time : float or None
+        Learned run time in seconds.
+    slots : float
+        Slots of the pool that this entry can use.
+    free : int
+        Slots that are free now.
+    """
+    if run_time is None or ahead < free:
+        return 0.0
+    return min(MAX_WAIT_S, (ahead + 1) * run_time / max(slots, 1.0))
--- /dev/null
+++ b/packages/briarshed/src/briarshed/health.py
@@ -0,0 +1,107 @@
+"""Ejection and probation of the endpoints of one pool."""
+
+from __future__ import annotations
+
+from bisect import insort
+from collections.abc import Iterable
+from typing import NamedTuple
+
+FAILURES_TO_EJECT = 5
+"""Consecutive failures; fewer would let one poisonous job eject an endpoint."""
+
+FIRST_EJECTION_S = 1.0
+MAX_EJECTION_S = 60.0
+
+
+class Ejected(NamedTuple):
+    """Send nothing to the endpoint until then, and one job at a time after it."""
+
+    endpoint: str
+    until: float
+    seconds: float
+
+
+class Readmitted(NamedTuple):
+    """Send jobs to the endpoint as to any other."""
+
+    endpoint: str
+
+
+Action = Ejected | Readmitted
+
+
+class PoolHealth:
+    """Failures of the endpoints of one pool, as this entry saw them."""
+
+    def __init__(self) -> None:
+        self._serving: frozenset[str] = frozenset()
+        self._failures: dict[str, int] = {}
+        self._ejections: dict[str, int] = {}
+        self._ejected: dict[str, float] = {}
+        self._by_failures: list[tuple[int, str]] = []
+
+    def find_limit(self) -> int:
+        """Return how many endpoints may be ejected at once; one always stays."""
+        count = len(self._serving)
+        return max(0, min(count - 1, max(1, count // 2)))
+
+    def set_serving(self, endpoints: Iterable[str]) -> list[Action]:
+        """Note which endpoints serve; readmit the least bad above the new limit."""
+        self._serving = frozenset(endpoints)
+        for endpoint in [one for one in self._failures if one not in self._serving]:
+            self._forget(endpoint)
+        actions: list[Action] = []
+        while len(self._ejected) > self.find_limit():
+            actions.append(self._readmit_least_bad())
+        return actions
+
+    def note_success(self, endpoint: str) -> list[Action]:
+        """Note a job that the endpoint finished."""
+        on_probation = endpoint in self._ejections
+        self._forget(endpoint)
+        return [Readmitted(endpoint)] if on_probation else []
+
+    def note_failure(self, endpoint: str, now: float) -> list[Action]:
+        """Note a failure; eject the endpoint if it failed too often."""
+        if endpoint not in self._serving:
+            return []
+        failures = self._failures.get(endpoint, 0) + 1
+        self._failures[endpoint] = failures
+        self._release_due(now)
+        if endpoint in self._ejected or failures < FAILURES_TO_EJECT:
+            return []
+        actions: list[Action] = []
+        if len(self._ejected) >= self.find_limit():
+            if not self._by_failures or self._by_failures[0][0] >= failures:
+                return []
+            actions.append(self._readmit_least_bad())
+        return [*actions, self._eject(endpoint, failures, now)]
+
+    def _eject(self, endpoint: str, failures: int, now: float) -> Ejected:
+        count = self._ejections.get(endpoint, 0)
+        seconds = min(MAX_EJECTION_S, FIRST_EJECTION_S * 2**count)
+        self._ejections[endpoint] = min(count + 1, 16)
+        self._ejected[endpoint] = now + seconds
+        insort(self._by_failures, (failures, endpoint))
+        return Ejected(endpoint, now + seconds, seconds)
+
+    def _release_due(self, now: float) -> None:
+        """Count ejections that ended no longer; their endpoints are on probation."""
+        due = [one for one, until in self._ejected.items() if until <= now]
+        for endpoint in due:
+            self._drop(endpoint)
+
+    def _readmit_least_bad(self) -> Readmitted:
+        _, endpoint = self._by_failures[0]
+        self._drop(endpoint)
+        self._ejections.pop(endpoint, None)
+        return Readmitted(endpoint)
+
+    def _drop(self, endpoint: str) -> None:
+        if self._ejected.pop(endpoint, None) is not None:
+            self._by_failures = [one for one in self._by_failures if one[1] != endpoint]
+
+    def _forget(self, endpoint: str) -> None:
+        self._drop(endpoint)
+        self._failures.pop(endpoint, None)
+        self._ejections.pop(endpoint, None)
