--- /dev/null
+++ b/packages/briarshed/src/briarshed/queries.py
@@ -0,0 +1,325 @@
+"""Pure evaluation of operators' questions over rows."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from typing import Any, NamedTuple
+
+from briarshed.commands import Condition, Script, Show, Statement
+from briarshed.documents import Change, Configuration, Fleet, Members
+from briarshed.findings import Finding, suggest_name
+
+Row = dict[str, Any]
+
+GATHERED_SUBJECTS = ("jobs",)
+"""Subjects of which every entry knows only its own part."""
+
+MAX_ROWS_PER_ENTRY = 500
+"""Keeps an entry's answer well under the 1 MB that a frame between entries holds."""
+
+COLUMNS: dict[str, tuple[str, ...]] = {
+    "jobs": ("job_id", "team", "queue", "pool", "state", "urgent", "age_s", "entry"),
+    "instances": (
+        "instance",
+        "pool",
+        "state",
+        "rack",
+        "data_centre",
+        "address",
+        "since",
+        "target_pool",
+        "wave",
+    ),
+    "teams": ("team", "share", "limit", "running", "keys"),
+    "pools": (
+        "pool",
+        "budget",
+        "instances",
+        "serving",
+        "unavailable",
+        "slots",
+        "connections",
+        "port",
+        "spare",
+    ),
+    "queues": ("queue", "pool", "open", "teams", "max_jobs", "max_bytes"),
+    "keys": ("key_id", "team", "expires_at"),
+    "waves": ("wave", "state", "pending", "stopped", "done", "reason"),
+    "members": ("member", "incarnation", "data_centre", "address", "operators"),
+    "measures": ("measure", "subject", "value", "unit"),
+    "changes": (
+        "at",
+        "who",
+        "document",
+        "version",
+        "what",
+        "id",
+        "before",
+        "after",
+    ),
+}
+_HIDDEN_BY_DEFAULT = {"changes": ("id", "before", "after")}
+_OMITTED = "omitted"
+
+
+class Table(NamedTuple):
+    """Answer to a question; ``omitted`` counts rows that were cut off."""
+
+    columns: tuple[str, ...]
+    rows: list[Row]
+    omitted: int = 0
+
+
+def check_questions(script: Script) -> list[Finding]:
+    """Return findings about columns that a subject does not have."""
+    findings = []
+    for statement in script.statements:
+        if isinstance(statement.command, Show):
+            findings += _check_question(script.source, statement, statement.command)
+    return findings
+
+
+def _check_question(source: str, statement: Statement, show: Show) -> list[Finding]:
+    known = COLUMNS[show.subject]
+    named = {
+        "columns": show.columns,
+        "where": [condition.field for condition in show.where],
+        "group": show.group,
+    }
+    findings = []
+
+    def report(field: str, index: int, message: str, hint: str = "") -> None:
+        column = statement.columns[field][index]
+        findings.append(Finding(source, statement.line, column, message, hint))
+
+    for field, names in named.items():
+        for index, name in enumerate(names):
+            if name not in known:
+                message = f"{show.subject} have no column '{name}'"
+                report(field, index, message, suggest_name(name, known))
+    if show.columns and show.group:
+        report("columns", 0, "'columns' and 'group by' exclude each other")
+    if show.since is not None and show.subject != "changes":
+        report("since", 0, "only 'show changes' takes 'since'")
+    if show.by is not None and show.subject != "changes":
+        report("by", 0, "only 'show changes' takes 'by'")
+    return findings
+
+
+def make_question(show: Show) -> dict[str, Any]:
+    """Return a question in the form that is sent to other entries."""
+    return {
+        "subject": show.subject,
+        "where": [list(condition) for condition in show.where],
+        "group": list(show.group),
+    }
+
+
+def read_question(question: Mapping[str, Any]) -> Show:
+    """Return the question that another entry sent."""
+    conditions = tuple(Condition(*item) for item in question["where"])
+    return Show(question["subject"], where=conditions, group=tuple(question["group"]))
+
+
+def answer_part(show: Show, rows: Iterable[Row]) -> list[Row]:
+    """Return one entry's part of an answer: filtered, grouped and bounded."""
+    part = _group(show, _filter(show, rows))
+    omitted = len(part) - MAX_ROWS_PER_ENTRY
+    if omitted > 0:
+        return [*part[:MAX_ROWS_PER_ENTRY], {_OMITTED: omitted}]
+    return part
+
+
+def merge_parts(show: Show, parts: Iterable[Sequence[Row]]) -> Table:
+    """Return the answer from the parts of several entries."""
+    rows = [row for part in parts for row in part]
+    omitted = sum(row[_OMITTED] for row in rows if set(row) == {_OMITTED})
+    kept = [row for row in rows if set(row) != {_OMITTED}]
+    return _arrange(show, _sum_groups(show, kept) if show.group else kept, omitted)
+
+
+def answer_question(show: Show, rows: Iterable[Row], at: float) -> Table:
+    """Return the answer from all rows; ``at`` is Unix time in seconds."""
+    chosen = _filter(show, rows)
+    if show.since is not None:
+        chosen = [row for row in chosen if row["at"] >= at - show.since]
+    if show.by is not None:
+        chosen = [row for row in chosen if row["who"] == show.by]
+    return _arrange(show, _group(show, chosen), 0)
+
+
+def _filter(show: Show, rows: Iterable[Row]) -> list[Row]:
+    return [row for row in rows if all(_matches(item, row) for item in show.where)]
+
+
+def _matches(condition: Condition, row: Row) -> bool:
+    value = row.get(condition.field)
+    wanted = condition.value
+    if condition.operator in "<>":
+        ordered = _compare(value, wanted)
+        return ordered is not None and (ordered < 0) == (condition.operator == "<")
+    equal = wanted in value if isinstance(value, list) else _equals(value, wanted)
+    return equal == (condition.operator == "=")
+
+
+def _equals(value: Any, wanted: str) -> bool:
+    if isinstance(value, int | float) and not isinstance(value, bool):
+        number = _read_number(wanted)
+        return number is not None and number == value
+    return format_value(value) == wanted
+
+
+def _compare(value: Any, wanted: str) -> int | None:
+    """Return the sign of value minus wanted; None if they have no order or equal."""
+    if isinstance(value, int | float) and not isinstance(value, bool):
+        number = _read_number(wanted)
+        if number is None or number == value:
+            return None
+        return -1 if value < number else 1
+    text = format_value(value)
+    if text == wanted:
+        return None
+    return -1 if text < wanted else 1
+
+
+def _read_number(text: str) -> float | None:
+    try:
+        return float(text)
+    except ValueError:
+        return None
+
+
+def format_value(value: Any) -> str:
+    """Return a value as text, as conditions and tables write it."""
+    if value is None:
+        return "none"
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    if isinstance(value, list):
+        return ", ".join(format_value(item) for item in value)
+    return str(value)
+
+
+def _group(show: Show, rows: list[Row]) -> list[Row]:
+    if not show.group:
+        return rows
+    counted = [{**_pick(row, show.group), "count": 1} for row in rows]
+    return _sum_groups(show, counted)
+
+
+def _sum_groups(show: Show, rows: Iterable[Row]) -> list[Row]:
+    totals: dict[tuple[str, ...], Row] = {}
+    for row in rows:
+        key = tuple(format_value(row.get(field)) for field in show.group)
+        if key in totals:
+            totals[key]["count"] += row["count"]
+        else:
+            totals[key] = dict(row)
+    return [totals[key] for key in sorted(totals)]
+
+
+def _arrange(show: Show, rows: list[Row], omitted: int) -> Table:
+    if show.group:
+        return Table((*show.group, "count"), rows, omitted)
+    hidden = _HIDDEN_BY_DEFAULT.get(show.subject, ())
+    shown = [name for name in COLUMNS[show.subject] if name not in hidden]
+    columns = show.columns or tuple(shown)
+    return Table(columns, [_pick(row, columns) for row in rows], omitted)
+
+
+def _pick(row: Row, columns: Iterable[str]) -> Row:
+    return {name: row.get(name) for name in columns}
+
+
+def list_pools(configuration: Configuration, fleet: Fleet) -> list[Row]:
+    """Return a row for each pool, with counts of its instances."""
+    rows = []
+    for name, pool in sorted(configuration["pools"].items()):
+        states = [
+            instance["state"]
+            for instance in fleet["instances"].values()
+            if instance["pool"] == name and instance["state"] != "gone"
+        ]
+        serving = states.count("serving")
+        counts = {"instances": len(states), "serving": serving}
+        counts["unavailable"] = len(states) - serving
+        rows.append({"pool": name, **pool, **counts})
+    return rows
+
+
+def list_teams(
+    configuration: Configuration, count_running: Callable[[str], int]
+) -> list[Row]:
+    """Return a row for each team."""
+    owners = [key["team"] for key in configuration["keys"].values()]
+    return [
+        {
+            "team": name,
+            **team,
+            "running": count_running(name),
+            "keys": owners.count(name),
+        }
+        for name, team in sorted(configuration["teams"].items())
+    ]
+
+
+def list_queues(configuration: Configuration) -> list[Row]:
+    """Return a row for each queue."""
+    queues = configuration["queues"].items()
+    return [{"queue": name, **queue} for name, queue in sorted(queues)]
+
+
+def list_keys(configuration: Configuration) -> list[Row]:
+    """Return a row for each key, without its hash."""
+    return [
+        {"key_id": name, "team": key["team"], "expires_at": key["expires_at"]}
+        for name, key in sorted(configuration["keys"].items())
+    ]
+
+
+def list_instances(fleet: Fleet) -> list[Row]:
+    """Return a row for each instance."""
+    instances = fleet["instances"].items()
+    return [{"instance": name, **instance} for name, instance in sorted(instances)]
+
+
+def list_waves(fleet: Fleet) -> list[Row]:
+    """Return a row for each wave, with counts of its instances."""
+    in_wave = [
+        instance["wave"]
+        for instance in fleet["instances"].values()
+        if instance["state"] != "serving"
+    ]
+    return [
+        {
+            "wave": name,
+            "state": wave["state"],
+            "pending": len(wave["pending"]),
+            "stopped": in_wave.count(name),
+            "done": len(wave["done"]),
+            "reason": wave["reason"],
+        }
+        for name, wave in sorted(fleet["waves"].items())
+    ]
+
+
+def list_members(members: Members) -> list[Row]:
+    """Return a row for each registered member."""
+    registered = members["members"].items()
+    return [{"member": name, **member} for name, member in sorted(registered)]
+
+
+def list_changes(changes: Mapping[str, Iterable[Change]]) -> list[Row]:
+    """Return a row for each change, newest first.
+
+    Parameters
+    ----------
+    changes : mapping
+        Name of a document to its changes.
+    """
+    rows = [
+        {"document": document, **change}
+        for document, items in changes.items()
+        for change in items
+    ]
+    return sorted(rows, key=lambda row: (row["at"], row["version"]), reverse=True)
