--- /dev/null
+++ b/packages/briarshed-entry/src/briarshed_entry/maintenance.py
@@ -0,0 +1,448 @@
+"""The planner of waves and moves, and the health checks that it relies on.
+
+Every entry checks endpoints of its own data centre and records failures and returns.
+One entry plans for the fleet. Correctness does not depend on there being only one:
+each change of the fleet document is decided again on the document that it replaces.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import uuid
+from collections.abc import Awaitable, Callable, Mapping
+from types import TracebackType
+from typing import Any, Self
+
+from briarshed.documents import FLEET_KEY, Fleet, Instance
+from briarshed.events import (
+    INSTANCE_FAILED,
+    INSTANCE_MOVED,
+    LOOP_FAILED,
+    MOVE_PLANNED,
+    PLATFORM_FAILING,
+    WAVE_DONE,
+    WAVE_HALTED,
+    WAVE_STARTED,
+)
+from briarshed.exceptions import BriarshedError, PlatformUnavailableError
+from briarshed.moves import MoveState, choose_moves, note_cost, note_demand, note_fleet
+from briarshed.settings import Settings
+from briarshed.waves import (
+    Call,
+    Move,
+    Observation,
+    Stamp,
+    Step,
+    View,
+    apply_steps,
+    decide,
+    has_finished_wave,
+    list_calls,
+)
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from briarshed_entry.clock import now
+from briarshed_entry.logs import log_event
+
+MILLISECONDS = 1_000
+
+CHECK_S = 1.0
+"""Time between health checks of an instance that is not known to be well."""
+
+WELL_CHECK_S = 5.0
+"""Time between checks of a serving instance whose last check passed.
+
+180 instances a data centre at 1 s would exceed an entry's share of processor time.
+"""
+
+CHECK_TIMEOUT_S = 1.0
+CONCURRENT_CHECKS = 32
+
+STALE_S = 5.0
+"""An observation older than this is not acted on; its observer may have been paused."""
+
+CHECKED_STATES = frozenset({"serving", "leaving", "returning", "failed"})
+POLLED_STATES = frozenset({"draining", "rebooting"})
+
+Check = Callable[[str], Awaitable[bool]]
+MeasureDemand = Callable[[], Awaitable[Mapping[str, float]]]
+
+
+class _Watch:
+    """What this entry knows of one instance during one stay in a state."""
+
+    def __init__(self, instance: Instance, at: float) -> None:
+        self.state = instance["state"]
+        self.since = instance["since"]
+        self.first_seen = at
+        self.next_check = at
+        self.platform = ""
+        self.passes = 0
+        self.failures = 0
+        self.confirmed = False
+        self.confirming = False
+
+    def matches(self, instance: Instance) -> bool:
+        return (self.state, self.since) == (instance["state"], instance["since"])
+
+    def note_health(self, healthy: bool) -> None:
+        self.passes = self.passes + 1 if healthy else 0
+        self.failures = 0 if healthy else self.failures + 1
+
+    def observe(self, at: float) -> Observation:
+        return Observation(
+            self.state,
+            self.since,
+            at - self.first_seen,
+            self.platform,
+            self.passes,
+            self.failures,
+            self.confirmed,
+        )
+
+
+class Maintenance:
+    """Runs waves, moves and health checks while it is entered.
+
+    Parameters
+    ----------
+    settings : Settings
+    replica : Replica
+    coordinator : Coordinator
+    platform : PlatformClient
+    check : callable
+        ``async check(address) -> bool``; whether an endpoint answers that it is well.
+    measure_demand : callable, optional
+        ``async measure_demand()``; slots wanted by pool, running and waiting. Without
+        it instances do not move by themselves.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        replica: Any,
+        coordinator: Any,
+        platform: Any,
+        check: Check,
+        measure_demand: MeasureDemand | None = None,
+    ) -> None:
+        self._settings = settings
+        self._replica = replica
+        self._coordinator = coordinator
+        self._platform = platform
+        self._check = check
+        self._measure_demand = measure_demand
+        self._watches: dict[str, _Watch] = {}
+        self._seen: Fleet | None = None
+        self._moves = MoveState()
+        self._stop_started: dict[str, float] = {}
+        self._platform_failed = False
+        self._listed_at: float | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def __aenter__(self) -> Self:
+        plan_s = self._settings.timing.plan_ms / MILLISECONDS
+        self._start(self._repeat("health checks", self.check_instances, CHECK_S))
+        self._start(self._repeat("planner", self.plan_once, plan_s))
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _start(self, work: Any) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _repeat(
+        self, name: str, function: Callable[[], Awaitable[Any]], pause_s: float
+    ) -> None:
+        while True:
+            try:
+                await function()
+            except Exception as error:
+                # A fault in one round must not end maintenance for good.
+                log_event(LOOP_FAILED, task=name, error=repr(error))
+            await asyncio.sleep(pause_s)
+
+    # Health checks
+
+    async def check_instances(self) -> None:
+        """Check the endpoints that are due and that this entry judges."""
+        self._follow_fleet()
+        at = now()
+        judged = self._is_judge(self._settings.data_centre)
+        if not judged:
+            # Counts from before would outlive the judgement of another entry.
+            for watch in self._watches.values():
+                watch.passes = watch.failures = 0
+        due = [
+            (watch, instance["address"])
+            for name, instance in self._replica.fleet["instances"].items()
+            if judged
+            and instance["data_centre"] == self._settings.data_centre
+            and instance["state"] in CHECKED_STATES
+            and (watch := self._watches[name]).next_check <= at
+        ]
+        limit = asyncio.Semaphore(CONCURRENT_CHECKS)
+        await asyncio.gather(*(self._check_one(*item, limit) for item in due))
+
+    async def _check_one(
+        self, watch: _Watch, address: str, limit: asyncio.Semaphore
+    ) -> None:
+        async with limit:
+            try:
+                async with asyncio.timeout(CHECK_TIMEOUT_S):
+                    healthy = await self._check(address)
+            except (BriarshedError, OSError, TimeoutError):
+                healthy = False
+        watch.note_health(healthy)
+        well = healthy and watch.state == "serving"
+        watch.next_check = now() + (WELL_CHECK_S if well else 0.0)
+
+    def _is_judge(self, data_centre: str) -> bool:
+        """Return whether this entry is the first live one of its data centre."""
+        return self._list_live(data_centre)[:1] == [self._settings.name]
+
+    def _list_live(self, data_centre: str) -> list[str]:
+        unreached = {name.split("/")[0] for name in self._coordinator.unreached()}
+        members = self._replica.members["members"]
+        return sorted(
+            name
+            for name, member in members.items()
+            if member["data_centre"] == data_centre and name not in unreached
+        )
+
+    # Planning
+
+    async def plan_once(self) -> bool:
+        """Do one round of planning; return whether the fleet document changed."""
+        self._follow_fleet()
+        plans = self._coordinator.is_planner()
+        if plans:
+            await self._poll_platform()
+        moves = await self._choose_moves() if plans else []
+        changed = await self._change_fleet(plans, moves)
+        if plans:
+            self._start_confirmations()
+            await self._call_platform()
+        return changed
+
+    def _follow_fleet(self) -> None:
+        fleet = self._replica.fleet
+        if fleet is self._seen:
+            return
+        at = now()
+        instances = fleet["instances"]
+        for name, instance in instances.items():
+            watch = self._watches.get(name)
+            if watch is None or not watch.matches(instance):
+                self._watches[name] = _Watch(instance, at)
+                self._time_stop(name, instance, at)
+        for name in set(self._watches) - set(instances):
+            del self._watches[name]
+        if self._seen is not None:
+            self._moves = note_fleet(self._moves, self._seen, fleet, at)
+            self._log_waves(self._seen, fleet)
+        self._seen = fleet
+
+    def _time_stop(self, name: str, instance: Instance, at: float) -> None:
+        if instance["state"] == "draining":
+            self._stop_started[name] = at
+            return
+        started = self._stop_started.get(name)
+        if started is not None and instance["state"] == "returning":
+            self._moves = note_cost(self._moves, at - started)
+        if instance["state"] != "rebooting":
+            self._stop_started.pop(name, None)
+
+    async def _poll_platform(self) -> None:
+        fleet = self._replica.fleet
+        names = [
+            name
+            for name, instance in fleet["instances"].items()
+            if instance["state"] in POLLED_STATES
+            or (instance["state"] == "failed" and instance["operation"] is not None)
+        ]
+        await asyncio.gather(*(self._poll_one(name) for name in names))
+        await self._use_list(fleet)
+
+    async def _poll_one(self, name: str) -> None:
+        watch = self._watches[name]
+        try:
+            watch.platform = await self._platform.find_state(name)
+        except PlatformUnavailableError as error:
+            watch.platform = ""
+            self._note_platform(error)
+        else:
+            self._note_platform(None)
+
+    async def _use_list(self, fleet: Fleet) -> None:
+        """Judge data centres without a live entry by the platform's list."""
+        places = {item["data_centre"] for item in fleet["instances"].values()}
+        unwatched = {place for place in places if not self._list_live(place)}
+        poll_s = self._settings.platform.poll_ms / MILLISECONDS
+        recent = self._listed_at is not None and now() - self._listed_at < poll_s
+        if not unwatched or recent:
+            return
+        self._listed_at = now()
+        try:
+            listing = await self._platform.list_instances()
+        except PlatformUnavailableError as error:
+            self._note_platform(error)
+            return
+        for name, instance in fleet["instances"].items():
+            watch = self._watches.get(name)
+            if watch is not None and instance["data_centre"] in unwatched:
+                listed = listing.instances.get(name)
+                watch.note_health(listed is not None and listed.state == "live")
+
+    def _note_platform(self, error: PlatformUnavailableError | None) -> None:
+        if error is not None and not self._platform_failed:
+            log_event(PLATFORM_FAILING, error=error.format_message())
+        self._platform_failed = error is not None
+
+    async def _choose_moves(self) -> list[Move]:
+        if self._measure_demand is None:
+            return []
+        demand = await self._measure_demand()
+        configuration, fleet = self._replica.configuration, self._replica.fleet
+        at = now()
+        self._moves = note_demand(self._moves, configuration, fleet, demand, at)
+        weights = self._settings.weights
+        return choose_moves(configuration, fleet, self._moves, weights, at)
+
+    async def _change_fleet(self, plans: bool, moves: list[Move]) -> bool:
+        observed_at = now()
+        observations = self._observe(observed_at)
+        applied: list[Step] = []
+
+        def find_view() -> View:
+            may_stop = plans and self._coordinator.find_authority().granted
+            slow_start_s = self._settings.timing.slow_start_ms / MILLISECONDS
+            return View(plans, may_stop, slow_start_s)
+
+        stamp = Stamp(
+            f"{self._settings.name}-{uuid.uuid4().hex[:12]}",
+            time.time(),
+            self._settings.name,
+        )
+
+        def apply(fleet: Fleet) -> Result[Fleet, str]:
+            if now() - observed_at > STALE_S:
+                return Failure("the observations are too old")
+            configuration = self._replica.configuration
+            steps = decide(configuration, fleet, observations, find_view(), moves)
+            if not steps and not (plans and has_finished_wave(fleet)):
+                return Failure("nothing is due")
+            applied[:] = steps
+            return Success(apply_steps(fleet, steps, stamp))
+
+        if not is_successful(apply(self._replica.fleet)):
+            # Nothing is due on the local copy, so the store is not called.
+            return False
+        try:
+            result = await self._replica.change(FLEET_KEY, apply, stamp.id)
+        except BriarshedError:
+            # The replica reports that the store fails; the next round tries again.
+            return False
+        if not is_successful(result):
+            return False
+        self._log_steps(applied)
+        self._follow_fleet()
+        return True
+
+    def _observe(self, at: float) -> dict[str, Observation]:
+        return {name: watch.observe(at) for name, watch in self._watches.items()}
+
+    # Confirmation that every member knows
+
+    def _start_confirmations(self) -> None:
+        watches = [
+            watch
+            for watch in self._watches.values()
+            if watch.state == "leaving" and not watch.confirming
+        ]
+        if watches:
+            for watch in watches:
+                watch.confirming = True
+            self._start(self._confirm(watches, self._replica.fleet["version"]))
+
+    async def _confirm(self, watches: list[_Watch], version: int) -> None:
+        timeout_s = self._settings.timing.in_force_timeout_ms / MILLISECONDS
+        waiting: list[str] = ["nobody has been asked"]
+        try:
+            waiting = await self._coordinator.wait_in_force(
+                FLEET_KEY, version, timeout_s
+            )
+        except BriarshedError as error:
+            log_event(LOOP_FAILED, task="confirmation", error=error.format_message())
+        finally:
+            for watch in watches:
+                watch.confirmed = not waiting
+                # A round that did not end well is started again by the planner.
+                watch.confirming = not waiting
+
+    # Platform calls
+
+    async def _call_platform(self) -> None:
+        observed_at = now()
+        calls = list_calls(self._replica.fleet, self._observe(observed_at))
+        await asyncio.gather(*(self._call_one(call, observed_at) for call in calls))
+
+    async def _call_one(self, call: Call, observed_at: float) -> None:
+        if now() - observed_at > STALE_S:
+            return
+        function = self._platform.drain if call.kind == "drain" else None
+        try:
+            await (function or self._platform.reboot)(call.instance, call.operation)
+        except PlatformUnavailableError as error:
+            self._note_platform(error)
+
+    # Log events
+
+    def _log_steps(self, steps: list[Step]) -> None:
+        instances = self._replica.fleet["instances"]
+        for step in steps:
+            name, after = step.instance, instances.get(step.instance)
+            if after is None:
+                continue
+            if step.event == "fail":
+                log_event(INSTANCE_FAILED, instance=name, reason=step.reason)
+            elif step.target_pool is not None:
+                log_event(
+                    MOVE_PLANNED,
+                    instance=name,
+                    before=after["pool"],
+                    after=step.target_pool,
+                )
+            else:
+                log_event(
+                    INSTANCE_MOVED,
+                    instance=name,
+                    before=step.before,
+                    after=after["state"],
+                )
+
+    def _log_waves(self, before: Fleet, after: Fleet) -> None:
+        for name, wave in after["waves"].items():
+            old = before["waves"].get(name)
+            if old is not None and old["state"] == wave["state"]:
+                continue
+            match wave["state"]:
+                case "running":
+                    log_event(WAVE_STARTED, wave=name, count=len(wave["pending"]))
+                case "halted":
+                    log_event(WAVE_HALTED, wave=name, reason=wave["reason"])
+                case "done":
+                    log_event(WAVE_DONE, wave=name)
--- /dev/null
+++ b/packages/briarshed-entry/src/briarshed_entry/platform.py
@@ -0,0 +1,136 @@
+"""The platform's instance list, drain and reboot; its protocol is known only here."""
+
+from __future__ import annotations
+
+from types import TracebackType
+from typing import Any, Literal, NamedTuple, Self
+from urllib.parse import quote
+
+import aiohttp
+import msgspec
+from briarshed.exceptions import PlatformUnavailableError
+from briarshed.settings import PlatformSettings
+
+MILLISECONDS = 1_000
+CONNECTIONS = 8
+"""Concurrent calls; a data centre that is lost must not cause a storm of them."""
+
+
+class Listed(msgspec.Struct, frozen=True):
+    """An instance as the platform lists it; the list lags."""
+
+    id: str
+    data_centre: str
+    rack: str
+    address: str
+    state: Literal["live", "leaving"]
+    accelerators: int = 0
+
+
+class _List(msgspec.Struct, frozen=True):
+    as_of: float
+    instances: list[Listed]
+
+
+class _State(msgspec.Struct, frozen=True):
+    state: Literal["live", "draining", "drained", "rebooting"]
+
+
+class Listing(NamedTuple):
+    """The platform's list.
+
+    Attributes
+    ----------
+    as_of : float
+        The platform's own time of the list.
+    instances : dict
+        Instances by id.
+    """
+
+    as_of: float
+    instances: dict[str, Listed]
+
+
+class PlatformClient:
+    """Calls to the platform, each with a timeout."""
+
+    def __init__(self, settings: PlatformSettings) -> None:
+        self._url = settings.url.rstrip("/")
+        self._timeout = aiohttp.ClientTimeout(settings.timeout_ms / MILLISECONDS)
+        self._session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> Self:
+        connector = aiohttp.TCPConnector(limit=CONNECTIONS)
+        self._session = aiohttp.ClientSession(
+            timeout=self._timeout, connector=connector
+        )
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        if self._session is not None:
+            await self._session.close()
+
+    async def list_instances(self) -> Listing:
+        """Return the lagging list.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            If the platform does not answer or the answer has another shape.
+        """
+        body = await self._call("GET", "/instances")
+        content = _decode(body, _List)
+        return Listing(content.as_of, {item.id: item for item in content.instances})
+
+    async def find_state(self, instance: str) -> str:
+        """Return the direct state: live, draining, drained or rebooting.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            If the platform does not answer or does not know the instance.
+        """
+        body = await self._call("GET", _make_path(instance))
+        return _decode(body, _State).state
+
+    async def drain(self, instance: str, operation: str) -> None:
+        """Ask the platform to drain an instance; repeating an operation is safe."""
+        await self._call("POST", _make_path(instance, "/drain"), operation)
+
+    async def reboot(self, instance: str, operation: str) -> None:
+        """Ask the platform to reboot an instance; repeating an operation is safe."""
+        await self._call("POST", _make_path(instance, "/reboot"), operation)
+
+    async def _call(
+        self, method: str, path: str, operation: str | None = None
+    ) -> bytes:
+        if self._session is None:
+            raise PlatformUnavailableError("the platform client is not open")
+        body = None if operation is None else {"operation": operation}
+        try:
+            async with self._session.request(
+                method, self._url + path, json=body
+            ) as answer:
+                content = await answer.read()
+        except (aiohttp.ClientError, TimeoutError) as error:
+            reason = str(error) or type(error).__name__
+            raise PlatformUnavailableError(f"{method} {path}: {reason}") from error
+        if answer.status // 100 != 2:
+            raise PlatformUnavailableError(f"{method} {path}: status {answer.status}")
+        return content
+
+
+def _make_path(instance: str, action: str = "") -> str:
+    return f"/instances/{quote(instance, safe='')}{action}"
+
+
+def _decode(body: bytes, kind: Any) -> Any:
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.MsgspecError as error:
+        raise PlatformUnavailableError(f"answer not understood: {error}") from error
--- /dev/null
+++ b/packages/briarshed/src/briarshed/budgets.py
@@ -0,0 +1,88 @@
+"""Availability budgets: which planned stops a pool can bear now."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from briarshed.documents import Configuration, Fleet, Instance
+
+IN_SERVICE = "serving"
+REMOVED = "gone"
+STOPPING_STATES = frozenset({"leaving", "draining", "rebooting", "returning"})
+"""States of an instance between the start of a planned stop and its end."""
+
+
+def list_pool(fleet: Fleet, pool: str) -> Iterator[tuple[str, Instance]]:
+    """Yield the instances that count against a pool's budget.
+
+    An instance on its way to another pool counts against both from the start of
+    the move, since its pool changes while it is out of service.
+    """
+    for name, instance in fleet["instances"].items():
+        if instance["state"] != REMOVED and pool in _list_pools(instance):
+            yield name, instance
+
+
+def _list_pools(instance: Instance) -> tuple[str, ...]:
+    target = instance["target_pool"]
+    if target is None or instance["state"] not in STOPPING_STATES:
+        return (instance["pool"],)
+    return (instance["pool"], target)
+
+
+def count_unavailable(fleet: Fleet) -> dict[str, int]:
+    """Return the number of unavailable instances of each pool that has some."""
+    counts: dict[str, int] = {}
+    for instance in fleet["instances"].values():
+        if instance["state"] not in (IN_SERVICE, REMOVED):
+            for pool in _list_pools(instance):
+                counts[pool] = counts.get(pool, 0) + 1
+    return counts
+
+
+def count_serving(fleet: Fleet) -> dict[str, int]:
+    """Return the number of serving instances of each pool that has some."""
+    counts: dict[str, int] = {}
+    for instance in fleet["instances"].values():
+        if instance["state"] == IN_SERVICE:
+            counts[instance["pool"]] = counts.get(instance["pool"], 0) + 1
+    return counts
+
+
+def has_room(configuration: Configuration, unavailable: int, pool: str) -> bool:
+    """Return whether one more instance of the pool may go out of service."""
+    known = configuration["pools"].get(pool)
+    # A pool that the configuration does not list yet has no budget to spend.
+    return known is not None and unavailable + 1 <= known["budget"]
+
+
+def check_stop(
+    configuration: Configuration,
+    fleet: Fleet,
+    name: str,
+    target_pool: str | None = None,
+) -> str:
+    """Return why a planned stop of an instance may not begin, or an empty text."""
+    instance = fleet["instances"].get(name)
+    if instance is None:
+        return f"there is no instance '{name}'"
+    if instance["state"] != IN_SERVICE:
+        return f"instance '{name}' is {instance['state']}, not serving"
+    if target_pool is not None and target_pool not in configuration["pools"]:
+        return f"there is no pool '{target_pool}'"
+    unavailable = count_unavailable(fleet)
+    pools = [instance["pool"]] + ([target_pool] if target_pool else [])
+    for pool in pools:
+        if not has_room(configuration, unavailable.get(pool, 0), pool):
+            return f"the availability budget of pool '{pool}' is used up"
+    return ""
+
+
+def list_exceeded(configuration: Configuration, fleet: Fleet) -> list[str]:
+    """Return the pools that have more unavailable instances than their budget."""
+    budgets = configuration["pools"]
+    return sorted(
+        pool
+        for pool, count in count_unavailable(fleet).items()
+        if pool in budgets and count > budgets[pool]["budget"]
+    )
--- a/packages/briarshed/src/briarshed/exceptions.py
+++ b/packages/briarshed/src/briarshed/exceptions.py
@@ -61,6 +61,10 @@
     """The store did not answer, or answered with an error."""
 
 
+class PlatformUnavailableError(BriarshedError):
+    """The platform did not answer, or answered with an error."""
+
+
 class EndpointUnreachableError(BriarshedError):
     """No byte of the request was written to the endpoint."""
 
--- /dev/null
+++ b/packages/briarshed/src/briarshed/waves.py
@@ -0,0 +1,416 @@
+"""Steps of planned stops, failures and recoveries, decided from the fleet document.
+
+Every step is decided and applied within one compare-and-swap of the fleet document,
+so a planner that is killed, frozen or races another leaves nothing half done.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping, Sequence
+from typing import Any, NamedTuple
+
+from briarshed.budgets import (
+    STOPPING_STATES,
+    count_unavailable,
+    has_room,
+    list_exceeded,
+)
+from briarshed.charts import advance, load_chart
+from briarshed.documents import Change, Configuration, Fleet, Instance, Wave
+
+CHART = load_chart("lifecycle")
+
+FAILURES_TO_FAIL = 3
+"""Consecutive failed health checks after which an instance is failed."""
+
+PASSES_TO_RECOVER = 3
+"""Consecutive passed health checks after which a failed instance returns."""
+
+FAILED_RETURNS_TO_HALT = 2
+"""Consecutive failed returns after which a wave halts."""
+
+RETURN_GRACE_S = 30.0
+"""Time for an endpoint to open its port once the platform reports it live."""
+
+DRAIN_LIMIT_S = 300.0
+"""Five times the longest task lease; an instance that drains longer is stuck."""
+
+REBOOT_LIMIT_S = 600.0
+"""Time within which a rebooting instance must be live again."""
+
+
+class Observation(NamedTuple):
+    """What this entry observed of one instance.
+
+    Attributes
+    ----------
+    state, since : str, float
+        Fields of the instance when it was observed. An observation of an earlier
+        stay in a state says nothing about a later one.
+    stayed_s : float
+        Seconds of the local clock for which this entry has seen it in the state.
+    platform : str
+        State from the platform's direct answer; empty if it is not known.
+    passes, failures : int
+        Consecutive health checks with that result; both 0 if it is not judged here.
+    confirmed : bool
+        Whether every member knows that it leaves, or has certainly lost authority.
+    """
+
+    state: str
+    since: float
+    stayed_s: float = 0.0
+    platform: str = ""
+    passes: int = 0
+    failures: int = 0
+    confirmed: bool = False
+
+
+class View(NamedTuple):
+    """What this entry may decide now.
+
+    Attributes
+    ----------
+    plans : bool
+        Whether it plans for the fleet; other entries record only health.
+    may_stop : bool
+        Whether it has authority to begin a stop.
+    slow_start_s : float
+        Seconds for which a returning instance gets work slowly.
+    """
+
+    plans: bool
+    may_stop: bool
+    slow_start_s: float = 10.0
+
+
+class Step(NamedTuple):
+    """One transition of one instance; an event of ``lifecycle.json``."""
+
+    instance: str
+    before: str
+    event: str
+    reason: str = ""
+    wave: str | None = None
+    target_pool: str | None = None
+
+
+class Move(NamedTuple):
+    """A wish to move an instance to another pool."""
+
+    instance: str
+    before: str
+    after: str
+
+
+class Call(NamedTuple):
+    """A call to the platform; repeated with the same id, it has one effect."""
+
+    instance: str
+    kind: str
+    operation: str
+
+
+class Stamp(NamedTuple):
+    """Identity of a change: its id, Unix time and author."""
+
+    id: str
+    at: float
+    who: str
+
+
+Observations = Mapping[str, Observation]
+
+
+def decide(
+    configuration: Configuration,
+    fleet: Fleet,
+    observations: Observations,
+    view: View,
+    moves: Sequence[Move] = (),
+) -> list[Step]:
+    """Return the steps that are due; none of them exceeds a budget."""
+    steps = list(_list_observed_steps(configuration, fleet, observations, view))
+    if view.plans and view.may_stop:
+        changed = {step.instance for step in steps}
+        steps += _list_stops(configuration, fleet, moves, changed)
+    return steps
+
+
+def _list_observed_steps(
+    configuration: Configuration,
+    fleet: Fleet,
+    observations: Observations,
+    view: View,
+) -> Iterator[Step]:
+    exceeded = set(list_exceeded(configuration, fleet)) if view.plans else set()
+    for name, instance in fleet["instances"].items():
+        seen = observations.get(name)
+        if seen is not None and not _is_current(seen, instance):
+            seen = None
+        event, reason = _find_event(instance, seen, view, exceeded)
+        if event:
+            yield Step(name, instance["state"], event, reason, instance["wave"])
+
+
+def _is_current(seen: Observation, instance: Instance) -> bool:
+    return (seen.state, seen.since) == (instance["state"], instance["since"])
+
+
+def _find_event(
+    instance: Instance, seen: Observation | None, view: View, exceeded: set[str]
+) -> tuple[str, str]:
+    state = instance["state"]
+    if state == "leaving" and {instance["pool"], instance["target_pool"]} & exceeded:
+        return "keep", "its pool's availability budget is exceeded"
+    if seen is None:
+        return "", ""
+    if state in ("serving", "leaving") and seen.failures >= FAILURES_TO_FAIL:
+        return "fail", f"{seen.failures} consecutive health checks failed"
+    if state == "returning":
+        return _find_return(seen, view)
+    if state == "failed" and seen.passes >= PASSES_TO_RECOVER:
+        recovers = seen.platform in ("", "live")
+        return ("recover", "it answers its health check") if recovers else ("", "")
+    return _find_progress(state, seen) if view.plans else ("", "")
+
+
+def _find_return(seen: Observation, view: View) -> tuple[str, str]:
+    if seen.failures >= FAILURES_TO_FAIL and seen.stayed_s >= RETURN_GRACE_S:
+        return "fail", "it did not answer its health check after the reboot"
+    if seen.passes and seen.stayed_s >= view.slow_start_s:
+        return "serve", "it answers its health check"
+    return "", ""
+
+
+def _find_progress(state: str, seen: Observation) -> tuple[str, str]:
+    if state == "leaving" and seen.confirmed:
+        return "drain", "every member knows that it leaves"
+    if state == "draining":
+        if seen.platform in ("drained", "rebooting"):
+            return "reboot", "it is drained"
+        if seen.stayed_s >= DRAIN_LIMIT_S:
+            return "fail", f"it did not drain within {DRAIN_LIMIT_S:.0f} s"
+    if state == "rebooting":
+        if seen.platform == "live":
+            return "boot", "the platform reports it live"
+        if seen.stayed_s >= REBOOT_LIMIT_S:
+            return "fail", f"it did not reboot within {REBOOT_LIMIT_S:.0f} s"
+    return "", ""
+
+
+def _list_stops(
+    configuration: Configuration,
+    fleet: Fleet,
+    moves: Sequence[Move],
+    changed: set[str],
+) -> Iterator[Step]:
+    unavailable = _count_after(fleet, changed)
+    racks = _list_stopped_racks(fleet)
+    free = {
+        name
+        for name, instance in fleet["instances"].items()
+        if instance["state"] == "serving" and name not in changed
+    }
+
+    def take(*pools: str) -> bool:
+        if not all(has_room(configuration, unavailable.get(p, 0), p) for p in pools):
+            return False
+        for pool in pools:
+            unavailable[pool] = unavailable.get(pool, 0) + 1
+        return True
+
+    for wave, name in _list_pending(fleet):
+        if name not in free:
+            continue
+        instance = fleet["instances"][name]
+        rack = (instance["data_centre"], instance["rack"])
+        pool = instance["pool"]
+        if racks.get(pool, rack) == rack and take(pool):
+            racks[pool] = rack
+            free.discard(name)
+            yield Step(name, "serving", "leave", f"wave {wave}", wave)
+    for move in moves:
+        name = move.instance
+        if name not in free or fleet["instances"][name]["pool"] != move.before:
+            continue
+        if move.before != move.after and take(move.before, move.after):
+            free.discard(name)
+            reason = f"move to pool {move.after}"
+            yield Step(name, "serving", "leave", reason, target_pool=move.after)
+
+
+def _count_after(fleet: Fleet, changed: set[str]) -> dict[str, int]:
+    """Count as unavailable every instance with a step in the same swap."""
+    counts = count_unavailable(fleet)
+    for name in changed:
+        instance = fleet["instances"][name]
+        if instance["state"] == "serving":
+            counts[instance["pool"]] = counts.get(instance["pool"], 0) + 1
+    return counts
+
+
+def _list_stopped_racks(fleet: Fleet) -> dict[str, tuple[str, str]]:
+    """Return the rack in which a wave has instances out of service, by pool."""
+    return {
+        instance["pool"]: (instance["data_centre"], instance["rack"])
+        for instance in fleet["instances"].values()
+        if instance["wave"] is not None and instance["state"] in STOPPING_STATES
+    }
+
+
+def _list_pending(fleet: Fleet) -> Iterator[tuple[str, str]]:
+    for wave, content in sorted(fleet["waves"].items()):
+        if content["state"] == "running":
+            for name in content["pending"]:
+                yield wave, name
+
+
+def apply_steps(fleet: Fleet, steps: Sequence[Step], stamp: Stamp) -> Fleet:
+    """Return the fleet after the steps, with the change in its audit trail.
+
+    Raises
+    ------
+    ChartError
+        If ``lifecycle.json`` does not have one of the transitions.
+    """
+    instances = dict(fleet["instances"])
+    waves = {name: _copy_wave(wave) for name, wave in fleet["waves"].items()}
+    for step in steps:
+        before = instances[step.instance]
+        instances[step.instance] = _advance_instance(before, step, stamp)
+        _note_in_wave(waves, instances, step, before["state"])
+    _finish_waves(waves, instances)
+    after: Any = {**fleet, "instances": instances, "waves": waves}
+    return _append_change(fleet, after, steps, stamp)
+
+
+def _copy_wave(wave: Wave) -> Wave:
+    return {**wave, "pending": list(wave["pending"]), "done": list(wave["done"])}
+
+
+def _advance_instance(before: Instance, step: Step, stamp: Stamp) -> Instance:
+    state: Any = advance(CHART, before["state"], step.event)
+    after: Instance = {**before, "state": state, "since": stamp.at}
+    match step.event:
+        case "leave":
+            after["wave"] = step.wave
+            after["target_pool"] = step.target_pool
+        case "keep" | "serve":
+            after["wave"] = after["target_pool"] = after["operation"] = None
+        case "drain":
+            after["operation"] = f"{stamp.id}.{step.instance}"
+        case "boot":
+            after["pool"] = before["target_pool"] or before["pool"]
+            after["target_pool"] = None
+        case "fail":
+            after["target_pool"] = None
+            # Only a failure after the reboot counts towards halting the wave.
+            if before["state"] not in ("rebooting", "returning"):
+                after["wave"] = None
+    return after
+
+
+def _note_in_wave(
+    waves: dict[str, Wave], instances: Mapping[str, Instance], step: Step, before: str
+) -> None:
+    wave = waves.get(step.wave or "")
+    if wave is None:
+        return
+    name = step.instance
+    if name in wave["pending"]:
+        wave["pending"].remove(name)
+    if step.event == "keep" or (step.event == "fail" and before == "leaving"):
+        # It was not rebooted, so the wave still owes it a stop.
+        wave["pending"].insert(0, name)
+    if step.event == "serve" or (step.event == "fail" and before != "leaving"):
+        if name in wave["done"]:
+            wave["done"].remove(name)
+        wave["done"].append(name)
+    if step.event == "fail" and before in ("rebooting", "returning"):
+        _halt_if_due(wave, step.wave or "", instances)
+
+
+def _halt_if_due(wave: Wave, name: str, instances: Mapping[str, Instance]) -> None:
+    last = wave["done"][-FAILED_RETURNS_TO_HALT:]
+    failed = [
+        done
+        for done in last
+        if done in instances
+        and instances[done]["state"] == "failed"
+        and instances[done]["wave"] == name
+    ]
+    if len(failed) == FAILED_RETURNS_TO_HALT and wave["state"] == "running":
+        wave["state"] = "halted"
+        wave["reason"] = f"{' and '.join(failed)} failed to return"
+
+
+def _finish_waves(waves: dict[str, Wave], instances: Mapping[str, Instance]) -> None:
+    open_waves = {
+        instance["wave"]
+        for instance in instances.values()
+        if instance["state"] in STOPPING_STATES
+    }
+    for name, wave in waves.items():
+        if wave["state"] != "running":
+            continue
+        wave["pending"] = [
+            item
+            for item in wave["pending"]
+            if item in instances and instances[item]["state"] != "gone"
+        ]
+        if not wave["pending"] and name not in open_waves:
+            wave["state"] = "done"
+
+
+def has_finished_wave(fleet: Fleet) -> bool:
+    """Return whether a running wave has nothing left to do."""
+    waves = {name: _copy_wave(wave) for name, wave in fleet["waves"].items()}
+    _finish_waves(waves, fleet["instances"])
+    return any(waves[name]["state"] != fleet["waves"][name]["state"] for name in waves)
+
+
+def _append_change(
+    before: Fleet, after: Fleet, steps: Sequence[Step], stamp: Stamp
+) -> Fleet:
+    version = before["version"] + 1
+    names = sorted({step.instance for step in steps})
+    what = "; ".join(f"{s.event} {s.instance}: {s.reason}" for s in steps)
+    change: Change = {
+        "id": stamp.id,
+        "version": version,
+        "at": stamp.at,
+        "who": stamp.who,
+        "what": what or "finish waves",
+        "before": {name: _summarize(before, name) for name in names},
+        "after": {name: _summarize(after, name) for name in names},
+    }
+    return {**after, "version": version, "changes": [*before["changes"], change]}
+
+
+def _summarize(fleet: Fleet, name: str) -> list[str]:
+    instance = fleet["instances"][name]
+    return [instance["pool"], instance["state"]]
+
+
+def list_calls(fleet: Fleet, observations: Observations) -> list[Call]:
+    """Return the platform calls that the recorded states ask for."""
+    calls = []
+    for name, instance in fleet["instances"].items():
+        seen = observations.get(name)
+        if instance["operation"] is None or seen is None:
+            continue
+        if _is_current(seen, instance):
+            kind = _find_call(instance["state"], seen.platform)
+            if kind:
+                calls.append(Call(name, kind, f"{instance['operation']}.{kind}"))
+    return calls
+
+
+def _find_call(state: str, platform: str) -> str:
+    if state == "draining" and platform == "live":
+        return "drain"
+    # A failed instance that is drained cannot return without a reboot.
+    if state in ("rebooting", "failed") and platform == "drained":
+        return "reboot"
+    return ""
