--- /dev/null
+++ b/features/waves.feature
@@ -0,0 +1,169 @@
+Feature: Maintenance waves stop every instance once and within the budgets
+  Guards against outages caused by maintenance itself.
+
+  Scenario Outline: A wave ends, whatever happens to its planner
+    Guards against an instance that is stopped twice, or never, after a takeover.
+    Given 6 instances of pool "a" in 2 racks with budget 1 and a wave over them
+    And two entries of which the first plans
+    When the first entry is killed "<point>" with "<detail>" and the second takes over
+    Then the wave ends with each instance rebooted once
+    And no change broke a rule
+
+    Examples:
+      | point              | detail |
+      | before swap        | leave  |
+      | after swap         | leave  |
+      | before swap        | drain  |
+      | after swap         | drain  |
+      | before drain call  |        |
+      | after drain call   |        |
+      | before swap        | reboot |
+      | after swap         | reboot |
+      | before reboot call |        |
+      | after reboot call  |        |
+      | before swap        | boot   |
+      | after swap         | boot   |
+      | before swap        | serve  |
+      | after swap         | serve  |
+
+  Scenario: Two planners race
+    Guards against a budget that is spent once by each planner.
+    Given 6 instances of pool "a" in 2 racks with budget 2 and a wave over them
+    And two entries that both plan
+    When their changes interleave with 10 seeds
+    Then every wave ended with each instance rebooted once
+    And no change broke a rule
+
+  Scenario Outline: A planner is frozen between read and swap
+    Guards against a decision on what was true before the pause.
+    Given 6 instances of pool "a" in 2 racks with budget 1 and a wave over them
+    And two entries of which the first plans
+    When the first entry is frozen for <seconds> s before it swaps "<event>"
+    Then the wave ends with each instance rebooted once
+    And no change broke a rule
+
+    Examples:
+      | event  | seconds |
+      | leave  | 3       |
+      | leave  | 60      |
+      | drain  | 60      |
+      | reboot | 60      |
+      | boot   | 60      |
+      | serve  | 60      |
+
+  Scenario Outline: Answers, calls and confirmations fail for a while
+    Guards against a wave that stalls or acts twice after a fault has passed.
+    Given 4 instances of pool "a" in 1 racks with budget 1 and a wave over them
+    And two entries of which the first plans
+    When "<fault>" holds for <seconds> s in the middle of the wave
+    Then the wave ends with each instance rebooted once
+    And no change broke a rule
+
+    Examples:
+      | fault                      | seconds |
+      | every swap answer is lost  | 20      |
+      | the store is down          | 60      |
+      | the platform is down       | 60      |
+      | no member confirms         | 30      |
+      | no authority               | 30      |
+
+  Scenario Outline: Nothing new is stopped without authority, but what was begun ends
+    Given 4 instances of pool "a" in 1 racks with budget 1 and a wave over them
+    And two entries of which the first plans
+    And the first instance is "<state>"
+    When "no authority" holds for 60 s
+    Then exactly 1 instance was stopped and it serves again
+
+    Examples:
+      | state     |
+      | leaving   |
+      | draining  |
+      | rebooting |
+      | returning |
+
+  Scenario: A stop waits until every member knows
+    Guards against new work on an endpoint that drains.
+    Given 2 instances of pool "a" in 1 racks with budget 1 and a wave over them
+    And two entries of which the first plans
+    When "no member confirms" holds for 60 s
+    Then no instance was drained
+
+  Scenario: Two failures and the loss of a rack during a wave
+    Guards against planned stops on top of failures.
+    Given 12 instances of pool "a" in 3 racks with budget 2 and a wave over them
+    And two entries of which the first plans
+    When 2 instances fail, then a rack is lost for 100 s
+    Then no stop began while the budget was used up
+    And the wave ends with the lost instances served again
+    And no change broke a rule
+
+  Scenario: An instance that leaves is kept when failures use up the budget
+    Given 6 instances of pool "a" in 3 racks with budget 1 and a wave over them
+    And two entries of which the first plans
+    And the first instance is "leaving"
+    When "no member confirms" holds while another instance fails
+    Then the first instance serves and is pending again
+
+  Scenario: A wave halts after two failed returns and resumes
+    Guards against a bad image that is rolled out to the whole pool.
+    Given 6 instances of pool "a" in 2 racks with budget 3 and a wave over them
+    And two entries of which the first plans
+    When the first 2 instances do not come back from their reboot
+    Then the wave is halted with at most 3 instances stopped
+    When they are repaired and an operator resumes the wave
+    Then the wave ends with each instance rebooted once
+
+  Scenario Outline: Direct observation takes precedence over the platform's list
+    Given 3 instances of pool "a" in 1 racks with budget 1 and no wave
+    And an entry in the instances' data centre is "<entry>"
+    When the list "<list>" the first instance, which "<health>" its health check
+    Then the first instance is "<state>" after 10 s
+
+    Examples:
+      | entry | list  | health  | state   |
+      | live  | names | passes  | serving |
+      | live  | omits | passes  | serving |
+      | live  | names | fails   | failed  |
+      | live  | omits | fails   | failed  |
+      | none  | names | fails   | serving |
+      | none  | omits | passes  | serving |
+      | none  | loses | passes  | failed  |
+
+  Scenario: Entries of another data centre do not judge an endpoint
+    Given 3 instances of pool "a" in 1 racks with budget 1 and no wave
+    And an entry in another data centre that cannot reach the endpoints
+    When 10 s pass
+    Then every instance is serving
+
+  Scenario Outline: A failed instance returns by itself
+    Given 2 instances of pool "a" in 1 racks with budget 1 and no wave
+    And an entry in the instances' data centre is "live"
+    When the first instance fails its health checks for <seconds> s
+    Then the first instance is "<state>" after 30 s
+
+    Examples:
+      | seconds | state   |
+      | 2       | serving |
+      | 20      | serving |
+
+  Scenario: Random fleets, observations and moves break no rule
+    Guards against an order of events that nobody thought of.
+    When 300 random histories of decisions are applied
+    Then no change broke a rule
+
+  Scenario Outline: A transition that the chart does not have is refused
+    When event "<event>" is applied to an instance that is "<state>"
+    Then it is refused
+
+    Examples:
+      | event  | state     |
+      | drain  | serving   |
+      | reboot | leaving   |
+      | boot   | draining  |
+      | serve  | rebooting |
+      | keep   | draining  |
+      | serve  | failed    |
+      | leave  | gone      |
+
+  Scenario: The picture in the docs is drawn from the chart
+    Then docs/lifecycle.md holds the picture of "lifecycle"
--- a/packages/briarshed-entry/src/briarshed_entry/maintenance.py
+++ b/packages/briarshed-entry/src/briarshed_entry/maintenance.py
@@ -181,18 +181,20 @@
         """Check the endpoints that are due and that this entry judges."""
         self._follow_fleet()
         at = now()
-        judged = self._is_judge(self._settings.data_centre)
-        if not judged:
+        mine = [
+            (self._watches[name], instance)
+            for name, instance in self._replica.fleet["instances"].items()
+            if instance["data_centre"] == self._settings.data_centre
+        ]
+        if not self._is_judge(self._settings.data_centre):
             # Counts from before would outlive the judgement of another entry.
-            for watch in self._watches.values():
+            for watch, _ in mine:
                 watch.passes = watch.failures = 0
+            return
         due = [
             (watch, instance["address"])
-            for name, instance in self._replica.fleet["instances"].items()
-            if judged
-            and instance["data_centre"] == self._settings.data_centre
-            and instance["state"] in CHECKED_STATES
-            and (watch := self._watches[name]).next_check <= at
+            for watch, instance in mine
+            if watch.state in CHECKED_STATES and watch.next_check <= at
         ]
         limit = asyncio.Semaphore(CONCURRENT_CHECKS)
         await asyncio.gather(*(self._check_one(*item, limit) for item in due))
@@ -253,7 +255,8 @@
             del self._watches[name]
         if self._seen is not None:
             self._moves = note_fleet(self._moves, self._seen, fleet, at)
-            self._log_waves(self._seen, fleet)
+            if self._coordinator.is_planner():
+                self._log_waves(self._seen, fleet)
         self._seen = fleet
 
     def _time_stop(self, name: str, instance: Instance, at: float) -> None:
@@ -303,9 +306,15 @@
             return
         for name, instance in fleet["instances"].items():
             watch = self._watches.get(name)
-            if watch is not None and instance["data_centre"] in unwatched:
-                listed = listing.instances.get(name)
-                watch.note_health(listed is not None and listed.state == "live")
+            if watch is None or instance["data_centre"] not in unwatched:
+                continue
+            if name not in listing.instances:
+                # The list may omit a live instance; the direct answer does not lag.
+                await self._poll_one(name)
+            if name in listing.instances or watch.platform == "live":
+                watch.note_health(True)
+            elif watch.platform == "missing":
+                watch.note_health(False)
 
     def _note_platform(self, error: PlatformUnavailableError | None) -> None:
         if error is not None and not self._platform_failed:
--- a/packages/briarshed-entry/src/briarshed_entry/platform.py
+++ b/packages/briarshed-entry/src/briarshed_entry/platform.py
@@ -12,6 +12,8 @@
 from briarshed.settings import PlatformSettings
 
 MILLISECONDS = 1_000
+HTTP_NOT_FOUND = 404
+HTTP_SUCCESS_CLASS = 2
 CONNECTIONS = 8
 """Concurrent calls; a data centre that is lost must not cause a storm of them."""
 
@@ -88,14 +90,17 @@
         return Listing(content.as_of, {item.id: item for item in content.instances})
 
     async def find_state(self, instance: str) -> str:
-        """Return the direct state: live, draining, drained or rebooting.
+        """Return the direct state: live, draining, drained, rebooting or missing.
 
         Raises
         ------
         PlatformUnavailableError
-            If the platform does not answer or does not know the instance.
+            If the platform does not answer or the answer has another shape.
         """
-        body = await self._call("GET", _make_path(instance))
+        status, body = await self._request("GET", _make_path(instance))
+        if status == HTTP_NOT_FOUND:
+            return "missing"
+        _check_status(status, f"state of {instance}")
         return _decode(body, _State).state
 
     async def drain(self, instance: str, operation: str) -> None:
@@ -109,20 +114,28 @@
     async def _call(
         self, method: str, path: str, operation: str | None = None
     ) -> bytes:
+        status, body = await self._request(method, path, operation)
+        _check_status(status, f"{method} {path}")
+        return body
+
+    async def _request(
+        self, method: str, path: str, operation: str | None = None
+    ) -> tuple[int, bytes]:
         if self._session is None:
             raise PlatformUnavailableError("the platform client is not open")
-        body = None if operation is None else {"operation": operation}
+        content = None if operation is None else {"operation": operation}
+        url = self._url + path
         try:
-            async with self._session.request(
-                method, self._url + path, json=body
-            ) as answer:
-                content = await answer.read()
+            async with self._session.request(method, url, json=content) as answer:
+                return answer.status, await answer.read()
         except (aiohttp.ClientError, TimeoutError) as error:
             reason = str(error) or type(error).__name__
             raise PlatformUnavailableError(f"{method} {path}: {reason}") from error
-        if answer.status // 100 != 2:
-            raise PlatformUnavailableError(f"{method} {path}: status {answer.status}")
-        return content
+
+
+def _check_status(status: int, what: str) -> None:
+    if status // 100 != HTTP_SUCCESS_CLASS:
+        raise PlatformUnavailableError(f"{what}: status {status}")
 
 
 def _make_path(instance: str, action: str = "") -> str:
--- a/packages/briarshed/src/briarshed/waves.py
+++ b/packages/briarshed/src/briarshed/waves.py
@@ -120,6 +120,7 @@
 
 
 Observations = Mapping[str, Observation]
+Rack = tuple[str, str]
 
 
 def decide(
@@ -161,12 +162,13 @@
     instance: Instance, seen: Observation | None, view: View, exceeded: set[str]
 ) -> tuple[str, str]:
     state = instance["state"]
+    failures = 0 if seen is None else seen.failures
+    if state in ("serving", "leaving") and failures >= FAILURES_TO_FAIL:
+        return "fail", f"{failures} consecutive health checks failed"
     if state == "leaving" and {instance["pool"], instance["target_pool"]} & exceeded:
         return "keep", "its pool's availability budget is exceeded"
     if seen is None:
         return "", ""
-    if state in ("serving", "leaving") and seen.failures >= FAILURES_TO_FAIL:
-        return "fail", f"{seen.failures} consecutive health checks failed"
     if state == "returning":
         return _find_return(seen, view)
     if state == "failed" and seen.passes >= PASSES_TO_RECOVER:
@@ -206,7 +208,7 @@
     changed: set[str],
 ) -> Iterator[Step]:
     unavailable = _count_after(fleet, changed)
-    racks = _list_stopped_racks(fleet)
+    racks = _list_stopped_racks(fleet, changed)
     free = {
         name
         for name, instance in fleet["instances"].items()
@@ -224,10 +226,9 @@
         if name not in free:
             continue
         instance = fleet["instances"][name]
-        rack = (instance["data_centre"], instance["rack"])
-        pool = instance["pool"]
-        if racks.get(pool, rack) == rack and take(pool):
-            racks[pool] = rack
+        pool, rack = instance["pool"], _find_rack(instance)
+        if racks.get(pool, set()) <= {rack} and take(pool):
+            racks[pool] = {rack}
             free.discard(name)
             yield Step(name, "serving", "leave", f"wave {wave}", wave)
     for move in moves:
@@ -250,13 +251,21 @@
     return counts
 
 
-def _list_stopped_racks(fleet: Fleet) -> dict[str, tuple[str, str]]:
-    """Return the rack in which a wave has instances out of service, by pool."""
-    return {
-        instance["pool"]: (instance["data_centre"], instance["rack"])
-        for instance in fleet["instances"].values()
-        if instance["wave"] is not None and instance["state"] in STOPPING_STATES
-    }
+def _list_stopped_racks(fleet: Fleet, changed: set[str]) -> dict[str, set[Rack]]:
+    """Return the racks in which waves have instances out of service, by pool.
+
+    A failed instance that recovers in the same swap is one of them.
+    """
+    racks: dict[str, set[Rack]] = {}
+    for name, instance in fleet["instances"].items():
+        stopped = instance["state"] in STOPPING_STATES or name in changed
+        if instance["wave"] is not None and stopped:
+            racks.setdefault(instance["pool"], set()).add(_find_rack(instance))
+    return racks
+
+
+def _find_rack(instance: Instance) -> Rack:
+    return instance["data_centre"], instance["rack"]
 
 
 def _list_pending(fleet: Fleet) -> Iterator[tuple[str, str]]:
@@ -365,9 +374,13 @@
 
 def has_finished_wave(fleet: Fleet) -> bool:
     """Return whether a running wave has nothing left to do."""
-    waves = {name: _copy_wave(wave) for name, wave in fleet["waves"].items()}
-    _finish_waves(waves, fleet["instances"])
-    return any(waves[name]["state"] != fleet["waves"][name]["state"] for name in waves)
+    running = {
+        name: _copy_wave(wave)
+        for name, wave in fleet["waves"].items()
+        if wave["state"] == "running"
+    }
+    _finish_waves(running, fleet["instances"])
+    return any(wave["state"] != "running" for wave in running.values())
 
 
 def _append_change(
