--- a/packages/briarshed-entry/src/briarshed_entry/main.py
+++ b/packages/briarshed-entry/src/briarshed_entry/main.py
@@ -14,11 +14,11 @@
 
 import typer
 from aiohttp import web
-from returns.pipeline import is_successful
-
 from briarshed.events import ENTRY_STARTED, ENTRY_STOPPED, ENTRY_STOPPING
 from briarshed.exceptions import BriarshedError, SettingsError
 from briarshed.settings import Settings, Tls, load_settings
+from returns.pipeline import is_successful
+
 from briarshed_entry import callers, operators
 from briarshed_entry.coordinator import Coordinator
 from briarshed_entry.endpoints import EndpointsClient
