Wire the entry's program to the serving path and maintenance

Readiness is asked of the coordinator, since an empty configuration that was read is valid, and an entry that never reached the store is not ready.

--- a/features/serving_fakes.py
+++ b/features/serving_fakes.py
@@ -110,6 +110,10 @@
         """Return whether keyed work may start."""
         return SimpleNamespace(granted=self.granted, reason="test")
 
+    def find_readiness(self):
+        """Return why the entry is not ready; this one always is."""
+        return ""
+
     def may_start(self, team):
         """Return why a team may not start a job."""
         if team is None:
--- a/packages/briarshed-entry/src/briarshed_entry/callers.py
+++ b/packages/briarshed-entry/src/briarshed_entry/callers.py
@@ -73,11 +73,7 @@
         return web.json_response({"state": "live"})
 
     async def report_readiness(request: web.Request) -> web.Response:
-        reason = ""
-        if scheduler.stopping:
-            reason = "stopping"
-        elif replica.configuration["version"] == 0:
-            reason = "starting: no configuration was read yet"
+        reason = "stopping" if scheduler.stopping else coordinator.find_readiness()
         if reason:
             status = HTTPStatus.SERVICE_UNAVAILABLE
             return web.json_response(
--- a/packages/briarshed-entry/src/briarshed_entry/main.py
+++ b/packages/briarshed-entry/src/briarshed_entry/main.py
@@ -7,7 +7,7 @@
 import signal
 import ssl
 import sys
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
 from typing import Annotated
@@ -21,7 +21,7 @@
 
 from briarshed_entry import callers, operators
 from briarshed_entry.coordinator import Coordinator
-from briarshed_entry.endpoints import EndpointsClient
+from briarshed_entry.endpoints import Endpoints
 from briarshed_entry.logs import configure_logs, log_event
 from briarshed_entry.maintenance import Maintenance
 from briarshed_entry.metrics import Metrics, make_middleware
@@ -74,15 +74,12 @@
         store = await enter(StoreClient(settings.store))
         replica = await enter(Replica(settings, store))
         coordinator = await enter(Coordinator(settings, replica, store))
-        endpoints = await enter(EndpointsClient(settings.endpoints))
-        scheduler = await enter(Scheduler(settings, replica, coordinator, endpoints))
+        endpoints = await enter(Endpoints(settings))
+        scheduler = Scheduler(settings, replica, coordinator, endpoints)
         if settings.platform is not None:
             platform = await enter(PlatformClient(settings.platform))
-            await enter(
-                Maintenance(
-                    settings, replica, coordinator, platform, endpoints.check_health
-                )
-            )
+            check = _make_check(settings, endpoints)
+            await enter(Maintenance(settings, replica, coordinator, platform, check))
 
         def read_gauges() -> dict[str, float]:
             return {
@@ -109,6 +106,18 @@
         await _stop(settings, coordinator, scheduler)
 
 
+def _make_check(
+    settings: Settings, endpoints: Endpoints
+) -> Callable[[str], Awaitable[bool]]:
+    timeout = settings.endpoints.probe_timeout_ms / MILLISECONDS
+
+    async def check(address: str) -> bool:
+        health = await endpoints.check_health(address, timeout)
+        return health is not None and health.state == "serving"
+
+    return check
+
+
 async def _stop(
     settings: Settings, coordinator: Coordinator, scheduler: Scheduler
 ) -> None:
@@ -127,7 +136,7 @@
     served: web.Application, address: str, tls: Tls | None
 ) -> AsyncIterator[str]:
     host, _, port = address.rpartition(":")
-    runner = web.AppRunner(served, access_log=None, handler_cancellation=True)
+    runner = callers.make_runner(served)
     await runner.setup()
     site = web.TCPSite(
         runner, host.strip("[]"), int(port), ssl_context=_make_tls_context(tls)
