--- /dev/null
+++ b/packages/briarshed-entry/src/briarshed_entry/_ledger.py
@@ -0,0 +1,196 @@
+"""Jobs of this entry by team, demands of its peers, and what a grant allows."""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from collections.abc import Collection, Mapping, Sequence
+from typing import Any
+
+from briarshed.documents import Configuration, Grants
+from briarshed.grants import Need, View, find_start_limit, plan_team
+
+DEMAND_LIFE_S = 2.5
+"""Time for which a demand counts; it is repeated every second while it lasts."""
+
+RECENT_S = 5.0
+"""Time for which an idle part of a row is kept before peers may get it unasked."""
+
+
+class Ledger:
+    """Counts of this entry and its peers; decides nothing but by ``grants``."""
+
+    def __init__(self) -> None:
+        self.owner = ""
+        self.owners: tuple[str, ...] = ()
+        self.peers: dict[str, dict[str, Need]] = {}
+        self.freeable: Collection[str] = ()
+        self.touched: set[str] = set()
+        self._running: Counter[str] = Counter()
+        self._waiting: dict[str, int] = {}
+        self._peaks: dict[str, deque[tuple[float, int]]] = {}
+        self._demands: dict[str, dict[str, tuple[int, float]]] = {}
+        self._floors: dict[str, int] = {}
+        self._floor_revision: int | None = None
+
+    def count_running(self, team: str) -> int:
+        """Return the jobs of a team that run here."""
+        return self._running[team]
+
+    def count_everywhere(self, team: str) -> int:
+        """Return the jobs of a team that run at this entry and registered peers."""
+        others = (
+            needs[team].running
+            for owner, needs in self.peers.items()
+            if owner in self.owners and team in needs
+        )
+        return self._running[team] + sum(others)
+
+    def add_running(self, team: str, count: int, time: float) -> None:
+        """Count jobs that started, or with a negative count jobs that ended."""
+        self._running[team] += count
+        self._note_peak(team, time)
+
+    def set_waiting(self, team: str, count: int, time: float) -> bool:
+        """Record the queued jobs of a team; return whether they have increased."""
+        before = self._waiting.get(team, 0)
+        if count == before:
+            return False
+        self._waiting[team] = count
+        self._note_peak(team, time)
+        return count > before
+
+    def _note_peak(self, team: str, time: float) -> None:
+        peaks = self._peaks.setdefault(team, deque())
+        count = self._running[team] + self._waiting.get(team, 0)
+        while peaks and peaks[-1][1] <= count:
+            peaks.pop()
+        peaks.append((time, count))
+        self.touched.add(team)
+
+    def find_need(self, team: str, time: float) -> Need:
+        """Return the demand of a team at this entry."""
+        peaks = self._peaks.get(team, deque())
+        # An entry of the deque lasts until the next one, so the first that is too
+        # old is dropped only when its successor is too old as well.
+        while len(peaks) > 1 and time - peaks[1][0] >= RECENT_S:
+            peaks.popleft()
+        recent = max((count for _at, count in peaks), default=0)
+        return Need(self._running[team], self._waiting.get(team, 0), recent)
+
+    def list_needs(self) -> dict[str, tuple[int, int]]:
+        """Return running and waiting jobs of teams that have either."""
+        teams = {team for team, count in self._running.items() if count}
+        teams |= {team for team, count in self._waiting.items() if count}
+        return {
+            team: (self._running[team], self._waiting.get(team, 0)) for team in teams
+        }
+
+    def note_demand(self, owner: str, wanted: Mapping[str, int], time: float) -> None:
+        """Record how many more jobs a peer wants to start."""
+        for team, count in wanted.items():
+            self._demands.setdefault(team, {})[owner] = (count, time)
+            self.touched.add(team)
+
+    def make_view(self, team: str, configuration: Configuration, time: float) -> View:
+        """Return what the decisions of ``grants`` need to know about a team."""
+        settings = configuration["teams"].get(team)
+        demands = self._demands.get(team, {})
+        for owner, (_count, at) in list(demands.items()):
+            if time - at >= DEMAND_LIFE_S:
+                del demands[owner]
+        return View(
+            self.owner,
+            self.owners,
+            settings["limit"] if settings else 0,
+            self.find_need(team, time),
+            {
+                owner: needs[team]
+                for owner, needs in self.peers.items()
+                if team in needs
+            },
+            {owner: count for owner, (count, _at) in demands.items()},
+            self.freeable,
+        )
+
+    def find_limit(
+        self, team: str, configuration: Configuration, grants: Grants, time: float
+    ) -> int:
+        """Return how many jobs of a team may run here now."""
+        view = self.make_view(team, configuration, time)
+        limit = find_start_limit(grants["rows"].get(team, {}), view)
+        return min(limit, self._floors.get(team, limit))
+
+    def list_demands(
+        self, configuration: Configuration, grants: Grants, time: float
+    ) -> dict[str, int]:
+        """Return how many more jobs of each team wait for a grant here."""
+        wanted = {}
+        for team, count in self._waiting.items():
+            limit = self.find_limit(team, configuration, grants, time) if count else 0
+            missing = self._running[team] + count - limit
+            if count and missing > 0:
+                wanted[team] = missing
+        return wanted
+
+    def plan(
+        self,
+        teams: Sequence[str],
+        configuration: Configuration,
+        grants: Grants,
+        time: float,
+    ) -> dict[str, dict[str, int]]:
+        """Return the rows of the teams whose rows should change."""
+        planned = {}
+        for team in teams:
+            rows = grants["rows"].get(team, {})
+            after = plan_team(rows, self.make_view(team, configuration, time))
+            if after != rows:
+                planned[team] = after
+        return planned
+
+    def hold_floors(self, planned: Mapping[str, Mapping[str, int]]) -> None:
+        """Start no more than a swap under way leaves to this entry.
+
+        The swap may have taken effect before its answer arrives, so the lower of
+        the rows before and after it counts until its outcome is certain.
+        """
+        for team, rows in planned.items():
+            own = rows.get(self.owner, 0)
+            self._floors[team] = min(own, self._floors.get(team, own))
+
+    def keep_floors(self, revision: int) -> None:
+        """Keep the floors until the grants have passed a revision."""
+        self._floor_revision = revision
+
+    def drop_floors(self) -> None:
+        """Forget the floors, since the outcome of the swap is certain."""
+        self._floors.clear()
+        self._floor_revision = None
+
+    def settle_floors(self, revision: int) -> None:
+        """Forget floors of a swap that can no longer take effect."""
+        if self._floor_revision is not None and revision > self._floor_revision:
+            self.drop_floors()
+
+    def reset_owner(self, owner: str, owners: Sequence[str]) -> None:
+        """Take over a new registration; running jobs still count."""
+        if (owner, tuple(owners)) != (self.owner, self.owners):
+            self.touched.add("")
+        self.owner = owner
+        self.owners = tuple(owners)
+
+
+def merge_rows(grants: Grants, planned: Mapping[str, dict[str, int]]) -> Any:
+    """Return the grants with the rows of some teams replaced."""
+    rows = {**grants["rows"], **planned}
+    return {**grants, "rows": {team: part for team, part in rows.items() if part}}
+
+
+def list_gainers(before: Grants, planned: Mapping[str, Mapping[str, int]]) -> set[str]:
+    """Return the owners whose rows a plan raises."""
+    return {
+        owner
+        for team, rows in planned.items()
+        for owner, count in rows.items()
+        if count > before["rows"].get(team, {}).get(owner, 0)
+    }
--- /dev/null
+++ b/packages/briarshed-entry/src/briarshed_entry/coordinator.py
@@ -0,0 +1,820 @@
+"""Registration, authority and grants of this entry; talks to the other entries."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import time as unix
+from collections.abc import Awaitable, Callable, Sequence
+from types import TracebackType
+from typing import Any, NamedTuple
+
+from briarshed.authority import (
+    MS_PER_S,
+    Authority,
+    OwnView,
+    PeerView,
+    decide_authority,
+    find_confirmation,
+    find_relayed,
+    find_stop_delay,
+)
+from briarshed.documents import (
+    CONFIGURATION_KEY,
+    DOCUMENT_KEYS,
+    GRANTS_KEY,
+    MEMBERS_KEY,
+    decode_document,
+    encode_document,
+)
+from briarshed.events import (
+    AUTHORITY_GAINED,
+    AUTHORITY_LOST,
+    GRANTS_FREED,
+    GRANTS_SWAPPED,
+    LOOP_FAILED,
+    MEMBER_ESTABLISHED,
+    MEMBER_REGISTERED,
+    MEMBER_REMOVED,
+    PEER_REJECTED,
+)
+from briarshed.exceptions import DocumentError, StoreUnavailableError
+from briarshed.grants import Need
+from briarshed.membership import (
+    deregister_member,
+    find_planner,
+    find_removable,
+    find_unacquainted,
+    find_uninformed,
+    is_listed,
+    list_owners,
+    make_owner,
+    register_member,
+    remove_member,
+)
+from briarshed.settings import Settings
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from briarshed_entry._ledger import Ledger, list_gainers, merge_rows
+from briarshed_entry.clock import now
+from briarshed_entry.logs import log_event
+from briarshed_entry.peers import (
+    Ask,
+    Demand,
+    Message,
+    Notice,
+    Offer,
+    Peers,
+    Ping,
+    Pong,
+    Told,
+)
+from briarshed_entry.replica import Replica
+from briarshed_entry.store import StoreClient
+
+INCARNATION_BYTES = 6
+RENEWALS_A_LEASE = 3
+SWAP_INTERVAL_S = 1.0
+DEMAND_INTERVAL_S = 1.0
+PLAN_ALL_S = 5.0
+"""Time after which the rows of all teams are planned, though nothing was noted."""
+
+GATHER_TIMEOUT_S = 1.0
+NUDGE_S = 0.2
+"""Interval of extra pings to members in which a version is awaited."""
+
+_CHECK_S = 0.05
+_NO_AGE = -1
+
+
+class Reply(NamedTuple):
+    """Answer of one entry to an operator's question; the age is in seconds."""
+
+    entry: str
+    data_centre: str
+    age: float
+    rows: list[Any]
+
+
+class Coordinator:
+    """State of this entry among the others; owns the connections to them."""
+
+    def __init__(
+        self, settings: Settings, replica: Replica, store: StoreClient
+    ) -> None:
+        self._settings = settings
+        self._timing = settings.timing
+        self._replica = replica
+        self._store = store
+        self._peers = Peers(settings.peers, self._handle)
+        self._ledger = Ledger()
+        self._epoch = now()
+        self._incarnation = ""
+        self._renewed_at = self._epoch
+        self._registered_at: float | None = None
+        self._failure = "this entry has not registered yet"
+        self._ready = False
+        self._stopping = False
+        self._left = False
+        self._relayed_at: float | None = None
+        self._views: dict[str, PeerView] = {}
+        self._versions: dict[str, tuple[int, ...]] = {}
+        self._acquainted: dict[str, str] = {}
+        self._heard_at: dict[str, float] = {}
+        self._missing_since: dict[str, float] = {}
+        self._removed_at: dict[str, float] = {}
+        self._orphaned_since: dict[str, float] = {}
+        self._owners: set[str] = set()
+        self._established = False
+        self._granted = False
+        self._wake = asyncio.Event()
+        self._noticed: set[str] = set()
+        self._notice = asyncio.Event()
+        self._swapped_at = 0.0
+        self._planned_at = 0.0
+        self._demanded_at: dict[str, float] = {}
+        self._asked: dict[int, tuple[str, asyncio.Future[list[Any]]]] = {}
+        self._last_ask = 0
+        self._answer: Callable[[Any], list[Any]] = lambda question: []
+        self._tasks: list[asyncio.Task[None]] = []
+        self._subscriptions: list[Any] = []
+        self._take_new_incarnation()
+
+    async def __aenter__(self) -> Coordinator:
+        await self._peers.__aenter__()
+        self._replica.find_objection = self._find_objection
+        self._subscriptions = [
+            self._replica.updates.subscribe(self._note_update),
+            self._replica.swapped.subscribe(self._send_notices),
+        ]
+        self._note_update(MEMBERS_KEY)
+        ping_s = self._timing.ping_ms / MS_PER_S
+        poll_s = self._settings.store.poll_ms / MS_PER_S
+        lease_s = self._settings.store.lease_ms / MS_PER_S
+        self._tasks = [
+            self._start("ping", self._ping_all, ping_s),
+            self._start("membership", self._maintain_membership, poll_s),
+            self._start("lease", self._renew_lease, lease_s / RENEWALS_A_LEASE),
+            asyncio.create_task(self._run_grants()),
+            asyncio.create_task(self._follow_notices()),
+        ]
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        for subscription in self._subscriptions:
+            subscription.dispose()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._peers.__aexit__(kind, error, trace)
+
+    @property
+    def owner(self) -> str:
+        """Name of this entry's rows, ``NAME/INCARNATION``."""
+        return make_owner(self._settings.name, self._incarnation)
+
+    # Authority
+
+    def find_authority(self) -> Authority:
+        """Decide whether keyed work may start now."""
+        return decide_authority(self._make_own_view(), self._views, self._timing, now())
+
+    def may_start(self, team: str | None) -> str:
+        """Return "" if a job of a team may start, else "authority" or "limit"."""
+        if team is None:
+            return ""
+        if not self.find_authority().granted:
+            return "authority"
+        limit = self._ledger.find_limit(
+            team, self._replica.configuration, self._replica.grants, now()
+        )
+        return "" if self._ledger.count_running(team) < limit else "limit"
+
+    def find_readiness(self) -> str:
+        """Return why this entry is not ready for callers, or an empty text.
+
+        An entry that was ready once stays so without authority, since open queues
+        need none.
+        """
+        if self._stopping:
+            return "this entry is stopping"
+        if self._ready:
+            return ""
+        if self._replica.failing or self._replica.contact_at is None:
+            return f"the store is not available: {self._replica.failure}"
+        return self._failure
+
+    def _make_own_view(self) -> OwnView:
+        replica = self._replica
+        registered = self._registered_at is not None
+        listed = is_listed(replica.members, self._settings.name, self._incarnation)
+        return OwnView(
+            self.owner if registered else "",
+            self._registered_at or 0.0,
+            replica.read_at,
+            self._relayed_at,
+            replica.failing,
+            replica.get_version(CONFIGURATION_KEY),
+            replica.get_version(MEMBERS_KEY),
+            tuple(
+                owner
+                for owner in list_owners(replica.members)
+                if not self._is_own(owner)
+            ),
+            listed and registered,
+        )
+
+    def _is_own(self, owner: str) -> bool:
+        return owner.partition("/")[0] == self._settings.name
+
+    # Limits
+
+    def note_started(self, team: str | None) -> None:
+        """Count a job that started."""
+        if team is not None:
+            self._ledger.add_running(team, 1, now())
+
+    def note_ended(self, team: str | None) -> None:
+        """Count a job that has certainly ended, or whose task lease has expired."""
+        if team is not None:
+            self._ledger.add_running(team, -1, now())
+
+    def set_waiting(self, team: str | None, count: int) -> None:
+        """Record how many jobs of a team are queued here."""
+        if team is not None and self._ledger.set_waiting(team, count, now()):
+            self._wake.set()
+
+    def count_running(self, team: str) -> int:
+        """Return how many jobs of a team run in the whole fleet, as far as known."""
+        return self._ledger.count_everywhere(team)
+
+    # Changes
+
+    def list_blockers(self) -> list[str]:
+        """Return the members that forbid accepting a change here.
+
+        They have not shown that they know this entry, so they may consent to each
+        other during an outage without asking it.
+        """
+        members = self._replica.members
+        if self._registered_at is None or not is_listed(
+            members, self._settings.name, self._incarnation
+        ):
+            return [self._settings.name]
+        return find_unacquainted(members, self._settings.name, self._acquainted)
+
+    def _find_objection(self, key: str) -> str:
+        if key == MEMBERS_KEY:
+            return ""
+        blockers = self.list_blockers()
+        if blockers == [self._settings.name]:
+            return "this entry is not a registered member"
+        if key == GRANTS_KEY or not blockers:
+            return ""
+        return f"these members do not know this entry yet: {', '.join(blockers)}"
+
+    async def wait_in_force(self, key: str, version: int, timeout: float) -> list[str]:
+        """Wait until a version is in force; return the members where it is not.
+
+        Parameters
+        ----------
+        timeout : float
+            Seconds to wait at most.
+        """
+        started_at = now()
+        nudged_at = started_at
+        while True:
+            time = now()
+            waiting = self._find_uninformed(key, version, started_at)
+            if not waiting or time - started_at >= timeout:
+                return sorted({owner.partition("/")[0] for owner in waiting})
+            if time - nudged_at >= NUDGE_S:
+                nudged_at = time
+                for owner in waiting:
+                    self._ping(owner.partition("/")[0])
+            await asyncio.sleep(_CHECK_S)
+
+    def _find_uninformed(self, key: str, version: int, started_at: float) -> list[str]:
+        learned_at = self._replica.find_learned(key, version)
+        position = DOCUMENT_KEYS.index(key)
+        return find_uninformed(
+            self._make_own_view().others,
+            {owner: versions[position] for owner, versions in self._versions.items()},
+            self._removed_at,
+            version,
+            started_at if learned_at is None else learned_at,
+            self._timing,
+            now(),
+        )
+
+    # Questions
+
+    def answer_with(self, function: Callable[[Any], list[Any]]) -> None:
+        """Set how this entry answers a question."""
+        self._answer = function
+
+    async def gather(self, question: Any) -> list[Reply]:
+        """Ask this entry and every peer; return the answers that came in time."""
+        asked_at = now()
+        futures = {}
+        for name in sorted(self._replica.members["members"]):
+            if name != self._settings.name:
+                self._last_ask += 1
+                future = asyncio.get_running_loop().create_future()
+                self._asked[self._last_ask] = (name, future)
+                futures[self._last_ask] = future
+                self._peers.send(name, Ask(self._last_ask, question))
+        own = self._answer(question)
+        replies = [Reply(self._settings.name, self._settings.data_centre, 0.0, own)]
+        if futures:
+            await asyncio.wait(futures.values(), timeout=GATHER_TIMEOUT_S)
+        for number, future in futures.items():
+            name, _future = self._asked.pop(number)
+            if future.done():
+                member = self._replica.members["members"].get(name)
+                data_centre = member["data_centre"] if member else ""
+                age = now() - asked_at
+                replies.append(Reply(name, data_centre, age, future.result()))
+        return replies
+
+    def is_planner(self) -> bool:
+        """Tell whether this entry is the first live member by name."""
+        planner = find_planner(self._replica.members, self._replica.alive)
+        return planner == self._settings.name and not self.list_blockers()
+
+    def unreached(self) -> list[str]:
+        """Return the members that do not answer."""
+        limit = now() - self._timing.consent_ms / MS_PER_S
+        return [
+            owner.partition("/")[0]
+            for owner in self._make_own_view().others
+            if self._heard_at.get(owner, limit) <= limit
+        ]
+
+    async def leave(self) -> None:
+        """Return this entry's grants and deregister it; the store may be down."""
+        self._stopping = True
+        self._left = True
+        self._wake.set()
+        name, incarnation = self._settings.name, self._incarnation
+        if self._registered_at is not None:
+            await self._replica.change(GRANTS_KEY, self._return_rows, "")
+            await self._replica.change(
+                MEMBERS_KEY,
+                lambda members: Success(deregister_member(members, name, incarnation)),
+                "",
+            )
+        self._registered_at = None
+        try:
+            await self._store.release(name)
+        except StoreUnavailableError as error:
+            log_event(LOOP_FAILED, task="leave", error=error.message)
+
+    def _return_rows(self, grants: Any) -> Result[Any, str]:
+        planned = {}
+        for team, rows in grants["rows"].items():
+            kept = min(rows.get(self.owner, 0), self._ledger.count_running(team))
+            after = {**rows, self.owner: kept}
+            planned[team] = {owner: count for owner, count in after.items() if count}
+        if planned == grants["rows"]:
+            return Failure("this entry has no grants")
+        self._ledger.hold_floors(planned)
+        return Success(merge_rows(grants, planned))
+
+    # Membership
+
+    def _take_new_incarnation(self) -> None:
+        """Start over as a new member; what was confirmed for the old one is void."""
+        self._incarnation = secrets.token_urlsafe(INCARNATION_BYTES)
+        self._renewed_at = now()
+        self._registered_at = None
+        self._relayed_at = None
+        self._established = False
+        self._acquainted.clear()
+        self._views.clear()
+
+    async def _maintain_membership(self) -> None:
+        if self._left:
+            return
+        members = self._replica.members
+        if not is_listed(members, self._settings.name, self._incarnation):
+            await self._register()
+        elif self._registered_at is None:
+            # The answer to the registration was lost, but it took effect.
+            self._registered_at = now()
+        if self._registered_at is not None and not self._replica.failing:
+            self._note_missing()
+            await self._remove_stopped()
+        self._log_state()
+
+    async def _register(self) -> None:
+        if self._registered_at is not None:
+            self._take_new_incarnation()
+        settings = self._settings
+        member = {
+            "incarnation": self._incarnation,
+            "address": settings.peers.address,
+            "data_centre": settings.data_centre,
+            "operators": f"http://{settings.operators.address}",
+        }
+
+        def apply(members: Any) -> Result[Any, str]:
+            return register_member(members, settings.name, member, unix.time())
+
+        result = await self._replica.change(MEMBERS_KEY, apply, "")
+        if not is_successful(result):
+            self._failure = result.failure()
+            return
+        self._registered_at = now()
+        log_event(MEMBER_REGISTERED, name=settings.name, incarnation=self._incarnation)
+        self._failure = "the configuration has not been confirmed yet"
+        await self._replica.refresh([GRANTS_KEY])
+        await self._renew_lease()
+        self._ping_now()
+
+    def _note_missing(self) -> None:
+        """Record since when each member's lease is seen to have expired."""
+        time = now()
+        missing = {
+            make_owner(name, member["incarnation"])
+            for name, member in self._replica.members["members"].items()
+            if self._replica.alive.get(name) != member["incarnation"]
+        }
+        self._missing_since = {
+            owner: self._missing_since.get(owner, time) for owner in missing
+        }
+
+    async def _remove_stopped(self) -> None:
+        for name in find_removable(
+            self._replica.members,
+            self._settings.name,
+            self._missing_since,
+            self._heard_at,
+            not self.list_blockers(),
+            self._timing,
+            now(),
+        ):
+            gone = self._replica.members["members"][name]["incarnation"]
+
+            def apply(
+                members: Any, name: str = name, gone: str = gone
+            ) -> Result[Any, str]:
+                if not is_listed(members, name, gone):
+                    return Failure("already removed")
+                return Success(remove_member(members, name, unix.time()))
+
+            result = await self._replica.change(MEMBERS_KEY, apply, "")
+            if is_successful(result):
+                reason = "its lease expired and it does not answer"
+                log_event(MEMBER_REMOVED, name=name, incarnation=gone, reason=reason)
+
+    async def _renew_lease(self) -> None:
+        if self._registered_at is None or self._left:
+            return
+        try:
+            data = self._incarnation.encode()
+            await self._store.keep_alive(self._settings.name, data)
+        except StoreUnavailableError:
+            # The replica's reads report the failure of the store.
+            return
+
+    def _log_state(self) -> None:
+        authority = self.find_authority()
+        if authority.granted and not self._ready:
+            self._ready = True
+        if authority.granted != self._granted:
+            event = AUTHORITY_GAINED if authority.granted else AUTHORITY_LOST
+            log_event(event, reason=authority.reason)
+        self._granted = authority.granted
+        established = not self.list_blockers()
+        if established and not self._established:
+            log_event(MEMBER_ESTABLISHED)
+        self._established = established
+
+    def _note_update(self, key: str) -> None:
+        if key in (MEMBERS_KEY, CONFIGURATION_KEY):
+            self._ledger.touched.add("")
+        if key == MEMBERS_KEY:
+            self._note_members()
+        if key == GRANTS_KEY:
+            self._ledger.settle_floors(self._replica.get_stored(key).revision)
+        self._wake.set()
+
+    def _note_members(self) -> None:
+        members = self._replica.members
+        owners = set(list_owners(members))
+        time = now()
+        for owner in self._owners - owners:
+            # A member that deregistered itself had no work and no authority left.
+            if owner in members["departed"]:
+                self._removed_at[owner] = time
+            self._ledger.peers.pop(owner, None)
+        delay = find_stop_delay(self._timing)
+        self._removed_at = {
+            owner: at for owner, at in self._removed_at.items() if time - at < delay
+        }
+        self._owners = owners
+        self._ledger.reset_owner(self.owner, sorted(owners))
+        self._peers.set_peers(self._list_addresses())
+
+    def _list_addresses(self) -> dict[str, str]:
+        return {
+            name: member["address"]
+            for name, member in self._replica.members["members"].items()
+            if name != self._settings.name
+        }
+
+    # Messages
+
+    async def _ping_all(self) -> None:
+        self._peers.set_peers(self._list_addresses())
+        self._ping_now()
+
+    def _ping_now(self) -> None:
+        for name in self._list_addresses():
+            self._ping(name)
+
+    def _ping(self, name: str) -> None:
+        sent_at = int((now() - self._epoch) * MS_PER_S)
+        self._peers.send(name, Ping(self._incarnation, sent_at))
+
+    def _handle(self, name: str, message: Message) -> Message | None:
+        match message:
+            case Ping():
+                return self._make_pong(name, message)
+            case Pong():
+                self._take_pong(name, message)
+            case Notice():
+                self._take_notice(message)
+            case Offer():
+                self._take_offer(name, message)
+            case Demand():
+                self._take_demand(name, message)
+            case Ask():
+                return Told(message.id, self._answer(message.question))
+            case Told():
+                asked, future = self._asked.get(message.id, ("", None))
+                if future is not None and asked == name and not future.done():
+                    future.set_result(message.rows)
+        return None
+
+    def _make_pong(self, name: str, ping: Ping) -> Pong:
+        time = now()
+        replica = self._replica
+        confirmed_at = find_confirmation(self._make_own_view())
+        contact_at = replica.contact_at
+        # Rounding must not make a confirmation look younger or a contact older.
+        return Pong(
+            self._incarnation,
+            ping.sent_at,
+            _NO_AGE if confirmed_at is None else _count_ms(time - confirmed_at) + 1,
+            _NO_AGE if contact_at is None else _count_ms(time - contact_at),
+            replica.failing,
+            tuple(replica.get_version(key) for key in DOCUMENT_KEYS),
+            is_listed(replica.members, name, ping.incarnation),
+            self._ledger.list_needs(),
+            self._stopping,
+        )
+
+    def _take_pong(self, name: str, pong: Pong) -> None:
+        asked_at = self._epoch + pong.echo / MS_PER_S
+        if asked_at < self._renewed_at or asked_at > now():
+            # It answers a ping of an earlier incarnation of this entry.
+            return
+        configuration, _fleet, _grants, members = pong.versions
+        view = PeerView(
+            pong.incarnation,
+            asked_at,
+            _read_age(pong.confirmed_age),
+            _read_age(pong.contact_age),
+            pong.store_failing,
+            configuration,
+            members,
+            pong.known,
+        )
+        before = self._views.get(name)
+        if before is not None and before.asked_at > asked_at:
+            return
+        self._views[name] = view
+        owner = make_owner(name, pong.incarnation)
+        self._heard_at[owner] = asked_at
+        self._versions[owner] = pong.versions
+        self._ledger.peers[owner] = {
+            team: Need(running, waiting)
+            for team, (running, waiting) in pong.running.items()
+        }
+        if pong.known:
+            self._acquainted[name] = pong.incarnation
+        relayed_at = find_relayed(self._make_own_view(), {name: view})
+        if relayed_at is not None:
+            self._relayed_at = max(relayed_at, self._relayed_at or relayed_at)
+        if pong.store_failing and not self._replica.failing:
+            self._offer_documents(name, pong)
+
+    def _offer_documents(self, name: str, pong: Pong) -> None:
+        """Send what a peer lacks that cannot read the store; configuration first."""
+        configuration = self._replica.get_version(CONFIGURATION_KEY)
+        for key, version in zip(DOCUMENT_KEYS, pong.versions, strict=True):
+            stored = self._replica.get_stored(key)
+            if stored.value["version"] > version:
+                value = encode_document(stored.value)
+                offer = Offer(key, stored.revision, configuration, value)
+                self._peers.send(name, offer)
+
+    def _take_offer(self, name: str, offer: Offer) -> None:
+        if offer.key not in DOCUMENT_KEYS:
+            return
+        if offer.configuration > self._replica.get_version(CONFIGURATION_KEY) and (
+            offer.key != CONFIGURATION_KEY
+        ):
+            # Members newer than the configuration could hide whom to ask for
+            # consent; see Replica. The peer sends the configuration again.
+            return
+        try:
+            document = decode_document(offer.key, offer.value)
+        except DocumentError as error:
+            log_event(PEER_REJECTED, reason=f"{name}: {error.message}")
+            return
+        if document["version"] > self._replica.get_version(offer.key):
+            self._replica.offer(offer.key, document, offer.revision)
+
+    def _send_notices(self, key: str) -> None:
+        if key == GRANTS_KEY:
+            return
+        notice = Notice({key: self._replica.get_version(key)})
+        for name in self._list_addresses():
+            self._peers.send(name, notice)
+
+    def _take_notice(self, notice: Notice) -> None:
+        newer = {
+            key
+            for key, version in notice.versions.items()
+            if key in DOCUMENT_KEYS and version > self._replica.get_version(key)
+        }
+        if newer:
+            self._noticed |= newer
+            self._notice.set()
+
+    async def _follow_notices(self) -> None:
+        while True:
+            await self._notice.wait()
+            self._notice.clear()
+            keys, self._noticed = self._noticed, set()
+            try:
+                await self._replica.refresh(sorted(keys))
+            except Exception as error:
+                log_event(LOOP_FAILED, task="notices", error=repr(error))
+
+    def _take_demand(self, name: str, demand: Demand) -> None:
+        member = self._replica.members["members"].get(name)
+        if member is None:
+            return
+        owner = make_owner(name, member["incarnation"])
+        self._ledger.note_demand(owner, demand.wanted, now())
+        self._wake.set()
+
+    # Grants
+
+    async def _run_grants(self) -> None:
+        """Ask for grants and swap rows, at most once a second each."""
+        poll_s = self._settings.store.poll_ms / MS_PER_S
+        while True:
+            try:
+                async with asyncio.timeout(poll_s):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
+            self._wake.clear()
+            try:
+                if self._registered_at is not None and not self._left:
+                    self._send_demands()
+                    await self._swap_grants()
+            except Exception as error:
+                log_event(LOOP_FAILED, task="grants", error=repr(error))
+                await asyncio.sleep(poll_s)
+
+    def _send_demands(self) -> None:
+        time = now()
+        wanted = self._ledger.list_demands(
+            self._replica.configuration, self._replica.grants, time
+        )
+        due = {
+            team: count
+            for team, count in wanted.items()
+            if time - self._demanded_at.get(team, 0.0) >= DEMAND_INTERVAL_S
+        }
+        if due:
+            self._demanded_at.update(dict.fromkeys(due, time))
+            for name in self._list_addresses():
+                self._peers.send(name, Demand(due))
+
+    def _list_teams(self, time: float) -> list[str]:
+        """Return the teams whose rows may have to change."""
+        every = "" in self._ledger.touched or time - self._planned_at >= PLAN_ALL_S
+        teams = set(self._ledger.touched)
+        if every:
+            self._planned_at = time
+            teams |= set(self._replica.configuration["teams"])
+            teams |= set(self._replica.grants["rows"])
+        teams.discard("")
+        return sorted(teams)
+
+    async def _swap_grants(self) -> None:
+        time = now()
+        if self._replica.failing:
+            return
+        if time - self._swapped_at < SWAP_INTERVAL_S:
+            delay = SWAP_INTERVAL_S - (time - self._swapped_at)
+            asyncio.get_running_loop().call_later(delay, self._wake.set)
+            return
+        self._note_orphans(time)
+        teams = self._list_teams(time)
+        grants, configuration = self._replica.grants, self._replica.configuration
+        self._ledger.touched.clear()
+        if not self._ledger.plan(teams, configuration, grants, time):
+            return
+        self._swapped_at = time
+        await self._swap_plan(teams)
+
+    async def _swap_plan(self, teams: Sequence[str]) -> None:
+        gainers: set[str] = set()
+
+        def apply(grants: Any) -> Result[Any, str]:
+            configuration = self._replica.configuration
+            planned = self._ledger.plan(teams, configuration, grants, now())
+            gainers.clear()
+            if not planned:
+                return Failure("nothing to change")
+            gainers.update(list_gainers(grants, planned))
+            self._ledger.hold_floors(planned)
+            return Success(merge_rows(grants, planned))
+
+        result = await self._replica.change(GRANTS_KEY, apply, "")
+        if not is_successful(result):
+            if result.failure().startswith("unknown:"):
+                revision = self._replica.get_stored(GRANTS_KEY).revision
+                self._ledger.keep_floors(revision)
+            else:
+                self._ledger.drop_floors()
+            self._ledger.touched.update(teams)
+            return
+        self._ledger.drop_floors()
+        version = result.unwrap().value["version"]
+        log_event(GRANTS_SWAPPED, version=version)
+        for owner in self._ledger.freeable:
+            log_event(GRANTS_FREED, owner=owner)
+        for owner in gainers - {self.owner}:
+            self._peers.send(owner.partition("/")[0], Notice({GRANTS_KEY: version}))
+
+    def _note_orphans(self, time: float) -> None:
+        """Find rows of stopped owners whose tasks have certainly ended.
+
+        The time counts from when this entry first sees the row without its member,
+        by its own clock, so it needs no other machine's time.
+        """
+        owners = {
+            owner
+            for rows in self._replica.grants["rows"].values()
+            for owner in rows
+            if owner not in self._owners
+        }
+        self._orphaned_since = {
+            owner: self._orphaned_since.get(owner, time) for owner in owners
+        }
+        delay = find_stop_delay(self._timing)
+        delay += (self._timing.task_lease_ms + self._timing.margin_ms) / MS_PER_S
+        freeable = {
+            owner for owner, at in self._orphaned_since.items() if time - at >= delay
+        }
+        self._ledger.freeable = freeable if self.is_planner() else ()
+        if self._ledger.freeable:
+            self._ledger.touched.add("")
+
+    def _start(
+        self, name: str, step: Callable[[], Awaitable[None]], interval: float
+    ) -> asyncio.Task[None]:
+        """Run a step at an interval until the coordinator closes."""
+
+        async def run() -> None:
+            while True:
+                try:
+                    await step()
+                except Exception as error:
+                    log_event(LOOP_FAILED, task=name, error=repr(error))
+                await asyncio.sleep(interval)
+
+        return asyncio.create_task(run())
+
+
+def _count_ms(seconds: float) -> int:
+    return int(seconds * MS_PER_S)
+
+
+def _read_age(age: int) -> float | None:
+    return None if age == _NO_AGE else age / MS_PER_S
--- /dev/null
+++ b/packages/briarshed-entry/src/briarshed_entry/store.py
@@ -0,0 +1,296 @@
+"""The store: the only module that knows the etcd v3 JSON gateway.
+
+Every call has a timeout. Reads are linearizable, which is the gateway's default.
+"""
+
+from __future__ import annotations
+
+import base64
+from collections.abc import Iterable, Mapping
+from types import TracebackType
+from typing import Any, Literal, NamedTuple
+
+import aiohttp
+import msgspec
+from briarshed.documents import (
+    ALIVE_PREFIX,
+    DOCUMENT_KEYS,
+    Stored,
+    decode_document,
+    encode_document,
+    make_empty,
+)
+from briarshed.exceptions import DocumentError, StoreUnavailableError
+from briarshed.settings import StoreSettings
+
+SwapResult = Literal["swapped", "conflict", "unknown"]
+
+PREFIX_LIMIT = 10_000
+"""Most keys that one read of a prefix returns."""
+
+_LEASE_MS_A_TTL = 1_000
+
+
+class Poll(NamedTuple):
+    """What one call finds.
+
+    Attributes
+    ----------
+    revisions : dict
+        Revision of each document key; 0 for an absent key.
+    alive : dict
+        Name of each member with a live lease, and the incarnation that it wrote.
+    """
+
+    revisions: dict[str, int]
+    alive: dict[str, str]
+
+
+class StoreClient:
+    """A client of the store; owns its connections."""
+
+    def __init__(self, settings: StoreSettings) -> None:
+        self._settings = settings
+        self._session: aiohttp.ClientSession | None = None
+        self._leases: dict[str, tuple[str, bytes]] = {}
+
+    async def __aenter__(self) -> StoreClient:
+        timeout = aiohttp.ClientTimeout(total=self._settings.timeout_ms / 1_000)
+        self._session = aiohttp.ClientSession(timeout=timeout)
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        if self._session is not None:
+            await self._session.close()
+
+    async def poll(self) -> Poll:
+        """Return the revisions of the documents and the live members, in one call.
+
+        Raises
+        ------
+        StoreUnavailableError
+            If the store does not answer in time or answers with an error.
+        """
+        first, last = min(DOCUMENT_KEYS), max(DOCUMENT_KEYS) + "\0"
+        answer = await self._run_ranges(
+            [
+                {**_make_range(first, last), "keys_only": True},
+                _make_range(ALIVE_PREFIX, _end_prefix(ALIVE_PREFIX)),
+            ]
+        )
+        revisions = dict.fromkeys(DOCUMENT_KEYS, 0)
+        found = {_read_key(item): _read_revision(item) for item in answer[0]}
+        revisions.update((key, found[key]) for key in DOCUMENT_KEYS if key in found)
+        alive = {
+            _read_key(item).removeprefix(ALIVE_PREFIX): _read_value(item).decode()
+            for item in answer[1]
+        }
+        return Poll(revisions, alive)
+
+    async def read_revisions(self) -> dict[str, int]:
+        """Return the revision of each document key; 0 for an absent key.
+
+        Raises
+        ------
+        StoreUnavailableError
+            If the store does not answer in time or answers with an error.
+        """
+        return (await self.poll()).revisions
+
+    async def read(self, keys: Iterable[str]) -> dict[str, Stored]:
+        """Return documents as they were at one moment, read in one transaction.
+
+        Raises
+        ------
+        StoreUnavailableError
+            If the store does not answer in time, answers with an error, or holds
+            a document that cannot be decoded.
+        """
+        wanted = list(keys)
+        answer = await self._run_ranges([_make_range(key) for key in wanted])
+        result = {}
+        for key, items in zip(wanted, answer, strict=True):
+            if not items:
+                result[key] = Stored(make_empty(key), 0)
+                continue
+            try:
+                document = decode_document(key, _read_value(items[0]))
+            except DocumentError as error:
+                raise StoreUnavailableError(error.message) from error
+            result[key] = Stored(document, _read_revision(items[0]))
+        return result
+
+    async def read_prefix(self, prefix: str) -> dict[str, bytes]:
+        """Return the keys and values under a prefix, at most ``PREFIX_LIMIT``.
+
+        Raises
+        ------
+        StoreUnavailableError
+            If the store does not answer in time or answers with an error.
+        """
+        body = {**_make_range(prefix, _end_prefix(prefix)), "limit": PREFIX_LIMIT}
+        answer = await self._call("kv/range", body)
+        return {_read_key(item): _read_value(item) for item in answer.get("kvs", [])}
+
+    async def swap(
+        self,
+        key: str,
+        revision: int,
+        document: Any,
+        guards: Mapping[str, int] | None = None,
+    ) -> SwapResult:
+        """Replace a document if its revision is still the given one.
+
+        Parameters
+        ----------
+        key : str
+            Key of the document.
+        revision : int
+            Revision that the key must have; 0 if it must be absent.
+        document : dict
+            The new document.
+        guards : mapping, optional
+            Other keys and the revisions that they must have at the same moment.
+
+        Returns
+        -------
+        str
+            "unknown" if no answer arrived; the swap may take effect later, until
+            the revision of one of the named keys has changed.
+
+        Raises
+        ------
+        StoreUnavailableError
+            If no connection was made, so nothing was changed.
+        """
+        compared = {key: revision, **(guards or {})}
+        put = {"key": _encode(key), "value": _encode(encode_document(document))}
+        body = {
+            "compare": [_compare(name, value) for name, value in compared.items()],
+            "success": [{"request_put": put}],
+        }
+        try:
+            answer = await self._call("kv/txn", body)
+        except StoreUnavailableError as error:
+            if isinstance(error.__cause__, aiohttp.ClientConnectorError):
+                raise
+            return "unknown"
+        return "swapped" if answer.get("succeeded") else "conflict"
+
+    async def put(self, key: str, data: bytes) -> None:
+        """Write a key that is not a document.
+
+        Raises
+        ------
+        StoreUnavailableError
+            If the store does not answer in time or answers with an error.
+        """
+        body = {"key": _encode(key), "value": _encode(data)}
+        await self._call("kv/put", body)
+
+    async def keep_alive(self, name: str, data: bytes) -> None:
+        """Renew the lease of a member's liveness key, or write the key anew.
+
+        Raises
+        ------
+        StoreUnavailableError
+            If the store does not answer in time or answers with an error.
+        """
+        lease, held = self._leases.get(name, ("", b""))
+        if lease and held == data:
+            answer = await self._call("lease/keepalive", {"ID": lease})
+            if int(answer.get("result", answer).get("TTL", 0)) > 0:
+                return
+        self._leases.pop(name, None)
+        ttl = -(-self._settings.lease_ms // _LEASE_MS_A_TTL)
+        granted = await self._call("lease/grant", {"TTL": ttl, "ID": 0})
+        body = {
+            "key": _encode(ALIVE_PREFIX + name),
+            "value": _encode(data),
+            "lease": granted["ID"],
+        }
+        await self._call("kv/put", body)
+        self._leases[name] = (str(granted["ID"]), data)
+
+    async def release(self, name: str) -> None:
+        """Revoke the lease of a liveness key, which removes the key.
+
+        Raises
+        ------
+        StoreUnavailableError
+            If the store does not answer in time or answers with an error.
+        """
+        lease, _data = self._leases.pop(name, ("", b""))
+        if lease:
+            await self._call("lease/revoke", {"ID": lease})
+
+    async def _run_ranges(self, ranges: list[dict[str, Any]]) -> list[list[Any]]:
+        """Run several reads in one transaction; it counts as one call."""
+        body = {"compare": [], "success": [{"request_range": item} for item in ranges]}
+        answer = await self._call("kv/txn", body)
+        responses = answer.get("responses", [])
+        if len(responses) != len(ranges):
+            raise StoreUnavailableError("the store answered only a part of a read")
+        return [item.get("response_range", {}).get("kvs", []) for item in responses]
+
+    async def _call(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
+        assert self._session is not None, "the client is not open"
+        url = f"{self._settings.url}/v3/{path}"
+        try:
+            async with self._session.post(url, data=msgspec.json.encode(body)) as done:
+                data = await done.read()
+                if done.status != 200:
+                    raise StoreUnavailableError(f"the store answered {done.status}")
+                answer = msgspec.json.decode(data)
+        except TimeoutError as error:
+            timeout = self._settings.timeout_ms
+            raise StoreUnavailableError(
+                f"the store did not answer in {timeout} ms"
+            ) from error
+        except (aiohttp.ClientError, OSError) as error:
+            raise StoreUnavailableError(f"no connection: {error}") from error
+        except msgspec.MsgspecError as error:
+            raise StoreUnavailableError(f"answer is not JSON: {error}") from error
+        if not isinstance(answer, dict):
+            raise StoreUnavailableError("the store's answer is not an object")
+        return answer
+
+
+def _encode(data: str | bytes) -> str:
+    raw = data.encode() if isinstance(data, str) else data
+    return base64.b64encode(raw).decode()
+
+
+def _end_prefix(prefix: str) -> str:
+    return prefix[:-1] + chr(ord(prefix[-1]) + 1)
+
+
+def _make_range(key: str, end: str = "") -> dict[str, Any]:
+    last = {"range_end": _encode(end)} if end else {}
+    return {"key": _encode(key), **last}
+
+
+def _compare(key: str, revision: int) -> dict[str, Any]:
+    return {
+        "key": _encode(key),
+        "target": "MOD",
+        "result": "EQUAL",
+        "mod_revision": str(revision),
+    }
+
+
+def _read_key(item: Mapping[str, Any]) -> str:
+    return base64.b64decode(item["key"]).decode()
+
+
+def _read_value(item: Mapping[str, Any]) -> bytes:
+    return base64.b64decode(item.get("value", ""))
+
+
+def _read_revision(item: Mapping[str, Any]) -> int:
+    return int(item["mod_revision"])
--- /dev/null
+++ b/packages/briarshed/src/briarshed/authority.py
@@ -0,0 +1,195 @@
+"""Whether an entry may start work that depends on the configuration.
+
+docs/design.md section 5.1 holds the safety argument. All times are seconds of the
+entry's own clock; ages count from the time at which a question was sent, so that a
+delay only ever makes information look older.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from typing import NamedTuple
+
+from briarshed.settings import TimingSettings
+
+MS_PER_S = 1_000
+
+
+class PeerView(NamedTuple):
+    """What the last pong of a peer said.
+
+    Attributes
+    ----------
+    incarnation : str
+        Incarnation of the peer.
+    asked_at : float
+        Seconds at which the ping that it answers was sent.
+    confirmed_age : float or None
+        Seconds since the peer's own confirmation when it answered.
+    contact_age : float or None
+        Seconds since the store last answered the peer.
+    store_failing : bool
+        Whether the peer's last read of the store failed.
+    configuration : int
+        Version of the configuration that the peer holds.
+    members : int
+        Version of the members that the peer holds.
+    known : bool
+        Whether the peer's copy of the members lists this entry and incarnation.
+    """
+
+    incarnation: str
+    asked_at: float
+    confirmed_age: float | None
+    contact_age: float | None
+    store_failing: bool
+    configuration: int
+    members: int
+    known: bool
+
+
+class OwnView(NamedTuple):
+    """What an entry knows about itself and the others.
+
+    Attributes
+    ----------
+    owner : str
+        This entry as ``NAME/INCARNATION``; empty if it has not registered.
+    registered_at : float
+        Seconds at which the registration was known to have taken effect.
+    read_at : float or None
+        Seconds at which the last read was sent that found every copy current.
+    relayed_at : float or None
+        Latest confirmation that a peer relayed, kept from earlier views.
+    store_failing : bool
+        Whether the last read of the store failed.
+    configuration, members : int
+        Versions that this entry holds.
+    others : tuple of str
+        The other registered members, as ``NAME/INCARNATION``.
+    listed : bool
+        Whether the members list this entry and incarnation.
+    """
+
+    owner: str
+    registered_at: float
+    read_at: float | None
+    relayed_at: float | None
+    store_failing: bool
+    configuration: int
+    members: int
+    others: tuple[str, ...]
+    listed: bool
+
+
+class Authority(NamedTuple):
+    """Whether keyed work may start, and why or why not."""
+
+    granted: bool
+    reason: str
+
+
+def find_stop_delay(timing: TimingSettings) -> float:
+    """Return the seconds after which an uninformed member has no authority.
+
+    It counts from a change of the configuration or from the removal of the member.
+    The margin covers clocks that run at different rates.
+    """
+    return (max(timing.freshness_ms, timing.consent_ms) + timing.margin_ms) / MS_PER_S
+
+
+def find_own_confirmation(own: OwnView) -> float | None:
+    """Return when this entry's own reads last confirmed its configuration.
+
+    A read sent before the registration took effect confirms nothing: a change may
+    have been accepted without waiting for this entry.
+    """
+    if not own.listed or own.read_at is None or own.read_at < own.registered_at:
+        return None
+    return own.read_at
+
+
+def find_relayed(own: OwnView, peers: Mapping[str, PeerView]) -> float | None:
+    """Return the latest confirmation that peers relay, in seconds.
+
+    A peer confirms for this entry only if it holds the same configuration and the
+    same members, and those list this entry. Without the second condition an entry
+    that was removed while the store was out of its reach would keep its authority
+    after its grants were given to others.
+    """
+    times = [
+        peer.asked_at - peer.confirmed_age
+        for name, peer in peers.items()
+        if own.listed
+        and f"{name}/{peer.incarnation}" in own.others
+        and peer.confirmed_age is not None
+        and peer.known
+        and peer.configuration == own.configuration
+        and peer.members == own.members
+        and peer.asked_at - peer.confirmed_age >= own.registered_at
+    ]
+    return max(times, default=None)
+
+
+def find_confirmation(own: OwnView) -> float | None:
+    """Return when the configuration was last confirmed, by whomever."""
+    known = (find_own_confirmation(own), own.relayed_at if own.listed else None)
+    return max((time for time in known if time is not None), default=None)
+
+
+def decide_authority(
+    own: OwnView,
+    peers: Mapping[str, PeerView],
+    timing: TimingSettings,
+    time: float,
+) -> Authority:
+    """Decide whether this entry may start keyed work now."""
+    if not own.owner:
+        return Authority(False, "this entry has not registered yet")
+    if not own.listed:
+        return Authority(False, "this entry is no longer a registered member")
+    confirmed_at = find_confirmation(own)
+    if confirmed_at is None:
+        return Authority(False, "the configuration has not been confirmed yet")
+    age = time - confirmed_at
+    if age < timing.freshness_ms / MS_PER_S:
+        return Authority(True, "fresh")
+    if not own.store_failing:
+        return Authority(False, f"the configuration was last confirmed {age:.1f} s ago")
+    if age >= timing.max_outage_ms / MS_PER_S:
+        return Authority(False, f"the store has been out of reach for {age:.0f} s")
+    objections = list_objections(own, peers, timing, time)
+    if objections:
+        return Authority(False, f"no outage consent: {'; '.join(objections)}")
+    return Authority(True, "outage consent")
+
+
+def list_objections(
+    own: OwnView,
+    peers: Mapping[str, PeerView],
+    timing: TimingSettings,
+    time: float,
+) -> Sequence[str]:
+    """Return why each member withholds its consent; empty if all consent.
+
+    A peer that holds other members than this entry withholds it too, since its
+    list and this entry's must agree on whose consent counts.
+    """
+    objections = []
+    for owner in sorted(own.others):
+        name, _, incarnation = owner.partition("/")
+        peer = peers.get(name)
+        if peer is None or peer.incarnation != incarnation:
+            objections.append(f"{name} has not answered")
+        elif time - peer.asked_at >= timing.consent_ms / MS_PER_S:
+            objections.append(f"{name} does not answer")
+        elif not peer.store_failing:
+            objections.append(f"{name} reaches the store")
+        elif (
+            peer.contact_age is not None
+            and peer.contact_age < timing.freshness_ms / MS_PER_S
+        ):
+            objections.append(f"{name} reached the store {peer.contact_age:.1f} s ago")
+        elif peer.configuration > own.configuration or peer.members > own.members:
+            objections.append(f"{name} holds a newer configuration")
+    return objections
