--- a/packages/briarshed-entry/src/briarshed_entry/coordinator.py
+++ b/packages/briarshed-entry/src/briarshed_entry/coordinator.py
@@ -77,6 +77,9 @@
 RENEWALS_A_LEASE = 3
 SWAP_INTERVAL_S = 1.0
 DEMAND_INTERVAL_S = 1.0
+GRANTS_PAUSE_S = 0.1
+"""Shortest time between two looks at demands and rows."""
+
 PLAN_ALL_S = 5.0
 """Time after which the rows of all teams are planned, though nothing was noted."""
 
@@ -126,6 +129,7 @@
         self._removed_at: dict[str, float] = {}
         self._orphaned_since: dict[str, float] = {}
         self._owners: set[str] = set()
+        self._others: tuple[str, ...] = ()
         self._established = False
         self._granted = False
         self._wake = asyncio.Event()
@@ -222,17 +226,10 @@
             replica.failing,
             replica.get_version(CONFIGURATION_KEY),
             replica.get_version(MEMBERS_KEY),
-            tuple(
-                owner
-                for owner in list_owners(replica.members)
-                if not self._is_own(owner)
-            ),
+            self._others,
             listed and registered,
         )
 
-    def _is_own(self, owner: str) -> bool:
-        return owner.partition("/")[0] == self._settings.name
-
     # Limits
 
     def note_started(self, team: str | None) -> None:
@@ -247,7 +244,12 @@
 
     def set_waiting(self, team: str | None, count: int) -> None:
         """Record how many jobs of a team are queued here."""
-        if team is not None and self._ledger.set_waiting(team, count, now()):
+        if team is None:
+            return
+        time = now()
+        increased = self._ledger.set_waiting(team, count, time)
+        asked_at = self._demanded_at.get(team, 0.0)
+        if increased and time - asked_at >= DEMAND_INTERVAL_S:
             self._wake.set()
 
     def count_running(self, team: str) -> int:
@@ -363,7 +365,9 @@
         self._left = True
         self._wake.set()
         name, incarnation = self._settings.name, self._incarnation
-        if self._registered_at is not None:
+        if self._registered_at is not None and await self._replica.refresh(
+            [GRANTS_KEY]
+        ):
             await self._replica.change(GRANTS_KEY, self._return_rows, "")
             await self._replica.change(
                 MEMBERS_KEY,
@@ -520,6 +524,13 @@
             owner: at for owner, at in self._removed_at.items() if time - at < delay
         }
         self._owners = owners
+        own_name = self._settings.name
+        self._others = tuple(
+            owner for owner in sorted(owners) if owner.partition("/")[0] != own_name
+        )
+        for known in (self._heard_at, self._versions):
+            for owner in known.keys() - owners - self._removed_at.keys():
+                del known[owner]
         self._ledger.reset_owner(self.owner, sorted(owners))
         self._peers.set_peers(self._list_addresses())
 
@@ -614,7 +625,7 @@
         relayed_at = find_relayed(self._make_own_view(), {name: view})
         if relayed_at is not None:
             self._relayed_at = max(relayed_at, self._relayed_at or relayed_at)
-        if pong.store_failing and not self._replica.failing:
+        if pong.store_failing:
             self._offer_documents(name, pong)
 
     def _offer_documents(self, name: str, pong: Pong) -> None:
@@ -693,13 +704,14 @@
             self._wake.clear()
             try:
                 if self._registered_at is not None and not self._left:
-                    self._send_demands()
+                    await self._send_demands()
                     await self._swap_grants()
             except Exception as error:
                 log_event(LOOP_FAILED, task="grants", error=repr(error))
-                await asyncio.sleep(poll_s)
+            # Jobs may arrive much faster than rows can change.
+            await asyncio.sleep(GRANTS_PAUSE_S)
 
-    def _send_demands(self) -> None:
+    async def _send_demands(self) -> None:
         time = now()
         wanted = self._ledger.list_demands(
             self._replica.configuration, self._replica.grants, time
@@ -710,9 +722,16 @@
             if time - self._demanded_at.get(team, 0.0) >= DEMAND_INTERVAL_S
         }
         if due:
+            repeated = any(
+                time - self._demanded_at.get(team, 0.0) < 2 * DEMAND_INTERVAL_S
+                for team in due
+            )
             self._demanded_at.update(dict.fromkeys(due, time))
             for name in self._list_addresses():
                 self._peers.send(name, Demand(due))
+            if repeated:
+                # The notice of a raised row may have been lost.
+                await self._replica.refresh([GRANTS_KEY])
 
     def _list_teams(self, time: float) -> list[str]:
         """Return the teams whose rows may have to change."""
@@ -740,6 +759,7 @@
         if not self._ledger.plan(teams, configuration, grants, time):
             return
         self._swapped_at = time
+        await self._replica.refresh([GRANTS_KEY])
         await self._swap_plan(teams)
 
     async def _swap_plan(self, teams: Sequence[str]) -> None:
--- a/packages/briarshed-entry/src/briarshed_entry/replica.py
+++ b/packages/briarshed-entry/src/briarshed_entry/replica.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 import msgspec
+from briarshed.authority import MS_PER_S
 from briarshed.documents import (
     AUDIT_PREFIX,
     CONFIGURATION_KEY,
@@ -112,6 +113,7 @@
         self._lock = asyncio.Lock()
         self._task: asyncio.Task[None] | None = None
         self._grants_read_at: float | None = None
+        self._sent_at: float | None = None
         self.updates: Subject[str] = Subject()
         self.swapped: Subject[str] = Subject()
         self.read_at: float | None = None
@@ -183,7 +185,7 @@
             return await self._refresh(keys)
 
     async def _refresh(self, keys: Sequence[str]) -> bool:
-        sent_at = now()
+        sent_at = self._sent_at = now()
         try:
             poll = await self._store.poll()
             changed = self._list_changed(poll, sent_at, keys)
@@ -242,20 +244,29 @@
         held = self._held[key]
         if stored.revision == held.revision:
             return False
+        first = held.revision < 0
         offered, version = stored.value["version"], held.value["version"]
         if offered < version or stored.revision < held.revision:
             log_event(DOCUMENT_STALE, key=key, offered=offered, held=version)
             return False
         self._held[key] = stored
-        if (key, offered) not in self._learned:
-            self._learned[key, offered] = now()
-            while len(self._learned) > LEARNED_VERSIONS:
-                del self._learned[next(iter(self._learned))]
+        if offered == version and not first:
+            return False
+        self._learned.setdefault((key, offered), now())
+        if len(self._learned) > LEARNED_VERSIONS:
+            del self._learned[next(iter(self._learned))]
         if key != GRANTS_KEY:
             log_event(DOCUMENT_UPDATED, key=key, version=offered)
-        self.updates.on_next(key)
+        self._emit(self.updates, key)
         return True
 
+    def _emit(self, subject: Subject[str], key: str) -> None:
+        try:
+            subject.on_next(key)
+        except Exception as error:
+            # A fault of one subscriber must not stop the reads of all.
+            log_event(LOOP_FAILED, task="updates", error=repr(error))
+
     def offer(self, key: str, document: Any, revision: int) -> bool:
         """Take a document from a peer if it is newer; return whether it was taken."""
         return self._install(key, Stored(document, revision))
@@ -318,7 +329,7 @@
                 pending = (held.revision, document)
             if outcome == "swapped":
                 stored = await self._read_back(key, held, document)
-                self.swapped.on_next(key)
+                self._emit(self.swapped, key)
                 return Success(stored)
         if pending is not None:
             return Failure(f"unknown: the change may take effect later; {reason}")
@@ -407,8 +418,11 @@
         return self._held[key]
 
     async def _poll(self) -> None:
+        interval = self._settings.store.poll_ms / MS_PER_S
         while True:
-            await asyncio.sleep(self._settings.store.poll_ms / 1_000)
+            # A slow read does not delay the next one, or it would cost freshness.
+            latest = self._sent_at or now()
+            await asyncio.sleep(max(0.0, latest + interval - now()))
             try:
                 await self.refresh()
             except Exception as error:
--- a/packages/briarshed-entry/src/briarshed_entry/store.py
+++ b/packages/briarshed-entry/src/briarshed_entry/store.py
@@ -6,7 +6,8 @@
 from __future__ import annotations
 
 import base64
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from contextlib import contextmanager
 from types import TracebackType
 from typing import Any, Literal, NamedTuple
 
@@ -77,20 +78,19 @@
             If the store does not answer in time or answers with an error.
         """
         first, last = min(DOCUMENT_KEYS), max(DOCUMENT_KEYS) + "\0"
-        answer = await self._run_ranges(
+        documents, live = await self._run_ranges(
             [
                 {**_make_range(first, last), "keys_only": True},
                 _make_range(ALIVE_PREFIX, _end_prefix(ALIVE_PREFIX)),
             ]
         )
-        revisions = dict.fromkeys(DOCUMENT_KEYS, 0)
-        found = {_read_key(item): _read_revision(item) for item in answer[0]}
-        revisions.update((key, found[key]) for key in DOCUMENT_KEYS if key in found)
-        alive = {
-            _read_key(item).removeprefix(ALIVE_PREFIX): _read_value(item).decode()
-            for item in answer[1]
-        }
-        return Poll(revisions, alive)
+        with _reading_answer():
+            found = {_read_key(item): _read_revision(item) for item in documents}
+            alive = {
+                _read_key(item).removeprefix(ALIVE_PREFIX): _read_value(item).decode()
+                for item in live
+            }
+        return Poll({key: found.get(key, 0) for key in DOCUMENT_KEYS}, alive)
 
     async def read_revisions(self) -> dict[str, int]:
         """Return the revision of each document key; 0 for an absent key.
@@ -113,17 +113,11 @@
         """
         wanted = list(keys)
         answer = await self._run_ranges([_make_range(key) for key in wanted])
-        result = {}
-        for key, items in zip(wanted, answer, strict=True):
-            if not items:
-                result[key] = Stored(make_empty(key), 0)
-                continue
-            try:
-                document = decode_document(key, _read_value(items[0]))
-            except DocumentError as error:
-                raise StoreUnavailableError(error.message) from error
-            result[key] = Stored(document, _read_revision(items[0]))
-        return result
+        with _reading_answer():
+            return {
+                key: _read_document(key, items)
+                for key, items in zip(wanted, answer, strict=True)
+            }
 
     async def read_prefix(self, prefix: str) -> dict[str, bytes]:
         """Return the keys and values under a prefix, at most ``PREFIX_LIMIT``.
@@ -135,7 +129,10 @@
         """
         body = {**_make_range(prefix, _end_prefix(prefix)), "limit": PREFIX_LIMIT}
         answer = await self._call("kv/range", body)
-        return {_read_key(item): _read_value(item) for item in answer.get("kvs", [])}
+        with _reading_answer():
+            return {
+                _read_key(item): _read_value(item) for item in answer.get("kvs", [])
+            }
 
     async def swap(
         self,
@@ -204,18 +201,18 @@
         lease, held = self._leases.get(name, ("", b""))
         if lease and held == data:
             answer = await self._call("lease/keepalive", {"ID": lease})
-            if int(answer.get("result", answer).get("TTL", 0)) > 0:
-                return
+            with _reading_answer():
+                if int(answer.get("result", answer).get("TTL", 0)) > 0:
+                    return
         self._leases.pop(name, None)
         ttl = -(-self._settings.lease_ms // _LEASE_MS_A_TTL)
         granted = await self._call("lease/grant", {"TTL": ttl, "ID": 0})
-        body = {
-            "key": _encode(ALIVE_PREFIX + name),
-            "value": _encode(data),
-            "lease": granted["ID"],
-        }
+        with _reading_answer():
+            lease = str(granted["ID"])
+        key = _encode(ALIVE_PREFIX + name)
+        body = {"key": key, "value": _encode(data), "lease": lease}
         await self._call("kv/put", body)
-        self._leases[name] = (str(granted["ID"]), data)
+        self._leases[name] = (lease, data)
 
     async def release(self, name: str) -> None:
         """Revoke the lease of a liveness key, which removes the key.
@@ -236,7 +233,8 @@
         responses = answer.get("responses", [])
         if len(responses) != len(ranges):
             raise StoreUnavailableError("the store answered only a part of a read")
-        return [item.get("response_range", {}).get("kvs", []) for item in responses]
+        with _reading_answer():
+            return [item["response_range"].get("kvs", []) for item in responses]
 
     async def _call(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
         assert self._session is not None, "the client is not open"
@@ -261,6 +259,18 @@
         return answer
 
 
+@contextmanager
+def _reading_answer() -> Iterator[None]:
+    """Report an answer of another shape as an error of the store."""
+    try:
+        yield
+    except DocumentError as error:
+        raise StoreUnavailableError(error.message) from error
+    except (KeyError, ValueError, TypeError, AttributeError) as error:
+        reason = f"the store's answer is not understood: {error!r}"
+        raise StoreUnavailableError(reason) from error
+
+
 def _encode(data: str | bytes) -> str:
     raw = data.encode() if isinstance(data, str) else data
     return base64.b64encode(raw).decode()
@@ -292,5 +302,12 @@
     return base64.b64decode(item.get("value", ""))
 
 
+def _read_document(key: str, items: Sequence[Mapping[str, Any]]) -> Stored:
+    if not items:
+        return Stored(make_empty(key), 0)
+    document = decode_document(key, _read_value(items[0]))
+    return Stored(document, _read_revision(items[0]))
+
+
 def _read_revision(item: Mapping[str, Any]) -> int:
     return int(item["mod_revision"])
