--- a/features/maintenance_fakes.py
+++ b/bench/_simulation.py
@@ -1,4 +1,7 @@
-"""In-memory store, members, platform and endpoints for the maintenance features."""
+"""A fleet in memory and in virtual time: store, members, platform and endpoints.
+
+The measurements and the maintenance features run the planner of the entry on it.
+"""
 
 from __future__ import annotations
 
@@ -23,32 +26,6 @@
     """The entry's process ends here."""
 
 
-def make_instance(pool, rack="r1", data_centre="dc1", state="serving"):
-    """Return an instance document."""
-    return {
-        "pool": pool,
-        "state": state,
-        "rack": rack,
-        "data_centre": data_centre,
-        "address": "127.0.0.1:9",
-        "since": 0.0,
-        "target_pool": None,
-        "wave": None,
-        "operation": None,
-    }
-
-
-def make_pool(budget=1, spare=False):
-    """Return a pool document."""
-    return {
-        "budget": budget,
-        "port": 9,
-        "slots": 8,
-        "connections": 64,
-        "spare": spare,
-    }
-
-
 def list_violations(configuration, before, after):
     """Return what a change of the fleet did that no change may do."""
     chart = load_chart("lifecycle")
@@ -96,6 +73,10 @@
 class World:
     """Shared state of the fakes; time advances by ``tick``."""
 
+    drain_s = 3.0
+    reboot_s = 5.0
+    confirm_s = 0.0
+
     def __init__(self, pools, instances, waves=None, seed=0):
         self.at = 1000.0
         self.random = random.Random(seed)
@@ -115,6 +96,7 @@
         self.down = set()
         self.broken_after_reboot = set()
         self.unconfirmed = []
+        self.confirmations = []
         self.hook = None
         self.states = dict.fromkeys(instances, "live")
         self.ready_at = {}
@@ -158,6 +140,9 @@
         """Advance by 1 s and run one round of every live entry."""
         self.at += 1.0
         self._advance_platform()
+        for at, known in self.confirmations:
+            if at <= self.at:
+                known.set()
         for name, entry in list(self.entries.items()):
             if name in self.dead or (only and name != only):
                 continue
@@ -265,11 +250,16 @@
 
     async def wait_in_force(self, _key, _version, _timeout):
         """Return the members that the scenario holds back."""
+        if self._world.confirm_s:
+            known = asyncio.Event()
+            at = self._world.at + self._world.confirm_s
+            self._world.confirmations.append((at, known))
+            await known.wait()
         return list(self._world.unconfirmed)
 
 
 class FakePlatform:
-    """A platform on which a drain takes 3 s and a reboot 5 s."""
+    """A platform whose drains and reboots take set times."""
 
     def __init__(self, world, name):
         self._world, self._name = world, name
@@ -310,5 +300,6 @@
                 world.violations.append(f"reboot of {instance} before it was drained")
             effects.append(instance)
             world.states[instance] = "draining" if kind == "drain" else "rebooting"
-            world.ready_at[instance] = world.at + (3 if kind == "drain" else 5)
+            duration_s = world.drain_s if kind == "drain" else world.reboot_s
+            world.ready_at[instance] = world.at + duration_s
         await world.call_hook(self._name, f"after {kind} call", instance)
--- /dev/null
+++ b/features/moves.feature
@@ -0,0 +1,94 @@
+Feature: Instances move only for demand that lasts
+  Guards against moves that cost more capacity than they bring.
+
+  Scenario Outline: Bursts of seconds move nothing
+    Guards against flapping between pools that burst in turn.
+    Given deployment <number>
+    When each queue in turn demands 5 times its mean for 10 minutes with seed <seed>
+    Then no instance moves
+    And a plain threshold moves at least 5 in the same time
+
+    Examples:
+      | number | seed |
+      | 1      | 1    |
+      | 1      | 2    |
+      | 2      | 1    |
+      | 2      | 2    |
+
+  Scenario Outline: Demand is followed when it has lasted, from the spare pool first
+    Given pools "a", "b" and the spare pool "reserve" with 3 instances each
+    When pool "a" wants <a> slots and pool "b" wants <b> for <seconds> s
+    Then the chosen moves are "<moves>"
+
+    Examples:
+      | a  | b  | seconds | moves        |
+      | 23 | 5  | 2000    |              |
+      | 32 | 5  | 300     |              |
+      | 32 | 5  | 400     | reserve to a |
+      | 32 | 32 | 400     | reserve to a |
+      | 25 | 5  | 400     |              |
+      | 25 | 5  | 2000    | reserve to a |
+
+  Scenario Outline: The weights decide how long a small lack must last
+    Given pools "a", "b" and the spare pool "reserve" with 3 instances each
+    And the weights buffer <buffer>, moves <moves_weight>, share <share>
+    When pool "a" wants 25 slots and pool "b" wants 5 for 500 s
+    Then the chosen moves are "<moves>"
+
+    Examples:
+      | buffer | moves_weight | share | moves        |
+      | 3      | 3            | 1     |              |
+      | 1      | 1            | 3     | reserve to a |
+
+  Scenario: Another pool gives when the spare pool is empty
+    Given pools "a", "b" and the spare pool "reserve" with 3 instances each
+    And the spare pool has no serving instance
+    When pool "a" wants 32 slots and pool "b" wants 2 for 400 s
+    Then the chosen moves are "b to a"
+
+  Scenario Outline: A pool does not move back soon
+    Given pools "a", "b" and the spare pool "reserve" with 3 instances each
+    And an instance moved from "<before>" to "<after>" <ago> s before the decision
+    When pool "a" wants 32 slots and pool "b" wants 5 for 400 s
+    Then the chosen moves are "<moves>"
+
+    Examples:
+      | before  | after   | ago | moves        |
+      | b       | reserve | 500 | b to a       |
+      | b       | reserve | 700 | reserve to a |
+      | a       | b       | 500 |              |
+      | a       | b       | 700 | reserve to a |
+
+  Scenario Outline: A move waits for the budgets of both pools
+    Given pools "a", "b" and the spare pool "reserve" with 3 instances each
+    And one instance of pool "<pool>" is failed
+    When pool "a" wants 32 slots and pool "b" wants 12 for 400 s
+    Then the chosen moves are "<moves>"
+
+    Examples:
+      | pool    | moves        |
+      | a       |              |
+      | reserve |              |
+      | b       | reserve to a |
+
+  Scenario: The planner carries a move out, and each instance has one pool throughout
+    Given pools "a", "b" and the spare pool "reserve" with 3 instances each
+    When the planner runs for 500 s while pool "a" wants 32 slots
+    Then 1 instance moved from "reserve" to "a" and serves
+    And no change broke a rule
+
+  Scenario Outline: The measures
+    Guards against a figure that is computed the wrong way round.
+    Then measure "<measure>" of <sample> is <value>
+
+    Examples:
+      | measure | sample                                        | value |
+      | buffer  | [[10, 4, 2], [10, 2, 2]]                      | 0.5   |
+      | buffer  | [[10, 2, 3]]                                  | 0.0   |
+      | roll    | [[5, "leave"], [9, "serve"], [30, "serve"]]   | 25.0  |
+      | roll    | [[5, "leave"]]                                | 0.0   |
+      | share   | [[{"x": 4, "y": 4}, {"x": 6, "y": 2}]]        | 0.25  |
+      | share   | [[{"x": 6, "y": 2}, {"x": 6, "y": 2}]]        | 0.0   |
+      | titled  | [{"x": 3, "y": 1}, {"x": 99, "y": 99}, 8]     | {"x": 6.0, "y": 2.0} |
+      | titled  | [{"x": 3, "y": 1}, {"x": 1, "y": 99}, 8]      | {"x": 1.0, "y": 7.0} |
+      | titled  | [{"x": 3, "y": 1}, {"x": 1, "y": 2}, 8]       | {"x": 1.0, "y": 2.0} |
--- a/features/steps/waves_steps.py
+++ b/features/steps/waves_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import sys
 from pathlib import Path
 
 from behave import given, then, when
@@ -20,15 +21,18 @@
 from hypothesis import HealthCheck, seed, settings
 from hypothesis import given as given_values
 from hypothesis import strategies as st
-from maintenance_fakes import (
+
+ROOT = Path(__file__).resolve().parents[2]
+sys.path.append(str(ROOT / "bench"))
+
+from _deployments import make_instance, make_pool  # noqa: E402
+from _simulation import (  # noqa: E402
     KilledError,
     World,
     list_violations,
-    make_instance,
-    make_pool,
 )
 
-DOCS = Path(__file__).resolve().parents[2] / "docs"
+DOCS = ROOT / "docs"
 HYPOTHESIS_SEED = 20260726
 LONGEST_WAVE_TICKS = 900
 
--- a/packages/briarshed-entry/src/briarshed_entry/maintenance.py
+++ b/packages/briarshed-entry/src/briarshed_entry/maintenance.py
@@ -115,8 +115,8 @@
     check : callable
         ``async check(address) -> bool``; whether an endpoint answers that it is well.
     measure_demand : callable, optional
-        ``async measure_demand()``; slots wanted by pool, running and waiting. Without
-        it instances do not move by themselves.
+        ``async measure_demand()``; slots that the fleet's arriving work would occupy,
+        by pool. Without it instances do not move by themselves.
     """
 
     def __init__(
--- a/packages/briarshed/src/briarshed/measures.py
+++ b/packages/briarshed/src/briarshed/measures.py
@@ -15,14 +15,14 @@
     ----------
     seconds : float
         Length of the span.
-    serving : int
-        Instances in service.
+    held : int
+        Instances that are held, in service or not.
     needed : float
         Instances that the demand needs; may be a fraction.
     """
 
     seconds: float
-    serving: int
+    held: int
     needed: float
 
 
@@ -33,7 +33,7 @@
     """
     idle = needed = 0.0
     for span in spans:
-        idle += span.seconds * max(0.0, span.serving - span.needed)
+        idle += span.seconds * max(0.0, span.held - span.needed)
         needed += span.seconds * span.needed
     if needed == 0.0:
         return float("inf") if idle else 0.0
--- a/packages/briarshed/src/briarshed/moves.py
+++ b/packages/briarshed/src/briarshed/moves.py
@@ -1,8 +1,8 @@
 """Moves of instances between pools, decided from demand that lasts.
 
-Demand and capacity are counted in slots: jobs that run or wait, and slots of serving
-instances. A burst of seconds is served by queues; a move takes minutes, so it pays
-only for demand that outlasts it.
+Demand and capacity are counted in slots: those that the arriving work would occupy
+(arrivals a second times run time), and those of serving instances. A burst of seconds
+is served by queues; a move takes minutes, so it pays only for demand that outlasts it.
 """
 
 from __future__ import annotations
@@ -11,7 +11,12 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from briarshed.budgets import count_serving, count_unavailable, has_room
+from briarshed.budgets import (
+    STOPPING_STATES,
+    count_serving,
+    count_unavailable,
+    has_room,
+)
 from briarshed.documents import Configuration, Fleet
 from briarshed.settings import WeightsSettings
 from briarshed.waves import Move
@@ -144,35 +149,53 @@
     now: float,
 ) -> list[Move]:
     """Return the moves that are worth their cost, the most urgent first."""
-    short = _list_short(configuration, fleet, state, now)
+    short = _list_short(configuration, state, now)
     if not short:
         return []
-    unavailable = count_unavailable(fleet)
-    coming = _count_coming(fleet)
+    supply = _count_supply(fleet)
     used: set[str] = set()
     moves = []
     for pool, lasted_s in short:
         slots = configuration["pools"][pool]["slots"]
-        serving = count_serving(fleet).get(pool, 0) + coming.get(pool, 0)
-        missing = state.demands[pool].mean - serving * slots
-        if missing <= 0 or not has_room(configuration, unavailable.get(pool, 0), pool):
+        coming = supply.serving.get(pool, 0) + supply.coming.get(pool, 0)
+        missing = state.demands[pool].mean - coming * slots
+        if missing <= 0 or not supply.has_room(configuration, pool):
             continue
-        donor = _find_donor(configuration, fleet, state, pool, now, used)
+        donor = _find_donor(configuration, state, supply, pool, now, used)
         if donor is None:
             continue
-        idle = _count_idle(configuration, fleet, state, donor)
-        gain = _weigh_gain(weights, min(missing, slots), min(idle, slots), lasted_s)
-        if gain <= weights.moves * slots * state.cost_s:
-            continue
-        name = _pick_instance(fleet, donor, used)
-        if name is not None:
+        put_to_work = min(
+            missing, slots, _count_idle(configuration, state, supply, donor)
+        )
+        gain = _weigh_gain(weights, put_to_work, lasted_s)
+        if gain > weights.moves * slots * state.cost_s:
             used.add(donor)
-            moves.append(Move(name, donor, pool))
+            moves.append(Move(_pick_instance(fleet, donor), donor, pool))
     return moves
 
 
+class _Supply(NamedTuple):
+    """Instances by pool: serving, out of service, and about to serve."""
+
+    serving: Mapping[str, int]
+    unavailable: Mapping[str, int]
+    coming: Mapping[str, int]
+
+    def has_room(self, configuration: Configuration, pool: str) -> bool:
+        return has_room(configuration, self.unavailable.get(pool, 0), pool)
+
+
+def _count_supply(fleet: Fleet) -> _Supply:
+    coming: dict[str, int] = {}
+    for instance in fleet["instances"].values():
+        if instance["state"] in STOPPING_STATES:
+            pool = instance["target_pool"] or instance["pool"]
+            coming[pool] = coming.get(pool, 0) + 1
+    return _Supply(count_serving(fleet), count_unavailable(fleet), coming)
+
+
 def _list_short(
-    configuration: Configuration, fleet: Fleet, state: MoveState, now: float
+    configuration: Configuration, state: MoveState, now: float
 ) -> list[tuple[str, float]]:
     """Return pools whose demand has outlasted the cost of a move, longest first."""
     found = []
@@ -186,42 +209,27 @@
     return sorted(found, key=lambda item: (-item[1], item[0]))
 
 
-def _count_coming(fleet: Fleet) -> dict[str, int]:
-    """Count instances that will serve a pool soon: moving to it, or out for a while."""
-    counts: dict[str, int] = {}
-    for instance in fleet["instances"].values():
-        if instance["state"] in ("leaving", "draining", "rebooting", "returning"):
-            pool = instance["target_pool"] or instance["pool"]
-            counts[pool] = counts.get(pool, 0) + 1
-    return counts
-
-
 def _find_donor(
     configuration: Configuration,
-    fleet: Fleet,
     state: MoveState,
+    supply: _Supply,
     receiver: str,
     now: float,
     used: set[str],
 ) -> str | None:
     """Return the pool that can give an instance best; the spare pool comes first."""
-    serving = count_serving(fleet)
-    unavailable = count_unavailable(fleet)
     candidates = []
     for pool, content in configuration["pools"].items():
         demand = state.demands.get(pool)
         if pool in used or pool == receiver or demand is None:
             continue
-        if now - state.received.get(pool, -math.inf) < MOVE_BACK_S:
-            continue
-        if not has_room(configuration, unavailable.get(pool, 0), pool):
+        received_lately = now - state.received.get(pool, -math.inf) < MOVE_BACK_S
+        if received_lately or not supply.has_room(configuration, pool):
             continue
-        if not serving.get(pool, 0):
-            continue
-        idle = _count_idle(configuration, fleet, state, pool)
+        idle = _count_idle(configuration, state, supply, pool)
         if content["spare"] and idle >= content["slots"]:
             candidates.append((0, -idle, pool))
-        elif _has_spared(demand, state, now):
+        elif _has_spared(demand, state, now) and idle >= content["slots"]:
             candidates.append((1, -idle, pool))
     return min(candidates)[2] if candidates else None
 
@@ -232,28 +240,24 @@
 
 
 def _count_idle(
-    configuration: Configuration, fleet: Fleet, state: MoveState, pool: str
+    configuration: Configuration, state: MoveState, supply: _Supply, pool: str
 ) -> float:
     slots = configuration["pools"][pool]["slots"]
-    capacity = count_serving(fleet).get(pool, 0) * slots
-    return max(0.0, capacity - state.demands[pool].mean)
+    return max(0.0, supply.serving.get(pool, 0) * slots - state.demands[pool].mean)
 
 
-def _weigh_gain(
-    weights: WeightsSettings, missing: float, idle: float, lasted_s: float
-) -> float:
+def _weigh_gain(weights: WeightsSettings, put_to_work: float, lasted_s: float) -> float:
     """Return the gain in weighted slot-seconds.
 
-    Demand that has lasted for some time is expected to last as long again. The
-    receiver's teams get nearer to their shares, and the giver's buffer shrinks.
+    Demand that has lasted for some time is expected to last as long again. Every
+    idle slot put to work shrinks the buffer and brings teams nearer to their shares.
     """
-    return lasted_s * (weights.share * missing + weights.buffer * idle)
+    return lasted_s * put_to_work * (weights.share + weights.buffer)
 
 
-def _pick_instance(fleet: Fleet, pool: str, used: set[str]) -> str | None:
-    names = (
+def _pick_instance(fleet: Fleet, pool: str) -> str:
+    return min(
         name
         for name, instance in fleet["instances"].items()
         if instance["pool"] == pool and instance["state"] == "serving"
     )
-    return min(names, default=None)
