--- a/packages/briarshed-entry/src/briarshed_entry/main.py
+++ b/packages/briarshed-entry/src/briarshed_entry/main.py
@@ -14,7 +14,13 @@
 
 import typer
 from aiohttp import web
-from briarshed.events import ENTRY_STARTED, ENTRY_STOPPED, ENTRY_STOPPING
+from briarshed.events import (
+    ENTRY_NOT_READY,
+    ENTRY_READY,
+    ENTRY_STARTED,
+    ENTRY_STOPPED,
+    ENTRY_STOPPING,
+)
 from briarshed.exceptions import BriarshedError, SettingsError
 from briarshed.settings import Settings, Tls, load_settings
 from returns.pipeline import is_successful
@@ -31,6 +37,7 @@
 from briarshed_entry.store import StoreClient
 
 MILLISECONDS = 1_000
+READINESS_CHECK_S = 0.5
 
 application = typer.Typer(add_completion=False)
 
@@ -102,7 +109,9 @@
         log_event(ENTRY_STARTED, name=settings.name, data_centre=settings.data_centre)
         # A launcher that lets the system choose ports reads them here.
         print(json.dumps({"callers": bound[0], "operators": bound[1]}), flush=True)
+        watching = asyncio.create_task(_log_readiness(settings, coordinator))
         await stopping.wait()
+        watching.cancel()
         await _stop(settings, coordinator, scheduler)
 
 
@@ -118,6 +127,18 @@
     return check
 
 
+async def _log_readiness(settings: Settings, coordinator: Coordinator) -> None:
+    before = None
+    while True:
+        reason = coordinator.find_readiness()
+        if reason != before and reason:
+            log_event(ENTRY_NOT_READY, name=settings.name, reason=reason)
+        elif reason != before:
+            log_event(ENTRY_READY, name=settings.name)
+        before = reason
+        await asyncio.sleep(READINESS_CHECK_S)
+
+
 async def _stop(
     settings: Settings, coordinator: Coordinator, scheduler: Scheduler
 ) -> None:
