Keep connections to endpoints and count running tasks in constant time

Cause: the entry opened a connection for every attempt, and the endpoint stand-in counted its running tasks by a scan over all tasks it ever had, so both servers slowed down during a run. Ruled out: the decisions, which take under 10% of the profile.

Change: attempts use kept connections; probes and fences keep a connection of their own, and decide an attempt whose kept connection was closed or silent. The stand-in keeps a count.

--- a/bench/throughput.py
+++ b/bench/throughput.py
@@ -27,7 +27,7 @@
 PLAN = Plan(
     entries=1,
     data_centres=("dc1",),
-    pools=(PoolPlan("proofs", 8, slots=64, connections=64),),
+    pools=(PoolPlan("proofs", 8, slots=64, connections=192),),
     teams=(TeamPlan("hotels", 1, 1_000),),
     queues=(QueuePlan("proofing", "proofs", ("hotels",)),),
     endpoints_per_process=2,
@@ -71,16 +71,23 @@
     )
 
 
+def start_forwarder(addresses: list[str]) -> tuple[subprocess.Popen[str], str]:
+    """Start the bare forwarder; return its process and its URL."""
+    command = [sys.executable, str(HERE / "_forwarder.py")]
+    command += ["--endpoints", ",".join(addresses)]
+    bare = subprocess.Popen(
+        command, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, text=True
+    )
+    assert bare.stdout is not None
+    return bare, "http://" + json.loads(bare.stdout.readline())["address"]
+
+
 def measure(seconds: float, rounds: int) -> dict[str, Any]:
     """Measure both servers in turn and return the figures."""
     with Fleet(PLAN) as fleet:
         addresses = [instance.address for instance in fleet.instances.values()]
-        command = [sys.executable, str(HERE / "_forwarder.py")]
-        command += ["--endpoints", ",".join(addresses)]
-        bare = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+        bare, bare_url = start_forwarder(addresses)
         try:
-            assert bare.stdout is not None
-            bare_url = "http://" + json.loads(bare.stdout.readline())["address"]
             urls = {"bare": bare_url, "entry": fleet.entries["entry-1"].url}
             return compare(urls, fleet.keys["hotels"], seconds, rounds)
         finally:
--- a/packages/briarshed-entry/src/briarshed_entry/endpoints.py
+++ b/packages/briarshed-entry/src/briarshed_entry/endpoints.py
@@ -1,8 +1,10 @@
 """Calls to endpoints; the only module that knows the endpoint's protocol.
 
-Every call uses a connection of its own. A late or repeated answer of an earlier task
-therefore cannot be read as the answer to a later one, and a kept connection that the
-endpoint closes at the same moment cannot make an outcome unknown.
+Attempts use kept connections, since a connection for each attempt costs throughput. A
+late or repeated answer of an earlier attempt is told by its attempt id. A kept
+connection that the endpoint closes while an attempt is written, or that has gone
+silent, leaves the outcome open; the probe and the fence decide it over a new
+connection.
 """
 
 from __future__ import annotations
@@ -23,6 +25,11 @@
 from briarshed_entry import clock
 from briarshed_entry.logs import log_event
 
+KEPT_S = 15.0
+"""How long an idle connection is kept; below the usual 60 s of servers, so that an
+endpoint rarely closes one while an attempt is written to it.
+"""
+
 MAX_CONTROL_BYTES = 65_536
 """Longest control response that is read."""
 
@@ -124,21 +131,31 @@
         self._permits: defaultdict[str, asyncio.Semaphore] = defaultdict(
             lambda: asyncio.Semaphore(self._settings.connections)
         )
-        self._session: aiohttp.ClientSession | None = None
+        self._attempts: aiohttp.ClientSession | None = None
+        self._questions: aiohttp.ClientSession | None = None
 
     async def __aenter__(self) -> Self:
         trace = aiohttp.TraceConfig()
         trace.on_connection_create_end.append(_allow_writing)
-        self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(force_close=True, limit=0),
+        trace.on_connection_reuseconn.append(_allow_writing)
+        kept = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEPT_S)
+        self._attempts = self._make_session(kept, [trace])
+        single = aiohttp.TCPConnector(limit=0, force_close=True)
+        self._questions = self._make_session(single, [])
+        return self
+
+    def _make_session(
+        self, connector: aiohttp.TCPConnector, traces: list[aiohttp.TraceConfig]
+    ) -> aiohttp.ClientSession:
+        return aiohttp.ClientSession(
+            connector=connector,
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
             timeout=aiohttp.ClientTimeout(
                 total=None, sock_connect=self._settings.connect_timeout_ms / 1000
             ),
-            trace_configs=[trace],
+            trace_configs=traces,
         )
-        return self
 
     async def __aexit__(
         self,
@@ -146,8 +163,9 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        if self._session is not None:
-            await self._session.close()
+        for session in (self._attempts, self._questions):
+            if session is not None:
+                await session.close()
 
     async def start_task(
         self,
@@ -269,9 +287,10 @@
         headers: Mapping[str, str] | None = None,
         body: bytes | None = None,
     ) -> Any:
-        assert self._session is not None
+        session = self._questions if context is None else self._attempts
+        assert session is not None
         target = self._settings.routes.get(address, address)
-        return self._session.request(
+        return session.request(
             method,
             f"http://{target}{path}",
             data=body,
--- a/packages/briarshed-standins/src/briarshed_standins/endpoint.py
+++ b/packages/briarshed-standins/src/briarshed_standins/endpoint.py
@@ -94,6 +94,8 @@
         self.most_connections = 0
         self.refused_connections = 0
         self._write = write
+        # A count, since every response carries it and finished tasks are kept.
+        self._running = 0
         self._tasks: dict[str, Task] = {}
         self._fenced: set[str] = set()
         self._silent: set[int] = set()
@@ -101,7 +103,7 @@
 
     def count_running(self) -> int:
         """Return how many tasks run."""
-        return sum(task.state == "running" for task in self._tasks.values())
+        return self._running
 
     async def guard(self, request: web.Request) -> web.StreamResponse | None:
         """Apply the faults that concern whole connections."""
@@ -220,6 +222,7 @@
         orders = read_orders(body)
         task.fails = self.faults.take("fail") or orders.outcome == 500
         self._tasks[task.attempt] = task
+        self._running += 1
         self._record("start", task, "")
         duration_ms = self.limits.duration_ms if orders.ms is None else orders.ms
         task.runner = asyncio.create_task(self._run(task, duration_ms / 1000))
@@ -238,6 +241,7 @@
     def _end(self, task: Task, result: str) -> None:
         if task.state != "running":
             return
+        self._running -= 1
         task.state = "finished" if result == "finished" else "stopped"
         self._record("end", task, result)
         task.ended.set()
