--- a/features/steps/standin_store_steps.py
+++ b/features/steps/standin_store_steps.py
@@ -14,14 +14,15 @@
 NEW_VALUE = "new"
 
 
-def start_standin(context, module, *options):
-    """Start a stand-in for one scenario; return its address."""
+def start_standin(context, module, options, layer="scenario"):
+    """Start a stand-in for one scenario or feature; return the line it prints."""
     directory = tempfile.TemporaryDirectory(prefix="briarshed-")
-    context.add_cleanup(directory.cleanup)
+    context.add_cleanup(directory.cleanup, layer=layer)
     command = [sys.executable, "-m", f"briarshed_standins.{module}", *options]
     process = Process(module, command, Path(directory.name))
-    context.add_cleanup(lambda: end_processes([process]))
-    return process.read_line()["address"]
+    context.add_cleanup(lambda: end_processes([process]), layer=layer)
+    context.standin = process
+    return process.read_line()
 
 
 def post(context, path, **content):
@@ -58,8 +59,8 @@
 
 @given("a store stand-in")
 def step_store(context):
-    address = start_standin(context, "store", "--address", "127.0.0.1:0")
-    context.store_url = f"http://{address}"
+    line = start_standin(context, "store", ["--address", "127.0.0.1:0"])
+    context.store_url = f"http://{line['address']}"
 
 
 @given('the stand-in\'s key "{key}" was put {count:d} times')
--- a/packages/briarshed-standins/src/briarshed_standins/endpoint.py
+++ b/packages/briarshed-standins/src/briarshed_standins/endpoint.py
@@ -115,6 +115,8 @@
             return abort_connection(request)
         if id(request.protocol) in self._silent:
             return await stay_silent(request)
+        # What has arrived before a freeze runs after it, even if the caller has left.
+        await request.read()
         await self._wait_until_thawed()
         return None
 
