--- a/packages/briarshed-standins/src/briarshed_standins/checker.py
+++ b/packages/briarshed-standins/src/briarshed_standins/checker.py
@@ -15,7 +15,7 @@
 
 import typer
 
-Outcome = Literal["finished", "not run", "unknown", "none"]
+Outcome = Literal["finished", "not run", "unknown", "left", "none"]
 Kind = Literal[
     "lost",
     "doubled",
@@ -43,7 +43,8 @@
     status : int
         Status of HTTP; 0 without a response.
     outcome : str
-        ``none`` is neither a complete response nor an explicit refusal.
+        ``none`` is neither a complete response nor an explicit refusal, ``left`` a
+        caller that disconnected itself.
     correct : bool
         Whether a response of 200 is the answer to this job's own body.
     """
@@ -182,6 +183,7 @@
         finished=outcomes["finished"],
         refused=outcomes["not run"],
         unknown=outcomes["unknown"]
+        + outcomes["left"]
         + sum(one.outcome == "none" and one.job not in lost for one in told),
         repeated=sum(one.idempotent and len(runs_of[one.job]) > 1 for one in told),
         violations=tuple(violations),
--- a/packages/briarshed-standins/src/briarshed_standins/processes.py
+++ b/packages/briarshed-standins/src/briarshed_standins/processes.py
@@ -113,9 +113,17 @@
 
     The terminal's Ctrl-C reaches only the fleet, which then ends its processes in
     order.
+
+    Parameters
+    ----------
+    prints : bool
+        Whether the process prints one line to be read, as stand-ins do. The output of
+        others goes to the log, since a pipe that nobody reads would block them.
     """
 
-    def __init__(self, role: str, command: Sequence[str], directory: Path) -> None:
+    def __init__(
+        self, role: str, command: Sequence[str], directory: Path, prints: bool = True
+    ) -> None:
         self.role = role
         self.command = list(command)
         self.log = directory / f"{role}.log"
@@ -123,7 +131,7 @@
             self._process = subprocess.Popen(
                 self.command,
                 stdin=subprocess.DEVNULL,
-                stdout=subprocess.PIPE,
+                stdout=subprocess.PIPE if prints else log,
                 stderr=log,
                 start_new_session=True,
             )
@@ -158,7 +166,7 @@
         """End the process with SIGKILL."""
         self._process.kill()
         self._process.wait()
-        self._close()
+        self.close()
 
     def stop(self) -> None:
         """Pause the process with SIGSTOP."""
@@ -178,10 +186,11 @@
             code = self._process.wait(timeout_s)
         except subprocess.TimeoutExpired as error:
             raise FleetError(f"{self.role} still runs after {timeout_s} s") from error
-        self._close()
+        self.close()
         return code
 
-    def _close(self) -> None:
+    def close(self) -> None:
+        """Close the pipe of a process that has ended."""
         if self._process.stdout is not None:
             self._process.stdout.close()
 
@@ -233,6 +242,8 @@
         time.sleep(POLL_S)
     for process in running:
         process.kill()
+    for process in processes:
+        process.close()
 
 
 def _reap() -> None:
