--- /dev/null
+++ b/features/fleet.feature
@@ -0,0 +1,38 @@
+Feature: A fleet on loopback
+  Guards against a fleet whose handles do nothing, or that leaves processes behind: later
+  tests and measurements would then share the machine with it.
+
+  Scenario: Each handle acts on its process, and jobs finish around it
+    Given a fleet of 2 entries with links to the store
+    Then 20 jobs finish through the fleet
+    When fleet process "entry-1" is killed
+    Then 20 jobs finish through the fleet
+    When entry "entry-1" is restarted
+    And an entry is added to the fleet
+    Then the ready entries are "entry-1, entry-2, entry-3"
+    When fleet process "entry-2" is stopped
+    Then entry "entry-2" does not answer
+    When fleet process "entry-2" is resumed
+    Then entry "entry-2" answers
+    When the links "entry-2>store" are cut
+    Then entry "entry-2" cannot reach the store
+    When the links are healed
+    And fleet process "entry-3" is terminated
+    Then fleet process "entry-3" ends within 15 s
+    And 20 jobs finish through the fleet
+    When fleet process "endpoint-1" is killed
+    Then 20 idempotent jobs finish through the fleet
+    When the endpoints of "endpoint-1" are restarted
+    Then 20 jobs finish through the fleet
+    And the records of the fleet have no violation
+
+  Scenario Outline: All processes end with the program
+    Given "make fleet" is running
+    When the fleet's program gets <signal>
+    Then none of its processes is left after 10 s
+
+    Examples:
+      | signal  |
+      | SIGINT  |
+      | SIGTERM |
+      | SIGKILL |
--- a/packages/briarshed-standins/src/briarshed_standins/fleet.py
+++ b/packages/briarshed-standins/src/briarshed_standins/fleet.py
@@ -382,6 +382,10 @@
         data = read_key(self.store_url, key)
         return decode_document(key, data) if data else make_empty(key)
 
+    def read_settings(self, name: str) -> dict[str, Any]:
+        """Return the settings of an entry as the fleet wrote them."""
+        return json.loads(self.entries[name].settings.read_text())
+
     def read_records(self) -> list[dict[str, Any]]:
         """Return the records of all endpoints, in the order of time."""
         lines: list[dict[str, Any]] = []
