--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -14,6 +14,7 @@
 from briarshed_standins.processes import Process, call, end_processes, wait_until
 
 RATE = 40.0
+SILENCE_S = 1.0
 SEEDS = itertools.count(1)
 FLEET_KEYS = {"entries", "operators", "teams", "queues", "endpoints", "processes"}
 
@@ -95,7 +96,8 @@
 @then('entry "{name}" does not answer')
 def step_silent(context, name):
     try:
-        reply = call("GET", f"{context.fleet.entries[name].url}/healthz")
+        url = context.fleet.entries[name].url
+        reply = call("GET", f"{url}/healthz", timeout_s=SILENCE_S)
     except OSError:
         return
     raise AssertionError(reply)
--- a/packages/briarshed-standins/src/briarshed_standins/load.py
+++ b/packages/briarshed-standins/src/briarshed_standins/load.py
@@ -27,7 +27,6 @@
 READY_TIMEOUT_S = 0.5
 CONNECT_TIMEOUT_S = 1.0
 GRACE_S = 5.0
-"""How long after its deadline a caller still waits for an outcome."""
 
 
 class Source(NamedTuple):
@@ -95,12 +94,18 @@
     keep_alive : bool
         Whether connections are used again. Without, a lost connection concerns
         exactly one job.
+    grace_s : float
+        How long after its deadline a caller still waits for an outcome.
     """
 
     def __init__(
-        self, list_urls: Callable[[], Sequence[str]], keep_alive: bool = False
+        self,
+        list_urls: Callable[[], Sequence[str]],
+        keep_alive: bool = False,
+        grace_s: float = GRACE_S,
     ) -> None:
         self._list_urls = list_urls
+        self._grace_s = grace_s
         self._keep_alive = keep_alive
         self._ready: list[str] = []
         self._next = 0
@@ -140,7 +145,7 @@
         urls = self._order_urls()
         for url in urls:
             try:
-                async with asyncio.timeout(_find_patience_s(job.source)):
+                async with asyncio.timeout(self._find_patience_s(job.source)):
                     status, outcome, code, correct = await self._post(url, job)
             except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
                 continue
@@ -178,6 +183,11 @@
             outcome, code = _read_refusal(data)
             return answer.status, outcome, code, False
 
+    def _find_patience_s(self, source: Source) -> float:
+        if source.leaves_after_ms is not None:
+            return source.leaves_after_ms / 1000
+        return source.deadline_ms / 1000 + self._grace_s
+
     def _order_urls(self) -> list[str]:
         known = list(self._list_urls())
         ready = [url for url in self._ready if url in known] or known
@@ -205,12 +215,6 @@
             return False
 
 
-def _find_patience_s(source: Source) -> float:
-    if source.leaves_after_ms is not None:
-        return source.leaves_after_ms / 1000
-    return source.deadline_ms / 1000 + GRACE_S
-
-
 def _read_refusal(data: bytes) -> tuple[Outcome, str]:
     try:
         content: Any = json.loads(data)
--- a/packages/briarshed-standins/src/briarshed_standins/processes.py
+++ b/packages/briarshed-standins/src/briarshed_standins/processes.py
@@ -42,7 +42,11 @@
 
 
 def call(
-    method: str, url: str, content: Any = None, headers: Mapping[str, str] | None = None
+    method: str,
+    url: str,
+    content: Any = None,
+    headers: Mapping[str, str] | None = None,
+    timeout_s: float = CALL_TIMEOUT_S,
 ) -> Reply:
     """Call a control path; text is sent as it is and anything else as JSON.
 
@@ -57,7 +61,7 @@
         data = text.encode()
     request = urllib.request.Request(url, data, dict(headers or {}), method=method)
     try:
-        with urllib.request.urlopen(request, timeout=CALL_TIMEOUT_S) as answer:
+        with urllib.request.urlopen(request, timeout=timeout_s) as answer:
             return Reply(answer.status, _decode(answer.read()))
     except urllib.error.HTTPError as error:
         with error:
