--- a/packages/briarshed-standins/src/briarshed_standins/load.py
+++ b/packages/briarshed-standins/src/briarshed_standins/load.py
@@ -27,7 +27,6 @@
 READY_TIMEOUT_S = 0.5
 CONNECT_TIMEOUT_S = 1.0
 GRACE_S = 5.0
-"""How long after its deadline a caller still waits for an outcome."""
 
 
 class Source(NamedTuple):
@@ -37,6 +36,8 @@
     ----------
     team, key : str
         Team and the text of its key; both empty for an open queue.
+    leaves_after_ms : int or None
+        When its callers disconnect without waiting for an outcome.
     weight : float
         Share of the jobs, relative to the other sources.
     """
@@ -48,6 +49,7 @@
     idempotent: bool = True
     urgent: bool = False
     deadline_ms: int = 10_000
+    leaves_after_ms: int | None = None
     orders: Mapping[str, int] = {}
 
 
@@ -92,12 +94,18 @@
     keep_alive : bool
         Whether connections are used again. Without, a lost connection concerns
         exactly one job.
+    grace_s : float
+        How long after its deadline a caller still waits for an outcome.
     """
 
     def __init__(
-        self, list_urls: Callable[[], Sequence[str]], keep_alive: bool = False
+        self,
+        list_urls: Callable[[], Sequence[str]],
+        keep_alive: bool = False,
+        grace_s: float = GRACE_S,
     ) -> None:
         self._list_urls = list_urls
+        self._grace_s = grace_s
         self._keep_alive = keep_alive
         self._ready: list[str] = []
         self._next = 0
@@ -137,11 +145,14 @@
         urls = self._order_urls()
         for url in urls:
             try:
-                status, outcome, code, correct = await self._post(url, job)
+                async with asyncio.timeout(self._find_patience_s(job.source)):
+                    status, outcome, code, correct = await self._post(url, job)
             except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
                 continue
             except TimeoutError:
-                status, outcome, code, correct = 0, "none", "timeout", False
+                left = job.source.leaves_after_ms is not None
+                outcome, code = ("left", "left") if left else ("none", "timeout")
+                status, correct = 0, False
             except aiohttp.ClientError:
                 status, outcome, code, correct = 0, "none", "connection-lost", False
             return _tell(job, url, sent_at, status, outcome, code, correct)
@@ -158,9 +169,7 @@
         }
         if source.key:
             headers["Authorization"] = f"Bearer {source.key}"
-        timeout = aiohttp.ClientTimeout(
-            total=source.deadline_ms / 1000 + GRACE_S, sock_connect=CONNECT_TIMEOUT_S
-        )
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
         async with self._session.post(
             f"{url}/queues/{source.queue}/jobs",
             data=job.body,
@@ -174,6 +183,11 @@
             outcome, code = _read_refusal(data)
             return answer.status, outcome, code, False
 
+    def _find_patience_s(self, source: Source) -> float:
+        if source.leaves_after_ms is not None:
+            return source.leaves_after_ms / 1000
+        return source.deadline_ms / 1000 + self._grace_s
+
     def _order_urls(self) -> list[str]:
         known = list(self._list_urls())
         ready = [url for url in self._ready if url in known] or known
