--- a/features/serving_fakes.py
+++ b/features/serving_fakes.py
@@ -7,7 +7,6 @@
 from types import SimpleNamespace
 
 import aiohttp
-from aiohttp import web
 from briarshed.documents import CONFIGURATION_KEY, FLEET_KEY, make_empty
 from briarshed.keys import make_key
 from briarshed.settings import check_settings
@@ -175,7 +174,7 @@
     async def _serve(self, reader, writer):
         try:
             await self._exchange(reader, writer)
-        except (ConnectionError, asyncio.IncompleteReadError):
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
             writer.close()
@@ -357,10 +356,7 @@
         application = callers.make_application(
             entry.settings, entry.replica, entry.coordinator, entry.scheduler
         )
-        runner = callers.make_runner(application)
-        await runner.setup()
-        stack.push_async_callback(runner.cleanup)
-        site = web.TCPSite(runner, "127.0.0.1", 0)
-        await site.start()
-        entry.url = f"http://127.0.0.1:{runner.addresses[0][1]}"
+        port = callers.CallersPort(entry.settings, application)
+        await stack.enter_async_context(port)
+        entry.url = f"http://{port.address}"
         yield entry
--- a/packages/briarshed-entry/src/briarshed_entry/callers.py
+++ b/packages/briarshed-entry/src/briarshed_entry/callers.py
@@ -5,14 +5,16 @@
 import asyncio
 import re
 import secrets
+import ssl
 import time
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
-from typing import Any
+from types import TracebackType
+from typing import Any, Self
 
 import msgspec
-from aiohttp import ClientError, web
-from briarshed.events import CALLER_LEFT, JOB_REFUSED, JOB_UNKNOWN
+from aiohttp import StreamReader, web
+from briarshed.events import CALLER_LEFT, JOB_REFUSED, JOB_UNKNOWN, LOOP_FAILED
 from briarshed.exceptions import BriarshedError
 from briarshed.keys import KeyOwner, find_key
 from briarshed.settings import Settings
@@ -24,6 +26,15 @@
 JOB_ID_BYTES = 12
 JOB_ID_PATTERN = re.compile(r"[!-~]{1,128}")
 DEADLINE_PATTERN = re.compile(r"[0-9]{1,9}")
+BACKLOG = 1024
+"""Connections that wait to be accepted."""
+
+LINGERING_S = 2.0
+"""How long the rest of a refused body is read, so that the caller sees the answer."""
+
+EOF_GRACE_S = 0.05
+"""How long a connection without a request stays open after its caller's end of data."""
+
 UNKNOWN_STATUSES = (HTTPStatus.BAD_GATEWAY, HTTPStatus.GATEWAY_TIMEOUT)
 
 _HEADERS = (
@@ -43,14 +54,10 @@
         self.outcome = outcome
 
 
-class ShortBodyError(ClientError):
-    """The caller closed its side before the body was complete."""
-
-
 def make_application(
     settings: Settings, replica: Any, coordinator: Any, scheduler: Any
 ) -> web.Application:
-    """Return the application for callers; serve it with ``make_runner``."""
+    """Return the application for callers; serve it with ``CallersPort``."""
 
     async def submit(request: web.Request) -> web.Response:
         job_id = "j-" + secrets.token_hex(JOB_ID_BYTES)
@@ -63,6 +70,12 @@
         except asyncio.CancelledError:
             log_event(CALLER_LEFT, job_id=job_id)
             raise
+        except Exception as error:
+            log_event(LOOP_FAILED, task=f"job {job_id}", error=repr(error))
+            outcome = _report_internal_error()
+        finally:
+            if isinstance(request.protocol, _CallerConnection):
+                request.protocol.is_running = False
         response = _make_response(outcome, job_id)
         if not request.content.is_eof():
             # The rest of the body must not be read as the next request.
@@ -94,9 +107,123 @@
     return application
 
 
-def make_runner(application: web.Application) -> web.AppRunner:
-    """Return the runner that serves the application for callers."""
-    return web.AppRunner(application, handler_cancellation=True, access_log=None)
+class CallersPort:
+    """The open port for callers; an asynchronous context manager.
+
+    Attributes
+    ----------
+    address : str
+        Address on which it listens; the system chooses a port given as 0.
+    """
+
+    def __init__(self, settings: Settings, application: web.Application) -> None:
+        self.address = settings.callers.address
+        self._tls = settings.callers.tls
+        # A handler is cancelled when its caller disconnects.
+        self._runner = web.AppRunner(application, handler_cancellation=True)
+        self._server: asyncio.Server | None = None
+
+    async def __aenter__(self) -> Self:
+        await self._runner.setup()
+        host, _, port = self.address.rpartition(":")
+        host = host.strip("[]")
+        context = None
+        if self._tls is not None:
+            context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+            context.load_cert_chain(self._tls.certificate, self._tls.key)
+        self._server = await asyncio.get_running_loop().create_server(
+            self._make_protocol, host, int(port), ssl=context, backlog=BACKLOG
+        )
+        bound = self._server.sockets[0].getsockname()[1]
+        self.address = f"[{host}]:{bound}" if ":" in host else f"{host}:{bound}"
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        if self._server is not None:
+            self._server.close()
+        await self._runner.cleanup()
+
+    def _make_protocol(self) -> _CallerConnection:
+        assert self._runner.server is not None
+        # A body is opaque: it is not decompressed.
+        return _CallerConnection(
+            self._runner.server,
+            loop=asyncio.get_running_loop(),
+            access_log=None,
+            auto_decompress=False,
+            lingering_time=LINGERING_S,
+        )
+
+
+class _CallerConnection(web.RequestHandler):
+    """One connection of a caller.
+
+    A caller that closes its sending side in the middle of a body is answered with
+    400; later, the same event means that it disconnected.
+
+    Attributes
+    ----------
+    body : StreamReader or None
+        The body that is being read.
+    is_running : bool
+        Whether a complete request is being answered.
+    has_ended : bool
+        Whether the caller closed its sending side.
+    is_cut : bool
+        Whether it did so before the end of a body.
+    """
+
+    def __init__(self, manager: web.Server, **options: Any) -> None:
+        super().__init__(manager, **options)
+        self.body: StreamReader | None = None
+        self.is_running = False
+        self.has_ended = False
+        self.is_cut = False
+
+    def eof_received(self) -> bool:
+        """Return whether the connection stays open for an answer."""
+        self.has_ended = True
+        if self.is_running:
+            return False
+        if self.body is not None:
+            self.cut(self.body)
+            return True
+        # The handler of a request that arrived with this event has not begun yet.
+        asyncio.get_running_loop().call_later(EOF_GRACE_S, self._close_if_idle)
+        return True
+
+    def cut(self, body: StreamReader) -> None:
+        """End a body that will not arrive any further."""
+        if not body.is_eof():
+            self.is_cut = True
+            body.feed_eof()
+
+    def _close_if_idle(self) -> None:
+        if self.body is None and self.transport is not None:
+            self.transport.close()
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Answer a request that is not HTTP, or an error of this program, in JSON."""
+        if status < HTTPStatus.INTERNAL_SERVER_ERROR:
+            text = (message or "the request is not valid HTTP").splitlines()[0]
+            outcome = refuse(HTTPStatus(status), "bad-request", text)
+        else:
+            log_event(LOOP_FAILED, task="callers", error=repr(exc))
+            outcome = _report_internal_error()
+        response = _make_response(outcome, "")
+        response.force_close()
+        return response
 
 
 async def _read_job(
@@ -213,7 +340,12 @@
         raise _make_too_large(limit)
     parts: list[bytes] = []
     size = 0
+    connection = request.protocol
+    assert isinstance(connection, _CallerConnection)
     try:
+        connection.body = request.content
+        if connection.has_ended:
+            connection.cut(request.content)
         async with asyncio.timeout(settings.callers.body_timeout_ms / 1000):
             async for part in request.content.iter_any():
                 size += len(part)
@@ -226,10 +358,17 @@
             "slow-sender",
             f"the body did not arrive within {settings.callers.body_timeout_ms} ms",
         ) from error
-    except (ClientError, web.RequestPayloadError, ConnectionError) as error:
+    except (web.RequestPayloadError, ConnectionError) as error:
         raise _make_short(size, declared) from error
-    if declared is not None and size < declared:
+    finally:
+        connection.body = None
+        connection.is_running = True
+    if connection.is_cut:
         raise _make_short(size, declared)
+    if connection.has_ended and request.transport is not None:
+        # The caller left right after its request; closing cancels this handler.
+        request.transport.close()
+        await asyncio.sleep(EOF_GRACE_S)
     return b"".join(parts)
 
 
@@ -258,6 +397,11 @@
     return RefusedError(refuse(status, code, message))
 
 
+def _report_internal_error() -> Outcome:
+    message = "an internal error occurred; the job may have run"
+    return refuse(HTTPStatus.BAD_GATEWAY, "internal-error", message)
+
+
 def _make_response(outcome: Outcome, job_id: str) -> web.Response:
     headers = {**outcome.headers, "Briarshed-Job-Id": job_id}
     if outcome.status == HTTPStatus.OK:
--- a/packages/briarshed-entry/src/briarshed_entry/dispatch.py
+++ b/packages/briarshed-entry/src/briarshed_entry/dispatch.py
@@ -16,6 +16,7 @@
 from briarshed_entry import clock
 from briarshed_entry.endpoints import (
     Endpoints,
+    FenceState,
     NotAllowedError,
     Progress,
     Reply,
@@ -157,10 +158,15 @@
             return _explain_waiting(place, started)
         attempt = secrets.token_hex(ATTEMPT_BYTES)
         result = Result("abandoned")
+        progress = Progress()
         try:
             result = await run_attempt(
-                job, attempt, place, settings, endpoints, steps.allow
+                job, attempt, place, settings, endpoints, steps.allow, progress
             )
+        except asyncio.CancelledError:
+            if not progress.written:
+                result = Result("not-allowed")
+            raise
         finally:
             steps.release(place, attempt, result)
         started = started or result.kind not in NOT_STARTED
@@ -199,6 +205,15 @@
     return rejections < MAX_REJECTIONS and clock.now() < job.deadline
 
 
+def find_lease_ms(job: Job, settings: Settings, now: float) -> int:
+    """Return how long a task sent now may run.
+
+    It ends soon after the job's deadline, at which the entry fences it.
+    """
+    left_ms = round((job.deadline - now) * 1000) + settings.timing.margin_ms
+    return min(settings.timing.task_lease_ms, max(1, left_ms))
+
+
 async def run_attempt(
     job: Job,
     attempt: str,
@@ -206,10 +221,9 @@
     settings: Settings,
     endpoints: Endpoints,
     allow: Callable[[], bool],
+    progress: Progress,
 ) -> Result:
     """Send one attempt and follow it until its result is known or lost."""
-    remaining_ms = (job.deadline - clock.now()) * 1000 + settings.timing.margin_ms
-    lease_ms = min(settings.timing.task_lease_ms, max(1, round(remaining_ms)))
     request = TaskRequest(
         attempt,
         job.job_id,
@@ -217,138 +231,152 @@
         job.key_id,
         job.queue,
         job.idempotent,
-        lease_ms,
+        find_lease_ms(job, settings, clock.now()),
         job.body,
     )
-    progress = Progress()
     sending = asyncio.ensure_future(
         endpoints.start_task(place.address, request, progress, allow)
     )
+    following = _Attempt(job, attempt, place, settings, endpoints, progress, sending)
     try:
-        return await _follow(
-            job, request, place, settings, endpoints, progress, sending
-        )
+        return await following.follow()
     finally:
         sending.cancel()
         with suppress(asyncio.CancelledError, Exception):
             await sending
 
 
-async def _follow(
-    job: Job,
-    request: TaskRequest,
-    place: Place,
-    settings: Settings,
-    endpoints: Endpoints,
-    progress: Progress,
-    sending: asyncio.Future[Reply],
-) -> Result:
-    probe_after = settings.endpoints.probe_after_ms / 1000
-    timeout = settings.endpoints.probe_timeout_ms / 1000
-    margin = settings.timing.margin_ms / 1000
-    probed_at = progress.last_byte_at
-    fetches_left = MAX_FETCHES
-
-    async def fetch(limit: float) -> Result:
-        reply = await endpoints.fetch_answer(
-            place.address, request.attempt, progress, limit
-        )
-        return _read_reply(reply)
-
-    while True:
-        if (result := _read_sending(sending)) is not None:
-            return result
-        now = clock.now()
-        if now >= job.deadline:
-            return await _end_at_deadline(
-                request, place, endpoints, progress, sending, fetch, margin
-            )
-        quiet_until = max(progress.last_byte_at, probed_at) + probe_after
-        if not sending.done() and (not progress.written or now < quiet_until):
-            until = quiet_until if progress.written else now + probe_after
-            await asyncio.wait({sending}, timeout=min(until, job.deadline) - now)
-            continue
-        if not sending.done():
-            log_event(CONNECTION_SILENT, address=place.address, attempt=request.attempt)
-        probed_at = now
-        patient = not (sending.done() and job.idempotent)
-        probing = asyncio.ensure_future(
-            _probe(endpoints, place, request.attempt, timeout, patient)
-        )
+class _Attempt:
+    """One attempt that was sent, and what is known of it."""
+
+    def __init__(
+        self,
+        job: Job,
+        attempt: str,
+        place: Place,
+        settings: Settings,
+        endpoints: Endpoints,
+        progress: Progress,
+        sending: asyncio.Future[Reply],
+    ) -> None:
+        self._job = job
+        self._attempt = attempt
+        self._address = place.address
+        self._endpoints = endpoints
+        self._progress = progress
+        self._sending = sending
+        self._probe_after = settings.endpoints.probe_after_ms / 1000
+        self._probe_timeout = settings.endpoints.probe_timeout_ms / 1000
+        self._margin = settings.timing.margin_ms / 1000
+        self._probed_at = progress.last_byte_at
+        self._fetches_left = MAX_FETCHES
+
+    async def follow(self) -> Result:
+        """Wait for the response, and probe while none arrives."""
+        while True:
+            if (result := _read_sending(self._sending)) is not None:
+                return result
+            now = clock.now()
+            if now >= self._job.deadline:
+                return await self._end_at_deadline()
+            if (due := self._find_probe_time(now)) > now:
+                due = min(due, self._job.deadline)
+                await self._wait_for_response(due - now)
+            elif (result := await self._probe(now)) is not None:
+                # The response may have come while the probe ran.
+                return _read_sending(self._sending) or result
+
+    def _find_probe_time(self, now: float) -> float:
+        if self._sending.done():
+            return self._probed_at
+        if not self._progress.written:
+            return now + self._probe_after
+        return max(self._progress.last_byte_at, self._probed_at) + self._probe_after
+
+    async def _wait_for_response(self, timeout: float) -> None:
+        if self._sending.done():
+            await asyncio.sleep(timeout)
+        else:
+            await asyncio.wait({self._sending}, timeout=timeout)
+
+    async def _probe(self, now: float) -> Result | None:
+        """Return the attempt's result, or None if it is to be waited for."""
+        self._probed_at = now
+        state = await self._find_state(now)
+        is_open = not self._sending.done()
+        if is_open and self._progress.last_byte_at > now:
+            # The answer has begun to arrive.
+            return None
+        if state == "running":
+            # Without a connection, the next probe is the only way to see the end.
+            self._probed_at = now if is_open else clock.now() + self._probe_after
+            return None
+        if state == "unasked":
+            return None
+        if is_open:
+            log_event(CONNECTION_SILENT, address=self._address, attempt=self._attempt)
+        if state == "never":
+            state = await self._fence(self._probe_timeout)
+        if state == "finished":
+            return await self._fetch(self._probe_timeout)
+        return Result("lost" if state is None else state)
+
+    async def _find_state(self, now: float) -> TaskState | Literal["unasked"] | None:
+        """Return the attempt's state, or None if no answer came.
+
+        It is ``unasked`` if the response or the deadline came first.
+        """
+        probing = asyncio.ensure_future(self._ask(now + self._probe_timeout))
+        awaited: set[asyncio.Future[object]] = {probing}
+        if not self._sending.done():
+            awaited.add(self._sending)
         try:
-            pending = {probing} if sending.done() else {probing, sending}
             await asyncio.wait(
-                pending,
-                timeout=job.deadline - now,
+                awaited,
+                timeout=self._job.deadline - now,
                 return_when=asyncio.FIRST_COMPLETED,
             )
-            if not probing.done():
-                continue
-            state = probing.result()
+            return probing.result() if probing.done() else "unasked"
         finally:
             probing.cancel()
-        if state is None:
-            if progress.last_byte_at > now and not sending.done():
-                continue
-            return _read_sending(sending) or Result("lost")
-        if state == "stopped":
-            return _read_sending(sending) or Result("stopped")
-        if state == "finished":
-            try:
-                return await fetch(timeout)
-            except AnswerLostError:
-                fetches_left -= 1
-                if fetches_left == 0:
-                    return _read_sending(sending) or Result("lost")
-        if state == "never":
-            try:
-                fenced = await endpoints.fence(place.address, request.attempt, timeout)
-            except AnswerLostError:
-                return _read_sending(sending) or Result("lost")
-            if fenced != "finished":
-                return _read_sending(sending) or Result(fenced)
-        if state == "running" and sending.done():
-            await asyncio.sleep(max(0.0, min(probe_after, job.deadline - now)))
-
-
-async def _end_at_deadline(
-    request: TaskRequest,
-    place: Place,
-    endpoints: Endpoints,
-    progress: Progress,
-    sending: asyncio.Future[Reply],
-    fetch: Callable[[float], Awaitable[Result]],
-    margin: float,
-) -> Result:
-    if not progress.written:
-        sending.cancel()
-        await asyncio.wait({sending})
-        return _read_sending(sending) or Result("unreachable")
-    try:
-        state = await endpoints.fence(place.address, request.attempt, margin)
-        if state == "finished":
-            return _read_sending(sending) or await fetch(margin)
-        return _read_sending(sending) or Result(state)
-    except AnswerLostError:
-        return _read_sending(sending) or Result("lost")
-
-
-async def _probe(
-    endpoints: Endpoints, place: Place, attempt: str, timeout: float, patient: bool
-) -> TaskState | None:
-    """Return the attempt's state, or None if no answer came within the timeout.
 
-    A call that fails at once is repeated unless the job can go elsewhere.
-    """
-    end = clock.now() + timeout
-    while (left := end - clock.now()) > 0:
-        try:
-            return await endpoints.find_state(place.address, attempt, left)
-        except AnswerLostError:
+    async def _ask(self, end: float) -> TaskState | None:
+        # A call that fails at once is repeated unless the job can go elsewhere.
+        patient = not (self._sending.done() and self._job.idempotent)
+        while (left := end - clock.now()) > 0:
+            with suppress(AnswerLostError):
+                return await self._endpoints.find_state(
+                    self._address, self._attempt, left
+                )
             if not patient:
                 return None
-        await asyncio.sleep(REPEAT_S)
-    return None
+            await asyncio.sleep(REPEAT_S)
+        return None
+
+    async def _fence(self, timeout: float) -> FenceState | None:
+        with suppress(AnswerLostError):
+            return await self._endpoints.fence(self._address, self._attempt, timeout)
+        return None
+
+    async def _fetch(self, timeout: float) -> Result | None:
+        with suppress(AnswerLostError):
+            reply = await self._endpoints.fetch_answer(
+                self._address, self._attempt, self._progress, timeout
+            )
+            return _read_reply(reply)
+        self._fetches_left -= 1
+        return None if self._fetches_left else Result("lost")
+
+    async def _end_at_deadline(self) -> Result:
+        if not self._progress.written:
+            self._sending.cancel()
+            await asyncio.wait({self._sending})
+            return _read_sending(self._sending) or Result("unreachable")
+        state = await self._fence(self._margin)
+        result = Result("lost" if state in (None, "finished") else state)
+        if state == "finished" and _read_sending(self._sending) is None:
+            result = await self._fetch(self._margin) or result
+        return _read_sending(self._sending) or result
 
 
 def _read_sending(sending: asyncio.Future[Reply]) -> Result | None:
--- a/packages/briarshed-entry/src/briarshed_entry/scheduler.py
+++ b/packages/briarshed-entry/src/briarshed_entry/scheduler.py
@@ -29,7 +29,16 @@
 from briarshed.settings import Settings
 
 from briarshed_entry import clock
-from briarshed_entry.dispatch import Job, Outcome, Place, Result, Steps, refuse, run_job
+from briarshed_entry.dispatch import (
+    Job,
+    Outcome,
+    Place,
+    Result,
+    Steps,
+    find_lease_ms,
+    refuse,
+    run_job,
+)
 from briarshed_entry.endpoints import Endpoints
 from briarshed_entry.logs import log_event
 
@@ -86,7 +95,6 @@
         self.place: Place | None = None
         self.sent_at = 0.0
         self.attempts = 0
-        self.held_back = ""
         self.caller_left = False
 
 
@@ -284,6 +292,8 @@
         refusal = self._check_right(life.job)
         if refusal is not None:
             return refusal
+        if clock.now() >= life.job.deadline:
+            return self._explain_deadline(life)
         life.turn = asyncio.get_running_loop().create_future()
         life.tried = tried
         self._enqueue(life)
@@ -296,7 +306,8 @@
             return self._explain_deadline(life)
         except asyncio.CancelledError:
             if life.turn.done() and isinstance(found := life.turn.result(), Place):
-                self._free(life, found)
+                life.place = None
+                self._free(life.pool, found, life.job.team)
             raise
         finally:
             self._dequeue(life)
@@ -418,10 +429,12 @@
         pool = life.pool
         self._judge(life, place, result, now)
         if result.kind in ("lost", "abandoned"):
+            # Its bytes may have arrived at any moment until now.
+            end = now + find_lease_ms(life.job, self._settings, life.sent_at) / 1000
             self.counts["unsettled"] += 1
-            self._spawn(self._settle(life, place, attempt))
+            self._spawn(self._settle(pool, place, life.job.team, attempt, end))
         else:
-            self._free(life, place)
+            self._free(pool, place, life.job.team)
         reply = result.reply
         if reply is not None and reply.load is not None:
             pool.placement.note_load(place.endpoint, reply.load.running, now)
@@ -436,23 +449,20 @@
             self._run_times[queue] = admission.learn_run_time(average, taken)
         self._pump(pool)
 
-    def _free(self, life: _Life, place: Place) -> None:
+    def _free(self, pool: _Pool, place: Place, team: str | None) -> None:
         """Count an attempt as ended."""
-        life.place = None
-        team = life.job.team
-        now = clock.now()
-        life.pool.placement.note_ended(place.endpoint, place.address, now)
+        pool.placement.note_ended(place.endpoint, place.address, clock.now())
         if team is None:
             self._open_running -= 1
         else:
             self._coordinator.note_ended(team)
-        self._reconsider(life.line.team)
-        life.pool.queue.refresh(life.line.team)
+        self._reconsider(team or _NO_TEAM)
+        pool.queue.refresh(team or _NO_TEAM)
 
-    async def _settle(self, life: _Life, place: Place, attempt: str) -> None:
+    async def _settle(
+        self, pool: _Pool, place: Place, team: str | None, attempt: str, end: float
+    ) -> None:
         """Keep an attempt counted until its lease ended or its endpoint says so."""
-        timing = self._settings.timing
-        end = life.sent_at + (timing.task_lease_ms + timing.margin_ms) / 1000
         timeout = self._settings.endpoints.probe_timeout_ms / 1000
         try:
             while (left := end - clock.now()) > 0:
@@ -465,8 +475,8 @@
                     await asyncio.sleep(min(SETTLE_S, max(0.0, end - clock.now())))
         finally:
             self.counts["unsettled"] -= 1
-            self._free(life, place)
-            self._pump(life.pool)
+            self._free(pool, place, team)
+            self._pump(pool)
 
     def _judge(self, life: _Life, place: Place, result: Result, now: float) -> None:
         """Take a result into account for the endpoint's health."""
@@ -477,23 +487,24 @@
             # This entry ended a slow task at the deadline.
             return
         health = life.pool.health
-        if result.kind in ("answered", "too-large"):
-            actions = health.note_success(place.endpoint)
-        else:
+        failed = result.kind not in ("answered", "too-large")
+        life.pool.placement.set_suspect(place.endpoint, failed)
+        if failed:
             actions = health.note_failure(place.endpoint, now)
+        else:
+            actions = health.note_success(place.endpoint)
         self._apply(life.pool, actions, now)
 
     def _apply(self, pool: _Pool, actions: list[Action], now: float) -> None:
         for action in actions:
+            address = pool.placement.find_address(action.endpoint)
             if isinstance(action, Ejected):
                 pool.placement.set_probation(action.endpoint, True, now)
                 pool.placement.block(action.endpoint, action.until, now)
-                log_event(
-                    ENDPOINT_EJECTED, address=action.endpoint, seconds=action.seconds
-                )
+                log_event(ENDPOINT_EJECTED, address=address, seconds=action.seconds)
             else:
                 pool.placement.set_probation(action.endpoint, False, now)
-                log_event(ENDPOINT_READMITTED, address=action.endpoint)
+                log_event(ENDPOINT_READMITTED, address=address)
 
     # Wake-ups
 
@@ -571,7 +582,9 @@
         for name in set(self._pools) | set(pools):
             pool_state = self._find_pool(name)
             pool_state.placement.update(sites[name], now)
-            self._apply(pool_state, pool_state.health.set_serving(sites[name]), now)
+            self._apply(
+                pool_state, pool_state.health.set_serving(sites[name], now), now
+            )
 
     def _make_site(self, instance: Instance, pool: Pool) -> Site:
         address = instance["address"]
--- a/packages/briarshed/src/briarshed/health.py
+++ b/packages/briarshed/src/briarshed/health.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from bisect import insort
+import heapq
+from bisect import bisect_left, insort
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -12,9 +13,15 @@
 FIRST_EJECTION_S = 1.0
 MAX_EJECTION_S = 60.0
 
+MAX_DOUBLINGS = 6
+"""Doublings after which the ejection has reached its longest time."""
+
 
 class Ejected(NamedTuple):
-    """Send nothing to the endpoint until then, and one job at a time after it."""
+    """Send nothing to the endpoint until then, and one job at a time after it.
+
+    ``until`` is in seconds of the clock, ``seconds`` is the time until then.
+    """
 
     endpoint: str
     until: float
@@ -31,25 +38,36 @@
 
 
 class PoolHealth:
-    """Failures of the endpoints of one pool, as this entry saw them."""
+    """Failures of the endpoints of one pool, as this entry saw them.
+
+    An endpoint counts as ejected until its time has passed; it then is on probation
+    until a job succeeds. Noting a result costs the logarithm of the pool's size.
+    """
 
     def __init__(self) -> None:
         self._serving: frozenset[str] = frozenset()
         self._failures: dict[str, int] = {}
         self._ejections: dict[str, int] = {}
-        self._ejected: dict[str, float] = {}
+        self._ejected: dict[str, tuple[int, float]] = {}
         self._by_failures: list[tuple[int, str]] = []
+        self._due: list[tuple[float, str]] = []
 
     def find_limit(self) -> int:
         """Return how many endpoints may be ejected at once; one always stays."""
         count = len(self._serving)
         return max(0, min(count - 1, max(1, count // 2)))
 
-    def set_serving(self, endpoints: Iterable[str]) -> list[Action]:
+    def count_ejected(self, now: float) -> int:
+        """Return how many endpoints are ejected."""
+        self._release_due(now)
+        return len(self._ejected)
+
+    def set_serving(self, endpoints: Iterable[str], now: float) -> list[Action]:
         """Note which endpoints serve; readmit the least bad above the new limit."""
         self._serving = frozenset(endpoints)
         for endpoint in [one for one in self._failures if one not in self._serving]:
             self._forget(endpoint)
+        self._release_due(now)
         actions: list[Action] = []
         while len(self._ejected) > self.find_limit():
             actions.append(self._readmit_least_bad())
@@ -57,18 +75,21 @@
 
     def note_success(self, endpoint: str) -> list[Action]:
         """Note a job that the endpoint finished."""
-        on_probation = endpoint in self._ejections
+        was_ejected = endpoint in self._ejections
         self._forget(endpoint)
-        return [Readmitted(endpoint)] if on_probation else []
+        return [Readmitted(endpoint)] if was_ejected else []
 
     def note_failure(self, endpoint: str, now: float) -> list[Action]:
         """Note a failure; eject the endpoint if it failed too often."""
         if endpoint not in self._serving:
             return []
+        self._release_due(now)
+        if endpoint in self._ejected:
+            # A job that was sent before the ejection.
+            return []
         failures = self._failures.get(endpoint, 0) + 1
         self._failures[endpoint] = failures
-        self._release_due(now)
-        if endpoint in self._ejected or failures < FAILURES_TO_EJECT:
+        if failures < FAILURES_TO_EJECT:
             return []
         actions: list[Action] = []
         if len(self._ejected) >= self.find_limit():
@@ -80,16 +101,18 @@
     def _eject(self, endpoint: str, failures: int, now: float) -> Ejected:
         count = self._ejections.get(endpoint, 0)
         seconds = min(MAX_EJECTION_S, FIRST_EJECTION_S * 2**count)
-        self._ejections[endpoint] = min(count + 1, 16)
-        self._ejected[endpoint] = now + seconds
+        until = now + seconds
+        self._ejections[endpoint] = min(count + 1, MAX_DOUBLINGS)
+        self._ejected[endpoint] = failures, until
         insort(self._by_failures, (failures, endpoint))
-        return Ejected(endpoint, now + seconds, seconds)
+        heapq.heappush(self._due, (until, endpoint))
+        return Ejected(endpoint, until, seconds)
 
     def _release_due(self, now: float) -> None:
-        """Count ejections that ended no longer; their endpoints are on probation."""
-        due = [one for one, until in self._ejected.items() if until <= now]
-        for endpoint in due:
-            self._drop(endpoint)
+        while self._due and self._due[0][0] <= now:
+            until, endpoint = heapq.heappop(self._due)
+            if self._ejected.get(endpoint, (0, 0.0))[1] == until:
+                self._drop(endpoint)
 
     def _readmit_least_bad(self) -> Readmitted:
         _, endpoint = self._by_failures[0]
@@ -98,8 +121,9 @@
         return Readmitted(endpoint)
 
     def _drop(self, endpoint: str) -> None:
-        if self._ejected.pop(endpoint, None) is not None:
-            self._by_failures = [one for one in self._by_failures if one[1] != endpoint]
+        found = self._ejected.pop(endpoint, None)
+        if found is not None:
+            del self._by_failures[bisect_left(self._by_failures, (found[0], endpoint))]
 
     def _forget(self, endpoint: str) -> None:
         self._drop(endpoint)
--- a/packages/briarshed/src/briarshed/placement.py
+++ b/packages/briarshed/src/briarshed/placement.py
@@ -54,12 +54,21 @@
         self.blocked_until = float("-inf")
         self.returning_since: float | None = None
         self.probation = False
+        self.suspect = False
 
     def estimate_load(self) -> float:
         """Return the estimated share of slots in use."""
         running = max(self.own, self.reported + self.since_report)
         return running / self.site.slots
 
+    def rank(self) -> tuple[bool, float]:
+        """Return the order of preference, the best first.
+
+        An endpoint that fails at once always looks idle, so one whose last job
+        failed comes after all others whatever its load.
+        """
+        return self.suspect, self.estimate_load()
+
 
 class Placement:
     """Endpoints of one pool that take new work; a choice costs constant time.
@@ -134,7 +143,7 @@
             size = min(len(names), 2 + len(avoid))
             drawn = [name for name in chance.sample(names, size) if name not in avoid]
             if drawn:
-                found = min(drawn[:2], key=self._estimate_load)
+                found = min(drawn[:2], key=self._rank)
                 return found, self._states[found].site.address
         return None
 
@@ -186,6 +195,17 @@
             state.blocked_until = now
         self._refresh(endpoint, now)
 
+    def set_suspect(self, endpoint: str, suspect: bool) -> None:
+        """Note whether the endpoint's last job failed."""
+        state = self._states.get(endpoint)
+        if state is not None:
+            state.suspect = suspect
+
+    def find_address(self, endpoint: str) -> str:
+        """Return an endpoint's address, or its name if it serves no longer."""
+        state = self._states.get(endpoint)
+        return state.site.address if state is not None else endpoint
+
     def find_next_due(self) -> float | None:
         """Return when an endpoint may become available without any event."""
         return self._due[0][0] if self._due else None
@@ -194,8 +214,8 @@
         names = iter(self._states)
         return [name for name, _ in zip(names, range(count), strict=False)]
 
-    def _estimate_load(self, name: str) -> float:
-        return self._states[name].estimate_load()
+    def _rank(self, name: str) -> tuple[bool, float]:
+        return self._states[name].rank()
 
     def _find_opening(self, state: _State, now: float) -> float | None:
         """Return when the endpoint may get a job; None if an event must come first."""
