--- a/features/serving_fakes.py
+++ b/features/serving_fakes.py
@@ -153,6 +153,8 @@
         self.run_time = run_time
         self.slots = slots
         self.frozen = False
+        self.absent = False
+        self.choose_fault = None
         self.started = []
         self.bodies = []
         self.requests = 0
@@ -166,6 +168,8 @@
     async def __aenter__(self):
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+        if self.absent:
+            self._server.close()
         return self
 
     async def __aexit__(self, *_):
@@ -182,14 +186,20 @@
     async def _exchange(self, reader, writer):
         if self.frozen:
             await asyncio.sleep(3600)
-        if self.fault == "close at 0 bytes":
+        if self.fault == "close at 0 bytes" and self.fault_once:
             self._end_fault()
             return
-        if self.fault == "close at some bytes":
-            self._end_fault()
-            await reader.read(40)
-            return
-        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        start = await reader.readexactly(4)
+        is_post = start == b"POST"
+        if is_post and self.choose_fault is not None:
+            self.fault = self.choose_fault()
+        if is_post and self.fault.startswith("close at "):
+            fault = self.fault
+            if "0" in fault or "some" in fault:
+                self._end_fault()
+                await reader.read(0 if "0" in fault else 40)
+                return
+        head = (start + await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
         method, path, _ = head.split("\r\n", 1)[0].split(" ")
         headers = dict(
             line.split(": ", 1) for line in head.split("\r\n")[1:] if ": " in line
@@ -235,6 +245,9 @@
         if fault == "impossible":
             await self._answer(writer, 422, b"")
             return
+        if fault == "leaving":
+            await self._refuse(writer, "leaving")
+            return
         if fault == "full" or self.running >= self.slots:
             await self._refuse(writer, "full")
             return
@@ -251,6 +264,10 @@
                     return
         finally:
             self.running -= 1
+        if fault == "no such status":
+            self.states[attempt] = "stopped"
+            await self._answer(writer, 418, b"")
+            return
         if fault == "fail":
             self.states[attempt] = "stopped"
             await self._answer(writer, 500, b"")
@@ -304,6 +321,16 @@
             await writer.drain()
 
 
+async def wait_until(condition, timeout=2.0):
+    """Return the seconds until the condition holds."""
+    loop = asyncio.get_running_loop()
+    begin = loop.time()
+    while not condition():
+        assert loop.time() - begin < timeout, "the condition does not hold"
+        await asyncio.sleep(0.01)
+    return loop.time() - begin
+
+
 class Entry:
     """The modules under test, wired to fakes."""
 
--- a/features/steps/callers_steps.py
+++ b/features/steps/callers_steps.py
@@ -6,7 +6,7 @@
 from types import SimpleNamespace
 
 from behave import given, then, when
-from serving_fakes import FakeEndpoint, make_settings, open_entry
+from serving_fakes import FakeEndpoint, make_settings, open_entry, wait_until
 
 BODY_LIMIT = 1000
 WHOLE = b"opaque body"
@@ -78,16 +78,6 @@
     return SimpleNamespace(status=int(lines[0].split()[1]), headers=headers, body=body)
 
 
-async def wait_until(condition, timeout=2.0):
-    """Return the seconds until the condition holds."""
-    loop = asyncio.get_running_loop()
-    begin = loop.time()
-    while not condition():
-        assert loop.time() - begin < timeout, "the condition does not hold"
-        await asyncio.sleep(0.01)
-    return loop.time() - begin
-
-
 @given('teams "hotels" and "ferries", of which "ferries" may not use the queue')
 def step_teams(context):
     context.prepare = lambda entry: None
--- a/packages/briarshed-entry/src/briarshed_entry/scheduler.py
+++ b/packages/briarshed-entry/src/briarshed_entry/scheduler.py
@@ -176,6 +176,10 @@
         now = clock.now()
         return [_make_row(life, now) for life in self._lives.values()]
 
+    def count_running_here(self) -> int:
+        """Return how many attempts of this entry run or may still run."""
+        return sum(pool.placement.count_own() for pool in self._pools.values())
+
     def announce_stop(self) -> None:
         """Make the entry unready while it still accepts jobs."""
         self.stopping = True
