--- a/packages/briarshed/src/briarshed/fairness.py
+++ b/packages/briarshed/src/briarshed/fairness.py
@@ -68,9 +68,10 @@
 
     def remove(self, line: Line, job_id: str) -> bool:
         """Remove a job at once; return whether it was queued."""
-        jobs = self._lines.get(line, OrderedDict())
-        if jobs.pop(job_id, None) is None:
+        jobs = self._lines.get(line)
+        if jobs is None or job_id not in jobs:
             return False
+        del jobs[job_id]
         self._waiting[line.urgent] -= 1
         if not jobs:
             del self._lines[line]
