Check retry budget, ejection, queue bounds, order and placement under load

A job is counted in its queue before any other request is handled, so that a burst cannot pass the bounds, and an endpoint that just failed comes after all others, since one that fails at once always looks idle.

--- /dev/null
+++ b/features/queues.feature
@@ -0,0 +1,63 @@
+Feature: Queues are bounded, ordered fairly, and lead to the right endpoints
+  Guards against queues that grow without bound, teams that starve, urgent work that
+  waits behind other work, and work on endpoints that must not get any.
+
+  Scenario Outline: A queue at its bound in <bound>
+    Given a queue that holds <jobs> jobs and <bytes> bytes, and a busy endpoint
+    When <count> jobs of 100 bytes are submitted
+    Then <refused> of them are refused at once with 429 "queue-full" and Retry-After
+
+    Examples:
+      | bound | jobs | bytes | count | refused |
+      | jobs  | 4    | 9999  | 8     | 3       |
+      | bytes | 99   | 250   | 8     | 5       |
+
+  Scenario: A job that would wait past its deadline is refused at once
+    Given a queue of which the run time of 0.3 s was learned, and a busy endpoint
+    When 10 jobs wait and one more with 1000 ms is submitted
+    Then that one is refused within 0.2 s with 429 "wait-too-long" and Retry-After 3
+
+  Scenario: A long queue of one team does not refuse the jobs of another
+    Given a queue of which the run time of 0.3 s was learned, and a busy endpoint
+    When 10 jobs wait and one more of team "ferries" with 1500 ms is submitted
+    Then that one is answered with 200
+
+  Scenario: Urgent work starts next although other work waits
+    Given a queue of which the run time of 0.3 s was learned, and a busy endpoint
+    When 10 jobs wait and one urgent job is submitted
+    Then it started within 1 s
+
+  Scenario: A team at its limit waits while another team runs
+    When team "hotels" with limit 1 and team "ferries" each submit 3 jobs of 0.2 s
+    Then "hotels" never ran more than 1 job, and the jobs of "ferries" ran beside it
+
+  Scenario: A job that waits for its team's limit starts when a grant arrives
+    When a job waits at limit 0 and the limit is raised after 0.3 s
+    Then it starts within 0.2 s of the raise
+
+  Scenario Outline: An instance in state "<state>" in "<data_centre>"
+    When 10 jobs run with another instance in state "<state>" in "<data_centre>"
+    Then the other instance gets <jobs>
+
+    Examples:
+      | state     | data_centre | jobs      |
+      | serving   | dc1         | some jobs |
+      | returning | dc1         | some jobs |
+      | serving   | dc2         | no job    |
+      | leaving   | dc1         | no job    |
+      | draining  | dc1         | no job    |
+      | rebooting | dc1         | no job    |
+      | failed    | dc1         | no job    |
+      | gone      | dc1         | no job    |
+
+  Scenario: Another data centre is used when the own one is full
+    When 12 jobs of 0.3 s run beside another instance in "dc2"
+    Then every job is answered with 200, and the other instance got at least 4
+
+  Scenario: An instance that leaves gets nothing from then on and loses no job
+    When an instance starts to leave while 30 jobs run
+    Then every job is answered with 200, and the leaving instance got no later job
+
+  Scenario: An entry holds its share of an endpoint's connections
+    When 30 jobs of 0.3 s are submitted to one endpoint with 64 slots
+    Then at most 7 connections to it were open at a time
--- a/features/serving_fakes.py
+++ b/features/serving_fakes.py
@@ -163,6 +163,8 @@
         self.running = 0
         self.highest = 0
         self.held = []
+        self.open = 0
+        self.most_open = 0
         self.address = ""
 
     async def __aenter__(self):
@@ -176,11 +178,14 @@
         self._server.close()
 
     async def _serve(self, reader, writer):
+        self.open += 1
+        self.most_open = max(self.most_open, self.open)
         try:
             await self._exchange(reader, writer)
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
+            self.open -= 1
             writer.close()
 
     async def _exchange(self, reader, writer):
--- a/packages/briarshed-entry/src/briarshed_entry/endpoints.py
+++ b/packages/briarshed-entry/src/briarshed_entry/endpoints.py
@@ -33,6 +33,8 @@
 FenceState = Literal["never", "stopped", "finished"]
 ReplyKind = Literal["answered", "refused", "failed", "impossible", "too-large"]
 
+_FAILURES = (aiohttp.ClientError, OSError, TimeoutError, EndpointUnreachableError)
+
 _LENGTH_HEADERS = {"Content-Length", "Transfer-Encoding"}
 
 
@@ -247,7 +249,7 @@
                 self._call("GET", address, path) as got,
             ):
                 return await self._read_reply(address, attempt, got, progress, True)
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        except _FAILURES as error:
             raise AnswerLostError(f"endpoint {address}: {error!r}") from error
 
     async def check_health(self, address: str, timeout: float) -> Health | None:
@@ -269,7 +271,8 @@
         headers: Mapping[str, str] | None = None,
         body: bytes | None = None,
     ) -> Any:
-        assert self._session is not None
+        if self._session is None or self._session.closed:
+            raise EndpointUnreachableError("the connections to endpoints are closed")
         target = self._settings.routes.get(address, address)
         return self._session.request(
             method,
@@ -295,7 +298,7 @@
                 if got.status != 200 or body is None:
                     raise AnswerLostError(f"endpoint {address}: status {got.status}")
                 return msgspec.json.decode(body, type=dict)
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        except _FAILURES as error:
             raise AnswerLostError(f"endpoint {address}: {error!r}") from error
         except msgspec.MsgspecError as error:
             raise AnswerLostError(f"endpoint {address}: {error}") from error
--- a/packages/briarshed-entry/src/briarshed_entry/scheduler.py
+++ b/packages/briarshed-entry/src/briarshed_entry/scheduler.py
@@ -162,7 +162,10 @@
             return admitted
         life = admitted
         self._lives[id(life)] = life
+        # Queued before anything else runs, so that a burst cannot pass the bounds.
+        self._enqueue(life)
         task = self._spawn(self._live(life))
+        task.add_done_callback(lambda _: self._forget(life))
         try:
             return await asyncio.shield(task)
         except asyncio.CancelledError:
@@ -176,6 +179,10 @@
         now = clock.now()
         return [_make_row(life, now) for life in self._lives.values()]
 
+    def seed(self, number: int) -> None:
+        """Make the random choices of endpoints and delays repeatable."""
+        self._random.seed(number)
+
     def count_running_here(self) -> int:
         """Return how many attempts of this entry run or may still run."""
         return sum(pool.placement.count_own() for pool in self._pools.values())
@@ -282,42 +289,58 @@
             lambda: self._may_start_now(life),
             lambda count: self._take_retry(life, count),
         )
+        outcome = await run_job(life.job, self._settings, self._endpoints, steps)
+        self.counts[outcome.code or "finished"] += 1
+        return outcome
+
+    def _forget(self, life: _Life) -> None:
+        # The task may have been cancelled before its first step.
+        self._leave_queue(life)
+        del self._lives[id(life)]
+
+    async def _acquire(self, life: _Life, tried: frozenset[str]) -> Place | Outcome:
+        life.tried = tried
+        if life.turn is None:
+            self._enqueue(life)
         try:
-            outcome = await run_job(life.job, self._settings, self._endpoints, steps)
-            self.counts[outcome.code or "finished"] += 1
-            return outcome
+            refusal = self._check_waiting(life)
+            if refusal is not None:
+                return refusal
+            self._pump(life.pool)
+            left = life.job.deadline - clock.now()
+            await asyncio.wait({life.turn}, timeout=max(0.0, left))
+            if not life.turn.done():
+                return self._explain_deadline(life)
+            found = life.turn.result()
+            life.turn = None
+            return found
         finally:
-            del self._lives[id(life)]
+            self._leave_queue(life)
 
-    async def _acquire(self, life: _Life, tried: frozenset[str]) -> Place | Outcome:
+    def _check_waiting(self, life: _Life) -> Outcome | None:
+        """Return why a job may not wait in the queue, if so."""
         if life.caller_left:
             message = "the caller disconnected"
             return refuse(HTTPStatus.SERVICE_UNAVAILABLE, "caller-left", message)
-        refusal = self._check_right(life.job)
-        if refusal is not None:
-            return refusal
         if clock.now() >= life.job.deadline:
             return self._explain_deadline(life)
-        life.turn = asyncio.get_running_loop().create_future()
-        life.tried = tried
-        self._enqueue(life)
-        self._pump(life.pool)
-        try:
-            left = life.job.deadline - clock.now()
-            await asyncio.wait({life.turn}, timeout=max(0.0, left))
-            if life.turn.done():
-                return life.turn.result()
-            return self._explain_deadline(life)
-        except asyncio.CancelledError:
-            if life.turn.done() and isinstance(found := life.turn.result(), Place):
-                life.place = None
-                self._free(life.pool, found, life.job.team)
-            raise
-        finally:
+        return self._check_right(life.job)
+
+    def _leave_queue(self, life: _Life) -> None:
+        """End the wait of a job that did not use its turn."""
+        turn, life.turn = life.turn, None
+        if turn is None:
+            return
+        if turn.done() and isinstance(place := turn.result(), Place):
+            life.place = None
+            self._free(life.pool, place, life.job.team)
+            self._pump(life.pool)
+        else:
             self._dequeue(life)
 
     def _enqueue(self, life: _Life) -> None:
         pool, job, team = life.pool, life.job, life.line.team
+        life.turn = asyncio.get_running_loop().create_future()
         if pool.queue.count_team(team) == 0:
             pool.shares += self._find_share(team)
         pool.queue.add(life.line, _job_key(life), life, first=life.attempts > 0)
@@ -492,7 +515,7 @@
             return
         health = life.pool.health
         failed = result.kind not in ("answered", "too-large")
-        life.pool.placement.set_suspect(place.endpoint, failed)
+        life.pool.placement.note_result(place.endpoint, failed, now)
         if failed:
             actions = health.note_failure(place.endpoint, now)
         else:
--- a/packages/briarshed/src/briarshed/placement.py
+++ b/packages/briarshed/src/briarshed/placement.py
@@ -18,6 +18,10 @@
 """Age from which a reported load no longer limits the slow start."""
 
 
+SUSPECT_S = 1.0
+"""How long an endpoint comes after all others once a job has failed there."""
+
+
 class Site(NamedTuple):
     """What placement needs to know of an endpoint.
 
@@ -54,20 +58,20 @@
         self.blocked_until = float("-inf")
         self.returning_since: float | None = None
         self.probation = False
-        self.suspect = False
+        self.suspect_until = float("-inf")
 
     def estimate_load(self) -> float:
         """Return the estimated share of slots in use."""
         running = max(self.own, self.reported + self.since_report)
         return running / self.site.slots
 
-    def rank(self) -> tuple[bool, float]:
+    def rank(self, now: float) -> tuple[bool, float]:
         """Return the order of preference, the best first.
 
-        An endpoint that fails at once always looks idle, so one whose last job
-        failed comes after all others whatever its load.
+        An endpoint that fails at once always looks idle, so one that just failed
+        comes after all others whatever its load.
         """
-        return self.suspect, self.estimate_load()
+        return now < self.suspect_until, self.estimate_load()
 
 
 class Placement:
@@ -143,7 +147,7 @@
             size = min(len(names), 2 + len(avoid))
             drawn = [name for name in chance.sample(names, size) if name not in avoid]
             if drawn:
-                found = min(drawn[:2], key=self._rank)
+                found = min(drawn[:2], key=lambda name: self._states[name].rank(now))
                 return found, self._states[found].site.address
         return None
 
@@ -195,11 +199,11 @@
             state.blocked_until = now
         self._refresh(endpoint, now)
 
-    def set_suspect(self, endpoint: str, suspect: bool) -> None:
+    def note_result(self, endpoint: str, failed: bool, now: float) -> None:
         """Note whether the endpoint's last job failed."""
         state = self._states.get(endpoint)
         if state is not None:
-            state.suspect = suspect
+            state.suspect_until = now + SUSPECT_S if failed else now
 
     def find_address(self, endpoint: str) -> str:
         """Return an endpoint's address, or its name if it serves no longer."""
@@ -214,9 +218,6 @@
         names = iter(self._states)
         return [name for name, _ in zip(names, range(count), strict=False)]
 
-    def _rank(self, name: str) -> tuple[bool, float]:
-        return self._states[name].rank()
-
     def _find_opening(self, state: _State, now: float) -> float | None:
         """Return when the endpoint may get a job; None if an event must come first."""
         if state.own >= min(state.site.limit, state.site.slots):
