--- a/features/steps/decisions_steps.py
+++ b/features/steps/decisions_steps.py
@@ -8,7 +8,7 @@
 from briarshed import admission
 from briarshed.fairness import FairQueue, Line
 from briarshed.health import FAILURES_TO_EJECT, Ejected, PoolHealth
-from briarshed.placement import FULL_S, Placement, Site
+from briarshed.placement import Placement, Site
 from briarshed.retries import RetryBudget
 from hypothesis import given, seed, settings
 from hypothesis import strategies as some
@@ -107,7 +107,7 @@
         assert [urgent for urgent, _ in model.started[-3:]] == [True] * 3
 
 
-NAMES = tuple("pqrstu")
+NAMES = tuple("pqrs")
 PLACE_STEPS = some.lists(
     some.tuples(
         some.sampled_from(
@@ -130,53 +130,49 @@
     return sites
 
 
+def is_open(placement, name, now):
+    opening = placement._find_opening(placement._states[name], now)
+    return opening is not None and opening <= now
+
+
 def run_placement(check):
     def run(steps):
         sites = make_sites(NAMES)
         placement = Placement(10.0)
         placement.update(sites, 0.0)
         chance = random.Random(5)
-        now, own, blocked, probation = 0.0, Counter(), Counter(), set()
+        now, own, probation = 0.0, Counter(), set()
         for step, name, count, seconds in steps:
             now += seconds
-            free = [
-                one
-                for one in NAMES
-                if own[one] < (1 if one in probation else 3) and blocked[one] <= now
-            ]
             match step:
                 case "choose":
+                    free = [one for one in NAMES if is_open(placement, one, now)]
                     found = placement.choose(now, chance)
                     check(sites, free, found)
                     if found is not None:
                         placement.note_started(found[0], now)
                         own[found[0]] += 1
-                        blocked[found[0]] = read_block(placement, found[0])
+                        assert own[found[0]] <= (1 if found[0] in probation else 3)
                 case "end" if own[name]:
                     placement.note_ended(name, f"{name}:1", now)
                     own[name] -= 1
                 case "load":
                     placement.note_load(name, count, now)
-                    if count >= 4:
-                        blocked[name] = max(blocked[name], now + FULL_S)
+                    assert is_open(placement, name, now) <= (count < 4)
                 case "block":
                     placement.block(name, now + 0.1, now)
-                    blocked[name] = max(blocked[name], now + 0.1)
-                case "probation":
+                    assert not is_open(placement, name, now + 0.09)
+                case "probation" if not own[name]:
                     placement.set_probation(name, True, now)
                     probation.add(name)
                 case "cure":
                     placement.set_probation(name, False, now)
                     probation.discard(name)
-                    blocked[name] = now
+        assert placement.count_own() == own.total()
 
     return given(PLACE_STEPS)(run)
 
 
-def read_block(placement, name):
-    return placement._states[name].blocked_until
-
-
 def check_able(sites, free, found):
     assert (found is None) == (not free), (found, free)
     assert found is None or found[0] in free
--- a/packages/briarshed-entry/src/briarshed_entry/callers.py
+++ b/packages/briarshed-entry/src/briarshed_entry/callers.py
@@ -404,6 +404,8 @@
 
 def _make_response(outcome: Outcome, job_id: str) -> web.Response:
     headers = {**outcome.headers, "Briarshed-Job-Id": job_id}
+    if outcome.status == HTTPStatus.UNAUTHORIZED:
+        headers["WWW-Authenticate"] = "Bearer"
     if outcome.status == HTTPStatus.OK:
         return web.Response(body=outcome.body, headers=headers)
     unknown = outcome.status in UNKNOWN_STATUSES
--- a/packages/briarshed-entry/src/briarshed_entry/dispatch.py
+++ b/packages/briarshed-entry/src/briarshed_entry/dispatch.py
@@ -155,7 +155,7 @@
     while True:
         place = await steps.acquire(frozenset(tried))
         if isinstance(place, Outcome):
-            return _explain_waiting(place, started)
+            return _explain_waiting(job, place, started)
         attempt = secrets.token_hex(ATTEMPT_BYTES)
         result = Result("abandoned")
         progress = Progress()
@@ -405,25 +405,27 @@
     return Outcome(int(HTTPStatus.OK), "", "", reply.body, headers)
 
 
-def _explain_waiting(outcome: Outcome, started: bool) -> Outcome:
+def _explain_waiting(job: Job, outcome: Outcome, started: bool) -> Outcome:
     """Return the refusal of a queued job; unknown if an earlier attempt started."""
     if not started:
         return outcome
     message = f"an attempt may have run; not retried: {outcome.message}"
-    return refuse(HTTPStatus.BAD_GATEWAY, outcome.code, message)
+    return refuse(_find_unknown_status(job), outcome.code, message)
 
 
-def _give_up(job: Job, result: Result, started: bool) -> Outcome:
+def _find_unknown_status(job: Job) -> HTTPStatus:
     late = clock.now() >= job.deadline
+    return HTTPStatus.GATEWAY_TIMEOUT if late else HTTPStatus.BAD_GATEWAY
+
+
+def _give_up(job: Job, result: Result, started: bool) -> Outcome:
     if started:
-        status = HTTPStatus.GATEWAY_TIMEOUT if late else HTTPStatus.BAD_GATEWAY
-        if result.kind in _UNKNOWN:
-            return refuse(status, *_UNKNOWN[result.kind])
-        return refuse(status, "deadline" if late else "not-retried", _MAY_HAVE_RUN)
+        code, message = _UNKNOWN.get(result.kind, _NOT_RETRIED)
+        return refuse(_find_unknown_status(job), code, message)
     if result.kind == "impossible":
         message = "the endpoints that were asked cannot run this job"
         return refuse(HTTPStatus.SERVICE_UNAVAILABLE, "impossible", message)
-    if late:
+    if clock.now() >= job.deadline:
         return refuse(
             HTTPStatus.SERVICE_UNAVAILABLE,
             "no-endpoint-in-time",
@@ -436,7 +438,7 @@
     )
 
 
-_MAY_HAVE_RUN = "an attempt may have run and cannot be repeated"
+_NOT_RETRIED = ("not-retried", "an attempt may have run; no other one could start")
 _UNKNOWN: dict[ResultKind, tuple[str, str]] = {
     "failed": ("endpoint-failed", "the endpoint started the job and failed"),
     "stopped": ("stopped", "the endpoint started the job and stopped it"),
--- a/packages/briarshed-entry/src/briarshed_entry/scheduler.py
+++ b/packages/briarshed-entry/src/briarshed_entry/scheduler.py
@@ -24,7 +24,7 @@
 from briarshed.exceptions import AnswerLostError
 from briarshed.fairness import FairQueue, Line
 from briarshed.health import Action, Ejected, PoolHealth
-from briarshed.placement import FULL_S, Placement, Site
+from briarshed.placement import Placement, Site
 from briarshed.retries import RetryBudget
 from briarshed.settings import Settings
 
@@ -372,6 +372,9 @@
             self._coordinator.set_waiting(team, self._waiting[team])
 
     def _explain_deadline(self, life: _Life) -> Outcome:
+        refusal = self._check_right(life.job)
+        if refusal is not None:
+            return refusal
         if life.pool.queue.is_parked(life.line.team):
             message = f"team {life.job.team} is at its upper limit"
             status = HTTPStatus.TOO_MANY_REQUESTS
@@ -384,6 +387,7 @@
         place = life.place
         return (
             clock.now() < life.job.deadline
+            and not life.caller_left
             and place is not None
             and life.pool.placement.holds(place.endpoint, place.address)
             and self._check_right(life.job) is None
@@ -466,10 +470,11 @@
         if reply is not None and reply.load is not None:
             pool.placement.note_load(place.endpoint, reply.load.running, now)
         if result.kind == "refused":
-            code = reply.code if reply is not None else ""
-            span = LEAVING_S if code == "leaving" else FULL_S
-            pool.placement.block(place.endpoint, now + span, now)
-        if result.kind == "answered":
+            if reply is not None and reply.code == "leaving":
+                pool.placement.block(place.endpoint, now + LEAVING_S, now)
+            pool.placement.mark_full(place.endpoint, now)
+        if result.kind in ("answered", "stopped"):
+            # A task that was stopped at its deadline would have run longer still.
             queue = life.job.queue
             average = self._run_times.get(queue)
             taken = now - life.sent_at
--- a/packages/briarshed/src/briarshed/placement.py
+++ b/packages/briarshed/src/briarshed/placement.py
@@ -55,6 +55,7 @@
         self.reported = 0
         self.reported_at = float("-inf")
         self.since_report = 0
+        self.full_until = float("-inf")
         self.blocked_until = float("-inf")
         self.returning_since: float | None = None
         self.probation = False
@@ -100,11 +101,12 @@
         for name, site in sites.items():
             self._withdraw(name)
             state = self._states.get(name)
+            was_returning = state is not None and state.site.returning
             if state is None or state.site.address != site.address:
                 self._own -= state.own if state is not None else 0
                 state = self._states[name] = _State(site)
             state.site = site
-            if site.returning and state.returning_since is None:
+            if site.returning and not was_returning:
                 state.returning_since = now
             self._refresh(name, now)
         self._slots = sum(state.site.slots for state in self._states.values())
@@ -158,7 +160,7 @@
         self._own += 1
         state.since_report += 1
         if state.estimate_load() >= 1:
-            state.blocked_until = max(state.blocked_until, now + FULL_S)
+            state.full_until = now + FULL_S
         self._refresh(endpoint, now)
 
     def note_ended(self, endpoint: str, address: str, now: float) -> None:
@@ -168,6 +170,7 @@
             state.own -= 1
             self._own -= 1
             state.since_report = max(0, state.since_report - 1)
+            state.full_until = now
             self._refresh(endpoint, now)
 
     def note_load(self, endpoint: str, running: int, now: float) -> None:
@@ -178,10 +181,16 @@
         state.reported = running
         state.reported_at = now
         state.since_report = 0
-        full_until = now + FULL_S if running >= state.site.slots else now
-        state.blocked_until = max(full_until, state.blocked_until)
+        state.full_until = now + FULL_S if running >= state.site.slots else now
         self._refresh(endpoint, now)
 
+    def mark_full(self, endpoint: str, now: float) -> None:
+        """Send nothing to an endpoint for a moment, since it had no free slot."""
+        state = self._states.get(endpoint)
+        if state is not None:
+            state.full_until = now + FULL_S
+            self._refresh(endpoint, now)
+
     def block(self, endpoint: str, until: float, now: float) -> None:
         """Send nothing to the endpoint until then."""
         state = self._states.get(endpoint)
@@ -224,7 +233,8 @@
             return None
         if state.probation and state.own > 0:
             return None
-        return max(state.blocked_until, self._find_slow_opening(state, now))
+        closed_until = max(state.full_until, state.blocked_until)
+        return max(closed_until, self._find_slow_opening(state, now))
 
     def _find_slow_opening(self, state: _State, now: float) -> float:
         if state.returning_since is None:
