--- a/packages/briarshed-entry/src/briarshed_entry/endpoints.py
+++ b/packages/briarshed-entry/src/briarshed_entry/endpoints.py
@@ -40,6 +40,8 @@
 FenceState = Literal["never", "stopped", "finished"]
 ReplyKind = Literal["answered", "refused", "failed", "impossible", "too-large"]
 
+_FAILURES = (aiohttp.ClientError, OSError, TimeoutError, EndpointUnreachableError)
+
 _LENGTH_HEADERS = {"Content-Length", "Transfer-Encoding"}
 
 
@@ -265,7 +267,7 @@
                 self._call("GET", address, path) as got,
             ):
                 return await self._read_reply(address, attempt, got, progress, True)
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        except _FAILURES as error:
             raise AnswerLostError(f"endpoint {address}: {error!r}") from error
 
     async def check_health(self, address: str, timeout: float) -> Health | None:
@@ -288,7 +290,8 @@
         body: bytes | None = None,
     ) -> Any:
         session = self._questions if context is None else self._attempts
-        assert session is not None
+        if session is None or session.closed:
+            raise EndpointUnreachableError("the connections to endpoints are closed")
         target = self._settings.routes.get(address, address)
         return session.request(
             method,
@@ -314,7 +317,7 @@
                 if got.status != 200 or body is None:
                     raise AnswerLostError(f"endpoint {address}: status {got.status}")
                 return msgspec.json.decode(body, type=dict)
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        except _FAILURES as error:
             raise AnswerLostError(f"endpoint {address}: {error!r}") from error
         except msgspec.MsgspecError as error:
             raise AnswerLostError(f"endpoint {address}: {error}") from error
--- a/packages/briarshed-entry/src/briarshed_entry/main.py
+++ b/packages/briarshed-entry/src/briarshed_entry/main.py
@@ -5,7 +5,6 @@
 import asyncio
 import json
 import signal
-import ssl
 import sys
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
@@ -22,7 +21,7 @@
     ENTRY_STOPPING,
 )
 from briarshed.exceptions import BriarshedError, SettingsError
-from briarshed.settings import Settings, Tls, load_settings
+from briarshed.settings import Settings, load_settings
 from returns.pipeline import is_successful
 
 from briarshed_entry import callers, operators
@@ -100,15 +99,11 @@
         jobs = callers.make_application(settings, replica, coordinator, scheduler)
         jobs.middlewares.append(make_middleware(metrics))
         commands = operators.make_application(settings, replica, coordinator, scheduler)
-        bound = [
-            await enter(
-                _open_port(jobs, settings.callers.address, settings.callers.tls)
-            ),
-            await enter(_open_port(commands, settings.operators.address, None)),
-        ]
+        port = await enter(callers.CallersPort(settings, jobs))
+        bound = await enter(_open_port(commands, settings.operators.address))
         log_event(ENTRY_STARTED, name=settings.name, data_centre=settings.data_centre)
         # A launcher that lets the system choose ports reads them here.
-        print(json.dumps({"callers": bound[0], "operators": bound[1]}), flush=True)
+        print(json.dumps({"callers": port.address, "operators": bound}), flush=True)
         watching = asyncio.create_task(_log_readiness(settings, coordinator))
         await stopping.wait()
         watching.cancel()
@@ -153,16 +148,11 @@
 
 
 @asynccontextmanager
-async def _open_port(
-    served: web.Application, address: str, tls: Tls | None
-) -> AsyncIterator[str]:
+async def _open_port(served: web.Application, address: str) -> AsyncIterator[str]:
     host, _, port = address.rpartition(":")
-    runner = callers.make_runner(served)
+    runner = web.AppRunner(served, access_log=None)
     await runner.setup()
-    site = web.TCPSite(
-        runner, host.strip("[]"), int(port), ssl_context=_make_tls_context(tls)
-    )
-    await site.start()
+    await web.TCPSite(runner, host.strip("[]"), int(port)).start()
     try:
         bound = runner.addresses[0]
         yield f"{bound[0]}:{bound[1]}"
@@ -170,13 +160,5 @@
         await runner.cleanup()
 
 
-def _make_tls_context(tls: Tls | None) -> ssl.SSLContext | None:
-    if tls is None:
-        return None
-    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
-    context.load_cert_chain(tls.certificate, tls.key)
-    return context
-
-
 if __name__ == "__main__":
     run()
--- a/packages/briarshed-entry/src/briarshed_entry/scheduler.py
+++ b/packages/briarshed-entry/src/briarshed_entry/scheduler.py
@@ -24,12 +24,21 @@
 from briarshed.exceptions import AnswerLostError
 from briarshed.fairness import FairQueue, Line
 from briarshed.health import Action, Ejected, PoolHealth
-from briarshed.placement import FULL_S, Placement, Site
+from briarshed.placement import Placement, Site
 from briarshed.retries import RetryBudget
 from briarshed.settings import Settings
 
 from briarshed_entry import clock
-from briarshed_entry.dispatch import Job, Outcome, Place, Result, Steps, refuse, run_job
+from briarshed_entry.dispatch import (
+    Job,
+    Outcome,
+    Place,
+    Result,
+    Steps,
+    find_lease_ms,
+    refuse,
+    run_job,
+)
 from briarshed_entry.endpoints import Endpoints
 from briarshed_entry.logs import log_event
 
@@ -86,7 +95,6 @@
         self.place: Place | None = None
         self.sent_at = 0.0
         self.attempts = 0
-        self.held_back = ""
         self.caller_left = False
 
 
@@ -154,7 +162,10 @@
             return admitted
         life = admitted
         self._lives[id(life)] = life
+        # Queued before anything else runs, so that a burst cannot pass the bounds.
+        self._enqueue(life)
         task = self._spawn(self._live(life))
+        task.add_done_callback(lambda _: self._forget(life))
         try:
             return await asyncio.shield(task)
         except asyncio.CancelledError:
@@ -168,6 +179,14 @@
         now = clock.now()
         return [_make_row(life, now) for life in self._lives.values()]
 
+    def seed(self, number: int) -> None:
+        """Make the random choices of endpoints and delays repeatable."""
+        self._random.seed(number)
+
+    def count_running_here(self) -> int:
+        """Return how many attempts of this entry run or may still run."""
+        return sum(pool.placement.count_own() for pool in self._pools.values())
+
     def announce_stop(self) -> None:
         """Make the entry unready while it still accepts jobs."""
         self.stopping = True
@@ -270,39 +289,58 @@
             lambda: self._may_start_now(life),
             lambda count: self._take_retry(life, count),
         )
-        try:
-            outcome = await run_job(life.job, self._settings, self._endpoints, steps)
-            self.counts[outcome.code or "finished"] += 1
-            return outcome
-        finally:
-            del self._lives[id(life)]
+        outcome = await run_job(life.job, self._settings, self._endpoints, steps)
+        self.counts[outcome.code or "finished"] += 1
+        return outcome
+
+    def _forget(self, life: _Life) -> None:
+        # The task may have been cancelled before its first step.
+        self._leave_queue(life)
+        del self._lives[id(life)]
 
     async def _acquire(self, life: _Life, tried: frozenset[str]) -> Place | Outcome:
-        if life.caller_left:
-            message = "the caller disconnected"
-            return refuse(HTTPStatus.SERVICE_UNAVAILABLE, "caller-left", message)
-        refusal = self._check_right(life.job)
-        if refusal is not None:
-            return refusal
-        life.turn = asyncio.get_running_loop().create_future()
         life.tried = tried
-        self._enqueue(life)
-        self._pump(life.pool)
+        if life.turn is None:
+            self._enqueue(life)
         try:
+            refusal = self._check_waiting(life)
+            if refusal is not None:
+                return refusal
+            self._pump(life.pool)
             left = life.job.deadline - clock.now()
             await asyncio.wait({life.turn}, timeout=max(0.0, left))
-            if life.turn.done():
-                return life.turn.result()
-            return self._explain_deadline(life)
-        except asyncio.CancelledError:
-            if life.turn.done() and isinstance(found := life.turn.result(), Place):
-                self._free(life, found)
-            raise
+            if not life.turn.done():
+                return self._explain_deadline(life)
+            found = life.turn.result()
+            life.turn = None
+            return found
         finally:
+            self._leave_queue(life)
+
+    def _check_waiting(self, life: _Life) -> Outcome | None:
+        """Return why a job may not wait in the queue, if so."""
+        if life.caller_left:
+            message = "the caller disconnected"
+            return refuse(HTTPStatus.SERVICE_UNAVAILABLE, "caller-left", message)
+        if clock.now() >= life.job.deadline:
+            return self._explain_deadline(life)
+        return self._check_right(life.job)
+
+    def _leave_queue(self, life: _Life) -> None:
+        """End the wait of a job that did not use its turn."""
+        turn, life.turn = life.turn, None
+        if turn is None:
+            return
+        if turn.done() and isinstance(place := turn.result(), Place):
+            life.place = None
+            self._free(life.pool, place, life.job.team)
+            self._pump(life.pool)
+        else:
             self._dequeue(life)
 
     def _enqueue(self, life: _Life) -> None:
         pool, job, team = life.pool, life.job, life.line.team
+        life.turn = asyncio.get_running_loop().create_future()
         if pool.queue.count_team(team) == 0:
             pool.shares += self._find_share(team)
         pool.queue.add(life.line, _job_key(life), life, first=life.attempts > 0)
@@ -334,6 +372,9 @@
             self._coordinator.set_waiting(team, self._waiting[team])
 
     def _explain_deadline(self, life: _Life) -> Outcome:
+        refusal = self._check_right(life.job)
+        if refusal is not None:
+            return refusal
         if life.pool.queue.is_parked(life.line.team):
             message = f"team {life.job.team} is at its upper limit"
             status = HTTPStatus.TOO_MANY_REQUESTS
@@ -346,6 +387,7 @@
         place = life.place
         return (
             clock.now() < life.job.deadline
+            and not life.caller_left
             and place is not None
             and life.pool.placement.holds(place.endpoint, place.address)
             and self._check_right(life.job) is None
@@ -418,41 +460,41 @@
         pool = life.pool
         self._judge(life, place, result, now)
         if result.kind in ("lost", "abandoned"):
+            # Its bytes may have arrived at any moment until now.
+            end = now + find_lease_ms(life.job, self._settings, life.sent_at) / 1000
             self.counts["unsettled"] += 1
-            self._spawn(self._settle(life, place, attempt))
+            self._spawn(self._settle(pool, place, life.job.team, attempt, end))
         else:
-            self._free(life, place)
+            self._free(pool, place, life.job.team)
         reply = result.reply
         if reply is not None and reply.load is not None:
             pool.placement.note_load(place.endpoint, reply.load.running, now)
         if result.kind == "refused":
-            code = reply.code if reply is not None else ""
-            span = LEAVING_S if code == "leaving" else FULL_S
-            pool.placement.block(place.endpoint, now + span, now)
-        if result.kind == "answered":
+            if reply is not None and reply.code == "leaving":
+                pool.placement.block(place.endpoint, now + LEAVING_S, now)
+            pool.placement.mark_full(place.endpoint, now)
+        if result.kind in ("answered", "stopped"):
+            # A task that was stopped at its deadline would have run longer still.
             queue = life.job.queue
             average = self._run_times.get(queue)
             taken = now - life.sent_at
             self._run_times[queue] = admission.learn_run_time(average, taken)
         self._pump(pool)
 
-    def _free(self, life: _Life, place: Place) -> None:
+    def _free(self, pool: _Pool, place: Place, team: str | None) -> None:
         """Count an attempt as ended."""
-        life.place = None
-        team = life.job.team
-        now = clock.now()
-        life.pool.placement.note_ended(place.endpoint, place.address, now)
+        pool.placement.note_ended(place.endpoint, place.address, clock.now())
         if team is None:
             self._open_running -= 1
         else:
             self._coordinator.note_ended(team)
-        self._reconsider(life.line.team)
-        life.pool.queue.refresh(life.line.team)
+        self._reconsider(team or _NO_TEAM)
+        pool.queue.refresh(team or _NO_TEAM)
 
-    async def _settle(self, life: _Life, place: Place, attempt: str) -> None:
+    async def _settle(
+        self, pool: _Pool, place: Place, team: str | None, attempt: str, end: float
+    ) -> None:
         """Keep an attempt counted until its lease ended or its endpoint says so."""
-        timing = self._settings.timing
-        end = life.sent_at + (timing.task_lease_ms + timing.margin_ms) / 1000
         timeout = self._settings.endpoints.probe_timeout_ms / 1000
         try:
             while (left := end - clock.now()) > 0:
@@ -465,8 +507,8 @@
                     await asyncio.sleep(min(SETTLE_S, max(0.0, end - clock.now())))
         finally:
             self.counts["unsettled"] -= 1
-            self._free(life, place)
-            self._pump(life.pool)
+            self._free(pool, place, team)
+            self._pump(pool)
 
     def _judge(self, life: _Life, place: Place, result: Result, now: float) -> None:
         """Take a result into account for the endpoint's health."""
@@ -477,23 +519,24 @@
             # This entry ended a slow task at the deadline.
             return
         health = life.pool.health
-        if result.kind in ("answered", "too-large"):
-            actions = health.note_success(place.endpoint)
-        else:
+        failed = result.kind not in ("answered", "too-large")
+        life.pool.placement.note_result(place.endpoint, failed, now)
+        if failed:
             actions = health.note_failure(place.endpoint, now)
+        else:
+            actions = health.note_success(place.endpoint)
         self._apply(life.pool, actions, now)
 
     def _apply(self, pool: _Pool, actions: list[Action], now: float) -> None:
         for action in actions:
+            address = pool.placement.find_address(action.endpoint)
             if isinstance(action, Ejected):
                 pool.placement.set_probation(action.endpoint, True, now)
                 pool.placement.block(action.endpoint, action.until, now)
-                log_event(
-                    ENDPOINT_EJECTED, address=action.endpoint, seconds=action.seconds
-                )
+                log_event(ENDPOINT_EJECTED, address=address, seconds=action.seconds)
             else:
                 pool.placement.set_probation(action.endpoint, False, now)
-                log_event(ENDPOINT_READMITTED, address=action.endpoint)
+                log_event(ENDPOINT_READMITTED, address=address)
 
     # Wake-ups
 
@@ -571,7 +614,9 @@
         for name in set(self._pools) | set(pools):
             pool_state = self._find_pool(name)
             pool_state.placement.update(sites[name], now)
-            self._apply(pool_state, pool_state.health.set_serving(sites[name]), now)
+            self._apply(
+                pool_state, pool_state.health.set_serving(sites[name], now), now
+            )
 
     def _make_site(self, instance: Instance, pool: Pool) -> Site:
         address = instance["address"]
--- a/packages/briarshed/src/briarshed/placement.py
+++ b/packages/briarshed/src/briarshed/placement.py
@@ -18,6 +18,10 @@
 """Age from which a reported load no longer limits the slow start."""
 
 
+SUSPECT_S = 1.0
+"""How long an endpoint comes after all others once a job has failed there."""
+
+
 class Site(NamedTuple):
     """What placement needs to know of an endpoint.
 
@@ -51,15 +55,25 @@
         self.reported = 0
         self.reported_at = float("-inf")
         self.since_report = 0
+        self.full_until = float("-inf")
         self.blocked_until = float("-inf")
         self.returning_since: float | None = None
         self.probation = False
+        self.suspect_until = float("-inf")
 
     def estimate_load(self) -> float:
         """Return the estimated share of slots in use."""
         running = max(self.own, self.reported + self.since_report)
         return running / self.site.slots
 
+    def rank(self, now: float) -> tuple[bool, float]:
+        """Return the order of preference, the best first.
+
+        An endpoint that fails at once always looks idle, so one that just failed
+        comes after all others whatever its load.
+        """
+        return now < self.suspect_until, self.estimate_load()
+
 
 class Placement:
     """Endpoints of one pool that take new work; a choice costs constant time.
@@ -87,11 +101,12 @@
         for name, site in sites.items():
             self._withdraw(name)
             state = self._states.get(name)
+            was_returning = state is not None and state.site.returning
             if state is None or state.site.address != site.address:
                 self._own -= state.own if state is not None else 0
                 state = self._states[name] = _State(site)
             state.site = site
-            if site.returning and state.returning_since is None:
+            if site.returning and not was_returning:
                 state.returning_since = now
             self._refresh(name, now)
         self._slots = sum(state.site.slots for state in self._states.values())
@@ -134,7 +149,7 @@
             size = min(len(names), 2 + len(avoid))
             drawn = [name for name in chance.sample(names, size) if name not in avoid]
             if drawn:
-                found = min(drawn[:2], key=self._estimate_load)
+                found = min(drawn[:2], key=lambda name: self._states[name].rank(now))
                 return found, self._states[found].site.address
         return None
 
@@ -145,7 +160,7 @@
         self._own += 1
         state.since_report += 1
         if state.estimate_load() >= 1:
-            state.blocked_until = max(state.blocked_until, now + FULL_S)
+            state.full_until = now + FULL_S
         self._refresh(endpoint, now)
 
     def note_ended(self, endpoint: str, address: str, now: float) -> None:
@@ -155,6 +170,7 @@
             state.own -= 1
             self._own -= 1
             state.since_report = max(0, state.since_report - 1)
+            state.full_until = now
             self._refresh(endpoint, now)
 
     def note_load(self, endpoint: str, running: int, now: float) -> None:
@@ -165,10 +181,16 @@
         state.reported = running
         state.reported_at = now
         state.since_report = 0
-        full_until = now + FULL_S if running >= state.site.slots else now
-        state.blocked_until = max(full_until, state.blocked_until)
+        state.full_until = now + FULL_S if running >= state.site.slots else now
         self._refresh(endpoint, now)
 
+    def mark_full(self, endpoint: str, now: float) -> None:
+        """Send nothing to an endpoint for a moment, since it had no free slot."""
+        state = self._states.get(endpoint)
+        if state is not None:
+            state.full_until = now + FULL_S
+            self._refresh(endpoint, now)
+
     def block(self, endpoint: str, until: float, now: float) -> None:
         """Send nothing to the endpoint until then."""
         state = self._states.get(endpoint)
@@ -186,6 +208,17 @@
             state.blocked_until = now
         self._refresh(endpoint, now)
 
+    def note_result(self, endpoint: str, failed: bool, now: float) -> None:
+        """Note whether the endpoint's last job failed."""
+        state = self._states.get(endpoint)
+        if state is not None:
+            state.suspect_until = now + SUSPECT_S if failed else now
+
+    def find_address(self, endpoint: str) -> str:
+        """Return an endpoint's address, or its name if it serves no longer."""
+        state = self._states.get(endpoint)
+        return state.site.address if state is not None else endpoint
+
     def find_next_due(self) -> float | None:
         """Return when an endpoint may become available without any event."""
         return self._due[0][0] if self._due else None
@@ -194,16 +227,14 @@
         names = iter(self._states)
         return [name for name, _ in zip(names, range(count), strict=False)]
 
-    def _estimate_load(self, name: str) -> float:
-        return self._states[name].estimate_load()
-
     def _find_opening(self, state: _State, now: float) -> float | None:
         """Return when the endpoint may get a job; None if an event must come first."""
         if state.own >= min(state.site.limit, state.site.slots):
             return None
         if state.probation and state.own > 0:
             return None
-        return max(state.blocked_until, self._find_slow_opening(state, now))
+        closed_until = max(state.full_until, state.blocked_until)
+        return max(closed_until, self._find_slow_opening(state, now))
 
     def _find_slow_opening(self, state: _State, now: float) -> float:
         if state.returning_since is None:
