--- a/packages/briarshed-entry/src/briarshed_entry/_ledger.py
+++ b/packages/briarshed-entry/src/briarshed_entry/_ledger.py
@@ -91,13 +91,22 @@
             self._demands.setdefault(team, {})[owner] = (count, time)
             self.touched.add(team)
 
+    def expire_demands(self, time: float) -> bool:
+        """Forget old demands; return whether there were any."""
+        expired = [
+            (demands, owner)
+            for demands in self._demands.values()
+            for owner, (_count, at) in demands.items()
+            if time - at >= DEMAND_LIFE_S
+        ]
+        for demands, owner in expired:
+            del demands[owner]
+        return bool(expired)
+
     def make_view(self, team: str, configuration: Configuration, time: float) -> View:
         """Return what the decisions of ``grants`` need to know about a team."""
         settings = configuration["teams"].get(team)
         demands = self._demands.get(team, {})
-        for owner, (_count, at) in list(demands.items()):
-            if time - at >= DEMAND_LIFE_S:
-                del demands[owner]
         return View(
             self.owner,
             self.owners,
@@ -108,7 +117,11 @@
                 for owner, needs in self.peers.items()
                 if team in needs
             },
-            {owner: count for owner, (count, _at) in demands.items()},
+            {
+                owner: count
+                for owner, (count, at) in demands.items()
+                if time - at < DEMAND_LIFE_S
+            },
             self.freeable,
         )
 
--- a/packages/briarshed-entry/src/briarshed_entry/coordinator.py
+++ b/packages/briarshed-entry/src/briarshed_entry/coordinator.py
@@ -703,6 +703,9 @@
                 pass
             self._wake.clear()
             try:
+                if self._ledger.expire_demands(now()):
+                    # Teams that made room for a peer may start again.
+                    self._replica.announce(GRANTS_KEY)
                 if self._registered_at is not None and not self._left:
                     await self._send_demands()
                     await self._swap_grants()
@@ -785,6 +788,7 @@
             self._ledger.touched.update(teams)
             return
         self._ledger.drop_floors()
+        self._replica.announce(GRANTS_KEY)
         version = result.unwrap().value["version"]
         log_event(GRANTS_SWAPPED, version=version)
         for owner in self._ledger.freeable:
--- a/packages/briarshed-entry/src/briarshed_entry/replica.py
+++ b/packages/briarshed-entry/src/briarshed_entry/replica.py
@@ -267,6 +267,10 @@
             # A fault of one subscriber must not stop the reads of all.
             log_event(LOOP_FAILED, task="updates", error=repr(error))
 
+    def announce(self, key: str) -> None:
+        """Let subscribers look again at a document that has not changed."""
+        self._emit(self.updates, key)
+
     def offer(self, key: str, document: Any, revision: int) -> bool:
         """Take a document from a peer if it is newer; return whether it was taken."""
         return self._install(key, Stored(document, revision))
@@ -311,6 +315,8 @@
             held = self._held[key]
             if _find_change(held.value, change_id) is not None:
                 return Success(held)
+            if pending is not None and pending[1] == held.value:
+                return Success(held)
             # A swap without an answer cannot take effect any more once the
             # revision that it names has passed; until then it is repeated as it is.
             if pending is not None and pending[0] == held.revision:
