--- a/features/authority.feature
+++ b/features/authority.feature
@@ -71,6 +71,69 @@
     And 3 seconds pass
     Then a, b, c have authority and none have not
 
+  Scenario: Those who know of a change restart where they cannot read it
+    Given established entries a, b and c
+    When c is cut from everything
+    And a accepts a change
+    And a and b restart without the store and reach c
+    And 10 seconds pass
+    Then none have authority and a, b, c have not
+    And no entry ever honoured a replaced configuration
+
+  Scenario Outline: Consent with <who> <field> at <value>
+    Given an entry in an outage whose peer consents
+    When <who> <field> is <value>
+    Then authority is "<authority>"
+
+    Examples:
+      | who   | field         | value  | authority                   |
+      | peer  | configuration | 6      | outage consent              |
+      | peer  | incarnation   | "i9"   | has not answered            |
+      | peer  | asked_at      | 97.1   | outage consent              |
+      | peer  | asked_at      | 97.0   | does not answer             |
+      | peer  | store_failing | False  | reaches the store           |
+      | peer  | contact_age   | 3.9    | reached the store 3.9 s ago |
+      | peer  | contact_age   | 4.0    | outage consent              |
+      | peer  | contact_age   | None   | outage consent              |
+      | peer  | configuration | 8      | holds a newer configuration |
+      | peer  | members       | 5      | holds a newer configuration |
+      | entry | store_failing | False  | last confirmed 40.0 s ago   |
+      | entry | read_at       | -1699  | outage consent              |
+      | entry | read_at       | -1700  | out of reach for 1800 s     |
+      | entry | read_at       | 96.1   | fresh                       |
+      | entry | registered_at | 61.0   | not been confirmed yet      |
+      | entry | read_at       | None   | not been confirmed yet      |
+      | entry | listed        | False  | no longer a registered      |
+      | entry | owner         | ""     | not registered yet          |
+
+  Scenario Outline: A relayed confirmation with <who> <field> at <value>
+    Given an entry in an outage whose peer consents
+    And the peer confirmed its configuration 1.5 seconds ago
+    When <who> <field> is <value>
+    Then the confirmation that it relays is from <second>
+
+    Examples:
+      | who   | field         | value | second |
+      | peer  | asked_at      | 98.0  | 96.5   |
+      | peer  | incarnation   | "i9"  | None   |
+      | peer  | known         | False | None   |
+      | peer  | confirmed_age | None  | None   |
+      | peer  | configuration | 6     | None   |
+      | peer  | configuration | 8     | None   |
+      | peer  | members       | 3     | None   |
+      | peer  | members       | 5     | None   |
+      | entry | registered_at | 98.0  | None   |
+      | entry | listed        | False | None   |
+
+  Scenario Outline: A process named c <process> registers beside the one that is listed
+    Given established entries a, b and c
+    Then a new process c <process> is <outcome>
+
+    Examples:
+      | process            | outcome                      |
+      | at address c       | registered instead           |
+      | at address c2      | refused until c is removed   |
+
   Scenario Outline: Random partitions, kills, pauses, restarts and changes
     Then no sequence of <events> random events with seed <seed> breaks the rule
 
--- a/features/control_world.py
+++ b/features/control_world.py
@@ -103,6 +103,7 @@
         self.violations: list[str] = []
         self.pongs: list[tuple[float, str, str, tuple]] = []
         self.pong_delay = itertools.repeat(0.0)
+        self.offer_lost = itertools.repeat(False)
 
     def start(self, name: str, address: str = "") -> None:
         """Start an entry, or restart it as a new process."""
@@ -267,7 +268,7 @@
         relayed = authority.find_relayed(entry.view(), {sender: view})
         if relayed is not None:
             entry.relayed_at = max(relayed, entry.relayed_at or relayed)
-        if entry.failing:
+        if entry.failing and not next(self.offer_lost):
             # The peer offers what this entry lacks, the configuration first.
             entry.configuration = max(entry.configuration, configuration)
             if members["version"] > entry.members["version"]:
--- a/features/fake_gateway.py
+++ b/features/fake_gateway.py
@@ -6,6 +6,7 @@
 import base64
 import json
 from collections import Counter
+from collections.abc import Callable
 
 from aiohttp import web
 
@@ -16,7 +17,9 @@
     Faults: "" none, "down" closes connections, "slow" answers after ``delay_s``,
     "lost" closes the connection after the next transaction that writes took effect,
     "dropped" closes it before, "late" closes it at once and applies it afterwards,
-    "error" answers 503 to everything.
+    "error" answers 503 to everything, "refusing" 400, "garbled" JSON of another shape.
+    "lost for good" is "lost" and then "down". ``after_call`` is called once after the
+    next call.
     """
 
     def __init__(self) -> None:
@@ -28,6 +31,8 @@
         self.calls: Counter[str] = Counter()
         self.bytes = 0
         self.url = ""
+        self.late = False
+        self.after_call: Callable[[], None] | None = None
 
     async def start(self) -> None:
         """Listen on a port that the system chooses."""
@@ -53,6 +58,10 @@
         """Remove a key, as when its lease ends."""
         self.kept.pop(key, None)
 
+    def read_document(self, key: str) -> dict:
+        """Return a document as it is kept."""
+        return json.loads(self.kept[key][0])
+
     async def _answer(self, request: web.Request) -> web.Response:
         body = json.loads(await request.text())
         path = request.match_info["path"]
@@ -62,18 +71,29 @@
             request.transport.abort()
         if self.fault == "error":
             return web.Response(status=503)
+        if self.fault == "refusing":
+            return web.Response(status=400)
         if self.fault == "slow":
             await asyncio.sleep(self.delay_s)
-        if writes and self.fault in ("lost", "dropped", "late"):
+        if writes and self.fault in ("lost", "dropped", "late", "lost for good"):
             fault, self.fault = self.fault, ""
-            if fault == "lost":
+            if fault.startswith("lost"):
                 self._run(path, body)
+            if fault == "lost for good":
+                self.fault = "down"
             if fault == "late":
+                self.late = True
                 later = asyncio.get_running_loop().call_later
                 later(self.delay_s, self._run, path, body)
             request.transport.abort()
             return web.Response()
-        text = json.dumps(self._run(path, body))
+        answer = self._run(path, body)
+        if self.fault == "garbled":
+            answer = {"responses": [5 for _ in body.get("success", [])], "kvs": [5]}
+        text = json.dumps(answer)
+        if self.after_call is not None:
+            after_call, self.after_call = self.after_call, None
+            after_call()
         self.bytes += len(text) + request.content_length
         return web.Response(text=text, content_type="application/json")
 
@@ -86,7 +106,10 @@
             case "kv/txn":
                 equal = all(self._compare(item) for item in body["compare"])
                 steps = body["success"] if equal else []
-                return {"succeeded": equal, "responses": [self._step(s) for s in steps]}
+                responses = [self._step(step) for step in steps]
+                # The gateway leaves out what is false or empty.
+                answer = {"succeeded": True, "responses": responses} if equal else {}
+                return {"header": {"revision": str(self.revision)}, **answer}
             case "lease/grant":
                 self.revision += 1
                 self.leases.add(str(self.revision))
--- a/features/steps/authority_steps.py
+++ b/features/steps/authority_steps.py
@@ -2,12 +2,15 @@
 
 import itertools
 import random
+from ast import literal_eval
 
 from behave import given, step, then, when
-from briarshed.membership import list_owners
-from control_world import STORE, World
+from briarshed.authority import OwnView, PeerView, decide_authority, find_relayed
+from briarshed.membership import is_listed, list_owners, register_member
+from control_world import STORE, TIMING, World
 from hypothesis import HealthCheck, seed, settings, strategies
 from hypothesis import given as drawn
+from returns.pipeline import is_successful
 
 OLD = "abc"
 RANDOM_RUNS = 100
@@ -130,6 +133,60 @@
         assert decision.granted == (name in _split(names)), (name, decision)
 
 
+@when("a and b restart without the store and reach c")
+def step_restart(context):
+    context.world.heal()
+    context.world.store_down = True
+    context.world.start("a")
+    context.world.start("b")
+
+
+@given("an entry in an outage whose peer consents")
+def step_make_views(context):
+    own = OwnView("a/i0", -5000.0, 60.0, None, True, 7, 4, ("b/i1",), True)
+    context.own, context.peer = own, PeerView("i1", 99.0, None, 40.0, True, 7, 4, True)
+
+
+@given("the peer confirmed its configuration {age:g} seconds ago")
+def step_confirm(context, age):
+    context.peer = context.peer._replace(confirmed_age=age, store_failing=False)
+
+
+@when("peer {field} is {value}")
+def step_replace_peer(context, field, value):
+    context.peer = context.peer._replace(**{field: literal_eval(value)})
+
+
+@when("entry {field} is {value}")
+def step_replace_own(context, field, value):
+    context.own = context.own._replace(**{field: literal_eval(value)})
+
+
+@then('authority is "{text}"')
+def step_decide(context, text):
+    decision = decide_authority(context.own, {"b": context.peer}, TIMING, 100.0)
+    assert text in decision.reason, decision
+    assert decision.granted == (text in ("fresh", "outage consent")), decision
+
+
+@then("the confirmation that it relays is from {second}")
+def step_relay(context, second):
+    relayed = find_relayed(context.own, {"b": context.peer})
+    assert relayed == literal_eval(second), relayed
+
+
+@then("a new process c at address {address} is {outcome}")
+def step_register(context, address, outcome):
+    members = context.world.members
+    before = members["members"]["c"]["incarnation"]
+    member = {"incarnation": "new", "address": address}
+    result = register_member(members, "c", member, 0.0)
+    assert is_successful(result) == (outcome == "registered instead"), result
+    if is_successful(result):
+        assert is_listed(result.unwrap(), "c", "new")
+        assert f"c/{before}" in result.unwrap()["departed"]
+
+
 @then("c runs under a new incarnation")
 def step_incarnation(context):
     entry = context.world.entries["c"]
@@ -178,6 +235,7 @@
 
 def _run_random(source, events):
     world = World()
+    world.offer_lost = (source.random() < 0.5 for _ in itertools.count())
     world.pong_delay = (source.choice((0, 0, 0.25, 1.5)) for _ in itertools.count())
     for name in OLD:
         world.start(name)
--- a/packages/briarshed-entry/src/briarshed_entry/store.py
+++ b/packages/briarshed-entry/src/briarshed_entry/store.py
@@ -8,6 +8,7 @@
 import base64
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 from contextlib import contextmanager
+from http import HTTPStatus
 from types import TracebackType
 from typing import Any, Literal, NamedTuple
 
@@ -29,6 +30,9 @@
 PREFIX_LIMIT = 10_000
 """Most keys that one read of a prefix returns."""
 
+MAX_ERROR_BYTES = 200
+"""Part of an error's text that is reported."""
+
 _LEASE_MS_A_TTL = 1_000
 
 
@@ -163,7 +167,8 @@
         Raises
         ------
         StoreUnavailableError
-            If no connection was made, so nothing was changed.
+            If no connection was made or the store refused the request as invalid,
+            so nothing was changed.
         """
         compared = {key: revision, **(guards or {})}
         put = {"key": _encode(key), "value": _encode(encode_document(document))}
@@ -174,10 +179,12 @@
         try:
             answer = await self._call("kv/txn", body)
         except StoreUnavailableError as error:
-            if isinstance(error.__cause__, aiohttp.ClientConnectorError):
+            if _had_no_effect(error):
                 raise
             return "unknown"
-        return "swapped" if answer.get("succeeded") else "conflict"
+        if "header" not in answer:
+            return "unknown"
+        return "swapped" if answer.get("succeeded") is True else "conflict"
 
     async def put(self, key: str, data: bytes) -> None:
         """Write a key that is not a document.
@@ -242,8 +249,13 @@
         try:
             async with self._session.post(url, data=msgspec.json.encode(body)) as done:
                 data = await done.read()
-                if done.status != 200:
-                    raise StoreUnavailableError(f"the store answered {done.status}")
+                if done.status != HTTPStatus.OK:
+                    text = data[:MAX_ERROR_BYTES].decode(errors="replace")
+                    message = f"the store answered {done.status}: {text}"
+                    cause = aiohttp.ClientResponseError(
+                        done.request_info, done.history, status=done.status
+                    )
+                    raise StoreUnavailableError(message) from cause
                 answer = msgspec.json.decode(data)
         except TimeoutError as error:
             timeout = self._settings.timeout_ms
@@ -271,6 +283,14 @@
         raise StoreUnavailableError(reason) from error
 
 
+def _had_no_effect(error: StoreUnavailableError) -> bool:
+    """Tell whether a failed call has certainly changed nothing."""
+    cause = error.__cause__
+    if isinstance(cause, aiohttp.ClientResponseError):
+        return HTTPStatus.BAD_REQUEST <= cause.status < HTTPStatus.INTERNAL_SERVER_ERROR
+    return isinstance(cause, aiohttp.ClientConnectorError)
+
+
 def _encode(data: str | bytes) -> str:
     raw = data.encode() if isinstance(data, str) else data
     return base64.b64encode(raw).decode()
