Check, swap and record operators' scripts; find repeats, races and blockers

A script is refused if another operator changed the same objects meanwhile. A repeat under the same change id completes what is missing and repeats nothing, also when the change has left the document. Forgetting a member does not need the consent of members.

--- a/features/steps/operators_fakes.py
+++ b/features/steps/operators_fakes.py
@@ -6,13 +6,17 @@
 import copy
 from typing import Any, NamedTuple
 
+import msgspec
 from briarshed.documents import (
+    AUDIT_PREFIX,
     CONFIGURATION_KEY,
     FLEET_KEY,
+    KEPT_CHANGES,
     MEMBERS_KEY,
     Stored,
     make_empty,
 )
+from briarshed.exceptions import StoreUnavailableError
 from briarshed_entry.clock import now
 from returns.pipeline import is_successful
 from returns.result import Failure, Success
@@ -24,7 +28,7 @@
     def __init__(self) -> None:
         keys = (CONFIGURATION_KEY, FLEET_KEY, MEMBERS_KEY)
         self.documents = {key: make_empty(key) for key in keys}
-        self.audit: list[dict] = []
+        self.audit: dict[str, bytes] = {}
 
 
 class FakeReplica:
@@ -56,9 +60,12 @@
             self._copy()
         return not self.failing
 
-    async def list_audit(self, kind: str, at: float) -> list[dict]:
-        """Return the changes that were trimmed."""
-        return [change for change in self.store.audit if change["document"] == kind]
+    async def read_prefix(self, prefix: str) -> dict[str, bytes]:
+        """Return the changes that were moved out of the documents."""
+        if self.failing:
+            raise StoreUnavailableError("refused")
+        audit = self.store.audit
+        return {key: data for key, data in audit.items() if key.startswith(prefix)}
 
     async def change(self, key, apply, change_id):
         """Apply and swap until no other change came between."""
@@ -81,11 +88,22 @@
             if key in self.failure_after:
                 return Failure(self.failure_after.pop(key))
             document = {**applied.unwrap(), "version": held["version"] + 1}
+            self.trim(key, document)
             self.store.documents[key] = document
             self.swaps.append(key)
             self._copy()
             return Success(Stored(document, document["version"]))
 
+    def trim(self, key: str, document: dict) -> None:
+        """Move the older changes of a document to keys of their own."""
+        changes = document.get("changes", [])
+        for change in changes[:-KEPT_CHANGES]:
+            kind = key.rpartition("/")[2]
+            name = f"{AUDIT_PREFIX}{kind}/{change['version']:010d}/{change['id']}"
+            self.store.audit[name] = msgspec.json.encode(change)
+        if changes:
+            document["changes"] = changes[-KEPT_CHANGES:]
+
 
 class Reply(NamedTuple):
     """A peer's part of an answer."""
@@ -96,12 +114,26 @@
     rows: list[dict]
 
 
+class JobRow(NamedTuple):
+    """A job as the scheduler lists it."""
+
+    job_id: str
+    queue: str
+    team: str | None
+    urgent: bool
+    state: str
+    endpoint: str | None
+    attempts: int
+    age: float
+
+
 class FakeCoordinator:
     """Knows which members block changes, lag behind or answer questions."""
 
     def __init__(self) -> None:
         self.blockers: list[str] = []
         self.lagging: list[str] = []
+        self.silent: list[str] = []
         self.replies: list[Reply] = []
         self.waits: list[tuple[str, int, float]] = []
 
@@ -119,8 +151,13 @@
         return self.lagging
 
     async def gather(self, question) -> list[Reply]:
-        """Return the replies of the scenario."""
-        return self.replies
+        """Return this entry's answer and the replies of the scenario."""
+        own = Reply("entry-1", "dc1", 0.0, self.function(question))
+        return [own, *self.replies]
+
+    def unreached(self) -> list[str]:
+        """Return the members that do not answer."""
+        return self.silent
 
     def count_running(self, team: str) -> int:
         """Return no running jobs."""
@@ -131,8 +168,16 @@
     """Lists the jobs that a scenario gave it."""
 
     def __init__(self) -> None:
-        self.jobs: list[dict] = []
+        self.jobs: list[JobRow] = []
+
+    def add_jobs(self, count: int, queue: str, endpoint: str) -> None:
+        """Add running jobs."""
+        for number in range(count):
+            job = JobRow(
+                f"j{number}", queue, "hotels", False, "running", endpoint, 1, 2.5
+            )
+            self.jobs.append(job)
 
-    def list_jobs(self) -> list[dict]:
+    def list_jobs(self) -> list[JobRow]:
         """Return the jobs of the scenario."""
         return self.jobs
--- a/packages/briarshed-cli/src/briarshed_cli/main.py
+++ b/packages/briarshed-cli/src/briarshed_cli/main.py
@@ -9,7 +9,7 @@
 import sys
 import uuid
 from pathlib import Path
-from typing import Annotated, Any, NamedTuple
+from typing import Annotated, Any, NamedTuple, NoReturn
 
 import aiohttp
 import typer
@@ -23,15 +23,25 @@
 FINDINGS = 2
 REFUSED = 3
 NOT_IN_FORCE = 4
-UNREACHABLE = 5
+OUTCOME_UNKNOWN = 5
 NOT_RECOGNIZED = 6
 
 REQUEST_TIMEOUT_S = 60.0
-"""Longer than an entry waits for a change to be in force, with its swaps."""
+"""Longer than an entry's swaps and its wait until a change is in force."""
 
-_STATUS_CODES = {400: FINDINGS, 401: NOT_RECOGNIZED}
+_STATUS_CODES = {
+    400: FINDINGS,
+    401: NOT_RECOGNIZED,
+    413: FINDINGS,
+    504: OUTCOME_UNKNOWN,
+}
 
-application = typer.Typer(add_completion=False, no_args_is_help=True)
+application = typer.Typer(
+    add_completion=False,
+    no_args_is_help=True,
+    # A traceback with local variables would print the key.
+    pretty_exceptions_enable=False,
+)
 
 
 class Format(enum.StrEnum):
@@ -41,17 +51,19 @@
     TABLE = "table"
 
 
-class Target(NamedTuple):
-    """Where commands go, and with which key."""
+class Options(NamedTuple):
+    """Options that all commands share."""
 
     address: str
     key: str
+    key_file: Path | None
+    output: Format
 
 
-class UnreachableError(BriarshedError):
+class UnansweredError(BriarshedError):
     """No answer came from the entry."""
 
-    exit_code = UNREACHABLE
+    exit_code = OUTCOME_UNKNOWN
 
 
 class UsageError(BriarshedError):
@@ -60,93 +72,86 @@
     exit_code = FINDINGS
 
 
-Address = Annotated[
-    str,
-    typer.Option(
-        envvar="BRIARSHED_ADDRESS", help="An entry's operators' port: IP:PORT or URL."
-    ),
-]
-KeyFile = Annotated[
-    Path | None,
-    typer.Option(
-        envvar="BRIARSHED_KEY_FILE",
-        help="File with the operator's key; or the key in BRIARSHED_KEY.",
-    ),
-]
-Key = Annotated[
-    str,
-    typer.Option(
-        "--key",
-        envvar="BRIARSHED_KEY",
-        show_default=False,
-        show_envvar=False,
-        help="The key itself; other users of the machine may see it, so prefer"
-        " --key-file or BRIARSHED_KEY.",
-    ),
+ScriptFile = Annotated[
+    Path, typer.Argument(metavar="FILE", help="A script; '-' reads standard input.")
 ]
-OutputFormat = Annotated[Format, typer.Option("--format", help="Output format.")]
 ChangeId = Annotated[
     str,
-    typer.Option(help="Repeat a command with the id of its first try; it runs once."),
+    typer.Option(help="Id of the first try; a change with the same id is made once."),
 ]
 
 
+@application.callback()
+def set_options(
+    context: typer.Context,
+    address: Annotated[
+        str,
+        typer.Option(
+            envvar="BRIARSHED_ADDRESS",
+            help="An entry's operators' port, IP:PORT or URL.",
+        ),
+    ] = "",
+    key_file: Annotated[
+        Path | None,
+        typer.Option(envvar="BRIARSHED_KEY_FILE", help="File with the operator's key."),
+    ] = None,
+    key: Annotated[
+        str,
+        typer.Option(
+            envvar="BRIARSHED_KEY",
+            show_default=False,
+            help="The key itself; on the command line, other users of the machine may"
+            " see it.",
+        ),
+    ] = "",
+    output: Annotated[
+        Format, typer.Option("--format", help="Output format.")
+    ] = Format.TABLE,
+) -> None:
+    """Send commands and questions to an entry of briarshed.
+
+    Exit codes: 0 done; 1 internal error; 2 findings or wrong usage, nothing changed;
+    3 refused; 4 accepted but not yet in force everywhere; 5 no answer, the outcome is
+    unknown; 6 key not recognized.
+    """
+    context.obj = Options(address, key, key_file, output)
+
+
 @application.command("do")
 def send_text(
-    text: Annotated[str, typer.Argument(help='Commands, e.g. "show pools".')],
-    address: Address = "",
-    key_file: KeyFile = None,
-    key: Key = "",
-    output: OutputFormat = Format.TABLE,
+    context: typer.Context,
+    text: Annotated[str, typer.Argument(help='Commands, such as "show pools".')],
     change_id: ChangeId = "",
 ) -> None:
     """Run the commands of a text, one a line."""
-    _execute(text, "<command>", _find_target(address, key, key_file), output, change_id)
+    _execute(context.obj, text, "<command>", change_id)
 
 
 @application.command("run")
 def send_file(
-    file: Annotated[Path, typer.Argument(help="A script; '-' reads standard input.")],
-    address: Address = "",
-    key_file: KeyFile = None,
-    key: Key = "",
-    output: OutputFormat = Format.TABLE,
-    change_id: ChangeId = "",
+    context: typer.Context, file: ScriptFile, change_id: ChangeId = ""
 ) -> None:
     """Run the commands of a file."""
-    target = _find_target(address, key, key_file)
-    _execute(_read_script(file), str(file), target, output, change_id)
+    _execute(context.obj, _read_script(file), str(file), change_id)
 
 
 @application.command("check")
-def check_file(
-    file: Annotated[Path, typer.Argument(help="A script; '-' reads standard input.")],
-    address: Address = "",
-    key_file: KeyFile = None,
-    key: Key = "",
-    output: OutputFormat = Format.TABLE,
-) -> None:
-    """Check a file; with an address also against the documents, without a change."""
+def check_file(context: typer.Context, file: ScriptFile) -> None:
+    """Check a file; with an address also against the documents. Changes nothing."""
     text = _read_script(file)
-    if address:
-        target = _find_target(address, key, key_file)
-        _execute(text, str(file), target, output, "", dry_run=True)
-        return
+    if context.obj.address:
+        _execute(context.obj, text, str(file), dry_run=True)
     _check_syntax(text, str(file))
     typer.echo(f"{file}: no findings; names were not checked, since no address is set")
 
 
 @application.command("show")
 def send_question(
+    context: typer.Context,
     words: Annotated[list[str], typer.Argument(help="What follows 'show'.")],
-    address: Address = "",
-    key_file: KeyFile = None,
-    key: Key = "",
-    output: OutputFormat = Format.TABLE,
 ) -> None:
     """Ask a question: short for do "show ..."."""
-    text = " ".join(["show", *words])
-    _execute(text, "<command>", _find_target(address, key, key_file), output, "")
+    _execute(context.obj, " ".join(["show", *words]), "<command>")
 
 
 @application.command("hash-key")
@@ -170,16 +175,20 @@
         sys.exit(error.exit_code)
 
 
-def _find_target(address: str, key: str, key_file: Path | None) -> Target:
-    if not address:
-        raise UsageError("no address: use --address or BRIARSHED_ADDRESS")
-    if not key and key_file is not None:
-        key = _read_file(key_file).strip()
+def _find_key(options: Options) -> str:
+    key = options.key
+    if not key and options.key_file is not None:
+        key = _read_file(options.key_file).strip()
     if not key:
         raise UsageError("no key: use --key-file, BRIARSHED_KEY_FILE or BRIARSHED_KEY")
-    if "://" not in address:
-        address = f"http://{address}"
-    return Target(address.rstrip("/"), key)
+    return key
+
+
+def _find_url(options: Options) -> str:
+    address = options.address.rstrip("/")
+    if not address:
+        raise UsageError("no address: use --address or BRIARSHED_ADDRESS")
+    return address if "://" in address else f"http://{address}"
 
 
 def _read_script(file: Path) -> str:
@@ -200,45 +209,56 @@
 
 
 def _execute(
+    options: Options,
     text: str,
     source: str,
-    target: Target,
-    output: Format,
-    change_id: str,
+    change_id: str = "",
     dry_run: bool = False,
-) -> None:
-    # Findings of the language need no entry, so they are reported with its name.
+) -> NoReturn:
+    # Findings of the language need no entry.
     _check_syntax(text, source)
     change_id = change_id or uuid.uuid4().hex
-    status, content = asyncio.run(_send(text, target, change_id, dry_run))
-    if output == Format.JSON:
+    headers = {
+        "Authorization": f"Bearer {_find_key(options)}",
+        "Briarshed-Change-Id": change_id,
+        "Briarshed-Dry-Run": "true" if dry_run else "false",
+    }
+    status, content = asyncio.run(_send(_find_url(options), text, headers))
+    if options.output == Format.JSON:
         typer.echo(json.dumps(content, indent=2))
     else:
         print_answer(content, source)
-    raise typer.Exit(_find_exit_code(status, content))
+    code = _find_exit_code(status, content)
+    if code == OUTCOME_UNKNOWN:
+        typer.echo(_advise_repeat(change_id), err=True)
+    raise typer.Exit(code)
 
 
 async def _send(
-    text: str, target: Target, change_id: str, dry_run: bool
+    url: str, text: str, headers: dict[str, str]
 ) -> tuple[int, dict[str, Any]]:
-    headers = {
-        "Authorization": f"Bearer {target.key}",
-        "Briarshed-Change-Id": change_id,
-        "Briarshed-Dry-Run": "true" if dry_run else "false",
-    }
     timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
-    url = f"{target.address}/operator/commands"
     try:
         async with (
             aiohttp.ClientSession(timeout=timeout) as session,
-            session.post(url, data=text.encode(), headers=headers) as response,
+            session.post(
+                f"{url}/operator/commands", data=text.encode(), headers=headers
+            ) as response,
         ):
             return response.status, await response.json()
+    except aiohttp.ClientConnectorError as error:
+        raise UnansweredError(f"no connection, nothing was sent: {error}") from error
     except (aiohttp.ClientError, TimeoutError, ValueError) as error:
-        raise UnreachableError(
-            f"no answer from {target.address}: {error or type(error).__name__};"
-            f" a change may have been accepted: repeat it with --change-id {change_id}"
-        ) from error
+        reason = str(error) or type(error).__name__
+        advice = _advise_repeat(headers["Briarshed-Change-Id"])
+        raise UnansweredError(f"no answer from {url}: {reason}\n{advice}") from error
+
+
+def _advise_repeat(change_id: str) -> str:
+    return (
+        "a change may have been accepted; repeat the command with"
+        f" --change-id {change_id}, which makes it at most once"
+    )
 
 
 def _find_exit_code(status: int, content: dict[str, Any]) -> int:
--- a/packages/briarshed-cli/src/briarshed_cli/tables.py
+++ b/packages/briarshed-cli/src/briarshed_cli/tables.py
@@ -34,6 +34,8 @@
         _print_result(console, result)
     if "plan" in content:
         _print_plan(console, content["plan"])
+    for warning in content.get("warnings", ()):
+        errors.print(Text(f"warning: {warning}"))
     if content["accepted"]:
         errors.print(Text(_describe_acceptance(content)))
 
@@ -76,6 +78,8 @@
         lines.append(f"no answer from {missing}")
     if result["omitted"]:
         lines.append(f"{result['omitted']} more rows were left out")
+    if result.get("note"):
+        lines.append(result["note"])
     return lines
 
 
--- /dev/null
+++ b/packages/briarshed-entry/src/briarshed_entry/_operator_changes.py
@@ -0,0 +1,455 @@
+"""Changes of operators: checked as a whole, then swapped in, at most once each."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Mapping, Sequence
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from briarshed.changes import (
+    TARGETS,
+    Context,
+    Documents,
+    Outcome,
+    apply_script,
+    describe_plan,
+    describe_text,
+    list_conflicts,
+    list_dangling,
+    select_statements,
+)
+from briarshed.commands import ForgetMember, Script, Target, needs_key
+from briarshed.documents import CONFIGURATION_KEY, FLEET_KEY, MEMBERS_KEY, Change
+from briarshed.events import (
+    CHANGE_ACCEPTED,
+    CHANGE_IN_FORCE,
+    CHANGE_PENDING,
+    CHANGE_REFUSED,
+)
+from briarshed.exceptions import StoreUnavailableError
+from briarshed.findings import Finding, format_finding
+from briarshed.keys import make_key
+from briarshed.queries import Row
+from briarshed.settings import Settings
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from briarshed_entry._audit_trail import ReadPrefix, read_changes
+from briarshed_entry.logs import log_event
+
+if TYPE_CHECKING:
+    from briarshed_entry.coordinator import Coordinator
+    from briarshed_entry.replica import Replica
+
+MILLISECONDS = 1_000
+MAX_NAMED_CHANGES = 3
+
+UNKNOWN_PREFIX = "unknown:"
+"""Begins the reason of a change that may still take effect."""
+
+REPEAT_WINDOW_S = 900.0
+"""How far back a change id is looked for; operators repeat a command within minutes."""
+
+RECORD_INTERVAL_S = 1.0
+RECORD_ATTEMPTS = 1_800
+"""Half an hour, the longest time for which a member can block changes unseen."""
+
+_DOCUMENT_KEYS: dict[Target, str] = {
+    "configuration": CONFIGURATION_KEY,
+    "fleet": FLEET_KEY,
+    "members": MEMBERS_KEY,
+}
+
+
+class Request(NamedTuple):
+    """One operator's script; ``at`` is Unix time in seconds."""
+
+    script: Script
+    change_id: str
+    who: str
+    at: float
+
+
+class Made(NamedTuple):
+    """A script that was accepted, or a dry run.
+
+    Attributes
+    ----------
+    rows : dict
+        Line of each statement to its result row.
+    accepted : bool
+        Whether something was changed; false for a dry run.
+    waiting_for : sequence of str
+        Members in which the change is not in force yet.
+    extra : dict
+        More fields of the response.
+    """
+
+    rows: Mapping[int, Row]
+    accepted: bool
+    waiting_for: Sequence[str]
+    extra: Mapping[str, Any]
+
+
+class Refused(NamedTuple):
+    """A script that was not accepted, or only in part."""
+
+    status: int
+    reason: str
+    findings: Sequence[Finding] = ()
+    partly: Mapping[Target, int] = {}
+
+
+class _Swap(NamedTuple):
+    version: int
+    rows: Mapping[int, Row]
+    repeated: bool
+
+
+class Changes:
+    """Makes the changes of operators on this entry."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        replica: Replica,
+        coordinator: Coordinator,
+        read_prefix: ReadPrefix | None,
+    ) -> None:
+        self._settings = settings
+        self._replica = replica
+        self._coordinator = coordinator
+        self._read_prefix = read_prefix
+        self._recorders: set[asyncio.Task[None]] = set()
+
+    async def close(self) -> None:
+        """Give up the records that are still to be made."""
+        for task in self._recorders:
+            task.cancel()
+        await asyncio.gather(*self._recorders, return_exceptions=True)
+
+    async def make(self, request: Request) -> Result[Made, Refused]:
+        """Check a script against the documents, and change them."""
+        store_reached = await self._replica.refresh()
+        documents = self._get_documents()
+        try:
+            done = await self._list_done(request, documents)
+        except StoreUnavailableError as error:
+            return Failure(Refused(503, f"the store is not available: {error.message}"))
+        misused = _find_misused_id(request, done)
+        if misused:
+            return Failure(Refused(409, misused))
+        targets = [target for target in _list_targets(request) if target not in done]
+        # A guard counts whichever document it names, until that one is changed.
+        open_targets = [name for name in TARGETS if targets and name not in done]
+        checked = self._apply(request, documents, open_targets)
+        if not is_successful(checked):
+            return Failure(_report(checked.failure()))
+        outcome = checked.unwrap()
+        if request.script.dry_run:
+            rows = {line: _hide_key(row) for line, row in outcome.rows.items()}
+            plan = describe_plan(documents, outcome.documents)
+            return Success(Made(rows, False, (), {"plan": plan}))
+        if targets and not store_reached:
+            reason = "the store is not available, so no change is accepted now"
+            return Failure(Refused(503, reason))
+        if "members" in targets:
+            return await self._forget(request, documents, outcome)
+        blockers = self._coordinator.list_blockers() if targets else []
+        if blockers:
+            return Failure(Refused(503, _describe_blockers(blockers)))
+        return await self._swap_all(request, documents, outcome, targets, done)
+
+    def _get_documents(self) -> Documents:
+        replica = self._replica
+        return Documents(replica.configuration, replica.fleet, replica.members)
+
+    async def _list_done(
+        self, request: Request, documents: Documents
+    ) -> dict[Target, Change]:
+        """Return the documents in which this change id has already taken effect."""
+        done: dict[Target, Change] = {}
+        since = request.at - REPEAT_WINDOW_S
+        for target in _list_targets(request):
+            recorder: Target = "configuration" if target == "members" else target
+            document = getattr(documents, recorder)
+            changes, _ = await read_changes(
+                self._read_prefix, recorder, document, since
+            )
+            for change in changes:
+                if change["id"] == request.change_id:
+                    done[target] = change
+        return done
+
+    def _apply(
+        self, request: Request, documents: Documents, targets: Sequence[Target]
+    ) -> Result[Outcome, tuple[Finding, ...]]:
+        count = sum(needs_key(item.command) for item in request.script.statements)
+        keys = [make_key() for _ in range(count)]
+        context = Context(request.change_id, request.who, request.at, keys)
+        return apply_script(request.script, documents, context, targets)
+
+    async def _swap_all(
+        self,
+        request: Request,
+        base: Documents,
+        expected: Outcome,
+        targets: Sequence[Target],
+        done: Mapping[Target, Change],
+    ) -> Result[Made, Refused]:
+        rows = _describe_repeated(request, done)
+        versions = {target: change["version"] for target, change in done.items()}
+        for target in targets:
+            changed = await self._swap(request, target, base, expected)
+            if not is_successful(changed):
+                return Failure(_describe_part(changed.failure(), versions))
+            swap = changed.unwrap()
+            versions[target] = swap.version
+            rows |= swap.rows
+            if not swap.repeated:
+                _log_accepted(request, target, swap.version)
+        await self._replica.refresh()
+        warnings = list_dangling(self._get_documents())
+        waiting = await self._wait_in_force(versions)
+        return Success(Made(rows, True, waiting, {"warnings": warnings}))
+
+    async def _swap(
+        self, request: Request, target: Target, base: Documents, expected: Outcome
+    ) -> Result[_Swap, Refused]:
+        """Change one document; a change that lost a race to another is refused."""
+        applied: list[Outcome] = []
+        races: list[str] = []
+        before = getattr(base, target)
+        touched = expected.touched[target]
+
+        def apply(document: Any) -> Result[Any, str]:
+            conflicts = list_conflicts(target, before, document, touched)
+            if conflicts:
+                races.append(_describe_race(target, before, document, conflicts))
+                return Failure(races[-1])
+            current = self._get_documents()._replace(**{target: document})
+            outcome = self._apply(request, current, [target])
+            if not is_successful(outcome):
+                found = outcome.failure()
+                races.append(_describe_late(target, before, document, found))
+                return Failure(races[-1])
+            applied.append(outcome.unwrap())
+            return Success(getattr(applied[-1].documents, target))
+
+        key = _DOCUMENT_KEYS[target]
+        changed = await self._replica.change(key, apply, request.change_id)
+        if not is_successful(changed):
+            status = 409 if races else _find_status(changed.failure())
+            return Failure(Refused(status, changed.failure()))
+        version = changed.unwrap().value["version"]
+        rows = applied[-1].rows if applied else {}
+        return Success(_Swap(version, rows, not applied))
+
+    async def _wait_in_force(self, versions: Mapping[Target, int]) -> list[str]:
+        timeout = self._settings.timing.in_force_timeout_ms / MILLISECONDS
+        waits = [
+            self._coordinator.wait_in_force(_DOCUMENT_KEYS[target], version, timeout)
+            for target, version in versions.items()
+        ]
+        found = await asyncio.gather(*waits)
+        for (target, version), members in zip(versions.items(), found, strict=True):
+            if members:
+                names = ", ".join(members)
+                log_event(
+                    CHANGE_PENDING, document=target, version=version, members=names
+                )
+            else:
+                log_event(CHANGE_IN_FORCE, document=target, version=version)
+        return sorted({name for members in found for name in members})
+
+    async def _forget(
+        self, request: Request, base: Documents, expected: Outcome
+    ) -> Result[Made, Refused]:
+        """Remove members; blockers do not matter, since this is how they are ended.
+
+        The members are swapped first: until then the audit trail, which is kept in
+        the configuration, cannot be changed if a member to be removed blocks it.
+        """
+        refusal = self._find_answering(request)
+        if refusal:
+            return Failure(Refused(409, refusal))
+        forgotten = False
+
+        def forget(members: Any) -> Result[Any, str]:
+            nonlocal forgotten
+            current = base._replace(members=members)
+            outcome = self._apply(request, current, ["members"])
+            if is_successful(outcome):
+                return Success(outcome.unwrap().documents.members)
+            forgotten = True
+            return Failure("the members were removed meanwhile")
+
+        changed = await self._replica.change(MEMBERS_KEY, forget, request.change_id)
+        if not is_successful(changed) and not forgotten:
+            reason = changed.failure()
+            return Failure(Refused(_find_status(reason), reason))
+        warnings = []
+        objection = await self._record_forgotten(request, base)
+        if objection:
+            warnings.append(
+                f"not yet in the audit trail: {objection}; this entry records it as"
+                " soon as it can"
+            )
+            task = asyncio.create_task(self._record_later(request, base))
+            self._recorders.add(task)
+            task.add_done_callback(self._recorders.discard)
+        return Success(Made(expected.rows, True, (), {"warnings": warnings}))
+
+    def _find_answering(self, request: Request) -> str:
+        """Return a refusal if the process of a member to be forgotten still runs."""
+        unreached = self._coordinator.unreached()
+        names = [item.command.name for item in request.script.statements]
+        running = [name for name in names if name not in unreached]
+        if not running:
+            return ""
+        return (
+            f"{', '.join(running)} answers, so its process is not gone; stop it first"
+        )
+
+    async def _record_forgotten(self, request: Request, base: Documents) -> str:
+        """Write the audit of forgotten members; return why it failed, if it did."""
+
+        def record(configuration: Any) -> Result[Any, str]:
+            current = base._replace(configuration=configuration)
+            outcome = self._apply(request, current, ["members"]).unwrap()
+            return Success(outcome.documents.configuration)
+
+        key = CONFIGURATION_KEY
+        changed = await self._replica.change(key, record, request.change_id)
+        if not is_successful(changed):
+            return changed.failure()
+        _log_accepted(request, "members", changed.unwrap().value["version"])
+        return ""
+
+    async def _record_later(self, request: Request, base: Documents) -> None:
+        objection = ""
+        for _ in range(RECORD_ATTEMPTS):
+            await asyncio.sleep(RECORD_INTERVAL_S)
+            objection = await self._record_forgotten(request, base)
+            if not objection:
+                return
+        reason = f"'{_get_own(request, 'configuration')}' is not recorded: {objection}"
+        log_event(CHANGE_REFUSED, who=request.who, reason=reason)
+
+
+def _list_targets(request: Request) -> list[Target]:
+    """Return the documents that a script changes; the configuration comes first."""
+    statements = request.script.statements
+    if any(isinstance(item.command, ForgetMember) for item in statements):
+        return ["members"]
+    targets: tuple[Target, ...] = ("configuration", "fleet")
+    return [target for target in targets if _get_own(request, target)]
+
+
+def _get_own(request: Request, target: Target) -> str:
+    return describe_text(select_statements(request.script, target))
+
+
+def _log_accepted(request: Request, target: Target, version: int) -> None:
+    recorder: Target = "configuration" if target == "members" else target
+    log_event(
+        CHANGE_ACCEPTED,
+        who=request.who,
+        document=target,
+        version=version,
+        what=_get_own(request, recorder),
+    )
+
+
+def _report(findings: Sequence[Finding]) -> Refused:
+    return Refused(400, "; ".join(map(format_finding, findings)), findings)
+
+
+def _find_status(reason: str) -> int:
+    return 504 if reason.startswith(UNKNOWN_PREFIX) else 503
+
+
+def _find_misused_id(request: Request, done: Mapping[Target, Change]) -> str:
+    """Return a message if the change id was used for another script."""
+    for target, change in done.items():
+        recorder: Target = "configuration" if target == "members" else target
+        same_what = change["what"] == _get_own(request, recorder)
+        if change["who"] != request.who or not same_what:
+            return (
+                f"change id '{request.change_id}' was already used for another script,"
+                f" by {change['who']} in version {change['version']}"
+            )
+    return ""
+
+
+def _describe_repeated(
+    request: Request, done: Mapping[Target, Change]
+) -> dict[int, Row]:
+    """Return result rows for the statements that were accepted before."""
+    rows: dict[int, Row] = {}
+    for target, change in done.items():
+        made = [
+            name.partition(".")[2]
+            for name in change["after"]
+            if name.startswith("keys.") and change["before"][name] is None
+        ]
+        key_ids = iter(made)
+        recorder: Target = "configuration" if target == "members" else target
+        for statement in select_statements(request.script, recorder):
+            row: Row = {"note": f"already accepted as version {change['version']}"}
+            if needs_key(statement.command):
+                row["key_id"] = next(key_ids)
+                row["note"] += (
+                    "; the key's text was shown only then: if it is lost, withdraw the"
+                    " key and create another"
+                )
+            rows[statement.line] = row
+    return rows
+
+
+def _hide_key(row: Row) -> Row:
+    # A dry run stores no key, so the one made for the check would never work.
+    return {name: value for name, value in row.items() if name not in ("key", "key_id")}
+
+
+def _describe_blockers(blockers: Sequence[str]) -> str:
+    return (
+        "no change is accepted by this entry now, since these members may not learn of"
+        f" it: {', '.join(blockers)}"
+    )
+
+
+def _describe_part(refused: Refused, versions: Mapping[Target, int]) -> Refused:
+    if not versions:
+        return refused
+    done = ", ".join(f"{target} {version}" for target, version in versions.items())
+    reason = f"a part was accepted ({done}), the rest was not: {refused.reason}"
+    return refused._replace(reason=reason, partly=dict(versions))
+
+
+def _describe_race(target: Target, base: Any, document: Any, names: list[str]) -> str:
+    listed = ", ".join(name.replace(".", " ", 1) for name in names)
+    return (
+        f"the script lost a race: {listed} changed meanwhile;"
+        f" {_describe_position(target, base, document)}"
+    )
+
+
+def _describe_late(
+    target: Target, base: Any, document: Any, findings: Sequence[Finding]
+) -> str:
+    text = "; ".join(format_finding(found) for found in findings)
+    return (
+        f"the script lost a race: {text}; {_describe_position(target, base, document)}"
+    )
+
+
+def _describe_position(target: Target, base: Any, document: Any) -> str:
+    """Return the current version and who made the changes since the base."""
+    newer = [
+        f"{change['who']} in version {change['version']}: {change['what']}"
+        for change in document["changes"]
+        if change["version"] > base["version"]
+    ]
+    came = f"; changed by {' and '.join(newer[-MAX_NAMED_CHANGES:])}" if newer else ""
+    return f"the {target} is now at version {document['version']}{came}"
--- /dev/null
+++ b/packages/briarshed-entry/src/briarshed_entry/_operator_questions.py
@@ -0,0 +1,167 @@
+"""Answers to operators' questions, from the documents and from all entries."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import TYPE_CHECKING, Any
+
+from briarshed.commands import Show
+from briarshed.documents import Change
+from briarshed.exceptions import StoreUnavailableError
+from briarshed.queries import (
+    GATHERED_SUBJECTS,
+    Row,
+    Table,
+    answer_part,
+    answer_question,
+    list_changes,
+    list_instances,
+    list_jobs,
+    list_keys,
+    list_members,
+    list_pools,
+    list_queues,
+    list_teams,
+    list_waves,
+    make_question,
+    merge_parts,
+    read_question,
+)
+from briarshed.settings import Settings
+
+from briarshed_entry._audit_trail import ReadPrefix, read_changes
+from briarshed_entry.clock import now
+
+if TYPE_CHECKING:
+    from briarshed_entry.coordinator import Coordinator
+    from briarshed_entry.replica import Replica
+    from briarshed_entry.scheduler import Scheduler
+
+Place = dict[str, Any]
+
+
+class Questions:
+    """Answers questions of operators and of other entries."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        replica: Replica,
+        coordinator: Coordinator,
+        scheduler: Scheduler,
+        read_prefix: ReadPrefix | None,
+    ) -> None:
+        self._settings = settings
+        self._replica = replica
+        self._coordinator = coordinator
+        self._scheduler = scheduler
+        self._read_prefix = read_prefix
+
+    def answer_peer(self, question: Mapping[str, Any]) -> list[Row]:
+        """Return this entry's part of the answer to an entry's question."""
+        show = read_question(question)
+        return answer_part(show, self._list_jobs())
+
+    async def answer(self, show: Show, at: float) -> dict[str, Any]:
+        """Return the answer: columns, rows, and where they come from.
+
+        Parameters
+        ----------
+        at : float
+            Unix time in seconds.
+        """
+        if show.subject in GATHERED_SUBJECTS:
+            return await self._gather(show)
+        if show.subject == "changes":
+            return await self._answer_changes(show, at)
+        table = answer_question(show, self._list_rows(show.subject), at)
+        return _describe_table(table, [self._describe_copy()], [])
+
+    async def _gather(self, show: Show) -> dict[str, Any]:
+        replies = await self._coordinator.gather(make_question(show))
+        places = [
+            _describe_place(reply.entry, reply.data_centre, reply.age)
+            for reply in replies
+        ]
+        answered = {reply.entry for reply in replies}
+        missing = [
+            {"entry": name, "data_centre": member["data_centre"]}
+            for name, member in sorted(self._replica.members["members"].items())
+            if name not in answered
+        ]
+        table = merge_parts(show, [reply.rows for reply in replies])
+        return _describe_table(table, places, missing)
+
+    async def _answer_changes(self, show: Show, at: float) -> dict[str, Any]:
+        documents = {
+            "configuration": self._replica.configuration,
+            "fleet": self._replica.fleet,
+        }
+        # Without "since" only the changes kept in the documents are shown.
+        since = at if show.since is None else at - show.since
+        changes: dict[str, list[Change]] = {}
+        notes = []
+        for target, document in documents.items():
+            try:
+                found, complete = await read_changes(
+                    self._read_prefix, target, document, since
+                )
+            except StoreUnavailableError as error:
+                found, complete = document["changes"], True
+                notes.append(f"older changes could not be read: {error.message}")
+            changes[target] = found
+            if not complete and show.since is not None:
+                notes.append(f"older changes of the {target} are not shown")
+        table = answer_question(show, list_changes(changes), at)
+        described = _describe_table(table, [self._describe_copy()], [])
+        return {**described, "note": "; ".join(notes)}
+
+    def _describe_copy(self) -> Place:
+        """Return which entry's copy of the documents was used, and its age."""
+        read_at = self._replica.read_at
+        age = None if read_at is None else now() - read_at
+        return _describe_place(self._settings.name, self._settings.data_centre, age)
+
+    def _list_jobs(self) -> list[Row]:
+        replica = self._replica
+        jobs = [job._asdict() for job in self._scheduler.list_jobs()]
+        return list_jobs(
+            replica.configuration, replica.fleet, self._settings.name, jobs
+        )
+
+    def _list_rows(self, subject: str) -> list[Row]:
+        configuration, fleet = self._replica.configuration, self._replica.fleet
+        match subject:
+            case "instances":
+                return list_instances(fleet)
+            case "teams":
+                return list_teams(configuration, self._coordinator.count_running)
+            case "pools":
+                return list_pools(configuration, fleet)
+            case "queues":
+                return list_queues(configuration)
+            case "keys":
+                return list_keys(configuration)
+            case "waves":
+                return list_waves(fleet)
+            case "members":
+                return list_members(self._replica.members)
+            case _:
+                return []
+
+
+def _describe_place(entry: str, data_centre: str, age: float | None) -> Place:
+    shown = None if age is None else round(age, 3)
+    return {"entry": entry, "data_centre": data_centre, "age_s": shown}
+
+
+def _describe_table(
+    table: Table, parts: list[Place], unreached: list[Place]
+) -> dict[str, Any]:
+    return {
+        "columns": list(table.columns),
+        "rows": table.rows,
+        "omitted": table.omitted,
+        "parts": parts,
+        "unreached": unreached,
+    }
--- a/packages/briarshed/src/briarshed/changes.py
+++ b/packages/briarshed/src/briarshed/changes.py
@@ -219,6 +219,7 @@
     work = _Work(script.source, documents, context)
     rows: dict[int, Row] = {}
     chosen = [item for item in script.statements if _is_chosen(item, targets)]
+    _check_forgetting(work, script)
     for statement in chosen:
         handler = _HANDLERS[type(statement.command)]
         rows[statement.line] = handler(work, statement, statement.command) or {}
@@ -232,12 +233,19 @@
     return Success(Outcome(changed, rows, touched))
 
 
-def find_change(document: Any, change_id: str) -> Change | None:
-    """Return the change with an id from a document's audit trail."""
-    for change in document["changes"]:
-        if change["id"] == change_id:
-            return change
-    return None
+def list_dangling(documents: Documents) -> list[str]:
+    """Return a warning for each instance whose pool was deleted in a race.
+
+    The pool and the instance stand in two documents, so one swap cannot check both.
+    """
+    pools = documents.configuration["pools"]
+    return [
+        f"pool '{pool}' of instance '{name}' was deleted at the same time: create the"
+        " pool again, or move or remove the instance"
+        for name, instance in documents.fleet["instances"].items()
+        for pool in (instance["pool"], instance["target_pool"])
+        if pool is not None and pool not in pools
+    ]
 
 
 def list_conflicts(
@@ -327,6 +335,18 @@
     return target is not None and target in targets
 
 
+def _check_forgetting(work: _Work, script: Script) -> None:
+    # Forgetting works while members block all other changes.
+    forgetting = [
+        item
+        for item in script.statements
+        if isinstance(item.command, commands.ForgetMember)
+    ]
+    if forgetting and len(forgetting) < len(script.statements):
+        message = "'forget member' must stand in a script of its own"
+        work.report(forgetting[0], "", message)
+
+
 def _find_recorder(statement: Statement) -> Target | None:
     # The members document keeps no changes; the configuration records those.
     target = find_target(statement.command)
@@ -502,8 +522,9 @@
     work.check_new(statement, "queues", command.name)
     work.check_numbers(statement)
     _check_queue(work, statement, command)
-    queue = _drop_name(command._asdict())
-    work.configuration["queues"][command.name] = {**queue, "teams": [*command.teams]}
+    queue = {**_drop_name(command._asdict()), "teams": [*command.teams]}
+    _check_open(work, statement, queue)
+    work.configuration["queues"][command.name] = queue
     return {"queue": command.name}
 
 
@@ -514,6 +535,7 @@
     if queue is not None:
         queue.update(_drop_unset(command))
         queue["teams"] = [*queue["teams"]]
+        _check_open(work, statement, queue)
     return {"queue": command.name}
 
 
@@ -525,9 +547,13 @@
         if team in command.teams[:index]:
             message = f"team '{team}' is given more than once"
             work.report(statement, "teams", message, index=index)
-    if command.open and command.teams:
+
+
+def _check_open(work: _Work, statement: Statement, queue: Any) -> None:
+    if queue["open"] and queue["teams"]:
         message = "a queue that is open to all takes no teams"
-        work.report(statement, "teams", message)
+        field = "teams" if "teams" in statement.columns else "open"
+        work.report(statement, field, message, "write 'closed' or 'teams all'")
 
 
 def _delete_queue(work: _Work, statement: Statement, command: Any) -> Row:
--- a/packages/briarshed/src/briarshed/language.py
+++ b/packages/briarshed/src/briarshed/language.py
@@ -25,7 +25,7 @@
     "NUMBER": "a number",
     "DURATION": "a duration such as 60s, 10m or 2h",
     "ADDRESS": "an address such as 127.0.0.1:9001",
-    "VALUE": "a value",
+    "VALUE": "a value, in quotes if it has spaces",
     "OPERATOR": "one of = != < >",
     "_EQUALS": "'='",
     "COMMA": "','",
@@ -221,7 +221,7 @@
 
 def _read_condition(tree: Tree) -> Condition:
     field, operator, value = (str(child) for child in tree.children)
-    return Condition(field.replace("-", "_"), operator, value)
+    return Condition(field.replace("-", "_"), operator, value.strip('"'))
 
 
 def _read_value(name: str, tokens: list[Token]) -> Any:
--- a/packages/briarshed/src/briarshed/queries.py
+++ b/packages/briarshed/src/briarshed/queries.py
@@ -18,7 +18,20 @@
 """Keeps an entry's answer well under the 1 MB that a frame between entries holds."""
 
 COLUMNS: dict[str, tuple[str, ...]] = {
-    "jobs": ("job_id", "team", "queue", "pool", "state", "urgent", "age_s", "entry"),
+    "jobs": (
+        "job_id",
+        "team",
+        "queue",
+        "pool",
+        "state",
+        "instance",
+        "rack",
+        "data_centre",
+        "urgent",
+        "attempts",
+        "age_s",
+        "entry",
+    ),
     "instances": (
         "instance",
         "pool",
@@ -231,6 +244,35 @@
     return {name: row.get(name) for name in columns}
 
 
+def list_jobs(
+    configuration: Configuration, fleet: Fleet, entry: str, jobs: Iterable[Row]
+) -> list[Row]:
+    """Return a row for each job of an entry, with the instance that runs it.
+
+    Parameters
+    ----------
+    jobs : iterable of dict
+        Rows with ``job_id``, ``queue``, ``team``, ``state``, ``urgent``,
+        ``endpoint`` (an address or None), ``attempts`` and ``age`` in seconds.
+    """
+    instances = {
+        instance["address"]: (name, instance)
+        for name, instance in fleet["instances"].items()
+    }
+    rows = []
+    for job in jobs:
+        queue = configuration["queues"].get(job["queue"], {"pool": None})
+        name, instance = instances.get(job["endpoint"], (None, {}))
+        place = {
+            "instance": name,
+            "rack": instance.get("rack"),
+            "data_centre": instance.get("data_centre"),
+        }
+        row = {**job, **place, "pool": queue["pool"], "entry": entry}
+        rows.append({**row, "age_s": round(job["age"], 1)})
+    return rows
+
+
 def list_pools(configuration: Configuration, fleet: Fleet) -> list[Row]:
     """Return a row for each pool, with counts of its instances."""
     rows = []
