--- a/features/language.feature
+++ b/features/language.feature
@@ -90,8 +90,8 @@
       | add instance i-9 pool proofs rack r1 data-centre dc1 address 999.0.0.1:1 | 62 | is not an address                |
       | remove instance i-10                         | 17     | unknown instance 'i-10'                       |
       | move instance i-1 to pool proofs             | 27     | already in that pool                          |
-      | move instance i-3 to pool reserve            | 15     | is failed; only a serving one moves           |
-      | move instance i-1 to pool reserve            | 15     | 2 instances of pool 'proofs' out of service; its budget is 1 |
+      | move instance i-3 to pool reserve            | 15     | is failed, not serving                        |
+      | move instance i-1 to pool reserve            | 15     | budget of pool 'proofs' is used up            |
       | start wave w-1 pools proofs                  | 12     | wave 'w-1' is already running                 |
       | start wave w-2 pools proofs                  | 22     | wave 'w-1' already covers instance i-2        |
       | start wave w-2 pools reserve                 | 22     | these pools have no instance                  |
--- /dev/null
+++ b/features/language_page.feature
@@ -0,0 +1,17 @@
+Feature: The examples of the language page work
+  Guards against a page that shows commands the program does not take.
+
+  Scenario: All commands of the page are accepted in their order
+    When the commands of the language page are applied
+    Then at least 30 commands of the page were accepted
+    And every command of the language has an example
+
+  Scenario: All questions of the page are answered
+    When the questions of the language page are asked
+    Then at least 10 questions of the page were answered
+    And every subject has an example, and the page lists its columns
+
+  Scenario: The page names the limits of the program
+    Then the page says "at most 2,000 lines and 256 KiB"
+    And the page says "up to 2,000 versions back"
+    And the page says "at most 500 rows"
--- a/features/operators.feature
+++ b/features/operators.feature
@@ -230,3 +230,10 @@
   Scenario: A rotated key stays valid for the overlap
     When maria sends "rotate key k-1a2b3c4d overlap 60s"
     Then key "k-1a2b3c4d" expires in 60 s and the new one does not
+
+  Scenario: Measures are computed from all entries and the audit trail
+    Given this entry has 4 running jobs of queue "proofing" at instance "i-1"
+    When maria sends "show measures"
+    Then the measure "buffer" of "proofs" is 3.0
+    And the measure "share" of "hotels" is 1.0
+    And the measure "moves" of "last 24 h" is 0
--- a/features/steps/operators_steps.py
+++ b/features/steps/operators_steps.py
@@ -458,3 +458,14 @@
     assert abs(keys[name]["expires_at"] - time.time() - seconds) < 10, keys
     row = context.answer["results"][0]
     assert keys[row["key_id"]]["expires_at"] is None, keys
+
+
+@then('the measure "{measure}" of "{subject}" is {value:g}')
+def step_measure(context, measure, subject, value):
+    rows = context.answer["results"][0]["rows"]
+    found = [
+        row["value"]
+        for row in rows
+        if (row["measure"], row["subject"]) == (measure, subject)
+    ]
+    assert found == [value], rows
--- a/packages/briarshed-cli/src/briarshed_cli/tables.py
+++ b/packages/briarshed-cli/src/briarshed_cli/tables.py
@@ -14,6 +14,9 @@
 from rich.text import Text
 
 _TIME_COLUMNS = ("at", "since", "expires_at", "replaced_expires_at")
+MAX_TEXT_LENGTH = 100
+"""Longest text of a change in a table; ``--format json`` has all of it."""
+
 _PIPED_WIDTH = 10_000
 """Rows stay whole when the output goes to a file or another program."""
 
@@ -89,7 +92,9 @@
 
 def _print_plan(console: Console, plan: dict[str, Any]) -> None:
     console.print(
-        Text(f"dry run: {plan['moves']} moves, {plan['stops']} stops; nothing changed")
+        Text(
+            f"dry run, nothing changed; moves: {plan['moves']}, stops: {plan['stops']}"
+        )
     )
     if plan["pools"]:
         _print_rows(console, list(plan["pools"][0]), plan["pools"])
@@ -111,6 +116,8 @@
     if column in _TIME_COLUMNS and isinstance(value, int | float):
         moment = datetime.fromtimestamp(value, UTC)
         return moment.isoformat(sep=" ", timespec="seconds")
+    if column == "what" and len(value) > MAX_TEXT_LENGTH:
+        return value[:MAX_TEXT_LENGTH] + "..."
     if isinstance(value, dict):
         return json.dumps(value, sort_keys=True)
     return format_value(value)
--- a/packages/briarshed-entry/src/briarshed_entry/_operator_changes.py
+++ b/packages/briarshed-entry/src/briarshed_entry/_operator_changes.py
@@ -79,6 +79,8 @@
         Line of each statement to its result row.
     accepted : bool
         Whether something was changed; false for a dry run.
+    versions : dict
+        Changed document to the version with the change.
     waiting_for : sequence of str
         Members in which the change is not in force yet.
     extra : dict
@@ -87,6 +89,7 @@
 
     rows: Mapping[int, Row]
     accepted: bool
+    versions: Mapping[Target, int]
     waiting_for: Sequence[str]
     extra: Mapping[str, Any]
 
@@ -149,7 +152,7 @@
         if request.script.dry_run:
             rows = {line: _hide_key(row) for line, row in outcome.rows.items()}
             plan = describe_plan(documents, outcome.documents)
-            return Success(Made(rows, False, (), {"plan": plan}))
+            return Success(Made(rows, False, {}, (), {"plan": plan}))
         if targets and not store_reached:
             reason = "the store is not available, so no change is accepted now"
             return Failure(Refused(503, reason))
@@ -171,7 +174,7 @@
         done: dict[Target, Change] = {}
         since = request.at - REPEAT_WINDOW_S
         for target in _list_targets(request):
-            recorder: Target = "configuration" if target == "members" else target
+            recorder = _find_recorder(target)
             document = getattr(documents, recorder)
             changes, _ = await read_changes(
                 self._read_prefix, recorder, document, since
@@ -198,7 +201,9 @@
         done: Mapping[Target, Change],
     ) -> Result[Made, Refused]:
         rows = _describe_repeated(request, done)
-        versions = {target: change["version"] for target, change in done.items()}
+        versions = {
+            _find_recorder(target): change["version"] for target, change in done.items()
+        }
         for target in targets:
             changed = await self._swap(request, target, base, expected)
             if not is_successful(changed):
@@ -211,7 +216,7 @@
         await self._replica.refresh()
         warnings = list_dangling(self._get_documents())
         waiting = await self._wait_in_force(versions)
-        return Success(Made(rows, True, waiting, {"warnings": warnings}))
+        return Success(Made(rows, True, versions, waiting, {"warnings": warnings}))
 
     async def _swap(
         self, request: Request, target: Target, base: Documents, expected: Outcome
@@ -298,7 +303,7 @@
             task = asyncio.create_task(self._record_later(request, base))
             self._recorders.add(task)
             task.add_done_callback(self._recorders.discard)
-        return Success(Made(expected.rows, True, (), {"warnings": warnings}))
+        return Success(Made(expected.rows, True, {}, (), {"warnings": warnings}))
 
     def _find_answering(self, request: Request) -> str:
         """Return a refusal if the process of a member to be forgotten still runs."""
@@ -346,18 +351,22 @@
     return [target for target in targets if _get_own(request, target)]
 
 
+def _find_recorder(target: Target) -> Target:
+    """Return the document whose audit trail records a change of a document."""
+    return "configuration" if target == "members" else target
+
+
 def _get_own(request: Request, target: Target) -> str:
     return describe_text(select_statements(request.script, target))
 
 
 def _log_accepted(request: Request, target: Target, version: int) -> None:
-    recorder: Target = "configuration" if target == "members" else target
     log_event(
         CHANGE_ACCEPTED,
         who=request.who,
         document=target,
         version=version,
-        what=_get_own(request, recorder),
+        what=_get_own(request, _find_recorder(target)),
     )
 
 
@@ -372,8 +381,7 @@
 def _find_misused_id(request: Request, done: Mapping[Target, Change]) -> str:
     """Return a message if the change id was used for another script."""
     for target, change in done.items():
-        recorder: Target = "configuration" if target == "members" else target
-        same_what = change["what"] == _get_own(request, recorder)
+        same_what = change["what"] == _get_own(request, _find_recorder(target))
         if change["who"] != request.who or not same_what:
             return (
                 f"change id '{request.change_id}' was already used for another script,"
@@ -394,8 +402,7 @@
             if name.startswith("keys.") and change["before"][name] is None
         ]
         key_ids = iter(made)
-        recorder: Target = "configuration" if target == "members" else target
-        for statement in select_statements(request.script, recorder):
+        for statement in select_statements(request.script, _find_recorder(target)):
             row: Row = {"note": f"already accepted as version {change['version']}"}
             if needs_key(statement.command):
                 row["key_id"] = next(key_ids)
--- a/packages/briarshed-entry/src/briarshed_entry/_operator_questions.py
+++ b/packages/briarshed-entry/src/briarshed_entry/_operator_questions.py
@@ -15,9 +15,11 @@
     answer_part,
     answer_question,
     list_changes,
+    list_history,
     list_instances,
     list_jobs,
     list_keys,
+    list_measures,
     list_members,
     list_pools,
     list_queues,
@@ -37,6 +39,10 @@
     from briarshed_entry.replica import Replica
     from briarshed_entry.scheduler import Scheduler
 
+DAY_S = 86_400.0
+
+_JOBS_BY_POOL = Show("jobs", group=("pool", "team", "state"))
+
 Place = dict[str, Any]
 
 
@@ -74,10 +80,13 @@
             return await self._gather(show)
         if show.subject == "changes":
             return await self._answer_changes(show, at)
+        if show.subject == "measures":
+            return await self._answer_measures(show, at)
         table = answer_question(show, self._list_rows(show.subject), at)
         return _describe_table(table, [self._describe_copy()], [])
 
     async def _gather(self, show: Show) -> dict[str, Any]:
+        """Ask all entries; the answer names those that did not answer."""
         replies = await self._coordinator.gather(make_question(show))
         places = [
             _describe_place(reply.entry, reply.data_centre, reply.age)
@@ -92,6 +101,26 @@
         table = merge_parts(show, [reply.rows for reply in replies])
         return _describe_table(table, places, missing)
 
+    async def _answer_measures(self, show: Show, at: float) -> dict[str, Any]:
+        gathered = await self._gather(_JOBS_BY_POOL)
+        replica = self._replica
+        rows = list_measures(replica.configuration, replica.fleet, gathered["rows"])
+        note = ""
+        try:
+            changes, complete = await read_changes(
+                self._read_prefix, "fleet", replica.fleet, at - DAY_S
+            )
+        except StoreUnavailableError:
+            changes, complete = replica.fleet["changes"], False
+        if not complete:
+            note = "moves and roll-outs count only the changes that could be read"
+        # The last block that was read may begin before the day.
+        recent = [change for change in changes if change["at"] >= at - DAY_S]
+        rows += list_history(replica.fleet, recent, at)
+        table = answer_question(show, rows, at)
+        described = _describe_table(table, gathered["parts"], gathered["unreached"])
+        return {**described, "note": note}
+
     async def _answer_changes(self, show: Show, at: float) -> dict[str, Any]:
         documents = {
             "configuration": self._replica.configuration,
--- a/packages/briarshed-entry/src/briarshed_entry/operators.py
+++ b/packages/briarshed-entry/src/briarshed_entry/operators.py
@@ -6,10 +6,11 @@
 import time
 import uuid
 from collections.abc import Mapping, Sequence
+from types import MappingProxyType
 from typing import TYPE_CHECKING, Any
 
 from aiohttp import web
-from briarshed.commands import Show, changes_document
+from briarshed.commands import Show, Target, changes_document
 from briarshed.events import CHANGE_REFUSED, OPERATOR_REJECTED
 from briarshed.findings import Finding, format_finding
 from briarshed.keys import find_operator
@@ -34,7 +35,7 @@
 MAX_SCRIPT_BYTES = 256 * 1024
 MAX_CHANGE_ID_LENGTH = 64
 
-_NOTHING_CHANGED = Made({}, False, (), {})
+_NOTHING_CHANGED = Made({}, False, {}, (), {})
 
 
 def make_application(
@@ -135,7 +136,7 @@
                 result |= made.rows.get(statement.line, {})
             results.append(result)
         content = {
-            **self._make_content(),
+            **self._make_content(made.versions),
             "results": results,
             "accepted": made.accepted,
             "in_force": made.accepted and not made.waiting_for,
@@ -157,12 +158,16 @@
         }
         return web.json_response(content, status=refused.status)
 
-    def _make_content(self) -> Mapping[str, Any]:
+    def _make_content(
+        self, changed: Mapping[Target, int] = MappingProxyType({})
+    ) -> Mapping[str, Any]:
+        """Return the fields of each answer: versions with the change, or current."""
+        replica = self._replica
         return {
             "results": [],
             "accepted": False,
-            "version": self._replica.configuration["version"],
-            "fleet_version": self._replica.fleet["version"],
+            "version": changed.get("configuration", replica.configuration["version"]),
+            "fleet_version": changed.get("fleet", replica.fleet["version"]),
             "in_force": False,
             "waiting_for": [],
             "message": "",
--- a/packages/briarshed/src/briarshed/changes.py
+++ b/packages/briarshed/src/briarshed/changes.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import copy
-from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from typing import Any, NamedTuple
 
 from returns.result import Failure, Result, Success
 
 from briarshed import commands
-from briarshed.charts import load_chart
+from briarshed.budgets import check_stop, count_unavailable
+from briarshed.charts import advance, load_chart
 from briarshed.commands import (
     Script,
     Statement,
@@ -26,6 +27,7 @@
 )
 from briarshed.findings import Finding, suggest_name
 from briarshed.keys import NewKey
+from briarshed.membership import remove_member
 
 TARGETS: tuple[Target, ...] = ("configuration", "fleet", "members")
 MAX_DOCUMENT_BYTES = 900_000
@@ -273,18 +275,6 @@
     return [item for item in script.statements if _find_recorder(item) == target]
 
 
-def count_unavailable(instances: Mapping[str, Any], pool: str) -> int:
-    """Return how many instances of a pool are not in service.
-
-    An instance on its way to another pool counts against both.
-    """
-    return sum(
-        pool in (instance["pool"], instance["target_pool"])
-        and instance["state"] not in ("serving", "gone")
-        for instance in instances.values()
-    )
-
-
 def describe_plan(before: Documents, after: Documents) -> dict[str, Any]:
     """Return what a script would cost: moves, stops, and instances out of service.
 
@@ -297,18 +287,20 @@
         for name, instance in new.items()
         if name in old and instance["target_pool"] != old[name]["target_pool"]
     ]
-    pending = _list_pending(after) - _list_pending(before)
-    stops: dict[str, int] = {}
-    for name in pending & set(new):
-        stops[new[name]["pool"]] = stops.get(new[name]["pool"], 0) + 1
+    pending = [
+        name for name in _list_pending(after) - _list_pending(before) if name in new
+    ]
+    now, at_once = count_unavailable(before.fleet), count_unavailable(after.fleet)
     pools = []
     for name, pool in after.configuration["pools"].items():
-        now = count_unavailable(old, name)
-        at_once = count_unavailable(new, name)
-        most = max(at_once, min(pool["budget"], at_once + stops.get(name, 0)))
-        if most != now or name in stops:
-            row = {"pool": name, "budget": pool["budget"], "stops": stops.get(name, 0)}
-            pools.append({**row, "unavailable": now, "unavailable_at_most": most})
+        waiting = sum(new[item]["pool"] == name for item in pending)
+        stops = waiting + sum(new[item]["pool"] == name for item in moved)
+        out = at_once.get(name, 0)
+        most = max(out, min(pool["budget"], out + waiting))
+        if stops or most != now.get(name, 0):
+            row = {"pool": name, "budget": pool["budget"], "stops": stops}
+            out_now = {"unavailable": now.get(name, 0), "unavailable_at_most": most}
+            pools.append(row | out_now)
     return {"moves": len(moved), "stops": len(moved) + len(pending), "pools": pools}
 
 
@@ -666,29 +658,16 @@
     name, source = command.name, instance["pool"]
     if source == command.pool:
         work.report(statement, "pool", f"instance '{name}' is already in that pool")
-    if instance["state"] != "serving":
-        message = f"instance '{name}' is {instance['state']}; only a serving one moves"
-        work.report(statement, "name", message)
+    objection = check_stop(work.configuration, work.fleet, name, command.pool)
+    if objection:
+        work.report(statement, "name", objection)
         return {}
-    for pool in (source, command.pool):
-        _check_budget(work, statement, pool)
-    instance["state"] = load_chart("lifecycle").transitions["leave"]["serving"]
+    instance["state"] = advance(load_chart("lifecycle"), instance["state"], "leave")
     instance["target_pool"] = command.pool
     instance["since"] = work.context.at
     return {"instance": name, "from_pool": source, "to_pool": command.pool}
 
 
-def _check_budget(work: _Work, statement: Statement, name: str) -> None:
-    pool = work.configuration["pools"].get(name)
-    out = count_unavailable(work.fleet["instances"], name) + 1
-    if pool is not None and out > pool["budget"]:
-        message = (
-            f"the move would put {out} instances of pool '{name}' out of service;"
-            f" its budget is {pool['budget']}"
-        )
-        work.report(statement, "name", message)
-
-
 def _start_wave(work: _Work, statement: Statement, command: Any) -> Row:
     for index, pool in enumerate(command.pools):
         work.find(statement, "pools", pool, "pools", index)
@@ -779,10 +758,7 @@
     member = work.find(statement, "members", command.name)
     if member is None:
         return {}
-    owner = f"{command.name}/{member['incarnation']}"
-    work.members["members"].pop(command.name)
-    departed = {**work.members["departed"], owner: work.context.at}
-    work.members["departed"] = departed
+    work.members = remove_member(work.members, command.name, work.context.at)
     return {"member": command.name, "incarnation": member["incarnation"]}
 
 
--- a/packages/briarshed/src/briarshed/queries.py
+++ b/packages/briarshed/src/briarshed/queries.py
@@ -5,9 +5,11 @@
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Any, NamedTuple
 
+from briarshed.budgets import count_serving
 from briarshed.commands import Condition, Script, Show, Statement
 from briarshed.documents import Change, Configuration, Fleet, Members
 from briarshed.findings import Finding, suggest_name
+from briarshed.measures import Usage, find_entitled, measure_buffer_cost
 
 Row = dict[str, Any]
 
@@ -351,6 +353,96 @@
     return [{"member": name, **member} for name, member in sorted(registered)]
 
 
+def list_measures(
+    configuration: Configuration, fleet: Fleet, jobs: Iterable[Row]
+) -> list[Row]:
+    """Return idle instances by pool and nearness to share by team, as of now.
+
+    Parameters
+    ----------
+    jobs : iterable of dict
+        Rows with ``pool``, ``team``, ``state`` and ``count``, of all entries.
+    """
+    wanted: dict[str, dict[str, float]] = {}
+    running: dict[str, float] = {}
+    for job in jobs:
+        team, pool, count = job["team"], job["pool"], job["count"]
+        by_team = wanted.setdefault(pool, {})
+        by_team[team] = by_team.get(team, 0.0) + count
+        if job["state"] == "running":
+            running[team] = running.get(team, 0.0) + count
+    shares = {name: team["share"] for name, team in configuration["teams"].items()}
+    entitled = dict.fromkeys(shares, 0.0)
+    serving = count_serving(fleet)
+    rows = []
+    for name, pool in sorted(configuration["pools"].items()):
+        demand = wanted.get(name, {})
+        needed = sum(demand.values()) / pool["slots"]
+        usage = Usage(1.0, serving.get(name, 0), needed)
+        idle = measure_buffer_cost([usage]) if needed else None
+        rows.append(_make_measure("buffer", name, idle, "idle per needed instance"))
+        slots = serving.get(name, 0) * pool["slots"]
+        for team, part in find_entitled(shares, demand, slots).items():
+            entitled[team] += part
+    for team, slots in sorted(entitled.items()):
+        near = running.get(team, 0.0) / slots if slots else None
+        rows.append(_make_measure("share", team, near, "running per entitled slot"))
+    return rows
+
+
+def list_history(fleet: Fleet, changes: Iterable[Change], at: float) -> list[Row]:
+    """Return the moves in the given changes of the fleet, and each wave's duration.
+
+    Parameters
+    ----------
+    changes : iterable of Change
+        Changes of the fleet of the last day.
+    at : float
+        Unix time in seconds; the end of a wave that is not done yet.
+    """
+    moves = 0
+    started: dict[str, float] = {}
+    for change in sorted(changes, key=lambda item: item["version"]):
+        moves += _count_moves(change)
+        for name, after in (change["after"] or {}).items():
+            section, _, wave = name.partition(".")
+            before = change["before"].get(name)
+            begins = before is None or before["state"] in ("done", "stopped")
+            if section == "waves" and wave and after["state"] == "running" and begins:
+                started[wave] = change["at"]
+    rows = [_make_measure("moves", "last 24 h", moves, "instances")]
+    for name, wave in sorted(fleet["waves"].items()):
+        if name in started:
+            times = [
+                fleet["instances"][item]["since"]
+                for item in wave["done"]
+                if item in fleet["instances"]
+            ]
+            end = max(times, default=at) if wave["state"] == "done" else at
+            unit = "s" if wave["state"] == "done" else f"s so far, {wave['state']}"
+            rows.append(_make_measure("roll-out", name, end - started[name], unit))
+    return rows
+
+
+def _count_moves(change: Change) -> int:
+    """Return how many instances came to another pool.
+
+    The planner records an instance as its pool and state under its name.
+    """
+    before = change["before"] or {}
+    return sum(
+        isinstance(after, list)
+        and isinstance(before.get(name), list)
+        and after[0] != before[name][0]
+        for name, after in (change["after"] or {}).items()
+    )
+
+
+def _make_measure(measure: str, subject: str, value: float | None, unit: str) -> Row:
+    shown = None if value is None else round(value, 3)
+    return {"measure": measure, "subject": subject, "value": shown, "unit": unit}
+
+
 def list_changes(changes: Mapping[str, Iterable[Change]]) -> list[Row]:
     """Return a row for each change, newest first.
 
