--- a/features/language_page.feature
+++ b/features/language_page.feature
@@ -15,3 +15,7 @@
     Then the page says "at most 2,000 lines and 256 KiB"
     And the page says "up to 2,000 versions back"
     And the page says "at most 500 rows"
+
+  Scenario: The operators' page explains every warning and every exit code
+    Then the operators' page has a row for every event that warns
+    And the operators' page has a row for every exit code of the program
--- a/features/steps/language_page_steps.py
+++ b/features/steps/language_page_steps.py
@@ -11,8 +11,10 @@
 from briarshed import commands, queries
 from briarshed.changes import Documents
 from briarshed.documents import CONFIGURATION_KEY, FLEET_KEY, MEMBERS_KEY, make_empty
+from briarshed.events import list_events
 from briarshed.findings import format_finding
 from briarshed.language import parse_script
+from briarshed_cli import main
 from language_steps import apply_text
 from returns.pipeline import is_successful
 
@@ -103,3 +105,21 @@
 @then('the page says "{text}"')
 def step_says(context, text):
     assert text in " ".join(PAGE.read_text().split()), text
+
+
+@then("the operators' page has a row for every event that warns")
+def step_events(context):
+    text = PAGE.with_name("operators.md").read_text()
+    for name, event in list_events().items():
+        if event.level in ("WARNING", "ERROR"):
+            assert f"| {event.number} {name} |" in text, name
+
+
+@then("the operators' page has a row for every exit code of the program")
+def step_codes(context):
+    text = PAGE.with_name("operators.md").read_text()
+    named = {name: value for name, value in vars(main).items() if name.isupper()}
+    codes = {value for value in named.values() if isinstance(value, int)}
+    assert len(codes) >= 5, named
+    for code in {0, 1} | codes:
+        assert f"\n| {code} | " in text, code
