--- a/bench/_simulation.py
+++ b/bench/_simulation.py
@@ -148,6 +148,7 @@
                 continue
             try:
                 await entry.check_instances()
+                await entry.sample_demand()
                 await entry.plan_once()
             except KilledError:
                 self.dead.add(name)
--- a/features/steps/waves_steps.py
+++ b/features/steps/waves_steps.py
@@ -3,12 +3,14 @@
 import asyncio
 import random
 import sys
+from collections import Counter
 from pathlib import Path
 
 from behave import given, then, when
 from briarshed.charts import draw_chart, load_chart
 from briarshed.documents import CONFIGURATION_KEY, FLEET_KEY, make_empty
 from briarshed.exceptions import ChartError
+from briarshed.language import parse_script
 from briarshed.waves import (
     Move,
     Observation,
@@ -466,3 +468,20 @@
     text = (DOCS / "lifecycle.md").read_text()
     drawn = text.split("```mermaid\n")[1].split("\n```")[0]
     assert drawn == draw_chart(load_chart(name)), "draw the picture again"
+
+
+@then(
+    "examples/{script} creates {pools:d} pools, {teams:d} teams, {queues:d} queues"
+    " and {count:d} instances"
+)
+def step_sample(context, script, pools, teams, queues, count):
+    text = (ROOT / "examples" / script).read_text()
+    statements = parse_script(text, script).unwrap().statements
+    found = Counter(type(item.command).__name__ for item in statements)
+    expected = {
+        "CreatePool": pools,
+        "CreateTeam": teams,
+        "CreateQueue": queues,
+        "AddInstance": count,
+    }
+    assert found == expected, found
--- a/features/waves.feature
+++ b/features/waves.feature
@@ -167,3 +167,11 @@
 
   Scenario: The picture in the docs is drawn from the chart
     Then docs/lifecycle.md holds the picture of "lifecycle"
+
+  Scenario Outline: The sample deployments are valid scripts
+    Then examples/<script> creates 5 pools, 6 teams, 5 queues and <count> instances
+
+    Examples:
+      | script                 | count |
+      | deployment-1.briarshed | 30    |
+      | deployment-2.briarshed | 40    |
--- a/packages/briarshed-entry/src/briarshed_entry/maintenance.py
+++ b/packages/briarshed-entry/src/briarshed_entry/maintenance.py
@@ -60,6 +60,9 @@
 CHECK_TIMEOUT_S = 1.0
 CONCURRENT_CHECKS = 32
 
+DEMAND_S = 5.0
+"""Time between samples of demand, which cost a question to every entry."""
+
 STALE_S = 5.0
 """An observation older than this is not acted on; its observer may have been paused."""
 
@@ -146,6 +149,7 @@
         plan_s = self._settings.timing.plan_ms / MILLISECONDS
         self._start(self._repeat("health checks", self.check_instances, CHECK_S))
         self._start(self._repeat("planner", self.plan_once, plan_s))
+        self._start(self._repeat("demand", self.sample_demand, DEMAND_S))
         return self
 
     async def __aexit__(
@@ -233,7 +237,7 @@
         plans = self._coordinator.is_planner()
         if plans:
             await self._poll_platform()
-        moves = await self._choose_moves() if plans else []
+        moves = self._choose_moves() if plans else []
         changed = await self._change_fleet(plans, moves)
         if plans:
             self._start_confirmations()
@@ -294,6 +298,7 @@
         """Judge data centres without a live entry by the platform's list."""
         places = {item["data_centre"] for item in fleet["instances"].values()}
         unwatched = {place for place in places if not self._list_live(place)}
+        self._forget_judged(fleet, unwatched)
         poll_s = self._settings.platform.poll_ms / MILLISECONDS
         recent = self._listed_at is not None and now() - self._listed_at < poll_s
         if not unwatched or recent:
@@ -316,20 +321,35 @@
             elif watch.platform == "missing":
                 watch.note_health(False)
 
+    def _forget_judged(self, fleet: Fleet, unwatched: set[str]) -> None:
+        """Drop counts of data centres that have a live entry again."""
+        own = self._settings.data_centre
+        for name, instance in fleet["instances"].items():
+            watch = self._watches.get(name)
+            if watch is not None and instance["data_centre"] not in (own, *unwatched):
+                watch.passes = watch.failures = 0
+
     def _note_platform(self, error: PlatformUnavailableError | None) -> None:
         if error is not None and not self._platform_failed:
             log_event(PLATFORM_FAILING, error=error.format_message())
         self._platform_failed = error is not None
 
-    async def _choose_moves(self) -> list[Move]:
-        if self._measure_demand is None:
-            return []
+    async def sample_demand(self) -> None:
+        """Note the demand of each pool; only the planner needs it."""
+        if self._measure_demand is None or not self._coordinator.is_planner():
+            return
         demand = await self._measure_demand()
         configuration, fleet = self._replica.configuration, self._replica.fleet
-        at = now()
-        self._moves = note_demand(self._moves, configuration, fleet, demand, at)
-        weights = self._settings.weights
-        return choose_moves(configuration, fleet, self._moves, weights, at)
+        self._moves = note_demand(self._moves, configuration, fleet, demand, now())
+
+    def _choose_moves(self) -> list[Move]:
+        return choose_moves(
+            self._replica.configuration,
+            self._replica.fleet,
+            self._moves,
+            self._settings.weights,
+            now(),
+        )
 
     async def _change_fleet(self, plans: bool, moves: list[Move]) -> bool:
         observed_at = now()
--- a/packages/briarshed/src/briarshed/moves.py
+++ b/packages/briarshed/src/briarshed/moves.py
@@ -91,6 +91,9 @@
     for pool, content in configuration["pools"].items():
         slots = content["slots"]
         previous = state.demands.get(pool)
+        if previous is not None and now - previous.at > AVERAGE_S:
+            # Without samples in between, nothing is known to have lasted.
+            previous = None
         mean = _average(previous, demand.get(pool, 0.0), now)
         capacity = serving.get(pool, 0) * slots
         short = mean > capacity
@@ -202,6 +205,8 @@
     for pool, demand in state.demands.items():
         if demand.short_since is None or pool not in configuration["pools"]:
             continue
+        if now - demand.at > AVERAGE_S:
+            continue
         lasted_s = now - demand.short_since
         gave_lately = now - state.gave.get(pool, -math.inf) < MOVE_BACK_S
         if lasted_s >= OUTLAST_FACTOR * state.cost_s and not gave_lately:
