--- a/packages/briarshed-entry/src/briarshed_entry/maintenance.py
+++ b/packages/briarshed-entry/src/briarshed_entry/maintenance.py
@@ -11,6 +11,7 @@
 import time
 import uuid
 from collections.abc import Awaitable, Callable, Mapping
+from contextlib import suppress
 from types import TracebackType
 from typing import Any, Self
 
@@ -144,11 +145,14 @@
         self._platform_failed = False
         self._listed_at: float | None = None
         self._tasks: set[asyncio.Task[None]] = set()
+        self._due = asyncio.Event()
+        self._subscription: Any = None
 
     async def __aenter__(self) -> Self:
+        self._subscription = self._replica.updates.subscribe(self._note_update)
         plan_s = self._settings.timing.plan_ms / MILLISECONDS
         self._start(self._repeat("health checks", self.check_instances, CHECK_S))
-        self._start(self._repeat("planner", self.plan_once, plan_s))
+        self._start(self._repeat("planner", self.plan_once, plan_s, self._due))
         self._start(self._repeat("demand", self.sample_demand, DEMAND_S))
         return self
 
@@ -158,6 +162,8 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
+        if self._subscription is not None:
+            self._subscription.dispose()
         tasks = list(self._tasks)
         for task in tasks:
             task.cancel()
@@ -168,16 +174,29 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _note_update(self, key: str) -> None:
+        if key == FLEET_KEY:
+            self._due.set()
+
     async def _repeat(
-        self, name: str, function: Callable[[], Awaitable[Any]], pause_s: float
+        self,
+        name: str,
+        function: Callable[[], Awaitable[Any]],
+        pause_s: float,
+        due: asyncio.Event | None = None,
     ) -> None:
+        """Run a function again and again; an event that is set ends the pause."""
+        early = due or asyncio.Event()
         while True:
+            early.clear()
             try:
                 await function()
             except Exception as error:
                 # A fault in one round must not end maintenance for good.
                 log_event(LOOP_FAILED, task=name, error=repr(error))
-            await asyncio.sleep(pause_s)
+                await asyncio.sleep(pause_s)
+            with suppress(TimeoutError):
+                await asyncio.wait_for(early.wait(), pause_s)
 
     # Health checks
 
@@ -421,6 +440,7 @@
                 watch.confirmed = not waiting
                 # A round that did not end well is started again by the planner.
                 watch.confirming = not waiting
+            self._due.set()
 
     # Platform calls
 
--- a/packages/briarshed/src/briarshed/waves.py
+++ b/packages/briarshed/src/briarshed/waves.py
@@ -421,9 +421,13 @@
 
 
 def _find_call(state: str, platform: str) -> str:
-    if state == "draining" and platform == "live":
+    # While the platform's state is unknown the call is made as well: its id makes
+    # it safe, and it saves a round of planning.
+    if state == "draining" and platform in ("live", ""):
         return "drain"
+    if state == "rebooting" and platform in ("drained", ""):
+        return "reboot"
     # A failed instance that is drained cannot return without a reboot.
-    if state in ("rebooting", "failed") and platform == "drained":
+    if state == "failed" and platform == "drained":
         return "reboot"
     return ""
