Confirm refusals on kept connections, and bound connections with idle ones

Cause: a refusal names no attempt. On a kept connection, a late one of an earlier attempt was taken for the refusal of the attempt that ran, which was then started again. A feature shows two starts without the confirmation.

A refused start no longer leaves a kept connection open. A job whose next delay would pass its deadline is told so instead of blaming the retry budget.

The expected Retry-After of one scenario becomes a range, since the learned run time is measured and grows on a busy machine; the limit on the body's arrival is longer than the pauses of the scenario that cuts a body short.

--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -32,8 +32,8 @@
       | kind           | fault               | status | outcome | code                |
       | non-idempotent | frozen              | 502    | unknown | answer-lost         |
       | idempotent     | frozen              | 504    | unknown | answer-lost         |
-      | non-idempotent | unreachable         | 503    | not run | endpoints-failing   |
-      | idempotent     | unreachable         | 503    | not run | endpoints-failing   |
+      | non-idempotent | unreachable         | 503    | not run | no-endpoint-in-time |
+      | idempotent     | unreachable         | 503    | not run | no-endpoint-in-time |
       | non-idempotent | impossible          | 503    | not run | impossible          |
       | idempotent     | impossible          | 503    | not run | impossible          |
       | non-idempotent | full                | 503    | not run | no-endpoint-in-time |
--- a/features/queues.feature
+++ b/features/queues.feature
@@ -15,7 +15,7 @@
   Scenario: A job that would wait past its deadline is refused at once
     Given a queue of which the run time of 0.3 s was learned, and a busy endpoint
     When 10 jobs wait and one more with 1000 ms is submitted
-    Then that one is refused within 0.2 s with 429 "wait-too-long" and Retry-After 3
+    Then that one is refused within 0.2 s with 429 "wait-too-long" and Retry-After from 3 to 5
 
   Scenario: A long queue of one team does not refuse the jobs of another
     Given a queue of which the run time of 0.3 s was learned, and a busy endpoint
--- a/features/steps/callers_steps.py
+++ b/features/steps/callers_steps.py
@@ -20,7 +20,7 @@
         [b"3e9\r\n" + b"x" * 1001 + b"\r\n", b"0\r\n\r\n"],
         False,
     ),
-    "slow": ("Content-Length: 10", [b"x", b"x", b"x", b"x", b"x", b"x"], False),
+    "slow": ("Content-Length: 10", [b"x"] * 8, False),
     "short": ("Content-Length: 10", [b"x"], True),
     "short after a pause": ("Content-Length: 10", [b"x", b"x", b"x"], True),
     "short chunked": ("Transfer-Encoding: chunked", [b"3\r\nabc\r\n"], True),
--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -12,6 +12,7 @@
 async def submit_all(context, jobs, settings=None, **headers):
     async with open_entry(context.fakes, settings) as entry:
         context.entry = entry
+        entry.scheduler.seed(1)
         answers = await asyncio.gather(
             *[
                 entry.submit(body=body, Briarshed_Job_Id=name, **headers)
@@ -37,6 +38,26 @@
     context.fakes["i-1"].fault_once = True
 
 
+@given('an endpoint that keeps connections, whose first answer is "{fault}"')
+def step_keeping(context, fault):
+    step_first_fault(context, fault)
+    context.fakes["i-1"].keeps = True
+
+
+@when('jobs "{one}" and "{two}" are submitted {seconds:g} s apart')
+def step_submit_in_turn(context, one, two, seconds):
+    async def run():
+        async with open_entry(context.fakes) as entry:
+            context.answers = {}
+            for name in (one, two):
+                context.answers[name] = await entry.submit(
+                    body=name.encode(), Briarshed_Job_Id=name
+                )
+                await asyncio.sleep(seconds)
+
+    asyncio.run(run())
+
+
 @given('an endpoint whose answers are "{fault}"')
 def step_fault(context, fault):
     endpoint = FakeEndpoint(fault)
--- a/features/whole_answers.feature
+++ b/features/whole_answers.feature
@@ -29,6 +29,18 @@
     And the caller of "b" gets status 200 and its own answer
     And no job started twice
 
+  Scenario Outline: A kept connection repeats a response to an earlier attempt: "<fault>"
+    Given an endpoint that keeps connections, whose first answer is "<fault>"
+    When jobs "a" and "b" are submitted 0.3 s apart
+    Then the caller of "a" gets status 200 and its own answer
+    And the caller of "b" gets status 200 and its own answer
+    And no job started twice
+
+    Examples:
+      | fault         |
+      | repeated      |
+      | refused twice |
+
   Scenario: An answer over the limit is reported, not cut
     Given an endpoint
     When a job with 2000 bytes is submitted and answers may have 1000 bytes
--- a/packages/briarshed-entry/src/briarshed_entry/dispatch.py
+++ b/packages/briarshed-entry/src/briarshed_entry/dispatch.py
@@ -155,7 +155,7 @@
     while True:
         place = await steps.acquire(frozenset(tried))
         if isinstance(place, Outcome):
-            return _explain_waiting(job, place, started)
+            return _explain_waiting(place, started, clock.now() >= job.deadline)
         attempt = secrets.token_hex(ATTEMPT_BYTES)
         result = Result("abandoned")
         progress = Progress()
@@ -179,8 +179,9 @@
         delay = None
         if may_retry(job, result, rejections):
             delay = steps.retry(retries)
-        if delay is None or clock.now() + delay >= job.deadline:
-            return _give_up(job, result, started)
+        is_late = clock.now() + (delay or 0.0) >= job.deadline
+        if delay is None or is_late:
+            return _give_up(result, started, is_late)
         retries += 1
         await asyncio.sleep(delay)
 
@@ -405,27 +406,26 @@
     return Outcome(int(HTTPStatus.OK), "", "", reply.body, headers)
 
 
-def _explain_waiting(job: Job, outcome: Outcome, started: bool) -> Outcome:
+def _explain_waiting(outcome: Outcome, started: bool, is_late: bool) -> Outcome:
     """Return the refusal of a queued job; unknown if an earlier attempt started."""
     if not started:
         return outcome
     message = f"an attempt may have run; not retried: {outcome.message}"
-    return refuse(_find_unknown_status(job), outcome.code, message)
+    return refuse(_find_unknown_status(is_late), outcome.code, message)
 
 
-def _find_unknown_status(job: Job) -> HTTPStatus:
-    late = clock.now() >= job.deadline
-    return HTTPStatus.GATEWAY_TIMEOUT if late else HTTPStatus.BAD_GATEWAY
+def _find_unknown_status(is_late: bool) -> HTTPStatus:
+    return HTTPStatus.GATEWAY_TIMEOUT if is_late else HTTPStatus.BAD_GATEWAY
 
 
-def _give_up(job: Job, result: Result, started: bool) -> Outcome:
+def _give_up(result: Result, started: bool, is_late: bool) -> Outcome:
     if started:
         code, message = _UNKNOWN.get(result.kind, _NOT_RETRIED)
-        return refuse(_find_unknown_status(job), code, message)
+        return refuse(_find_unknown_status(is_late), code, message)
     if result.kind == "impossible":
         message = "the endpoints that were asked cannot run this job"
         return refuse(HTTPStatus.SERVICE_UNAVAILABLE, "impossible", message)
-    if clock.now() >= job.deadline:
+    if is_late:
         return refuse(
             HTTPStatus.SERVICE_UNAVAILABLE,
             "no-endpoint-in-time",
--- a/packages/briarshed-entry/src/briarshed_entry/endpoints.py
+++ b/packages/briarshed-entry/src/briarshed_entry/endpoints.py
@@ -1,7 +1,9 @@
 """Calls to endpoints; the only module that knows the endpoint's protocol.
 
 Attempts use kept connections, since a connection for each attempt costs throughput. A
-late or repeated answer of an earlier attempt is told by its attempt id. A kept
+late or repeated answer of an earlier attempt is told by its attempt id. A refusal names
+no attempt, so on a kept connection it may belong to an earlier one. It counts only once
+the endpoint confirms over a new connection that this attempt never started. A kept
 connection that the endpoint closes while an attempt is written, or that has gone
 silent, leaves the outcome open; the probe and the fence decide it over a new
 connection.
@@ -68,6 +70,8 @@
         Its type.
     load : Load or None
         The load that came with the response.
+    named : bool
+        Whether the response named its attempt.
     """
 
     kind: ReplyKind
@@ -75,6 +79,7 @@
     body: bytes = b""
     content_type: str = "application/octet-stream"
     load: Load | None = None
+    named: bool = False
 
 
 class TaskRequest(NamedTuple):
@@ -107,10 +112,13 @@
         Whether a byte of the request may have been written.
     last_byte_at : float
         Seconds of the clock at the last byte of the response, or at the start.
+    reused : bool
+        Whether the connection carried other attempts before.
     """
 
     def __init__(self) -> None:
         self.written = False
+        self.reused = False
         self.last_byte_at = clock.now()
 
 
@@ -130,8 +138,12 @@
     def __init__(self, settings: Settings) -> None:
         self.counts: Counter[str] = Counter()
         self._settings = settings.endpoints
+        # Kept connections count too: one of those allowed is never used for attempts.
         self._permits: defaultdict[str, asyncio.Semaphore] = defaultdict(
-            lambda: asyncio.Semaphore(self._settings.connections)
+            lambda: asyncio.Semaphore(max(1, self._settings.connections - 1))
+        )
+        self._control_permits: defaultdict[str, asyncio.Semaphore] = defaultdict(
+            lambda: asyncio.Semaphore(1)
         )
         self._attempts: aiohttp.ClientSession | None = None
         self._questions: aiohttp.ClientSession | None = None
@@ -139,7 +151,7 @@
     async def __aenter__(self) -> Self:
         trace = aiohttp.TraceConfig()
         trace.on_connection_create_end.append(_allow_writing)
-        trace.on_connection_reuseconn.append(_allow_writing)
+        trace.on_connection_reuseconn.append(_note_reused)
         kept = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEPT_S)
         self._attempts = self._make_session(kept, [trace])
         single = aiohttp.TCPConnector(limit=0, force_close=True)
@@ -187,7 +199,7 @@
         progress : Progress
             Updated as bytes move.
         allow : callable
-            Called once the connection stands, right before the first byte.
+            Called once a connection stands, right before the first byte.
 
         Raises
         ------
@@ -210,21 +222,39 @@
         path = f"/tasks/{request.attempt}"
         context = SimpleNamespace(progress=progress, allow=allow)
         try:
-            async with (
-                self._permits[address],
-                self._call(
-                    "POST", address, path, context, headers, request.body
-                ) as got,
-            ):
-                reply = await self._read_reply(address, request.attempt, got, progress)
-                progress.last_byte_at = clock.now()
-                return reply
+            async with self._permits[address]:
+                # A kept connection is used at once, and an error in its hook leaks it.
+                _check_allowed(allow)
+                call = self._call("POST", address, path, context, headers, request.body)
+                async with call as got:
+                    reply = await self._read_reply(
+                        address, request.attempt, got, progress
+                    )
+            await self._confirm(address, request.attempt, reply, progress)
+            progress.last_byte_at = clock.now()
+            return reply
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             if not progress.written:
                 message = f"endpoint {address} cannot be reached: {error!r}"
                 raise EndpointUnreachableError(message) from error
             raise AnswerLostError(f"endpoint {address}: {error!r}") from error
 
+    async def _confirm(
+        self, address: str, attempt: str, reply: Reply, progress: Progress
+    ) -> None:
+        """Check that a response without an attempt id belongs to this attempt."""
+        if reply.named or not progress.reused:
+            return
+        timeout = self._settings.probe_timeout_ms / 1000
+        if reply.kind in ("refused", "impossible"):
+            state = await self.find_state(address, attempt, timeout)
+            if state == "never":
+                state = await self.fence(address, attempt, timeout)
+            if state == "never":
+                return
+        self.counts["not-confirmed"] += 1
+        raise AnswerLostError(f"endpoint {address} did not confirm its response")
+
     async def find_state(self, address: str, attempt: str, timeout: float) -> TaskState:
         """Ask over a new connection what became of an attempt.
 
@@ -263,7 +293,7 @@
         try:
             async with (
                 asyncio.timeout(timeout),
-                self._permits[address],
+                self._control_permits[address],
                 self._call("GET", address, path) as got,
             ):
                 return await self._read_reply(address, attempt, got, progress, True)
@@ -310,7 +340,7 @@
         try:
             async with (
                 asyncio.timeout(timeout),
-                self._permits[address],
+                self._control_permits[address],
                 self._call(method, address, path) as got,
             ):
                 body = await _read_body(got, MAX_CONTROL_BYTES, None)
@@ -346,18 +376,27 @@
             raise AnswerLostError(f"endpoint {address} declared no length")
         body = await _read_body(got, self._settings.max_answer_bytes, progress)
         load = _parse_load(got.headers.get("Briarshed-Load", ""))
-        return _make_reply(address, got, body, load)
+        return _make_reply(address, got, body, load)._replace(named=bool(named))
 
 
 async def _allow_writing(session: Any, context: Any, parameters: Any) -> None:
     request = context.trace_request_ctx
     if request is None:
         return
-    if not request.allow():
-        raise NotAllowedError("the start was no longer allowed")
+    _check_allowed(request.allow)
     request.progress.written = True
 
 
+def _check_allowed(allow: Callable[[], bool]) -> None:
+    if not allow():
+        raise NotAllowedError("the start is no longer allowed")
+
+
+async def _note_reused(session: Any, context: Any, parameters: Any) -> None:
+    context.trace_request_ctx.progress.written = True
+    context.trace_request_ctx.progress.reused = True
+
+
 async def _read_body(
     got: aiohttp.ClientResponse, limit: int, progress: Progress | None
 ) -> bytes | None:
