Give each area of features its own folder and steps

Cause: behave keeps one registry of steps, so a generic step of one area made steps of another ambiguous, and no feature ran after a merge. Each area now has its own steps folder; the runner takes the features of all areas.

--- a/features/steps/moves_steps.py
+++ b/features/maintenance/steps/moves_steps.py
@@ -8,7 +8,7 @@
 
 from behave import given, then, when
 
-sys.path.append(str(Path(__file__).resolve().parents[2] / "bench"))
+sys.path.append(str(Path(__file__).resolve().parents[3] / "bench"))
 
 import moves as bench
 from _deployments import DEPLOYMENTS, make_instance, make_pool
--- a/features/steps/waves_steps.py
+++ b/features/maintenance/steps/waves_steps.py
@@ -24,7 +24,7 @@
 from hypothesis import given as given_values
 from hypothesis import strategies as st
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[3]
 sys.path.append(str(ROOT / "bench"))
 
 from _deployments import make_instance, make_pool  # noqa: E402
--- a/features/steps/language_page_steps.py
+++ b/features/operators/steps/language_page_steps.py
@@ -18,7 +18,7 @@
 from language_steps import apply_text
 from returns.pipeline import is_successful
 
-PAGE = Path(__file__).resolve().parents[2] / "docs" / "language.md"
+PAGE = Path(__file__).resolve().parents[3] / "docs" / "language.md"
 BLOCK = re.compile(r"^```(commands|questions)([^\n]*)\n(.*?)^```", re.M | re.S)
 MEMBER = {"incarnation": "a1", "address": "", "data_centre": "dc1", "operators": ""}
 KEY = {"hash": "0" * 64, "team": "hotels", "expires_at": None}
--- a/features/steps/operators_steps.py
+++ b/features/operators/steps/operators_steps.py
@@ -27,7 +27,7 @@
     Reply,
 )
 
-SAMPLE = Path(__file__).resolve().parents[2] / "examples" / "entry.jsonc"
+SAMPLE = Path(__file__).resolve().parents[3] / "examples" / "entry.jsonc"
 SECRETS = {"maria": "secret-of-maria", "joao": "secret-of-joao"}
 KEYS = {
     "configuration": CONFIGURATION_KEY,
--- a/features/run.py
+++ b/features/run.py
@@ -27,13 +27,13 @@
 def run_feature(path: Path, tags: str) -> tuple[list[Outcome], str]:
     """Run one feature file in a process of its own and return its outcomes."""
     with tempfile.NamedTemporaryFile(suffix=".json") as report:
-        command = [sys.executable, "-m", "behave", str(path)]
+        command = [sys.executable, "-m", "behave", path.name]
         command += ["--format", "json", "--outfile", report.name]
         command += ["--format", "plain", "--no-capture", "--tags", tags]
         try:
             done = subprocess.run(
                 command,
-                cwd=ROOT / "features",
+                cwd=path.parent,
                 capture_output=True,
                 text=True,
                 timeout=FEATURE_TIMEOUT_S,
@@ -77,7 +77,7 @@
     parser.add_argument("--only", default="", help="part of a feature file's name")
     parser.add_argument("--verbose", action="store_true")
     arguments = parser.parse_args()
-    paths = sorted(ROOT.glob("features/*.feature"))
+    paths = sorted(ROOT.glob("features/*/*.feature"))
     paths = [path for path in paths if arguments.only in path.name]
     with ThreadPoolExecutor(PARALLEL_FEATURES) as executor:
         results = list(
--- a/features/steps/events_steps.py
+++ b/features/settings/steps/events_steps.py
@@ -5,7 +5,7 @@
 from behave import given, then
 from briarshed.events import list_events
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[3]
 
 
 @given("the catalogue of events")
--- a/features/steps/settings_steps.py
+++ b/features/settings/steps/settings_steps.py
@@ -7,7 +7,7 @@
 from briarshed.settings import check_settings
 from returns.pipeline import is_successful
 
-SAMPLE = Path(__file__).resolve().parents[2] / "examples" / "entry.jsonc"
+SAMPLE = Path(__file__).resolve().parents[3] / "examples" / "entry.jsonc"
 
 
 @given("the sample settings")
