--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -26,6 +26,9 @@
     Then 20 jobs finish through the fleet
     And the records of the fleet have no violation
 
+  Scenario: Two fleets at once never choose one address
+    Then 400 addresses of each of two fleets are all different
+
   Scenario Outline: All processes end with the program
     Given "make fleet" is running
     When the fleet's program gets <signal>
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -11,7 +11,7 @@
 from briarshed_standins.checker import Limit, Rules, check_records
 from briarshed_standins.fleet import Fleet, Plan
 from briarshed_standins.load import Source, make_jobs, run_load
-from briarshed_standins.processes import Process, call, end_processes, wait_until
+from briarshed_standins.processes import Ports, Process, call, end_processes, wait_until
 
 RATE = 40.0
 SILENCE_S = 1.0
@@ -134,6 +134,15 @@
     assert report.submitted == len(context.told) > 0, report
 
 
+@then("{count:d} addresses of each of two fleets are all different")
+def step_ports(context, count):
+    fleets = [Ports(), Ports()]
+    for ports in fleets:
+        context.add_cleanup(ports.close)
+    chosen = [ports.choose_address() for _ in range(count) for ports in fleets]
+    assert len(set(chosen)) == 2 * count, chosen
+
+
 @given('"make fleet" is running')
 def step_program(context):
     directory = tempfile.TemporaryDirectory(prefix="briarshed-")
--- a/features/steps/standin_load_steps.py
+++ b/features/steps/standin_load_steps.py
@@ -7,7 +7,7 @@
 from briarshed_standins.checker import Report, Violation
 from briarshed_standins.demo import format_lines, is_good
 from briarshed_standins.load import Callers, Job, Source
-from briarshed_standins.processes import choose_address
+from briarshed_standins.processes import Ports
 from briarshed_standins.tasks import make_answer, make_body
 
 DEADLINE_MS = 300
@@ -74,10 +74,13 @@
         for number, at_s in enumerate(times)
     ]
 
+    ports = Ports()
+    context.add_cleanup(ports.close)
+
     async def run():
         # With no entry ready, the callers try all in turn, the closed port first.
         server, url = await serve_responses(RESPONSES[context.response], not closed)
-        urls = [url, f"http://{choose_address()}"] if closed else [url]
+        urls = [url, f"http://{ports.choose_address()}"] if closed else [url]
         async with server, Callers(lambda: urls, grace_s=GRACE_S) as callers:
             return await callers.send_all(jobs)
 
--- a/packages/briarshed-standins/src/briarshed_standins/fleet.py
+++ b/packages/briarshed-standins/src/briarshed_standins/fleet.py
@@ -19,19 +19,40 @@
 from briarshed.keys import hash_key, make_key
 
 from briarshed_standins.checker import Outage
+from briarshed_standins.links import Links
+from briarshed_standins.plans import (
+    Plan,
+    PoolPlan,
+    QueuePlan,
+    TeamPlan,
+    make_configuration_script,
+)
 from briarshed_standins.processes import (
     FleetError,
+    Ports,
     Process,
     Reaper,
     Reply,
     call,
-    choose_address,
     end_processes,
+    expect_success,
     wait_until,
 )
 from briarshed_standins.programs import now
 from briarshed_standins.storecalls import read_key
 
+__all__ = [
+    "Entry",
+    "Fleet",
+    "FleetError",
+    "Instance",
+    "Plan",
+    "PoolPlan",
+    "QueuePlan",
+    "TeamPlan",
+    "end_on_signals",
+]
+
 READY_TIMEOUT_S = 30.0
 SPARE_NAMES = 6
 """Entries that can be added later; their CURVE keys are allowed from the start."""
@@ -40,85 +61,6 @@
 """Times shortened by default, since they delay every start and stop of a fleet."""
 
 
-class PoolPlan(NamedTuple):
-    """A pool, and how many instances it has in all data centres together."""
-
-    name: str
-    instances: int
-    budget: int = 1
-    spare: bool = False
-    slots: int = 8
-    connections: int = 64
-
-
-class TeamPlan(NamedTuple):
-    """A team, its weight and its upper limit in jobs."""
-
-    name: str
-    share: float
-    limit: int
-
-
-class QueuePlan(NamedTuple):
-    """A queue; ``open`` queues need no key, and no teams means all teams."""
-
-    name: str
-    pool: str
-    teams: tuple[str, ...] = ()
-    open: bool = False
-
-
-class Plan(NamedTuple):
-    """What a fleet consists of.
-
-    Attributes
-    ----------
-    entries : int
-        Number of entries, named ``entry-1`` and so on, in turn over data centres.
-    links : tuple of str
-        Where links stand: ``store``, ``platform``, ``peers``, ``endpoints`` or
-        ``callers``. Links are named ``CLIENT>TARGET``, such as ``entry-1>store``,
-        ``entry-1>entry-2``, ``entry-1>i-3`` or ``callers>entry-1``.
-    endpoints_per_process : int
-        1 makes each endpoint a process that can be killed alone.
-    duration_ms : int
-        Duration of tasks without orders in their bodies.
-    settings : Mapping
-        Sections of the settings file, merged into those that the fleet writes.
-    command : tuple of str
-        Starts an entry; the path of its settings is appended.
-    configure : bool
-        Whether the sample configuration is loaded.
-    """
-
-    entries: int = 3
-    data_centres: tuple[str, ...] = ("dc1", "dc2")
-    pools: tuple[PoolPlan, ...] = (
-        PoolPlan("proofs", 4),
-        PoolPlan("prints", 2),
-        PoolPlan("reserve", 2, spare=True),
-    )
-    teams: tuple[TeamPlan, ...] = (
-        TeamPlan("hotels", 3, 20),
-        TeamPlan("schools", 2, 20),
-        TeamPlan("ministries", 1, 10),
-    )
-    queues: tuple[QueuePlan, ...] = (
-        QueuePlan("proofing", "proofs", ("hotels", "schools")),
-        QueuePlan("printing", "prints"),
-        QueuePlan("samples", "proofs", open=True),
-    )
-    links: tuple[str, ...] = ()
-    endpoints_per_process: int = 1
-    duration_ms: int = 50
-    lag_ms: int = 1_000
-    reboot_ms: int = 1_000
-    instances_per_rack: int = 2
-    settings: Mapping[str, Any] = {}
-    command: tuple[str, ...] = (str(Path(sys.executable).with_name("briarshed-entry")),)
-    configure: bool = True
-
-
 class Instance(NamedTuple):
     """An instance, its endpoint's address, and the role of the process behind it."""
 
@@ -166,14 +108,13 @@
         self.operator_key = make_key().text
         self.store_url = ""
         self.platform_url = ""
-        self._links_url = ""
-        self._links: dict[str, str] = {}
-        self._faults: dict[str, dict[str, Any]] = {}
+        self._links = Links()
         self._curve = {
             self._name_entry(number): tuple(key.decode() for key in zmq.curve_keypair())
             for number in range(1, self.plan.entries + SPARE_NAMES + 1)
         }
-        self._peers = {name: choose_address() for name in self._curve}
+        self._ports = Ports()
+        self._peers = {name: self._ports.choose_address() for name in self._curve}
 
     def __enter__(self) -> Self:
         self.directory = Path(tempfile.mkdtemp(prefix="briarshed-"))
@@ -199,6 +140,7 @@
         for process in self.processes.values():
             self._reaper.remove(process.pid)
         self._reaper.close()
+        self._ports.close()
         shutil.rmtree(self.directory, ignore_errors=True)
 
     # Processes
@@ -271,7 +213,7 @@
         url = {"store": self.store_url, "platform": self.platform_url}.get(target)
         if url is None:
             url = f"http://{self.instances[target].address}"
-        self._expect(call("POST", f"{url}/_faults", faults))
+        expect_success(call("POST", f"{url}/_faults", faults))
 
     def set_link_faults(self, *patterns: str, **faults: Any) -> None:
         """Replace the faults of links whose names match; no faults heal them.
@@ -279,15 +221,11 @@
         Faults on links ``callers>NAME`` are not noted as outages; what a checker
         shall excuse is to be added to ``outages``.
         """
-        for pattern in patterns:
-            self._faults.pop(pattern, None)
-            if faults:
-                self._faults[pattern] = faults
-        self._expect(call("POST", f"{self._links_url}/_faults", self._faults))
+        self._links.set_faults(patterns, faults)
 
     def cut(self, *patterns: str) -> None:
         """Cut links: open connections and new ones are reset."""
-        self.set_link_faults(*patterns, cut=True)
+        self._links.set_faults(patterns, {"cut": True})
 
     def partition(self, data_centre: str, outside: bool = True) -> None:
         """Hold all bytes between a data centre and the others.
@@ -297,14 +235,12 @@
         outside : bool
             Whether store and platform are unreachable too.
         """
-        self.set_link_faults(
-            *self.list_crossing_links(data_centre, outside), silent=True
-        )
+        crossing = self.list_crossing_links(data_centre, outside)
+        self._links.set_faults(crossing, {"silent": True})
 
     def heal(self) -> None:
         """Clear the faults of all links."""
-        self._faults.clear()
-        self._expect(call("POST", f"{self._links_url}/_faults", {}))
+        self._links.heal()
 
     def list_crossing_links(self, data_centre: str, outside: bool = True) -> list[str]:
         """Return the links that cross the border of a data centre.
@@ -318,14 +254,7 @@
         places |= {one.name: one.data_centre for one in self.instances.values()}
         if outside:
             places |= {"store": "", "platform": ""}
-        pairs = {name: name.split(">") for name in self._links}
-        return [
-            name
-            for name, (client, target) in pairs.items()
-            if client in places and target in places
-            if places[client] != places[target]
-            if data_centre in (places[client], places[target])
-        ]
+        return self._links.list_crossing(places, data_centre)
 
     # Operators and callers
 
@@ -436,7 +365,7 @@
         urls = {role: self._read_url(role) for role in self.processes}
         self.store_url = urls["store"]
         self.platform_url = urls["platform"]
-        self._links_url = urls.get("links", "")
+        self._links.url = urls.get("links", "")
         self._list_at_platform()
         for number in range(self.plan.entries):
             data_centres = self.plan.data_centres
@@ -482,7 +411,7 @@
                 place = index // len(self.plan.data_centres)
                 rack = f"{data_centre}-r{place // self.plan.instances_per_rack + 1}"
                 name = f"i-{number}"
-                address = choose_address()
+                address = self._ports.choose_address()
                 self.instances[name] = Instance(
                     name, pool.name, rack, data_centre, address, role
                 )
@@ -500,7 +429,7 @@
             }
             for one in self.instances.values()
         ]
-        self._expect(call("POST", f"{self.platform_url}/_instances", listed))
+        expect_success(call("POST", f"{self.platform_url}/_instances", listed))
 
     def _list_addresses(self, role: str) -> list[str]:
         return [one.address for one in self.instances.values() if one.role == role]
@@ -526,8 +455,8 @@
         return f"entry-{number}"
 
     def _write_entry(self, name: str, data_centre: str) -> Entry:
-        callers = choose_address()
-        operators = choose_address()
+        callers = self._ports.choose_address()
+        operators = self._ports.choose_address()
         public, secret = self._curve[name]
         content: dict[str, Any] = {
             "name": name,
@@ -562,14 +491,14 @@
         path.write_text(json.dumps(content, indent=2), encoding="utf-8")
         shown = callers
         if "callers" in self.plan.links:
-            shown = self._open_link(f"callers>{name}", callers)
+            shown = self._links.open(f"callers>{name}", callers)
         return Entry(name, data_centre, f"http://{shown}", f"http://{operators}", path)
 
     def _make_peer_routes(self, name: str) -> dict[str, str]:
         if "peers" not in self.plan.links:
             return {}
         return {
-            other: self._open_link(f"{name}>{other}", address)
+            other: self._links.open(f"{name}>{other}", address)
             for other, address in self._peers.items()
             if other != name
         }
@@ -578,22 +507,16 @@
         if "endpoints" not in self.plan.links:
             return {}
         return {
-            one.address: self._open_link(f"{name}>{one.name}", one.address)
+            one.address: self._links.open(f"{name}>{one.name}", one.address)
             for one in self.instances.values()
         }
 
     def _route_url(self, name: str, target: str, url: str) -> str:
         if target not in self.plan.links:
             return url
-        link = self._open_link(f"{name}>{target}", url.removeprefix("http://"))
+        link = self._links.open(f"{name}>{target}", url.removeprefix("http://"))
         return f"http://{link}"
 
-    def _open_link(self, name: str, target: str) -> str:
-        content = {"name": name, "target": target}
-        reply = self._expect(call("POST", f"{self._links_url}/_links", content))
-        self._links[name] = reply["address"]
-        return reply["address"]
-
     # Configuration
 
     def load_configuration(self) -> None:
@@ -634,12 +557,6 @@
         except FleetError as error:
             raise FleetError(f"{error}; {self.processes[role].read_log()}") from error
 
-    @staticmethod
-    def _expect(reply: Reply) -> Any:
-        if reply.status != 200:
-            raise FleetError(f"status {reply.status}: {reply.content}")
-        return reply.content
-
     @staticmethod
     def _count_running(instance: Instance) -> int:
         with suppress(OSError):
@@ -666,28 +583,6 @@
                 print(json.dumps(line), file=file)
 
 
-def make_configuration_script(plan: Plan) -> str:
-    """Return the commands that create pools, teams, queues and keys, one a line."""
-    lines = []
-    for pool in plan.pools:
-        line = f"create pool {pool.name} budget {pool.budget}"
-        if pool.spare:
-            lines.append(f"{line} spare")
-        else:
-            lines.append(f"{line} slots {pool.slots} connections {pool.connections}")
-    for team in plan.teams:
-        lines.append(f"create team {team.name} share {team.share:g} limit {team.limit}")
-    for queue in plan.queues:
-        line = f"create queue {queue.name} pool {queue.pool}"
-        if queue.open:
-            line += " open"
-        elif queue.teams:
-            line += f" teams {', '.join(queue.teams)}"
-        lines.append(line)
-    lines += [f"create key for team {team.name}" for team in plan.teams]
-    return "\n".join(lines) + "\n"
-
-
 def _make_instance_command(instance: Instance) -> str:
     return (
         f"add instance {instance.name} pool {instance.pool} rack {instance.rack}"
--- a/packages/briarshed-standins/src/briarshed_standins/processes.py
+++ b/packages/briarshed-standins/src/briarshed_standins/processes.py
@@ -24,8 +24,9 @@
 LOG_TAIL_BYTES = 2_000
 LOOPBACK = "127.0.0.1"
 # Below the range from which Linux takes ports of outgoing connections by default, so
-# that a port is still free when a process is restarted under its former address.
-PORTS = range(15_000, 32_000)
+# that a port is still free when a process is restarted under its former address. The
+# step is the size of a block.
+PORTS = range(15_000, 32_000, 50)
 
 Value = TypeVar("Value")
 
@@ -68,6 +69,19 @@
             return Reply(error.code, _decode(error.read()))
 
 
+def expect_success(reply: Reply) -> Any:
+    """Return the content of a reply with status 200.
+
+    Raises
+    ------
+    FleetError
+        If the status is another one.
+    """
+    if reply.status != 200:
+        raise FleetError(f"status {reply.status}: {reply.content}")
+    return reply.content
+
+
 def _decode(data: bytes) -> Any:
     try:
         return json.loads(data)
@@ -99,17 +113,55 @@
     raise FleetError(f"{what}: not within {timeout_s:.0f} s{problem}")
 
 
-def choose_address() -> str:
-    """Return a loopback address whose port is free."""
-    while True:
-        port = random.SystemRandom().choice(PORTS)
-        with socket.socket() as probe:
-            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                probe.bind((LOOPBACK, port))
-            except OSError:
-                continue
-        return f"{LOOPBACK}:{port}"
+class Ports:
+    """Free loopback addresses that no other fleet on the machine is given.
+
+    A fleet chooses addresses before it starts the processes that bind them, so two
+    fleets could choose the same one. Each therefore takes whole blocks of ports, and
+    holds the first port of a block while it uses the others.
+    """
+
+    def __init__(self) -> None:
+        self._guards: list[socket.socket] = []
+        self._free: list[int] = []
+
+    def choose_address(self) -> str:
+        """Return an address whose port is free."""
+        while True:
+            if not self._free:
+                self._free = self._claim_block()
+            port = self._free.pop()
+            with socket.socket() as probe:
+                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                if _bind(probe, port):
+                    return f"{LOOPBACK}:{port}"
+
+    def close(self) -> None:
+        """Give the blocks back."""
+        for guard in self._guards:
+            guard.close()
+        self._guards.clear()
+        self._free.clear()
+
+    def _claim_block(self) -> list[int]:
+        bases = list(PORTS)
+        random.SystemRandom().shuffle(bases)
+        for base in bases:
+            guard = socket.socket()
+            if _bind(guard, base):
+                guard.listen()
+                self._guards.append(guard)
+                return list(range(base + 1, base + PORTS.step))
+            guard.close()
+        raise FleetError("no block of ports is free")
+
+
+def _bind(candidate: socket.socket, port: int) -> bool:
+    try:
+        candidate.bind((LOOPBACK, port))
+    except OSError:
+        return False
+    return True
 
 
 class Process:
