--- a/features/language.feature
+++ b/features/language.feature
@@ -53,7 +53,7 @@
       | count | line       | message                      |
       | 1     |            | the script has no command    |
       | 2     | # nothing  | the script has no command    |
-      | 2001  | show pools | a script has at most 2000    |
+      | 1001  | show pools | a script has at most 1000    |
 
   Scenario: Any text ends in a script or in findings inside it
     Then 300 generated scripts parse or have findings inside their text
--- a/features/language_page.feature
+++ b/features/language_page.feature
@@ -12,7 +12,7 @@
     And every subject has an example, and the page lists its columns
 
   Scenario: The page names the limits of the program
-    Then the page says "at most 2,000 lines and 256 KiB"
+    Then the page says "at most 1,000 lines and 256 KiB"
     And the page says "up to 2,000 versions back"
     And the page says "at most 500 rows"
 
--- a/features/operators.feature
+++ b/features/operators.feature
@@ -71,6 +71,14 @@
     And result 1 names the key of the first answer without its text
     And the configuration is at version 8 and the fleet at version 3
 
+  Scenario: The same change id arrives at two entries at once
+    # Guards against an answer that shows a key which was never stored.
+    Given maria's "create key for team hotels" under change id "c-1" is swapped in elsewhere just before
+    When under change id "c-1" maria sends "create key for team hotels"
+    Then the port answers 200, accepted, in force
+    And result 1 names the only new key without its text
+    And the configuration is at version 8 and the fleet at version 3
+
   Scenario: A change id is known after its change has left the document
     # Guards against a wave that a late repeat starts again.
     When maria sends "add instance i-9 pool reserve rack r9 data-centre dc1 address 127.0.0.1:99"
@@ -128,7 +136,7 @@
     Then the port answers 503 saying "may not learn of it: entry-2"
     And nothing has changed
 
-  Scenario: Forgetting a member ends the blockade it causes, and is on record
+  Scenario: Forgetting a member lets changes be accepted again, and is on record
     Given member "entry-2" blocks changes
     And member "entry-2" does not answer
     When maria sends "forget member entry-2"
@@ -233,7 +241,16 @@
 
   Scenario: Measures are computed from all entries and the audit trail
     Given this entry has 4 running jobs of queue "proofing" at instance "i-1"
-    When maria sends "show measures"
+    And the planner moved instance "i-1" from pool "reserve" to "proofs" 90 s ago
+    When maria sends "stop wave w-1"
+    And maria sends "start wave w-1 pools proofs"
+    And maria sends "show measures"
     Then the measure "buffer" of "proofs" is 3.0
     And the measure "share" of "hotels" is 1.0
-    And the measure "moves" of "last 24 h" is 0
+    And the measure "moves" of "last 24 h" is 1
+    And the measure "roll-out" of "w-1" is 0
+
+  Scenario: An internal error is reported as one
+    Given the jobs of this entry cannot be listed
+    When maria sends "show jobs"
+    Then the port answers 500 saying "internal error"
--- a/packages/briarshed-entry/src/briarshed_entry/_operator_changes.py
+++ b/packages/briarshed-entry/src/briarshed_entry/_operator_changes.py
@@ -246,9 +246,14 @@
         if not is_successful(changed):
             status = 409 if races else _find_status(changed.failure())
             return Failure(Refused(status, changed.failure()))
-        version = changed.unwrap().value["version"]
-        rows = applied[-1].rows if applied else {}
-        return Success(_Swap(version, rows, not applied))
+        document = changed.unwrap().value
+        change = _find_change(document, request)
+        if change is not None:
+            # The same change came through another entry, so its keys are the ones
+            # that exist, not those that were made here.
+            rows = _describe_repeated(request, {target: change})
+            return Success(_Swap(change["version"], rows, True))
+        return Success(_Swap(document["version"], applied[-1].rows, False))
 
     async def _wait_in_force(self, versions: Mapping[Target, int]) -> list[str]:
         timeout = self._settings.timing.in_force_timeout_ms / MILLISECONDS
@@ -342,6 +347,14 @@
         log_event(CHANGE_REFUSED, who=request.who, reason=reason)
 
 
+def _find_change(document: Any, request: Request) -> Change | None:
+    """Return the change with the request's id if another request made it."""
+    for change in document["changes"]:
+        if change["id"] == request.change_id and change["at"] != request.at:
+            return change
+    return None
+
+
 def _list_targets(request: Request) -> list[Target]:
     """Return the documents that a script changes; the configuration comes first."""
     statements = request.script.statements
--- a/packages/briarshed-entry/src/briarshed_entry/operators.py
+++ b/packages/briarshed-entry/src/briarshed_entry/operators.py
@@ -11,7 +11,7 @@
 
 from aiohttp import web
 from briarshed.commands import Show, Target, changes_document
-from briarshed.events import CHANGE_REFUSED, OPERATOR_REJECTED
+from briarshed.events import CHANGE_REFUSED, LOOP_FAILED, OPERATOR_REJECTED
 from briarshed.findings import Finding, format_finding
 from briarshed.keys import find_operator
 from briarshed.language import parse_script
@@ -34,6 +34,8 @@
 DRY_RUN_HEADER = "Briarshed-Dry-Run"
 MAX_SCRIPT_BYTES = 256 * 1024
 MAX_CHANGE_ID_LENGTH = 64
+CLOSE_TIMEOUT_S = 15.0
+"""Two swaps of 5 s at most each, and some time to spare."""
 
 _NOTHING_CHANGED = Made({}, False, {}, (), {})
 
@@ -63,6 +65,7 @@
     application.router.add_post("/operator/commands", port.handle)
 
     async def close(_application: web.Application) -> None:
+        await port.close()
         await changes.close()
 
     application.on_cleanup.append(close)
@@ -100,10 +103,20 @@
         task = asyncio.create_task(self._run(read.unwrap(), who, change_id, dry_run))
         self._running.add(task)
         task.add_done_callback(self._running.discard)
-        response = await asyncio.shield(task)
+        try:
+            response = await asyncio.shield(task)
+        except Exception as error:
+            log_event(LOOP_FAILED, task="operators", error=repr(error))
+            reason = "internal error: it is not known whether anything was changed"
+            response = self._refuse(Refused(500, reason))
         response.headers[CHANGE_ID_HEADER] = change_id
         return response
 
+    async def close(self) -> None:
+        """Wait until the changes that operators no longer wait for have ended."""
+        if self._running:
+            await asyncio.wait(self._running, timeout=CLOSE_TIMEOUT_S)
+
     async def _run(
         self, text: str, who: str, change_id: str, dry_run: bool
     ) -> web.Response:
--- a/packages/briarshed/src/briarshed/language.py
+++ b/packages/briarshed/src/briarshed/language.py
@@ -14,7 +14,7 @@
 from briarshed.findings import Finding, suggest_name
 
 INLINE_SOURCE = "<command>"
-MAX_SCRIPT_LINES = 2_000
+MAX_SCRIPT_LINES = 1_000
 """Bounds the time that parsing holds up the event loop of an entry."""
 
 _DURATION_UNITS_S = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0, "d": 86400.0}
--- a/packages/briarshed/src/briarshed/queries.py
+++ b/packages/briarshed/src/briarshed/queries.py
@@ -404,12 +404,8 @@
     started: dict[str, float] = {}
     for change in sorted(changes, key=lambda item: item["version"]):
         moves += _count_moves(change)
-        for name, after in (change["after"] or {}).items():
-            section, _, wave = name.partition(".")
-            before = change["before"].get(name)
-            begins = before is None or before["state"] in ("done", "stopped")
-            if section == "waves" and wave and after["state"] == "running" and begins:
-                started[wave] = change["at"]
+        for wave in _list_started(change):
+            started[wave] = change["at"]
     rows = [_make_measure("moves", "last 24 h", moves, "instances")]
     for name, wave in sorted(fleet["waves"].items()):
         if name in started:
@@ -424,6 +420,21 @@
     return rows
 
 
+def _list_started(change: Change) -> list[str]:
+    """Return the waves that a change of an operator started."""
+    started = []
+    for name, after in (change["after"] or {}).items():
+        section, _, wave = name.partition(".")
+        # The planner's changes hold lists under the names of instances.
+        if section != "waves" or not isinstance(after, dict):
+            continue
+        before = change["before"][name]
+        begins = before is None or before["state"] in ("done", "stopped")
+        if begins and after["state"] == "running":
+            started.append(wave)
+    return started
+
+
 def _count_moves(change: Change) -> int:
     """Return how many instances came to another pool.
 
