--- a/packages/briarshed-entry/src/briarshed_entry/maintenance.py
+++ b/packages/briarshed-entry/src/briarshed_entry/maintenance.py
@@ -11,6 +11,7 @@
 import time
 import uuid
 from collections.abc import Awaitable, Callable, Mapping
+from contextlib import suppress
 from types import TracebackType
 from typing import Any, Self
 
@@ -60,6 +61,9 @@
 CHECK_TIMEOUT_S = 1.0
 CONCURRENT_CHECKS = 32
 
+DEMAND_S = 5.0
+"""Time between samples of demand, which cost a question to every entry."""
+
 STALE_S = 5.0
 """An observation older than this is not acted on; its observer may have been paused."""
 
@@ -141,11 +145,15 @@
         self._platform_failed = False
         self._listed_at: float | None = None
         self._tasks: set[asyncio.Task[None]] = set()
+        self._due = asyncio.Event()
+        self._subscription: Any = None
 
     async def __aenter__(self) -> Self:
+        self._subscription = self._replica.updates.subscribe(self._note_update)
         plan_s = self._settings.timing.plan_ms / MILLISECONDS
         self._start(self._repeat("health checks", self.check_instances, CHECK_S))
-        self._start(self._repeat("planner", self.plan_once, plan_s))
+        self._start(self._repeat("planner", self.plan_once, plan_s, self._due))
+        self._start(self._repeat("demand", self.sample_demand, DEMAND_S))
         return self
 
     async def __aexit__(
@@ -154,6 +162,8 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
+        if self._subscription is not None:
+            self._subscription.dispose()
         tasks = list(self._tasks)
         for task in tasks:
             task.cancel()
@@ -164,16 +174,29 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _note_update(self, key: str) -> None:
+        if key == FLEET_KEY:
+            self._due.set()
+
     async def _repeat(
-        self, name: str, function: Callable[[], Awaitable[Any]], pause_s: float
+        self,
+        name: str,
+        function: Callable[[], Awaitable[Any]],
+        pause_s: float,
+        due: asyncio.Event | None = None,
     ) -> None:
+        """Run a function again and again; an event that is set ends the pause."""
+        early = due or asyncio.Event()
         while True:
+            early.clear()
             try:
                 await function()
             except Exception as error:
                 # A fault in one round must not end maintenance for good.
                 log_event(LOOP_FAILED, task=name, error=repr(error))
-            await asyncio.sleep(pause_s)
+                await asyncio.sleep(pause_s)
+            with suppress(TimeoutError):
+                await asyncio.wait_for(early.wait(), pause_s)
 
     # Health checks
 
@@ -233,7 +256,7 @@
         plans = self._coordinator.is_planner()
         if plans:
             await self._poll_platform()
-        moves = await self._choose_moves() if plans else []
+        moves = self._choose_moves() if plans else []
         changed = await self._change_fleet(plans, moves)
         if plans:
             self._start_confirmations()
@@ -294,6 +317,7 @@
         """Judge data centres without a live entry by the platform's list."""
         places = {item["data_centre"] for item in fleet["instances"].values()}
         unwatched = {place for place in places if not self._list_live(place)}
+        self._forget_judged(fleet, unwatched)
         poll_s = self._settings.platform.poll_ms / MILLISECONDS
         recent = self._listed_at is not None and now() - self._listed_at < poll_s
         if not unwatched or recent:
@@ -316,20 +340,35 @@
             elif watch.platform == "missing":
                 watch.note_health(False)
 
+    def _forget_judged(self, fleet: Fleet, unwatched: set[str]) -> None:
+        """Drop counts of data centres that have a live entry again."""
+        own = self._settings.data_centre
+        for name, instance in fleet["instances"].items():
+            watch = self._watches.get(name)
+            if watch is not None and instance["data_centre"] not in (own, *unwatched):
+                watch.passes = watch.failures = 0
+
     def _note_platform(self, error: PlatformUnavailableError | None) -> None:
         if error is not None and not self._platform_failed:
             log_event(PLATFORM_FAILING, error=error.format_message())
         self._platform_failed = error is not None
 
-    async def _choose_moves(self) -> list[Move]:
-        if self._measure_demand is None:
-            return []
+    async def sample_demand(self) -> None:
+        """Note the demand of each pool; only the planner needs it."""
+        if self._measure_demand is None or not self._coordinator.is_planner():
+            return
         demand = await self._measure_demand()
         configuration, fleet = self._replica.configuration, self._replica.fleet
-        at = now()
-        self._moves = note_demand(self._moves, configuration, fleet, demand, at)
-        weights = self._settings.weights
-        return choose_moves(configuration, fleet, self._moves, weights, at)
+        self._moves = note_demand(self._moves, configuration, fleet, demand, now())
+
+    def _choose_moves(self) -> list[Move]:
+        return choose_moves(
+            self._replica.configuration,
+            self._replica.fleet,
+            self._moves,
+            self._settings.weights,
+            now(),
+        )
 
     async def _change_fleet(self, plans: bool, moves: list[Move]) -> bool:
         observed_at = now()
@@ -401,6 +440,7 @@
                 watch.confirmed = not waiting
                 # A round that did not end well is started again by the planner.
                 watch.confirming = not waiting
+            self._due.set()
 
     # Platform calls
 
