Spend less of a job's time on queue accounts and repeated checks

A job that can start at once waits for no timer, authority is asked once for a start in the queue and once before the first byte, and a body that arrived with its headers is read without a timer.

--- a/features/serving/steps/decisions_steps.py
+++ b/features/serving/steps/decisions_steps.py
@@ -294,7 +294,7 @@
 def step_wait(context, wait):
     row = context.active_outline
     run_time = None if row["run_time"] == "none" else float(row["run_time"])
-    found = admission.expect_wait(int(row["ahead"]), run_time, float(row["slots"]), 0)
+    found = admission.expect_wait(int(row["ahead"]), run_time, float(row["slots"]))
     assert found == wait, found
 
 
--- a/packages/briarshed-entry/src/briarshed_entry/callers.py
+++ b/packages/briarshed-entry/src/briarshed_entry/callers.py
@@ -334,20 +334,22 @@
     declared = request.content_length
     if declared is not None and declared > limit:
         raise _make_too_large(limit)
-    parts: list[bytes] = []
-    size = 0
+    body = bytearray()
     connection = request.protocol
     assert isinstance(connection, _CallerConnection)
     try:
         connection.body = request.content
         if connection.has_ended:
             connection.cut(request.content)
-        async with asyncio.timeout(settings.callers.body_timeout_ms / 1000):
-            async for part in request.content.iter_any():
-                size += len(part)
-                if size > limit:
-                    raise _make_too_large(limit)
-                parts.append(part)
+        if request.content.is_eof():
+            # A short body has arrived with its headers; a timer would cost more.
+            body += request.content.read_nowait()
+        else:
+            async with asyncio.timeout(settings.callers.body_timeout_ms / 1000):
+                async for part in request.content.iter_any():
+                    body += part
+                    if len(body) > limit:
+                        raise _make_too_large(limit)
     except TimeoutError as error:
         raise _make_refusal(
             HTTPStatus.REQUEST_TIMEOUT,
@@ -355,17 +357,19 @@
             f"the body did not arrive within {settings.callers.body_timeout_ms} ms",
         ) from error
     except (web.RequestPayloadError, ConnectionError) as error:
-        raise _make_short(size, declared) from error
+        raise _make_short(len(body), declared) from error
     finally:
         connection.body = None
         connection.is_running = True
     if connection.is_cut:
-        raise _make_short(size, declared)
+        raise _make_short(len(body), declared)
+    if len(body) > limit:
+        raise _make_too_large(limit)
     if connection.has_ended and request.transport is not None:
         # The caller left right after its request; closing cancels this handler.
         request.transport.close()
         await asyncio.sleep(EOF_GRACE_S)
-    return b"".join(parts)
+    return bytes(body)
 
 
 def _make_short(size: int, declared: int | None) -> RefusedError:
--- a/packages/briarshed-entry/src/briarshed_entry/scheduler.py
+++ b/packages/briarshed-entry/src/briarshed_entry/scheduler.py
@@ -164,8 +164,9 @@
         self._lives[id(life)] = life
         # Queued before anything else runs, so that a burst cannot pass the bounds.
         self._enqueue(life)
-        task = self._spawn(self._live(life))
-        task.add_done_callback(lambda _: self._forget(life))
+        task = asyncio.get_running_loop().create_task(self._live(life))
+        self._tasks.add(task)
+        task.add_done_callback(lambda task: self._forget(life, task))
         try:
             return await asyncio.shield(task)
         except asyncio.CancelledError:
@@ -235,6 +236,9 @@
         return None
 
     def _expect_wait(self, job: Job, pool: _Pool) -> float:
+        is_free = pool.placement.has_available(clock.now())
+        if is_free and not pool.queue:
+            return 0.0
         line = Line(job.team or _NO_TEAM, job.urgent)
         share = self._find_share(line.team)
         ahead = admission.count_ahead(
@@ -253,7 +257,6 @@
             ahead,
             self._run_times.get(job.queue),
             max(slots / entries, own),
-            1 if pool.placement.has_available(clock.now()) and not pool.queue else 0,
         )
 
     def _check_right(self, job: Job) -> Outcome | None:
@@ -261,11 +264,13 @@
         if job.team is None:
             return None
         if not self._coordinator.find_authority().granted:
-            return refuse(
-                HTTPStatus.SERVICE_UNAVAILABLE,
-                "configuration-not-fresh",
-                "this entry cannot confirm that its configuration is current",
-            )
+            return _refuse_without_authority()
+        return self._check_key(job)
+
+    def _check_key(self, job: Job) -> Outcome | None:
+        """Return why the held configuration gives the job's key no right, if so."""
+        if job.team is None:
+            return None
         configuration: Configuration = self._replica.configuration
         key = configuration["keys"].get(job.key_id or "")
         if key is None or key["team"] != job.team or _has_expired(key["expires_at"]):
@@ -293,22 +298,25 @@
         self.counts[outcome.code or "finished"] += 1
         return outcome
 
-    def _forget(self, life: _Life) -> None:
+    def _forget(self, life: _Life, task: asyncio.Task[Outcome]) -> None:
         # The task may have been cancelled before its first step.
         self._leave_queue(life)
+        self._tasks.discard(task)
         del self._lives[id(life)]
 
     async def _acquire(self, life: _Life, tried: frozenset[str]) -> Place | Outcome:
         life.tried = tried
         if life.turn is None:
             self._enqueue(life)
+        assert life.turn is not None
         try:
             refusal = self._check_waiting(life)
             if refusal is not None:
                 return refusal
             self._pump(life.pool)
-            left = life.job.deadline - clock.now()
-            await asyncio.wait({life.turn}, timeout=max(0.0, left))
+            if not life.turn.done():
+                left = life.job.deadline - clock.now()
+                await asyncio.wait({life.turn}, timeout=max(0.0, left))
             if not life.turn.done():
                 return self._explain_deadline(life)
             found = life.turn.result()
@@ -324,7 +332,9 @@
             return refuse(HTTPStatus.SERVICE_UNAVAILABLE, "caller-left", message)
         if clock.now() >= life.job.deadline:
             return self._explain_deadline(life)
-        return self._check_right(life.job)
+        # Authority is checked at the start, which is the next step for a job that
+        # need not wait.
+        return self._check_key(life.job)
 
     def _leave_queue(self, life: _Life) -> None:
         """End the wait of a job that did not use its turn."""
@@ -410,12 +420,14 @@
             if choice is None:
                 break
             line, key, life = choice
-            refusal = self._check_right(life.job)
+            obstacle = self._coordinator.may_start(life.job.team)
+            refusal = self._check_key(life.job)
+            if obstacle == "authority":
+                refusal = _refuse_without_authority()
             if refusal is not None:
                 self._resolve(life, refusal)
                 continue
-            team = life.job.team
-            if team is not None and self._coordinator.may_start(team):
+            if obstacle:
                 pool.queue.park(line.team)
                 self._parked_in[line.team].add(pool.name)
                 continue
@@ -633,6 +645,14 @@
         )
 
 
+def _refuse_without_authority() -> Outcome:
+    return refuse(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        "configuration-not-fresh",
+        "this entry cannot confirm that its configuration is current",
+    )
+
+
 def _job_key(life: _Life) -> str:
     # A caller may submit two jobs with the same id.
     return str(id(life))
--- a/packages/briarshed/src/briarshed/admission.py
+++ b/packages/briarshed/src/briarshed/admission.py
@@ -60,7 +60,7 @@
     return min(float(total), (own + 1) * all_shares / share - 1)
 
 
-def expect_wait(ahead: float, run_time: float | None, slots: float, free: int) -> float:
+def expect_wait(ahead: float, run_time: float | None, slots: float) -> float:
     """Return the seconds that a new job will wait; 0 while nothing is known.
 
     Parameters
@@ -70,10 +70,8 @@
     run_time : float or None
         Learned run time in seconds.
     slots : float
-        Slots of the pool that this entry can use.
-    free : int
-        Slots that are free now.
+        Slots of the pool that this entry can use; all are busy.
     """
-    if run_time is None or ahead < free:
+    if run_time is None:
         return 0.0
     return min(MAX_WAIT_S, (ahead + 1) * run_time / max(slots, 1.0))
--- a/packages/briarshed/src/briarshed/fairness.py
+++ b/packages/briarshed/src/briarshed/fairness.py
@@ -45,12 +45,13 @@
         self._waiting: Counter[bool] = Counter()
 
     def __len__(self) -> int:
-        return self._waiting.total()
+        return self._waiting[True] + self._waiting[False]
 
     def count_team(self, team: str) -> int:
         """Return the number of a team's queued jobs."""
-        lines = (self._lines.get(Line(team, urgent), {}) for urgent in (True, False))
-        return sum(len(line) for line in lines)
+        urgent = self._lines.get(Line(team, True), ())
+        other = self._lines.get(Line(team, False), ())
+        return len(urgent) + len(other)
 
     def count_urgent(self) -> int:
         """Return the number of urgent queued jobs."""
