--- /dev/null
+++ b/features/steps/grants_steps.py
@@ -0,0 +1,283 @@
+"""Steps about the split of limits, with the real ledger of an entry."""
+
+import random
+import sys
+from collections import Counter
+from pathlib import Path
+
+from behave import given, then, when
+from briarshed.grants import Need, View, find_start_limit, is_allowed, plan_team
+from briarshed_entry._ledger import Ledger, merge_rows
+from hypothesis import HealthCheck, seed, settings, strategies
+from hypothesis import given as drawn
+
+sys.path.append(str(Path(__file__).resolve().parents[2] / "bench"))
+
+import grants as bench
+
+RANDOM_RUNS = 300
+TEAM = "team"
+EVENTS = (
+    "start start start start start end end read read plan plan plan plan land land"
+    " ask wait wait limit crash remove return free tick tick"
+)
+
+
+def read_pairs(text):
+    if text == "none":
+        return {}
+    return {name: int(count) for name, count in map(_split, text.split())}
+
+
+def _split(pair):
+    return pair.split("=")
+
+
+@given('rows "{rows}" and a limit of {limit:d} for entries a, b and c')
+def step_rows(context, rows, limit):
+    context.rows, context.limit = read_pairs(rows), limit
+
+
+@given("entry {entry} with {running:d} running and {waiting:d} waiting jobs")
+def step_need(context, entry, running, waiting):
+    context.entry, context.need = entry, Need(running, waiting, running + waiting)
+
+
+@given('demands "{demands}"')
+def step_demands(context, demands):
+    context.view = View(
+        context.entry,
+        ("a", "b", "c"),
+        context.limit,
+        context.need,
+        demands=read_pairs(demands),
+        freeable=("x",),
+    )
+
+
+@when("entry {entry} plans")
+def step_plan(context, entry):
+    context.planned = plan_team(context.rows, context.view)
+    assert is_allowed(context.rows, context.planned, context.limit)
+
+
+@then('the rows are "{planned}" and it may run {may:d} jobs')
+def step_planned(context, planned, may):
+    assert context.planned == read_pairs(planned), context.planned
+    limit = find_start_limit(context.rows, context.view)
+    assert limit == may, limit
+
+
+@given("entry a that holds 10 of 10 idle jobs at revision 5")
+def step_hold(context):
+    context.ledger = Ledger()
+    context.ledger.reset_owner("a", ["a", "b", "c"])
+    team = {"share": 1.0, "limit": 10}
+    context.documents = {"teams": {TEAM: team}}, {"rows": {TEAM: {"a": 10}}}
+
+
+@when("the answer to the swap that gives them away is lost")
+def step_lose(context):
+    plan = context.ledger.plan([TEAM], *context.documents, 0.0)
+    assert plan == {TEAM: {"a": 4, "b": 3, "c": 3}}, plan
+    context.ledger.hold_floors(plan)
+    context.ledger.keep_floors(5)
+
+
+@when("it reads the same rows at revision {revision:d}")
+def step_settle(context, revision):
+    context.ledger.settle_floors(revision)
+
+
+@then("entry a may run {count:d} jobs")
+def step_floor(context, count):
+    limit = context.ledger.find_limit(TEAM, *context.documents, 0.0)
+    assert limit == count, limit
+
+
+@when("jobs of {run:g} s are queued")
+def step_measure(context, run):
+    row = context.active_outline
+    entries, limit = int(row["entries"]), int(row["limit"])
+    context.usage = bench.measure(entries, limit, run, seed=7, at_s=2.0)
+    print(f"seed 7: {context.usage}")
+
+
+@then("at least {part:g} is in use while demand is spread evenly")
+def step_even(context, part):
+    assert context.usage.even >= part, context.usage
+
+
+@then("at least {part:g} is in use while jobs arrive at random entries")
+def step_arriving(context, part):
+    assert context.usage.random >= part, context.usage
+
+
+@then("at least {part:g} is in use 2 s after all demand moved to one entry")
+def step_moved(context, part):
+    assert context.usage.moved >= part, context.usage
+
+
+class Entry:
+    """An entry: its ledger, its copy of the documents, and its jobs by owner."""
+
+    def __init__(self, owner):
+        self.owner, self.ledger, self.copy = owner, Ledger(), None
+        self.jobs = Counter()
+
+
+class Grid:
+    """The store's rows, entries that come and go, and swaps whose answers are lost."""
+
+    def __init__(self, source, names):
+        self.source, self.names = source, names
+        self.count, self.time, self.limit = 0, 0.0, 10
+        self.revision, self.rows, self.guard = 0, {}, 0
+        self.bound, self.most = self.limit, 0
+        self.orphans, self.removed = Counter(), set()
+        self.flying, self.entries = [], {}
+        for name in names:
+            self._start(name, Counter())
+
+    def _start(self, name, jobs):
+        """Register a new owner; the same process still counts its earlier jobs."""
+        self.count += 1
+        self.guard += 1
+        self.entries[name] = entry = Entry(f"{name}/{self.count}")
+        for owner, count in jobs.items():
+            self._run(entry, owner, count)
+        self._read(entry)
+
+    def _read(self, entry):
+        owners = sorted(other.owner for other in self.entries.values())
+        configuration = {"teams": {TEAM: {"share": 1.0, "limit": self.limit}}}
+        grants = {"version": self.revision, "rows": {TEAM: dict(self.rows)}}
+        entry.copy = (self.revision, self.guard, configuration, grants)
+        entry.ledger.reset_owner(entry.owner, owners)
+        entry.ledger.settle_floors(self.revision)
+
+    def _run(self, entry, owner, count):
+        entry.jobs[owner] += count
+        entry.ledger.add_running(TEAM, count, self.time)
+
+    def act(self):
+        """Do one random event."""
+        source = self.source
+        name = source.choice(self.names)
+        entry = self.entries[name]
+        _revision, _guard, configuration, grants = entry.copy
+        match source.choice(EVENTS.split()):
+            case "start" if entry.owner not in self.removed:
+                limit = entry.ledger.find_limit(TEAM, configuration, grants, self.time)
+                free = limit - entry.jobs.total()
+                self._run(entry, entry.owner, max(0, min(free, source.randint(1, 9))))
+            case "end" if entry.jobs.total():
+                owner = source.choice(sorted(entry.jobs.elements()))
+                self._run(entry, owner, -1)
+            case "read":
+                self._read(entry)
+            case "plan" if entry.owner not in self.removed:
+                if source.random() < 0.5:
+                    self._read(entry)
+                self._plan(entry)
+            case "land" if self.flying:
+                self._land(self.flying.pop(source.randrange(len(self.flying))))
+            case "ask":
+                other = self.entries[source.choice(self.names)]
+                wanted = {TEAM: source.choice((0, 1, 20))}
+                entry.ledger.note_demand(other.owner, wanted, self.time)
+            case "wait":
+                waiting = source.choice((0, 0, 1, 20))
+                entry.ledger.set_waiting(TEAM, waiting, self.time)
+            case "limit":
+                self.limit = source.choice((0, 1, 5, 10, 30, 30))
+                self.bound = max(self.limit, sum(self.rows.values()))
+                self.guard += 1
+            case "crash":
+                # Its tasks run on at endpoints until their lease ends.
+                self.orphans += entry.jobs
+                self._start(name, Counter())
+            case "remove":
+                self.removed.add(entry.owner)
+                self.guard += 1
+            case "return" if entry.owner in self.removed:
+                self._start(name, entry.jobs)
+            case "free" if entry.owner not in self.removed:
+                self._free(entry)
+            case "tick":
+                self.time += source.choice((0.5, 1.0, 6.0))
+
+    def _free(self, entry):
+        """Let the task leases of stopped owners end, and free their rows."""
+        listed = {other.owner for other in self.entries.values()}
+        entry.ledger.freeable = set(self.rows) - listed
+        for owner in entry.ledger.freeable:
+            self.orphans.pop(owner, None)
+            for other in self.entries.values():
+                self._run(other, owner, -other.jobs[owner])
+        self._plan(entry)
+        entry.ledger.freeable = ()
+
+    def _plan(self, entry):
+        """Begin a swap whose answer comes at once, or never."""
+        revision, guard, configuration, grants = entry.copy
+        plan = entry.ledger.plan([TEAM], configuration, grants, self.time)
+        if not plan:
+            return
+        entry.ledger.hold_floors(plan)
+        swap = (revision, guard, merge_rows(grants, plan)["rows"].get(TEAM, {}))
+        match self.source.choice(("answered", "answered", "lost", "late", "late")):
+            case "answered":
+                self._land(swap)
+                self._read(entry)
+                entry.ledger.drop_floors()
+            case "lost":
+                self._land(swap)
+                entry.ledger.keep_floors(revision)
+            case "late":
+                self.flying.append(swap)
+                entry.ledger.keep_floors(revision)
+
+    def _land(self, swap):
+        revision, guard, after = swap
+        if (revision, guard) != (self.revision, self.guard):
+            return
+        assert is_allowed(self.rows, after, self.limit), (self.rows, after, self.limit)
+        self.rows = after
+        self.revision += 1
+        self.bound = max(self.limit, min(self.bound, sum(after.values())))
+
+    def check(self):
+        """Check the limit, and that nobody runs more than its rows allow."""
+        jobs = Counter(self.orphans)
+        for entry in self.entries.values():
+            jobs += entry.jobs
+        self.most = max(self.most, jobs.total())
+        assert jobs.total() <= self.bound, (jobs, self.bound, self.rows)
+        for owner, count in jobs.items():
+            assert count <= self.rows.get(owner, 0), (owner, jobs, self.rows)
+
+
+@then("no sequence of {events:d} random events with seed {number:d} breaks the limit")
+def step_random(context, events, number):
+    print(f"seed {number}, {RANDOM_RUNS} runs of {events} events")
+    most = []
+
+    @seed(number)
+    @settings(
+        max_examples=RANDOM_RUNS,
+        deadline=None,
+        database=None,
+        suppress_health_check=list(HealthCheck),
+    )
+    @drawn(strategies.integers(0, 2**32 - 1))
+    def check(draw):
+        grid = Grid(random.Random(draw), "abc")
+        for _ in range(events):
+            grid.act()
+            grid.check()
+        most.append(grid.most)
+
+    check()
+    print(f"most running jobs in the mean: {sum(most) / len(most):.1f}")
+    assert sum(most) > 5 * len(most), "too few jobs ran to show anything"
--- a/packages/briarshed-entry/src/briarshed_entry/_ledger.py
+++ b/packages/briarshed-entry/src/briarshed_entry/_ledger.py
@@ -4,7 +4,7 @@
 
 from collections import Counter, deque
 from collections.abc import Collection, Mapping, Sequence
-from typing import Any
+from typing import Any, NamedTuple
 
 from briarshed.documents import Configuration, Grants
 from briarshed.grants import Need, View, find_start_limit, plan_team
@@ -12,10 +12,28 @@
 DEMAND_LIFE_S = 2.5
 """Time for which a demand counts; it is repeated every second while it lasts."""
 
+DEMAND_INTERVAL_S = 1.0
+"""Shortest time between two demands for one team."""
+
 RECENT_S = 5.0
 """Time for which an idle part of a row is kept before peers may get it unasked."""
 
 
+class Demands(NamedTuple):
+    """What to tell the peers.
+
+    Attributes
+    ----------
+    wanted : dict
+        Team and the jobs that wait for a grant; 0 withdraws a demand.
+    repeated : bool
+        Whether a demand was told before and is still not met.
+    """
+
+    wanted: dict[str, int]
+    repeated: bool
+
+
 class Ledger:
     """Counts of this entry and its peers; decides nothing but by ``grants``."""
 
@@ -29,6 +47,7 @@
         self._waiting: dict[str, int] = {}
         self._peaks: dict[str, deque[tuple[float, int]]] = {}
         self._demands: dict[str, dict[str, tuple[int, float]]] = {}
+        self._asked_at: dict[str, float] = {}
         self._floors: dict[str, int] = {}
         self._floor_revision: int | None = None
 
@@ -51,13 +70,19 @@
         self._note_peak(team, time)
 
     def set_waiting(self, team: str, count: int, time: float) -> bool:
-        """Record the queued jobs of a team; return whether they have increased."""
+        """Record the queued jobs of a team; return whether peers should hear of it."""
         before = self._waiting.get(team, 0)
         if count == before:
             return False
         self._waiting[team] = count
         self._note_peak(team, time)
-        return count > before
+        if count == 0:
+            return team in self._asked_at
+        return count > before and self._is_due(team, time)
+
+    def _is_due(self, team: str, time: float) -> bool:
+        asked_at = self._asked_at.get(team)
+        return asked_at is None or time - asked_at >= DEMAND_INTERVAL_S
 
     def _note_peak(self, team: str, time: float) -> None:
         peaks = self._peaks.setdefault(team, deque())
@@ -133,7 +158,26 @@
         limit = find_start_limit(grants["rows"].get(team, {}), view)
         return min(limit, self._floors.get(team, limit))
 
-    def list_demands(
+    def take_demands(
+        self, configuration: Configuration, grants: Grants, time: float
+    ) -> Demands:
+        """Return what to tell the peers now, and remember that it was told.
+
+        Zero withdraws a demand, so that peers give nothing more to an entry whose
+        queue has emptied.
+        """
+        wanted = self._list_wanted(configuration, grants, time)
+        due = {
+            team: count for team, count in wanted.items() if self._is_due(team, time)
+        }
+        repeated = bool(due.keys() & self._asked_at.keys())
+        ended = self._asked_at.keys() - wanted.keys()
+        for team in ended:
+            del self._asked_at[team]
+        self._asked_at.update(dict.fromkeys(due, time))
+        return Demands(due | dict.fromkeys(ended, 0), repeated)
+
+    def _list_wanted(
         self, configuration: Configuration, grants: Grants, time: float
     ) -> dict[str, int]:
         """Return how many more jobs of each team wait for a grant here."""
--- a/packages/briarshed-entry/src/briarshed_entry/coordinator.py
+++ b/packages/briarshed-entry/src/briarshed_entry/coordinator.py
@@ -76,7 +76,6 @@
 INCARNATION_BYTES = 6
 RENEWALS_A_LEASE = 3
 SWAP_INTERVAL_S = 1.0
-DEMAND_INTERVAL_S = 1.0
 GRANTS_PAUSE_S = 0.1
 """Shortest time between two looks at demands and rows."""
 
@@ -137,7 +136,6 @@
         self._notice = asyncio.Event()
         self._swapped_at = 0.0
         self._planned_at = 0.0
-        self._demanded_at: dict[str, float] = {}
         self._asked: dict[int, tuple[str, asyncio.Future[list[Any]]]] = {}
         self._last_ask = 0
         self._answer: Callable[[Any], list[Any]] = lambda question: []
@@ -246,10 +244,7 @@
         """Record how many jobs of a team are queued here."""
         if team is None:
             return
-        time = now()
-        increased = self._ledger.set_waiting(team, count, time)
-        asked_at = self._demanded_at.get(team, 0.0)
-        if increased and time - asked_at >= DEMAND_INTERVAL_S:
+        if self._ledger.set_waiting(team, count, now()):
             self._wake.set()
 
     def count_running(self, team: str) -> int:
@@ -715,26 +710,15 @@
             await asyncio.sleep(GRANTS_PAUSE_S)
 
     async def _send_demands(self) -> None:
-        time = now()
-        wanted = self._ledger.list_demands(
-            self._replica.configuration, self._replica.grants, time
+        demands = self._ledger.take_demands(
+            self._replica.configuration, self._replica.grants, now()
         )
-        due = {
-            team: count
-            for team, count in wanted.items()
-            if time - self._demanded_at.get(team, 0.0) >= DEMAND_INTERVAL_S
-        }
-        if due:
-            repeated = any(
-                time - self._demanded_at.get(team, 0.0) < 2 * DEMAND_INTERVAL_S
-                for team in due
-            )
-            self._demanded_at.update(dict.fromkeys(due, time))
+        if demands.wanted:
             for name in self._list_addresses():
-                self._peers.send(name, Demand(due))
-            if repeated:
-                # The notice of a raised row may have been lost.
-                await self._replica.refresh([GRANTS_KEY])
+                self._peers.send(name, Demand(demands.wanted))
+        if demands.repeated:
+            # The notice of a raised row may have been lost.
+            await self._replica.refresh([GRANTS_KEY])
 
     def _list_teams(self, time: float) -> list[str]:
         """Return the teams whose rows may have to change."""
