--- a/features/control_world.py
+++ b/features/control_world.py
@@ -76,6 +76,12 @@
             registered and listed,
         )
 
+    def take_members(self, members) -> None:
+        """Replace the copy of the members."""
+        before, self.members = self.members, members
+        known = membership.find_newcomers(before, members, self.owner)
+        self.acquainted.update(known)
+
     def decide(self, time: float) -> authority.Authority:
         """Decide the authority of the entry."""
         return authority.decide_authority(self.view(), self.views, TIMING, time)
@@ -194,7 +200,8 @@
                 self._swap_members(done.unwrap())
                 entry.registered_at = self.time
         entry.read_at = entry.contact_at = self.time
-        entry.configuration, entry.members = self.configuration, self.members
+        entry.configuration = self.configuration
+        entry.take_members(self.members)
         if entry.registered_at is not None:
             self.leases[entry.name] = (entry.incarnation, self.time + LEASE_S)
             self._remove(entry)
@@ -220,7 +227,7 @@
         ):
             members = membership.remove_member(self.members, name, self.time)
             self._swap_members(members)
-            entry.members = self.members
+            entry.take_members(self.members)
 
     def _ping(self, entry: Entry) -> None:
         for owner in entry.view().others:
@@ -272,4 +279,4 @@
             # The peer offers what this entry lacks, the configuration first.
             entry.configuration = max(entry.configuration, configuration)
             if members["version"] > entry.members["version"]:
-                entry.members = members
+                entry.take_members(members)
--- a/packages/briarshed-entry/src/briarshed_entry/coordinator.py
+++ b/packages/briarshed-entry/src/briarshed_entry/coordinator.py
@@ -26,6 +26,7 @@
     MEMBERS_KEY,
     decode_document,
     encode_document,
+    make_empty,
 )
 from briarshed.events import (
     AUTHORITY_GAINED,
@@ -42,6 +43,7 @@
 from briarshed.grants import Need
 from briarshed.membership import (
     deregister_member,
+    find_newcomers,
     find_planner,
     find_removable,
     find_unacquainted,
@@ -127,6 +129,7 @@
         self._missing_since: dict[str, float] = {}
         self._removed_at: dict[str, float] = {}
         self._orphaned_since: dict[str, float] = {}
+        self._members = make_empty(MEMBERS_KEY)
         self._owners: set[str] = set()
         self._others: tuple[str, ...] = ()
         self._established = False
@@ -413,8 +416,6 @@
         self._log_state()
 
     async def _register(self) -> None:
-        if self._registered_at is not None:
-            self._take_new_incarnation()
         settings = self._settings
         member = {
             "incarnation": self._incarnation,
@@ -506,9 +507,13 @@
         self._wake.set()
 
     def _note_members(self) -> None:
-        members = self._replica.members
+        before, self._members = self._members, self._replica.members
+        members = self._members
         owners = set(list_owners(members))
         time = now()
+        if self.owner in self._owners and self.owner not in owners:
+            self._take_new_incarnation()
+        self._acquainted.update(find_newcomers(before, members, self.owner))
         for owner in self._owners - owners:
             # A member that deregistered itself had no work and no authority left.
             if owner in members["departed"]:
--- a/packages/briarshed/src/briarshed/membership.py
+++ b/packages/briarshed/src/briarshed/membership.py
@@ -90,7 +90,7 @@
         This entry.
     acquainted : mapping
         Name and incarnation of each member that has once answered with a pong that
-        lists this entry's incarnation.
+        lists this entry's incarnation, or that registered later.
     """
     return sorted(
         other
@@ -99,6 +99,22 @@
     )
 
 
+def find_newcomers(before: Members, after: Members, owner: str) -> dict[str, str]:
+    """Return the members that registered while an entry was listed.
+
+    Their registration read a document that lists the entry, and they never go back
+    to an earlier one, so they know it without having answered. A new member that
+    never answers therefore keeps no other entry from accepting changes.
+    """
+    if owner not in list_owners(before) or owner not in list_owners(after):
+        return {}
+    return {
+        name: member["incarnation"]
+        for name, member in after["members"].items()
+        if not is_listed(before, name, member["incarnation"])
+    }
+
+
 def find_removable(
     members: Members,
     name: str,
