--- a/features/steps/grants_steps.py
+++ b/features/control/steps/grants_steps.py
@@ -11,7 +11,7 @@
 from hypothesis import HealthCheck, seed, settings, strategies
 from hypothesis import given as drawn
 
-sys.path.append(str(Path(__file__).resolve().parents[2] / "bench"))
+sys.path.append(str(Path(__file__).resolve().parents[3] / "bench"))
 
 import grants as bench
 
--- /dev/null
+++ b/packages/briarshed-cli/src/briarshed_cli/main.py
@@ -0,0 +1,270 @@
+"""The program ``briarshed``: operators' commands and questions from a terminal."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import getpass
+import json
+import sys
+import uuid
+from pathlib import Path
+from typing import Annotated, Any, NamedTuple, NoReturn
+
+import aiohttp
+import typer
+from briarshed.exceptions import BriarshedError, ScriptError
+from briarshed.keys import hash_key
+from briarshed.language import parse_script
+from returns.pipeline import is_successful
+
+from briarshed_cli.tables import print_answer
+
+FINDINGS = 2
+REFUSED = 3
+NOT_IN_FORCE = 4
+OUTCOME_UNKNOWN = 5
+NOT_RECOGNIZED = 6
+
+REQUEST_TIMEOUT_S = 60.0
+"""Longer than an entry's swaps and its wait until a change is in force."""
+
+_STATUS_CODES = {
+    400: FINDINGS,
+    401: NOT_RECOGNIZED,
+    413: FINDINGS,
+    500: OUTCOME_UNKNOWN,
+    504: OUTCOME_UNKNOWN,
+}
+
+application = typer.Typer(
+    add_completion=False,
+    no_args_is_help=True,
+    # A traceback with local variables would print the key.
+    pretty_exceptions_enable=False,
+)
+
+
+class Format(enum.StrEnum):
+    """Output formats."""
+
+    JSON = "json"
+    TABLE = "table"
+
+
+class Options(NamedTuple):
+    """Options that all commands share."""
+
+    address: str
+    key: str
+    key_file: Path | None
+    output: Format
+
+
+class UnansweredError(BriarshedError):
+    """No answer came from the entry."""
+
+    exit_code = OUTCOME_UNKNOWN
+
+
+class UsageError(BriarshedError):
+    """An option is missing or a file cannot be read."""
+
+    exit_code = FINDINGS
+
+
+ScriptFile = Annotated[
+    Path, typer.Argument(metavar="FILE", help="A script; '-' reads standard input.")
+]
+ChangeId = Annotated[
+    str,
+    typer.Option(help="Id of the first try; a change with the same id is made once."),
+]
+
+
+@application.callback()
+def set_options(
+    context: typer.Context,
+    address: Annotated[
+        str,
+        typer.Option(
+            envvar="BRIARSHED_ADDRESS",
+            help="An entry's operators' port, IP:PORT or URL.",
+        ),
+    ] = "",
+    key_file: Annotated[
+        Path | None,
+        typer.Option(envvar="BRIARSHED_KEY_FILE", help="File with the operator's key."),
+    ] = None,
+    key: Annotated[
+        str,
+        typer.Option(
+            envvar="BRIARSHED_KEY",
+            show_default=False,
+            help="The key itself; on the command line, other users of the machine may"
+            " see it.",
+        ),
+    ] = "",
+    output: Annotated[
+        Format, typer.Option("--format", help="Output format.")
+    ] = Format.TABLE,
+) -> None:
+    """Send commands and questions to an entry of briarshed.
+
+    Exit codes: 0 done; 1 internal error; 2 findings or wrong usage, nothing changed;
+    3 refused; 4 accepted but not yet in force everywhere; 5 no answer, the outcome is
+    unknown; 6 key not recognized.
+    """
+    context.obj = Options(address, key, key_file, output)
+
+
+@application.command("do")
+def send_text(
+    context: typer.Context,
+    text: Annotated[str, typer.Argument(help='Commands, such as "show pools".')],
+    change_id: ChangeId = "",
+) -> None:
+    """Run the commands of a text, one a line."""
+    _execute(context.obj, text, "<command>", change_id)
+
+
+@application.command("run")
+def send_file(
+    context: typer.Context, file: ScriptFile, change_id: ChangeId = ""
+) -> None:
+    """Run the commands of a file."""
+    _execute(context.obj, _read_script(file), str(file), change_id)
+
+
+@application.command("check")
+def check_file(context: typer.Context, file: ScriptFile) -> None:
+    """Check a file; with an address also against the documents. Changes nothing."""
+    text = _read_script(file)
+    if context.obj.address:
+        _execute(context.obj, text, str(file), dry_run=True)
+    _check_syntax(text, str(file))
+    typer.echo(f"{file}: no findings; names were not checked, since no address is set")
+
+
+@application.command("show")
+def send_question(
+    context: typer.Context,
+    words: Annotated[list[str], typer.Argument(help="What follows 'show'.")],
+) -> None:
+    """Ask a question: short for do "show ..."."""
+    _execute(context.obj, " ".join(["show", *words]), "<command>")
+
+
+@application.command("hash-key")
+def print_hash() -> None:
+    """Read a key from the terminal or standard input and print its SHA-256."""
+    if sys.stdin.isatty():
+        text = getpass.getpass("key: ")
+    else:
+        text = sys.stdin.readline().strip()
+    if not text:
+        raise UsageError("no key was given")
+    typer.echo(hash_key(text))
+
+
+def run() -> None:
+    """Run the program; errors are shown as text with their exit code."""
+    try:
+        application()
+    except BriarshedError as error:
+        typer.echo(error.format_message(), err=True)
+        sys.exit(error.exit_code)
+
+
+def _find_key(options: Options) -> str:
+    key = options.key
+    if not key and options.key_file is not None:
+        key = _read_file(options.key_file).strip()
+    if not key:
+        raise UsageError("no key: use --key-file, BRIARSHED_KEY_FILE or BRIARSHED_KEY")
+    return key
+
+
+def _find_url(options: Options) -> str:
+    address = options.address.rstrip("/")
+    if not address:
+        raise UsageError("no address: use --address or BRIARSHED_ADDRESS")
+    return address if "://" in address else f"http://{address}"
+
+
+def _read_script(file: Path) -> str:
+    return sys.stdin.read() if str(file) == "-" else _read_file(file)
+
+
+def _read_file(file: Path) -> str:
+    try:
+        return file.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise UsageError(f"{file} cannot be read: {error}") from error
+
+
+def _check_syntax(text: str, source: str) -> None:
+    parsed = parse_script(text, source)
+    if not is_successful(parsed):
+        raise ScriptError(parsed.failure())
+
+
+def _execute(
+    options: Options,
+    text: str,
+    source: str,
+    change_id: str = "",
+    dry_run: bool = False,
+) -> NoReturn:
+    # Findings of the language need no entry.
+    _check_syntax(text, source)
+    change_id = change_id or uuid.uuid4().hex
+    headers = {
+        "Authorization": f"Bearer {_find_key(options)}",
+        "Briarshed-Change-Id": change_id,
+        "Briarshed-Dry-Run": "true" if dry_run else "false",
+    }
+    status, content = asyncio.run(_send(_find_url(options), text, headers))
+    if options.output == Format.JSON:
+        typer.echo(json.dumps(content, indent=2))
+    else:
+        print_answer(content, source)
+    code = _find_exit_code(status, content)
+    if code == OUTCOME_UNKNOWN:
+        typer.echo(_advise_repeat(change_id), err=True)
+    raise typer.Exit(code)
+
+
+async def _send(
+    url: str, text: str, headers: dict[str, str]
+) -> tuple[int, dict[str, Any]]:
+    timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
+    try:
+        async with (
+            aiohttp.ClientSession(timeout=timeout) as session,
+            session.post(
+                f"{url}/operator/commands", data=text.encode(), headers=headers
+            ) as response,
+        ):
+            return response.status, await response.json()
+    except aiohttp.ClientConnectorError as error:
+        raise UnansweredError(f"no connection, nothing was sent: {error}") from error
+    except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+        reason = str(error) or type(error).__name__
+        advice = _advise_repeat(headers["Briarshed-Change-Id"])
+        raise UnansweredError(f"no answer from {url}: {reason}\n{advice}") from error
+
+
+def _advise_repeat(change_id: str) -> str:
+    return (
+        "a change may have been accepted; repeat the command with"
+        f" --change-id {change_id}, which makes it at most once"
+    )
+
+
+def _find_exit_code(status: int, content: dict[str, Any]) -> int:
+    if status != 200:
+        return _STATUS_CODES.get(status, REFUSED)
+    if content["accepted"] and not content["in_force"]:
+        return NOT_IN_FORCE
+    return 0
--- /dev/null
+++ b/packages/briarshed-entry/src/briarshed_entry/dispatch.py
@@ -0,0 +1,447 @@
+"""The life of one job: attempts, probe, fence, retry."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from collections.abc import Awaitable, Callable, Mapping
+from contextlib import suppress
+from http import HTTPStatus
+from typing import Literal, NamedTuple
+
+from briarshed.events import CONNECTION_SILENT
+from briarshed.exceptions import AnswerLostError, EndpointUnreachableError
+from briarshed.settings import Settings
+
+from briarshed_entry import clock
+from briarshed_entry.endpoints import (
+    Endpoints,
+    FenceState,
+    NotAllowedError,
+    Progress,
+    Reply,
+    TaskRequest,
+    TaskState,
+)
+from briarshed_entry.logs import log_event
+
+ATTEMPT_BYTES = 16
+"""Random bytes of an attempt id; no two attempts of the fleet share one."""
+
+MAX_REJECTIONS = 3
+"""Attempts that may fail or be rejected before the job is answered with the reason."""
+
+MAX_FETCHES = 3
+"""Tries to fetch a kept answer; an endpoint may cut each of them short."""
+
+REPEAT_S = 0.2
+"""Seconds between control calls that fail at once."""
+
+ResultKind = Literal[
+    "answered",
+    "refused",
+    "impossible",
+    "unreachable",
+    "not-allowed",
+    "never",
+    "failed",
+    "stopped",
+    "too-large",
+    "lost",
+    "abandoned",
+]
+
+NOT_STARTED: frozenset[ResultKind] = frozenset(
+    {"refused", "impossible", "unreachable", "not-allowed", "never"}
+)
+"""Results after which no endpoint can have started the attempt."""
+
+
+class Job(NamedTuple):
+    """A job as its caller submitted it.
+
+    Attributes
+    ----------
+    job_id : str
+        The caller's id, or a generated one.
+    queue : str
+        Queue.
+    team : str or None
+        Team of the key; None for a job that came without a key to an open queue.
+    key_id : str or None
+        The key's id.
+    idempotent, urgent : bool
+        As the headers say.
+    deadline : float
+        Seconds of the clock.
+    body : bytes
+        Opaque body.
+    """
+
+    job_id: str
+    queue: str
+    team: str | None
+    key_id: str | None
+    idempotent: bool
+    urgent: bool
+    deadline: float
+    body: bytes
+
+
+class Outcome(NamedTuple):
+    """What a caller is told; ``code`` is empty for a finished job."""
+
+    status: int
+    code: str
+    message: str
+    body: bytes = b""
+    headers: Mapping[str, str] = {}
+
+
+class Place(NamedTuple):
+    """An endpoint that a job may be sent to now, with its address."""
+
+    endpoint: str
+    address: str
+
+
+class Result(NamedTuple):
+    """How one attempt ended."""
+
+    kind: ResultKind
+    reply: Reply | None = None
+
+
+class Steps(NamedTuple):
+    """What the scheduler provides for the life of one job.
+
+    Attributes
+    ----------
+    acquire : callable
+        Waits in the queue for a place; returns an outcome if the job is refused.
+    release : callable
+        Gives a place back with the attempt's id and result; keeps it counted while
+        the task may still run.
+    allow : callable
+        The check made right before each start.
+    retry : callable
+        Takes a token of the retry budget; returns the delay in seconds, or None.
+    """
+
+    acquire: Callable[[frozenset[str]], Awaitable[Place | Outcome]]
+    release: Callable[[Place, str, Result], None]
+    allow: Callable[[], bool]
+    retry: Callable[[int], float | None]
+
+
+def refuse(
+    status: HTTPStatus, code: str, message: str, retry_after: float | None = None
+) -> Outcome:
+    """Return a refusal; ``retry_after`` is in seconds."""
+    headers = {}
+    if retry_after is not None:
+        headers["Retry-After"] = str(max(1, round(retry_after)))
+    return Outcome(int(status), code, message, b"", headers)
+
+
+async def run_job(
+    job: Job, settings: Settings, endpoints: Endpoints, steps: Steps
+) -> Outcome:
+    """Run a job to its outcome."""
+    tried: set[str] = set()
+    rejections = 0
+    started = False
+    retries = 0
+    while True:
+        place = await steps.acquire(frozenset(tried))
+        if isinstance(place, Outcome):
+            return _explain_waiting(job, place, started)
+        attempt = secrets.token_hex(ATTEMPT_BYTES)
+        result = Result("abandoned")
+        progress = Progress()
+        try:
+            result = await run_attempt(
+                job, attempt, place, settings, endpoints, steps.allow, progress
+            )
+        except asyncio.CancelledError:
+            if not progress.written:
+                result = Result("not-allowed")
+            raise
+        finally:
+            steps.release(place, attempt, result)
+        started = started or result.kind not in NOT_STARTED
+        if result.kind == "answered" and result.reply is not None:
+            return _answer(result.reply)
+        if result.kind in ("refused", "not-allowed"):
+            continue
+        tried.add(place.endpoint)
+        rejections += result.kind in ("impossible", "failed")
+        delay = None
+        if may_retry(job, result, rejections):
+            delay = steps.retry(retries)
+        if delay is None or clock.now() + delay >= job.deadline:
+            return _give_up(job, result, started)
+        retries += 1
+        await asyncio.sleep(delay)
+
+
+def may_retry(job: Job, result: Result, rejections: int) -> bool:
+    """Tell whether the job may be sent to another endpoint.
+
+    Parameters
+    ----------
+    job : Job
+        The job.
+    result : Result
+        How its last attempt ended.
+    rejections : int
+        Attempts that failed or were rejected as impossible so far. Each was made at
+        another endpoint as long as the pool has one.
+    """
+    if result.kind == "too-large":
+        return False
+    if result.kind not in NOT_STARTED and not job.idempotent:
+        return False
+    return rejections < MAX_REJECTIONS and clock.now() < job.deadline
+
+
+def find_lease_ms(job: Job, settings: Settings, now: float) -> int:
+    """Return how long a task sent now may run.
+
+    It ends soon after the job's deadline, at which the entry fences it.
+    """
+    left_ms = round((job.deadline - now) * 1000) + settings.timing.margin_ms
+    return min(settings.timing.task_lease_ms, max(1, left_ms))
+
+
+async def run_attempt(
+    job: Job,
+    attempt: str,
+    place: Place,
+    settings: Settings,
+    endpoints: Endpoints,
+    allow: Callable[[], bool],
+    progress: Progress,
+) -> Result:
+    """Send one attempt and follow it until its result is known or lost."""
+    request = TaskRequest(
+        attempt,
+        job.job_id,
+        job.team,
+        job.key_id,
+        job.queue,
+        job.idempotent,
+        find_lease_ms(job, settings, clock.now()),
+        job.body,
+    )
+    sending = asyncio.ensure_future(
+        endpoints.start_task(place.address, request, progress, allow)
+    )
+    following = _Attempt(job, attempt, place, settings, endpoints, progress, sending)
+    try:
+        return await following.follow()
+    finally:
+        sending.cancel()
+        with suppress(asyncio.CancelledError, Exception):
+            await sending
+
+
+class _Attempt:
+    """One attempt that was sent, and what is known of it."""
+
+    def __init__(
+        self,
+        job: Job,
+        attempt: str,
+        place: Place,
+        settings: Settings,
+        endpoints: Endpoints,
+        progress: Progress,
+        sending: asyncio.Future[Reply],
+    ) -> None:
+        self._job = job
+        self._attempt = attempt
+        self._address = place.address
+        self._endpoints = endpoints
+        self._progress = progress
+        self._sending = sending
+        self._probe_after = settings.endpoints.probe_after_ms / 1000
+        self._probe_timeout = settings.endpoints.probe_timeout_ms / 1000
+        self._margin = settings.timing.margin_ms / 1000
+        self._probed_at = progress.last_byte_at
+        self._fetches_left = MAX_FETCHES
+
+    async def follow(self) -> Result:
+        """Wait for the response, and probe while none arrives."""
+        while True:
+            if (result := _read_sending(self._sending)) is not None:
+                return result
+            now = clock.now()
+            if now >= self._job.deadline:
+                return await self._end_at_deadline()
+            if (due := self._find_probe_time(now)) > now:
+                due = min(due, self._job.deadline)
+                await self._wait_for_response(due - now)
+            elif (result := await self._probe(now)) is not None:
+                # The response may have come while the probe ran.
+                return _read_sending(self._sending) or result
+
+    def _find_probe_time(self, now: float) -> float:
+        if self._sending.done():
+            return self._probed_at
+        if not self._progress.written:
+            return now + self._probe_after
+        return max(self._progress.last_byte_at, self._probed_at) + self._probe_after
+
+    async def _wait_for_response(self, timeout: float) -> None:
+        if self._sending.done():
+            await asyncio.sleep(timeout)
+        else:
+            await asyncio.wait({self._sending}, timeout=timeout)
+
+    async def _probe(self, now: float) -> Result | None:
+        """Return the attempt's result, or None if it is to be waited for."""
+        self._probed_at = now
+        state = await self._find_state(now)
+        is_open = not self._sending.done()
+        if is_open and self._progress.last_byte_at > now:
+            # The answer has begun to arrive.
+            return None
+        if state == "running":
+            # Without a connection, the next probe is the only way to see the end.
+            self._probed_at = now if is_open else clock.now() + self._probe_after
+            return None
+        if state == "unasked":
+            return None
+        if is_open:
+            log_event(CONNECTION_SILENT, address=self._address, attempt=self._attempt)
+        if state == "never":
+            state = await self._fence(self._probe_timeout)
+        if state == "finished":
+            return await self._fetch(self._probe_timeout)
+        return Result("lost" if state is None else state)
+
+    async def _find_state(self, now: float) -> TaskState | Literal["unasked"] | None:
+        """Return the attempt's state, or None if no answer came.
+
+        It is ``unasked`` if the response or the deadline came first.
+        """
+        probing = asyncio.ensure_future(self._ask(now + self._probe_timeout))
+        awaited: set[asyncio.Future[object]] = {probing}
+        if not self._sending.done():
+            awaited.add(self._sending)
+        try:
+            await asyncio.wait(
+                awaited,
+                timeout=self._job.deadline - now,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            return probing.result() if probing.done() else "unasked"
+        finally:
+            probing.cancel()
+
+    async def _ask(self, end: float) -> TaskState | None:
+        # A call that fails at once is repeated unless the job can go elsewhere.
+        patient = not (self._sending.done() and self._job.idempotent)
+        while (left := end - clock.now()) > 0:
+            with suppress(AnswerLostError):
+                return await self._endpoints.find_state(
+                    self._address, self._attempt, left
+                )
+            if not patient:
+                return None
+            await asyncio.sleep(REPEAT_S)
+        return None
+
+    async def _fence(self, timeout: float) -> FenceState | None:
+        with suppress(AnswerLostError):
+            return await self._endpoints.fence(self._address, self._attempt, timeout)
+        return None
+
+    async def _fetch(self, timeout: float) -> Result | None:
+        with suppress(AnswerLostError):
+            reply = await self._endpoints.fetch_answer(
+                self._address, self._attempt, self._progress, timeout
+            )
+            return _read_reply(reply)
+        self._fetches_left -= 1
+        return None if self._fetches_left else Result("lost")
+
+    async def _end_at_deadline(self) -> Result:
+        if not self._progress.written:
+            self._sending.cancel()
+            await asyncio.wait({self._sending})
+            return _read_sending(self._sending) or Result("unreachable")
+        state = await self._fence(self._margin)
+        result = Result("lost" if state in (None, "finished") else state)
+        if state == "finished" and _read_sending(self._sending) is None:
+            result = await self._fetch(self._margin) or result
+        return _read_sending(self._sending) or result
+
+
+def _read_sending(sending: asyncio.Future[Reply]) -> Result | None:
+    """Return the result of the exchange, or None while it is open or was lost."""
+    if not sending.done() or sending.cancelled():
+        return None
+    match sending.exception():
+        case None:
+            return _read_reply(sending.result())
+        case NotAllowedError():
+            return Result("not-allowed")
+        case EndpointUnreachableError():
+            return Result("unreachable")
+        case AnswerLostError():
+            return None
+        case error:
+            raise error
+
+
+def _read_reply(reply: Reply) -> Result:
+    return Result(reply.kind, reply)
+
+
+def _answer(reply: Reply) -> Outcome:
+    headers = {"Content-Type": reply.content_type}
+    return Outcome(int(HTTPStatus.OK), "", "", reply.body, headers)
+
+
+def _explain_waiting(job: Job, outcome: Outcome, started: bool) -> Outcome:
+    """Return the refusal of a queued job; unknown if an earlier attempt started."""
+    if not started:
+        return outcome
+    message = f"an attempt may have run; not retried: {outcome.message}"
+    return refuse(_find_unknown_status(job), outcome.code, message)
+
+
+def _find_unknown_status(job: Job) -> HTTPStatus:
+    late = clock.now() >= job.deadline
+    return HTTPStatus.GATEWAY_TIMEOUT if late else HTTPStatus.BAD_GATEWAY
+
+
+def _give_up(job: Job, result: Result, started: bool) -> Outcome:
+    if started:
+        code, message = _UNKNOWN.get(result.kind, _NOT_RETRIED)
+        return refuse(_find_unknown_status(job), code, message)
+    if result.kind == "impossible":
+        message = "the endpoints that were asked cannot run this job"
+        return refuse(HTTPStatus.SERVICE_UNAVAILABLE, "impossible", message)
+    if clock.now() >= job.deadline:
+        return refuse(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            "no-endpoint-in-time",
+            "no endpoint started the job before its deadline",
+        )
+    return refuse(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        "endpoints-failing",
+        "no endpoint started the job, and the retry budget of its pool is used up",
+    )
+
+
+_NOT_RETRIED = ("not-retried", "an attempt may have run; no other one could start")
+_UNKNOWN: dict[ResultKind, tuple[str, str]] = {
+    "failed": ("endpoint-failed", "the endpoint started the job and failed"),
+    "stopped": ("stopped", "the endpoint started the job and stopped it"),
+    "lost": ("answer-lost", "the endpoint stopped answering; the job may have run"),
+    "too-large": ("answer-too-large", "the job ran; its answer exceeds the limit"),
+}
