--- a/features/operators/operators.feature
+++ b/features/operators/operators.feature
@@ -123,6 +123,13 @@
       | stop wave w-1               | pause wave w-1                     | 409    | lost a race: waves w-1 changed          |
       | remove instance i-1         | stop wave w-1                      | 200    |                                         |
 
+  Scenario: The answer has the version with the change, not a later one
+    # Guards against an operator who guards the next script by somebody else's version.
+    Given another operator's "create team most share 1 limit 2" is swapped in just after the next swap
+    When maria sends "create team more share 1 limit 2"
+    Then the port answers 200, accepted, in force
+    And the answer has version 8 and the configuration version 9
+
   Scenario: A pool that is deleted while an instance is added is pointed out
     # The two stand in two documents; one swap cannot check both.
     Given another operator's "add instance i-9 pool reserve rack r1 data-centre dc1 address 127.0.0.1:99" is swapped in just before the next swap
--- a/features/operators/steps/operators_fakes.py
+++ b/features/operators/operators_world.py
@@ -1,4 +1,4 @@
-"""Stand-ins in memory for what the operators' port uses of an entry."""
+"""Documents and stand-ins in memory for the features of the operators."""
 
 from __future__ import annotations
 
@@ -7,6 +7,7 @@
 from typing import Any, NamedTuple
 
 import msgspec
+from briarshed.changes import Context, Documents, apply_script
 from briarshed.documents import (
     AUDIT_PREFIX,
     CONFIGURATION_KEY,
@@ -17,10 +18,62 @@
     make_empty,
 )
 from briarshed.exceptions import StoreUnavailableError
+from briarshed.keys import make_key
+from briarshed.language import parse_script
 from briarshed_entry.clock import now
 from returns.pipeline import is_successful
 from returns.result import Failure, Success
 
+SEED = 20261204
+SECRETS = {"maria": "secret-of-maria", "joao": "secret-of-joao"}
+PAGE_SCRIPT = """\
+create pool proofs budget 1
+create pool reserve budget 1 spare
+create team hotels share 3 limit 20
+create team schools share 1 limit 10
+create queue proofing pool proofs teams hotels
+create queue samples pool proofs open
+add instance i-1 pool proofs rack r1 data-centre dc1 address 127.0.0.1:9001
+add instance i-2 pool proofs rack r2 data-centre dc1 address 127.0.0.1:9002
+add instance i-3 pool proofs rack r3 data-centre dc2 address 127.0.0.1:9003
+"""
+
+
+def apply_text(text, documents, count=50):
+    """Apply a script; return the outcome or the findings."""
+    parsed = parse_script(text)
+    if not is_successful(parsed):
+        return parsed
+    keys = [make_key() for _ in range(count)]
+    context = Context("id-1", "maria", 1000.0, keys)
+    return apply_script(parsed.unwrap(), documents, context)
+
+
+def make_documents():
+    """Return the documents that the language page starts from."""
+    empty = Documents(
+        make_empty(CONFIGURATION_KEY), make_empty(FLEET_KEY), make_empty(MEMBERS_KEY)
+    )
+    made = apply_text(PAGE_SCRIPT, empty).unwrap().documents
+    made.configuration["version"] = 7
+    made.configuration["keys"]["k-1a2b3c4d"] = {
+        "hash": "0" * 64,
+        "team": "hotels",
+        "expires_at": None,
+    }
+    made.fleet["version"] = 3
+    for name, state in (("i-1", "serving"), ("i-2", "serving"), ("i-3", "failed")):
+        made.fleet["instances"][name]["state"] = state
+    made.fleet["waves"]["w-1"] = {
+        "state": "running",
+        "pending": ["i-2"],
+        "done": [],
+        "reason": "",
+    }
+    member = {"incarnation": "a1", "address": "", "data_centre": "dc1", "operators": ""}
+    made.members["members"] = {"entry-1": member, "entry-2": {**member}}
+    return made
+
 
 class FakeStore:
     """The documents themselves; several fake replicas may share one."""
@@ -34,7 +87,8 @@
 class FakeReplica:
     """Changes documents by compare-and-swap, like the real one.
 
-    ``interloper`` runs once before the next swap, as an operator elsewhere would.
+    ``interloper`` runs once before the next swap, as an operator elsewhere would,
+    and ``follower`` once after it, before this replica reads its result.
     """
 
     def __init__(self, store: FakeStore) -> None:
@@ -42,8 +96,8 @@
         self.held: dict[str, Any] = {}
         self.failing = False
         self.interloper = None
+        self.follower = None
         self.failure_after: dict[str, str] = {}
-        self.swaps: list[str] = []
         self._copy()
 
     def _copy(self) -> None:
@@ -90,9 +144,11 @@
             document = {**applied.unwrap(), "version": held["version"] + 1}
             self.trim(key, document)
             self.store.documents[key] = document
-            self.swaps.append(key)
+            follower, self.follower = self.follower, None
+            if follower is not None:
+                follower()
             self._copy()
-            return Success(Stored(document, document["version"]))
+            return Success(Stored(self.held[key], self.held[key]["version"]))
 
     def trim(self, key: str, document: dict) -> None:
         """Move the older changes of a document to keys of their own."""
--- a/features/operators/steps/command_line_steps.py
+++ b/features/operators/steps/command_line_steps.py
@@ -12,7 +12,7 @@
 
 from behave import given, then, when
 from briarshed.keys import hash_key
-from operators_steps import SECRETS
+from operators_world import SECRETS
 
 PROGRAM = Path(sys.executable).with_name("briarshed")
 TIMEOUT_S = 60
--- a/features/operators/steps/language_page_steps.py
+++ b/features/operators/steps/language_page_steps.py
@@ -15,7 +15,7 @@
 from briarshed.findings import format_finding
 from briarshed.language import parse_script
 from briarshed_cli import main
-from language_steps import apply_text
+from operators_world import apply_text
 from returns.pipeline import is_successful
 
 PAGE = Path(__file__).resolve().parents[3] / "docs" / "language.md"
--- a/features/operators/steps/language_steps.py
+++ b/features/operators/steps/language_steps.py
@@ -5,76 +5,21 @@
 import copy
 
 from behave import given, then, when
-from briarshed.changes import Context, Documents, apply_script
-from briarshed.documents import (
-    CONFIGURATION_KEY,
-    FLEET_KEY,
-    MEMBERS_KEY,
-    make_empty,
-)
 from briarshed.findings import format_finding
-from briarshed.keys import make_key
 from briarshed.language import parse_script
 from briarshed.queries import check_questions
 from hypothesis import given as generate
 from hypothesis import seed, settings
 from hypothesis import strategies as st
+from operators_world import SEED, apply_text, make_documents
 from returns.pipeline import is_successful
 
-PAGE_SCRIPT = """\
-create pool proofs budget 1
-create pool reserve budget 1 spare
-create team hotels share 3 limit 20
-create team schools share 1 limit 10
-create queue proofing pool proofs teams hotels
-create queue samples pool proofs open
-add instance i-1 pool proofs rack r1 data-centre dc1 address 127.0.0.1:9001
-add instance i-2 pool proofs rack r2 data-centre dc1 address 127.0.0.1:9002
-add instance i-3 pool proofs rack r3 data-centre dc2 address 127.0.0.1:9003
-"""
-SEED = 20261204
 WORDS = (
     "create change pool pools team teams queue budget share limit open spare where show"
     ' jobs group by and = > , # 1 -1 60s hotels i-1 127.0.0.1:1 dry run if version é "'
 )
 
 
-def apply_text(text, documents, count=50):
-    """Apply a script; return the outcome or the findings."""
-    parsed = parse_script(text)
-    if not is_successful(parsed):
-        return parsed
-    keys = [make_key() for _ in range(count)]
-    context = Context("id-1", "maria", 1000.0, keys)
-    return apply_script(parsed.unwrap(), documents, context)
-
-
-def make_documents():
-    """Return the documents that the language page starts from."""
-    empty = Documents(
-        make_empty(CONFIGURATION_KEY), make_empty(FLEET_KEY), make_empty(MEMBERS_KEY)
-    )
-    made = apply_text(PAGE_SCRIPT, empty).unwrap().documents
-    made.configuration["version"] = 7
-    made.configuration["keys"]["k-1a2b3c4d"] = {
-        "hash": "0" * 64,
-        "team": "hotels",
-        "expires_at": None,
-    }
-    made.fleet["version"] = 3
-    for name, state in (("i-1", "serving"), ("i-2", "serving"), ("i-3", "failed")):
-        made.fleet["instances"][name]["state"] = state
-    made.fleet["waves"]["w-1"] = {
-        "state": "running",
-        "pending": ["i-2"],
-        "done": [],
-        "reason": "",
-    }
-    member = {"incarnation": "a1", "address": "", "data_centre": "dc1", "operators": ""}
-    made.members["members"] = {"entry-1": member, "entry-2": {**member}}
-    return made
-
-
 @when('the script "{script}" is parsed')
 def step_parse(context, script):
     context.script_result = parse_script(script)
--- a/features/operators/steps/operators_steps.py
+++ b/features/operators/steps/operators_steps.py
@@ -17,18 +17,19 @@
 from briarshed.language import parse_script
 from briarshed.settings import check_settings
 from briarshed_entry import operators
-from language_steps import SEED, make_documents
 from loguru import logger
-from operators_fakes import (
+from operators_world import (
+    SECRETS,
+    SEED,
     FakeCoordinator,
     FakeReplica,
     FakeScheduler,
     FakeStore,
     Reply,
+    make_documents,
 )
 
 SAMPLE = Path(__file__).resolve().parents[3] / "examples" / "entry.jsonc"
-SECRETS = {"maria": "secret-of-maria", "joao": "secret-of-joao"}
 KEYS = {
     "configuration": CONFIGURATION_KEY,
     "fleet": FLEET_KEY,
@@ -130,6 +131,11 @@
     context.replica.interloper = lambda: change_directly(context, "joao", script)
 
 
+@given('another operator\'s "{script}" is swapped in just after the next swap')
+def step_follow(context, script):
+    context.replica.follower = lambda: change_directly(context, "joao", script)
+
+
 @given(
     'maria\'s "{script}" under change id "{change_id}" is swapped in elsewhere just'
     " before"
@@ -351,6 +357,12 @@
     assert context.answer["fleet_version"] == fleet
 
 
+@then("the answer has version {version:d} and the configuration version {other:d}")
+def step_own_version(context, version, other):
+    assert context.answer["version"] == version, context.answer
+    assert context.store.documents[CONFIGURATION_KEY]["version"] == other
+
+
 @then('instance "{name}" is "{state}" in pool "{pool}"')
 def step_instance(context, name, state, pool):
     instance = context.store.documents[FLEET_KEY]["instances"][name]
--- a/packages/briarshed-entry/src/briarshed_entry/_operator_changes.py
+++ b/packages/briarshed-entry/src/briarshed_entry/_operator_changes.py
@@ -247,13 +247,18 @@
             status = 409 if races else _find_status(changed.failure())
             return Failure(Refused(status, changed.failure()))
         document = changed.unwrap().value
-        change = _find_change(document, request)
-        if change is not None:
-            # The same change came through another entry, so its keys are the ones
-            # that exist, not those that were made here.
-            rows = _describe_repeated(request, {target: change})
-            return Success(_Swap(change["version"], rows, True))
-        return Success(_Swap(document["version"], applied[-1].rows, False))
+        change = _find_change(document, request.change_id)
+        if change is None:
+            return Success(_Swap(document["version"], applied[-1].rows, False))
+        # The document may hold later changes, so its version may be higher.
+        version = change["version"]
+        if change["at"] == request.at:
+            return Success(_Swap(version, applied[-1].rows, False))
+        # The same change came through another entry, so its keys are the ones that
+        # exist, not those that were made here.
+        return Success(
+            _Swap(version, _describe_repeated(request, {target: change}), True)
+        )
 
     async def _wait_in_force(self, versions: Mapping[Target, int]) -> list[str]:
         timeout = self._settings.timing.in_force_timeout_ms / MILLISECONDS
@@ -333,7 +338,9 @@
         changed = await self._replica.change(key, record, request.change_id)
         if not is_successful(changed):
             return changed.failure()
-        _log_accepted(request, "members", changed.unwrap().value["version"])
+        change = _find_change(changed.unwrap().value, request.change_id)
+        if change is not None:
+            _log_accepted(request, "members", change["version"])
         return ""
 
     async def _record_later(self, request: Request, base: Documents) -> None:
@@ -347,10 +354,9 @@
         log_event(CHANGE_REFUSED, who=request.who, reason=reason)
 
 
-def _find_change(document: Any, request: Request) -> Change | None:
-    """Return the change with the request's id if another request made it."""
+def _find_change(document: Any, change_id: str) -> Change | None:
     for change in document["changes"]:
-        if change["id"] == request.change_id and change["at"] != request.at:
+        if change["id"] == change_id:
             return change
     return None
 
