--- /dev/null
+++ b/features/properties/steps/properties_steps.py
@@ -0,0 +1,98 @@
+"""Steps of the proofs against real processes on loopback."""
+
+import asyncio
+from collections import Counter
+
+from behave import given, then, when
+from briarshed_standins.checker import Limit, Rules, check_records, join_runs
+from briarshed_standins.fleet import Fleet
+from briarshed_standins.load import Callers, Source, make_jobs
+from briarshed_standins.plans import Plan, TeamPlan
+from faults import FAULTS, LINKS, inject
+
+SEED = 7
+RATE = 40.0
+IN_FORCE_S = 6.0
+SAMPLE_S = 0.05
+TASK_LEASE_S = 8.0
+BURST = 5
+TASK_MS = 300
+QUIET = {"log": {"level": "WARNING"}}
+SHORT_LEASES = {
+    "callers": {"max_deadline_ms": 8_000, "default_deadline_ms": 8_000},
+    "timing": {"task_lease_ms": 8_000},
+}
+LIMITS = {"hotels": 12, "schools": 6}
+
+
+def start_fleet(context, plan):
+    """Start a fleet that ends with the scenario."""
+    context.fleet = Fleet(plan).__enter__()
+    context.add_cleanup(context.fleet.close)
+    context.limits = {team.name: [Limit(team.limit)] for team in plan.teams}
+    context.withdrawn = {}
+
+
+@given("a fleet of three entries in two data centres")
+def step_fleet(context):
+    start_fleet(context, Plan(links=LINKS, settings=QUIET))
+
+
+@given("a fleet whose teams have limits of 12 and 6 jobs")
+def step_limited_fleet(context):
+    teams = tuple(TeamPlan(name, 1, limit) for name, limit in LIMITS.items())
+    settings = {**QUIET, **SHORT_LEASES}
+    start_fleet(context, Plan(links=LINKS, teams=teams, settings=settings))
+
+
+def list_sources(fleet):
+    """Return jobs of all teams, idempotent and not, and open ones."""
+    keys = fleet.keys
+    return [
+        Source("proofing", "hotels", keys["hotels"], 3.0, orders={"ms": 80}),
+        Source("proofing", "schools", keys["schools"], 2.0, idempotent=False),
+        Source("printing", "ministries", keys["ministries"], 1.0),
+        Source("printing", "hotels", keys["hotels"], 1.0, idempotent=False),
+        Source("samples", weight=1.0),
+    ]
+
+
+def run_load(context, sources, rate, seconds, steps):
+    """Send jobs while the steps are taken; keep what the callers were told."""
+    fleet = context.fleet
+
+    async def run():
+        async with Callers(fleet.list_urls) as callers:
+            jobs = make_jobs(sources, rate, seconds, SEED)
+            told, _ = await asyncio.gather(callers.send_all(jobs), inject(fleet, steps))
+            return told
+
+    context.told = asyncio.run(run())
+    fleet.heal()
+    fleet.wait_idle()
+    context.runs = join_runs(fleet.read_records())
+
+
+def check(context, told=None):
+    """Return the report of the checker over all records."""
+    rules = Rules(context.limits, context.withdrawn, context.fleet.outages)
+    return check_records(told or context.told, context.fleet.read_records(), rules)
+
+
+@when("jobs of all teams arrive for {seconds:d} seconds and {fault}")
+def step_load(context, seconds, fault):
+    steps = FAULTS[fault]
+    run_load(context, list_sources(context.fleet), RATE, seconds, steps)
+
+
+@then("the records have no violation")
+def step_no_violation(context):
+    report = check(context)
+    assert not report.violations, report.violations[:5]
+
+
+@then("at least {part:d} in 100 jobs finish")
+def step_finished(context, part):
+    outcomes = Counter((one.outcome, one.code) for one in context.told)
+    finished = sum(one.outcome == "finished" for one in context.told)
+    assert 100 * finished >= part * len(context.told), outcomes
--- a/packages/briarshed-standins/src/briarshed_standins/fleet.py
+++ b/packages/briarshed-standins/src/briarshed_standins/fleet.py
@@ -256,6 +256,10 @@
             places |= {"store": "", "platform": ""}
         return self._links.list_crossing(places, data_centre)
 
+    def read_link_bytes(self) -> dict[str, int]:
+        """Return the bytes that each link has carried, both directions together."""
+        return self._links.read_bytes()
+
     # Operators and callers
 
     def command(self, script: str, entry: str = "") -> Reply:
--- a/packages/briarshed-standins/src/briarshed_standins/link.py
+++ b/packages/briarshed-standins/src/briarshed_standins/link.py
@@ -54,6 +54,7 @@
     def __init__(self, name: str, target: str) -> None:
         self.name = name
         self.target = target
+        self.sent = {"to_target": 0, "to_client": 0}
         self._faults: dict[str, Any] = {}
         self._changed = asyncio.Event()
         self._connections: set[Connection] = set()
@@ -124,6 +125,7 @@
                 await writer.drain()
                 raise _LimitReachedError
             sent += len(data)
+            self.sent[direction] += len(data)
             writer.write(data)
             await writer.drain()
         with suppress(OSError):
@@ -167,8 +169,12 @@
             link.set_faults(find_faults(link.name))
         return web.json_response({"faults": current})
 
+    async def answer_counts(_request: web.Request) -> web.Response:
+        return web.json_response({name: link.sent for name, link in links.items()})
+
     application = web.Application()
     application.router.add_post("/_links", add_link)
+    application.router.add_get("/_counts", answer_counts)
     application.router.add_post(FAULTS_PATH, set_faults)
     return application
 
--- a/packages/briarshed-standins/src/briarshed_standins/links.py
+++ b/packages/briarshed-standins/src/briarshed_standins/links.py
@@ -36,6 +36,11 @@
         self._faults.clear()
         self._post()
 
+    def read_bytes(self) -> dict[str, int]:
+        """Return the bytes that each link has carried, both directions together."""
+        counts = expect_success(call("GET", f"{self.url}/_counts"))
+        return {name: sum(sent.values()) for name, sent in counts.items()}
+
     def list_crossing(self, places: Mapping[str, str], place: str) -> list[str]:
         """Return the links with one end in a place and the other in another.
 
