Do not blame an endpoint for a broken kept connection; check bursts of cancellations

An endpoint that answers at once over a new connection that the attempt never arrived is healthy, so such attempts no longer lead to its ejection.

--- a/features/serving/queues.feature
+++ b/features/serving/queues.feature
@@ -58,6 +58,10 @@
     When an instance starts to leave while 30 jobs run
     Then every job is answered with 200, and the leaving instance got no later job
 
+  Scenario: Cancellations arrive in a burst
+    When 120 callers submit jobs and 100 of them disconnect at once
+    Then the other jobs are answered with 200, and no grant or place is left over
+
   Scenario: An entry holds its share of an endpoint's connections
     When 30 jobs of 0.3 s are submitted to one endpoint with 64 slots
     Then at most 7 connections to it were open at a time
--- a/features/serving/steps/load_steps.py
+++ b/features/serving/steps/load_steps.py
@@ -316,6 +316,40 @@
     assert context.later == 0, context.later
 
 
+@when("{count:d} callers submit jobs and {left:d} of them disconnect at once")
+def step_burst(context, count, left):
+    context.fakes = {f"i-{n}": FakeEndpoint(run_time=0.1) for n in range(2)}
+
+    async def run():
+        async with open_entry(context.fakes) as entry:
+            calls = [
+                asyncio.create_task(
+                    entry.submit(Briarshed_Idempotent=("true", "false")[n % 2])
+                )
+                for n in range(count)
+            ]
+            await wait_until(lambda: len(entry.scheduler.list_jobs()) > count // 2)
+            for call in calls[:left]:
+                call.cancel()
+            context.answers = await asyncio.gather(*calls[left:])
+            await entry.scheduler.drain()
+            context.left_over = [
+                entry.coordinator.running["hotels"],
+                entry.coordinator.waiting["hotels"],
+                entry.scheduler.count_running_here(),
+                len(entry.scheduler.list_jobs()),
+                entry.scheduler.counts["unsettled"],
+            ]
+
+    asyncio.run(run())
+
+
+@then("the other jobs are answered with 200, and no grant or place is left over")
+def step_burst_over(context):
+    assert all(status == 200 for status, *_ in context.answers)
+    assert context.left_over == [0] * 5, context.left_over
+
+
 @when(
     "{count:d} jobs of {seconds:g} s are submitted to one endpoint with {slots:d} slots"
 )
--- a/packages/briarshed-entry/src/briarshed_entry/dispatch.py
+++ b/packages/briarshed-entry/src/briarshed_entry/dispatch.py
@@ -106,10 +106,11 @@
 
 
 class Result(NamedTuple):
-    """How one attempt ended."""
+    """How one attempt ended; ``reused`` tells whether on a kept connection."""
 
     kind: ResultKind
     reply: Reply | None = None
+    reused: bool = False
 
 
 class Steps(NamedTuple):
@@ -168,6 +169,7 @@
                 result = Result("not-allowed")
             raise
         finally:
+            result = result._replace(reused=progress.reused)
             steps.release(place, attempt, result)
         started = started or result.kind not in NOT_STARTED
         if result.kind == "answered" and result.reply is not None:
--- a/packages/briarshed-entry/src/briarshed_entry/scheduler.py
+++ b/packages/briarshed-entry/src/briarshed_entry/scheduler.py
@@ -214,7 +214,8 @@
         queue = self._replica.configuration["queues"].get(job.queue)
         if queue is None:
             return refuse(HTTPStatus.NOT_FOUND, "no-such-queue", "no such queue")
-        refusal = self._check_right(job)
+        # The callers' port has checked the authority; every start checks it again.
+        refusal = self._check_key(job)
         if refusal is not None:
             return refusal
         pool = self._find_pool(queue["pool"])
@@ -530,6 +531,9 @@
         if late and result.kind in ("stopped", "never"):
             # This entry ended a slow task at the deadline.
             return
+        if result.kind == "never" and result.reused:
+            # The kept connection was broken; the endpoint answered on a new one.
+            return
         health = life.pool.health
         failed = result.kind not in ("answered", "too-large")
         life.pool.placement.note_result(place.endpoint, failed, now)
