Ask members before forgetting them, also from an entry that has just started

An entry that had just started held every member for silent and would have forgotten a running one. The feature on processes waits until running members know the newcomer.

--- a/features/operators/command_line.feature
+++ b/features/operators/command_line.feature
@@ -4,6 +4,7 @@
 
   Background:
     Given an operators' port over the documents of the language page
+    And member "entry-2" answers
     And a file "fleet.briar" with
       """
       create team more share 1 limit 2
--- a/features/operators/operators.feature
+++ b/features/operators/operators.feature
@@ -153,6 +153,7 @@
 
   Scenario: A member that answers is not forgotten
     # Forgetting a running process would let it honour withdrawn keys unasked.
+    Given member "entry-2" answers
     When maria sends "forget member entry-2"
     Then the port answers 409 saying "entry-2 answers"
     And nothing has changed
--- a/features/operators/operators_world.py
+++ b/features/operators/operators_world.py
@@ -189,7 +189,6 @@
     def __init__(self) -> None:
         self.blockers: list[str] = []
         self.lagging: list[str] = []
-        self.silent: list[str] = []
         self.replies: list[Reply] = []
         self.waits: list[tuple[str, int, float]] = []
 
@@ -211,10 +210,6 @@
         own = Reply("entry-1", "dc1", 0.0, self.function(question))
         return [own, *self.replies]
 
-    def unreached(self) -> list[str]:
-        """Return the members that do not answer."""
-        return self.silent
-
     def count_running(self, team: str) -> int:
         """Return no running jobs."""
         return 0
--- a/features/operators/steps/operators_fleet_steps.py
+++ b/features/operators/steps/operators_fleet_steps.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from concurrent.futures import ThreadPoolExecutor
 
 from behave import given, then, when
@@ -10,7 +9,7 @@
 from briarshed_standins.fleet import Fleet
 from briarshed_standins.processes import call, wait_until
 
-UNREACHED_S = 30.0
+WAIT_S = 30.0
 HTTP_OK = 200
 
 
@@ -126,7 +125,7 @@
     reply = wait_until(
         "entry 4 listens",
         lambda: ask_newcomer(context, "create team never share 1 limit 1"),
-        UNREACHED_S,
+        WAIT_S,
     )
     assert reply.status == 503, reply
     assert "entry-3" in reply.content["message"], reply
@@ -134,18 +133,23 @@
 
 @when("entry 4 is told to forget entry 3")
 def step_forget(context):
-    # A member counts as gone only after it was silent for some seconds.
-    end = time.monotonic() + UNREACHED_S
+    reply = ask_newcomer(context, "forget member entry-1")
+    assert reply.status == 409 and "entry-1 answers" in reply.content["message"], reply
     reply = ask_newcomer(context, "forget member entry-3")
-    while reply.status == 409 and time.monotonic() < end:
-        time.sleep(0.2)
-        reply = ask_newcomer(context, "forget member entry-3")
     assert reply.status == HTTP_OK, reply
 
 
 @then('entry 4 accepts changes, and the audit trail has "{what}"')
 def step_recorded(context, what):
-    command(context, "create team after share 1 limit 1", "entry-4")
-    document = context.fleet.read_document(CONFIGURATION_KEY)
-    assert what in [change["what"] for change in document["changes"]]
-    assert "never" not in document["teams"]
+    def is_accepted():
+        # The members that run must have answered the newcomer first.
+        return ask_newcomer(context, "create team after share 1 limit 1").status == 200
+
+    wait_until("entry 4 accepts a change", is_accepted, WAIT_S)
+
+    def is_recorded():
+        document = context.fleet.read_document(CONFIGURATION_KEY)
+        assert "never" not in document["teams"], document["teams"]
+        return what in [change["what"] for change in document["changes"]]
+
+    wait_until("the command is on record", is_recorded, WAIT_S)
--- a/features/operators/steps/operators_steps.py
+++ b/features/operators/steps/operators_steps.py
@@ -151,9 +151,14 @@
     context.coordinator.blockers = [name]
 
 
+@given('member "{name}" answers')
+def step_answers(context, name):
+    context.coordinator.replies = [Reply(name, "dc1", 0.1, [])]
+
+
 @given('member "{name}" does not answer')
 def step_silent(context, name):
-    context.coordinator.silent = [name]
+    assert name not in [reply.entry for reply in context.coordinator.replies]
 
 
 @given('member "{name}" lags behind')
--- a/packages/briarshed-entry/src/briarshed_entry/_operator_changes.py
+++ b/packages/briarshed-entry/src/briarshed_entry/_operator_changes.py
@@ -18,7 +18,7 @@
     list_dangling,
     select_statements,
 )
-from briarshed.commands import ForgetMember, Script, Target, needs_key
+from briarshed.commands import ForgetMember, Script, Show, Target, needs_key
 from briarshed.documents import CONFIGURATION_KEY, FLEET_KEY, MEMBERS_KEY, Change
 from briarshed.events import (
     CHANGE_ACCEPTED,
@@ -29,7 +29,7 @@
 from briarshed.exceptions import StoreUnavailableError
 from briarshed.findings import Finding, format_finding
 from briarshed.keys import make_key
-from briarshed.queries import Row
+from briarshed.queries import Row, make_question
 from briarshed.settings import Settings
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
@@ -54,6 +54,8 @@
 RECORD_ATTEMPTS = 1_800
 """Half an hour, the longest time for which a member can block changes unseen."""
 
+_ANY_JOBS = Show("jobs", group=("state",))
+
 _DOCUMENT_KEYS: dict[Target, str] = {
     "configuration": CONFIGURATION_KEY,
     "fleet": FLEET_KEY,
@@ -285,7 +287,7 @@
         The members are swapped first: until then the audit trail, which is kept in
         the configuration, cannot be changed if a member to be removed blocks it.
         """
-        refusal = self._find_answering(request)
+        refusal = await self._find_answering(request)
         if refusal:
             return Failure(Refused(409, refusal))
         forgotten = False
@@ -315,11 +317,16 @@
             task.add_done_callback(self._recorders.discard)
         return Success(Made(expected.rows, True, {}, (), {"warnings": warnings}))
 
-    def _find_answering(self, request: Request) -> str:
-        """Return a refusal if the process of a member to be forgotten still runs."""
-        unreached = self._coordinator.unreached()
+    async def _find_answering(self, request: Request) -> str:
+        """Return a refusal if the process of a member to be forgotten still runs.
+
+        They are asked now, since an entry that has just started has not heard of
+        any member yet.
+        """
+        replies = await self._coordinator.gather(make_question(_ANY_JOBS))
+        answering = {reply.entry for reply in replies}
         names = [item.command.name for item in request.script.statements]
-        running = [name for name in names if name not in unreached]
+        running = [name for name in names if name in answering]
         if not running:
             return ""
         return (
