--- a/packages/briarshed-standins/src/briarshed_standins/fleet.py
+++ b/packages/briarshed-standins/src/briarshed_standins/fleet.py
@@ -281,10 +281,10 @@
             def check(entry: Entry = entry) -> bool:
                 process = self.processes[entry.name]
                 if not process.is_running():
-                    raise FleetError(f"{entry.name} ended; {process.read_log()}")
+                    raise FleetError(f"{entry.name} ended")
                 return call("GET", f"{entry.url}/readyz").status == 200
 
-            with self._explain(name):
+            with self._explain():
                 wait_until(f"{name} ready", check, timeout_s)
 
     def wait_serving(self, *names: str, timeout_s: float = READY_TIMEOUT_S) -> None:
@@ -295,7 +295,7 @@
             found = self.read_document(FLEET_KEY)["instances"]
             return all(found.get(name, {}).get("state") == "serving" for name in wanted)
 
-        with self._explain(next(iter(self.entries))):
+        with self._explain():
             wait_until("all instances serving", check, timeout_s)
 
     def wait_idle(self, timeout_s: float = READY_TIMEOUT_S) -> None:
@@ -542,7 +542,7 @@
             return reply.content
 
         # An entry that is not yet established refuses changes.
-        with self._explain(next(iter(self.entries))):
+        with self._explain():
             content = wait_until("commands accepted", post, READY_TIMEOUT_S)
         if not content.get("in_force"):
             raise FleetError(f"accepted but not in force: {content}")
@@ -551,11 +551,16 @@
     # Helpers
 
     @contextmanager
-    def _explain(self, role: str) -> Iterator[None]:
+    def _explain(self) -> Iterator[None]:
+        # The entry that answers is often not the one at fault.
         try:
             yield
         except FleetError as error:
-            raise FleetError(f"{error}; {self.processes[role].read_log()}") from error
+            logs = [
+                f"log of {name}:\n{self.processes[name].read_log()}"
+                for name in self.entries
+            ]
+            raise FleetError("\n".join([str(error), *logs])) from error
 
     @staticmethod
     def _count_running(instance: Instance) -> int:
