--- a/packages/briarshed-entry/src/briarshed_entry/main.py
+++ b/packages/briarshed-entry/src/briarshed_entry/main.py
@@ -98,7 +98,9 @@
         metrics = await enter(Metrics(settings.statsd, read_gauges))
         jobs = callers.make_application(settings, replica, coordinator, scheduler)
         jobs.middlewares.append(make_middleware(metrics))
-        commands = operators.make_application(settings, replica, coordinator, scheduler)
+        commands = operators.make_application(
+            settings, replica, coordinator, scheduler, store.read_prefix
+        )
         port = await enter(callers.CallersPort(settings, jobs))
         bound = await enter(_open_port(commands, settings.operators.address))
         log_event(ENTRY_STARTED, name=settings.name, data_centre=settings.data_centre)
