--- a/features/serving/callers.feature
+++ b/features/serving/callers.feature
@@ -68,6 +68,11 @@
       | team      | excluded   | 403    | team-not-allowed        |
       | authority | lost       | 503    | configuration-not-fresh |
 
+  Scenario: A full queue refuses a job before its body is read
+    Given the queue holds no job
+    When a request with "KEY" and body "slow" is sent
+    Then it is refused with 429, "not run" and "queue-full"
+
   Scenario: The freshness check is made between the connection and the first byte
     When a job's authority is lost while it connects to the endpoint
     Then it is refused with 503, "not run" and "configuration-not-fresh"
--- a/features/serving/steps/callers_steps.py
+++ b/features/serving/steps/callers_steps.py
@@ -94,6 +94,14 @@
     context.prepare = prepare
 
 
+@given("the queue holds no job")
+def step_no_place(context):
+    def prepare(entry):
+        entry.replica.configuration["queues"]["proofs"]["max_jobs"] = 0
+
+    context.prepare = prepare
+
+
 @given("the queue is open and the authority is lost")
 def step_open(context):
     def prepare(entry):
--- a/packages/briarshed-entry/src/briarshed_entry/callers.py
+++ b/packages/briarshed-entry/src/briarshed_entry/callers.py
@@ -63,7 +63,9 @@
         job_id = "j-" + secrets.token_hex(JOB_ID_BYTES)
         try:
             job_id = _read_job_id(request) or job_id
-            job = await _read_job(request, job_id, settings, replica, coordinator)
+            job = await _read_job(
+                request, job_id, settings, replica, coordinator, scheduler
+            )
             outcome = await scheduler.run(job)
         except RefusedError as error:
             outcome = error.outcome
@@ -228,6 +230,7 @@
     settings: Settings,
     replica: Any,
     coordinator: Any,
+    scheduler: Any,
 ) -> Job:
     arrived = clock.now()
     _check_repeated(request)
@@ -235,10 +238,18 @@
     urgent = _read_flag(request, "Briarshed-Urgent")
     deadline_ms = _read_deadline(request, settings)
     owner = _find_owner(request, replica, coordinator)
+    # These refuse before the body takes bandwidth and memory.
+    declared = request.content_length or 0
+    if declared > settings.callers.max_body_bytes:
+        raise _make_too_large(settings.callers.max_body_bytes)
+    name = request.match_info["queue"]
+    refusal = scheduler.check_early(name, declared)
+    if refusal is not None:
+        raise RefusedError(refusal)
     body = await _read_body(request, settings)
     return Job(
         job_id,
-        request.match_info["queue"],
+        name,
         owner.team if owner else None,
         owner.key_id if owner else None,
         idempotent,
@@ -332,8 +343,6 @@
 async def _read_body(request: web.Request, settings: Settings) -> bytes:
     limit = settings.callers.max_body_bytes
     declared = request.content_length
-    if declared is not None and declared > limit:
-        raise _make_too_large(limit)
     body = bytearray()
     connection = request.protocol
     assert isinstance(connection, _CallerConnection)
--- a/packages/briarshed-entry/src/briarshed_entry/scheduler.py
+++ b/packages/briarshed-entry/src/briarshed_entry/scheduler.py
@@ -18,7 +18,6 @@
     Configuration,
     Instance,
     Pool,
-    Queue,
 )
 from briarshed.events import ENDPOINT_EJECTED, ENDPOINT_READMITTED
 from briarshed.exceptions import AnswerLostError
@@ -175,6 +174,31 @@
                 task.cancel()
             raise
 
+    def check_early(self, name: str, size: int) -> Outcome | None:
+        """Return why a job would be refused now, before its body is read.
+
+        Parameters
+        ----------
+        name : str
+            Queue.
+        size : int
+            Declared bytes of the body; 0 if it declares none.
+        """
+        if self.draining:
+            message = "this entry is stopping"
+            return refuse(HTTPStatus.SERVICE_UNAVAILABLE, "stopping", message)
+        queue = self._replica.configuration["queues"].get(name)
+        if queue is None:
+            return refuse(HTTPStatus.NOT_FOUND, "no-such-queue", "no such queue")
+        bound = admission.find_full_bound(
+            queue, self._queued[name], self._held_bytes[name], size
+        )
+        if bound:
+            wait = self._run_times.get(name, 0.0)
+            status = HTTPStatus.TOO_MANY_REQUESTS
+            return refuse(status, "queue-full", bound, min(MAX_RETRY_AFTER_S, wait))
+        return None
+
     def list_jobs(self) -> list[JobRow]:
         """Return a row for every queued and running job."""
         now = clock.now()
@@ -208,33 +232,19 @@
     # Admission
 
     def _admit(self, job: Job) -> _Life | Outcome:
-        if self.draining:
-            message = "this entry is stopping"
-            return refuse(HTTPStatus.SERVICE_UNAVAILABLE, "stopping", message)
-        queue = self._replica.configuration["queues"].get(job.queue)
-        if queue is None:
-            return refuse(HTTPStatus.NOT_FOUND, "no-such-queue", "no such queue")
         # The callers' port has checked the authority; every start checks it again.
-        refusal = self._check_key(job)
+        refusal = self.check_early(job.queue, len(job.body)) or self._check_key(job)
         if refusal is not None:
             return refusal
+        queue = self._replica.configuration["queues"][job.queue]
         pool = self._find_pool(queue["pool"])
-        return self._check_bounds(job, queue, pool) or _Life(job, pool)
-
-    def _check_bounds(self, job: Job, queue: Queue, pool: _Pool) -> Outcome | None:
         wait = self._expect_wait(job, pool)
-        bound = admission.find_full_bound(
-            queue, self._queued[job.queue], self._held_bytes[job.queue], len(job.body)
-        )
-        retry_after = min(MAX_RETRY_AFTER_S, wait)
-        if bound:
-            status = HTTPStatus.TOO_MANY_REQUESTS
-            return refuse(status, "queue-full", bound, retry_after)
         if wait > job.deadline - clock.now():
             message = f"the expected wait of {wait:.1f} s exceeds the deadline"
             status = HTTPStatus.TOO_MANY_REQUESTS
+            retry_after = min(MAX_RETRY_AFTER_S, wait)
             return refuse(status, "wait-too-long", message, retry_after)
-        return None
+        return _Life(job, pool)
 
     def _expect_wait(self, job: Job, pool: _Pool) -> float:
         is_free = pool.placement.has_available(clock.now())
