--- a/features/control/fake_gateway.py
+++ b/features/control/fake_gateway.py
@@ -147,7 +147,8 @@
             if not body.get("keys_only"):
                 item["value"] = _encode(value)
             items.append(item)
-        return {"kvs": items, "count": str(len(items))}
+        kept = {} if body.get("count_only") else {"kvs": items}
+        return {**kept, "count": str(len(items))}
 
 
 def _decode(text: str) -> str:
--- a/features/control/steps/store_steps.py
+++ b/features/control/steps/store_steps.py
@@ -168,21 +168,21 @@
 @then("entry-1 is live and one lease was granted")
 @run
 async def step_live(context):
-    assert (await context.client.poll()).alive == {"entry-1": "i1"}
+    assert (await context.client.read_alive()) == {"entry-1": "i1"}
     assert context.gateway.calls["lease/grant"] == 1
 
 
 @then("entry-1 is live and 2 leases were granted")
 @run
 async def step_live_again(context):
-    assert (await context.client.poll()).alive == {"entry-1": "i1"}
+    assert (await context.client.read_alive()) == {"entry-1": "i1"}
     assert context.gateway.calls["lease/grant"] == 2
 
 
 @then("nobody is live")
 @run
 async def step_nobody(context):
-    assert (await context.client.poll()).alive == {}
+    assert (await context.client.read_alive()) == {}
 
 
 def add_team(name):
--- a/packages/briarshed-entry/src/briarshed_entry/coordinator.py
+++ b/packages/briarshed-entry/src/briarshed_entry/coordinator.py
@@ -44,6 +44,7 @@
 from briarshed.membership import (
     deregister_member,
     find_newcomers,
+    find_ping_interval,
     find_planner,
     find_removable,
     find_unacquainted,
@@ -154,13 +155,12 @@
             self._replica.swapped.subscribe(self._send_notices),
         ]
         self._note_update(MEMBERS_KEY)
-        ping_s = self._timing.ping_ms / MS_PER_S
         poll_s = self._settings.store.poll_ms / MS_PER_S
         lease_s = self._settings.store.lease_ms / MS_PER_S
         self._tasks = [
-            self._start("ping", self._ping_all, ping_s),
-            self._start("membership", self._maintain_membership, poll_s),
-            self._start("lease", self._renew_lease, lease_s / RENEWALS_A_LEASE),
+            self._start("ping", self._ping_all, self._find_ping_interval),
+            self._start("membership", self._maintain_membership, lambda: poll_s),
+            self._start("lease", self._renew_lease, lambda: lease_s / RENEWALS_A_LEASE),
             asyncio.create_task(self._run_grants()),
             asyncio.create_task(self._follow_notices()),
         ]
@@ -543,6 +543,9 @@
 
     # Messages
 
+    def _find_ping_interval(self) -> float:
+        return find_ping_interval(len(self._others), self._timing)
+
     async def _ping_all(self) -> None:
         self._peers.set_peers(self._list_addresses())
         self._ping_now()
@@ -810,7 +813,10 @@
             self._ledger.touched.add("")
 
     def _start(
-        self, name: str, step: Callable[[], Awaitable[None]], interval: float
+        self,
+        name: str,
+        step: Callable[[], Awaitable[None]],
+        find_interval: Callable[[], float],
     ) -> asyncio.Task[None]:
         """Run a step at an interval until the coordinator closes."""
 
@@ -820,7 +826,7 @@
                     await step()
                 except Exception as error:
                     log_event(LOOP_FAILED, task=name, error=repr(error))
-                await asyncio.sleep(interval)
+                await asyncio.sleep(find_interval())
 
         return asyncio.create_task(run())
 
--- a/packages/briarshed-entry/src/briarshed_entry/replica.py
+++ b/packages/briarshed-entry/src/briarshed_entry/replica.py
@@ -57,6 +57,9 @@
 that sends a notice changes what an entry may run, so most versions need no read.
 """
 
+ALIVE_POLL_S = 5.0
+"""Longest age of the list of live members while their number stays the same."""
+
 LEARNED_VERSIONS = 200
 
 _CONFIRMED_KEYS = (CONFIGURATION_KEY, FLEET_KEY, MEMBERS_KEY)
@@ -113,6 +116,7 @@
         self._lock = asyncio.Lock()
         self._task: asyncio.Task[None] | None = None
         self._grants_read_at: float | None = None
+        self._alive_read_at: float | None = None
         self._sent_at: float | None = None
         self.updates: Subject[str] = Subject()
         self.swapped: Subject[str] = Subject()
@@ -190,10 +194,11 @@
             poll = await self._store.poll()
             changed = self._list_changed(poll, sent_at, keys)
             found = await self._store.read(changed) if changed else {}
+            await self._read_alive(poll, sent_at)
         except StoreUnavailableError as error:
             self._note_failure(error)
             return False
-        self._note_success(poll)
+        self._note_success()
         if GRANTS_KEY in changed:
             self._grants_read_at = sent_at
         for key, stored in found.items():
@@ -207,6 +212,13 @@
         revision = found[key].revision if key in found else poll.revisions[key]
         return revision == self._held[key].revision
 
+    async def _read_alive(self, poll: Poll, sent_at: float) -> None:
+        read_at = self._alive_read_at
+        recent = read_at is not None and sent_at - read_at < ALIVE_POLL_S
+        if poll.live != len(self.alive) or not recent:
+            self.alive = await self._store.read_alive()
+            self._alive_read_at = sent_at
+
     def _list_changed(
         self, poll: Poll, sent_at: float, keys: Sequence[str]
     ) -> list[str]:
@@ -232,12 +244,11 @@
         self.failing = True
         self.failure = error.message
 
-    def _note_success(self, poll: Poll) -> None:
+    def _note_success(self) -> None:
         if self.failing:
             log_event(STORE_RECOVERED)
         self.failing = False
         self.failure = ""
-        self.alive = poll.alive
         self.contact_at = now()
 
     def _install(self, key: str, stored: Stored) -> bool:
--- a/packages/briarshed-entry/src/briarshed_entry/store.py
+++ b/packages/briarshed-entry/src/briarshed_entry/store.py
@@ -43,12 +43,12 @@
     ----------
     revisions : dict
         Revision of each document key; 0 for an absent key.
-    alive : dict
-        Name of each member with a live lease, and the incarnation that it wrote.
+    live : int
+        Number of liveness keys.
     """
 
     revisions: dict[str, int]
-    alive: dict[str, str]
+    live: int
 
 
 class StoreClient:
@@ -61,7 +61,11 @@
 
     async def __aenter__(self) -> StoreClient:
         timeout = aiohttp.ClientTimeout(total=self._settings.timeout_ms / 1_000)
-        self._session = aiohttp.ClientSession(timeout=timeout)
+        # The headers that are left out would be a third of the bytes of a poll.
+        self._session = aiohttp.ClientSession(
+            timeout=timeout,
+            skip_auto_headers=("Accept", "Accept-Encoding", "User-Agent"),
+        )
         return self
 
     async def __aexit__(
@@ -74,7 +78,7 @@
             await self._session.close()
 
     async def poll(self) -> Poll:
-        """Return the revisions of the documents and the live members, in one call.
+        """Return the revisions of the documents and count live members, in one call.
 
         Raises
         ------
@@ -82,19 +86,33 @@
             If the store does not answer in time or answers with an error.
         """
         first, last = min(DOCUMENT_KEYS), max(DOCUMENT_KEYS) + "\0"
+        live_keys = _make_range(ALIVE_PREFIX, _end_prefix(ALIVE_PREFIX))
         documents, live = await self._run_ranges(
             [
                 {**_make_range(first, last), "keys_only": True},
-                _make_range(ALIVE_PREFIX, _end_prefix(ALIVE_PREFIX)),
+                {**live_keys, "count_only": True},
             ]
         )
         with _reading_answer():
-            found = {_read_key(item): _read_revision(item) for item in documents}
-            alive = {
-                _read_key(item).removeprefix(ALIVE_PREFIX): _read_value(item).decode()
-                for item in live
+            kept = documents.get("kvs", [])
+            found = {_read_key(item): _read_revision(item) for item in kept}
+            count = int(live.get("count", 0))
+        return Poll({key: found.get(key, 0) for key in DOCUMENT_KEYS}, count)
+
+    async def read_alive(self) -> dict[str, str]:
+        """Return the name of each live member and the incarnation that it wrote.
+
+        Raises
+        ------
+        StoreUnavailableError
+            If the store does not answer in time or answers with an error.
+        """
+        found = await self.read_prefix(ALIVE_PREFIX)
+        with _reading_answer():
+            return {
+                key.removeprefix(ALIVE_PREFIX): value.decode()
+                for key, value in found.items()
             }
-        return Poll({key: found.get(key, 0) for key in DOCUMENT_KEYS}, alive)
 
     async def read_revisions(self) -> dict[str, int]:
         """Return the revision of each document key; 0 for an absent key.
@@ -119,8 +137,8 @@
         answer = await self._run_ranges([_make_range(key) for key in wanted])
         with _reading_answer():
             return {
-                key: _read_document(key, items)
-                for key, items in zip(wanted, answer, strict=True)
+                key: _read_document(key, found.get("kvs", []))
+                for key, found in zip(wanted, answer, strict=True)
             }
 
     async def read_prefix(self, prefix: str) -> dict[str, bytes]:
@@ -233,7 +251,7 @@
         if lease:
             await self._call("lease/revoke", {"ID": lease})
 
-    async def _run_ranges(self, ranges: list[dict[str, Any]]) -> list[list[Any]]:
+    async def _run_ranges(self, ranges: list[dict[str, Any]]) -> list[dict[str, Any]]:
         """Run several reads in one transaction; it counts as one call."""
         body = {"compare": [], "success": [{"request_range": item} for item in ranges]}
         answer = await self._call("kv/txn", body)
@@ -241,7 +259,7 @@
         if len(responses) != len(ranges):
             raise StoreUnavailableError("the store answered only a part of a read")
         with _reading_answer():
-            return [item["response_range"].get("kvs", []) for item in responses]
+            return [item["response_range"] for item in responses]
 
     async def _call(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
         assert self._session is not None, "the client is not open"
--- a/packages/briarshed/src/briarshed/membership.py
+++ b/packages/briarshed/src/briarshed/membership.py
@@ -14,6 +14,12 @@
 from briarshed.documents import Member, Members
 from briarshed.settings import TimingSettings
 
+PINGS_AN_INTERVAL = 10
+"""Pings that an entry sends in one interval before it stretches the interval."""
+
+CONSENT_PINGS = 2.1
+"""Intervals within the life of a consent: two, and time for the answer."""
+
 KEPT_DEPARTED = 64
 """Departed members kept in the document for reports."""
 
@@ -192,6 +198,17 @@
     return sorted(waiting)
 
 
+def find_ping_interval(others: int, timing: TimingSettings) -> float:
+    """Return the seconds between two pings to each of a number of members.
+
+    The traffic of an entry is kept down by fewer pings to each of many members, but
+    consent must outlast one lost ping.
+    """
+    stretched = timing.ping_ms * max(1.0, others / PINGS_AN_INTERVAL)
+    longest = max(timing.ping_ms, timing.consent_ms / CONSENT_PINGS)
+    return min(stretched, longest) / MS_PER_S
+
+
 def find_planner(members: Members, alive: Mapping[str, str]) -> str:
     """Return the first live member by name, or an empty text."""
     live = [
