--- a/packages/briarshed-entry/src/briarshed_entry/replica.py
+++ b/packages/briarshed-entry/src/briarshed_entry/replica.py
@@ -57,7 +57,7 @@
 that sends a notice changes what an entry may run, so most versions need no read.
 """
 
-ALIVE_POLL_S = 5.0
+ALIVE_POLL_S = 10.0
 """Longest age of the list of live members while their number stays the same."""
 
 LEARNED_VERSIONS = 200
@@ -116,6 +116,7 @@
         self._lock = asyncio.Lock()
         self._task: asyncio.Task[None] | None = None
         self._grants_read_at: float | None = None
+        self._seen: dict[str, int] = {}
         self._alive_read_at: float | None = None
         self._sent_at: float | None = None
         self.updates: Subject[str] = Subject()
@@ -191,7 +192,7 @@
     async def _refresh(self, keys: Sequence[str]) -> bool:
         sent_at = self._sent_at = now()
         try:
-            poll = await self._store.poll()
+            poll = await self._store.poll(self._seen)
             changed = self._list_changed(poll, sent_at, keys)
             found = await self._store.read(changed) if changed else {}
             await self._read_alive(poll, sent_at)
@@ -199,6 +200,7 @@
             self._note_failure(error)
             return False
         self._note_success()
+        self._seen = poll.revisions
         if GRANTS_KEY in changed:
             self._grants_read_at = sent_at
         for key, stored in found.items():
