--- a/features/control/control_world.py
+++ b/bench/partitions.py
@@ -1,12 +1,15 @@
-"""A model of entries around a store, driven by the pure decisions on a virtual clock.
+"""Authority under random partitions, kills, pauses, restarts and changes.
 
-Guards against an entry that honours a configuration which was replaced. Each tick
-every running entry polls and pings once a second, as ``coordinator`` does.
+A model of entries around a store, driven by the pure decisions on a virtual clock: at
+each tick every running entry polls and pings once a second, as ``coordinator`` does.
+It notes every entry that honours a configuration which was replaced.
 """
 
 from __future__ import annotations
 
+import argparse
 import itertools
+import random
 from collections.abc import Iterable
 
 from briarshed import authority, membership
@@ -19,6 +22,9 @@
 TICK_S = 0.25
 LEASE_S = 10.0
 STORE = "store"
+OLD = "abc"
+EVENTS = ["start", "accept", "accept", "accept", "cut", "cut", "store", "state", "heal"]
+PAUSES_S = (0.25, 0.5, 1, 2, 3, 4, 5, 8, 16, 16, 30, 60)
 
 
 class Entry:
@@ -280,3 +286,64 @@
             entry.configuration = max(entry.configuration, configuration)
             if members["version"] > entry.members["version"]:
                 entry.take_members(members)
+
+
+def run_random(source: random.Random, events: int) -> World:
+    """Return a world after random events, with the violations that it noted."""
+    world = World()
+    world.offer_lost = (source.random() < 0.5 for _ in itertools.count())
+    world.pong_delay = (source.choice((0, 0, 0.25, 1.5)) for _ in itertools.count())
+    for name in OLD:
+        world.start(name)
+    world.advance(source.choice((0, 2, 5)))
+    for _ in range(events):
+        _do_random_event(world, source)
+        world.advance(source.choice(PAUSES_S))
+    return world
+
+
+def _do_random_event(world: World, source: random.Random) -> None:
+    name = source.choice("abcde")
+    entry = world.entries.get(name)
+    side = source.sample("abcde", source.randint(1, 4))
+    match source.choice(EVENTS):
+        case "start":
+            # Another address stands for a process that may still run elsewhere, so
+            # only one that has ended is replaced at its own address.
+            world.start(name)
+        case "accept":
+            for other in sorted(world.entries):
+                if not world.accept(other):
+                    break
+        case "cut":
+            rest = [other for other in "abcde" if other not in side]
+            world.cut(side, [*rest, *source.choice(([], [STORE]))])
+        case "store" if source.random() < 0.5:
+            world.store_down = not world.store_down
+        case "store":
+            world.cut(side, [STORE])
+        case "state" if entry is not None and entry.state != "killed":
+            entry.state = source.choice(("running", "paused", "paused", "killed"))
+        case "heal":
+            world.heal()
+
+
+def main() -> None:
+    """Print how many random runs broke the rule, and what authority they left."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--runs", type=int, default=500)
+    parser.add_argument("--events", type=int, default=20)
+    parser.add_argument("--seed", type=int, default=1)
+    arguments = parser.parse_args()
+    worlds = [
+        run_random(random.Random(arguments.seed * 1_000_000 + number), arguments.events)
+        for number in range(arguments.runs)
+    ]
+    broken = sum(bool(world.violations) for world in worlds)
+    accepted = sum(len(world.accepted) for world in worlds)
+    print(f"{len(worlds)} runs of {arguments.events} events, seed {arguments.seed}:")
+    print(f"{accepted} changes accepted, {broken} runs broke the rule")
+
+
+if __name__ == "__main__":
+    main()
--- a/features/control/steps/authority_steps.py
+++ b/features/control/steps/authority_steps.py
@@ -1,21 +1,22 @@
 """Steps about authority, over a model of entries and the store."""
 
-import itertools
 import random
+import sys
 from ast import literal_eval
+from pathlib import Path
 
 from behave import given, step, then, when
 from briarshed.authority import OwnView, PeerView, decide_authority, find_relayed
 from briarshed.membership import is_listed, list_owners, register_member
-from control_world import STORE, TIMING, World
 from hypothesis import HealthCheck, seed, settings, strategies
 from hypothesis import given as drawn
 from returns.pipeline import is_successful
 
-OLD = "abc"
+sys.path.append(str(Path(__file__).resolve().parents[3] / "bench"))
+
+from partitions import OLD, STORE, TIMING, World, run_random
+
 RANDOM_RUNS = 100
-EVENTS = ["start", "accept", "accept", "accept", "cut", "cut", "store", "state", "heal"]
-PAUSES_S = (0.25, 0.5, 1, 2, 3, 4, 5, 8, 16, 16, 30, 60)
 
 
 def _split(names):
@@ -225,48 +226,9 @@
     )
     @drawn(strategies.integers(0, 2**32 - 1))
     def check(draw):
-        world = _run_random(random.Random(draw), events)
+        world = run_random(random.Random(draw), events)
         accepted.append(len(world.accepted))
         assert not world.violations, (draw, world.violations[:3])
 
     check()
     assert sum(accepted) > runs, "too few changes were accepted to show anything"
-
-
-def _run_random(source, events):
-    world = World()
-    world.offer_lost = (source.random() < 0.5 for _ in itertools.count())
-    world.pong_delay = (source.choice((0, 0, 0.25, 1.5)) for _ in itertools.count())
-    for name in OLD:
-        world.start(name)
-    world.advance(source.choice((0, 2, 5)))
-    for _ in range(events):
-        _do_random_event(world, source)
-        world.advance(source.choice(PAUSES_S))
-    return world
-
-
-def _do_random_event(world, source):
-    name = source.choice("abcde")
-    entry = world.entries.get(name)
-    side = source.sample("abcde", source.randint(1, 4))
-    match source.choice(EVENTS):
-        case "start":
-            # Another address stands for a process that may still run elsewhere, so
-            # only one that has ended is replaced at its own address.
-            world.start(name)
-        case "accept":
-            for other in sorted(world.entries):
-                if not world.accept(other):
-                    break
-        case "cut":
-            rest = [other for other in "abcde" if other not in side]
-            world.cut(side, [*rest, *source.choice(([], [STORE]))])
-        case "store" if source.random() < 0.5:
-            world.store_down = not world.store_down
-        case "store":
-            world.cut(side, [STORE])
-        case "state" if entry is not None and entry.state != "killed":
-            entry.state = source.choice(("running", "paused", "paused", "killed"))
-        case "heal":
-            world.heal()
