--- a/features/control/control.feature
+++ b/features/control/control.feature
@@ -59,6 +59,13 @@
     And its grants are still held
     And within 4 s its grants are freed
 
+  Scenario: A member whose lease was renewed by a new process is not missing
+    Given 2 entries
+    When the lease of entry-1 names another incarnation
+    Then within 1 s entry-0 takes entry-1 for missing
+    When the lease of entry-1 names its incarnation again
+    Then within 0.5 s entry-0 takes entry-1 for live
+
   Scenario: A member that was removed takes a new incarnation
     Given 3 entries
     When another entry removes entry-2
--- a/features/control/steps/control_steps.py
+++ b/features/control/steps/control_steps.py
@@ -307,6 +307,21 @@
     await wait_until(lambda: context.gone not in read_rows(context), seconds)
 
 
+@when("the lease of {name} names {incarnation}")
+def step_rename(context, name, incarnation):
+    own = find(context, name).it.owner.partition("/")[2]
+    value = "other" if incarnation == "another incarnation" else own
+    context.gateway.write(f"briarshed/alive/{name}", value.encode())
+
+
+@then("within {seconds:g} s {name} takes {other} for {state}")
+@run
+async def step_taken(context, seconds, name, other, state):
+    it, owner = find(context, name).it, find(context, other).it.owner
+    wanted = state == "missing"
+    await wait_until(lambda: (owner in it._missing_since) == wanted, seconds)
+
+
 @when("another entry removes {name}")
 def step_remove(context, name):
     context.gone = find(context, name).it.owner
--- a/packages/briarshed-entry/src/briarshed_entry/replica.py
+++ b/packages/briarshed-entry/src/briarshed_entry/replica.py
@@ -195,7 +195,7 @@
             poll = await self._store.poll(self._seen)
             changed = self._list_changed(poll, sent_at, keys)
             found = await self._store.read(changed) if changed else {}
-            await self._read_alive(poll, sent_at)
+            await self._read_alive(poll, sent_at, found)
         except StoreUnavailableError as error:
             self._note_failure(error)
             return False
@@ -214,10 +214,22 @@
         revision = found[key].revision if key in found else poll.revisions[key]
         return revision == self._held[key].revision
 
-    async def _read_alive(self, poll: Poll, sent_at: float) -> None:
+    async def _read_alive(
+        self, poll: Poll, sent_at: float, found: Mapping[str, Stored]
+    ) -> None:
+        """Read who is live, unless the list is recent and complete.
+
+        While a member is missing the list is read each time, so that a member that
+        has returned or restarted is not taken for one that has stopped.
+        """
+        members = found.get(MEMBERS_KEY, self._held[MEMBERS_KEY]).value["members"]
+        complete = poll.live == len(self.alive) and all(
+            self.alive.get(name) == member["incarnation"]
+            for name, member in members.items()
+        )
         read_at = self._alive_read_at
         recent = read_at is not None and sent_at - read_at < ALIVE_POLL_S
-        if poll.live != len(self.alive) or not recent:
+        if not (complete and recent):
             self.alive = await self._store.read_alive()
             self._alive_read_at = sent_at
 
