--- a/packages/briarshed-entry/src/briarshed_entry/_operator_changes.py
+++ b/packages/briarshed-entry/src/briarshed_entry/_operator_changes.py
@@ -18,7 +18,7 @@
     list_dangling,
     select_statements,
 )
-from briarshed.commands import ForgetMember, Script, Target, needs_key
+from briarshed.commands import ForgetMember, Script, Show, Target, needs_key
 from briarshed.documents import CONFIGURATION_KEY, FLEET_KEY, MEMBERS_KEY, Change
 from briarshed.events import (
     CHANGE_ACCEPTED,
@@ -29,7 +29,7 @@
 from briarshed.exceptions import StoreUnavailableError
 from briarshed.findings import Finding, format_finding
 from briarshed.keys import make_key
-from briarshed.queries import Row
+from briarshed.queries import Row, make_question
 from briarshed.settings import Settings
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
@@ -54,6 +54,8 @@
 RECORD_ATTEMPTS = 1_800
 """Half an hour, the longest time for which a member can block changes unseen."""
 
+_ANY_JOBS = Show("jobs", group=("state",))
+
 _DOCUMENT_KEYS: dict[Target, str] = {
     "configuration": CONFIGURATION_KEY,
     "fleet": FLEET_KEY,
@@ -247,13 +249,18 @@
             status = 409 if races else _find_status(changed.failure())
             return Failure(Refused(status, changed.failure()))
         document = changed.unwrap().value
-        change = _find_change(document, request)
-        if change is not None:
-            # The same change came through another entry, so its keys are the ones
-            # that exist, not those that were made here.
-            rows = _describe_repeated(request, {target: change})
-            return Success(_Swap(change["version"], rows, True))
-        return Success(_Swap(document["version"], applied[-1].rows, False))
+        change = _find_change(document, request.change_id)
+        if change is None:
+            return Success(_Swap(document["version"], applied[-1].rows, False))
+        # The document may hold later changes, so its version may be higher.
+        version = change["version"]
+        if change["at"] == request.at:
+            return Success(_Swap(version, applied[-1].rows, False))
+        # The same change came through another entry, so its keys are the ones that
+        # exist, not those that were made here.
+        return Success(
+            _Swap(version, _describe_repeated(request, {target: change}), True)
+        )
 
     async def _wait_in_force(self, versions: Mapping[Target, int]) -> list[str]:
         timeout = self._settings.timing.in_force_timeout_ms / MILLISECONDS
@@ -280,7 +287,7 @@
         The members are swapped first: until then the audit trail, which is kept in
         the configuration, cannot be changed if a member to be removed blocks it.
         """
-        refusal = self._find_answering(request)
+        refusal = await self._find_answering(request)
         if refusal:
             return Failure(Refused(409, refusal))
         forgotten = False
@@ -310,11 +317,16 @@
             task.add_done_callback(self._recorders.discard)
         return Success(Made(expected.rows, True, {}, (), {"warnings": warnings}))
 
-    def _find_answering(self, request: Request) -> str:
-        """Return a refusal if the process of a member to be forgotten still runs."""
-        unreached = self._coordinator.unreached()
+    async def _find_answering(self, request: Request) -> str:
+        """Return a refusal if the process of a member to be forgotten still runs.
+
+        They are asked now, since an entry that has just started has not heard of
+        any member yet.
+        """
+        replies = await self._coordinator.gather(make_question(_ANY_JOBS))
+        answering = {reply.entry for reply in replies}
         names = [item.command.name for item in request.script.statements]
-        running = [name for name in names if name not in unreached]
+        running = [name for name in names if name in answering]
         if not running:
             return ""
         return (
@@ -333,7 +345,9 @@
         changed = await self._replica.change(key, record, request.change_id)
         if not is_successful(changed):
             return changed.failure()
-        _log_accepted(request, "members", changed.unwrap().value["version"])
+        change = _find_change(changed.unwrap().value, request.change_id)
+        if change is not None:
+            _log_accepted(request, "members", change["version"])
         return ""
 
     async def _record_later(self, request: Request, base: Documents) -> None:
@@ -347,10 +361,9 @@
         log_event(CHANGE_REFUSED, who=request.who, reason=reason)
 
 
-def _find_change(document: Any, request: Request) -> Change | None:
-    """Return the change with the request's id if another request made it."""
+def _find_change(document: Any, change_id: str) -> Change | None:
     for change in document["changes"]:
-        if change["id"] == request.change_id and change["at"] != request.at:
+        if change["id"] == change_id:
             return change
     return None
 
