--- a/features/standins/fleet.feature
+++ b/features/standins/fleet.feature
@@ -26,6 +26,10 @@
     Then 20 jobs finish through the fleet
     And the records of the fleet have no violation
 
+  Scenario: A fleet whose entry ends at its start fails at once and shows why
+    When a fleet starts an entry that ends with "bad settings"
+    Then the fleet failed within 10 s with "entry-1 ended" and "bad settings"
+
   Scenario: Two fleets at once never choose one address
     Then 400 addresses of each of two fleets are all different
 
--- a/features/standins/steps/fleet_steps.py
+++ b/features/standins/steps/fleet_steps.py
@@ -4,6 +4,7 @@
 import signal
 import sys
 import tempfile
+import time
 from pathlib import Path
 
 import psutil
@@ -11,7 +12,14 @@
 from briarshed_standins.checker import Limit, Rules, check_records
 from briarshed_standins.fleet import Fleet, Plan
 from briarshed_standins.load import Source, make_jobs, run_load
-from briarshed_standins.processes import Ports, Process, call, end_processes, wait_until
+from briarshed_standins.processes import (
+    FleetError,
+    Ports,
+    Process,
+    call,
+    end_processes,
+    wait_until,
+)
 
 RATE = 40.0
 SILENCE_S = 1.0
@@ -134,6 +142,25 @@
     assert report.submitted == len(context.told) > 0, report
 
 
+@when('a fleet starts an entry that ends with "{text}"')
+def step_start_failing(context, text):
+    command = (sys.executable, "-c", f"import sys; sys.exit('{text}')")
+    started_at = time.monotonic()
+    try:
+        with Fleet(Plan(entries=1, pools=(), command=command)):
+            raise AssertionError("the fleet started")
+    except FleetError as error:
+        context.failure = str(error)
+    context.failed_after_s = time.monotonic() - started_at
+
+
+@then('the fleet failed within {seconds:d} s with "{first}" and "{second}"')
+def step_failed(context, seconds, first, second):
+    assert first in context.failure, context.failure
+    assert second in context.failure, context.failure
+    assert context.failed_after_s < seconds, context.failed_after_s
+
+
 @then("{count:d} addresses of each of two fleets are all different")
 def step_ports(context, count):
     fleets = [Ports(), Ports()]
--- a/packages/briarshed-standins/src/briarshed_standins/fleet.py
+++ b/packages/briarshed-standins/src/briarshed_standins/fleet.py
@@ -279,9 +279,7 @@
             entry = self.entries[name]
 
             def check(entry: Entry = entry) -> bool:
-                process = self.processes[entry.name]
-                if not process.is_running():
-                    raise FleetError(f"{entry.name} ended")
+                self._check_running(entry.name)
                 return call("GET", f"{entry.url}/readyz").status == 200
 
             with self._explain():
@@ -534,6 +532,7 @@
 
     def _change(self, script: str) -> Any:
         def post() -> Any:
+            self._check_running(*self.entries)
             reply = self.command(script)
             if reply.status in (400, 401, 403, 422):
                 raise FleetError(f"commands refused: {reply.content}\n{script}")
@@ -550,6 +549,12 @@
 
     # Helpers
 
+    def _check_running(self, *names: str) -> None:
+        # Another process on the port of an entry that ended could answer for it.
+        ended = [name for name in names if not self.processes[name].is_running()]
+        if ended:
+            raise FleetError(f"{', '.join(ended)} ended")
+
     @contextmanager
     def _explain(self) -> Iterator[None]:
         # The entry that answers is often not the one at fault.
