Start no job that cannot end before its deadline while others wait

Cause: at five times the capacity a queued job was started with less time left than its run time. The endpoint stopped it at its deadline: the slot was lost and the caller was told 'unknown'.

Change: with other jobs waiting, a job whose remaining time is shorter than the learned run time is refused as not run when its turn comes, and admission adds the run time to the expected wait.

--- a/packages/briarshed-entry/src/briarshed_entry/scheduler.py
+++ b/packages/briarshed-entry/src/briarshed_entry/scheduler.py
@@ -239,7 +239,9 @@
         queue = self._replica.configuration["queues"][job.queue]
         pool = self._find_pool(queue["pool"])
         wait = self._expect_wait(job, pool)
-        if wait > job.deadline - clock.now():
+        left = job.deadline - clock.now()
+        run_time = self._run_times.get(job.queue)
+        if wait > 0 and wait + (run_time or 0.0) > left:
             message = f"the expected wait of {wait:.1f} s exceeds the deadline"
             status = HTTPStatus.TOO_MANY_REQUESTS
             retry_after = min(MAX_RETRY_AFTER_S, wait)
@@ -435,6 +437,8 @@
             refusal = self._check_key(life.job)
             if obstacle == "authority":
                 refusal = _refuse_without_authority()
+            if refusal is None and not obstacle:
+                refusal = self._check_time(life, now)
             if refusal is not None:
                 self._resolve(life, refusal)
                 continue
@@ -454,6 +458,17 @@
         if pool.queue:
             self._set_timer(pool, now)
 
+    def _check_time(self, life: _Life, now: float) -> Outcome | None:
+        left = life.job.deadline - now
+        run_time = self._run_times.get(life.job.queue)
+        if not admission.is_too_late(left, run_time, len(life.pool.queue) - 1):
+            return None
+        return refuse(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            "no-endpoint-in-time",
+            "a slot became free too late for the usual run time of this queue",
+        )
+
     def _resolve(self, life: _Life, outcome: Outcome) -> None:
         self._dequeue(life)
         assert life.turn is not None
--- a/packages/briarshed/src/briarshed/admission.py
+++ b/packages/briarshed/src/briarshed/admission.py
@@ -75,3 +75,21 @@
     if run_time is None:
         return 0.0
     return min(MAX_WAIT_S, (ahead + 1) * run_time / max(slots, 1.0))
+
+
+def is_too_late(left: float, run_time: float | None, waiting: int) -> bool:
+    """Tell whether a start would waste a slot that another job could use.
+
+    A job that is stopped at its deadline helps nobody, and its caller is told
+    "unknown". With no other job waiting the learned run time is not trusted that far.
+
+    Parameters
+    ----------
+    left : float
+        Seconds to the job's deadline.
+    run_time : float or None
+        Learned run time in seconds.
+    waiting : int
+        Queued jobs of the pool, without this one.
+    """
+    return waiting > 0 and run_time is not None and left < run_time
