Keep the port of an absent endpoint bound in the fakes

Cause: with the port released, another process of the machine took it and answered, so the scenario of an unreachable endpoint failed once in four runs with an unknown outcome.

--- a/features/serving/serving_fakes.py
+++ b/features/serving/serving_fakes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import socket
 from collections import Counter
 from contextlib import AsyncExitStack, asynccontextmanager, suppress
 from types import SimpleNamespace
@@ -140,6 +141,12 @@
         return self.running[team]
 
 
+def _bind_only():
+    bound = socket.socket()
+    bound.bind(("127.0.0.1", 0))
+    return bound
+
+
 class FakeEndpoint:
     """An endpoint with faults; ``fault`` is applied to every ``POST``.
 
@@ -174,14 +181,19 @@
         self.address = ""
 
     async def __aenter__(self):
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
-        if self.absent:
-            self._server.close()
+        # An absent endpoint keeps its port without listening, so that no other
+        # process can take it.
+        self._bound = _bind_only()
+        self.address = f"127.0.0.1:{self._bound.getsockname()[1]}"
+        if not self.absent:
+            self._server = await asyncio.start_server(self._serve, sock=self._bound)
         return self
 
     async def __aexit__(self, *_):
-        self._server.close()
+        if self.absent:
+            self._bound.close()
+        else:
+            self._server.close()
 
     async def _serve(self, reader, writer):
         self.open += 1
