--- a/packages/briarshed-standins/src/briarshed_standins/fleet.py
+++ b/packages/briarshed-standins/src/briarshed_standins/fleet.py
@@ -256,6 +256,10 @@
             places |= {"store": "", "platform": ""}
         return self._links.list_crossing(places, data_centre)
 
+    def read_link_bytes(self) -> dict[str, int]:
+        """Return the bytes that each link has carried, both directions together."""
+        return self._links.read_bytes()
+
     # Operators and callers
 
     def command(self, script: str, entry: str = "") -> Reply:
@@ -279,12 +283,10 @@
             entry = self.entries[name]
 
             def check(entry: Entry = entry) -> bool:
-                process = self.processes[entry.name]
-                if not process.is_running():
-                    raise FleetError(f"{entry.name} ended; {process.read_log()}")
+                self._check_running(entry.name)
                 return call("GET", f"{entry.url}/readyz").status == 200
 
-            with self._explain(name):
+            with self._explain():
                 wait_until(f"{name} ready", check, timeout_s)
 
     def wait_serving(self, *names: str, timeout_s: float = READY_TIMEOUT_S) -> None:
@@ -295,7 +297,7 @@
             found = self.read_document(FLEET_KEY)["instances"]
             return all(found.get(name, {}).get("state") == "serving" for name in wanted)
 
-        with self._explain(next(iter(self.entries))):
+        with self._explain():
             wait_until("all instances serving", check, timeout_s)
 
     def wait_idle(self, timeout_s: float = READY_TIMEOUT_S) -> None:
@@ -534,6 +536,7 @@
 
     def _change(self, script: str) -> Any:
         def post() -> Any:
+            self._check_running(*self.entries)
             reply = self.command(script)
             if reply.status in (400, 401, 403, 422):
                 raise FleetError(f"commands refused: {reply.content}\n{script}")
@@ -542,7 +545,7 @@
             return reply.content
 
         # An entry that is not yet established refuses changes.
-        with self._explain(next(iter(self.entries))):
+        with self._explain():
             content = wait_until("commands accepted", post, READY_TIMEOUT_S)
         if not content.get("in_force"):
             raise FleetError(f"accepted but not in force: {content}")
@@ -550,12 +553,23 @@
 
     # Helpers
 
+    def _check_running(self, *names: str) -> None:
+        # Another process on the port of an entry that ended could answer for it.
+        ended = [name for name in names if not self.processes[name].is_running()]
+        if ended:
+            raise FleetError(f"{', '.join(ended)} ended")
+
     @contextmanager
-    def _explain(self, role: str) -> Iterator[None]:
+    def _explain(self) -> Iterator[None]:
+        # The entry that answers is often not the one at fault.
         try:
             yield
         except FleetError as error:
-            raise FleetError(f"{error}; {self.processes[role].read_log()}") from error
+            logs = [
+                f"log of {name}:\n{self.processes[name].read_log()}"
+                for name in self.entries
+            ]
+            raise FleetError("\n".join([str(error), *logs])) from error
 
     @staticmethod
     def _count_running(instance: Instance) -> int:
