--- a/features/control/fake_gateway.py
+++ b/features/control/fake_gateway.py
@@ -104,7 +104,7 @@
             case "kv/put":
                 return self._put(body)
             case "kv/txn":
-                equal = all(self._compare(item) for item in body["compare"])
+                equal = all(self._compare(item) for item in body.get("compare", []))
                 steps = body["success"] if equal else []
                 responses = [self._step(step) for step in steps]
                 # The gateway leaves out what is false or empty.
--- a/packages/briarshed-entry/src/briarshed_entry/coordinator.py
+++ b/packages/briarshed-entry/src/briarshed_entry/coordinator.py
@@ -76,7 +76,7 @@
 from briarshed_entry.replica import Replica
 from briarshed_entry.store import StoreClient
 
-INCARNATION_BYTES = 6
+INCARNATION_BYTES = 4
 RENEWALS_A_LEASE = 3
 SWAP_INTERVAL_S = 1.0
 GRANTS_PAUSE_S = 0.1
--- a/packages/briarshed-entry/src/briarshed_entry/replica.py
+++ b/packages/briarshed-entry/src/briarshed_entry/replica.py
@@ -116,7 +116,6 @@
         self._lock = asyncio.Lock()
         self._task: asyncio.Task[None] | None = None
         self._grants_read_at: float | None = None
-        self._seen: dict[str, int] = {}
         self._alive_read_at: float | None = None
         self._sent_at: float | None = None
         self.updates: Subject[str] = Subject()
@@ -192,7 +191,7 @@
     async def _refresh(self, keys: Sequence[str]) -> bool:
         sent_at = self._sent_at = now()
         try:
-            poll = await self._store.poll(self._seen)
+            poll = await self._store.poll()
             changed = self._list_changed(poll, sent_at, keys)
             found = await self._store.read(changed) if changed else {}
             await self._read_alive(poll, sent_at, found)
@@ -200,7 +199,6 @@
             self._note_failure(error)
             return False
         self._note_success()
-        self._seen = poll.revisions
         if GRANTS_KEY in changed:
             self._grants_read_at = sent_at
         for key, stored in found.items():
--- a/packages/briarshed-entry/src/briarshed_entry/store.py
+++ b/packages/briarshed-entry/src/briarshed_entry/store.py
@@ -64,7 +64,12 @@
         # The headers that are left out would be a third of the bytes of a poll.
         self._session = aiohttp.ClientSession(
             timeout=timeout,
-            skip_auto_headers=("Accept", "Accept-Encoding", "User-Agent"),
+            skip_auto_headers=(
+                "Accept",
+                "Accept-Encoding",
+                "Content-Type",
+                "User-Agent",
+            ),
         )
         return self
 
@@ -77,14 +82,8 @@
         if self._session is not None:
             await self._session.close()
 
-    async def poll(self, seen: Mapping[str, int] | None = None) -> Poll:
-        """Return the revisions of the documents and count live members.
-
-        Parameters
-        ----------
-        seen : mapping, optional
-            Revisions that an earlier poll found. While they are still the store's,
-            they are compared there and not sent back, which keeps the answer short.
+    async def poll(self) -> Poll:
+        """Return the revisions of the documents and count live members, in one call.
 
         Raises
         ------
@@ -94,12 +93,8 @@
         first, last = min(DOCUMENT_KEYS), max(DOCUMENT_KEYS) + "\0"
         live_keys = _make_range(ALIVE_PREFIX, _end_prefix(ALIVE_PREFIX))
         counted = {**live_keys, "count_only": True}
-        unchanged = await self._run_ranges([counted], seen) if seen else None
-        if seen and unchanged is not None:
-            return Poll(dict(seen), _read_count(unchanged[0]))
         listed = {**_make_range(first, last), "keys_only": True}
         found = await self._run_ranges([listed, counted])
-        assert found is not None, "a transaction without comparisons succeeds"
         with _reading_answer():
             kept = found[0].get("kvs", [])
             revisions = {_read_key(item): _read_revision(item) for item in kept}
@@ -142,7 +137,6 @@
         """
         wanted = list(keys)
         answer = await self._run_ranges([_make_range(key) for key in wanted])
-        assert answer is not None, "a transaction without comparisons succeeds"
         with _reading_answer():
             return {
                 key: _read_document(key, found.get("kvs", []))
@@ -259,18 +253,10 @@
         if lease:
             await self._call("lease/revoke", {"ID": lease})
 
-    async def _run_ranges(
-        self, ranges: list[dict[str, Any]], seen: Mapping[str, int] | None = None
-    ) -> list[dict[str, Any]] | None:
-        """Run several reads in one transaction, which counts as one call.
-
-        Returns None if the keys of ``seen`` do not have its revisions.
-        """
-        compared = [_compare(key, revision) for key, revision in (seen or {}).items()]
-        steps = [{"request_range": item} for item in ranges]
-        answer = await self._call("kv/txn", {"compare": compared, "success": steps})
-        if seen and "header" in answer and not answer.get("succeeded"):
-            return None
+    async def _run_ranges(self, ranges: list[dict[str, Any]]) -> list[dict[str, Any]]:
+        """Run several reads in one transaction, which counts as one call."""
+        body = {"success": [{"request_range": item} for item in ranges]}
+        answer = await self._call("kv/txn", body)
         responses = answer.get("responses", [])
         if len(responses) != len(ranges):
             raise StoreUnavailableError("the store answered only a part of a read")
