--- a/bench/control_cost.py
+++ b/bench/control_cost.py
@@ -57,7 +57,12 @@
     async def _relay(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        other = await asyncio.open_connection(self._host, int(self._port))
+        try:
+            other = await asyncio.open_connection(self._host, int(self._port))
+        except OSError:
+            # The entry behind it has closed its port at the end of the run.
+            writer.close()
+            return
         await asyncio.gather(self._copy(reader, other[1]), self._copy(other[0], writer))
 
     async def _copy(
