--- /dev/null
+++ b/bench/decisions.py
@@ -0,0 +1,159 @@
+"""Processor time of one placement, one fair choice and one admission, by size."""
+
+from __future__ import annotations
+
+import argparse
+import random
+import time
+from collections.abc import Callable, Sequence
+
+from _deployments import SLOTS
+from _report import find_version
+from briarshed.admission import count_ahead, expect_wait, find_full_bound
+from briarshed.documents import Queue
+from briarshed.fairness import FairQueue, Line
+from briarshed.placement import Placement, Site
+
+ENDPOINTS = (30, 180, 720)
+POOLS = (5, 25, 109)
+TEAMS = (6, 30, 130)
+JOBS_PER_TEAM = 4
+ROUNDS = 15
+REPEATS = 1_000
+RUN_S = 1.0
+WAIT_S = 4.0
+QUEUE = Queue(pool="", open=False, teams=[], max_jobs=1_000, max_bytes=1 << 30)
+
+Decision = Callable[[], object]
+
+
+def time_decision(decide: Decision) -> float:
+    """Return the median over rounds of the microseconds of one decision."""
+    times = []
+    for _ in range(ROUNDS):
+        started = time.process_time_ns()
+        for _ in range(REPEATS):
+            decide()
+        times.append((time.process_time_ns() - started) / REPEATS / 1_000)
+    return sorted(times)[ROUNDS // 2]
+
+
+def make_placement(endpoints: int, load: float, seed: int) -> Placement:
+    """Return a placement with a part of all slots in use by this entry."""
+    placement = Placement(10.0)
+    names = [f"i-{index:03}" for index in range(endpoints)]
+    placement.update(
+        {name: Site(name, True, SLOTS, SLOTS, False) for name in names}, 0.0
+    )
+    chance = random.Random(seed)
+    for _ in range(int(endpoints * SLOTS * load)):
+        found = placement.choose(0.0, chance)
+        if found is not None:
+            placement.note_started(found[0], 0.0)
+    return placement
+
+
+def make_placing(placements: Sequence[Placement], seed: int) -> Decision:
+    """Return one start: the choice, its count, and the count of an ended job."""
+    chance = random.Random(seed)
+    now = 0.0
+
+    def place() -> None:
+        nonlocal now
+        now += 0.001
+        placement = placements[int(chance.random() * len(placements))]
+        found = placement.choose(now, chance)
+        if found is None:
+            raise RuntimeError("no endpoint is available")
+        endpoint, address = found
+        placement.note_started(endpoint, now)
+        placement.note_ended(endpoint, address, now)
+        placement.note_load(endpoint, SLOTS // 2, now)
+
+    return place
+
+
+class Teams:
+    """Running jobs of teams, and one queue in which all of them wait."""
+
+    def __init__(self, teams: int, seed: int) -> None:
+        self.chance = random.Random(seed)
+        self.shares = {f"t-{n:03}": 1.0 + n % 4 for n in range(teams)}
+        self.names = list(self.shares)
+        self.running = {team: self.chance.randint(1, 20) for team in self.names}
+        self.queue: FairQueue[int] = FairQueue(self.find_load)
+        self.number = 0
+        for team in self.names * JOBS_PER_TEAM:
+            self.add(team)
+
+    def find_load(self, team: str) -> float:
+        """Return running over share."""
+        return self.running[team] / self.shares[team]
+
+    def add(self, team: str) -> None:
+        """Queue one more job of a team."""
+        self.number += 1
+        self.queue.add(Line(team, False), str(self.number), self.number)
+
+    def start(self) -> None:
+        """Start the next job, queue one of its team, and end one of any team."""
+        choice = self.queue.choose()
+        if choice is None:
+            raise RuntimeError("the queue is empty")
+        line, key, _ = choice
+        self.queue.note_started(line, key)
+        self.running[line.team] += 1
+        self.add(line.team)
+        team = self.names[int(self.chance.random() * len(self.names))]
+        if self.running[team] > 0:
+            self.running[team] -= 1
+        self.queue.refresh(team)
+
+    def admit(self) -> bool:
+        """Decide on one more job, with a full pool and all teams waiting."""
+        team = self.names[self.number % len(self.names)]
+        if find_full_bound(QUEUE, len(self.queue), 1_000, 200):
+            return False
+        own = self.queue.count_team(team)
+        share = self.shares[team]
+        ahead = count_ahead(len(self.queue), own, share, 100.0)
+        return expect_wait(ahead, RUN_S, 48.0) <= WAIT_S
+
+
+def print_figures(label: str, sizes: Sequence[int], times: Sequence[float]) -> None:
+    """Print microseconds by size, and the last over the first."""
+    parts = [f"{size}: {us:.2f} us" for size, us in zip(sizes, times, strict=True)]
+    size_factor = sizes[-1] / sizes[0]
+    print(
+        f"{label}: {', '.join(parts)}; growth {times[-1] / times[0]:.2f}"
+        f" while the size grows {size_factor:.1f}",
+        flush=True,
+    )
+
+
+def main(arguments: Sequence[str] | None = None) -> None:
+    """Print the figures."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    seed = parser.parse_args(arguments).seed
+    print(f"version {find_version()}, seed {seed}, median of {ROUNDS} x {REPEATS}")
+    one_pool = [
+        time_decision(make_placing([make_placement(size, 0.5, seed)], seed))
+        for size in ENDPOINTS
+    ]
+    print_figures("placement and end, one pool, endpoints", ENDPOINTS, one_pool)
+    spread = []
+    for pools, endpoints in zip(POOLS, ENDPOINTS, strict=True):
+        placements = [
+            make_placement(endpoints // pools, 0.5, seed) for _ in range(pools)
+        ]
+        spread.append(time_decision(make_placing(placements, seed)))
+    print_figures("placement and end, endpoints over all pools, pools", POOLS, spread)
+    chosen = [time_decision(Teams(size, seed).start) for size in TEAMS]
+    print_figures("fair choice, start and end, teams in one queue", TEAMS, chosen)
+    admitted = [time_decision(Teams(size, seed).admit) for size in TEAMS]
+    print_figures("admission, teams in one queue", TEAMS, admitted)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/policies.py
@@ -0,0 +1,165 @@
+"""Placement, team order, admission and retry against plain baselines.
+
+All rules of a comparison see the same arrivals. Virtual time: the figures depend on
+the seed and not on the machine.
+"""
+
+from __future__ import annotations
+
+import argparse
+import time
+from collections.abc import Sequence
+
+from _deployments import DEPLOYMENTS
+from _policy_loop import Loop
+from _policy_parts import DEADLINE_S, RUN_TIMES_S, Case
+from _report import find_version
+
+ENTRIES = (3, 8)
+BURSTS_S = 9.0
+FULL_S = 7.0
+FAILING_S = 4.0
+
+PLACEMENTS = {
+    "random": "random, loads in answers ignored",
+    "marked": "random, endpoints known to be full left out",
+    "two": "less loaded of two (chosen)",
+    "split": "fixed split of slots over entries",
+}
+ORDERS = {
+    "first": "first come, first out",
+    "local": "weighted fair, local counts",
+    "fleet": "weighted fair, fleet-wide counts (chosen)",
+}
+ADMISSIONS = {
+    "none": "no bound",
+    "bound": "bound for the mean run time of all queues",
+    "wait": "expected wait (chosen)",
+    "passed": "expected wait, later arrivals of others counted",
+}
+RETRIES = {"unbounded": "until the deadline", "budget": "budget of 0.1 (chosen)"}
+
+EXTRAS = ("random", "passed")
+"""Rules measured only on request, since they take as long as all others."""
+
+
+def print_line(label: str, *figures: str) -> None:
+    """Print the figures of one rule."""
+    print(f"  {label:<50} {', '.join(figures)}", flush=True)
+
+
+def describe_goodput(loop: Loop) -> str:
+    """Return the part of submitted jobs that finished inside the deadline."""
+    good, jobs = loop.counts["good"], loop.counts["jobs"]
+    return f"good {good} of {jobs} ({good / jobs:.3f})"
+
+
+def describe_waits(loop: Loop) -> str:
+    """Return the waits of the jobs that started."""
+    return f"wait p50 {loop.find_wait_ms(50):.0f} ms p99 {loop.find_wait_ms(99):.0f} ms"
+
+
+def describe_refusals(loop: Loop) -> str:
+    """Return how many refusals came early, and how many jobs ran out of time."""
+    counts = loop.counts
+    return (
+        f"refused {counts['refused']}, early {counts['early']},"
+        f" started but late {counts['late']}"
+    )
+
+
+def compare_placements(case: Case, chosen: Loop, extras: bool) -> None:
+    """Print starts refused as full, waits and goodput of each placement."""
+    print("placement, bursts")
+    for name, label in PLACEMENTS.items():
+        if name in EXTRAS and not extras:
+            continue
+        loop = chosen if name == "two" else Loop(case._replace(placement=name)).run()
+        overbooked = loop.counts["overbooked"] / loop.counts["jobs"]
+        print_line(
+            label,
+            f"overbooked starts {overbooked:.2f} a job",
+            describe_waits(loop),
+            describe_goodput(loop),
+        )
+
+
+def compare_admissions(case: Case, chosen: Loop, extras: bool) -> None:
+    """Print goodput, early refusals and waits of each admission."""
+    print("admission, bursts")
+    for name, label in ADMISSIONS.items():
+        if name in EXTRAS and not extras:
+            continue
+        loop = chosen if name == "wait" else Loop(case._replace(admission=name)).run()
+        print_line(
+            label, describe_goodput(loop), describe_refusals(loop), describe_waits(loop)
+        )
+
+
+def compare_orders(case: Case) -> None:
+    """Print the share errors of each order while every slot is taken."""
+    for kept in (False, True):
+        spread = "three quarters at a third of the entries" if kept else "even"
+        print(f"team order, all queues full, jobs of a team {spread}")
+        for name, label in ORDERS.items():
+            loop = Loop(
+                case._replace(seconds=FULL_S, full=True, kept=kept, order=name)
+            ).run()
+            worst, mean, samples = loop.find_share_errors()
+            print_line(
+                label,
+                f"share error worst {worst:.3f} mean {mean:.3f} ({samples} samples)",
+            )
+
+
+def compare_retries(case: Case) -> None:
+    """Print attempts per job with half of the endpoints failing everything."""
+    for ejection in (False, True):
+        state = "with" if ejection else "without"
+        print(f"retry, half of the endpoints fail everything, {state} ejection")
+        for name, label in RETRIES.items():
+            loop = Loop(
+                case._replace(
+                    seconds=FAILING_S, failing=True, ejection=ejection, retry=name
+                )
+            ).run()
+            counts = loop.counts
+            attempts = counts["dispatches"] - counts["overbooked"]
+            started = max(1, counts["first attempts"])
+            print_line(
+                label,
+                f"attempts {attempts / started:.2f} a started job",
+                describe_goodput(loop),
+                f"answered as failed {counts['failed']}",
+            )
+
+
+def main(arguments: Sequence[str] | None = None) -> None:
+    """Print the figures."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument(
+        "--extras",
+        action="store_true",
+        help="also measure two rules that the design does not consider; slow",
+    )
+    options = parser.parse_args(arguments)
+    seed = options.seed
+    started, used = time.perf_counter(), time.process_time()
+    print(f"version {find_version()}, seed {seed}")
+    print(f"deadline {DEADLINE_S} s, mean run times {RUN_TIMES_S} s")
+    for deployment in DEPLOYMENTS:
+        for entries in ENTRIES:
+            print(f"\n{deployment.name}, {entries} entries, seed {seed}")
+            case = Case(deployment, entries, BURSTS_S, seed)
+            chosen = Loop(case).run()
+            compare_placements(case, chosen, options.extras)
+            compare_orders(case)
+            compare_admissions(case, chosen, options.extras)
+            compare_retries(case)
+    elapsed = time.perf_counter() - started
+    print(f"\ntook {elapsed:.0f} s, processor {time.process_time() - used:.0f} s")
+
+
+if __name__ == "__main__":
+    main()
