--- a/bench/_policy_loop.py
+++ b/bench/_policy_loop.py
@@ -24,10 +24,11 @@
     make_endpoints,
     make_entries,
 )
+from hdrh.histogram import HdrHistogram
+
 from briarshed import admission, retries
 from briarshed.health import Ejected
 from briarshed.measures import find_entitled, measure_share_error
-from hdrh.histogram import HdrHistogram
 
 BURST_FACTOR = 5.0
 LULL_FACTOR = 0.05
--- a/bench/_policy_parts.py
+++ b/bench/_policy_parts.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from _deployments import SHARES, SLOTS, SPARE_POOL, Deployment, make_deployment
+
 from briarshed import admission
 from briarshed.documents import Instance, Queue
 from briarshed.fairness import FairQueue, Line
--- a/bench/_simulation.py
+++ b/bench/_simulation.py
@@ -11,6 +11,9 @@
 import random
 from types import SimpleNamespace
 
+from returns.pipeline import is_successful
+from returns.result import Failure, Success
+
 import briarshed_entry.maintenance as maintenance
 from briarshed.charts import load_chart
 from briarshed.documents import (
@@ -22,8 +25,6 @@
 )
 from briarshed.exceptions import PlatformUnavailableError, StoreUnavailableError
 from briarshed.settings import PlatformSettings, TimingSettings, WeightsSettings
-from returns.pipeline import is_successful
-from returns.result import Failure, Success
 
 STOPPED = ("leaving", "draining", "rebooting", "returning")
 OUT = (*STOPPED, "failed")
--- a/bench/control.py
+++ b/bench/control.py
@@ -14,6 +14,7 @@
 
 import psutil
 from _report import report
+
 from briarshed_standins.fleet import Fleet
 from briarshed_standins.plans import Plan, PoolPlan, QueuePlan, TeamPlan
 from briarshed_standins.processes import call
--- a/bench/control_cost.py
+++ b/bench/control_cost.py
@@ -18,6 +18,8 @@
 from contextlib import AsyncExitStack
 
 import zmq
+from returns.result import Success
+
 from briarshed.documents import CONFIGURATION_KEY, FLEET_KEY
 from briarshed.settings import (
     CallersSettings,
@@ -31,7 +33,6 @@
 from briarshed_entry.logs import configure_logs
 from briarshed_entry.replica import Replica
 from briarshed_entry.store import StoreClient
-from returns.result import Success
 
 ENTRIES = 16
 TEAMS = 130
--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -9,6 +9,7 @@
 
 from _deployments import SLOTS
 from _report import find_version
+
 from briarshed.admission import count_ahead, expect_wait, find_full_bound
 from briarshed.documents import Queue
 from briarshed.fairness import FairQueue, Line
--- a/bench/moves.py
+++ b/bench/moves.py
@@ -20,6 +20,7 @@
     Deployment,
     make_deployment,
 )
+
 from briarshed.budgets import count_serving
 from briarshed.documents import Configuration, Fleet
 from briarshed.measures import (
--- a/bench/partitions.py
+++ b/bench/partitions.py
@@ -12,10 +12,11 @@
 import random
 from collections.abc import Iterable
 
+from returns.pipeline import is_successful
+
 from briarshed import authority, membership
 from briarshed.documents import MEMBERS_KEY, make_empty
 from briarshed.settings import TimingSettings
-from returns.pipeline import is_successful
 
 TIMING = TimingSettings()
 STOP_DELAY_S = 4.5
--- a/bench/throughput.py
+++ b/bench/throughput.py
@@ -15,9 +15,10 @@
 from typing import Any
 
 from _report import report
-from briarshed_standins.fleet import Fleet, Plan, PoolPlan, QueuePlan, TeamPlan
 from hdrh.histogram import HdrHistogram
 
+from briarshed_standins.fleet import Fleet, Plan, PoolPlan, QueuePlan, TeamPlan
+
 HERE = Path(__file__).resolve().parent
 CALLERS = 48
 PROCESSES = 3
--- a/bench/waves.py
+++ b/bench/waves.py
@@ -12,11 +12,12 @@
 
 from _deployments import make_deployment
 from _simulation import World
+from loguru import logger
+
 from briarshed.documents import Configuration, Fleet
 from briarshed.measures import Transition, find_least_roll_out, measure_roll_out
 from briarshed.settings import TimingSettings
 from briarshed.waves import Observation, Stamp, View, apply_steps, decide
-from loguru import logger
 
 ENTRIES = 9
 LONGEST_S = 20_000
--- a/features/control/steps/authority_steps.py
+++ b/features/control/steps/authority_steps.py
@@ -6,12 +6,13 @@
 from pathlib import Path
 
 from behave import given, step, then, when
-from briarshed.authority import OwnView, PeerView, decide_authority, find_relayed
-from briarshed.membership import is_listed, list_owners, register_member
 from hypothesis import HealthCheck, seed, settings, strategies
 from hypothesis import given as drawn
 from returns.pipeline import is_successful
 
+from briarshed.authority import OwnView, PeerView, decide_authority, find_relayed
+from briarshed.membership import is_listed, list_owners, register_member
+
 sys.path.append(str(Path(__file__).resolve().parents[3] / "bench"))
 
 from partitions import OLD, STORE, TIMING, World, run_random
--- a/features/control/steps/control_steps.py
+++ b/features/control/steps/control_steps.py
@@ -9,6 +9,11 @@
 import zmq
 import zmq.asyncio
 from behave import given, step, then, when
+from fake_gateway import FakeGateway
+from returns.pipeline import is_successful
+from returns.result import Success
+from store_steps import run
+
 from briarshed.documents import (
     CONFIGURATION_KEY,
     GRANTS_KEY,
@@ -30,10 +35,6 @@
 from briarshed_entry.peers import Ping
 from briarshed_entry.replica import Replica
 from briarshed_entry.store import StoreClient
-from fake_gateway import FakeGateway
-from returns.pipeline import is_successful
-from returns.result import Success
-from store_steps import run
 
 TIMING = TimingSettings(600, 500, 10_000, 100, 1_000, 100)
 PLACES = 4
--- a/features/control/steps/grants_steps.py
+++ b/features/control/steps/grants_steps.py
@@ -6,11 +6,12 @@
 from pathlib import Path
 
 from behave import given, then, when
-from briarshed.grants import Need, View, find_start_limit, is_allowed, plan_team
-from briarshed_entry._ledger import Ledger, merge_rows
 from hypothesis import HealthCheck, seed, settings, strategies
 from hypothesis import given as drawn
 
+from briarshed.grants import Need, View, find_start_limit, is_allowed, plan_team
+from briarshed_entry._ledger import Ledger, merge_rows
+
 sys.path.append(str(Path(__file__).resolve().parents[3] / "bench"))
 
 import grants as bench
--- a/features/control/steps/store_steps.py
+++ b/features/control/steps/store_steps.py
@@ -5,6 +5,10 @@
 from types import SimpleNamespace
 
 from behave import given, then, when
+from fake_gateway import FakeGateway
+from returns.pipeline import is_successful
+from returns.result import Failure, Success
+
 from briarshed.documents import (
     AUDIT_PREFIX,
     CONFIGURATION_KEY,
@@ -17,9 +21,6 @@
 from briarshed_entry import clock
 from briarshed_entry.replica import Replica
 from briarshed_entry.store import StoreClient
-from fake_gateway import FakeGateway
-from returns.pipeline import is_successful
-from returns.result import Failure, Success
 
 TIMEOUT_MS = 300
 SETTINGS = SimpleNamespace(name="entry-1", store=StoreSettings("", TIMEOUT_MS, 60_000))
--- a/features/maintenance/steps/maintenance_fleet_steps.py
+++ b/features/maintenance/steps/maintenance_fleet_steps.py
@@ -5,6 +5,7 @@
 from collections import Counter
 
 from behave import given, then, when
+
 from briarshed.documents import CONFIGURATION_KEY, FLEET_KEY
 from briarshed_standins.fleet import Fleet
 from briarshed_standins.processes import call
--- a/features/maintenance/steps/moves_steps.py
+++ b/features/maintenance/steps/moves_steps.py
@@ -12,6 +12,7 @@
 import moves as bench
 from _deployments import DEPLOYMENTS, make_instance, make_pool
 from _simulation import World
+
 from briarshed import measures
 from briarshed.moves import (
     MoveState,
--- a/features/maintenance/steps/platform_steps.py
+++ b/features/maintenance/steps/platform_steps.py
@@ -7,6 +7,7 @@
 import aiohttp
 from aiohttp import web
 from behave import given, then, when
+
 from briarshed.exceptions import PlatformUnavailableError
 from briarshed.settings import PlatformSettings
 from briarshed_entry.platform import PlatformClient
--- a/features/maintenance/steps/waves_steps.py
+++ b/features/maintenance/steps/waves_steps.py
@@ -7,6 +7,10 @@
 from pathlib import Path
 
 from behave import given, then, when
+from hypothesis import HealthCheck, Phase, seed, settings
+from hypothesis import given as given_values
+from hypothesis import strategies as st
+
 from briarshed.charts import draw_chart, load_chart
 from briarshed.documents import CONFIGURATION_KEY, FLEET_KEY, make_empty
 from briarshed.exceptions import ChartError
@@ -21,9 +25,6 @@
     decide,
     list_calls,
 )
-from hypothesis import HealthCheck, Phase, seed, settings
-from hypothesis import given as given_values
-from hypothesis import strategies as st
 
 ROOT = Path(__file__).resolve().parents[3]
 sys.path.append(str(ROOT / "bench"))
--- a/features/operators/operators_world.py
+++ b/features/operators/operators_world.py
@@ -7,6 +7,9 @@
 from typing import Any, NamedTuple
 
 import msgspec
+from returns.pipeline import is_successful
+from returns.result import Failure, Success
+
 from briarshed.changes import Context, Documents, apply_script
 from briarshed.documents import (
     AUDIT_PREFIX,
@@ -21,8 +24,6 @@
 from briarshed.keys import make_key
 from briarshed.language import parse_script
 from briarshed_entry.clock import now
-from returns.pipeline import is_successful
-from returns.result import Failure, Success
 
 SEED = 20261204
 SECRETS = {"maria": "secret-of-maria", "joao": "secret-of-joao"}
--- a/features/operators/steps/command_line_steps.py
+++ b/features/operators/steps/command_line_steps.py
@@ -11,9 +11,10 @@
 from pathlib import Path
 
 from behave import given, then, when
-from briarshed.keys import hash_key
 from operators_world import SECRETS
 
+from briarshed.keys import hash_key
+
 PROGRAM = Path(sys.executable).with_name("briarshed")
 TIMEOUT_S = 60
 FAULTS = {
--- a/features/operators/steps/language_page_steps.py
+++ b/features/operators/steps/language_page_steps.py
@@ -8,6 +8,9 @@
 from pathlib import Path
 
 from behave import then, when
+from operators_world import apply_text
+from returns.pipeline import is_successful
+
 from briarshed import commands, queries
 from briarshed.changes import Documents
 from briarshed.documents import CONFIGURATION_KEY, FLEET_KEY, MEMBERS_KEY, make_empty
@@ -15,8 +18,6 @@
 from briarshed.findings import format_finding
 from briarshed.language import parse_script
 from briarshed_cli import main
-from operators_world import apply_text
-from returns.pipeline import is_successful
 
 PAGE = Path(__file__).resolve().parents[3] / "docs" / "language.md"
 BLOCK = re.compile(r"^```(commands|questions)([^\n]*)\n(.*?)^```", re.M | re.S)
--- a/features/operators/steps/language_steps.py
+++ b/features/operators/steps/language_steps.py
@@ -5,15 +5,16 @@
 import copy
 
 from behave import given, then, when
-from briarshed.findings import format_finding
-from briarshed.language import parse_script
-from briarshed.queries import check_questions
 from hypothesis import given as generate
 from hypothesis import seed, settings
 from hypothesis import strategies as st
 from operators_world import SEED, apply_text, make_documents
 from returns.pipeline import is_successful
 
+from briarshed.findings import format_finding
+from briarshed.language import parse_script
+from briarshed.queries import check_questions
+
 WORDS = (
     "create change pool pools team teams queue budget share limit open spare where show"
     ' jobs group by and = > , # 1 -1 60s hotels i-1 127.0.0.1:1 dry run if version é "'
--- a/features/operators/steps/operators_fleet_steps.py
+++ b/features/operators/steps/operators_fleet_steps.py
@@ -5,6 +5,7 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from behave import given, then, when
+
 from briarshed.documents import CONFIGURATION_KEY
 from briarshed_standins.fleet import Fleet
 from briarshed_standins.processes import call, wait_until
--- a/features/operators/steps/operators_steps.py
+++ b/features/operators/steps/operators_steps.py
@@ -11,12 +11,6 @@
 
 from aiohttp.test_utils import TestClient, TestServer
 from behave import given, then, when
-from briarshed.changes import Context, apply_script
-from briarshed.documents import CONFIGURATION_KEY, FLEET_KEY, MEMBERS_KEY
-from briarshed.keys import find_key, hash_key, make_key
-from briarshed.language import parse_script
-from briarshed.settings import check_settings
-from briarshed_entry import operators
 from loguru import logger
 from operators_world import (
     SECRETS,
@@ -29,6 +23,13 @@
     make_documents,
 )
 
+from briarshed.changes import Context, apply_script
+from briarshed.documents import CONFIGURATION_KEY, FLEET_KEY, MEMBERS_KEY
+from briarshed.keys import find_key, hash_key, make_key
+from briarshed.language import parse_script
+from briarshed.settings import check_settings
+from briarshed_entry import operators
+
 SAMPLE = Path(__file__).resolve().parents[3] / "examples" / "entry.jsonc"
 KEYS = {
     "configuration": CONFIGURATION_KEY,
--- a/features/properties/steps/keys_steps.py
+++ b/features/properties/steps/keys_steps.py
@@ -1,11 +1,12 @@
 """Steps of the proofs that a withdrawn key stops working."""
 
 from behave import then, when
-from briarshed_standins.processes import call, wait_until
-from briarshed_standins.programs import now
 from faults import FAULTS, Step
 from properties_steps import RATE, check, list_sources, run_load
 
+from briarshed_standins.processes import call, wait_until
+from briarshed_standins.programs import now
+
 KEYED_SECONDS = 14
 OUTAGE_S = 8.0
 JOB_SECONDS = 5
--- a/features/properties/steps/limits_steps.py
+++ b/features/properties/steps/limits_steps.py
@@ -4,11 +4,12 @@
 import time
 
 from behave import then, when
+from faults import FAULTS, Step
+from properties_steps import LIMITS, SEED, TASK_LEASE_S, run_load
+
 from briarshed_standins.checker import Limit, join_runs
 from briarshed_standins.load import Callers, Source, make_jobs
 from briarshed_standins.programs import now
-from faults import FAULTS, Step
-from properties_steps import LIMITS, SEED, TASK_LEASE_S, run_load
 
 TASK_MS = 300
 DEADLINE_MS = 4_000
--- a/features/properties/steps/overload_steps.py
+++ b/features/properties/steps/overload_steps.py
@@ -4,9 +4,10 @@
 
 import psutil
 from behave import given, then, when
+from properties_steps import LINKS, QUIET, SETTLE_S, run_load, start_fleet
+
 from briarshed_standins.load import Source
 from briarshed_standins.plans import Plan, PoolPlan, QueuePlan, TeamPlan
-from properties_steps import LINKS, QUIET, SETTLE_S, run_load, start_fleet
 
 TASK_MS = 200
 CAPACITY = 40.0
--- a/features/properties/steps/properties_steps.py
+++ b/features/properties/steps/properties_steps.py
@@ -5,12 +5,13 @@
 from contextlib import nullcontext
 
 from behave import given, then, when
+from faults import FAULTS, LINKS, PLANNED_STOPS, Sampler, inject
+
 from briarshed.documents import FLEET_KEY
 from briarshed_standins.checker import Limit, Rules, check_records, join_runs
 from briarshed_standins.fleet import Fleet
 from briarshed_standins.load import Callers, Source, make_jobs
 from briarshed_standins.plans import Plan, TeamPlan
-from faults import FAULTS, LINKS, PLANNED_STOPS, Sampler, inject
 
 SEED = 7
 RATE = 40.0
--- a/features/properties/steps/stops_steps.py
+++ b/features/properties/steps/stops_steps.py
@@ -1,6 +1,7 @@
 """Steps of the proofs that planned stops cut off no request."""
 
 from behave import then
+
 from briarshed.documents import CONFIGURATION_KEY
 
 STOPS = ("leaving", "draining", "rebooting", "returning")
--- a/features/serving/serving_fakes.py
+++ b/features/serving/serving_fakes.py
@@ -8,13 +8,14 @@
 from types import SimpleNamespace
 
 import aiohttp
+from reactivex.subject import Subject
+
 from briarshed.documents import CONFIGURATION_KEY, FLEET_KEY, make_empty
 from briarshed.keys import make_key
 from briarshed.settings import check_settings
 from briarshed_entry import callers
 from briarshed_entry.endpoints import Endpoints
 from briarshed_entry.scheduler import Scheduler
-from reactivex.subject import Subject
 
 MIB = 1_048_576
 
--- a/features/serving/steps/decisions_steps.py
+++ b/features/serving/steps/decisions_steps.py
@@ -5,13 +5,14 @@
 from collections import Counter
 
 from behave import then, when
+from hypothesis import given, seed, settings
+from hypothesis import strategies as some
+
 from briarshed import admission
 from briarshed.fairness import FairQueue, Line
 from briarshed.health import FAILURES_TO_EJECT, Ejected, PoolHealth
 from briarshed.placement import Placement, Site
 from briarshed.retries import RetryBudget
-from hypothesis import given, seed, settings
-from hypothesis import strategies as some
 
 TEAMS = ("a", "b", "c", "d")
 SHARES = {"a": 1.0, "b": 2.0, "c": 5.0, "d": 1.0}
--- a/features/settings/steps/events_steps.py
+++ b/features/settings/steps/events_steps.py
@@ -3,6 +3,7 @@
 from pathlib import Path
 
 from behave import given, then
+
 from briarshed.events import list_events
 
 ROOT = Path(__file__).resolve().parents[3]
--- a/features/settings/steps/settings_steps.py
+++ b/features/settings/steps/settings_steps.py
@@ -3,9 +3,10 @@
 from pathlib import Path
 
 from behave import given, then, when
+from returns.pipeline import is_successful
+
 from briarshed.findings import format_finding
 from briarshed.settings import check_settings
-from returns.pipeline import is_successful
 
 SAMPLE = Path(__file__).resolve().parents[3] / "examples" / "entry.jsonc"
 
--- a/features/standins/steps/checker_steps.py
+++ b/features/standins/steps/checker_steps.py
@@ -1,6 +1,7 @@
 """Steps for the checker: clean records, and one seeded fault at a time."""
 
 from behave import given, then, when
+
 from briarshed_standins.checker import Limit, Outage, Rules, Told, check_records
 
 JOBS = 30
--- a/features/standins/steps/fleet_steps.py
+++ b/features/standins/steps/fleet_steps.py
@@ -9,6 +9,7 @@
 
 import psutil
 from behave import given, then, when
+
 from briarshed_standins.checker import Limit, Rules, check_records
 from briarshed_standins.fleet import Fleet, Plan
 from briarshed_standins.load import Source, make_jobs, run_load
--- a/features/standins/steps/standin_endpoint_steps.py
+++ b/features/standins/steps/standin_endpoint_steps.py
@@ -6,9 +6,10 @@
 from pathlib import Path
 
 from behave import given, then, when
+from steps.standin_store_steps import start_standin
+
 from briarshed_standins.processes import call, wait_until
 from briarshed_standins.tasks import make_answer, make_body
-from steps.standin_store_steps import start_standin
 
 ANSWER_TIMEOUT_S = 5.0
 SILENCE_S = 0.5
--- a/features/standins/steps/standin_link_steps.py
+++ b/features/standins/steps/standin_link_steps.py
@@ -3,11 +3,12 @@
 import json
 
 from behave import given, then, when
-from briarshed_standins.processes import call
-from briarshed_standins.tasks import make_answer
 from steps.standin_endpoint_steps import SILENCE_S, Post
 from steps.standin_store_steps import start_standin
 
+from briarshed_standins.processes import call
+from briarshed_standins.tasks import make_answer
+
 ANSWER_TIMEOUT_S = 2.0
 SHARED = {}
 
--- a/features/standins/steps/standin_load_steps.py
+++ b/features/standins/steps/standin_load_steps.py
@@ -4,6 +4,7 @@
 import json
 
 from behave import given, then, when
+
 from briarshed_standins.checker import Report, Violation
 from briarshed_standins.demo import format_lines, is_good
 from briarshed_standins.load import Callers, Job, Source
--- a/features/standins/steps/standin_store_steps.py
+++ b/features/standins/steps/standin_store_steps.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 from behave import given, then, when
+
 from briarshed_standins.processes import Process, call, end_processes
 from briarshed_standins.storecalls import encode, read_key
 
--- a/packages/briarshed-cli/src/briarshed_cli/main.py
+++ b/packages/briarshed-cli/src/briarshed_cli/main.py
@@ -13,11 +13,11 @@
 
 import aiohttp
 import typer
+from returns.pipeline import is_successful
+
 from briarshed.exceptions import BriarshedError, ScriptError
 from briarshed.keys import hash_key
 from briarshed.language import parse_script
-from returns.pipeline import is_successful
-
 from briarshed_cli.tables import print_answer
 
 FINDINGS = 2
--- a/packages/briarshed-cli/src/briarshed_cli/tables.py
+++ b/packages/briarshed-cli/src/briarshed_cli/tables.py
@@ -6,13 +6,14 @@
 from datetime import UTC, datetime
 from typing import Any
 
-from briarshed.findings import Finding, format_finding
-from briarshed.queries import format_value
 from rich import box
 from rich.console import Console
 from rich.table import Table
 from rich.text import Text
 
+from briarshed.findings import Finding, format_finding
+from briarshed.queries import format_value
+
 _TIME_COLUMNS = ("at", "since", "expires_at", "replaced_expires_at")
 MAX_TEXT_LENGTH = 100
 """Longest text of a change in a table; ``--format json`` has all of it."""
--- a/packages/briarshed-entry/src/briarshed_entry/_audit_trail.py
+++ b/packages/briarshed-entry/src/briarshed_entry/_audit_trail.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import msgspec
+
 from briarshed.commands import Target
 from briarshed.documents import AUDIT_PREFIX, Change
 
--- a/packages/briarshed-entry/src/briarshed_entry/_operator_changes.py
+++ b/packages/briarshed-entry/src/briarshed_entry/_operator_changes.py
@@ -6,6 +6,9 @@
 from collections.abc import Mapping, Sequence
 from typing import TYPE_CHECKING, Any, NamedTuple
 
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
 from briarshed.changes import (
     TARGETS,
     Context,
@@ -31,9 +34,6 @@
 from briarshed.keys import make_key
 from briarshed.queries import Row, make_question
 from briarshed.settings import Settings
-from returns.pipeline import is_successful
-from returns.result import Failure, Result, Success
-
 from briarshed_entry._audit_trail import ReadPrefix, read_changes
 from briarshed_entry.logs import log_event
 
--- a/packages/briarshed-entry/src/briarshed_entry/_operator_questions.py
+++ b/packages/briarshed-entry/src/briarshed_entry/_operator_questions.py
@@ -30,7 +30,6 @@
     read_question,
 )
 from briarshed.settings import Settings
-
 from briarshed_entry._audit_trail import ReadPrefix, read_changes
 from briarshed_entry.clock import now
 
--- a/packages/briarshed-entry/src/briarshed_entry/callers.py
+++ b/packages/briarshed-entry/src/briarshed_entry/callers.py
@@ -14,11 +14,11 @@
 
 import msgspec
 from aiohttp import StreamReader, web
+
 from briarshed.events import CALLER_LEFT, JOB_REFUSED, JOB_UNKNOWN, LOOP_FAILED
 from briarshed.exceptions import BriarshedError
 from briarshed.keys import KeyOwner, find_key
 from briarshed.settings import Settings
-
 from briarshed_entry import clock
 from briarshed_entry.dispatch import Job, Outcome, refuse
 from briarshed_entry.logs import log_event
--- a/packages/briarshed-entry/src/briarshed_entry/coordinator.py
+++ b/packages/briarshed-entry/src/briarshed_entry/coordinator.py
@@ -9,6 +9,9 @@
 from types import TracebackType
 from typing import Any, NamedTuple
 
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
 from briarshed.authority import (
     MS_PER_S,
     Authority,
@@ -56,9 +59,6 @@
     remove_member,
 )
 from briarshed.settings import Settings
-from returns.pipeline import is_successful
-from returns.result import Failure, Result, Success
-
 from briarshed_entry._ledger import Ledger, list_gainers, merge_rows
 from briarshed_entry.clock import now
 from briarshed_entry.logs import log_event
--- a/packages/briarshed-entry/src/briarshed_entry/dispatch.py
+++ b/packages/briarshed-entry/src/briarshed_entry/dispatch.py
@@ -12,7 +12,6 @@
 from briarshed.events import CONNECTION_SILENT
 from briarshed.exceptions import AnswerLostError, EndpointUnreachableError
 from briarshed.settings import Settings
-
 from briarshed_entry import clock
 from briarshed_entry.endpoints import (
     Endpoints,
--- a/packages/briarshed-entry/src/briarshed_entry/endpoints.py
+++ b/packages/briarshed-entry/src/briarshed_entry/endpoints.py
@@ -20,10 +20,10 @@
 
 import aiohttp
 import msgspec
+
 from briarshed.events import ANSWER_DROPPED
 from briarshed.exceptions import AnswerLostError, EndpointUnreachableError
 from briarshed.settings import Settings
-
 from briarshed_entry import clock
 from briarshed_entry.logs import log_event
 
--- a/packages/briarshed-entry/src/briarshed_entry/logs.py
+++ b/packages/briarshed-entry/src/briarshed_entry/logs.py
@@ -6,9 +6,10 @@
 import sys
 from typing import Any
 
+from loguru import logger
+
 from briarshed.events import Event, list_events
 from briarshed.settings import LogSettings
-from loguru import logger
 
 _NAMES = {event.number: name for name, event in list_events().items()}
 
--- a/packages/briarshed-entry/src/briarshed_entry/main.py
+++ b/packages/briarshed-entry/src/briarshed_entry/main.py
@@ -13,6 +13,8 @@
 
 import typer
 from aiohttp import web
+from returns.pipeline import is_successful
+
 from briarshed.events import (
     ENTRY_NOT_READY,
     ENTRY_READY,
@@ -22,8 +24,6 @@
 )
 from briarshed.exceptions import BriarshedError, SettingsError
 from briarshed.settings import Settings, load_settings
-from returns.pipeline import is_successful
-
 from briarshed_entry import callers, operators
 from briarshed_entry.coordinator import Coordinator
 from briarshed_entry.endpoints import Endpoints
--- a/packages/briarshed-entry/src/briarshed_entry/maintenance.py
+++ b/packages/briarshed-entry/src/briarshed_entry/maintenance.py
@@ -15,6 +15,9 @@
 from types import TracebackType
 from typing import Any, Self
 
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
 from briarshed.commands import Show
 from briarshed.documents import FLEET_KEY, Fleet, Instance
 from briarshed.events import (
@@ -43,9 +46,6 @@
     has_finished_wave,
     list_calls,
 )
-from returns.pipeline import is_successful
-from returns.result import Failure, Result, Success
-
 from briarshed_entry.clock import now
 from briarshed_entry.logs import log_event
 
--- a/packages/briarshed-entry/src/briarshed_entry/metrics.py
+++ b/packages/briarshed-entry/src/briarshed_entry/metrics.py
@@ -9,9 +9,9 @@
 
 from aiohttp import web
 from aiohttp.typedefs import Handler, Middleware
-from briarshed.settings import StatsdSettings
 from statsd import StatsClient
 
+from briarshed.settings import StatsdSettings
 from briarshed_entry import clock
 
 MILLISECONDS = 1_000
--- a/packages/briarshed-entry/src/briarshed_entry/operators.py
+++ b/packages/briarshed-entry/src/briarshed_entry/operators.py
@@ -10,6 +10,9 @@
 from typing import TYPE_CHECKING, Any
 
 from aiohttp import web
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
 from briarshed.commands import Show, Target, changes_document
 from briarshed.events import CHANGE_REFUSED, LOOP_FAILED, OPERATOR_REJECTED
 from briarshed.findings import Finding, format_finding
@@ -17,9 +20,6 @@
 from briarshed.language import parse_script
 from briarshed.queries import check_questions
 from briarshed.settings import Settings
-from returns.pipeline import is_successful
-from returns.result import Failure, Result, Success
-
 from briarshed_entry._audit_trail import ReadPrefix
 from briarshed_entry._operator_changes import Changes, Made, Refused, Request
 from briarshed_entry._operator_questions import Questions
--- a/packages/briarshed-entry/src/briarshed_entry/peers.py
+++ b/packages/briarshed-entry/src/briarshed_entry/peers.py
@@ -14,10 +14,10 @@
 import msgspec
 import zmq
 import zmq.asyncio
-from briarshed.events import LOOP_FAILED, PEER_REJECTED
-from briarshed.settings import PeersSettings
 from zmq.auth.asyncio import AsyncioAuthenticator
 
+from briarshed.events import LOOP_FAILED, PEER_REJECTED
+from briarshed.settings import PeersSettings
 from briarshed_entry.clock import now
 from briarshed_entry.logs import log_event
 
--- a/packages/briarshed-entry/src/briarshed_entry/platform.py
+++ b/packages/briarshed-entry/src/briarshed_entry/platform.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 import msgspec
+
 from briarshed.exceptions import PlatformUnavailableError
 from briarshed.settings import PlatformSettings
 
--- a/packages/briarshed-entry/src/briarshed_entry/replica.py
+++ b/packages/briarshed-entry/src/briarshed_entry/replica.py
@@ -10,6 +10,10 @@
 from typing import Any
 
 import msgspec
+from reactivex.subject import Subject
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
 from briarshed.authority import MS_PER_S
 from briarshed.documents import (
     AUDIT_PREFIX,
@@ -36,10 +40,6 @@
 )
 from briarshed.exceptions import StoreUnavailableError
 from briarshed.settings import Settings
-from reactivex.subject import Subject
-from returns.pipeline import is_successful
-from returns.result import Failure, Result, Success
-
 from briarshed_entry.clock import now
 from briarshed_entry.logs import log_event
 from briarshed_entry.store import Poll, StoreClient
--- a/packages/briarshed-entry/src/briarshed_entry/scheduler.py
+++ b/packages/briarshed-entry/src/briarshed_entry/scheduler.py
@@ -26,7 +26,6 @@
 from briarshed.placement import Placement, Site
 from briarshed.retries import RetryBudget
 from briarshed.settings import Settings
-
 from briarshed_entry import clock
 from briarshed_entry.dispatch import (
     Job,
--- a/packages/briarshed-entry/src/briarshed_entry/store.py
+++ b/packages/briarshed-entry/src/briarshed_entry/store.py
@@ -14,6 +14,7 @@
 
 import aiohttp
 import msgspec
+
 from briarshed.documents import (
     ALIVE_PREFIX,
     DOCUMENT_KEYS,
--- a/packages/briarshed-standins/src/briarshed_standins/fleet.py
+++ b/packages/briarshed-standins/src/briarshed_standins/fleet.py
@@ -15,9 +15,9 @@
 from typing import Any, NamedTuple, Self
 
 import zmq
+
 from briarshed.documents import FLEET_KEY, decode_document, make_empty
 from briarshed.keys import hash_key, make_key
-
 from briarshed_standins.checker import Outage
 from briarshed_standins.links import Links
 from briarshed_standins.plans import (
