--- a/features/properties/steps/keys_steps.py
+++ b/features/properties/steps/keys_steps.py
@@ -7,7 +7,8 @@
 from briarshed_standins.processes import call, wait_until
 from briarshed_standins.programs import now
 
-KEYED_SECONDS = 14
+KEYED_SECONDS = 15
+HEALED_S = 12.0
 OUTAGE_S = 8.0
 JOB_SECONDS = 5
 
@@ -19,7 +20,12 @@
         context.reply = fleet.command(f"withdraw key {fleet.key_ids['hotels']}")
         context.answered_at = now()
 
-    steps = [*FAULTS[fault], Step(float(at_s), withdraw)]
+    # The fault lasts longer than the bound, or its end would stop the key anyway.
+    lasting = [
+        step._replace(at_s=HEALED_S) if step.at_s > at_s else step
+        for step in FAULTS[fault]
+    ]
+    steps = [*lasting, Step(float(at_s), withdraw)]
     run_load(context, list_sources(context.fleet), RATE, KEYED_SECONDS, steps)
     assert context.reply.status == 200, context.reply
 
--- a/features/properties/steps/properties_steps.py
+++ b/features/properties/steps/properties_steps.py
@@ -15,6 +15,7 @@
 
 SEED = 7
 RATE = 40.0
+LONG_MS = 1_500
 SAMPLE_S = 0.05
 SETTLE_S = 2.0
 TASK_LEASE_S = 8.0
@@ -54,6 +55,8 @@
         Source("proofing", "schools", keys["schools"], 2.0, idempotent=False),
         Source("printing", "ministries", keys["ministries"], 1.0),
         Source("printing", "hotels", keys["hotels"], 1.0, idempotent=False),
+        # Longer than the notice time of a planned stop, so that a stop must wait.
+        Source("proofing", "schools", keys["schools"], 0.3, orders={"ms": LONG_MS}),
         Source("samples", weight=1.0),
     ]
 
