Try full endpoints more often while urgent work waits

Cause: at five times the capacity for 30 s an urgent job started after 5.42 s (bound 4 s). Entries that end a job refill its slot at once, so an entry without a running job in the pool finds a slot only by a try every 50 ms. Ruled out: the order inside an entry, where urgent lines go first.

Change: a full endpoint is tried again after 10 ms while the pool's queue holds urgent work, else after 50 ms as before.

--- a/packages/briarshed-entry/src/briarshed_entry/scheduler.py
+++ b/packages/briarshed-entry/src/briarshed_entry/scheduler.py
@@ -23,7 +23,7 @@
 from briarshed.exceptions import AnswerLostError
 from briarshed.fairness import FairQueue, Line
 from briarshed.health import Action, Ejected, PoolHealth
-from briarshed.placement import Placement, Site
+from briarshed.placement import FULL_S, URGENT_FULL_S, Placement, Site
 from briarshed.retries import RetryBudget
 from briarshed.settings import Settings
 from briarshed_entry import clock
@@ -72,13 +72,16 @@
     def __init__(self, name: str, scheduler: Scheduler, slow_start_s: float) -> None:
         self.name = name
         self.queue: FairQueue[_Life] = FairQueue(scheduler.find_load)
-        self.placement = Placement(slow_start_s)
+        self.placement = Placement(slow_start_s, self._find_pause)
         self.health = PoolHealth()
         self.budget = RetryBudget()
         self.shares = 0.0
         self.timer: asyncio.TimerHandle | None = None
         self.refreshed_at = 0.0
 
+    def _find_pause(self) -> float:
+        return URGENT_FULL_S if self.queue.count_urgent() else FULL_S
+
 
 class _Life:
     """A job of this entry from its acceptance to its outcome."""
--- a/packages/briarshed/src/briarshed/placement.py
+++ b/packages/briarshed/src/briarshed/placement.py
@@ -4,7 +4,7 @@
 
 import heapq
 import random
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
 FULL_S = 0.05
@@ -14,6 +14,14 @@
 limits the tries to 20 a second for each endpoint.
 """
 
+URGENT_FULL_S = 0.01
+"""The same while urgent work waits.
+
+Other entries refill the slots of the jobs they end at once, so an entry without a
+running job finds a free slot by tries alone, and urgent work there would starve.
+"""
+
+
 LOAD_VALID_S = 1.0
 """Age from which a reported load no longer limits the slow start."""
 
@@ -82,10 +90,15 @@
     ----------
     slow_start_s : float
         Seconds over which the slots of a returning endpoint grow from 1.
+    find_pause : callable, optional
+        Returns how long a full endpoint gets nothing, in seconds.
     """
 
-    def __init__(self, slow_start_s: float) -> None:
+    def __init__(
+        self, slow_start_s: float, find_pause: Callable[[], float] = lambda: FULL_S
+    ) -> None:
         self._slow_start_s = slow_start_s
+        self._find_pause = find_pause
         self._states: dict[str, _State] = {}
         self._available: dict[bool, list[str]] = {True: [], False: []}
         self._positions: dict[str, int] = {}
@@ -160,7 +173,7 @@
         self._own += 1
         state.since_report += 1
         if state.estimate_load() >= 1:
-            state.full_until = now + FULL_S
+            state.full_until = now + self._find_pause()
         self._refresh(endpoint, now)
 
     def note_ended(self, endpoint: str, address: str, now: float) -> None:
@@ -181,14 +194,15 @@
         state.reported = running
         state.reported_at = now
         state.since_report = 0
-        state.full_until = now + FULL_S if running >= state.site.slots else now
+        pause = self._find_pause() if running >= state.site.slots else 0.0
+        state.full_until = now + pause
         self._refresh(endpoint, now)
 
     def mark_full(self, endpoint: str, now: float) -> None:
         """Send nothing to an endpoint for a moment, since it had no free slot."""
         state = self._states.get(endpoint)
         if state is not None:
-            state.full_until = now + FULL_S
+            state.full_until = now + self._find_pause()
             self._refresh(endpoint, now)
 
     def block(self, endpoint: str, until: float, now: float) -> None:
