--- a/features/operators/operators_world.py
+++ b/features/operators/operators_world.py
@@ -24,6 +24,7 @@
 from briarshed.keys import make_key
 from briarshed.language import parse_script
 from briarshed_entry.clock import now
+from briarshed_entry.scheduler import JobRow
 
 SEED = 20261204
 SECRETS = {"maria": "secret-of-maria", "joao": "secret-of-joao"}
@@ -171,19 +172,6 @@
     rows: list[dict]
 
 
-class JobRow(NamedTuple):
-    """A job as the scheduler lists it."""
-
-    job_id: str
-    queue: str
-    team: str | None
-    urgent: bool
-    state: str
-    endpoint: str | None
-    attempts: int
-    age: float
-
-
 class FakeCoordinator:
     """Knows which members block changes, lag behind or answer questions."""
 
--- a/features/properties/steps/keys_steps.py
+++ b/features/properties/steps/keys_steps.py
@@ -9,8 +9,6 @@
 
 KEYED_SECONDS = 15
 HEALED_S = 12.0
-OUTAGE_S = 8.0
-JOB_SECONDS = 5
 
 
 @when("the key of team hotels is withdrawn at {at_s:d} seconds and {fault}")
--- a/packages/briarshed/src/briarshed/placement.py
+++ b/packages/briarshed/src/briarshed/placement.py
@@ -124,10 +124,6 @@
             self._refresh(name, now)
         self._slots = sum(state.site.slots for state in self._states.values())
 
-    def list_endpoints(self) -> list[str]:
-        """Return all endpoints that take new work."""
-        return list(self._states)
-
     def count_slots(self) -> int:
         """Return the slots of all endpoints, for all entries together."""
         return self._slots
