--- a/Makefile
+++ b/Makefile
@@ -8,13 +8,14 @@
 
 setup: $(STAMP)
 
-$(STAMP): requirements.txt pyproject.toml $(wildcard packages/*/pyproject.toml)
+$(STAMP): requirements.txt pyproject.toml $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv .venv
 	$(BIN)/pip install --quiet uv==$(UV_VERSION)
 	$(BIN)/uv pip install --quiet --python $(BIN)/python -r requirements.txt
 	$(BIN)/uv pip install --quiet --python $(BIN)/python --no-deps --no-build-isolation \
 		-e packages/briarshed -e packages/briarshed-entry \
-		-e packages/briarshed-cli -e packages/briarshed-standins
+		-e packages/briarshed-cli -e packages/briarshed-standins \
+		-e packages/briarshed-workloads -e platform
 	touch $(STAMP)
 
 format: setup
--- a/packages/briarshed-entry/src/briarshed_entry/logs.py
+++ b/packages/briarshed-entry/src/briarshed_entry/logs.py
@@ -1,27 +1,145 @@
-"""Log output of an entry: numbered events through loguru."""
+"""Log output of an entry: numbered events through loguru, to standard output.
+
+Lines go through a bounded buffer and are written only while the output takes them, so
+that a reader that stands still never stops the entry. Lines beyond the rate or the
+buffer are counted, and the count is logged.
+"""
 
 from __future__ import annotations
 
 import json
+import os
+import select
 import sys
-from typing import Any
+import time
+from collections import deque
+from typing import TYPE_CHECKING, Any
 
 from loguru import logger
 
-from briarshed.events import Event, list_events
-from briarshed.settings import LogSettings
+from briarshed.events import LOG_LINES_DROPPED, Event, list_events
+
+if TYPE_CHECKING:
+    from briarshed.settings import LogSettings
+
+BUFFER_BYTES = 262_144
+"""Bytes kept for an output that takes none; some seconds of a busy entry."""
+
+WRITE_BYTES = 4_096
+"""Most bytes of one write, which a pipe that polls as writable takes at once."""
+
+FLUSH_S = 0.2
+"""Time after which buffered lines are written with the next one."""
+
+MAX_LINES_PER_S = 600
+"""Lines a second; twice what the busiest entry logs at the size of today."""
 
 _NAMES = {event.number: name for name, event in list_events().items()}
 
 
+class Output:
+    """Writes lines to a file descriptor without ever waiting for it."""
+
+    def __init__(self, descriptor: int) -> None:
+        self.dropped = 0
+        self._descriptor = descriptor
+        self._lines: deque[bytes] = deque()
+        self._size = 0
+        self._flushed_at = 0.0
+        self._second = 0
+        self._in_second = 0
+        self._poll = select.poll()
+        self._poll.register(descriptor, select.POLLOUT)
+
+    def add(self, line: str, is_urgent: bool) -> None:
+        """Buffer a line and write what is due."""
+        now = time.monotonic()
+        if not self._is_within_rate(now):
+            self.dropped += 1
+            return
+        data = line.encode() + b"\n"
+        if self._size + len(data) > BUFFER_BYTES:
+            self.dropped += 1
+        else:
+            self._lines.append(data)
+            self._size += len(data)
+        due = now - self._flushed_at >= FLUSH_S or self._size >= WRITE_BYTES
+        if is_urgent or due:
+            self._flushed_at = now
+            self.flush()
+
+    def _is_within_rate(self, now: float) -> bool:
+        if int(now) != self._second:
+            self._second = int(now)
+            self._in_second = 0
+        self._in_second += 1
+        return self._in_second <= MAX_LINES_PER_S
+
+    def flush(self) -> None:
+        """Write buffered lines for as long as the output takes them."""
+        while self._lines:
+            chunk = bytearray()
+            while self._lines and len(chunk) + len(self._lines[0]) <= WRITE_BYTES:
+                chunk += self._lines.popleft()
+            if not chunk:
+                # A line above the limit is cut, since a longer write could block.
+                chunk += self._lines.popleft()[: WRITE_BYTES - 1] + b"\n"
+            if not self._write(bytes(chunk)):
+                self._lines.appendleft(bytes(chunk))
+                return
+
+    def _write(self, chunk: bytes) -> bool:
+        events = self._poll.poll(0)
+        if not events or not events[0][1] & select.POLLOUT:
+            return False
+        try:
+            written = os.write(self._descriptor, chunk)
+        except BlockingIOError:
+            return False
+        except OSError:
+            # Nobody reads any more; the lines are lost and counted.
+            self.dropped += chunk.count(b"\n")
+            written = len(chunk)
+        self._size -= written
+        if written < len(chunk):
+            self._lines.appendleft(chunk[written:])
+        return True
+
+    def take_dropped(self) -> int:
+        """Return how many lines were dropped since the last call."""
+        count, self.dropped = self.dropped, 0
+        return count
+
+
+_output: Output | None = None
+
+
 def configure_logs(settings: LogSettings) -> None:
-    """Send events to standard error, as JSON lines or as readable text."""
+    """Send events to standard output, as JSON lines or as readable text."""
     logger.remove()
     if settings.format == "json":
-        logger.add(_write_json, level=settings.level, format="{message}")
+        configure_json_logs(settings.level)
     else:
         text = "{time:HH:mm:ss.SSS} {level: <7} {extra[event]} {message}"
-        logger.add(sys.stderr, level=settings.level, format=text)
+        logger.add(sys.stdout, level=settings.level, format=text)
+
+
+def configure_json_logs(level: str) -> None:
+    """Send events of a level and above to standard output as JSON lines."""
+    global _output
+    logger.remove()
+    _output = Output(sys.stdout.fileno())
+    logger.add(_write_json, level=level, format="{message}")
+
+
+def flush_logs() -> None:
+    """Write what is buffered and log how many lines were dropped."""
+    if _output is None:
+        return
+    dropped = _output.take_dropped()
+    if dropped:
+        log_event(LOG_LINES_DROPPED, count=dropped)
+    _output.flush()
 
 
 def log_event(event: Event, **fields: Any) -> None:
@@ -34,11 +152,13 @@
 def _write_json(message: Any) -> None:
     record = message.record
     line = {
-        "time": record["time"].isoformat(),
+        "time": record["time"].isoformat(timespec="milliseconds"),
         "level": record["level"].name,
         "event": record["extra"].get("event"),
         "event_name": _NAMES.get(record["extra"].get("event"), ""),
         "message": record["message"],
         **record["extra"].get("fields", {}),
     }
-    print(json.dumps(line, default=str), file=sys.stderr, flush=True)
+    assert _output is not None
+    is_urgent = record["level"].no >= logger.level("WARNING").no
+    _output.add(json.dumps(line, default=str), is_urgent)
--- /dev/null
+++ b/packages/briarshed-workloads/src/briarshed_workloads/conductor.py
@@ -0,0 +1,685 @@
+"""The leader at work: looks at endpoints, starts and stops runs, keeps the records."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Awaitable, Coroutine
+from types import TracebackType
+from typing import Any, NamedTuple, Self
+
+from briarshed import events
+from briarshed.exceptions import DocumentError
+from briarshed_entry import clock
+from briarshed_entry.logs import log_event
+from briarshed_workloads import telemetry
+from briarshed_workloads.configuration import Configuration
+from briarshed_workloads.disruption import list_evacuations, list_pacing
+from briarshed_workloads.engine import Bounds, Engine
+from briarshed_workloads.fleet import (
+    STOPPING,
+    Endpoint,
+    PaceOrder,
+    Run,
+    StartOrder,
+    StopOrder,
+)
+from briarshed_workloads.jobs import FINAL
+from briarshed_workloads.journal import CHUNK, LeadershipLostError
+from briarshed_workloads.leadership import Reign
+from briarshed_workloads.maintenance import Maintenance
+from briarshed_workloads.options import EntryOptions
+from briarshed_workloads.planning import plan_starts
+from briarshed_workloads.ports import (
+    Directory,
+    Endpoints,
+    Instances,
+    NotExecutedError,
+    OutcomeUnknownError,
+    Put,
+    Refused,
+    Started,
+    Store,
+)
+from briarshed_workloads.records import (
+    JOBS,
+    PROGRESS,
+    ROSTER,
+    JobRecord,
+    ProgressRecord,
+    RosterRecord,
+    decode,
+    encode,
+)
+from briarshed_workloads.workloads import (
+    NOTHING,
+    Observed,
+    Start,
+    Submission,
+)
+
+HOLD_S = 5.0
+"""How long endpoints keep runs without word: a change of the leader takes up to 3 s."""
+
+QUARANTINE_MARGIN_S = 1.5
+"""Added to the hold before unseen runs of an earlier leader count as ended; it may
+order until its lease ends and a little longer while the store returns."""
+
+OBSERVE_S = 0.6
+"""Interval of reading the endpoints; a leaving one must get no work after 2 s."""
+
+LOOK_WAIT_S = 1.5
+"""How long a look waits for an end; shorter than a third of the hold."""
+
+LOOK_PAUSE_S = 0.03
+"""Pause after the ends of a look, so that one look and one write serve several."""
+
+LOOK_RETRY_S = 0.25
+"""Pause after a look without an answer."""
+
+TICK_S = 0.25
+"""Longest time between two plans; covers what only time changes."""
+
+PLAN_PAUSE_S = 0.008
+"""Pause between two plans, so that one plan serves several events."""
+
+FLUSH_PAUSE_S = 0.04
+"""Pause between two writes of progress, so that one serves several ends."""
+
+REFUSED_PAUSE_S = 0.3
+"""Time without new starts at an endpoint that refused one for want of room."""
+
+CLEAN_S = 10.0
+"""Interval of removing the records of jobs that ended long ago."""
+
+
+class Verdict(NamedTuple):
+    """What became of a submission."""
+
+    outcome: str
+    retry_after: float = 0.0
+
+
+class Conductor:
+    """Runs the fleet for one reign; a context manager that owns the loops.
+
+    Parameters
+    ----------
+    options : EntryOptions
+        Settings of this entry.
+    reign : Reign
+        Leadership under which this conductor acts.
+    store, endpoints, instances, directory
+        The outside systems.
+    """
+
+    def __init__(
+        self,
+        options: EntryOptions,
+        reign: Reign,
+        store: Store,
+        endpoints: Endpoints,
+        instances: Instances,
+        directory: Directory,
+    ) -> None:
+        hold = min(HOLD_S, options.promises.longest_hold)
+        self.options = options
+        self.reign = reign
+        self.is_loaded = False
+        self.engine = Engine(reign.epoch, Bounds(hold, hold), telemetry.report)
+        self._store = store
+        self._endpoints = endpoints
+        self._directory = directory
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._attended: dict[tuple[str, int], asyncio.Task[None]] = {}
+        self._wakers: dict[str, asyncio.Event] = {}
+        self._changed = asyncio.Event()
+        self._unsaved = asyncio.Event()
+        self._accepting: dict[str, asyncio.Future[bool]] = {}
+        self._saved_states: dict[str, str] = {}
+        self.maintenance = Maintenance(
+            options, reign, self.engine, instances, self._put_wave_status
+        )
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        tasks = [*self._tasks, *self._attended.values()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for future in self._accepting.values():
+            if not future.done():
+                future.set_result(False)
+
+    def spawn(self, work: Coroutine[Any, Any, None], name: str) -> None:
+        """Run work in the background; a failure is logged."""
+        task = asyncio.create_task(self._guard(work, name))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _guard(self, work: Awaitable[None], name: str) -> None:
+        try:
+            await work
+        except LeadershipLostError as error:
+            if not self.reign.lost.is_set():
+                self.reign.note_event("lose", str(error))
+        except (NotExecutedError, OutcomeUnknownError) as error:
+            log_event(events.LOOP_FAILED, task=name, error=str(error))
+
+    # Take-over
+
+    async def load(self, configuration: Configuration) -> None:
+        """Read what earlier leaders recorded and begin to run the fleet."""
+        now = clock.now()
+        engine = self.engine
+        engine.configuration = configuration
+        engine.wall_offset = time.time() - now
+        jobs = await self._store.read_all(JOBS)
+        progress = await self._store.read_all(PROGRESS)
+        rows = {item.key.removeprefix(PROGRESS): item for item in progress.items}
+        for item in jobs.items:
+            self._restore_job(item.key.removeprefix(JOBS), item.value, rows)
+        engine.observe(await self._directory.read_endpoints(), clock.now())
+        await self._restore_roster()
+        engine.quarantine_until = (
+            clock.now() + engine.bounds.lapse + QUARANTINE_MARGIN_S
+        )
+        self.is_loaded = True
+        log_event(
+            events.REIGN_LOADED,
+            epoch=engine.epoch,
+            jobs=len(engine.jobs),
+            endpoints=len(engine.endpoints),
+            seconds=round(clock.now() - now, 3),
+        )
+        self._attend_all()
+        loops = {
+            "observe": self._observe(),
+            "plan": self._plan(),
+            "save": self._save(),
+            "clean": self._clean(),
+            "maintain": self.maintenance.run(),
+        }
+        for name, loop in loops.items():
+            self.spawn(loop, name)
+
+    def _restore_job(self, job_id: str, value: bytes, rows: dict) -> None:
+        try:
+            record = decode(value, JobRecord)
+            row = rows.get(job_id)
+            progress = decode(row.value, ProgressRecord) if row else None
+        except DocumentError as error:
+            log_event(events.RECORD_UNREADABLE, key=JOBS + job_id, error=str(error))
+            return
+        self.engine.restore(job_id, record, progress, time.time())
+        if record.outcome:
+            self._saved_states[job_id] = record.outcome
+
+    async def _restore_roster(self) -> None:
+        item = await self._store.read(ROSTER)
+        if item is None:
+            return
+        for name, born, address in decode(item.value, RosterRecord).rows:
+            if name not in self.engine.endpoints:
+                lost = Observed(name, born, address, "", "", "", (), NOTHING)
+                endpoint = Endpoint(lost, self.engine.epoch)
+                endpoint.is_listed = False
+                self.engine.endpoints[name] = endpoint
+
+    def set_configuration(self, configuration: Configuration) -> None:
+        """Apply a newer configuration."""
+        self.engine.configuration = configuration
+        for jobs in self.engine.open_jobs.values():
+            for job in jobs.values():
+                queue = configuration.queues.get(job.queue)
+                if queue is not None:
+                    job.max_attempts = queue.max_attempts
+        self._changed.set()
+
+    # Callers
+
+    async def submit(self, submission: Submission) -> Verdict:
+        """Accept a job durably.
+
+        Returns
+        -------
+        Verdict
+            ``accepted``, ``refused`` (it is certain that the job will not run) or
+            ``unknown``.
+        """
+        if not self.is_loaded or not self.reign.has_authority():
+            return Verdict("refused", 1.0)
+        waiting = self._accepting.get(submission.job)
+        if waiting is None:
+            if submission.job in self.engine.jobs:
+                return Verdict("accepted")
+            job = self.engine.accept(submission, time.time())
+            waiting = asyncio.get_running_loop().create_future()
+            self._accepting[job.job_id] = waiting
+            self._unsaved.set()
+        is_saved = await asyncio.shield(waiting)
+        return Verdict("accepted" if is_saved else "unknown")
+
+    def find_state(self, job_id: str) -> str:
+        """Return the state that callers may be told; ``missing`` if there is none."""
+        job = self.engine.jobs.get(job_id)
+        if not self.is_loaded:
+            return "unknown"
+        if job is None:
+            return "missing" if self.reign.has_authority() else "unknown"
+        if job_id in self._accepting:
+            return "pending"
+        if job.state in FINAL:
+            # An outcome is told once it is durable.
+            return self._saved_states.get(job_id, "running")
+        return job.state
+
+    async def cancel(self, job_id: str) -> str:
+        """Cancel a job durably; return ``cancelled``, ``missing`` or ``unknown``."""
+        if not self.is_loaded:
+            return "unknown"
+        job = self.engine.jobs.get(job_id)
+        if job is None:
+            return "missing" if self.reign.has_authority() else "unknown"
+        if job.is_open:
+            self.engine.cancel(job, time.time())
+            self._changed.set()
+            self._unsaved.set()
+        while job_id not in self._saved_states:
+            if self.reign.lost.is_set():
+                return "unknown"
+            await asyncio.sleep(0.02)
+        return "cancelled"
+
+    # Records
+
+    async def _save(self) -> None:
+        while True:
+            await self._unsaved.wait()
+            self._unsaved.clear()
+            if not self._accepting:
+                await asyncio.sleep(FLUSH_PAUSE_S)
+            await self._save_once()
+
+    async def _save_once(self) -> None:
+        engine = self.engine
+        seen = {name: row.seen for name, row in engine.endpoints.items()}
+        await self._save_roster()
+        job_ids = list(engine.dirty)
+        engine.dirty.clear()
+        # New jobs first: their callers wait.
+        job_ids.sort(key=lambda job_id: job_id not in self._accepting)
+        for start in range(0, len(job_ids), CHUNK // 2):
+            await self._save_jobs(job_ids[start : start + CHUNK // 2])
+        for name, number in seen.items():
+            endpoint = engine.endpoints.get(name)
+            if endpoint is not None and number > endpoint.acknowledged:
+                endpoint.acknowledged = number
+                self._wake(name)
+
+    async def _save_jobs(self, job_ids: list[str]) -> None:
+        puts: list[Put] = []
+        removals: list[str] = []
+        states: dict[str, str] = {}
+        for job_id in job_ids:
+            job = self.engine.jobs.get(job_id)
+            if job is None:
+                continue
+            is_new = job_id in self._accepting
+            if is_new or not job.is_open:
+                puts.append(Put(JOBS + job_id, encode(job.encode_job())))
+            if job.is_open and not is_new:
+                puts.append(Put(PROGRESS + job_id, encode(job.encode_progress())))
+            if not job.is_open:
+                removals.append(PROGRESS + job_id)
+                states[job_id] = job.state
+        if puts:
+            await self.reign.journal.commit(puts, removals)
+        self._saved_states.update(states)
+        for job_id in job_ids:
+            self._confirm(job_id)
+
+    def _confirm(self, job_id: str) -> None:
+        waiting = self._accepting.pop(job_id, None)
+        job = self.engine.jobs.get(job_id)
+        if waiting is None or job is None:
+            return
+        if not waiting.done():
+            waiting.set_result(True)
+        if job.is_open:
+            self.engine.release(job, time.time())
+        log_event(
+            events.JOB_ACCEPTED,
+            job_id=job_id,
+            queue=job.queue,
+            team=job.team,
+            tasks=sum(step.count for step in job.description.steps),
+            epoch=self.engine.epoch,
+            commit=self.reign.journal.commits,
+        )
+        self._changed.set()
+
+    async def _save_roster(self) -> None:
+        """Record new endpoints before the first order to them."""
+        engine = self.engine
+        names = {
+            name
+            for name, row in engine.endpoints.items()
+            if row.is_listed or row.runs or not row.fenced_counter
+        }
+        if names <= engine.roster:
+            return
+        rows = tuple(
+            (name, row.observed.born, row.observed.address)
+            for name, row in engine.endpoints.items()
+            if name in names
+        )
+        await self.reign.journal.commit([Put(ROSTER, encode(RosterRecord(rows)))])
+        engine.roster = names
+        self._changed.set()
+
+    async def _clean(self) -> None:
+        while True:
+            await asyncio.sleep(CLEAN_S)
+            kept = self.options.promises.status_kept + CLEAN_S
+            old = self.engine.forget_ended(time.time(), kept)
+            for job_id in old:
+                self._saved_states.pop(job_id, None)
+            for start in range(0, len(old), CHUNK):
+                part = old[start : start + CHUNK]
+                await self.reign.journal.commit([], [JOBS + row for row in part])
+
+    async def _put_wave_status(self, wave: int, is_completed: bool) -> None:
+        put = self._directory.encode_wave_status(wave, is_completed)
+        await self.reign.journal.commit([put])
+
+    # Endpoints
+
+    async def _observe(self) -> None:
+        while True:
+            await asyncio.sleep(OBSERVE_S)
+            self.engine.wall_offset = time.time() - clock.now()
+            try:
+                listing = await self._directory.read_endpoints()
+            except (NotExecutedError, OutcomeUnknownError) as error:
+                log_event(events.STORE_FAILING, error=f"endpoints not read: {error}")
+                continue
+            self.engine.observe(listing, clock.now())
+            self._attend_all()
+            if not set(self.engine.endpoints) <= self.engine.roster:
+                self._unsaved.set()
+            self._changed.set()
+
+    def _attend_all(self) -> None:
+        for name, endpoint in self.engine.endpoints.items():
+            key = name, endpoint.observed.born
+            if key not in self._attended:
+                work = self._guard(self._attend(endpoint), f"attend {name}")
+                task = asyncio.create_task(work)
+                self._attended[key] = task
+                task.add_done_callback(lambda _, key=key: self._attended.pop(key, None))
+        self._unsaved.set()
+
+    def _wake(self, name: str) -> None:
+        waker = self._wakers.get(name)
+        if waker is not None:
+            waker.set()
+
+    async def _attend(self, endpoint: Endpoint) -> None:
+        """Look at one endpoint for as long as there is something to see."""
+        waker = self._wakers[endpoint.name] = asyncio.Event()
+        while self.engine.endpoints.get(endpoint.name) is endpoint:
+            if endpoint.is_gone:
+                return
+            if not self._needs_look(endpoint):
+                waker.clear()
+                if not self._needs_look(endpoint):
+                    await waker.wait()
+                continue
+            if not await self._look(endpoint):
+                await asyncio.sleep(LOOK_RETRY_S)
+
+    def _needs_look(self, endpoint: Endpoint) -> bool:
+        if not self.reign.has_authority() and endpoint.is_fenced:
+            return False
+        if endpoint.seen > endpoint.acknowledged:
+            # Without an acknowledgement a look would list the same ends at once.
+            return False
+        return bool(not endpoint.is_fenced or endpoint.runs)
+
+    async def _look(self, endpoint: Endpoint) -> bool:
+        engine = self.engine
+        sent_at = clock.now()
+        counter = endpoint.counter
+        deadline = None
+        if endpoint.anchor_ms and self.reign.has_authority():
+            deadline = endpoint.choose_deadline(sent_at, engine.bounds.hold)
+        wait = LOOK_WAIT_S if endpoint.is_fenced else 0.0
+        try:
+            answer = await self._endpoints.look(
+                endpoint.name,
+                endpoint.observed.address,
+                endpoint.token,
+                endpoint.acknowledged,
+                deadline,
+                wait,
+            )
+        except (OutcomeUnknownError, NotExecutedError):
+            # A refused connection is no proof of an end: cut links refuse as well.
+            self._note_silence(endpoint)
+            return False
+        now = clock.now()
+        telemetry.observe_seconds("look", now - sent_at)
+        if isinstance(answer, Refused):
+            return self._note_refused_look(endpoint, answer.reason)
+        was_fenced = endpoint.is_fenced
+        ends = len(answer.ended)
+        engine.note_look(endpoint, answer, counter, sent_at, now)
+        if endpoint.is_fenced and not was_fenced:
+            log_event(
+                events.ENDPOINT_FENCED,
+                endpoint=endpoint.name,
+                runs=len(endpoint.runs),
+                ends=ends,
+            )
+        if endpoint.seen > endpoint.acknowledged:
+            self._unsaved.set()
+        self._changed.set()
+        if ends:
+            await asyncio.sleep(LOOK_PAUSE_S)
+        return True
+
+    def _note_refused_look(self, endpoint: Endpoint, reason: str) -> bool:
+        if reason == "replaced":
+            self._note_gone(endpoint, reason)
+        elif reason == "fenced":
+            log_event(events.ORDER_FENCED, endpoint=endpoint.name, what="look")
+            self.reign.lost.set()
+        return False
+
+    def _note_silence(self, endpoint: Endpoint) -> None:
+        now = clock.now()
+        self.engine.note_failing(endpoint, now)
+        self.spawn(self._endpoints.forget(endpoint.observed.address), "forget")
+        if endpoint.runs and now > endpoint.find_lapse():
+            self.engine.drop_runs(endpoint, "lapsed unseen")
+            self._changed.set()
+        if not endpoint.is_listed and now > max(
+            self.engine.quarantine_until, endpoint.find_lapse()
+        ):
+            self._note_gone(endpoint, "silent and not registered")
+
+    def _note_gone(self, endpoint: Endpoint, reason: str) -> None:
+        now = clock.now()
+        self.engine.note_failing(endpoint, now)
+        self.engine.drop_runs(endpoint, reason)
+        endpoint.is_gone = True
+        log_event(events.ENDPOINT_GONE, endpoint=endpoint.name, reason=reason)
+        self._changed.set()
+
+    # Orders
+
+    async def _plan(self) -> None:
+        while True:
+            try:
+                async with asyncio.timeout(TICK_S):
+                    await self._changed.wait()
+            except TimeoutError:
+                pass
+            self._changed.clear()
+            if self.reign.has_authority():
+                self._give_orders(clock.now())
+            await asyncio.sleep(PLAN_PAUSE_S)
+
+    def _give_orders(self, now: float) -> None:
+        engine = self.engine
+        started_at = time.perf_counter()
+        wall_now = engine.wall(now)
+        for jobs in engine.open_jobs.values():
+            for job in jobs.values():
+                if job.description.schedule:
+                    job.open_due(wall_now)
+        stops = engine.list_unwanted(now)
+        stops += list_evacuations(engine, now, self.maintenance.is_urgent)
+        for stop in stops:
+            self._order_stop(stop, now)
+        for pace in list_pacing(engine, now):
+            pace.run.paced_at = now
+            self.spawn(self._pace(pace), "pace")
+        for order in plan_starts(engine, now):
+            self.spawn(self._start(order), "start")
+            self._wake(order.run.endpoint.name)
+        telemetry.observe_seconds("plan", time.perf_counter() - started_at)
+
+    async def _start(self, order: StartOrder) -> None:
+        run = order.run
+        endpoint = run.endpoint
+        now = clock.now()
+        run.token = endpoint.token
+        start = Start(
+            run.task,
+            run.number,
+            order.spec,
+            run.token,
+            endpoint.choose_deadline(now, self.engine.bounds.hold),
+            order.checkpoint,
+        )
+        try:
+            answer = await self._endpoints.start(
+                endpoint.name, endpoint.observed.address, start
+            )
+        except OutcomeUnknownError as error:
+            self.engine.note_unknown(run)
+            self._log_start(order, f"no answer: {error}")
+            self._wake(endpoint.name)
+            return
+        except NotExecutedError as error:
+            self._log_start(order, f"not sent: {error}")
+            self.engine.drop(run, "not sent")
+            self._note_silence(endpoint)
+            return
+        answered_at = clock.now()
+        telemetry.observe_seconds("start", answered_at - now)
+        if isinstance(answer, Started):
+            self.engine.note_started(run, answer.clock_ms, answered_at)
+            self._log_start(order, "started")
+            return
+        self._log_start(order, answer.reason)
+        self._note_refused_start(run, answer.reason)
+        self._changed.set()
+
+    def _log_start(self, order: StartOrder, outcome: str) -> None:
+        run = order.run
+        telemetry.count("starts", outcome.partition(":")[0])
+        log_event(
+            events.RUN_ORDERED,
+            job_id=run.task.job,
+            task=run.task[1:],
+            run=run.number,
+            endpoint=run.endpoint.name,
+            free_cpu=run.endpoint.find_free().cpu,
+            looked_ago=round(clock.now() - run.endpoint.answered_at, 3),
+            outcome=outcome,
+        )
+
+    def _note_refused_start(self, run: Run, reason: str) -> None:
+        endpoint = run.endpoint
+        now = clock.now()
+        self.engine.drop(run, f"refused: {reason}")
+        if reason == "replaced":
+            self._note_gone(endpoint, reason)
+        elif reason == "fenced" and run.token >= endpoint.token:
+            log_event(events.ORDER_FENCED, endpoint=endpoint.name, what="start")
+            self.reign.lost.set()
+        elif reason != "old":
+            endpoint.full_until = now + REFUSED_PAUSE_S
+
+    def _order_stop(self, stop: StopOrder, now: float) -> None:
+        stop.run.stop_asked = now
+        stop.run.state = STOPPING
+        self.spawn(self._stop(stop), "stop")
+
+    async def _stop(self, stop: StopOrder) -> None:
+        run, endpoint = stop.run, stop.run.endpoint
+        outcome = "asked"
+        try:
+            answer = await self._endpoints.stop(
+                endpoint.name,
+                endpoint.observed.address,
+                run.task,
+                run.number,
+                endpoint.token,
+            )
+            if isinstance(answer, Refused):
+                outcome = answer.reason
+        except (OutcomeUnknownError, NotExecutedError) as error:
+            outcome = f"no answer: {error}"
+        log_event(
+            events.RUN_STOPPED,
+            job_id=run.task.job,
+            task=run.task[1:],
+            run=run.number,
+            endpoint=endpoint.name,
+            reason=stop.reason,
+            outcome=outcome,
+        )
+        self._wake(endpoint.name)
+
+    async def _pace(self, order: PaceOrder) -> None:
+        run, endpoint = order.run, order.run.endpoint
+        try:
+            answer = await self._endpoints.pace(
+                endpoint.name,
+                endpoint.observed.address,
+                run.task,
+                run.number,
+                order.percent,
+                endpoint.token,
+            )
+        except (OutcomeUnknownError, NotExecutedError) as error:
+            log_event(
+                events.RUN_PACED,
+                job_id=run.task.job,
+                endpoint=endpoint.name,
+                before=run.pace,
+                after=order.percent,
+                outcome=str(error),
+            )
+            return
+        if isinstance(answer, Started):
+            log_event(
+                events.RUN_PACED,
+                job_id=run.task.job,
+                endpoint=endpoint.name,
+                before=run.pace,
+                after=order.percent,
+                outcome="done",
+            )
+            run.pace = order.percent
--- /dev/null
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -0,0 +1,544 @@
+"""The leader's state of jobs, runs and endpoints; time and events are its inputs."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+from briarshed_workloads.configuration import NO_LIMIT, Configuration, QueueRules
+from briarshed_workloads.fleet import (
+    DOUBTFUL,
+    ORDERED,
+    PRESENT,
+    STOPPING,
+    Endpoint,
+    Run,
+    StopOrder,
+    Usage,
+)
+from briarshed_workloads.jobs import COMPLETED, Job, find_need
+from briarshed_workloads.records import JobRecord, ProgressRecord
+from briarshed_workloads.workloads import (
+    NOTHING,
+    Description,
+    Ended,
+    Look,
+    Observed,
+    Resources,
+    Running,
+    Step,
+    Submission,
+    TaskId,
+)
+
+RUN_SEQUENCE_BITS = 24
+"""Low bits of a run number: runs of one leader; the epoch stands above them."""
+
+STRIKES_TO_AVOID = 3
+"""Images in a row that fail at an endpoint before it gets no new work for a while.
+
+Images that never succeed anywhere strike at one endpoint as well, so that one or two
+are no proof.
+"""
+
+AVOID_S = 4.0
+"""Time without new work after the strikes; then one success clears them."""
+
+STOP_AGAIN_S = 0.6
+"""Time after which a stop that has shown no effect is ordered again."""
+
+
+_NO_STEPS = Description("", ())
+"""Stands for the steps of a job that has ended."""
+
+
+class Bounds(NamedTuple):
+    """Times in seconds that the engine keeps to; from the settings.
+
+    Attributes
+    ----------
+    hold : float
+        How long endpoints keep runs without word of the leader.
+    lapse : float
+        Longest time for which any leader lets endpoints keep runs.
+    """
+
+    hold: float
+    lapse: float
+
+
+class Engine:
+    """Jobs, endpoints, runs and team usage of one leader.
+
+    Parameters
+    ----------
+    epoch : int
+        Number of the leader's reign; fences the orders of earlier ones.
+    bounds : Bounds
+        Times.
+    report : callable
+        Called with an event name and fields for each belief that changes.
+    """
+
+    def __init__(self, epoch: int, bounds: Bounds, report: Callable[..., None]) -> None:
+        self.epoch = epoch
+        self.bounds = bounds
+        self.report = report
+        self.configuration: Configuration | None = None
+        self.jobs: dict[str, Job] = {}
+        self.open_jobs: dict[str, dict[str, Job]] = {}
+        self.endpoints: dict[str, Endpoint] = {}
+        self.runs: dict[TaskId, list[Run]] = {}
+        self.usage = Usage()
+        self.dirty: dict[str, None] = {}
+        self.quarantine_until = 0.0
+        self.roster: set[str] = set()
+        self.run_times: dict[str, float] = {}
+        self.bad_images: dict[str, int] = {}
+        self.good_images: set[str] = set()
+        self._sequence = 0
+
+    # Jobs
+
+    def find_queue(self, job: Job) -> QueueRules | None:
+        """Return the present rules of the job's queue, or None if it was removed."""
+        return self.configuration.queues.get(job.queue) if self.configuration else None
+
+    def find_maximum(self, team: str) -> Resources:
+        """Return the team's limit; no limit for open queues and removed teams."""
+        if not team or self.configuration is None:
+            return NOTHING
+        return self.configuration.teams.get(team, NO_LIMIT).maximum
+
+    def accept(self, submission: Submission, wall_now: float) -> Job:
+        """Add a job, or return the one that has its id already."""
+        known = self.jobs.get(submission.job)
+        if known is not None:
+            return known
+        queue = self.configuration.queues.get(submission.queue)
+        job = Job(
+            submission.job,
+            submission.queue,
+            submission.pool,
+            submission.team,
+            submission.submitted_at,
+            submission.description,
+            queue.max_attempts if queue else 1,
+        )
+        self.jobs[job.job_id] = job
+        self.dirty[job.job_id] = None
+        return job
+
+    def release(self, job: Job, wall_now: float) -> None:
+        """Let an accepted job's tasks start, once its record is durable."""
+        job.open_due(wall_now)
+        self.open_jobs.setdefault(job.pool, {})[job.job_id] = job
+
+    def restore(
+        self,
+        job_id: str,
+        record: JobRecord,
+        progress: ProgressRecord | None,
+        wall_now: float,
+    ) -> None:
+        """Take over a job from its durable records."""
+        queue = self.configuration.queues.get(record.queue)
+        description = record.description
+        job = Job(
+            job_id,
+            record.queue,
+            record.pool,
+            record.team,
+            record.accepted_at,
+            description if description is not None else _NO_STEPS,
+            queue.max_attempts if queue else 1,
+        )
+        self.jobs[job_id] = job
+        if record.outcome:
+            job.state = record.outcome
+            job.ended_at = record.ended_at
+            return
+        job.restore(progress, wall_now)
+        if job.is_open:
+            self.open_jobs.setdefault(job.pool, {})[job_id] = job
+
+    def cancel(self, job: Job, wall_now: float) -> None:
+        """Cancel a job; its runs are stopped by the next plan."""
+        job.cancel(wall_now)
+        self.dirty[job.job_id] = None
+
+    def forget_ended(self, wall_now: float, keep: float) -> list[str]:
+        """Drop jobs that ended over ``keep`` seconds ago; return their ids."""
+        old = [
+            job.job_id
+            for job in self.jobs.values()
+            if not job.is_open and 0 < job.ended_at < wall_now - keep
+        ]
+        for job_id in old:
+            del self.jobs[job_id]
+        return old
+
+    def list_open(self, pool: str) -> dict[str, Job]:
+        """Return the open jobs of a pool; ended ones are dropped from it."""
+        jobs = self.open_jobs.setdefault(pool, {})
+        for job_id in [key for key, job in jobs.items() if not job.is_open]:
+            del jobs[job_id]
+        return jobs
+
+    def count_waiting(self) -> dict[str, int]:
+        """Return, for each queue, the open jobs of which nothing has started."""
+        counts: dict[str, int] = {}
+        for jobs in self.open_jobs.values():
+            for job in jobs.values():
+                if job.is_open and not job.has_started:
+                    counts[job.queue] = counts.get(job.queue, 0) + 1
+        return counts
+
+    # Runs
+
+    def book(
+        self, task: TaskId, endpoint: Endpoint, step: Step, team: str, now: float
+    ) -> Run:
+        """Reserve room and usage for a new run."""
+        self._sequence += 1
+        number = (self.epoch << RUN_SEQUENCE_BITS) | self._sequence
+        run = Run(task, number, endpoint, step, find_need(step), team, now)
+        run.is_copy = bool(self.runs.get(task))
+        self._enter(run)
+        self.jobs[task.job].note_started(task)
+        return run
+
+    def _enter(self, run: Run) -> None:
+        run.endpoint.add_run(run)
+        self.runs.setdefault(run.task, []).append(run)
+        self.usage.take(run.team, run.need)
+
+    def renumber(self, run: Run, number: int) -> None:
+        """Give a run that is not ordered yet the number of its gang."""
+        del run.endpoint.runs[run.task, run.number]
+        run.number = number
+        run.endpoint.runs[run.task, number] = run
+
+    def drop(self, run: Run, reason: str) -> None:
+        """Forget a run that has certainly ended or never began."""
+        if not run.endpoint.remove_run(run):
+            return
+        self.usage.give_back(run.team, run.need)
+        rest = [other for other in self.runs.get(run.task, ()) if other is not run]
+        if rest:
+            self.runs[run.task] = rest
+        else:
+            self.runs.pop(run.task, None)
+        job = self.jobs.get(run.task.job)
+        if job is not None:
+            if run.checkpoint:
+                self._note_checkpoint(job, run.task, run.checkpoint)
+            if not rest:
+                job.put_back(run.task)
+        self.report(
+            "RUN_DROPPED",
+            job_id=run.task.job,
+            task=run.task,
+            run=run.number,
+            endpoint=run.endpoint.name,
+            reason=reason,
+        )
+
+    def _note_checkpoint(self, job: Job, task: TaskId, checkpoint: str) -> None:
+        step = job.find_step(task)
+        if not checkpoint or job.has_succeeded(task):
+            return
+        if step.gang:
+            for index in range(step.count):
+                job.checkpoints[task._replace(index=index)] = checkpoint
+        else:
+            job.checkpoints[task] = checkpoint
+
+    def note_started(self, run: Run, clock_ms: int, now: float) -> None:
+        """Note that the endpoint has confirmed a start."""
+        if run.state in (ORDERED, DOUBTFUL):
+            run.state = PRESENT
+        run.confirmed_at = now
+        run.progressed_at = now
+        self._note_clock(run.endpoint, clock_ms, now)
+
+    def note_unknown(self, run: Run) -> None:
+        """Note that an order got no answer: a look with a higher token settles it."""
+        run.state = DOUBTFUL
+        endpoint = run.endpoint
+        endpoint.needs_fence = True
+        if endpoint.token <= run.token:
+            endpoint.counter += 1
+
+    # Endpoints
+
+    def observe(self, listing: Iterable[Observed], now: float) -> None:
+        """Take over a new list of registered endpoints."""
+        listed: set[str] = set()
+        for observed in listing:
+            listed.add(observed.endpoint)
+            known = self.endpoints.get(observed.endpoint)
+            if known is None:
+                self.endpoints[observed.endpoint] = Endpoint(observed, self.epoch)
+                self._report_endpoint("ENDPOINT_ADDED", observed)
+            elif observed.born > known.observed.born:
+                self.note_replaced(known, "registered again")
+                self.endpoints[observed.endpoint] = Endpoint(observed, self.epoch)
+                self._report_endpoint("ENDPOINT_ADDED", observed)
+            else:
+                if observed.draining != known.observed.draining:
+                    self._report_endpoint("ENDPOINT_CHANGED", observed)
+                known.observed = observed
+                known.is_listed = True
+        for name, endpoint in list(self.endpoints.items()):
+            if name not in listed:
+                if endpoint.is_listed:
+                    self._report_endpoint("ENDPOINT_UNLISTED", endpoint.observed)
+                endpoint.is_listed = False
+                if not endpoint.runs and (endpoint.is_fenced or endpoint.is_gone):
+                    del self.endpoints[name]
+
+    def _report_endpoint(self, event: str, observed: Observed) -> None:
+        self.report(
+            event,
+            endpoint=observed.endpoint,
+            pool=observed.pool,
+            instance=observed.instance,
+            draining=observed.draining,
+        )
+
+    def note_replaced(self, endpoint: Endpoint, reason: str) -> None:
+        """Note that an incarnation has certainly ended, with all its runs."""
+        endpoint.is_gone = True
+        self.drop_runs(endpoint, reason)
+
+    def drop_runs(self, endpoint: Endpoint, reason: str) -> None:
+        """Forget all runs of an endpoint."""
+        for run in list(endpoint.runs.values()):
+            self.drop(run, reason)
+
+    def _note_clock(self, endpoint: Endpoint, clock_ms: int, now: float) -> None:
+        endpoint.answered_at = now
+        endpoint.failing_since = 0.0
+        if clock_ms >= endpoint.anchor_ms:
+            endpoint.anchor_ms = clock_ms
+            endpoint.anchor_at = now
+
+    def note_failing(self, endpoint: Endpoint, now: float) -> None:
+        """Note that an endpoint did not answer."""
+        if not endpoint.failing_since:
+            endpoint.failing_since = now
+            self.report(
+                "ENDPOINT_SILENT",
+                endpoint=endpoint.name,
+                runs=len(endpoint.runs),
+                lapse_in=round(endpoint.find_lapse() - now, 2),
+            )
+
+    def note_look(
+        self, endpoint: Endpoint, look: Look, counter: int, sent_at: float, now: float
+    ) -> None:
+        """Take over what an endpoint listed in answer to a look.
+
+        Parameters
+        ----------
+        counter : int
+            Counter of the token that the look carried.
+        sent_at : float
+            When the look was sent, in seconds of the boot clock.
+        """
+        if look.born != endpoint.observed.born and look.born:
+            self._restart(endpoint, look.born)
+            return
+        self._note_clock(endpoint, look.clock_ms, now)
+        if counter >= endpoint.counter:
+            endpoint.needs_fence = False
+        endpoint.fenced_counter = max(endpoint.fenced_counter, counter)
+        for ended in look.ended:
+            if ended.number > endpoint.seen:
+                endpoint.seen = ended.number
+                self._note_end(endpoint, ended, now)
+        listed = {(row.task, row.run) for row in look.running}
+        for row in look.running:
+            self._note_running(endpoint, row, now)
+        self._drop_missing(endpoint, listed, counter, sent_at)
+
+    def _restart(self, endpoint: Endpoint, born: int) -> None:
+        """Begin anew with an incarnation that took the endpoint's name."""
+        self.drop_runs(endpoint, "endpoint restarted")
+        self._report_endpoint("ENDPOINT_RESTARTED", endpoint.observed)
+        endpoint.observed = endpoint.observed._replace(born=born)
+        endpoint.counter += 1
+        endpoint.needs_fence = True
+        endpoint.fenced_counter = 0
+        endpoint.acknowledged = 0
+        endpoint.seen = 0
+        endpoint.anchor_ms = 0
+        endpoint.last_deadline_ms = 0
+
+    def _drop_missing(
+        self,
+        endpoint: Endpoint,
+        listed: set[tuple[TaskId, int]],
+        counter: int,
+        sent_at: float,
+    ) -> None:
+        for key, run in list(endpoint.runs.items()):
+            if key in listed:
+                continue
+            settled = run.state == DOUBTFUL and counter > run.token & 0xFFFFFFFF
+            confirmed = run.confirmed_at and run.confirmed_at < sent_at
+            if settled or (confirmed and run.state in (PRESENT, STOPPING)):
+                self.drop(run, "not present" if settled else "vanished")
+
+    def _note_running(self, endpoint: Endpoint, row: Running, now: float) -> None:
+        run = endpoint.runs.get((row.task, row.run))
+        if run is None:
+            run = self._adopt(endpoint, row, now)
+            if run is None:
+                return
+        if run.state in (ORDERED, DOUBTFUL):
+            run.state = STOPPING if run.stop_asked else PRESENT
+            run.confirmed_at = now
+        if row.percent != run.percent:
+            run.progressed_at = now
+        run.percent = row.percent
+        run.load = row.load
+        if row.checkpoint and row.checkpoint != run.checkpoint:
+            run.checkpoint = row.checkpoint
+            job = self.jobs.get(row.task.job)
+            if job is not None:
+                self._note_checkpoint(job, row.task, row.checkpoint)
+
+    def _adopt(self, endpoint: Endpoint, row: Running, now: float) -> Run | None:
+        """Account for a run that this leader did not order, or knew to have ended."""
+        job = self.jobs.get(row.task.job)
+        if job is None or not job.knows(row.task):
+            step, team = Step(1, NOTHING), ""
+        else:
+            step, team = job.find_step(row.task), job.team
+        run = Run(row.task, row.run, endpoint, step, find_need(step), team, now)
+        run.confirmed_at = now
+        wanted = (
+            job is not None
+            and job.is_open
+            and job.knows(row.task)
+            and not job.has_succeeded(row.task)
+            and not self.runs.get(row.task)
+        )
+        self._enter(run)
+        if wanted:
+            run.state = PRESENT
+            job.note_started(row.task)
+        else:
+            run.state = STOPPING
+        self.report(
+            "RUN_ADOPTED",
+            job_id=row.task.job,
+            task=row.task,
+            run=row.run,
+            endpoint=endpoint.name,
+            wanted=wanted,
+        )
+        return run
+
+    def _note_end(self, endpoint: Endpoint, ended: Ended, now: float) -> None:
+        run = endpoint.runs.get((ended.task, ended.run))
+        job = self.jobs.get(ended.task.job)
+        if job is None or not job.knows(ended.task):
+            if run is not None:
+                self.drop(run, ended.how)
+            return
+        if run is not None and ended.checkpoint:
+            run.checkpoint = ended.checkpoint
+        elif ended.checkpoint:
+            self._note_checkpoint(job, ended.task, ended.checkpoint)
+        if ended.how == "succeeded":
+            self._note_success(endpoint, job, ended, run, now)
+        elif ended.how == "failed":
+            self._note_failure(endpoint, job, ended, now)
+        elif ended.checkpoint:
+            self.dirty[job.job_id] = None
+        if run is not None:
+            self.drop(run, ended.how)
+
+    def _note_success(
+        self,
+        endpoint: Endpoint,
+        job: Job,
+        ended: Ended,
+        run: Run | None,
+        now: float,
+    ) -> None:
+        if not job.is_open:
+            return
+        endpoint.strikes.clear()
+        step = job.find_step(ended.task)
+        if step.image:
+            self.good_images.add(step.image)
+            if run is not None and run.confirmed_at and not run.checkpoint:
+                self._learn(step.image, now - run.confirmed_at)
+        was_open = job.is_open
+        if job.note_succeeded(ended.task, self.wall(now)):
+            self.dirty[job.job_id] = None
+        if was_open and job.state == COMPLETED:
+            self.report("JOB_COMPLETED", job_id=job.job_id, queue=job.queue)
+
+    def _learn(self, image: str, seconds: float) -> None:
+        known = self.run_times.get(image)
+        if known is None:
+            self.run_times[image] = seconds
+        else:
+            self.run_times[image] = 0.7 * known + 0.3 * seconds
+
+    def _note_failure(
+        self, endpoint: Endpoint, job: Job, ended: Ended, now: float
+    ) -> None:
+        if not job.is_open or job.has_succeeded(ended.task):
+            return
+        step = job.find_step(ended.task)
+        self.dirty[job.job_id] = None
+        if step.image not in self.good_images:
+            self.bad_images[step.image] = self.bad_images.get(step.image, 0) + 1
+        endpoint.strikes.add(step.image or ended.task.job)
+        if len(endpoint.strikes) >= STRIKES_TO_AVOID:
+            endpoint.struck_until = now + AVOID_S
+            endpoint.strikes.clear()
+            self.report("ENDPOINT_AVOIDED", endpoint=endpoint.name, seconds=AVOID_S)
+        if job.note_failed(ended.task, ended.run, self.wall(now)):
+            self.report(
+                "JOB_FAILED",
+                job_id=job.job_id,
+                queue=job.queue,
+                task=ended.task,
+                attempts=job.max_attempts,
+            )
+
+    wall_offset = 0.0
+    """Unix time minus the boot clock, in seconds; the runtime keeps it current."""
+
+    def wall(self, now: float) -> float:
+        """Return Unix time for a time of the boot clock."""
+        return now + self.wall_offset
+
+    def list_unwanted(self, now: float) -> list[StopOrder]:
+        """Return the runs that must end: cancelled, ended or doubled jobs."""
+        orders = []
+        for endpoint in self.endpoints.values():
+            for run in endpoint.runs.values():
+                reason = self._find_stop_reason(run)
+                if reason and now - run.stop_asked >= STOP_AGAIN_S:
+                    orders.append(StopOrder(run, reason))
+        return orders
+
+    def _find_stop_reason(self, run: Run) -> str:
+        if run.state in (ORDERED, DOUBTFUL):
+            return ""
+        job = self.jobs.get(run.task.job)
+        if job is None or not job.knows(run.task):
+            return "unknown job"
+        if not job.is_open:
+            return job.state
+        if job.has_succeeded(run.task):
+            return "task has succeeded"
+        return "asked to stop" if run.state == STOPPING else ""
--- /dev/null
+++ b/packages/briarshed-workloads/src/briarshed_workloads/entry.py
@@ -0,0 +1,525 @@
+"""One entry process: follows the operator's orders, answers callers, may lead."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from collections.abc import Callable
+from types import TracebackType
+from typing import NamedTuple, Self
+
+from reactivex.subject import Subject
+
+from briarshed import events
+from briarshed.exceptions import DocumentError
+from briarshed_entry import clock
+from briarshed_entry.logs import flush_logs, log_event
+from briarshed_workloads.conductor import Conductor
+from briarshed_workloads.configuration import Configuration
+from briarshed_workloads.leadership import Reign, acquire, read_leader
+from briarshed_workloads.links import (
+    Ask,
+    Beacon,
+    Calls,
+    Hello,
+    Links,
+    Message,
+    Offer,
+    Reply,
+    Submit,
+)
+from briarshed_workloads.options import EntryOptions
+from briarshed_workloads.ports import (
+    Directory,
+    Endpoints,
+    HistoryLostError,
+    Instances,
+    NotExecutedError,
+    OutcomeUnknownError,
+    Put,
+    Store,
+)
+from briarshed_workloads.records import (
+    ENTRIES,
+    JOBS,
+    EntryRecord,
+    JobRecord,
+    decode,
+    encode,
+)
+from briarshed_workloads.workloads import Submission
+
+BEACON_S = 0.4
+"""Interval of the leader's signs of life; three fit into the silence below."""
+
+LEADER_SILENCE_S = 1.2
+"""Silence of the leader after which an entry asks the store who leads."""
+
+ELECTION_S = 0.3
+"""Interval of asking the store while there is no leader."""
+
+WATCH_WAIT_S = 8.0
+"""How long a watch of the operator's orders waits; a silent one costs this long."""
+
+WATCH_RETRY_S = 0.3
+"""Pause after a watch or a read of orders that failed."""
+
+CONTACT_S = 3.0
+"""Without leader and store for this long, an entry tells the balancer so."""
+
+PEER_FORGOTTEN_S = 30.0
+"""Silence after which the leader sends nothing more to an entry."""
+
+CONSENT_S = 1.5
+"""Age up to which an entry's word that the store is away counts."""
+
+STORE_AWAY_S = 1.0
+"""Age of the last answer from which on the store counts as away for an entry."""
+
+ANSWER_TIMEOUT_S = 2.0
+"""How long an entry waits for the leader's answer to a question of a caller."""
+
+RETRY_AFTER_S = 1.0
+"""Told to callers while there is no leader: a change takes between 1 s and 3 s."""
+
+LOG_FLUSH_S = 0.25
+
+
+class PeerView(NamedTuple):
+    """What the leader knows of another entry; times of the boot clock."""
+
+    hello: Hello
+    heard_at: float
+
+
+class LeaderView(NamedTuple):
+    """The leader as this entry last heard of it."""
+
+    address: str
+    beacon: Beacon
+    heard_at: float
+
+
+class Entry:
+    """The hub of an entry process; a context manager that owns its tasks.
+
+    Parameters
+    ----------
+    options : EntryOptions
+        Settings of the entry.
+    store, endpoints, instances, directory
+        The outside systems.
+    """
+
+    def __init__(
+        self,
+        options: EntryOptions,
+        store: Store,
+        endpoints: Endpoints,
+        instances: Instances,
+        directory: Directory,
+    ) -> None:
+        self.options = options
+        self.incarnation = secrets.token_hex(4)
+        self.configuration: Configuration | None = None
+        self.configurations: Subject[Configuration] = Subject()
+        self.leader: LeaderView | None = None
+        self.conductor: Conductor | None = None
+        self.is_stopping = False
+        self._raw_configuration = b""
+        self._store = store
+        self._outside = (store, endpoints, instances, directory)
+        self._directory = directory
+        self._waves: dict[int, object] = {}
+        self._peers: dict[str, PeerView] = {}
+        self._calls = Calls()
+        self._links = Links(options.peers, self._handle)
+        self._tasks: list[asyncio.Task[None]] = []
+        self._reign: Reign | None = None
+        self._started_at = clock.now()
+
+    async def __aenter__(self) -> Self:
+        await self._links.__aenter__()
+        log_event(
+            events.ENTRY_STARTED,
+            name=self.options.name,
+            data_centre=self.options.data_centre,
+            incarnation=self.incarnation,
+        )
+        for loop in (self._follow_orders, self._elect, self._keep_contact):
+            self._tasks.append(asyncio.create_task(self._guard(loop)))
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._links.__aexit__(kind, error, trace)
+        log_event(events.ENTRY_STOPPED, name=self.options.name, jobs=0)
+        flush_logs()
+
+    async def _guard(self, loop: Callable) -> None:
+        """Run a loop for good; an unexpected error is logged and the loop goes on."""
+        while True:
+            try:
+                await loop()
+            except (NotExecutedError, OutcomeUnknownError, DocumentError) as error:
+                log_event(events.LOOP_FAILED, task=loop.__name__, error=str(error))
+            except Exception as error:
+                log_event(events.LOOP_FAILED, task=loop.__name__, error=repr(error))
+            await asyncio.sleep(WATCH_RETRY_S)
+
+    # The operator's orders
+
+    async def _follow_orders(self) -> None:
+        orders = await self._directory.read_orders()
+        while True:
+            if orders.configuration is not None:
+                self.apply_configuration(orders.configuration, "store")
+            for wave in orders.waves:
+                self._waves[wave.wave] = wave
+            if orders.waves and self.conductor is not None:
+                self.conductor.maintenance.set_waves(orders.waves)
+            after = orders.revision
+            try:
+                orders = await self._directory.watch_orders(after, WATCH_WAIT_S)
+            except HistoryLostError:
+                orders = await self._directory.read_orders()
+            except (NotExecutedError, OutcomeUnknownError) as error:
+                log_event(events.STORE_FAILING, error=f"orders: {error}")
+                await asyncio.sleep(WATCH_RETRY_S)
+                orders = await self._directory.read_orders()
+
+    def apply_configuration(self, data: bytes, source: str) -> None:
+        """Apply a configuration unless this entry has it or a newer one."""
+        try:
+            configuration = self._directory.decode_configuration(data)
+        except DocumentError as error:
+            log_event(events.CONFIGURATION_REJECTED, error=str(error))
+            return
+        current = self.configuration
+        if current is not None and configuration.version <= current.version:
+            return
+        self.configuration = configuration
+        self._raw_configuration = data
+        log_event(
+            events.CONFIGURATION_APPLIED, version=configuration.version, source=source
+        )
+        if self.conductor is not None and self.conductor.is_loaded:
+            self.conductor.set_configuration(configuration)
+        self.configurations.on_next(configuration)
+        self._send_hello()
+
+    # Leadership
+
+    async def _elect(self) -> None:
+        # Strong entries try first.
+        await asyncio.sleep(max(0.0, 0.3 - 0.1 * self.options.cores))
+        while True:
+            if self.configuration is not None and self._may_stand():
+                reign = await self._try_to_lead()
+                if reign is not None:
+                    await self._lead(reign)
+            await asyncio.sleep(ELECTION_S)
+
+    def _may_stand(self) -> bool:
+        """Tell whether this entry should try to lead: no leader with authority."""
+        if self.is_stopping:
+            return False
+        leader = self.leader
+        if leader is None:
+            return True
+        age = clock.now() - leader.heard_at
+        beacon = leader.beacon
+        return age > LEADER_SILENCE_S or beacon.is_resigning or not beacon.has_authority
+
+    async def _try_to_lead(self) -> Reign | None:
+        try:
+            standing = await read_leader(self._store)
+            if standing is None:
+                return await acquire(self._store, self._describe(), self._may_go_on)
+        except (NotExecutedError, OutcomeUnknownError) as error:
+            log_event(events.STORE_FAILING, error=f"election: {error}")
+            return None
+        self._links.send(standing.address, self._make_hello())
+        return None
+
+    def _describe(self) -> EntryRecord:
+        return EntryRecord(self.options.name, self.incarnation, self.options.peers)
+
+    def _may_go_on(self) -> bool:
+        """Tell whether every other known entry is without the store as well."""
+        now = clock.now()
+        views = [view for view in self._peers.values() if not view.hello.is_stopping]
+        return bool(views) and all(
+            now - view.heard_at < CONSENT_S and view.hello.store_age > STORE_AWAY_S
+            for view in views
+        )
+
+    async def _lead(self, reign: Reign) -> None:
+        self._reign = reign
+        keeping = asyncio.create_task(reign.keep())
+        async with Conductor(self.options, reign, *self._outside) as conductor:
+            self.conductor = conductor
+            beacons = asyncio.create_task(self._send_beacons(reign))
+            try:
+                await self._load(conductor, reign)
+                await reign.lost.wait()
+            finally:
+                self.conductor = None
+                self._reign = None
+                self.leader = None
+                for task in (keeping, beacons):
+                    task.cancel()
+                await asyncio.gather(keeping, beacons, return_exceptions=True)
+
+    async def _load(self, conductor: Conductor, reign: Reign) -> None:
+        assert self.configuration is not None
+        while not reign.lost.is_set():
+            try:
+                await self._load_peers()
+                await conductor.load(self.configuration)
+                break
+            except (NotExecutedError, OutcomeUnknownError) as error:
+                log_event(events.STORE_FAILING, error=f"take-over: {error}")
+                await asyncio.sleep(WATCH_RETRY_S)
+        conductor.set_configuration(self.configuration)
+        conductor.maintenance.set_waves(tuple(self._waves.values()))
+        if reign.state == "loading":
+            reign.note_event("loaded", "records read")
+
+    async def _load_peers(self) -> None:
+        listing = await self._store.read_all(ENTRIES)
+        for item in listing.items:
+            try:
+                record = decode(item.value, EntryRecord)
+            except DocumentError as error:
+                log_event(events.RECORD_UNREADABLE, key=item.key, error=str(error))
+                continue
+            if record.address not in self._peers and record.name != self.options.name:
+                hello = Hello(record.name, record.incarnation, 0, 0.0, False)
+                self._peers[record.address] = PeerView(hello, clock.now())
+
+    async def _send_beacons(self, reign: Reign) -> None:
+        while True:
+            self._send_beacon(reign, False)
+            await asyncio.sleep(BEACON_S)
+
+    def _send_beacon(self, reign: Reign, is_resigning: bool) -> None:
+        conductor = self.conductor
+        waiting = {}
+        if conductor is not None and conductor.is_loaded:
+            waiting = conductor.engine.count_waiting()
+        version = self.configuration.version if self.configuration else 0
+        beacon = Beacon(
+            self.options.name,
+            reign.epoch,
+            reign.has_authority(),
+            reign.is_store_failing,
+            is_resigning,
+            version,
+            waiting,
+        )
+        self.leader = LeaderView(self.options.peers, beacon, clock.now())
+        now = clock.now()
+        for address, view in list(self._peers.items()):
+            if now - view.heard_at > PEER_FORGOTTEN_S:
+                del self._peers[address]
+                continue
+            self._links.send(address, beacon)
+            if 0 < view.hello.version < version:
+                self._links.send(address, Offer(self._raw_configuration))
+
+    # Contact
+
+    async def _keep_contact(self) -> None:
+        registered = False
+        while True:
+            flush_logs()
+            if not registered:
+                registered = await self._register()
+            if self._hears_failing_store():
+                await self._probe_store()
+            self._send_hello()
+            await asyncio.sleep(LOG_FLUSH_S)
+
+    async def _register(self) -> bool:
+        key = ENTRIES + self.options.name
+        try:
+            await self._store.commit([], [Put(key, encode(self._describe()))])
+        except (NotExecutedError, OutcomeUnknownError) as error:
+            log_event(events.STORE_FAILING, error=f"registration: {error}")
+            return False
+        log_event(
+            events.MEMBER_REGISTERED,
+            name=self.options.name,
+            incarnation=self.incarnation,
+        )
+        return True
+
+    def _hears_failing_store(self) -> bool:
+        return self.leader is not None and self.leader.beacon.is_store_failing
+
+    async def _probe_store(self) -> None:
+        try:
+            async with asyncio.timeout(STORE_AWAY_S / 2):
+                await read_leader(self._store)
+        except (NotExecutedError, OutcomeUnknownError, TimeoutError):
+            # The age of the store's last answer tells the leader.
+            return
+
+    def _make_hello(self) -> Hello:
+        return Hello(
+            self.options.name,
+            self.incarnation,
+            self.configuration.version if self.configuration else 0,
+            clock.now() - self._store.answered_at,
+            self.is_stopping,
+        )
+
+    def _send_hello(self) -> None:
+        if self.leader is not None and self._reign is None:
+            self._links.send(self.leader.address, self._make_hello())
+
+    # Messages
+
+    def _handle(self, sender: str, message: Message) -> None:
+        if isinstance(message, Beacon):
+            self._take_beacon(sender, message)
+        elif isinstance(message, Hello):
+            self._peers[sender] = PeerView(message, clock.now())
+        elif isinstance(message, Offer):
+            self.apply_configuration(message.configuration, "leader")
+        elif isinstance(message, Reply):
+            self._calls.take(message)
+        else:
+            task = asyncio.create_task(self._serve(sender, message))
+            self._tasks = [row for row in self._tasks if not row.done()] + [task]
+
+    def _take_beacon(self, sender: str, beacon: Beacon) -> None:
+        known = self.leader
+        if known is not None and beacon.epoch < known.beacon.epoch:
+            return
+        if known is None or known.beacon.epoch != beacon.epoch:
+            log_event(events.LEADER_HEARD, leader=beacon.leader, epoch=beacon.epoch)
+        if self._reign is not None and beacon.epoch > self._reign.epoch:
+            if not self._reign.lost.is_set():
+                self._reign.note_event("lose", f"{beacon.leader} leads")
+            return
+        self.leader = LeaderView(sender, beacon, clock.now())
+
+    async def _serve(self, sender: str, message: Submit | Ask) -> None:
+        if isinstance(message, Submit):
+            reply = await self._submit_here(message.id, message.submission)
+        else:
+            reply = await self._ask_here(message.id, message.job, message.cancel)
+        self._links.send(sender, reply)
+
+    async def _submit_here(self, id: int, submission: Submission) -> Reply:
+        if self.conductor is None:
+            return Reply(id, "not leader", RETRY_AFTER_S)
+        verdict = await self.conductor.submit(submission)
+        return Reply(id, verdict.outcome, verdict.retry_after)
+
+    async def _ask_here(self, id: int, job: str, cancel: bool) -> Reply:
+        if self.conductor is None:
+            return Reply(id, "not leader", RETRY_AFTER_S)
+        if cancel:
+            return Reply(id, await self.conductor.cancel(job))
+        return Reply(id, self.conductor.find_state(job))
+
+    # Callers
+
+    async def submit(self, submission: Submission, timeout: float) -> Reply:
+        """Hand a job to the leader and return its answer.
+
+        The outcome is ``refused`` only if the job certainly never runs, and
+        ``unknown`` if no answer came within ``timeout`` seconds.
+        """
+        if self._reign is not None:
+            return await self._limit(self._submit_here(0, submission), timeout)
+        if not self.hears_leader():
+            return Reply(0, "refused", RETRY_AFTER_S)
+        id, future = self._calls.open()
+        assert self.leader is not None
+        self._links.send(self.leader.address, Submit(id, submission))
+        reply = await self._limit(future, timeout)
+        self._calls.close(id)
+        if reply.outcome == "not leader":
+            return Reply(0, "refused", RETRY_AFTER_S)
+        return reply
+
+    async def ask(self, job: str, cancel: bool, timeout: float) -> Reply:
+        """Ask for a job's state, or cancel it.
+
+        Without a leader the state is read from the store.
+        """
+        if self._reign is not None:
+            reply = await self._limit(self._ask_here(0, job, cancel), timeout)
+        elif self.hears_leader():
+            id, future = self._calls.open()
+            assert self.leader is not None
+            self._links.send(self.leader.address, Ask(id, job, cancel))
+            limit = timeout if cancel else min(timeout, ANSWER_TIMEOUT_S)
+            reply = await self._limit(future, limit)
+            self._calls.close(id)
+        else:
+            reply = Reply(0, "unknown", RETRY_AFTER_S)
+        if cancel or reply.outcome not in ("unknown", "not leader"):
+            return reply
+        return await self._read_state(job)
+
+    async def _limit(self, answer: object, timeout: float) -> Reply:
+        try:
+            async with asyncio.timeout(timeout):
+                return await answer  # type: ignore[misc]
+        except TimeoutError:
+            return Reply(0, "unknown", RETRY_AFTER_S)
+
+    async def _read_state(self, job: str) -> Reply:
+        try:
+            item = await self._store.read(JOBS + job)
+        except (NotExecutedError, OutcomeUnknownError):
+            return Reply(0, "unknown", RETRY_AFTER_S)
+        if item is None:
+            return Reply(0, "missing")
+        return Reply(0, decode(item.value, JobRecord).outcome or "pending")
+
+    def count_waiting(self, queue: str) -> int | None:
+        """Return the queue's jobs that have not started; None without a leader."""
+        if self.conductor is not None and self.conductor.is_loaded:
+            return self.conductor.engine.count_waiting().get(queue, 0)
+        if self.leader is None or not self.hears_leader():
+            return None
+        return self.leader.beacon.waiting.get(queue, 0)
+
+    def hears_leader(self) -> bool:
+        """Tell whether there is a leader with recent word of it."""
+        leader = self.leader
+        return leader is not None and clock.now() - leader.heard_at < LEADER_SILENCE_S
+
+    def is_ready(self) -> bool:
+        """Tell whether callers are served well here."""
+        if self.is_stopping or self.configuration is None:
+            return False
+        now = clock.now()
+        if self.hears_leader() or now - self._store.answered_at < CONTACT_S:
+            return True
+        # Alone: callers do better elsewhere, unless the store is away for all.
+        return self.leader is not None and self.leader.beacon.is_store_failing
+
+    async def resign(self) -> None:
+        """Give the leadership up ahead of a planned stop."""
+        self.is_stopping = True
+        log_event(events.ENTRY_STOPPING, name=self.options.name, reason="signal")
+        reign = self._reign
+        if reign is None or reign.lost.is_set():
+            self._send_hello()
+            return
+        await reign.resign()
+        self._send_beacon(reign, True)
--- /dev/null
+++ b/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
@@ -0,0 +1,244 @@
+"""Endpoints as the leader knows them: clock, token, runs and room."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from briarshed_workloads.workloads import (
+    NOTHING,
+    Observed,
+    Resources,
+    Step,
+    TaskId,
+    add,
+    subtract,
+)
+
+MILLISECONDS = 1_000
+
+TOKEN_COUNTER_BITS = 32
+"""Low bits of a fencing token: orders of one leader; the epoch stands above them."""
+
+SLOWEST_CLOCK = 0.98
+"""An endpoint's steady clock may be this slow, as the platform's pages state."""
+
+LAPSE_MARGIN_S = 0.5
+"""Added to the computed end of an endpoint's deadline; covers the kill of its runs."""
+
+ORDERED, PRESENT, STOPPING, DOUBTFUL = "ordered", "present", "stopping", "doubtful"
+
+
+class Run:
+    """One run of a task at an endpoint, from the order until its end is known.
+
+    ``state`` is ``ordered`` (no answer yet), ``present``, ``stopping``, or
+    ``doubtful`` (the order or the stop got no answer). ``confirmed_at`` and
+    ``ordered_at`` are seconds of the boot clock.
+    """
+
+    __slots__ = (
+        "checkpoint",
+        "confirmed_at",
+        "endpoint",
+        "is_copy",
+        "load",
+        "need",
+        "number",
+        "ordered_at",
+        "pace",
+        "paced_at",
+        "percent",
+        "progressed_at",
+        "state",
+        "step",
+        "stop_asked",
+        "task",
+        "team",
+        "token",
+    )
+
+    def __init__(
+        self,
+        task: TaskId,
+        number: int,
+        endpoint: Endpoint,
+        step: Step,
+        need: Resources,
+        team: str,
+        now: float,
+    ) -> None:
+        self.task = task
+        self.number = number
+        self.endpoint = endpoint
+        self.step = step
+        self.need = need
+        self.team = team
+        self.ordered_at = now
+        self.confirmed_at = 0.0
+        self.progressed_at = now
+        self.state = ORDERED
+        self.token = 0
+        self.percent = 0
+        self.load = 0
+        self.pace = 100
+        self.paced_at = 0.0
+        self.checkpoint = ""
+        self.stop_asked = 0.0
+        self.is_copy = False
+
+    @property
+    def is_serving(self) -> bool:
+        """Tell whether a long-running task is at work."""
+        return self.state == PRESENT and self.percent >= 100
+
+
+class Endpoint:
+    """One incarnation of an endpoint.
+
+    ``acknowledged`` is the highest end whose effect is durable, ``seen`` the highest
+    that was listed. ``fenced`` tells that this incarnation has answered a look of this
+    leader, so that no earlier leader's order can start there any more.
+    """
+
+    __slots__ = (
+        "acknowledged",
+        "anchor_at",
+        "anchor_ms",
+        "answered_at",
+        "counter",
+        "epoch",
+        "evacuating",
+        "failing_since",
+        "fenced_counter",
+        "full_until",
+        "is_gone",
+        "is_listed",
+        "last_deadline_ms",
+        "looked_at",
+        "needs_fence",
+        "observed",
+        "runs",
+        "seen",
+        "strikes",
+        "struck_until",
+        "used",
+    )
+
+    def __init__(self, observed: Observed, epoch: int) -> None:
+        self.observed = observed
+        self.epoch = epoch
+        self.counter = 1
+        self.fenced_counter = 0
+        self.needs_fence = True
+        self.runs: dict[tuple[TaskId, int], Run] = {}
+        self.used = NOTHING
+        self.acknowledged = 0
+        self.seen = 0
+        self.anchor_ms = 0
+        self.anchor_at = 0.0
+        self.answered_at = 0.0
+        self.looked_at = 0.0
+        self.failing_since = 0.0
+        self.full_until = 0.0
+        self.last_deadline_ms = 0
+        self.is_listed = True
+        self.is_gone = False
+        self.evacuating = False
+        self.strikes: set[str] = set()
+        self.struck_until = 0.0
+
+    @property
+    def name(self) -> str:
+        """Return the endpoint's name."""
+        return self.observed.endpoint
+
+    @property
+    def token(self) -> int:
+        """Return the fencing token of the next order."""
+        return (self.epoch << TOKEN_COUNTER_BITS) | self.counter
+
+    @property
+    def is_fenced(self) -> bool:
+        """Tell whether every earlier order is barred or accounted for."""
+        return self.fenced_counter > 0 and not self.needs_fence
+
+    def find_free(self) -> Resources:
+        """Return the room that is left."""
+        return subtract(self.observed.capacity, self.used)
+
+    def find_clock(self, now: float) -> int:
+        """Return the estimated time on the endpoint's clock, in ms."""
+        return self.anchor_ms + int((now - self.anchor_at) * MILLISECONDS)
+
+    def choose_deadline(self, now: float, hold: float) -> int:
+        """Return a deadline ``hold`` seconds ahead on the endpoint's clock."""
+        deadline = self.find_clock(now) + int(hold * MILLISECONDS)
+        self.last_deadline_ms = max(self.last_deadline_ms, deadline)
+        return deadline
+
+    def find_lapse(self) -> float:
+        """Return when all that runs there has certainly ended, if it stays silent."""
+        left = max(0, self.last_deadline_ms - self.anchor_ms) / MILLISECONDS
+        return self.anchor_at + left / SLOWEST_CLOCK + LAPSE_MARGIN_S
+
+    def add_run(self, run: Run) -> None:
+        """Occupy room for a run."""
+        self.runs[run.task, run.number] = run
+        self.used = add(self.used, run.need)
+
+    def remove_run(self, run: Run) -> bool:
+        """Free the room of a run; False if it was not there."""
+        if self.runs.pop((run.task, run.number), None) is None:
+            return False
+        self.used = subtract(self.used, run.need)
+        return True
+
+
+class Usage:
+    """What each team has running, over all endpoints."""
+
+    def __init__(self) -> None:
+        self._by_team: dict[str, Resources] = {}
+
+    def read(self, team: str) -> Resources:
+        """Return what the team has running."""
+        return self._by_team.get(team, NOTHING)
+
+    def take(self, team: str, need: Resources) -> None:
+        """Count a run."""
+        self._by_team[team] = add(self.read(team), need)
+
+    def give_back(self, team: str, need: Resources) -> None:
+        """Stop counting a run."""
+        self._by_team[team] = subtract(self.read(team), need)
+
+
+def is_within(usage: Resources, need: Resources, maximum: Resources) -> bool:
+    """Tell whether a team stays within its limit; parts of 0 are not limited."""
+    total = add(usage, need)
+    return all(
+        limit == 0 or part <= limit or wanted == 0
+        for part, limit, wanted in zip(total, maximum, need, strict=True)
+    )
+
+
+class StopOrder(NamedTuple):
+    """End a run at its endpoint; the reason goes to the log."""
+
+    run: Run
+    reason: str
+
+
+class StartOrder(NamedTuple):
+    """A run that was booked and is to be ordered at its endpoint."""
+
+    run: Run
+    spec: str
+    checkpoint: str
+
+
+class PaceOrder(NamedTuple):
+    """Let a filler work at a share of its speed."""
+
+    run: Run
+    percent: int
--- /dev/null
+++ b/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
@@ -0,0 +1,326 @@
+"""One job: which tasks are ready, done or given up, and its durable form."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterator
+
+from briarshed.charts import advance, load_chart
+from briarshed_workloads.configuration import QueueRules
+from briarshed_workloads.records import JobRecord, ProgressRecord, TaskRecord
+from briarshed_workloads.workloads import Description, Resources, Step, TaskId
+
+PENDING, RUNNING = "pending", "running"
+COMPLETED, FAILED, CANCELLED = "completed", "failed", "cancelled"
+FINAL = frozenset({COMPLETED, FAILED, CANCELLED})
+
+RUN_TIME_WEIGHT = 0.3
+"""Weight of a new run time in the learned mean of an image; recent runs count most."""
+
+
+class Job:
+    """An accepted job and the progress of its tasks.
+
+    Parameters
+    ----------
+    job_id, queue, pool, team : str
+        Names; the team is empty on an open queue.
+    accepted_at : float
+        Unix time in seconds.
+    description : Description
+        Steps of the job.
+    max_attempts : int
+        Failed runs after which a task, and with it the job, fails.
+    """
+
+    __slots__ = (
+        "accepted_at",
+        "cancelled",
+        "checkpoints",
+        "completed_occurrences",
+        "description",
+        "due_at",
+        "ended_at",
+        "failed_runs",
+        "has_started",
+        "is_restored",
+        "job_id",
+        "max_attempts",
+        "opened",
+        "pool",
+        "queue",
+        "state",
+        "succeeded",
+        "team",
+        "waiting",
+        "work",
+    )
+
+    def __init__(
+        self,
+        job_id: str,
+        queue: str,
+        pool: str,
+        team: str,
+        accepted_at: float,
+        description: Description,
+        max_attempts: int,
+    ) -> None:
+        self.job_id = job_id
+        self.queue = queue
+        self.pool = pool
+        self.team = team
+        self.accepted_at = accepted_at
+        self.description = description
+        self.max_attempts = max_attempts
+        self.state = load_chart("job").initial
+        self.cancelled = False
+        self.ended_at = 0.0
+        self.is_restored = False
+        self.has_started = False
+        self.succeeded: dict[tuple[int, int], set[int]] = {}
+        self.failed_runs: dict[TaskId, set[int]] = {}
+        self.checkpoints: dict[TaskId, str] = {}
+        self.waiting: dict[TaskId, None] = {}
+        self.opened: set[tuple[int, int]] = set()
+        self.completed_occurrences: set[int] = set()
+        self.due_at: dict[int, float] = {}
+        self.work = sum(
+            step.count * step.need.cpu / 1000 * step.estimate
+            for step in description.steps
+        )
+
+    @property
+    def is_open(self) -> bool:
+        """Tell whether the job can still have runs."""
+        return self.state not in FINAL
+
+    @property
+    def is_long_running(self) -> bool:
+        """Tell whether a step of the job runs until it is cancelled."""
+        return any(step.long_running for step in self.description.steps)
+
+    def find_step(self, task: TaskId) -> Step:
+        """Return the step of a task."""
+        return self.description.steps[task.step]
+
+    def knows(self, task: TaskId) -> bool:
+        """Tell whether the task belongs to the job."""
+        steps = self.description.steps
+        return (
+            0 <= task.step < len(steps)
+            and 0 <= task.index < steps[task.step].count
+            and 0 <= task.occurrence < self.count_occurrences()
+        )
+
+    def has_succeeded(self, task: TaskId) -> bool:
+        """Tell whether a run of the task has succeeded."""
+        return task.index in self.succeeded.get((task.occurrence, task.step), ())
+
+    def count_occurrences(self) -> int:
+        """Return how many times the steps run."""
+        schedule = self.description.schedule
+        return schedule.occurrences if schedule else 1
+
+    def find_due(self, occurrence: int) -> float:
+        """Return when an occurrence is due, in Unix seconds."""
+        schedule = self.description.schedule
+        if schedule is None:
+            return self.accepted_at
+        return schedule.first_due + occurrence * schedule.interval
+
+    def find_next_due(self) -> float:
+        """Return when the next occurrence opens, in Unix seconds; inf if none."""
+        opened = {occurrence for occurrence, _ in self.opened}
+        rest = [k for k in range(self.count_occurrences()) if k not in opened]
+        return self.find_due(rest[0]) if rest else math.inf
+
+    def open_due(self, wall_now: float) -> None:
+        """Open the steps that are ready and put their tasks among the waiting."""
+        if not self.is_open or self.cancelled:
+            return
+        for occurrence in range(self.count_occurrences()):
+            if occurrence in self.completed_occurrences:
+                continue
+            if self.description.schedule and wall_now < self.find_due(occurrence):
+                break
+            self._open_steps(occurrence)
+
+    def _open_steps(self, occurrence: int) -> None:
+        for number, step in enumerate(self.description.steps):
+            key = occurrence, number
+            if key in self.opened or not self._follows(occurrence, step):
+                continue
+            self.opened.add(key)
+            for index in range(step.count):
+                task = TaskId(self.job_id, occurrence, number, index)
+                if not self.has_succeeded(task):
+                    self.waiting[task] = None
+
+    def _follows(self, occurrence: int, step: Step) -> bool:
+        return all(self._is_step_done(occurrence, number) for number in step.after)
+
+    def _is_step_done(self, occurrence: int, number: int) -> bool:
+        done = self.succeeded.get((occurrence, number), ())
+        return len(done) >= self.description.steps[number].count
+
+    def note_started(self, task: TaskId) -> None:
+        """Take a task from the waiting ones, since a run of it was ordered."""
+        self.waiting.pop(task, None)
+        self.has_started = True
+        if self.state == PENDING:
+            self.state = advance(load_chart("job"), self.state, "start")
+
+    def put_back(self, task: TaskId) -> None:
+        """Let a task wait again after a run that did not succeed."""
+        if self.is_open and not self.cancelled and not self.has_succeeded(task):
+            self.waiting[task] = None
+
+    def note_succeeded(self, task: TaskId, wall_now: float) -> bool:
+        """Record a success; return whether it is news."""
+        done = self.succeeded.setdefault((task.occurrence, task.step), set())
+        step = self.description.steps[task.step]
+        news = task.index not in done
+        if step.gang:
+            # One success of a gang stands for all its members.
+            done.update(range(step.count))
+        done.add(task.index)
+        self.waiting.pop(task, None)
+        if step.gang:
+            for index in range(step.count):
+                self.waiting.pop(task._replace(index=index), None)
+        if news and len(done) >= step.count:
+            self._close_step(task.occurrence, wall_now)
+        return news
+
+    def _close_step(self, occurrence: int, wall_now: float) -> None:
+        steps = self.description.steps
+        if all(self._is_step_done(occurrence, number) for number in range(len(steps))):
+            self.completed_occurrences.add(occurrence)
+        else:
+            self.open_due(wall_now)
+        if len(self.completed_occurrences) >= self.count_occurrences():
+            self._finish("complete", wall_now)
+
+    def note_failed(self, task: TaskId, run: int, wall_now: float) -> bool:
+        """Record a failed run; return whether the job has failed by it."""
+        runs = self.failed_runs.setdefault(task, set())
+        runs.add(run)
+        if self.description.steps[task.step].long_running:
+            return False
+        if self.is_open and not self.cancelled and self.is_spent(task):
+            self._finish("fail", wall_now)
+            return True
+        return False
+
+    def is_spent(self, task: TaskId) -> bool:
+        """Tell whether the task, or its gang, has used all its attempts."""
+        step = self.description.steps[task.step]
+        if step.long_running:
+            return False
+        if not step.gang:
+            return len(self.failed_runs.get(task, ())) >= self.max_attempts
+        runs: set[int] = set()
+        for index in range(step.count):
+            runs |= self.failed_runs.get(task._replace(index=index), set())
+        return len(runs) >= self.max_attempts
+
+    def cancel(self, wall_now: float) -> None:
+        """End the job by its caller's wish."""
+        if self.is_open:
+            self.cancelled = True
+            self._finish("cancel", wall_now)
+
+    def _finish(self, event: str, wall_now: float) -> None:
+        if self.state == PENDING and event != "cancel":
+            self.state = advance(load_chart("job"), self.state, "start")
+        self.state = advance(load_chart("job"), self.state, event)
+        self.ended_at = wall_now
+        self.waiting.clear()
+
+    def encode_job(self) -> JobRecord:
+        """Return the durable record; a job that has ended keeps no steps."""
+        final = not self.is_open
+        return JobRecord(
+            self.queue,
+            self.pool,
+            self.team,
+            self.accepted_at,
+            self.state if final else "",
+            self.ended_at,
+            None if final else self.description,
+        )
+
+    def encode_progress(self) -> ProgressRecord:
+        """Return the durable progress of an open job."""
+        rows = tuple(
+            (occurrence, step, tuple(sorted(done)))
+            for (occurrence, step), done in self.succeeded.items()
+        )
+        names = [
+            task
+            for task in {*self.failed_runs, *self.checkpoints}
+            if not self.has_succeeded(task)
+        ]
+        tasks = tuple(
+            TaskRecord(
+                task.occurrence,
+                task.step,
+                task.index,
+                tuple(sorted(self.failed_runs.get(task, ()))),
+                self.checkpoints.get(task, ""),
+            )
+            for task in names
+        )
+        return ProgressRecord(self.cancelled, rows, tasks)
+
+    def restore(self, progress: ProgressRecord | None, wall_now: float) -> None:
+        """Take over durable progress and open what is ready."""
+        self.is_restored = True
+        if progress is not None:
+            for occurrence, step, indices in progress.succeeded:
+                self.succeeded[occurrence, step] = set(indices)
+            for row in progress.tasks:
+                task = TaskId(self.job_id, row.occurrence, row.step, row.index)
+                if row.failed_runs:
+                    self.failed_runs[task] = set(row.failed_runs)
+                if row.checkpoint:
+                    self.checkpoints[task] = row.checkpoint
+        steps = range(len(self.description.steps))
+        for occurrence in range(self.count_occurrences()):
+            if all(self._is_step_done(occurrence, number) for number in steps):
+                self.completed_occurrences.add(occurrence)
+        self.open_due(wall_now)
+
+
+def find_chain(description: Description) -> float:
+    """Return the longest chain of estimated work through the steps, in seconds."""
+    return max(iterate_chains(description), default=0.0)
+
+
+def iterate_chains(description: Description) -> Iterator[float]:
+    """Yield, for each step, the longest chain of work that ends with it."""
+    lengths: dict[int, float] = {}
+
+    def measure(number: int) -> float:
+        if number not in lengths:
+            lengths[number] = 0.0  # a cycle would be rejected before
+            step = description.steps[number]
+            before = max((measure(other) for other in step.after), default=0.0)
+            lengths[number] = before + step.estimate
+        return lengths[number]
+
+    for number in range(len(description.steps)):
+        yield measure(number)
+
+
+def find_objective(job: Job, queue: QueueRules | None) -> float:
+    """Return the seconds after submission within which the job is worth most."""
+    if queue is None:
+        return find_chain(job.description)
+    return queue.stretch * find_chain(job.description) + queue.objective
+
+
+def find_need(step: Step) -> Resources:
+    """Return what a task of the step takes from an endpoint's room."""
+    return step.need._replace(cpu=0) if step.filler else step.need
--- /dev/null
+++ b/packages/briarshed-workloads/src/briarshed_workloads/journal.py
@@ -0,0 +1,127 @@
+"""The leader's writes to the store, one after the other and fenced by its era.
+
+Every transaction replaces the era item under the condition that the last one stands.
+So a deposed leader writes nothing, and a transaction whose answer was lost cannot take
+effect after a later one.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+
+from briarshed.events import STORE_ANSWER_LOST, STORE_FAILING, STORE_RECOVERED
+from briarshed.exceptions import BriarshedError
+from briarshed_entry import clock
+from briarshed_entry.logs import log_event
+from briarshed_workloads.ports import (
+    Committed,
+    Conflicted,
+    LeaseEnded,
+    NotExecutedError,
+    OutcomeUnknownError,
+    Put,
+    Store,
+)
+from briarshed_workloads.records import ERA, EraRecord, decode, encode
+
+CHUNK = 30
+"""Entries of a transaction besides the era's own two; the store takes 32."""
+
+RETRY_S = 0.1
+"""Pause before a transaction that did not go through is sent again."""
+
+
+class LeadershipLostError(BriarshedError):
+    """Another leader's era stands in the store."""
+
+
+class LeaseLostError(BriarshedError):
+    """The lease that a put names has ended; nothing was written."""
+
+
+class Journal:
+    """Commits the leader's writes in order.
+
+    Parameters
+    ----------
+    store : Store
+        Where the records are.
+    era : EraRecord
+        The era that this leader began.
+    revision : int
+        Revision of the era item as this leader wrote it.
+    """
+
+    def __init__(self, store: Store, era: EraRecord, revision: int) -> None:
+        self.era = era
+        self.revision = revision
+        self.is_lost = False
+        self.commits = 0
+        self._store = store
+        self._lock = asyncio.Lock()
+        self._failing_since = 0.0
+
+    async def commit(self, puts: Sequence[Put], removals: Sequence[str] = ()) -> None:
+        """Write all, at most `CHUNK` entries, and wait until it is certain.
+
+        Raises
+        ------
+        LeadershipLostError
+            If another era stands; nothing of this call was written.
+        """
+        async with self._lock:
+            if self.is_lost:
+                raise LeadershipLostError("another leader has begun its era")
+            last = self.era
+            era = EraRecord(last.epoch, last.leader, last.writes + 1)
+            await self._write(era, puts, removals)
+            self.era = era
+            self.commits += 1
+
+    async def _write(
+        self, era: EraRecord, puts: Sequence[Put], removals: Sequence[str]
+    ) -> None:
+        rows = [Put(ERA, encode(era)), *puts]
+        while True:
+            try:
+                outcome = await self._store.commit(
+                    [(ERA, self.revision)], rows, removals
+                )
+            except NotExecutedError as error:
+                self._note_failing(str(error))
+                await asyncio.sleep(RETRY_S)
+                continue
+            except OutcomeUnknownError as error:
+                log_event(STORE_ANSWER_LOST, writes=era.writes, error=str(error))
+                self._note_failing(str(error))
+                await asyncio.sleep(RETRY_S)
+                continue
+            self._note_working()
+            if isinstance(outcome, Committed):
+                self.revision = outcome.revision
+                return
+            if isinstance(outcome, Conflicted) and self._is_own(outcome, era):
+                return
+            if isinstance(outcome, LeaseEnded):
+                raise LeaseLostError("the lease of a put has ended")
+            self.is_lost = True
+            raise LeadershipLostError("another leader has begun its era")
+
+    def _is_own(self, outcome: Conflicted, era: EraRecord) -> bool:
+        """Tell whether the transaction had taken effect before, unanswered."""
+        item = outcome.items.get(ERA)
+        if item is None or decode(item.value, EraRecord) != era:
+            return False
+        self.revision = item.revision
+        return True
+
+    def _note_failing(self, error: str) -> None:
+        if not self._failing_since:
+            self._failing_since = clock.now()
+            log_event(STORE_FAILING, error=error)
+
+    def _note_working(self) -> None:
+        if self._failing_since:
+            self._failing_since = 0.0
+            log_event(STORE_RECOVERED)
--- /dev/null
+++ b/packages/briarshed-workloads/src/briarshed_workloads/links.py
@@ -0,0 +1,219 @@
+"""One-way messages between entries: pyzmq PUSH to PULL, msgpack by msgspec.
+
+A message names its sender's address, so that an answer goes out over the receiver's
+own connection. A connection that falls silent is noticed by heartbeats and replaced.
+Messages for a peer that does not read are dropped, never waited for.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable
+from types import TracebackType
+from typing import Self
+
+import msgspec
+import zmq
+import zmq.asyncio
+
+from briarshed.events import PEER_REJECTED
+from briarshed_entry.logs import log_event
+from briarshed_workloads.workloads import Submission
+
+QUEUED_MESSAGES = 2_000
+"""Messages kept for a peer that does not read; a second's worth at the target size."""
+
+HEARTBEAT_MS = 400
+"""Interval of heartbeats; three fit into the silence that ends a connection."""
+
+SILENCE_MS = 1_200
+"""Silence after which a connection is closed and opened anew."""
+
+RECONNECT_MIN_MS = 100
+RECONNECT_MAX_MS = 800
+
+
+class Beacon(msgspec.Struct, tag="b", array_like=True, frozen=True):
+    """The leader's sign of life.
+
+    ``waiting`` maps a queue to its jobs that have not started. ``retry_after`` maps a
+    queue that refuses jobs to the seconds until it may take them again.
+    """
+
+    leader: str
+    epoch: int
+    has_authority: bool
+    is_store_failing: bool
+    is_resigning: bool
+    version: int
+    waiting: dict[str, int]
+
+
+class Hello(msgspec.Struct, tag="h", array_like=True, frozen=True):
+    """An entry tells who it is, which configuration it has and how the store does.
+
+    ``store_age`` is the age in seconds of its last answer from the store.
+    """
+
+    name: str
+    incarnation: str
+    version: int
+    store_age: float
+    is_stopping: bool
+
+
+class Offer(msgspec.Struct, tag="o", array_like=True, frozen=True):
+    """A configuration, undecoded, for an entry with an older one."""
+
+    configuration: bytes
+
+
+class Submit(msgspec.Struct, tag="s", array_like=True, frozen=True):
+    """A job for the leader."""
+
+    id: int
+    submission: Submission
+
+
+class Ask(msgspec.Struct, tag="a", array_like=True, frozen=True):
+    """A question for the state of a job, or the wish to cancel it."""
+
+    id: int
+    job: str
+    cancel: bool
+
+
+class Reply(msgspec.Struct, tag="r", array_like=True, frozen=True):
+    """The leader's answer.
+
+    ``outcome`` is ``accepted``, ``refused``, ``cancelled``, ``missing``, ``unknown``,
+    ``not leader`` or the state of a job. ``retry_after`` is in seconds.
+    """
+
+    id: int
+    outcome: str
+    retry_after: float = 0.0
+
+
+Message = Beacon | Hello | Offer | Submit | Ask | Reply
+
+
+class Envelope(msgspec.Struct, array_like=True, frozen=True):
+    """A message and the address at which its sender reads answers."""
+
+    sender: str
+    message: Message
+
+
+_DECODER = msgspec.msgpack.Decoder(Envelope)
+_ENCODER = msgspec.msgpack.Encoder()
+
+Handler = Callable[[str, Message], Awaitable[None] | None]
+
+
+class Links:
+    """Sends and receives messages; a context manager that owns the sockets.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:PORT`` to read at.
+    handle : callable
+        Called with the sender's address and the message.
+    """
+
+    def __init__(self, address: str, handle: Handler) -> None:
+        self.address = address
+        self._handle = handle
+        self._context = zmq.asyncio.Context()
+        self._plain_context = zmq.Context(self._context)
+        self._sockets: dict[str, zmq.Socket] = {}
+        self._receiver: zmq.asyncio.Socket | None = None
+        self._task: asyncio.Task[None] | None = None
+        self.dropped = 0
+
+    async def __aenter__(self) -> Self:
+        self._receiver = self._context.socket(zmq.PULL)
+        self._set_options(self._receiver)
+        self._receiver.bind(f"tcp://{self.address}")
+        self._task = asyncio.create_task(self._read())
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        assert self._task is not None
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+        self._context.destroy(linger=200)
+
+    def _set_options(self, socket: zmq.Socket) -> None:
+        socket.setsockopt(zmq.LINGER, 200)
+        socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
+        socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, SILENCE_MS)
+        socket.setsockopt(zmq.SNDHWM, QUEUED_MESSAGES)
+        socket.setsockopt(zmq.RCVHWM, QUEUED_MESSAGES)
+        socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MIN_MS)
+        socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+        socket.setsockopt(zmq.CONNECT_TIMEOUT, SILENCE_MS)
+
+    def send(self, address: str, message: Message) -> None:
+        """Queue a message for a peer; it is dropped if the peer does not read."""
+        socket = self._sockets.get(address)
+        if socket is None:
+            socket = self._plain_context.socket(zmq.PUSH)
+            self._set_options(socket)
+            socket.connect(f"tcp://{address}")
+            self._sockets[address] = socket
+        try:
+            socket.send(_ENCODER.encode(Envelope(self.address, message)), zmq.NOBLOCK)
+        except zmq.Again:
+            self.dropped += 1
+
+    def keep_only(self, addresses: set[str]) -> None:
+        """Close the connections to peers that have left."""
+        for address in self._sockets.keys() - addresses:
+            self._sockets.pop(address).close(linger=0)
+
+    async def _read(self) -> None:
+        assert self._receiver is not None
+        while True:
+            data = await self._receiver.recv()
+            try:
+                envelope = _DECODER.decode(data)
+            except (msgspec.MsgspecError, ValueError) as error:
+                log_event(PEER_REJECTED, reason=str(error))
+                continue
+            answer = self._handle(envelope.sender, envelope.message)
+            if answer is not None:
+                await answer
+
+
+class Calls:
+    """Matches replies to the questions of this entry."""
+
+    def __init__(self) -> None:
+        self._waiting: dict[int, asyncio.Future[Reply]] = {}
+        self._last = 0
+
+    def open(self) -> tuple[int, asyncio.Future[Reply]]:
+        """Return a fresh question's id and the future of its reply."""
+        self._last += 1
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[self._last] = future
+        return self._last, future
+
+    def close(self, id: int) -> None:
+        """Forget a question; a later reply to it is dropped."""
+        self._waiting.pop(id, None)
+
+    def take(self, reply: Reply) -> None:
+        """Hand a reply to whoever waits for it."""
+        future = self._waiting.pop(reply.id, None)
+        if future is not None and not future.done():
+            with contextlib.suppress(asyncio.InvalidStateError):
+                future.set_result(reply)
--- /dev/null
+++ b/packages/briarshed-workloads/src/briarshed_workloads/options.py
@@ -0,0 +1,92 @@
+"""Settings of an entry that serves durable jobs, passed whole."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class Promises(NamedTuple):
+    """Bounds that the operator's site sets; seconds.
+
+    Attributes
+    ----------
+    grace : float
+        From SIGTERM to SIGKILL.
+    longest_hold : float
+        Longest time for which endpoints keep runs without word.
+    stop_grace : float
+        Longest time that a stop takes at an endpoint.
+    status_kept : float
+        How long the outcome of a job is told.
+    notice : float
+        A long-running task that is not at work for this long counts as away.
+    configuration : float
+        Within this time a new configuration is in force.
+    maintenance : float
+        How long an instance is down for its maintenance.
+    move : float
+        How long an instance is down for a move.
+    lease : float
+        Two holders may not order one instance by turns within this time.
+    """
+
+    grace: float = 6.0
+    longest_hold: float = 6.0
+    stop_grace: float = 0.2
+    status_kept: float = 120.0
+    notice: float = 4.5
+    configuration: float = 2.0
+    maintenance: float = 2.0
+    move: float = 1.5
+    lease: float = 3.0
+
+
+class StoreRates(NamedTuple):
+    """What the store takes; calls a second over all entries, seconds."""
+
+    writes: float = 400.0
+    reads: float = 2000.0
+    shortest_lease: float = 1.0
+
+
+class EntryOptions(NamedTuple):
+    """Everything an entry learns from its settings.
+
+    Attributes
+    ----------
+    name, data_centre : str
+        Names of this entry and of where it stands.
+    data_centres : tuple of str
+        All data centres of the deployment.
+    callers, readiness : str
+        Addresses (``IP:PORT``) to serve callers and the balancer's checks on.
+    peers, metrics : str
+        Addresses of the own protocol between entries and of the metrics page.
+    store, instances : str
+        Addresses of the platform's store and of its instance interface.
+    advice : str
+        Address of the service that approves endpoints for steps; may be empty.
+    cores : float
+        Processor time that the entry may use, in cores.
+    promises : Promises
+        Bounds of the site.
+    store_rates : StoreRates
+        Limits of the store.
+    instance_calls : float
+        Move and maintenance calls a second over all entries.
+    """
+
+    name: str
+    data_centre: str
+    data_centres: tuple[str, ...]
+    callers: str
+    readiness: str
+    peers: str
+    metrics: str
+    store: str
+    instances: str
+    advice: str
+    cores: float
+    promises: Promises
+    store_rates: StoreRates
+    instance_calls: float
--- /dev/null
+++ b/packages/briarshed-workloads/src/briarshed_workloads/planning.py
@@ -0,0 +1,280 @@
+"""Which waiting task starts next, and where; a pure function of the engine's state."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable, Sequence
+
+from briarshed_workloads.engine import Engine
+from briarshed_workloads.fleet import Endpoint, StartOrder, is_within
+from briarshed_workloads.jobs import Job, find_need, find_objective
+from briarshed_workloads.workloads import Resources, Step, TaskId, fits
+
+LONG_RUNNING, ON_TIME, LATE = 0, 1, 2
+"""Ranks of jobs: those that run until cancelled, those that can still meet their
+objective, and the rest, which use what is left."""
+
+
+def plan_starts(engine: Engine, now: float) -> list[StartOrder]:
+    """Book runs for waiting tasks and return the orders for them.
+
+    Jobs are served in the order of `rank_job`; a task goes to the endpoint of its pool
+    that `choose_endpoint` names. A job whose next task fits nowhere is passed over.
+    """
+    orders: list[StartOrder] = []
+    quarantined = is_quarantined(engine, now)
+    for pool in list(engine.open_jobs):
+        jobs = [job for job in engine.list_open(pool).values() if job.waiting]
+        if not jobs:
+            continue
+        usable = list_usable(engine, pool, now)
+        if not usable:
+            continue
+        wall_now = engine.wall(now)
+        jobs.sort(key=lambda job: rank_job(engine, job, wall_now))
+        for job in jobs:
+            if not (quarantined and job.is_restored):
+                orders += _start_job(engine, job, usable, now)
+    return orders
+
+
+def is_quarantined(engine: Engine, now: float) -> bool:
+    """Tell whether an endpoint may hold runs of an earlier leader unseen.
+
+    Until every endpoint of the fleet has been fenced, has gone or has lapsed, a waiting
+    task of a restored job may be running there.
+    """
+    if now >= engine.quarantine_until:
+        return False
+    return any(
+        endpoint.fenced_counter == 0 and not endpoint.is_gone
+        for endpoint in engine.endpoints.values()
+    )
+
+
+def list_usable(engine: Engine, pool: str, now: float) -> list[Endpoint]:
+    """Return the endpoints of a pool that may get new work."""
+    return [
+        endpoint
+        for endpoint in engine.endpoints.values()
+        if endpoint.observed.pool == pool
+        and endpoint.is_listed
+        and not endpoint.is_gone
+        and endpoint.is_fenced
+        and not endpoint.observed.draining
+        and not endpoint.evacuating
+        and not endpoint.failing_since
+        and endpoint.struck_until <= now
+        and endpoint.full_until <= now
+        and endpoint.name in engine.roster
+    ]
+
+
+def rank_job(engine: Engine, job: Job, wall_now: float) -> tuple:
+    """Return the sort key of a job: rank, priority, objective.
+
+    Jobs whose objective has passed are served with what others leave, oldest first.
+    """
+    if job.is_long_running:
+        return (LONG_RUNNING, 0, job.accepted_at, job.job_id)
+    queue = engine.find_queue(job)
+    due = job.accepted_at
+    if job.description.schedule:
+        due = max(due, job.find_due(min(task.occurrence for task in job.waiting)))
+    objective = due + find_objective(job, queue)
+    rank = ON_TIME if wall_now + estimate_rest(engine, job) <= objective else LATE
+    priority = queue.priority if queue else 0
+    return (rank, priority, objective, job.job_id)
+
+
+def estimate_rest(engine: Engine, job: Job) -> float:
+    """Return the estimated chain of work in seconds that is left of a job."""
+    lengths: dict[int, float] = {}
+    steps = job.description.steps
+
+    def measure(number: int) -> float:
+        if number not in lengths:
+            lengths[number] = 0.0
+            step = steps[number]
+            before = max((measure(other) for other in step.after), default=0.0)
+            done = job.succeeded.get((0, number), ())
+            own = 0.0 if len(done) >= step.count else estimate_task(engine, step)
+            lengths[number] = before + own
+        return lengths[number]
+
+    return max((measure(number) for number in range(len(steps))), default=0.0)
+
+
+def estimate_task(engine: Engine, step: Step) -> float:
+    """Return the run time of a task in seconds: learned by image, else declared."""
+    return engine.run_times.get(step.image, step.estimate)
+
+
+def _start_job(
+    engine: Engine, job: Job, usable: Sequence[Endpoint], now: float
+) -> list[StartOrder]:
+    orders: list[StartOrder] = []
+    maximum = engine.find_maximum(job.team)
+    blocked: set[int] = set()
+    for task in list(job.waiting):
+        if task.step in blocked:
+            continue
+        step = job.find_step(task)
+        need = find_need(step)
+        if step.gang:
+            orders += _start_gang(engine, job, task, usable, now)
+            blocked.add(task.step)
+            continue
+        if not is_within(engine.usage.read(job.team), need, maximum):
+            blocked.add(task.step)
+            continue
+        endpoint = choose_endpoint(engine, task, step, need, usable)
+        if endpoint is None:
+            blocked.add(task.step)
+            continue
+        orders.append(_book(engine, job, task, step, endpoint, now))
+    return orders
+
+
+def _book(
+    engine: Engine,
+    job: Job,
+    task: TaskId,
+    step: Step,
+    endpoint: Endpoint,
+    now: float,
+) -> StartOrder:
+    run = engine.book(task, endpoint, step, job.team, now)
+    checkpoint = job.checkpoints.get(task, "") if step.checkpointing else ""
+    return StartOrder(run, job.description.spec, checkpoint)
+
+
+def _start_gang(
+    engine: Engine, job: Job, task: TaskId, usable: Sequence[Endpoint], now: float
+) -> list[StartOrder]:
+    """Book all members of a gang, or none."""
+    step = job.find_step(task)
+    members = [
+        TaskId(job.job_id, task.occurrence, task.step, index)
+        for index in range(step.count)
+    ]
+    if any(engine.runs.get(member) for member in members):
+        return []
+    total = Resources(*(part * step.count for part in find_need(step)))
+    maximum = engine.find_maximum(job.team)
+    if not is_within(engine.usage.read(job.team), total, maximum):
+        return []
+    chosen = choose_gang(engine, step, usable)
+    if chosen is None:
+        return []
+    orders = [
+        _book(engine, job, member, step, endpoint, now)
+        for member, endpoint in zip(members, chosen, strict=True)
+    ]
+    # The members of a gang share one run number.
+    for order in orders[1:]:
+        engine.renumber(order.run, orders[0].run.number)
+    return orders
+
+
+def choose_gang(
+    engine: Engine, step: Step, usable: Sequence[Endpoint]
+) -> list[Endpoint] | None:
+    """Return an endpoint for each member, or None if they do not fit together.
+
+    A gang that is slower across racks is placed within one rack where one has room.
+    """
+    candidates = [row for row in usable if _suits(step, row)]
+    racks = {row.observed.rack for row in candidates}
+    groups = [
+        [row for row in candidates if row.observed.rack == rack]
+        for rack in sorted(racks, key=lambda rack: rack != step.rack)
+    ]
+    if not step.same_rack:
+        groups.append(candidates)
+    for group in groups:
+        chosen = _fill(step, group)
+        if chosen is not None:
+            return chosen
+    return _fill(step, candidates)
+
+
+def _fill(step: Step, group: Iterable[Endpoint]) -> list[Endpoint] | None:
+    chosen: list[Endpoint] = []
+    need = find_need(step)
+    for endpoint in group:
+        count = _count_fitting(need, endpoint.find_free())
+        if step.per_endpoint:
+            count = min(count, step.per_endpoint)
+        chosen += [endpoint] * min(count, step.count - len(chosen))
+        if len(chosen) == step.count:
+            return chosen
+    return None
+
+
+def _count_fitting(need: Resources, free: Resources) -> int:
+    parts = [
+        max(0, have) // part for have, part in zip(free, need, strict=True) if part
+    ]
+    return min(parts, default=1_000)
+
+
+def choose_endpoint(
+    engine: Engine,
+    task: TaskId,
+    step: Step,
+    need: Resources,
+    usable: Sequence[Endpoint],
+) -> Endpoint | None:
+    """Return the best endpoint with room for the task, or None.
+
+    Long-running tasks of a step are spread over racks, so that the loss of one takes
+    few; fillers go where the fewest tasks serve; other tasks go where the most
+    processor time is free. The rack that holds the data comes first.
+    """
+    counts = _count_step(engine, task, step)
+    best: Endpoint | None = None
+    best_score: tuple = (math.inf,)
+    for endpoint in usable:
+        if not fits(need, endpoint.find_free()) or not _suits(step, endpoint):
+            continue
+        here = counts.get(endpoint.name, 0)
+        if step.per_endpoint and here >= step.per_endpoint:
+            continue
+        score = _score(step, endpoint, counts, here)
+        if score < best_score:
+            best, best_score = endpoint, score
+    return best
+
+
+def _suits(step: Step, endpoint: Endpoint) -> bool:
+    return not step.label or step.label in endpoint.observed.labels
+
+
+def _count_step(engine: Engine, task: TaskId, step: Step) -> dict[str, int]:
+    """Count the runs of the task's step and occurrence by endpoint and by rack."""
+    counts: dict[str, int] = {}
+    if not (step.per_endpoint or step.long_running):
+        return counts
+    for index in range(step.count):
+        for run in engine.runs.get(task._replace(index=index), ()):
+            observed = run.endpoint.observed
+            for place in (observed.endpoint, f"rack {observed.rack}"):
+                counts[place] = counts.get(place, 0) + 1
+    return counts
+
+
+def _score(
+    step: Step, endpoint: Endpoint, counts: dict[str, int], here: int
+) -> tuple[float, ...]:
+    observed = endpoint.observed
+    free = endpoint.find_free()
+    share = free.cpu / max(1, observed.capacity.cpu)
+    far = 1.0 if step.rack and observed.rack != step.rack else 0.0
+    if step.filler:
+        serving = sum(run.step.tail_target > 0 for run in endpoint.runs.values())
+        fillers = sum(run.step.filler for run in endpoint.runs.values())
+        return (far, fillers + serving, here, -share)
+    if step.long_running:
+        return (far, here, counts.get(f"rack {observed.rack}", 0), -share)
+    return (far, -share)
--- /dev/null
+++ b/packages/briarshed-workloads/src/briarshed_workloads/records.py
@@ -0,0 +1,101 @@
+"""Durable records of jobs and their encoding in the store."""
+
+from __future__ import annotations
+
+from typing import TypeVar
+
+import msgspec
+
+from briarshed.exceptions import DocumentError
+from briarshed_workloads.workloads import Description
+
+JOBS = "briarshed/jobs/"
+PROGRESS = "briarshed/progress/"
+ENTRIES = "briarshed/entries/"
+ERA = "briarshed/era"
+LEADER = "briarshed/leader"
+ROSTER = "briarshed/roster"
+
+T = TypeVar("T")
+
+
+class JobRecord(msgspec.Struct, array_like=True, frozen=True):
+    """A job as it was accepted; of a job that has ended only the outcome is kept.
+
+    ``outcome`` is empty while the job is open. Times are Unix seconds.
+    """
+
+    queue: str
+    pool: str
+    team: str
+    accepted_at: float
+    outcome: str
+    ended_at: float
+    description: Description | None
+
+
+class TaskRecord(msgspec.Struct, array_like=True, frozen=True):
+    """What is known of a task that has not succeeded.
+
+    ``failed_runs`` lists the runs that failed, so that an end that is listed again
+    after a change of the leader is counted once.
+    """
+
+    occurrence: int
+    step: int
+    index: int
+    failed_runs: tuple[int, ...]
+    checkpoint: str
+
+
+class ProgressRecord(msgspec.Struct, array_like=True, frozen=True):
+    """Progress of an open job.
+
+    ``succeeded`` holds rows of occurrence, step and the indices of the tasks that
+    have succeeded; ``cancelled`` tells that the cancellation is confirmed.
+    """
+
+    cancelled: bool
+    succeeded: tuple[tuple[int, int, tuple[int, ...]], ...]
+    tasks: tuple[TaskRecord, ...]
+
+
+class EraRecord(msgspec.Struct, array_like=True, frozen=True):
+    """The reign of a leader: every write of a leader is conditional on this item."""
+
+    epoch: int
+    leader: str
+    writes: int
+
+
+class EntryRecord(msgspec.Struct, array_like=True, frozen=True):
+    """An entry process and the address at which its peers reach it."""
+
+    name: str
+    incarnation: str
+    address: str
+
+
+class RosterRecord(msgspec.Struct, array_like=True, frozen=True):
+    """Endpoints that may hold runs: rows of endpoint, start in Unix ms and address."""
+
+    rows: tuple[tuple[str, int, str], ...]
+
+
+def encode(record: msgspec.Struct) -> bytes:
+    """Return the bytes that are stored for a record."""
+    return msgspec.msgpack.encode(record)
+
+
+def decode(data: bytes, kind: type[T]) -> T:
+    """Return the record that the bytes hold.
+
+    Raises
+    ------
+    DocumentError
+        If the bytes are not a record of this kind.
+    """
+    try:
+        return msgspec.msgpack.decode(data, type=kind)
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise DocumentError(f"not a {kind.__name__}: {error}") from error
--- /dev/null
+++ b/packages/briarshed-workloads/src/briarshed_workloads/telemetry.py
@@ -0,0 +1,61 @@
+"""Counters, latency histograms and decision logs of an entry with durable jobs."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
+
+from briarshed import events
+from briarshed_entry.logs import log_event
+
+BUCKETS_S = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
+"""Upper bounds of the latency histograms, in seconds, up to a caller's deadline."""
+
+REGISTRY = CollectorRegistry(auto_describe=False)
+
+_ANSWERS = Counter(
+    "briarshed_answers", "Answers to callers", ["what", "status"], registry=REGISTRY
+)
+_COUNTS = Counter(
+    "briarshed_decisions",
+    "Decisions by outcome",
+    ["what", "outcome"],
+    registry=REGISTRY,
+)
+_SECONDS = Histogram(
+    "briarshed_seconds",
+    "Duration of calls and of plans",
+    ["what"],
+    buckets=BUCKETS_S,
+    registry=REGISTRY,
+)
+
+
+def count(what: str, outcome: str) -> None:
+    """Count a decision."""
+    _COUNTS.labels(what, outcome).inc()
+
+
+def count_answer(what: str, status: int) -> None:
+    """Count an answer to a caller."""
+    _ANSWERS.labels(what, str(status)).inc()
+
+
+def observe_seconds(what: str, seconds: float) -> None:
+    """Add a duration to a histogram."""
+    _SECONDS.labels(what).observe(seconds)
+
+
+def format_metrics() -> bytes:
+    """Return the metrics page."""
+    return generate_latest(REGISTRY)
+
+
+def report(event: str, **fields: Any) -> None:
+    """Log a change of belief that the engine reports, and count it."""
+    count("beliefs", event)
+    task = fields.get("task")
+    if task is not None:
+        fields["task"] = list(task[1:])
+    log_event(getattr(events, event), **fields)
--- a/packages/briarshed/src/briarshed/__init__.py
+++ b/packages/briarshed/src/briarshed/__init__.py
@@ -1,23 +1,34 @@
-"""Decisions, documents, settings and language of briarshed; no I/O and no clock."""
+"""Decisions, documents, settings and language of briarshed; no I/O and no clock.
 
-from briarshed.documents import (
-    Change,
-    Configuration,
-    Fleet,
-    Grants,
-    Instance,
-    Key,
-    Member,
-    Members,
-    Pool,
-    Queue,
-    Stored,
-    Team,
-    Wave,
-)
-from briarshed.exceptions import BriarshedError, ScriptError, SettingsError
-from briarshed.findings import Finding
-from briarshed.settings import Settings, check_settings, load_settings
+Public names are imported on first use, so that a program loads only the modules that
+it needs: an entry's memory is bounded.
+"""
+
+from importlib import import_module
+from typing import Any
+
+_MODULES = {
+    "BriarshedError": "exceptions",
+    "Change": "documents",
+    "Configuration": "documents",
+    "Finding": "findings",
+    "Fleet": "documents",
+    "Grants": "documents",
+    "Instance": "documents",
+    "Key": "documents",
+    "Member": "documents",
+    "Members": "documents",
+    "Pool": "documents",
+    "Queue": "documents",
+    "ScriptError": "exceptions",
+    "Settings": "settings",
+    "SettingsError": "exceptions",
+    "Stored": "documents",
+    "Team": "documents",
+    "Wave": "documents",
+    "check_settings": "settings",
+    "load_settings": "settings",
+}
 
 __all__ = [
     "BriarshedError",
@@ -41,3 +52,10 @@
     "check_settings",
     "load_settings",
 ]
+
+
+def __getattr__(name: str) -> Any:
+    """Import a public name from its module."""
+    if name not in _MODULES:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(import_module(f"briarshed.{_MODULES[name]}"), name)
--- a/packages/briarshed/src/briarshed/events.py
+++ b/packages/briarshed/src/briarshed/events.py
@@ -14,7 +14,8 @@
     ----------
     number : int
         Stable number: 1xx process, 2xx callers and jobs, 3xx endpoints, 4xx store
-        and configuration, 5xx members and grants, 6xx operators, 7xx maintenance.
+        and configuration, 5xx members and grants, 6xx operators, 7xx maintenance,
+        8xx durable jobs.
     level : str
         Log level.
     text : str
@@ -32,6 +33,7 @@
 ENTRY_STOPPED = Event(104, "INFO", "entry {name} stopped with {jobs} jobs unfinished")
 ENTRY_NOT_READY = Event(105, "WARNING", "entry {name} is not ready: {reason}")
 LOOP_FAILED = Event(106, "ERROR", "background task {task} failed: {error}")
+LOG_LINES_DROPPED = Event(107, "WARNING", "{count} log lines were dropped")
 
 JOB_REFUSED = Event(201, "DEBUG", "job {job_id} refused: {code}")
 JOB_UNKNOWN = Event(202, "WARNING", "outcome of job {job_id} is unknown: {code}")
@@ -80,6 +82,51 @@
     707, "INFO", "instance {instance} moves from pool {before} to {after}"
 )
 
+MAINTENANCE_ORDERED = Event(
+    708, "INFO", "wave {wave}: maintenance of {instance} ordered: {outcome}"
+)
+
+LEADERSHIP_CHANGED = Event(
+    801, "INFO", "leadership: {before} to {after} in epoch {epoch}: {reason}"
+)
+REIGN_LOADED = Event(
+    802, "INFO", "epoch {epoch}: took over {jobs} jobs and {endpoints} endpoints"
+)
+LEADER_HEARD = Event(803, "INFO", "leader is {leader} in epoch {epoch}")
+LEADER_SILENT = Event(804, "WARNING", "no word of leader {leader} for {age} s")
+STORE_ANSWER_LOST = Event(805, "WARNING", "no answer to write {writes}: {error}")
+RECORD_UNREADABLE = Event(806, "ERROR", "record {key} is unreadable: {error}")
+CONFIGURATION_APPLIED = Event(807, "INFO", "configuration {version} from {source}")
+CONFIGURATION_REJECTED = Event(808, "WARNING", "configuration rejected: {error}")
+SETTINGS_RELOADED = Event(809, "INFO", "settings read again: {outcome}")
+
+JOB_ACCEPTED = Event(821, "INFO", "job {job_id} of queue {queue} is durable")
+JOB_COMPLETED = Event(822, "INFO", "job {job_id} completed")
+JOB_FAILED = Event(823, "INFO", "job {job_id} failed: {task} {attempts} times")
+CALL_ANSWERED = Event(824, "INFO", "{what} {job_id}: {status} {reason}")
+CALL_MALFORMED = Event(825, "INFO", "{what} {job_id} malformed: {reason}")
+
+RUN_ORDERED = Event(841, "INFO", "start {job_id} {task} at {endpoint}: {outcome}")
+RUN_STOPPED = Event(842, "INFO", "stop {job_id} {task} at {endpoint}: {reason}")
+RUN_DROPPED = Event(843, "INFO", "run {job_id} {task} at {endpoint} over: {reason}")
+RUN_ADOPTED = Event(844, "INFO", "found {job_id} {task} at {endpoint}: {wanted}")
+RUN_PACED = Event(845, "INFO", "pace {job_id} at {endpoint}: {before} to {after}")
+ORDER_FENCED = Event(846, "WARNING", "{what} at {endpoint}: a higher token is known")
+
+ENDPOINT_ADDED = Event(861, "INFO", "endpoint {endpoint} joined pool {pool}")
+ENDPOINT_CHANGED = Event(862, "INFO", "endpoint {endpoint}: draining {draining}")
+ENDPOINT_UNLISTED = Event(863, "INFO", "endpoint {endpoint} is not registered")
+ENDPOINT_RESTARTED = Event(864, "WARNING", "endpoint {endpoint} has restarted")
+ENDPOINT_SILENT = Event(
+    865, "WARNING", "endpoint {endpoint} is silent with {runs} runs"
+)
+ENDPOINT_GONE = Event(866, "WARNING", "endpoint {endpoint} is gone: {reason}")
+ENDPOINT_FENCED = Event(867, "INFO", "endpoint {endpoint} fenced: {runs} runs")
+ENDPOINT_AVOIDED = Event(
+    868, "WARNING", "endpoint {endpoint} gets no new work for {seconds} s"
+)
+ENTRY_UNREADABLE = Event(869, "WARNING", "entry {key} of the store: {error}")
+
 
 def list_events() -> dict[str, Event]:
     """Return every event of the catalogue by its name."""
