--- a/packages/briarshed-workloads/src/briarshed_workloads/conductor.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/conductor.py
@@ -45,9 +45,11 @@
     JOBS,
     PROGRESS,
     ROSTER,
+    WAVES,
     JobRecord,
     ProgressRecord,
     RosterRecord,
+    WaveRecord,
     decode,
     encode,
 )
@@ -138,7 +140,7 @@
         self._accepting: dict[str, asyncio.Future[bool]] = {}
         self._saved_states: dict[str, str] = {}
         self.maintenance = Maintenance(
-            options, reign, self.engine, instances, self._put_wave_status
+            options, reign, self.engine, instances, self._save_wave
         )
 
     async def __aenter__(self) -> Self:
@@ -188,6 +190,7 @@
             self._restore_job(item.key.removeprefix(JOBS), item.value, rows)
         engine.observe(await self._directory.read_endpoints(), clock.now())
         await self._restore_roster()
+        await self._restore_waves()
         engine.quarantine_until = (
             clock.now() + engine.bounds.lapse + QUARANTINE_MARGIN_S
         )
@@ -233,6 +236,11 @@
                 endpoint.is_listed = False
                 self.engine.endpoints[name] = endpoint
 
+    async def _restore_waves(self) -> None:
+        for item in (await self._store.read_all(WAVES)).items:
+            record = decode(item.value, WaveRecord)
+            self.maintenance.restore(int(item.key.removeprefix(WAVES)), record)
+
     def set_configuration(self, configuration: Configuration) -> None:
         """Apply a newer configuration."""
         self.engine.configuration = configuration
@@ -396,9 +404,9 @@
                 part = old[start : start + CHUNK]
                 await self.reign.journal.commit([], [JOBS + row for row in part])
 
-    async def _put_wave_status(self, wave: int, is_completed: bool) -> None:
-        put = self._directory.encode_wave_status(wave, is_completed)
-        await self.reign.journal.commit([put])
+    async def _save_wave(self, wave: int, record: WaveRecord) -> None:
+        status = self._directory.encode_wave_status(wave, record.is_completed)
+        await self.reign.journal.commit([status, Put(f"{WAVES}{wave}", encode(record))])
 
     # Endpoints
 
@@ -408,8 +416,8 @@
             self.engine.wall_offset = time.time() - clock.now()
             try:
                 listing = await self._directory.read_endpoints()
-            except (NotExecutedError, OutcomeUnknownError) as error:
-                log_event(events.STORE_FAILING, error=f"endpoints not read: {error}")
+            except (NotExecutedError, OutcomeUnknownError):
+                # The store client has logged it; the last listing stands.
                 continue
             self.engine.observe(listing, clock.now())
             self._attend_all()
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -266,9 +266,8 @@
         """Note that an order got no answer: a look with a higher token settles it."""
         run.state = DOUBTFUL
         endpoint = run.endpoint
-        endpoint.needs_fence = True
-        if endpoint.token <= run.token:
-            endpoint.counter += 1
+        if endpoint.token <= run.token or not endpoint.needs_fence:
+            endpoint.require_fence()
 
     # Endpoints
 
@@ -368,8 +367,7 @@
         self.drop_runs(endpoint, "endpoint restarted")
         self._report_endpoint("ENDPOINT_RESTARTED", endpoint.observed)
         endpoint.observed = endpoint.observed._replace(born=born)
-        endpoint.counter += 1
-        endpoint.needs_fence = True
+        endpoint.require_fence()
         endpoint.fenced_counter = 0
         endpoint.acknowledged = 0
         endpoint.seen = 0
--- a/packages/briarshed-workloads/src/briarshed_workloads/entry.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/entry.py
@@ -14,6 +14,7 @@
 from briarshed.exceptions import DocumentError
 from briarshed_entry import clock
 from briarshed_entry.logs import flush_logs, log_event
+from briarshed_workloads import telemetry
 from briarshed_workloads.conductor import Conductor
 from briarshed_workloads.configuration import Configuration
 from briarshed_workloads.leadership import Reign, acquire, read_leader
@@ -35,6 +36,7 @@
     HistoryLostError,
     Instances,
     NotExecutedError,
+    Orders,
     OutcomeUnknownError,
     Put,
     Store,
@@ -58,8 +60,9 @@
 ELECTION_S = 0.3
 """Interval of asking the store while there is no leader."""
 
-WATCH_WAIT_S = 8.0
-"""How long a watch of the operator's orders waits; a silent one costs this long."""
+WATCH_WAIT_S = 0.7
+"""How long a watch of the operator's orders waits. A watch can fall silent or deaf, and
+a configuration must be in force everywhere within 2 s."""
 
 WATCH_RETRY_S = 0.3
 """Pause after a watch or a read of orders that failed."""
@@ -79,6 +82,14 @@
 ANSWER_TIMEOUT_S = 2.0
 """How long an entry waits for the leader's answer to a question of a caller."""
 
+RESEND_S = 0.7
+"""Longest wait for one answer to a submission; a leader answers within 0.1 s."""
+
+RESEND_PAUSE_S = 0.1
+
+NO_LEADER_S = 0.8
+"""How long a submission waits for a leader before it is refused."""
+
 RETRY_AFTER_S = 1.0
 """Told to callers while there is no leader: a change takes between 1 s and 3 s."""
 
@@ -168,8 +179,9 @@
         while True:
             try:
                 await loop()
-            except (NotExecutedError, OutcomeUnknownError, DocumentError) as error:
-                log_event(events.LOOP_FAILED, task=loop.__name__, error=str(error))
+            except (NotExecutedError, OutcomeUnknownError):
+                # The client of the outside system has logged that it is lost.
+                telemetry.count("loops interrupted", loop.__name__)
             except Exception as error:
                 log_event(events.LOOP_FAILED, task=loop.__name__, error=repr(error))
             await asyncio.sleep(WATCH_RETRY_S)
@@ -179,21 +191,23 @@
     async def _follow_orders(self) -> None:
         orders = await self._directory.read_orders()
         while True:
-            if orders.configuration is not None:
-                self.apply_configuration(orders.configuration, "store")
-            for wave in orders.waves:
-                self._waves[wave.wave] = wave
-            if orders.waves and self.conductor is not None:
-                self.conductor.maintenance.set_waves(orders.waves)
-            after = orders.revision
+            self._take_orders(orders)
             try:
-                orders = await self._directory.watch_orders(after, WATCH_WAIT_S)
+                # A watch may hear nothing of a change and still answer, so the next
+                # one begins after the last change that was heard of.
+                orders = await self._directory.watch_orders(
+                    orders.revision, WATCH_WAIT_S
+                )
             except HistoryLostError:
                 orders = await self._directory.read_orders()
-            except (NotExecutedError, OutcomeUnknownError) as error:
-                log_event(events.STORE_FAILING, error=f"orders: {error}")
-                await asyncio.sleep(WATCH_RETRY_S)
-                orders = await self._directory.read_orders()
+
+    def _take_orders(self, orders: Orders) -> None:
+        if orders.configuration is not None:
+            self.apply_configuration(orders.configuration, "store")
+        for wave in orders.waves:
+            self._waves[wave.wave] = wave
+        if orders.waves and self.conductor is not None:
+            self.conductor.maintenance.set_waves(orders.waves)
 
     def apply_configuration(self, data: bytes, source: str) -> None:
         """Apply a configuration unless this entry has it or a newer one."""
@@ -243,8 +257,7 @@
             standing = await read_leader(self._store)
             if standing is None:
                 return await acquire(self._store, self._describe(), self._may_go_on)
-        except (NotExecutedError, OutcomeUnknownError) as error:
-            log_event(events.STORE_FAILING, error=f"election: {error}")
+        except (NotExecutedError, OutcomeUnknownError):
             return None
         self._links.send(standing.address, self._make_hello())
         return None
@@ -285,8 +298,7 @@
                 await self._load_peers()
                 await conductor.load(self.configuration)
                 break
-            except (NotExecutedError, OutcomeUnknownError) as error:
-                log_event(events.STORE_FAILING, error=f"take-over: {error}")
+            except (NotExecutedError, OutcomeUnknownError):
                 await asyncio.sleep(WATCH_RETRY_S)
         conductor.set_configuration(self.configuration)
         conductor.maintenance.set_waves(tuple(self._waves.values()))
@@ -352,8 +364,7 @@
         key = ENTRIES + self.options.name
         try:
             await self._store.commit([], [Put(key, encode(self._describe()))])
-        except (NotExecutedError, OutcomeUnknownError) as error:
-            log_event(events.STORE_FAILING, error=f"registration: {error}")
+        except (NotExecutedError, OutcomeUnknownError):
             return False
         log_event(
             events.MEMBER_REGISTERED,
@@ -438,20 +449,35 @@
     async def submit(self, submission: Submission, timeout: float) -> Reply:
         """Hand a job to the leader and return its answer.
 
-        The outcome is ``refused`` only if the job certainly never runs, and
-        ``unknown`` if no answer came within ``timeout`` seconds.
+        A job is handed in again where the leader fell silent or changed: it stays one
+        job. The outcome is ``refused`` only if it certainly never runs, ``unknown`` if
+        it was handed in and no answer came within ``timeout`` seconds.
         """
+        started_at = clock.now()
+        was_sent = False
+        while True:
+            left = started_at + timeout - clock.now()
+            reply = None
+            if self._reign is not None or self.hears_leader():
+                reply = await self._send_submission(submission, min(left, RESEND_S))
+            if reply is not None and reply.outcome == "accepted":
+                return reply
+            was_sent = was_sent or (reply is not None and reply.outcome == "unknown")
+            waited = clock.now() - started_at
+            if was_sent and waited + RESEND_PAUSE_S > timeout:
+                return Reply(0, "unknown", RETRY_AFTER_S)
+            if not was_sent and waited > min(timeout, NO_LEADER_S):
+                return Reply(0, "refused", RETRY_AFTER_S)
+            await asyncio.sleep(RESEND_PAUSE_S)
+
+    async def _send_submission(self, submission: Submission, timeout: float) -> Reply:
         if self._reign is not None:
             return await self._limit(self._submit_here(0, submission), timeout)
-        if not self.hears_leader():
-            return Reply(0, "refused", RETRY_AFTER_S)
-        id, future = self._calls.open()
         assert self.leader is not None
+        id, future = self._calls.open()
         self._links.send(self.leader.address, Submit(id, submission))
         reply = await self._limit(future, timeout)
         self._calls.close(id)
-        if reply.outcome == "not leader":
-            return Reply(0, "refused", RETRY_AFTER_S)
         return reply
 
     async def ask(self, job: str, cancel: bool, timeout: float) -> Reply:
--- a/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
@@ -181,6 +181,11 @@
         left = max(0, self.last_deadline_ms - self.anchor_ms) / MILLISECONDS
         return self.anchor_at + left / SLOWEST_CLOCK + LAPSE_MARGIN_S
 
+    def require_fence(self) -> None:
+        """Give no work until a look with a higher token has been answered."""
+        self.needs_fence = True
+        self.counter += 1
+
     def add_run(self, run: Run) -> None:
         """Occupy room for a run."""
         self.runs[run.task, run.number] = run
--- a/packages/briarshed-workloads/src/briarshed_workloads/journal.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/journal.py
@@ -10,9 +10,8 @@
 import asyncio
 from collections.abc import Sequence
 
-from briarshed.events import STORE_ANSWER_LOST, STORE_FAILING, STORE_RECOVERED
+from briarshed.events import STORE_ANSWER_LOST
 from briarshed.exceptions import BriarshedError
-from briarshed_entry import clock
 from briarshed_entry.logs import log_event
 from briarshed_workloads.ports import (
     Committed,
@@ -60,7 +59,6 @@
         self.commits = 0
         self._store = store
         self._lock = asyncio.Lock()
-        self._failing_since = 0.0
 
     async def commit(self, puts: Sequence[Put], removals: Sequence[str] = ()) -> None:
         """Write all, at most `CHUNK` entries, and wait until it is certain.
@@ -88,16 +86,14 @@
                 outcome = await self._store.commit(
                     [(ERA, self.revision)], rows, removals
                 )
-            except NotExecutedError as error:
-                self._note_failing(str(error))
+            except NotExecutedError:
+                # The store client has logged it.
                 await asyncio.sleep(RETRY_S)
                 continue
             except OutcomeUnknownError as error:
                 log_event(STORE_ANSWER_LOST, writes=era.writes, error=str(error))
-                self._note_failing(str(error))
                 await asyncio.sleep(RETRY_S)
                 continue
-            self._note_working()
             if isinstance(outcome, Committed):
                 self.revision = outcome.revision
                 return
@@ -115,13 +111,3 @@
             return False
         self.revision = item.revision
         return True
-
-    def _note_failing(self, error: str) -> None:
-        if not self._failing_since:
-            self._failing_since = clock.now()
-            log_event(STORE_FAILING, error=error)
-
-    def _note_working(self) -> None:
-        if self._failing_since:
-            self._failing_since = 0.0
-            log_event(STORE_RECOVERED)
--- a/packages/briarshed-workloads/src/briarshed_workloads/links.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/links.py
@@ -30,6 +30,9 @@
 SILENCE_MS = 1_200
 """Silence after which a connection is closed and opened anew."""
 
+LINGER_MS = 150
+"""How long queued messages are still sent when a connection is closed."""
+
 RECONNECT_MIN_MS = 100
 RECONNECT_MAX_MS = 800
 
@@ -149,10 +152,13 @@
         assert self._task is not None
         self._task.cancel()
         await asyncio.gather(self._task, return_exceptions=True)
-        self._context.destroy(linger=200)
+        # Terminating the context waits for every socket that is still open.
+        for peer in self._sockets.values():
+            peer.close(linger=LINGER_MS)
+        self._context.destroy(linger=LINGER_MS)
 
     def _set_options(self, socket: zmq.Socket) -> None:
-        socket.setsockopt(zmq.LINGER, 200)
+        socket.setsockopt(zmq.LINGER, LINGER_MS)
         socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
         socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, SILENCE_MS)
         socket.setsockopt(zmq.SNDHWM, QUEUED_MESSAGES)
--- a/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
@@ -11,7 +11,6 @@
 from briarshed_entry.logs import log_event
 from briarshed_workloads.engine import Engine
 from briarshed_workloads.fleet import TOKEN_COUNTER_BITS, Endpoint
-from briarshed_workloads.journal import LeadershipLostError
 from briarshed_workloads.leadership import Reign
 from briarshed_workloads.options import EntryOptions
 from briarshed_workloads.ports import (
@@ -20,6 +19,7 @@
     Ordered,
     OutcomeUnknownError,
 )
+from briarshed_workloads.records import WaveRecord
 from briarshed_workloads.workloads import Instance, WaveOrder
 
 STEP_S = 0.3
@@ -96,25 +96,35 @@
         reign: Reign,
         engine: Engine,
         instances: Instances,
-        put_status: Callable[[int, bool], Awaitable[None]],
+        save: Callable[[int, WaveRecord], Awaitable[None]],
     ) -> None:
         self.waves: dict[int, WaveView] = {}
         self.closed: set[int] = set()
+        self._restored: dict[int, WaveRecord] = {}
         self.instances: dict[str, Instance] = {}
         self._options = options
         self._reign = reign
         self._engine = engine
         self._calls = instances
-        self._put_status = put_status
+        self._save = save
         self._listed_at = 0.0
         self._counter = 0
         self._wanted = asyncio.Event()
 
+    def restore(self, wave: int, record: WaveRecord) -> None:
+        """Take over how far an earlier leader came with a wave."""
+        self._restored[wave] = record
+        if record.is_completed:
+            self.closed.add(wave)
+
     def set_waves(self, orders: Sequence[WaveOrder]) -> None:
         """Take over the operator's waves."""
         for order in orders:
             if order.wave not in self.waves and order.wave not in self.closed:
-                self.waves[order.wave] = WaveView(order, clock.now(), set(), {})
+                known = self._restored.get(order.wave)
+                begun = set(known.begun) if known else set()
+                view = WaveView(order, clock.now(), begun, {})
+                self.waves[order.wave] = view
                 log_event(
                     events.WAVE_STARTED, wave=order.wave, count=len(order.instances)
                 )
@@ -160,7 +170,7 @@
         for name in order.instances:
             row = self.instances.get(name)
             if row is not None and row.state == "maintenance":
-                self._note_begun(view, name)
+                await self._note_begun(view, name)
         left = [
             name
             for name in order.instances
@@ -211,22 +221,24 @@
             outcome="begun" if done else outcome.reason,
         )
         if done or outcome.reason == "wave":
-            self._note_begun(view, name)
+            await self._note_begun(view, name)
         if done and row.endpoint is not None:
-            self._engine.note_replaced(row.endpoint, "maintenance")
+            # The call also succeeds if an earlier leader's order was carried out; then
+            # this endpoint lives, and its next look will tell.
+            row.endpoint.require_fence()
 
-    def _note_begun(self, view: WaveView, name: str) -> None:
+    async def _note_begun(self, view: WaveView, name: str) -> None:
+        if name in view.begun:
+            return
         view.begun.add(name)
         row = self.instances.get(name)
         if row is not None and row.state == "up":
             self.instances[name] = row._replace(state="maintenance")
+        await self._save(view.order.wave, WaveRecord(tuple(view.begun), False))
 
     async def _close(self, view: WaveView) -> None:
         wave = view.order.wave
+        await self._save(wave, WaveRecord(tuple(view.begun), True))
         del self.waves[wave]
         self.closed.add(wave)
-        try:
-            await self._put_status(wave, True)
-        except LeadershipLostError:
-            return
         log_event(events.WAVE_DONE, wave=wave)
--- a/packages/briarshed-workloads/src/briarshed_workloads/records.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/records.py
@@ -15,6 +15,7 @@
 ERA = "briarshed/era"
 LEADER = "briarshed/leader"
 ROSTER = "briarshed/roster"
+WAVES = "briarshed/waves/"
 
 T = TypeVar("T")
 
@@ -82,6 +83,13 @@
     rows: tuple[tuple[str, int, str], ...]
 
 
+class WaveRecord(msgspec.Struct, array_like=True, frozen=True):
+    """Instances of a wave whose maintenance has begun."""
+
+    begun: tuple[str, ...]
+    is_completed: bool
+
+
 def encode(record: msgspec.Struct) -> bytes:
     """Return the bytes that are stored for a record."""
     return msgspec.msgpack.encode(record)
--- a/packages/briarshed-workloads/src/briarshed_workloads/telemetry.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/telemetry.py
@@ -7,6 +7,7 @@
 from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
 
 from briarshed import events
+from briarshed_entry import clock
 from briarshed_entry.logs import log_event
 
 BUCKETS_S = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
@@ -52,6 +53,34 @@
     return generate_latest(REGISTRY)
 
 
+class Dependency:
+    """Logs once when an outside system is lost and once when it is back.
+
+    Parameters
+    ----------
+    name : str
+        Name for the log.
+    """
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self._lost_at = 0.0
+
+    def note_failing(self, error: str) -> None:
+        """Note a call without an answer, or turned away."""
+        count("dependency failures", self.name)
+        if not self._lost_at:
+            self._lost_at = clock.now()
+            log_event(events.DEPENDENCY_LOST, name=self.name, error=error)
+
+    def note_working(self) -> None:
+        """Note a call that was answered."""
+        if self._lost_at:
+            seconds = round(clock.now() - self._lost_at, 3)
+            self._lost_at = 0.0
+            log_event(events.DEPENDENCY_REGAINED, name=self.name, seconds=seconds)
+
+
 def report(event: str, **fields: Any) -> None:
     """Log a change of belief that the engine reports, and count it."""
     count("beliefs", event)
--- a/packages/briarshed/src/briarshed/events.py
+++ b/packages/briarshed/src/briarshed/events.py
@@ -99,6 +99,8 @@
 CONFIGURATION_APPLIED = Event(807, "INFO", "configuration {version} from {source}")
 CONFIGURATION_REJECTED = Event(808, "WARNING", "configuration rejected: {error}")
 SETTINGS_RELOADED = Event(809, "INFO", "settings read again: {outcome}")
+DEPENDENCY_LOST = Event(810, "WARNING", "{name} does not answer: {error}")
+DEPENDENCY_REGAINED = Event(811, "INFO", "{name} answers again after {seconds} s")
 
 JOB_ACCEPTED = Event(821, "INFO", "job {job_id} of queue {queue} is durable")
 JOB_COMPLETED = Event(822, "INFO", "job {job_id} completed")
