--- /dev/null
+++ b/features/workloads/steps/engine_steps.py
@@ -0,0 +1,345 @@
+"""Steps for the engine; it is driven by hand, with time as an input."""
+
+from behave import given, then, when
+from hypothesis import given as given_cases
+from hypothesis import seed, settings
+from hypothesis import strategies as some
+
+from briarshed_workloads.configuration import (
+    Configuration,
+    PoolRules,
+    QueueRules,
+    RequestLimits,
+    TeamRules,
+)
+from briarshed_workloads.engine import Bounds, Engine
+from briarshed_workloads.fleet import STOPPING, is_within
+from briarshed_workloads.jobs import FAILED
+from briarshed_workloads.planning import plan_starts
+from briarshed_workloads.workloads import (
+    NOTHING,
+    Description,
+    Ended,
+    Look,
+    Observed,
+    Resources,
+    Running,
+    Step,
+    Submission,
+    TaskId,
+)
+
+JOB = "00000000000000aa"
+TASK = TaskId(JOB, 0, 0, 0)
+ROOM = Resources(4_000, 8_000, 0)
+NEED = Resources(1_000, 1_000, 0)
+HOLD_S = 5.0
+NOW = 100.0
+
+
+def make_configuration(maximum=NOTHING):
+    """Return a configuration with one pool, one queue and one team."""
+    queue = QueueRules("q", "h", "/q/", "pool", 0, 2, 1.6, 0.6, 3.0, False)
+    return Configuration(
+        1,
+        {"q": queue},
+        {"pool": PoolRules("pool", False, False)},
+        {"team": TeamRules("team", 1.0, maximum)},
+        {"key": "team"},
+        RequestLimits(),
+        {"h": (queue,)},
+    )
+
+
+def make_engine(epoch=2, names=("a", "b"), configuration=None):
+    """Return an engine with registered endpoints that are not fenced yet."""
+    engine = Engine(epoch, Bounds(HOLD_S, HOLD_S), lambda *_, **__: None)
+    engine.configuration = configuration or make_configuration()
+    engine.observe([make_observed(name) for name in names], NOW)
+    engine.roster = set(names)
+    return engine
+
+
+def make_observed(name, born=1):
+    """Return an endpoint's entry."""
+    return Observed(name, born, "", "pool", "d", f"rack {name}", (), ROOM)
+
+
+def look(engine, name, now, running=(), ended=(), born=1, counter=None):
+    """Let an endpoint answer a look that was sent just before."""
+    endpoint = engine.endpoints[name]
+    counter = endpoint.counter if counter is None else counter
+    answer = Look(int(now * 1000), born, tuple(running), tuple(ended))
+    engine.note_look(endpoint, answer, counter, now - 0.001, now)
+
+
+def submit(engine, job_id, steps, now):
+    """Accept a job and release its tasks."""
+    submission = Submission(job_id, "q", "pool", "team", now, Description("", steps))
+    job = engine.accept(submission, now)
+    engine.release(job, now)
+    return job
+
+
+@given('a leader of epoch 2 with an endpoint "a" and an endpoint "b"')
+def step_leader(context):
+    context.engine = make_engine()
+    context.now = NOW
+    look(context.engine, "b", NOW)
+
+
+@given("a restored job with 1 task")
+def step_restored(context):
+    job = submit(context.engine, JOB, (Step(1, NEED, 1.0),), NOW)
+    job.is_restored = True
+    context.engine.quarantine_until = NOW + HOLD_S + 1.5
+
+
+@given('endpoint "a" lists a run of epoch 1 of that task')
+def step_listed(context):
+    look(context.engine, "a", NOW, [Running(TASK, 1 << 24, "", 10, 0)])
+
+
+@when('endpoint "a" falls silent and {seconds:g} s pass')
+def step_silent(context, seconds):
+    engine, now = context.engine, NOW + seconds
+    endpoint = engine.endpoints["a"]
+    engine.note_failing(endpoint, now)
+    if now > endpoint.find_lapse():
+        engine.drop_runs(endpoint, "lapsed unseen")
+    plan_starts(engine, now)
+
+
+@then('the task runs only at "{name}"')
+def step_runs_only(context, name):
+    runs = context.engine.runs.get(TASK, [])
+    assert [run.endpoint.name for run in runs] == [name], runs
+
+
+@given("an accepted job with 1 task")
+def step_accepted(context):
+    look(context.engine, "a", NOW)
+    context.job = submit(context.engine, JOB, (Step(1, NEED, 1.0),), NOW)
+
+
+@given('the task runs at "a"')
+def step_runs(context):
+    context.engine.endpoints["b"].full_until = NOW + 1
+    (order,) = plan_starts(context.engine, NOW)
+    context.run = order.run
+    context.engine.note_started(order.run, int(NOW * 1000), NOW + 0.01)
+    context.engine.endpoints["b"].full_until = 0.0
+    assert order.run.endpoint.name == "a"
+
+
+@when('the start of the task at "a" gets no answer')
+def step_no_answer(context):
+    context.engine.endpoints["b"].full_until = NOW + 1
+    (order,) = plan_starts(context.engine, NOW)
+    order.run.token = order.run.endpoint.token
+    context.old_counter = order.run.endpoint.counter
+    context.engine.note_unknown(order.run)
+
+
+@then('the task has one booked run at "a"')
+def step_one_booked(context):
+    (run,) = context.engine.runs[TASK]
+    assert run.endpoint.name == "a"
+    assert not context.job.waiting
+    assert not plan_starts(context.engine, NOW + 2)
+
+
+@when('"a" answers a look that was sent with the old token and lists nothing')
+def step_old_look(context):
+    look(context.engine, "a", NOW + 1, counter=context.old_counter)
+
+
+@when('"a" answers a look with the new token and lists nothing')
+def step_new_look(context):
+    look(context.engine, "a", NOW + 1)
+
+
+@then("the task waits")
+def step_waits(context):
+    assert TASK in context.job.waiting
+    assert not context.engine.runs.get(TASK)
+
+
+@then("the task has succeeded")
+def step_succeeded(context):
+    assert context.job.has_succeeded(TASK)
+    assert not context.job.is_open
+
+
+@when('"a" lists the end "{how}" of the run')
+def step_ends(context, how):
+    context.end = Ended(1, TASK, context.run.number, how, "")
+    look(context.engine, "a", NOW + 1, ended=[context.end])
+
+
+@when("the records are read by a leader of epoch 3 that sees the same end")
+def step_next_leader(context):
+    record, progress = context.job.encode_job(), context.job.encode_progress()
+    engine = make_engine(epoch=3)
+    engine.restore(JOB, record, progress, NOW + 2)
+    look(engine, "a", NOW + 2, ended=[context.end])
+    context.engine, context.job = engine, engine.jobs[JOB]
+
+
+@then("the task has 1 failed run")
+def step_one_failed(context):
+    assert len(context.job.failed_runs[TASK]) == 1
+
+
+@then("the job is not failed")
+def step_not_failed(context):
+    assert context.job.state != FAILED
+
+
+@when('"a" answers a look as a later incarnation')
+def step_born_again(context):
+    look(context.engine, "a", NOW + 1, born=2)
+
+
+@then('"a" gets no work until it is fenced again')
+def step_not_usable(context):
+    context.engine.endpoints["b"].full_until = NOW + 9
+    assert not plan_starts(context.engine, NOW + 1)
+    look(context.engine, "a", NOW + 2, born=2)
+    assert plan_starts(context.engine, NOW + 2)
+
+
+@when('"a" lists a run of a job that is not known')
+def step_unknown(context):
+    look(context.engine, "a", NOW, [Running(TASK, 7, "", 0, 0)])
+
+
+@then('the run is to be stopped for "unknown job"')
+def step_to_stop(context):
+    (stop,) = context.engine.list_unwanted(NOW + 1)
+    assert stop.reason == "unknown job"
+    assert stop.run.state == STOPPING
+
+
+@then('"a" has no more than the rest of its room free')
+def step_room(context):
+    # The need of an unknown run is not known, so nothing is promised of its room.
+    assert context.engine.endpoints["a"].find_free() <= ROOM
+
+
+EVENTS = some.lists(
+    some.tuples(
+        some.sampled_from(["submit", "plan", "end", "fail", "lose", "look", "born"]),
+        some.integers(0, 3),
+        some.integers(1, 4),
+    ),
+    max_size=60,
+)
+MAXIMUM = Resources(6_000, 0, 0)
+
+
+class Model:
+    """Endpoints that do what they are told, beside the engine that tells them."""
+
+    def __init__(self):
+        self.names = ("a", "b", "c")
+        self.engine = make_engine(2, self.names, make_configuration(MAXIMUM))
+        self.now = NOW
+        self.present = {name: {} for name in self.names}
+        self.numbers = dict.fromkeys(self.names, 0)
+        self.born = dict.fromkeys(self.names, 1)
+        self.doubtful = []
+        self.succeeded = set()
+        self.count = 0
+        for name in self.names:
+            look(self.engine, name, self.now)
+
+    def apply(self, event, place, size):
+        """Apply one event and check the promises."""
+        self.now += 0.05
+        name = self.names[place % len(self.names)]
+        getattr(self, f"do_{event}")(name, size)
+        self.check()
+
+    def do_submit(self, _, size):
+        """Hand in a job of some tasks."""
+        self.count += 1
+        job_id = f"{self.count:016x}"
+        submit(self.engine, job_id, (Step(size, NEED, 1.0),), self.now)
+
+    def do_plan(self, _, size):
+        """Start what fits; the answer of some orders is lost, executed or not."""
+        for number, order in enumerate(plan_starts(self.engine, self.now)):
+            run = order.run
+            run.token = run.endpoint.token
+            assert run.task not in self.succeeded
+            is_lost = (number + size) % 4 == 0
+            if not is_lost or size % 2:
+                self.present[run.endpoint.name][run.task, run.number] = run
+            if is_lost:
+                self.engine.note_unknown(run)
+            else:
+                clock_ms = int(self.now * 1000)
+                self.engine.note_started(run, clock_ms, self.now)
+
+    def do_look(self, name, _):
+        """Let an endpoint answer a look."""
+        running = [Running(task, run, "", 10, 0) for task, run in self.present[name]]
+        look(self.engine, name, self.now, running, born=self.born[name])
+
+    def do_end(self, name, _):
+        """End a run with success."""
+        self.finish(name, "succeeded")
+
+    def do_fail(self, name, _):
+        """End a run with failure."""
+        self.finish(name, "failed")
+
+    def finish(self, name, how):
+        """End the oldest run at an endpoint and list it."""
+        if not self.present[name]:
+            return
+        task, run = next(iter(self.present[name]))
+        del self.present[name][task, run]
+        if how == "succeeded":
+            self.succeeded.add(task)
+        self.numbers[name] += 1
+        ended = Ended(self.numbers[name], task, run, how, "")
+        running = [Running(*key, "", 10, 0) for key in self.present[name]]
+        look(self.engine, name, self.now, running, [ended], self.born[name])
+
+    def do_born(self, name, _):
+        """Restart an endpoint under its name."""
+        self.present[name].clear()
+        self.numbers[name] = 0
+        self.born[name] += 1
+        look(self.engine, name, self.now, born=self.born[name])
+
+    def do_lose(self, name, _):
+        """Let an endpoint be silent for a while."""
+        self.engine.note_failing(self.engine.endpoints[name], self.now)
+
+    def check(self):
+        """Check room, the team's limit and that no task runs twice."""
+        total = Resources()
+        tasks = []
+        for name in self.names:
+            used = Resources(*(part * len(self.present[name]) for part in NEED))
+            assert is_within(Resources(), used, ROOM), (name, used)
+            total = Resources(*(a + b for a, b in zip(total, used, strict=True)))
+            tasks += [task for task, _ in self.present[name]]
+        assert len(tasks) == len(set(tasks)), tasks
+        assert total.cpu <= MAXIMUM.cpu
+
+
+@then("random events keep room, limits and single runs")
+def step_random(context):
+    @seed(20_261_204)
+    @settings(max_examples=300, deadline=None, database=None)
+    @given_cases(EVENTS)
+    def play(events):
+        model = Model()
+        for event in events:
+            model.apply(*event)
+
+    play()
--- a/packages/briarshed-workloads/src/briarshed_workloads/conductor.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/conductor.py
@@ -45,10 +45,12 @@
     JOBS,
     PROGRESS,
     ROSTER,
+    SIZES,
     WAVES,
     JobRecord,
     ProgressRecord,
     RosterRecord,
+    SizesRecord,
     WaveRecord,
     decode,
     encode,
@@ -140,7 +142,12 @@
         self._accepting: dict[str, asyncio.Future[bool]] = {}
         self._saved_states: dict[str, str] = {}
         self.maintenance = Maintenance(
-            options, reign, self.engine, instances, self._save_wave
+            options,
+            reign,
+            self.engine,
+            instances,
+            self._save_wave,
+            self._save_sizes,
         )
 
     async def __aenter__(self) -> Self:
@@ -229,9 +236,11 @@
         item = await self._store.read(ROSTER)
         if item is None:
             return
-        for name, born, address in decode(item.value, RosterRecord).rows:
+        for name, born, address, instance in decode(item.value, RosterRecord).rows:
             if name not in self.engine.endpoints:
-                lost = Observed(name, born, address, "", "", "", (), NOTHING)
+                lost = Observed(
+                    name, born, address, "", "", "", (), NOTHING, instance=instance
+                )
                 endpoint = Endpoint(lost, self.engine.epoch)
                 endpoint.is_listed = False
                 self.engine.endpoints[name] = endpoint
@@ -240,6 +249,9 @@
         for item in (await self._store.read_all(WAVES)).items:
             record = decode(item.value, WaveRecord)
             self.maintenance.restore(int(item.key.removeprefix(WAVES)), record)
+        sizes = await self._store.read(SIZES)
+        if sizes is not None:
+            self.maintenance.sizes = decode(sizes.value, SizesRecord).sizes
 
     def set_configuration(self, configuration: Configuration) -> None:
         """Apply a newer configuration."""
@@ -269,6 +281,7 @@
             if submission.job in self.engine.jobs:
                 return Verdict("accepted")
             job = self.engine.accept(submission, time.time())
+            self.maintenance.note_work(job.pool, job.work)
             waiting = asyncio.get_running_loop().create_future()
             self._accepting[job.job_id] = waiting
             self._unsaved.set()
@@ -375,17 +388,26 @@
         self._changed.set()
 
     async def _save_roster(self) -> None:
-        """Record new endpoints before the first order to them."""
+        """Record new endpoints before the first order to them.
+
+        Those that have gone are left out, so that the next leader need not wait for
+        them.
+        """
         engine = self.engine
         names = {
             name
             for name, row in engine.endpoints.items()
-            if row.is_listed or row.runs or not row.fenced_counter
+            if not row.is_gone and (row.is_listed or row.runs or not row.fenced_counter)
         }
-        if names <= engine.roster:
+        if names == engine.roster:
             return
         rows = tuple(
-            (name, row.observed.born, row.observed.address)
+            (
+                name,
+                row.observed.born,
+                row.observed.address,
+                row.observed.instance,
+            )
             for name, row in engine.endpoints.items()
             if name in names
         )
@@ -404,6 +426,9 @@
                 part = old[start : start + CHUNK]
                 await self.reign.journal.commit([], [JOBS + row for row in part])
 
+    async def _save_sizes(self, record: SizesRecord) -> None:
+        await self.reign.journal.commit([Put(SIZES, encode(record))])
+
     async def _save_wave(self, wave: int, record: WaveRecord) -> None:
         status = self._directory.encode_wave_status(wave, record.is_completed)
         await self.reign.journal.commit([status, Put(f"{WAVES}{wave}", encode(record))])
@@ -421,8 +446,6 @@
                 continue
             self.engine.observe(listing, clock.now())
             self._attend_all()
-            if not set(self.engine.endpoints) <= self.engine.roster:
-                self._unsaved.set()
             self._changed.set()
 
     def _attend_all(self) -> None:
@@ -632,6 +655,7 @@
     def _order_stop(self, stop: StopOrder, now: float) -> None:
         stop.run.stop_asked = now
         stop.run.state = STOPPING
+        self.engine.suspect(stop.run)
         self.spawn(self._stop(stop), "stop")
 
     async def _stop(self, stop: StopOrder) -> None:
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -97,6 +97,7 @@
         self.bad_images: dict[str, int] = {}
         self.good_images: set[str] = set()
         self._sequence = 0
+        self._suspects: dict[Run, None] = {}
 
     # Jobs
 
@@ -166,6 +167,7 @@
         """Cancel a job; its runs are stopped by the next plan."""
         job.cancel(wall_now)
         self.dirty[job.job_id] = None
+        self._suspect_job(job)
 
     def forget_ended(self, wall_now: float, keep: float) -> list[str]:
         """Drop jobs that ended over ``keep`` seconds ago; return their ids."""
@@ -223,6 +225,7 @@
         """Forget a run that has certainly ended or never began."""
         if not run.endpoint.remove_run(run):
             return
+        self._suspects.pop(run, None)
         self.usage.give_back(run.team, run.need)
         rest = [other for other in self.runs.get(run.task, ()) if other is not run]
         if rest:
@@ -289,6 +292,7 @@
                     self._report_endpoint("ENDPOINT_CHANGED", observed)
                 known.observed = observed
                 known.is_listed = True
+        self._drop_earlier_lives()
         for name, endpoint in list(self.endpoints.items()):
             if name not in listed:
                 if endpoint.is_listed:
@@ -297,6 +301,20 @@
                 if not endpoint.runs and (endpoint.is_fenced or endpoint.is_gone):
                     del self.endpoints[name]
 
+    def _drop_earlier_lives(self) -> None:
+        """Note the end of endpoints whose instance has begun a later life."""
+        latest: dict[str, int] = {}
+        for endpoint in self.endpoints.values():
+            observed = endpoint.observed
+            if observed.instance:
+                born = max(latest.get(observed.instance, 0), observed.born)
+                latest[observed.instance] = born
+        for endpoint in self.endpoints.values():
+            observed = endpoint.observed
+            is_earlier = observed.born < latest.get(observed.instance, 0)
+            if is_earlier and not endpoint.is_gone:
+                self.note_replaced(endpoint, "its instance has a later life")
+
     def _report_endpoint(self, event: str, observed: Observed) -> None:
         self.report(
             event,
@@ -350,6 +368,8 @@
             self._restart(endpoint, look.born)
             return
         self._note_clock(endpoint, look.clock_ms, now)
+        if not endpoint.fenced_counter:
+            endpoint.note_earlier_deadline(self.bounds.lapse)
         if counter >= endpoint.counter:
             endpoint.needs_fence = False
         endpoint.fenced_counter = max(endpoint.fenced_counter, counter)
@@ -430,6 +450,7 @@
             job.note_started(row.task)
         else:
             run.state = STOPPING
+            self._suspects[run] = None
         self.report(
             "RUN_ADOPTED",
             job_id=row.task.job,
@@ -479,6 +500,10 @@
         was_open = job.is_open
         if job.note_succeeded(ended.task, self.wall(now)):
             self.dirty[job.job_id] = None
+        for other in self.runs.get(ended.task, ()):
+            self._suspects[other] = None
+        if not job.is_open:
+            self._suspect_job(job)
         if was_open and job.state == COMPLETED:
             self.report("JOB_COMPLETED", job_id=job.job_id, queue=job.queue)
 
@@ -504,6 +529,7 @@
             endpoint.strikes.clear()
             self.report("ENDPOINT_AVOIDED", endpoint=endpoint.name, seconds=AVOID_S)
         if job.note_failed(ended.task, ended.run, self.wall(now)):
+            self._suspect_job(job)
             self.report(
                 "JOB_FAILED",
                 job_id=job.job_id,
@@ -522,13 +548,25 @@
     def list_unwanted(self, now: float) -> list[StopOrder]:
         """Return the runs that must end: cancelled, ended or doubled jobs."""
         orders = []
-        for endpoint in self.endpoints.values():
-            for run in endpoint.runs.values():
-                reason = self._find_stop_reason(run)
-                if reason and now - run.stop_asked >= STOP_AGAIN_S:
-                    orders.append(StopOrder(run, reason))
+        for run in self._suspects:
+            reason = self._find_stop_reason(run)
+            if reason and now - run.stop_asked >= STOP_AGAIN_S:
+                orders.append(StopOrder(run, reason))
         return orders
 
+    def _suspect_job(self, job: Job) -> None:
+        """Let all runs of a job be checked by the next `list_unwanted`."""
+        for number, step in enumerate(job.description.steps):
+            for occurrence in range(job.count_occurrences()):
+                for index in range(step.count):
+                    task = TaskId(job.job_id, occurrence, number, index)
+                    for run in self.runs.get(task, ()):
+                        self._suspects[run] = None
+
+    def suspect(self, run: Run) -> None:
+        """Let a run that was asked to stop be checked until its end is known."""
+        self._suspects[run] = None
+
     def _find_stop_reason(self, run: Run) -> str:
         if run.state in (ORDERED, DOUBTFUL):
             return ""
--- a/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
@@ -98,6 +98,9 @@
     ``acknowledged`` is the highest end whose effect is durable, ``seen`` the highest
     that was listed. ``fenced`` tells that this incarnation has answered a look of this
     leader, so that no earlier leader's order can start there any more.
+
+    An endpoint that is ``evacuating`` is emptied for maintenance; one that is
+    ``retiring`` gets no new work, since its pool has room to spare.
     """
 
     __slots__ = (
@@ -117,6 +120,7 @@
         "looked_at",
         "needs_fence",
         "observed",
+        "retiring",
         "runs",
         "seen",
         "strikes",
@@ -144,6 +148,7 @@
         self.is_listed = True
         self.is_gone = False
         self.evacuating = False
+        self.retiring = False
         self.strikes: set[str] = set()
         self.struck_until = 0.0
 
@@ -176,6 +181,11 @@
         self.last_deadline_ms = max(self.last_deadline_ms, deadline)
         return deadline
 
+    def note_earlier_deadline(self, hold: float) -> None:
+        """Allow for a deadline that an earlier leader set a moment ago."""
+        earlier = self.anchor_ms + int(hold * MILLISECONDS)
+        self.last_deadline_ms = max(self.last_deadline_ms, earlier)
+
     def find_lapse(self) -> float:
         """Return when all that runs there has certainly ended, if it stays silent."""
         left = max(0, self.last_deadline_ms - self.anchor_ms) / MILLISECONDS
--- a/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
@@ -49,6 +49,7 @@
         "opened",
         "pool",
         "queue",
+        "rest",
         "state",
         "succeeded",
         "team",
@@ -78,6 +79,7 @@
         self.ended_at = 0.0
         self.is_restored = False
         self.has_started = False
+        self.rest: tuple[float, float] | None = None
         self.succeeded: dict[tuple[int, int], set[int]] = {}
         self.failed_runs: dict[TaskId, set[int]] = {}
         self.checkpoints: dict[TaskId, str] = {}
@@ -88,6 +90,7 @@
         self.work = sum(
             step.count * step.need.cpu / 1000 * step.estimate
             for step in description.steps
+            if not step.long_running
         )
 
     @property
@@ -194,6 +197,7 @@
         return news
 
     def _close_step(self, occurrence: int, wall_now: float) -> None:
+        self.rest = None
         steps = self.description.steps
         if all(self._is_step_done(occurrence, number) for number in range(len(steps))):
             self.completed_occurrences.add(occurrence)
--- a/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
@@ -1,14 +1,16 @@
-"""Waves of maintenance that the operator orders: empty an instance, hand it over."""
+"""Orders for instances: waves of maintenance, and moves between pools."""
 
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Awaitable, Callable, Sequence
 from typing import NamedTuple
 
 from briarshed import events
 from briarshed_entry import clock
 from briarshed_entry.logs import log_event
+from briarshed_workloads import telemetry
 from briarshed_workloads.engine import Engine
 from briarshed_workloads.fleet import TOKEN_COUNTER_BITS, Endpoint
 from briarshed_workloads.leadership import Reign
@@ -19,14 +21,23 @@
     Ordered,
     OutcomeUnknownError,
 )
-from briarshed_workloads.records import WaveRecord
+from briarshed_workloads.records import SizesRecord, WaveRecord
+from briarshed_workloads.sizing import ArrivalRate, Move, plan_moves
 from briarshed_workloads.workloads import Instance, WaveOrder
 
-STEP_S = 0.3
-"""Interval of decisions while a wave is open."""
+STEP_S = 0.15
+"""Interval of decisions."""
 
 LIST_S = 0.9
-"""Interval of reading the instance list while a wave is open; each page is priced."""
+"""Interval of reading the instance list; each page is priced."""
+
+MOVE_AGAIN_S = 2.5
+"""Time for which a moved instance is left alone; a move takes 1.5 s to show."""
+
+WARM_UP_S = 6.0
+"""Time of the first reign before instances move: until then nothing is known."""
+
+FIRST_EPOCH = 1
 
 URGENT_SHARE = 0.2
 """Share of a wave's time left at which work that does not save is interrupted too."""
@@ -88,7 +99,7 @@
 
 
 class Maintenance:
-    """Carries the open waves out under one reign."""
+    """Carries open waves and moves out under one reign."""
 
     def __init__(
         self,
@@ -97,9 +108,11 @@
         engine: Engine,
         instances: Instances,
         save: Callable[[int, WaveRecord], Awaitable[None]],
+        save_sizes: Callable[[SizesRecord], Awaitable[None]],
     ) -> None:
         self.waves: dict[int, WaveView] = {}
         self.closed: set[int] = set()
+        self.sizes: dict[str, int] = {}
         self._restored: dict[int, WaveRecord] = {}
         self.instances: dict[str, Instance] = {}
         self._options = options
@@ -107,9 +120,18 @@
         self._engine = engine
         self._calls = instances
         self._save = save
+        self._save_sizes = save_sizes
+        self._platform = telemetry.Dependency("instance list")
         self._listed_at = 0.0
         self._counter = 0
-        self._wanted = asyncio.Event()
+        self._moved_at: dict[str, float] = {}
+        self._rejected: set[tuple[str, str]] = set()
+        self._rates: dict[str, ArrivalRate] = {}
+        # A deposed leader may have given orders until a moment ago; holders that
+        # take turns on one instance within the lease are an error.
+        first = reign.epoch == FIRST_EPOCH
+        self._moves_from = clock.now() + (WARM_UP_S if first else 0.0)
+        self._orders_from = clock.now() + (0.0 if first else options.promises.lease)
 
     def restore(self, wave: int, record: WaveRecord) -> None:
         """Take over how far an earlier leader came with a wave."""
@@ -128,7 +150,6 @@
                 log_event(
                     events.WAVE_STARTED, wave=order.wave, count=len(order.instances)
                 )
-                self._wanted.set()
 
     def is_urgent(self, endpoint: Endpoint) -> bool:
         """Tell whether an endpoint's instance must not wait for its work any more."""
@@ -139,26 +160,93 @@
             if endpoint.observed.instance in view.order.instances
         )
 
+    def note_work(self, pool: str, work: float) -> None:
+        """Count core-seconds handed in to a pool."""
+        self._rates.setdefault(pool, ArrivalRate()).add(work, clock.now())
+
     async def run(self) -> None:
-        """Work on open waves until the reign ends."""
+        """Work on waves and moves until the reign ends."""
         while True:
-            if not self.waves:
-                self._wanted.clear()
-                await self._wanted.wait()
-            if self._reign.has_authority():
-                await self._step()
+            now = clock.now()
+            if self._reign.has_authority() and now >= self._orders_from:
+                try:
+                    await self._step(now)
+                    self._platform.note_working()
+                except (NotExecutedError, OutcomeUnknownError) as error:
+                    self._platform.note_failing(str(error))
             await asyncio.sleep(STEP_S)
 
-    async def _step(self) -> None:
-        now = clock.now()
+    async def _step(self, now: float) -> None:
         if now - self._listed_at >= LIST_S:
-            try:
-                await self._read_instances()
-            except (NotExecutedError, OutcomeUnknownError) as error:
-                log_event(events.PLATFORM_FAILING, error=str(error))
-                return
+            await self._read_instances()
         for view in list(self.waves.values()):
             await self._advance(view, now)
+        if now >= self._moves_from:
+            await self._move_instances(now)
+
+    async def _move_instances(self, now: float) -> None:
+        if not self.sizes:
+            counts = Counter(row.pool for row in self.instances.values())
+            await self._save_sizes(SizesRecord(dict(counts)))
+            self.sizes = dict(counts)
+        due = {
+            name
+            for view in self.waves.values()
+            for name in view.order.instances
+            if name not in view.begun
+        }
+        recent = {
+            name for name, at in self._moved_at.items() if now - at < MOVE_AGAIN_S
+        }
+        moves = plan_moves(
+            self._engine,
+            self.instances,
+            self._rates,
+            due | recent,
+            self.sizes,
+            now,
+        )
+        await asyncio.gather(
+            *(
+                self._move(move)
+                for move in moves
+                if (move.instance, move.pool) not in self._rejected
+            )
+        )
+
+    async def _move(self, move: Move) -> None:
+        row = self.instances[move.instance]
+        endpoint = self._engine.endpoints.get(row.endpoint)
+        if endpoint is not None:
+            # Nothing may start there between the decision and its effect.
+            endpoint.require_fence()
+        self._moved_at[move.instance] = clock.now()
+        token = self._next_token()
+        outcome = await self._calls.move(
+            move.instance, move.pool, self._options.name, token
+        )
+        done = isinstance(outcome, Ordered)
+        log_event(
+            events.INSTANCE_MOVED,
+            instance=move.instance,
+            before=row.pool,
+            after=move.pool,
+            reason=move.reason,
+            token=token,
+            outcome="begun" if done else outcome.reason,
+        )
+        if done:
+            if endpoint is not None:
+                self._engine.note_replaced(endpoint, "moved")
+            self.instances[move.instance] = row._replace(
+                pool=move.pool, state="moving", endpoint=""
+            )
+        elif outcome.reason == "invalid":
+            self._rejected.add((move.instance, move.pool))
+
+    def _next_token(self) -> int:
+        self._counter += 1
+        return (self._reign.epoch << TOKEN_COUNTER_BITS) | self._counter
 
     async def _read_instances(self) -> None:
         rows = await self._calls.read_instances()
@@ -203,15 +291,10 @@
         if row.endpoint is not None and row.endpoint.runs:
             return
         view.ordered_at[name] = now
-        self._counter += 1
-        token = (self._reign.epoch << TOKEN_COUNTER_BITS) | self._counter
-        try:
-            outcome = await self._calls.maintain(
-                name, view.order.wave, self._options.name, token
-            )
-        except (NotExecutedError, OutcomeUnknownError) as error:
-            log_event(events.PLATFORM_FAILING, error=str(error))
-            return
+        token = self._next_token()
+        outcome = await self._calls.maintain(
+            name, view.order.wave, self._options.name, token
+        )
         done = isinstance(outcome, Ordered)
         log_event(
             events.MAINTENANCE_ORDERED,
--- a/packages/briarshed-workloads/src/briarshed_workloads/planning.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/planning.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 from collections.abc import Iterable, Sequence
 
@@ -14,6 +15,9 @@
 """Ranks of jobs: those that run until cancelled, those that can still meet their
 objective, and the rest, which use what is left."""
 
+REST_KEPT_S = 0.25
+"""Time for which an estimate of a job's remaining work is used again."""
+
 
 def plan_starts(engine: Engine, now: float) -> list[StartOrder]:
     """Book runs for waiting tasks and return the orders for them.
@@ -30,6 +34,8 @@
         usable = list_usable(engine, pool, now)
         if not usable:
             continue
+        if not _has_room(jobs, usable):
+            continue
         wall_now = engine.wall(now)
         jobs.sort(key=lambda job: rank_job(engine, job, wall_now))
         for job in jobs:
@@ -38,6 +44,16 @@
     return orders
 
 
+def _has_room(jobs: Sequence[Job], usable: Sequence[Endpoint]) -> bool:
+    """Tell whether the smallest waiting task fits anywhere by its processor part."""
+    least = min(
+        find_need(job.find_step(task)).cpu
+        for job in jobs
+        for task in itertools.islice(job.waiting, 1)
+    )
+    return any(endpoint.find_free().cpu >= least for endpoint in usable)
+
+
 def is_quarantined(engine: Engine, now: float) -> bool:
     """Tell whether an endpoint may hold runs of an earlier leader unseen.
 
@@ -63,6 +79,7 @@
         and endpoint.is_fenced
         and not endpoint.observed.draining
         and not endpoint.evacuating
+        and not endpoint.retiring
         and not endpoint.failing_since
         and endpoint.struck_until <= now
         and endpoint.full_until <= now
@@ -82,13 +99,28 @@
     if job.description.schedule:
         due = max(due, job.find_due(min(task.occurrence for task in job.waiting)))
     objective = due + find_objective(job, queue)
-    rank = ON_TIME if wall_now + estimate_rest(engine, job) <= objective else LATE
+    rank = (
+        ON_TIME
+        if wall_now + estimate_rest(engine, job, wall_now) <= objective
+        else LATE
+    )
     priority = queue.priority if queue else 0
     return (rank, priority, objective, job.job_id)
 
 
-def estimate_rest(engine: Engine, job: Job) -> float:
-    """Return the estimated chain of work in seconds that is left of a job."""
+def estimate_rest(engine: Engine, job: Job, wall_now: float) -> float:
+    """Return the estimated chain of work in seconds that is left of a job.
+
+    The figure is kept for `REST_KEPT_S`, since every plan asks for it.
+    """
+    if job.rest is not None and wall_now - job.rest[0] < REST_KEPT_S:
+        return job.rest[1]
+    rest = _measure_rest(engine, job)
+    job.rest = wall_now, rest
+    return rest
+
+
+def _measure_rest(engine: Engine, job: Job) -> float:
     lengths: dict[int, float] = {}
     steps = job.description.steps
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/records.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/records.py
@@ -16,6 +16,7 @@
 LEADER = "briarshed/leader"
 ROSTER = "briarshed/roster"
 WAVES = "briarshed/waves/"
+SIZES = "briarshed/sizes"
 
 T = TypeVar("T")
 
@@ -78,9 +79,18 @@
 
 
 class RosterRecord(msgspec.Struct, array_like=True, frozen=True):
-    """Endpoints that may hold runs: rows of endpoint, start in Unix ms and address."""
+    """Endpoints that may hold runs.
 
-    rows: tuple[tuple[str, int, str], ...]
+    Rows of endpoint, start in Unix ms, address and instance.
+    """
+
+    rows: tuple[tuple[str, int, str, str], ...]
+
+
+class SizesRecord(msgspec.Struct, array_like=True, frozen=True):
+    """Instances that each pool had before the first move."""
+
+    sizes: dict[str, int]
 
 
 class WaveRecord(msgspec.Struct, array_like=True, frozen=True):
