Take a closed and then refused connection for the end of an endpoint

Cause: tasks of a crashed endpoint waited 4 s for its deadline. So a refusal alone proves nothing, and one right after an orderly end without an answer does.

--- a/features/workloads/steps/engine_steps.py
+++ b/features/workloads/steps/engine_steps.py
@@ -104,7 +104,7 @@
 def step_silent(context, seconds):
     engine, now = context.engine, NOW + seconds
     endpoint = engine.endpoints["a"]
-    engine.note_failing(endpoint, now)
+    engine.note_failing(endpoint, "no answer", now)
     if now > endpoint.find_lapse():
         engine.drop_runs(endpoint, "lapsed unseen")
     plan_starts(engine, now)
@@ -317,7 +317,8 @@
 
     def do_lose(self, name, _):
         """Let an endpoint be silent for a while."""
-        self.engine.note_failing(self.engine.endpoints[name], self.now)
+        endpoint = self.engine.endpoints[name]
+        self.engine.note_failing(endpoint, "no answer", self.now)
 
     def check(self):
         """Check room, the team's limit and that no task runs twice."""
--- a/packages/briarshed-workloads/src/briarshed_workloads/conductor.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/conductor.py
@@ -32,6 +32,7 @@
 from briarshed_workloads.planning import plan_starts
 from briarshed_workloads.ports import (
     Directory,
+    EndpointEndedError,
     Endpoints,
     Instances,
     NotExecutedError,
@@ -506,9 +507,12 @@
                 deadline,
                 wait,
             )
-        except (OutcomeUnknownError, NotExecutedError):
+        except (OutcomeUnknownError, NotExecutedError) as error:
             # A refused connection is no proof of an end: cut links refuse as well.
-            self._note_silence(endpoint)
+            self._note_silence(endpoint, str(error))
+            return False
+        except EndpointEndedError as error:
+            self._note_gone(endpoint, str(error))
             return False
         now = clock.now()
         telemetry.observe_seconds("look", now - sent_at)
@@ -539,9 +543,9 @@
             self.reign.lost.set()
         return False
 
-    def _note_silence(self, endpoint: Endpoint) -> None:
+    def _note_silence(self, endpoint: Endpoint, reason: str) -> None:
         now = clock.now()
-        self.engine.note_failing(endpoint, now)
+        self.engine.note_failing(endpoint, reason, now)
         self.spawn(self._endpoints.forget(endpoint.observed.address), "forget")
         if endpoint.runs and now > endpoint.find_lapse():
             self.engine.drop_runs(endpoint, "lapsed unseen")
@@ -553,7 +557,7 @@
 
     def _note_gone(self, endpoint: Endpoint, reason: str) -> None:
         now = clock.now()
-        self.engine.note_failing(endpoint, now)
+        self.engine.note_failing(endpoint, reason, now)
         self.engine.drop_runs(endpoint, reason)
         endpoint.is_gone = True
         log_event(events.ENDPOINT_GONE, endpoint=endpoint.name, reason=reason)
@@ -615,10 +619,14 @@
             self._log_start(order, f"no answer: {error}")
             self._wake(endpoint.name)
             return
+        except EndpointEndedError as error:
+            self._log_start(order, f"not sent: {error}")
+            self._note_gone(endpoint, str(error))
+            return
         except NotExecutedError as error:
             self._log_start(order, f"not sent: {error}")
             self.engine.drop(run, "not sent")
-            self._note_silence(endpoint)
+            self._note_silence(endpoint, str(error))
             return
         answered_at = clock.now()
         telemetry.observe_seconds("start", answered_at - now)
@@ -675,7 +683,7 @@
             )
             if isinstance(answer, Refused):
                 outcome = answer.reason
-        except (OutcomeUnknownError, NotExecutedError) as error:
+        except (OutcomeUnknownError, NotExecutedError, EndpointEndedError) as error:
             outcome = f"no answer: {error}"
         log_event(
             events.RUN_STOPPED,
@@ -699,7 +707,7 @@
                 order.percent,
                 endpoint.token,
             )
-        except (OutcomeUnknownError, NotExecutedError) as error:
+        except (OutcomeUnknownError, NotExecutedError, EndpointEndedError) as error:
             log_event(
                 events.RUN_PACED,
                 job_id=run.task.job,
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -341,7 +341,7 @@
             endpoint.anchor_ms = clock_ms
             endpoint.anchor_at = now
 
-    def note_failing(self, endpoint: Endpoint, now: float) -> None:
+    def note_failing(self, endpoint: Endpoint, reason: str, now: float) -> None:
         """Note that an endpoint did not answer."""
         if not endpoint.failing_since:
             endpoint.failing_since = now
@@ -350,6 +350,7 @@
                 endpoint=endpoint.name,
                 runs=len(endpoint.runs),
                 lapse_in=round(endpoint.find_lapse() - now, 2),
+                reason=reason,
             )
 
     def note_look(
--- a/packages/briarshed-workloads/src/briarshed_workloads/ports.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/ports.py
@@ -25,6 +25,10 @@
     """The call may have been executed, or may be executed later."""
 
 
+class EndpointEndedError(BriarshedError):
+    """The endpoint's process has certainly ended, and with it all its runs."""
+
+
 class HistoryLostError(BriarshedError):
     """The store no longer has the history after the given revision."""
 
@@ -139,7 +143,11 @@
 
 
 class Endpoints(Protocol):
-    """Calls to endpoints; the same two errors as the store."""
+    """Calls to endpoints.
+
+    Besides the two errors of the store, every call raises EndpointEndedError where the
+    way in which connections end proves that the process has ended.
+    """
 
     async def start(
         self, endpoint: str, address: str, order: Start
--- a/packages/briarshed/src/briarshed/events.py
+++ b/packages/briarshed/src/briarshed/events.py
@@ -120,7 +120,7 @@
 ENDPOINT_UNLISTED = Event(863, "INFO", "endpoint {endpoint} is not registered")
 ENDPOINT_RESTARTED = Event(864, "WARNING", "endpoint {endpoint} has restarted")
 ENDPOINT_SILENT = Event(
-    865, "WARNING", "endpoint {endpoint} is silent with {runs} runs"
+    865, "WARNING", "endpoint {endpoint} is silent with {runs} runs: {reason}"
 )
 ENDPOINT_GONE = Event(866, "WARNING", "endpoint {endpoint} is gone: {reason}")
 ENDPOINT_FENCED = Event(867, "INFO", "endpoint {endpoint} fenced: {runs} runs")
