Add stand-ins of the platform and contract features of its store and endpoints

The features run against stand-ins that this repository writes: conditions, leases, pages, deaf watches and lost history, answers lost and changes made late, tokens, deadlines, restarted and ended endpoints.

--- /dev/null
+++ b/features/platform/steps/endpoint_steps.py
@@ -0,0 +1,188 @@
+"""Steps for the calls to endpoints, against a stand-in."""
+
+import asyncio
+import contextlib
+import socket
+import struct
+import time
+
+from behave import given, then, when
+
+from briarshed_platform.endpoints import PlatformEndpoints
+from briarshed_platform.http_client import HttpClient
+from briarshed_platform_standins._server import Faults
+from briarshed_platform_standins.endpoint import EndpointStandin
+from briarshed_workloads.ports import (
+    EndpointEndedError,
+    NotExecutedError,
+    OutcomeUnknownError,
+    Refused,
+    Started,
+)
+from briarshed_workloads.workloads import Start, TaskId
+
+TASK = TaskId("00000000000000aa", 0, 0, 0)
+AHEAD_MS = 3_000
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class World:
+    """One endpoint and the adapter's client of it."""
+
+    def __init__(self, standin, client):
+        self.standin = standin
+        self.calls = PlatformEndpoints(client)
+
+    async def start(self, *, run=10, token=5, spec="run 5", ahead=AHEAD_MS, name="e"):
+        """Order a start."""
+        deadline = self.standin.read_clock() + ahead
+        order = Start(TASK, run, spec, token, deadline)
+        return await self.calls.start(name, self.standin.address, order)
+
+    async def look(self, acknowledged=0, wait=0.0, token=5):
+        """Look at the endpoint."""
+        return await self.calls.look(
+            "e", self.standin.address, token, acknowledged, None, wait
+        )
+
+
+def play(work):
+    """Run a coroutine function with a fresh endpoint and client."""
+
+    async def run():
+        async with EndpointStandin("e") as standin, HttpClient() as client:
+            return await work(World(standin, client))
+
+    return asyncio.run(run())
+
+
+@given("an endpoint")
+def step_endpoint(context):
+    context.answer = None
+
+
+@when("a start is ordered {how}")
+def step_start(context, how):
+    async def work(world):
+        if how == "twice":
+            await world.start()
+        if how == "with a lower token":
+            await world.look(token=6)
+        if how == "with the number of a stopped run":
+            await world.calls.stop("e", world.standin.address, TASK, 10, 5)
+        if how == "past its deadline":
+            return await world.start(ahead=-500)
+        if how == "for another incarnation":
+            return await world.start(name="f")
+        return await world.start()
+
+    context.answer = play(work)
+
+
+@then('the answer is "{answer}"')
+def step_answer(context, answer):
+    if answer == "started":
+        assert isinstance(context.answer, Started), context.answer
+    else:
+        assert context.answer == Refused(answer), context.answer
+
+
+@when('it is "{fault}" and a start is ordered')
+def step_fault(context, fault):
+    async def work(world):
+        world.standin.faults = Faults(down=fault)
+        try:
+            return await world.start()
+        except (NotExecutedError, OutcomeUnknownError) as error:
+            return error
+
+    context.answer = play(work)
+
+
+@then('the order is refused as "{reason}"')
+def step_refused(context, reason):
+    assert context.answer == Refused(reason)
+
+
+@then("the order is unknown")
+def step_unknown(context):
+    assert isinstance(context.answer, OutcomeUnknownError)
+
+
+@when("a run of 0.1 s is started and looked at with a wait")
+def step_run(context):
+    async def work(world):
+        await world.start(spec="run 0.1")
+        started_at = time.monotonic()
+        first = await world.look(wait=2.0)
+        seconds = time.monotonic() - started_at
+        return first, seconds, await world.look(), await world.look(acknowledged=1)
+
+    context.first, context.seconds, context.again, context.last = play(work)
+
+
+@then("the look tells the success within 0.5 s")
+def step_success(context):
+    (ended,) = context.first.ended
+    assert (ended.task, ended.run, ended.how) == (TASK, 10, "succeeded")
+    assert context.seconds < 0.5
+
+
+@then("a look without an acknowledgement tells it again")
+def step_again(context):
+    assert context.again.ended == context.first.ended
+
+
+@then("a look with an acknowledgement does not")
+def step_not_again(context):
+    assert not context.last.ended
+
+
+@when('connections to it end by "{end}" and new ones are refused')
+def step_connections_end(context, end):
+    async def work(client):
+        async def accept(reader, writer):
+            await reader.read(100)
+            if end == "reset":
+                plain = writer.get_extra_info("socket")
+                plain.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            writer.close()
+            server.close()
+
+        server = await asyncio.start_server(accept, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        calls = PlatformEndpoints(client)
+        address = f"{host}:{port}"
+        with contextlib.suppress(OutcomeUnknownError):
+            await calls.look("e", address, 5, 0, None, 0.0)
+        try:
+            await calls.look("e", address, 5, 0, None, 0.0)
+        except (EndpointEndedError, NotExecutedError) as error:
+            return isinstance(error, EndpointEndedError)
+        raise AssertionError("the connection was not refused")
+
+    async def run():
+        async with HttpClient() as client:
+            return await work(client)
+
+    context.is_proved = asyncio.run(run())
+
+
+@then("the end of the endpoint is {proved}")
+def step_proved(context, proved):
+    assert context.is_proved == (proved == "proved")
+
+
+@when("a run of 5 s is started with a deadline 0.2 s ahead and nobody looks for 0.4 s")
+def step_lapse(context):
+    async def work(world):
+        await world.start(ahead=200)
+        await asyncio.sleep(0.4)
+        return await world.look()
+
+    context.first = play(work)
+
+
+@then('a look tells the end "lapsed"')
+def step_lapsed(context):
+    assert [row.how for row in context.first.ended] == ["lapsed"]
