Judge endpoints by ends and progress, weigh teams, and carry waves and late work through

New: endpoints that fail, stall or slow what they run are avoided or come last, overdue speculative tasks get one copy, jobs beyond a team's weight wait behind the others.

--- a/features/settings/events.feature
+++ b/features/settings/events.feature
@@ -5,4 +5,4 @@
     Given the catalogue of events
     Then each event has a number of its own
     And the page lists exactly the events of the catalogue
-    And each event is used by the program
+    And each event is used by a program
--- a/features/settings/steps/events_steps.py
+++ b/features/settings/steps/events_steps.py
@@ -31,9 +31,10 @@
     assert listed == expected, listed ^ expected
 
 
-@then("each event is used by the program")
+@then("each event is used by a program")
 def step_used(context):
-    sources = (ROOT / "packages" / "briarshed-entry").rglob("*.py")
+    programs = ("packages/briarshed-entry", "packages/briarshed-workloads", "platform")
+    sources = [path for name in programs for path in (ROOT / name).rglob("*.py")]
     text = "\n".join(path.read_text() for path in sources)
     unused = [name for name in context.events if name not in text]
     assert not unused, unused
--- /dev/null
+++ b/features/workloads/steps/heavy_days_steps.py
@@ -0,0 +1,423 @@
+"""Steps for the decisions under load; no network and no clock."""
+
+from behave import given, then, when
+from engine_steps import (
+    JOB,
+    NEED,
+    NOW,
+    TASK,
+    look,
+    make_configuration,
+    make_engine,
+    submit,
+)
+
+from briarshed_workloads.configuration import (
+    Configuration,
+    PoolRules,
+    QueueRules,
+    RequestLimits,
+    TeamRules,
+)
+from briarshed_workloads.disruption import choose_pace, list_evacuations
+from briarshed_workloads.engine import Bounds, Engine
+from briarshed_workloads.planning import plan_copies, plan_starts
+from briarshed_workloads.sizing import plan_moves
+from briarshed_workloads.suspicion import Trust, find_slow, list_stalls
+from briarshed_workloads.workloads import (
+    NOTHING,
+    Description,
+    Ended,
+    Instance,
+    Observed,
+    Resources,
+    Running,
+    Step,
+    Submission,
+    TaskId,
+)
+
+SIZE = Resources(8_000, 16_000, 0)
+POOLS = ("p0", "p1")
+
+
+def hand_in(engine, number, team):
+    """Hand in a job of one task for a team."""
+    steps = (Step(1, NEED, 1.0),)
+    submission = Submission(
+        f"{number:016x}", "q", "pool", team, NOW, Description("", steps)
+    )
+    engine.release(engine.accept(submission, NOW), NOW)
+
+
+@given("a pool whose room takes 4 tasks at once")
+def step_pool(context):
+    context.engine = make_engine(names=("a",))
+    look(context.engine, "a", NOW)
+
+
+@given("a team of weight 1 that hands in 20 jobs, and one that hands in 2 after it")
+def step_hot_team(context):
+    rules = {name: TeamRules(name, 1.0, NOTHING) for name in ("hot", "calm")}
+    plain = make_configuration()
+    context.engine.configuration = plain._replace(teams=rules)
+    for number in range(20):
+        hand_in(context.engine, number, "hot")
+    for number in range(20, 22):
+        hand_in(context.engine, number, "calm")
+
+
+@when("room is given out")
+def step_give(context):
+    orders = plan_starts(context.engine, NOW)
+    context.teams = [order.run.team for order in orders]
+
+
+@then("both jobs of the second team start")
+def step_calm(context):
+    assert context.teams.count("calm") == 2, context.teams
+
+
+@then("the first team gets the 2 that its weight allows at once")
+def step_hot(context):
+    assert context.teams.count("hot") == 2, context.teams
+
+
+class Pools:
+    """An engine with two pools, and the platform's list of instances."""
+
+    def __init__(self):
+        self.engine = Engine(1, Bounds(4.0, 4.0), lambda *_, **__: None)
+        queues = {
+            pool: QueueRules(pool, "h", pool, pool, 0, 2, 1.6, 0.6, 3.0, True)
+            for pool in POOLS
+        }
+        pools = {pool: PoolRules(pool, False, False) for pool in POOLS}
+        pools["reserve"] = PoolRules("reserve", False, True)
+        self.engine.configuration = Configuration(
+            1, queues, pools, {}, {}, RequestLimits(), {}
+        )
+        self.instances = {}
+        self.observed = []
+        for pool in POOLS:
+            for number in range(4):
+                self.add(f"{pool}-{number}", pool)
+        for number in range(4):
+            name = f"spare-{number}"
+            self.instances[name] = self.describe(name, "reserve", "")
+
+    def describe(self, name, pool, endpoint):
+        """Return an instance's row."""
+        return Instance(name, pool, "up", "d", (), SIZE, endpoint)
+
+    def add(self, name, pool):
+        """Let an instance live in a pool."""
+        self.instances[name] = self.describe(name, pool, f"e-{name}")
+        observed = Observed(f"e-{name}", 1, "", pool, "d", "r", (), SIZE, instance=name)
+        self.observed.append(observed)
+        self.engine.observe(self.observed, NOW)
+        look(self.engine, f"e-{name}", NOW)
+
+    def load(self, pool, count, age=0.0):
+        """Hand in work that keeps ``count`` instances busy for two seconds."""
+        steps = (Step(8 * count, NEED, 2.0),)
+        submission = Submission(
+            f"{pool:0>16}", pool, pool, "", NOW - age, Description("", steps)
+        )
+        self.engine.release(self.engine.accept(submission, NOW), NOW)
+
+    def move(self):
+        """Return the moves that are decided now, as rows of instance and pool."""
+        sizes = dict.fromkeys(POOLS, 4)
+        moves = plan_moves(self.engine, self.instances, {}, set(), sizes, NOW)
+        return [(move.instance, move.pool) for move in moves]
+
+
+@given('pools "p0" and "p1" of 4 instances each and 4 in reserve')
+def step_pools(context):
+    context.pools = Pools()
+
+
+@given('the 4 in reserve have been moved to "p0"')
+def step_moved(context):
+    for number in range(4):
+        context.pools.add(f"spare-{number}", "p0")
+
+
+@when('work for 8 instances waits in "{pool}"')
+def step_load(context, pool):
+    context.pools.load(pool, 8)
+
+
+@when('work for 20 instances has waited in "p0" for 60 s')
+def step_late(context):
+    context.pools.load("p0", 20, age=60.0)
+
+
+@then('no instance of "p0" moves')
+def step_none_moves(context):
+    assert not context.pools.move()
+
+
+@when('nothing waits in "p0"')
+def step_idle(context):
+    assert not context.pools.engine.list_open("p0")
+
+
+@then('the 4 in reserve are moved to "p0"')
+def step_reserve_moves(context):
+    context.moves = context.pools.move()
+    expected = [(f"spare-{number}", "p0") for number in range(4)]
+    assert sorted(context.moves) == expected, context.moves
+
+
+@then('no instance of "p1" is moved')
+def step_none_lent(context):
+    assert not [row for row in context.moves if row[0].startswith("p1")]
+
+
+@then('4 instances of "p0" get no new work and go back to the reserve')
+def step_retire(context):
+    moves = context.pools.move()
+    assert len(moves) == 4
+    assert {pool for _, pool in moves} == {"reserve"}
+    rows = context.pools.engine.endpoints.values()
+    assert sum(row.retiring for row in rows) == 4
+
+
+@then('4 instances of "p0" are moved to "p1"')
+def step_turn(context):
+    moves = context.pools.move()
+    taken = [row for row in moves if row[1] == "p1"]
+    assert len(taken) == 4, moves
+
+
+@given("an endpoint where {count:d} different works have failed in a row")
+def step_failed(context, count):
+    context.trust = Trust()
+    for number in range(count):
+        context.avoided = context.trust.note_failure(f"w{number}", NOW)
+
+
+@then("it is avoided")
+def step_avoided(context):
+    assert context.avoided > 0
+    assert context.trust.avoided_until > NOW
+
+
+@then("it is not avoided")
+def step_not_avoided(context):
+    assert context.trust.avoided_until <= NOW
+
+
+@given("an endpoint that was avoided")
+def step_was_avoided(context):
+    step_failed(context, 3)
+    context.first = context.avoided
+
+
+@when("one more work fails there")
+def step_fails_again(context):
+    context.avoided = context.trust.note_failure("w9", NOW + 60)
+
+
+@then("it is avoided for twice as long")
+def step_twice(context):
+    assert context.avoided == 2 * context.first
+
+
+@then('the task starts next at "b"')
+def step_next_at(context):
+    (order,) = plan_starts(context.engine, NOW + 2)
+    assert order.run.endpoint.name == "b"
+
+
+@given("a run of an estimated 1 s that has shown no progress for {seconds:g} s")
+def step_still(context, seconds):
+    context.engine = make_engine(names=("a",))
+    look(context.engine, "a", NOW)
+    submit(context.engine, JOB, (Step(1, NEED, 1.0),), NOW)
+    (order,) = plan_starts(context.engine, NOW)
+    context.engine.note_started(order.run, int(NOW * 1000), NOW)
+    now = NOW
+    while now < NOW + seconds:
+        now += 0.5
+        listed = Running(TASK, order.run.number, "", 0, 0)
+        look(context.engine, "a", now, [listed])
+    context.stalls = list_stalls(context.engine.endpoints.values(), now)
+
+
+@given("a long-running task that has been at 40 percent for 4 s")
+def step_not_at_work(context):
+    show_progress(context, [40, 40, 40, 40])
+
+
+@given("a long-running task that has come to 40 percent after 4 s")
+def step_slowly_at_work(context):
+    show_progress(context, [10, 20, 30, 40])
+
+
+def show_progress(context, percents):
+    """Let a long-running task show its progress once a second."""
+    context.engine = make_engine(names=("a",))
+    look(context.engine, "a", NOW)
+    submit(context.engine, JOB, (Step(1, NEED, 1.0, long_running=True),), NOW)
+    (order,) = plan_starts(context.engine, NOW)
+    context.engine.note_started(order.run, int(NOW * 1000), NOW)
+    for second, percent in enumerate(percents, 1):
+        listed = Running(TASK, order.run.number, "", percent, 0)
+        look(context.engine, "a", NOW + second, [listed])
+    now = NOW + len(percents)
+    context.stalls = list_stalls(context.engine.endpoints.values(), now)
+
+
+@then("it is stopped")
+def step_stopped(context):
+    assert len(context.stalls) == 1
+
+
+@then("it is left alone")
+def step_left_alone(context):
+    assert not context.stalls
+
+
+@given("4 endpoints of which one takes 5 times as long")
+def step_one_slow(context):
+    make_slow(context, 1)
+
+
+@given("4 endpoints that all take 5 times as long")
+def step_all_slow(context):
+    make_slow(context, 4)
+
+
+def make_slow(context, count):
+    """Let the first endpoints show 5 times the estimated run times."""
+    context.engine = make_engine(names=("a", "b", "c", "d"))
+    for number, endpoint in enumerate(context.engine.endpoints.values()):
+        look(context.engine, endpoint.name, NOW)
+        for _ in range(12):
+            endpoint.trust.note_speed(5.0 if number < count else 1.0)
+
+
+@then("a task goes to one of the others, even if the slow one is empty")
+def step_other(context):
+    submit(context.engine, JOB, (Step(3, NEED, 1.0),), NOW)
+    names = [row.run.endpoint.name for row in plan_starts(context.engine, NOW)]
+    assert len(names) == 3
+    assert "a" not in names
+
+
+@then("none counts as slow")
+def step_none_slow(context):
+    assert not find_slow(context.engine.endpoints.values())
+
+
+@given("an accepted job with 1 speculative task")
+def step_speculative(context):
+    look(context.engine, "a", NOW)
+    steps = (Step(1, NEED, 1.0, speculative=True),)
+    context.job = submit(context.engine, JOB, steps, NOW)
+
+
+@when("it has taken 2.5 times its estimate")
+def step_overdue(context):
+    listed = Running(TASK, context.run.number, "", 40, 0)
+    look(context.engine, "a", NOW + 2.5, [listed])
+
+
+@then('one copy of it starts at "b"')
+def step_copy(context):
+    assert not plan_starts(context.engine, NOW + 2.5)
+    (order,) = plan_copies(context.engine, NOW + 2.5)
+    assert order.run.endpoint.name == "b"
+    assert not plan_copies(context.engine, NOW + 2.5)
+    context.copy = order.run
+
+
+@when("the copy succeeds")
+def step_copy_succeeds(context):
+    context.engine.note_started(context.copy, int(NOW * 1000) + 2_500, NOW + 2.5)
+    ended = Ended(1, TASK, context.copy.number, "succeeded", "")
+    look(context.engine, "b", NOW + 3, ended=[ended])
+
+
+@then("the first run is to be stopped")
+def step_first_stops(context):
+    (stop,) = context.engine.list_unwanted(NOW + 3)
+    assert stop.run is context.run
+
+
+@given("a long-running step of 3 tasks with a budget of 1, one on each endpoint")
+def step_budget(context):
+    names = ("a", "b", "c", "d")
+    context.engine = engine = make_engine(names=names)
+    for name in names:
+        look(engine, name, NOW)
+    engine.endpoints["d"].full_until = NOW + 1
+    step = Step(3, NEED, 0.1, per_endpoint=1, long_running=True, outage_budget=1)
+    submit(engine, JOB, (step,), NOW)
+    for order in plan_starts(engine, NOW):
+        engine.note_started(order.run, int(NOW * 1000), NOW)
+    context.now = NOW + 1
+    serve_all(context)
+
+
+def serve_all(context):
+    """Let every present run serve."""
+    for endpoint in context.engine.endpoints.values():
+        listed = [
+            Running(run.task, run.number, "", 100, 0) for run in endpoint.runs.values()
+        ]
+        look(context.engine, endpoint.name, context.now, listed)
+
+
+def evacuate(context):
+    """Return the stops that empty the endpoints that are due."""
+    return list_evacuations(context.engine, context.now, lambda _: False)
+
+
+@when("all 3 endpoints are due for maintenance")
+def step_due(context):
+    for name in ("a", "b", "c"):
+        context.engine.endpoints[name].evacuating = True
+    context.stops = evacuate(context)
+
+
+@then("1 task is stopped")
+def step_one_stopped(context):
+    (stop,) = context.stops
+    context.stopped = stop.run
+
+
+@when("it is at work again elsewhere")
+def step_elsewhere(context):
+    run, engine = context.stopped, context.engine
+    run.stop_asked = context.now
+    assert not evacuate(context)
+    engine.drop(run, "stopped")
+    (order,) = plan_starts(engine, context.now)
+    assert order.run.endpoint.name == "d"
+    engine.note_started(order.run, int(context.now * 1000), context.now)
+    assert not evacuate(context)
+    context.now += 1
+    serve_all(context)
+
+
+@then("the next one is stopped")
+def step_next_stopped(context):
+    (stop,) = evacuate(context)
+    assert stop.run.task != context.stopped.task
+    assert isinstance(stop.run.task, TaskId)
+
+
+@given(
+    "a filler at {pace:d} percent beside a task whose tail is {strain:g} of its target"
+)
+def step_filler(context, pace, strain):
+    context.after = choose_pace(pace, strain)
+
+
+@then("the filler's pace becomes {after:d} percent")
+def step_pace(context, after):
+    assert context.after == after, context.after
--- a/packages/briarshed-workloads/src/briarshed_workloads/conductor.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/conductor.py
@@ -29,7 +29,7 @@
 from briarshed_workloads.leadership import Reign
 from briarshed_workloads.maintenance import Maintenance
 from briarshed_workloads.options import EntryOptions
-from briarshed_workloads.planning import plan_starts
+from briarshed_workloads.planning import plan_copies, plan_starts
 from briarshed_workloads.ports import (
     Directory,
     EndpointEndedError,
@@ -56,6 +56,7 @@
     decode,
     encode,
 )
+from briarshed_workloads.suspicion import list_stalls
 from briarshed_workloads.workloads import (
     NOTHING,
     Observed,
@@ -95,6 +96,9 @@
 REFUSED_PAUSE_S = 0.3
 """Time without new starts at an endpoint that refused one for want of room."""
 
+RETRY_AFTER_S = 1.0
+"""Told to callers whose job cannot be accepted now; the store is tried more often."""
+
 CLEAN_S = 10.0
 """Interval of removing the records of jobs that ended long ago."""
 
@@ -278,12 +282,12 @@
             ``accepted``, ``refused`` (it is certain that the job will not run) or
             ``unknown``.
         """
-        if not self.is_loaded or not self.reign.has_authority():
-            return Verdict("refused", 1.0)
         waiting = self._accepting.get(submission.job)
         if waiting is None:
             if submission.job in self.engine.jobs:
                 return Verdict("accepted")
+            if not self.can_accept():
+                return Verdict("refused", RETRY_AFTER_S)
             job = self.engine.accept(submission, time.time())
             self.maintenance.note_work(job.pool, job.work)
             waiting = asyncio.get_running_loop().create_future()
@@ -292,6 +296,11 @@
         is_saved = await asyncio.shield(waiting)
         return Verdict("accepted" if is_saved else "unknown")
 
+    def can_accept(self) -> bool:
+        """Tell whether a new job can be made durable now."""
+        is_away = self.reign.is_store_failing or self.reign.journal.is_failing
+        return self.is_loaded and self.reign.has_authority() and not is_away
+
     def find_state(self, job_id: str) -> str:
         """Return the state that callers may be told; ``missing`` if there is none."""
         job = self.engine.jobs.get(job_id)
@@ -587,12 +596,17 @@
                     job.open_due(wall_now)
         stops = engine.list_unwanted(now)
         stops += list_evacuations(engine, now, self.maintenance.is_urgent)
+        for stall in list_stalls(engine.endpoints.values(), now):
+            run = stall.run
+            engine.hold_against(run.endpoint, run.step.image or run.task.job, now)
+            reason = f"no progress for {stall.seconds:.1f} s"
+            stops.append(StopOrder(run, reason))
         for stop in stops:
             self._order_stop(stop, now)
         for pace in list_pacing(engine, now):
             pace.run.paced_at = now
             self.spawn(self._pace(pace), "pace")
-        for order in plan_starts(engine, now):
+        for order in plan_starts(engine, now) + plan_copies(engine, now):
             self.spawn(self._start(order), "start")
             self._wake(order.run.endpoint.name)
         telemetry.observe_seconds("plan", time.perf_counter() - started_at)
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -16,8 +16,15 @@
     StopOrder,
     Usage,
 )
-from briarshed_workloads.jobs import COMPLETED, Job, find_need
+from briarshed_workloads.jobs import (
+    COMPLETED,
+    RUN_TIME_WEIGHT,
+    Job,
+    find_need,
+)
 from briarshed_workloads.records import JobRecord, ProgressRecord
+from briarshed_workloads.shares import Shares
+from briarshed_workloads.suspicion import SLOW_FACTOR, project_ratio
 from briarshed_workloads.workloads import (
     NOTHING,
     Description,
@@ -34,16 +41,6 @@
 RUN_SEQUENCE_BITS = 24
 """Low bits of a run number: runs of one leader; the epoch stands above them."""
 
-STRIKES_TO_AVOID = 3
-"""Images in a row that fail at an endpoint before it gets no new work for a while.
-
-Images that never succeed anywhere strike at one endpoint as well, so that one or two
-are no proof.
-"""
-
-AVOID_S = 4.0
-"""Time without new work after the strikes; then one success clears them."""
-
 STOP_AGAIN_S = 0.6
 """Time after which a stop that has shown no effect is ordered again."""
 
@@ -94,8 +91,7 @@
         self.quarantine_until = 0.0
         self.roster: set[str] = set()
         self.run_times: dict[str, float] = {}
-        self.bad_images: dict[str, int] = {}
-        self.good_images: set[str] = set()
+        self.shares = Shares()
         self._sequence = 0
         self._suspects: dict[Run, None] = {}
 
@@ -126,6 +122,9 @@
             submission.description,
             queue.max_attempts if queue else 1,
         )
+        if job.team and self.configuration is not None:
+            rules = self.configuration.teams.get(job.team, NO_LIMIT)
+            job.is_within_share = self.shares.take(job.team, rules.weight, wall_now)
         self.jobs[job.job_id] = job
         self.dirty[job.job_id] = None
         return job
@@ -422,6 +421,9 @@
         if row.percent != run.percent:
             run.progressed_at = now
         run.percent = row.percent
+        ratio = project_ratio(run, now)
+        if ratio is not None and ratio > SLOW_FACTOR:
+            endpoint.trust.note_speed(ratio)
         run.load = row.load
         if row.checkpoint and row.checkpoint != run.checkpoint:
             run.checkpoint = row.checkpoint
@@ -492,12 +494,14 @@
     ) -> None:
         if not job.is_open:
             return
-        endpoint.strikes.clear()
+        endpoint.trust.note_success()
         step = job.find_step(ended.task)
-        if step.image:
-            self.good_images.add(step.image)
-            if run is not None and run.confirmed_at and not run.checkpoint:
-                self._learn(step.image, now - run.confirmed_at)
+        if run is not None and run.confirmed_at and not run.checkpoint:
+            seconds = now - run.confirmed_at
+            if step.image:
+                self._learn(step.image, seconds)
+            if step.estimate:
+                endpoint.trust.note_speed(seconds / step.estimate)
         was_open = job.is_open
         if job.note_succeeded(ended.task, self.wall(now)):
             self.dirty[job.job_id] = None
@@ -508,12 +512,18 @@
         if was_open and job.state == COMPLETED:
             self.report("JOB_COMPLETED", job_id=job.job_id, queue=job.queue)
 
+    def hold_against(self, endpoint: Endpoint, work: str, now: float) -> None:
+        """Note work that failed or stalled at an endpoint, and avoid it if need be."""
+        seconds = endpoint.trust.note_failure(work, now)
+        if seconds:
+            self.report("ENDPOINT_AVOIDED", endpoint=endpoint.name, seconds=seconds)
+
     def _learn(self, image: str, seconds: float) -> None:
         known = self.run_times.get(image)
         if known is None:
             self.run_times[image] = seconds
         else:
-            self.run_times[image] = 0.7 * known + 0.3 * seconds
+            self.run_times[image] = known + RUN_TIME_WEIGHT * (seconds - known)
 
     def _note_failure(
         self, endpoint: Endpoint, job: Job, ended: Ended, now: float
@@ -522,13 +532,8 @@
             return
         step = job.find_step(ended.task)
         self.dirty[job.job_id] = None
-        if step.image not in self.good_images:
-            self.bad_images[step.image] = self.bad_images.get(step.image, 0) + 1
-        endpoint.strikes.add(step.image or ended.task.job)
-        if len(endpoint.strikes) >= STRIKES_TO_AVOID:
-            endpoint.struck_until = now + AVOID_S
-            endpoint.strikes.clear()
-            self.report("ENDPOINT_AVOIDED", endpoint=endpoint.name, seconds=AVOID_S)
+        job.failed_at.setdefault(ended.task, set()).add(endpoint.name)
+        self.hold_against(endpoint, step.image or job.job_id, now)
         if job.note_failed(ended.task, ended.run, self.wall(now)):
             self._suspect_job(job)
             self.report(
--- a/packages/briarshed-workloads/src/briarshed_workloads/entry.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/entry.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import secrets
+import zlib
 from collections.abc import Callable
 from types import TracebackType
 from typing import NamedTuple, Self
@@ -60,10 +61,26 @@
 ELECTION_S = 0.3
 """Interval of asking the store while there is no leader."""
 
+ELECTION_DELAY_S = 0.6
+"""Longest time for which a weak entry leaves the leadership to others."""
+
+STRONG_CORES = 2.0
+STRONG_LINK_MBPS = 100.0
+"""An entry with this much carries the leadership at four times today's size."""
+
 WATCH_WAIT_S = 0.7
 """How long a watch of the operator's orders waits. A watch can fall silent or deaf, and
 a configuration must be in force everywhere within 2 s."""
 
+INFORMED_S = 0.1
+"""Interval of checking whether the leader still keeps this entry informed."""
+
+BEHIND_S = 0.4
+"""Time behind the leader's version after which an entry reads the store itself."""
+
+OFFER_AGAIN_S = 1.2
+"""Time after which an offer that shows no effect is sent again."""
+
 WATCH_RETRY_S = 0.3
 """Pause after a watch or a read of orders that failed."""
 
@@ -111,6 +128,14 @@
     heard_at: float
 
 
+def find_election_delay(options: EntryOptions) -> float:
+    """Return how long an entry leaves the leadership to stronger ones, in seconds."""
+    strength = min(
+        options.cores / STRONG_CORES, options.link_mbps / STRONG_LINK_MBPS, 1.0
+    )
+    return ELECTION_DELAY_S * (1.0 - strength)
+
+
 class Entry:
     """The hub of an entry process; a context manager that owns its tasks.
 
@@ -147,7 +172,9 @@
         self._links = Links(options.peers, self._handle)
         self._tasks: list[asyncio.Task[None]] = []
         self._reign: Reign | None = None
-        self._started_at = clock.now()
+        self._silent_epoch = 0
+        self._behind_since = 0.0
+        self._offered: dict[str, tuple[int, float]] = {}
 
     async def __aenter__(self) -> Self:
         await self._links.__aenter__()
@@ -189,24 +216,47 @@
     # The operator's orders
 
     async def _follow_orders(self) -> None:
-        orders = await self._directory.read_orders()
         while True:
+            if self._is_informed():
+                # The leader sends what changes; a watch would send it again, and a
+                # large configuration fills the link of a small instance.
+                await asyncio.sleep(INFORMED_S)
+                continue
+            orders = await self._directory.read_orders()
             self._take_orders(orders)
-            try:
-                # A watch may hear nothing of a change and still answer, so the next
-                # one begins after the last change that was heard of.
-                orders = await self._directory.watch_orders(
-                    orders.revision, WATCH_WAIT_S
-                )
-            except HistoryLostError:
-                orders = await self._directory.read_orders()
+            while not self._is_informed():
+                try:
+                    # A watch may hear nothing of a change and still answer, so the
+                    # next one begins after the last change that was heard of.
+                    orders = await self._directory.watch_orders(
+                        orders.revision, WATCH_WAIT_S
+                    )
+                except HistoryLostError:
+                    break
+                self._take_orders(orders)
+
+    def _is_informed(self) -> bool:
+        """Tell whether the leader keeps this entry's configuration up to date."""
+        leader = self.leader
+        if self._reign is not None or leader is None or self.configuration is None:
+            return False
+        if not self.hears_leader() or not leader.beacon.has_authority:
+            return False
+        if leader.beacon.is_store_failing or leader.beacon.is_resigning:
+            return False
+        if self.configuration.version >= leader.beacon.version:
+            self._behind_since = 0.0
+            return True
+        now = clock.now()
+        self._behind_since = self._behind_since or now
+        return now - self._behind_since < BEHIND_S
 
     def _take_orders(self, orders: Orders) -> None:
         if orders.configuration is not None:
             self.apply_configuration(orders.configuration, "store")
         for wave in orders.waves:
             self._waves[wave.wave] = wave
-        if orders.waves and self.conductor is not None:
+        if orders.waves and self.conductor is not None and self.conductor.is_loaded:
             self.conductor.maintenance.set_waves(orders.waves)
 
     def apply_configuration(self, data: bytes, source: str) -> None:
@@ -227,16 +277,18 @@
         if self.conductor is not None and self.conductor.is_loaded:
             self.conductor.set_configuration(configuration)
         self.configurations.on_next(configuration)
+        if self._reign is not None:
+            self._offer_configuration()
         self._send_hello()
 
     # Leadership
 
     async def _elect(self) -> None:
-        # Strong entries try first.
-        await asyncio.sleep(max(0.0, 0.3 - 0.1 * self.options.cores))
         while True:
             if self.configuration is not None and self._may_stand():
-                reign = await self._try_to_lead()
+                # Stronger entries try first: the leader carries the whole fleet.
+                await asyncio.sleep(find_election_delay(self.options))
+                reign = await self._try_to_lead() if self._may_stand() else None
                 if reign is not None:
                     await self._lead(reign)
             await asyncio.sleep(ELECTION_S)
@@ -296,6 +348,7 @@
         while not reign.lost.is_set():
             try:
                 await self._load_peers()
+                self._take_orders(await self._directory.read_orders())
                 await conductor.load(self.configuration)
                 break
             except (NotExecutedError, OutcomeUnknownError):
@@ -332,7 +385,7 @@
             self.options.name,
             reign.epoch,
             reign.has_authority(),
-            reign.is_store_failing,
+            reign.is_store_failing or reign.journal.is_failing,
             is_resigning,
             version,
             waiting,
@@ -344,8 +397,22 @@
                 del self._peers[address]
                 continue
             self._links.send(address, beacon)
-            if 0 < view.hello.version < version:
-                self._links.send(address, Offer(self._raw_configuration))
+        self._offer_configuration()
+
+    def _offer_configuration(self) -> None:
+        """Send the configuration once to each entry that has an older one."""
+        if self.configuration is None:
+            return
+        version, now = self.configuration.version, clock.now()
+        compressed = b""
+        for address, view in self._peers.items():
+            offered, offered_at = self._offered.get(address, (0, 0.0))
+            is_offered = offered >= version and now - offered_at < OFFER_AGAIN_S
+            if view.hello.version >= version or is_offered:
+                continue
+            compressed = compressed or zlib.compress(self._raw_configuration, 1)
+            self._offered[address] = version, now
+            self._links.send(address, Offer(compressed))
 
     # Contact
 
@@ -355,11 +422,29 @@
             flush_logs()
             if not registered:
                 registered = await self._register()
+            self._note_leader_silence()
             if self._hears_failing_store():
                 await self._probe_store()
             self._send_hello()
             await asyncio.sleep(LOG_FLUSH_S)
 
+    def _note_leader_silence(self) -> None:
+        """Log once when the leader has fallen silent; `_take_beacon` logs the next."""
+        leader = self.leader
+        if (
+            leader is None
+            or self.hears_leader()
+            or self._silent_epoch >= (leader.beacon.epoch)
+        ):
+            return
+        self._silent_epoch = leader.beacon.epoch
+        log_event(
+            events.LEADER_SILENT,
+            leader=leader.beacon.leader,
+            epoch=leader.beacon.epoch,
+            age=round(clock.now() - leader.heard_at, 2),
+        )
+
     async def _register(self) -> bool:
         key = ENTRIES + self.options.name
         try:
@@ -405,7 +490,7 @@
         elif isinstance(message, Hello):
             self._peers[sender] = PeerView(message, clock.now())
         elif isinstance(message, Offer):
-            self.apply_configuration(message.configuration, "leader")
+            self.apply_configuration(zlib.decompress(message.compressed), "leader")
         elif isinstance(message, Reply):
             self._calls.take(message)
         else:
@@ -529,6 +614,19 @@
         leader = self.leader
         return leader is not None and clock.now() - leader.heard_at < LEADER_SILENCE_S
 
+    def describe_basis(self) -> str:
+        """Return what an answer to a caller rests on, for the log."""
+        version = self.configuration.version if self.configuration else 0
+        leader = self.leader
+        if leader is None:
+            return f"configuration {version}; no leader known"
+        age = clock.now() - leader.heard_at
+        return (
+            f"configuration {version}; leader {leader.beacon.leader} in epoch "
+            f"{leader.beacon.epoch}, heard {age:.2f} s ago, store failing there: "
+            f"{leader.beacon.is_store_failing}"
+        )
+
     def is_ready(self) -> bool:
         """Tell whether callers are served well here."""
         if self.is_stopping or self.configuration is None:
--- a/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
@@ -4,6 +4,7 @@
 
 from typing import NamedTuple
 
+from briarshed_workloads import suspicion
 from briarshed_workloads.workloads import (
     NOTHING,
     Observed,
@@ -86,6 +87,11 @@
         self.stop_asked = 0.0
         self.is_copy = False
 
+    @property
+    def is_present(self) -> bool:
+        """Tell whether the run is known to be there and is not being stopped."""
+        return self.state == PRESENT
+
     @property
     def is_serving(self) -> bool:
         """Tell whether a long-running task is at work."""
@@ -123,8 +129,7 @@
         "retiring",
         "runs",
         "seen",
-        "strikes",
-        "struck_until",
+        "trust",
         "used",
     )
 
@@ -149,8 +154,7 @@
         self.is_gone = False
         self.evacuating = False
         self.retiring = False
-        self.strikes: set[str] = set()
-        self.struck_until = 0.0
+        self.trust = suspicion.Trust()
 
     @property
     def name(self) -> str:
--- a/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
@@ -41,9 +41,11 @@
         "description",
         "due_at",
         "ended_at",
+        "failed_at",
         "failed_runs",
         "has_started",
         "is_restored",
+        "is_within_share",
         "job_id",
         "max_attempts",
         "opened",
@@ -78,6 +80,8 @@
         self.cancelled = False
         self.ended_at = 0.0
         self.is_restored = False
+        self.is_within_share = True
+        self.failed_at: dict[TaskId, set[str]] = {}
         self.has_started = False
         self.rest: tuple[float, float] | None = None
         self.succeeded: dict[tuple[int, int], set[int]] = {}
--- a/packages/briarshed-workloads/src/briarshed_workloads/journal.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/journal.py
@@ -56,6 +56,7 @@
         self.era = era
         self.revision = revision
         self.is_lost = False
+        self.is_failing = False
         self.commits = 0
         self._store = store
         self._lock = asyncio.Lock()
@@ -88,12 +89,15 @@
                 )
             except NotExecutedError:
                 # The store client has logged it.
+                self.is_failing = True
                 await asyncio.sleep(RETRY_S)
                 continue
             except OutcomeUnknownError as error:
+                self.is_failing = True
                 log_event(STORE_ANSWER_LOST, writes=era.writes, error=str(error))
                 await asyncio.sleep(RETRY_S)
                 continue
+            self.is_failing = False
             if isinstance(outcome, Committed):
                 self.revision = outcome.revision
                 return
--- a/packages/briarshed-workloads/src/briarshed_workloads/links.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/links.py
@@ -67,9 +67,9 @@
 
 
 class Offer(msgspec.Struct, tag="o", array_like=True, frozen=True):
-    """A configuration, undecoded, for an entry with an older one."""
+    """A configuration, undecoded and compressed, for an entry with an older one."""
 
-    configuration: bytes
+    compressed: bytes
 
 
 class Submit(msgspec.Struct, tag="s", array_like=True, frozen=True):
--- a/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
@@ -138,6 +138,9 @@
         self._restored[wave] = record
         if record.is_completed:
             self.closed.add(wave)
+            self.waves.pop(wave, None)
+        elif wave in self.waves:
+            self.waves[wave].begun.update(record.begun)
 
     def set_waves(self, orders: Sequence[WaveOrder]) -> None:
         """Take over the operator's waves."""
@@ -167,15 +170,19 @@
     async def run(self) -> None:
         """Work on waves and moves until the reign ends."""
         while True:
-            now = clock.now()
-            if self._reign.has_authority() and now >= self._orders_from:
-                try:
-                    await self._step(now)
-                    self._platform.note_working()
-                except (NotExecutedError, OutcomeUnknownError) as error:
-                    self._platform.note_failing(str(error))
+            await self.work(clock.now())
             await asyncio.sleep(STEP_S)
 
+    async def work(self, now: float) -> None:
+        """Give the orders that are due, unless an earlier holder's may be under way."""
+        if not self._reign.has_authority() or now < self._orders_from:
+            return
+        try:
+            await self._step(now)
+            self._platform.note_working()
+        except (NotExecutedError, OutcomeUnknownError) as error:
+            self._platform.note_failing(str(error))
+
     async def _step(self, now: float) -> None:
         if now - self._listed_at >= LIST_S:
             await self._read_instances()
--- a/packages/briarshed-workloads/src/briarshed_workloads/options.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/options.py
@@ -68,6 +68,8 @@
         Address of the service that approves endpoints for steps; may be empty.
     cores : float
         Processor time that the entry may use, in cores.
+    link_mbps : float
+        Bandwidth of the instance's network link in Mbit/s.
     promises : Promises
         Bounds of the site.
     store_rates : StoreRates
@@ -87,6 +89,7 @@
     instances: str
     advice: str
     cores: float
+    link_mbps: float
     promises: Promises
     store_rates: StoreRates
     instance_calls: float
--- a/packages/briarshed-workloads/src/briarshed_workloads/planning.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/planning.py
@@ -4,21 +4,37 @@
 
 import itertools
 import math
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
+from typing import NamedTuple
 
 from briarshed_workloads.engine import Engine
-from briarshed_workloads.fleet import Endpoint, StartOrder, is_within
+from briarshed_workloads.fleet import Endpoint, Run, StartOrder, is_within
 from briarshed_workloads.jobs import Job, find_need, find_objective
+from briarshed_workloads.suspicion import find_slow, project_ratio
 from briarshed_workloads.workloads import Resources, Step, TaskId, fits
 
-LONG_RUNNING, ON_TIME, LATE = 0, 1, 2
+LONG_RUNNING, ON_TIME, BEYOND_SHARE, LATE = 0, 1, 2, 3
 """Ranks of jobs: those that run until cancelled, those that can still meet their
-objective, and the rest, which use what is left."""
+objective, those of a team that sends more than its share, and the rest, which use what
+is left."""
+
+OVERDUE_FACTOR = 2.0
+"""Ratio of a run's time to the usual one from which on a copy is worth its room."""
+
+LEAST_USUAL_S = 0.2
+"""Run time below which a copy would come too late to help."""
 
 REST_KEPT_S = 0.25
 """Time for which an estimate of a job's remaining work is used again."""
 
 
+class Room(NamedTuple):
+    """The endpoints that may get work, and the names of the slow ones among them."""
+
+    endpoints: Sequence[Endpoint]
+    slow: Collection[str]
+
+
 def plan_starts(engine: Engine, now: float) -> list[StartOrder]:
     """Book runs for waiting tasks and return the orders for them.
 
@@ -38,12 +54,74 @@
         quarantined = is_quarantined(engine, pool, now)
         wall_now = engine.wall(now)
         jobs.sort(key=lambda job: rank_job(engine, job, wall_now))
+        room = Room(usable, find_slow(usable))
         for job in jobs:
             if not (quarantined and job.is_restored):
-                orders += _start_job(engine, job, usable, now)
+                orders += _start_job(engine, job, room, now)
     return orders
 
 
+def plan_copies(engine: Engine, now: float) -> list[StartOrder]:
+    """Book copies of overdue tasks whose step allows it, where room is left over.
+
+    The first copy to succeed counts; the others are stopped.
+    """
+    orders: list[StartOrder] = []
+    for pool in list(engine.open_jobs):
+        overdue = [
+            (job, runs[0])
+            for job in engine.list_open(pool).values()
+            if any(step.speculative for step in job.description.steps)
+            for runs in _list_lone_runs(engine, job)
+            if is_overdue(engine, runs[0], now)
+        ]
+        if not overdue:
+            continue
+        usable = list_usable(engine, pool, now)
+        slow = find_slow(usable)
+        for job, run in overdue:
+            others = [
+                row
+                for row in usable
+                if row is not run.endpoint and row.name not in slow
+            ]
+            need = find_need(run.step)
+            maximum = engine.find_maximum(job.team)
+            if not is_within(engine.usage.read(job.team), need, maximum):
+                continue
+            room = Room(others, frozenset())
+            endpoint = choose_endpoint(engine, job, run.task, need, room)
+            if endpoint is not None:
+                orders.append(_book(engine, job, run.task, run.step, endpoint, now))
+    return orders
+
+
+def _list_lone_runs(engine: Engine, job: Job) -> list[list[Run]]:
+    """Return the runs of speculative steps that are their task's only one."""
+    found = []
+    for occurrence, number in job.opened:
+        step = job.description.steps[number]
+        if not step.speculative:
+            continue
+        for index in range(step.count):
+            task = TaskId(job.job_id, occurrence, number, index)
+            runs = engine.runs.get(task, [])
+            if len(runs) == 1:
+                found.append(runs)
+    return found
+
+
+def is_overdue(engine: Engine, run: Run, now: float) -> bool:
+    """Tell whether a run has taken, or will take, far longer than estimated."""
+    if not run.is_present or not run.confirmed_at:
+        return False
+    usual = max(estimate_task(engine, run.step), LEAST_USUAL_S)
+    ratio = project_ratio(run, now)
+    if ratio is not None and ratio * run.step.estimate > OVERDUE_FACTOR * usual:
+        return True
+    return now - run.confirmed_at > OVERDUE_FACTOR * usual
+
+
 def _has_room(jobs: Sequence[Job], usable: Sequence[Endpoint]) -> bool:
     """Tell whether the smallest waiting task fits anywhere by its processor part."""
     least = min(
@@ -83,7 +161,7 @@
         and not endpoint.evacuating
         and not endpoint.retiring
         and not endpoint.failing_since
-        and endpoint.struck_until <= now
+        and endpoint.trust.avoided_until <= now
         and endpoint.full_until <= now
         and endpoint.name in engine.roster
     ]
@@ -101,11 +179,9 @@
     if job.description.schedule:
         due = max(due, job.find_due(min(task.occurrence for task in job.waiting)))
     objective = due + find_objective(job, queue)
-    rank = (
-        ON_TIME
-        if wall_now + estimate_rest(engine, job, wall_now) <= objective
-        else LATE
-    )
+    rank = ON_TIME if job.is_within_share else BEYOND_SHARE
+    if wall_now + estimate_rest(engine, job, wall_now) > objective:
+        rank = LATE
     priority = queue.priority if queue else 0
     return (rank, priority, objective, job.job_id)
 
@@ -144,9 +220,7 @@
     return engine.run_times.get(step.image, step.estimate)
 
 
-def _start_job(
-    engine: Engine, job: Job, usable: Sequence[Endpoint], now: float
-) -> list[StartOrder]:
+def _start_job(engine: Engine, job: Job, room: Room, now: float) -> list[StartOrder]:
     orders: list[StartOrder] = []
     maximum = engine.find_maximum(job.team)
     blocked: set[int] = set()
@@ -160,13 +234,13 @@
         step = job.find_step(task)
         need = find_need(step)
         if step.gang:
-            orders += _start_gang(engine, job, task, usable, now)
+            orders += _start_gang(engine, job, task, room.endpoints, now)
             blocked.add(task.step)
             continue
         if not is_within(engine.usage.read(job.team), need, maximum):
             blocked.add(task.step)
             continue
-        endpoint = choose_endpoint(engine, task, step, need, usable)
+        endpoint = choose_endpoint(engine, job, task, need, room)
         if endpoint is None:
             blocked.add(task.step)
             continue
@@ -259,27 +333,31 @@
 
 def choose_endpoint(
     engine: Engine,
+    job: Job,
     task: TaskId,
-    step: Step,
     need: Resources,
-    usable: Sequence[Endpoint],
+    room: Room,
 ) -> Endpoint | None:
     """Return the best endpoint with room for the task, or None.
 
     Long-running tasks of a step are spread over racks, so that the loss of one takes
     few; fillers go where the fewest tasks serve; other tasks go where the most
-    processor time is free. The rack that holds the data comes first.
+    processor time is free. The rack that holds the data comes first, and an endpoint
+    where the task has failed, or that is slow, comes last.
     """
+    step = job.find_step(task)
+    failed_at = job.failed_at.get(task, ())
     counts = _count_step(engine, task, step)
     best: Endpoint | None = None
     best_score: tuple = (math.inf,)
-    for endpoint in usable:
+    for endpoint in room.endpoints:
         if not fits(need, endpoint.find_free()) or not _suits(step, endpoint):
             continue
         here = counts.get(endpoint.name, 0)
         if step.per_endpoint and here >= step.per_endpoint:
             continue
-        score = _score(step, endpoint, counts, here)
+        is_poor = endpoint.name in failed_at or endpoint.name in room.slow
+        score = (is_poor, *_score(step, endpoint, counts, here))
         if score < best_score:
             best, best_score = endpoint, score
     return best
--- a/packages/briarshed-workloads/src/briarshed_workloads/sizing.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/sizing.py
@@ -35,6 +35,9 @@
 SURPLUS_SHARE = 0.1
 """Part of an instance by which capacity must exceed demand before one is released."""
 
+CLEAR_LATE_S = 5.0
+"""Time within which work that is late already should be finished all the same."""
+
 LACK_SHARE = 0.5
 """Part of an instance that a pool must lack before one is moved to it."""
 
@@ -161,7 +164,7 @@
                 if run.step.long_running:
                     fixed = add(fixed, run.need)
     wall_now = engine.wall(now)
-    backlog = 0.0
+    backlog = late = 0.0
     least = LEAST_INSTANCES
     for job in engine.list_open(pool).values():
         if job.is_long_running:
@@ -170,7 +173,9 @@
                 fixed = add(fixed, find_need(job.find_step(task)))
         elif is_worth_room(engine, job, wall_now):
             backlog += find_work_left(engine, job)
-    demand = max(rate, backlog / CLEAR_S) * 1000
+        else:
+            late += find_work_left(engine, job)
+    demand = (max(rate, backlog / CLEAR_S) + late / CLEAR_LATE_S) * 1000
     return PoolNeed(demand, fixed, _sum(rooms), len(rooms), least)
 
 
--- /dev/null
+++ b/packages/briarshed-workloads/src/briarshed_workloads/suspicion.py
@@ -0,0 +1,134 @@
+"""Endpoints that fail, stall or slow what they run while they report to be well.
+
+Belief comes from ends and progress, not from what an endpoint says of its health.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from briarshed_workloads.fleet import Endpoint, Run
+
+FAILURES_TO_AVOID = 3
+"""Different works that fail in a row at an endpoint before it is avoided. Work that
+never succeeds fails everywhere, so that one or two are no proof."""
+
+FAILURES_ON_PROBATION = 1
+"""The same, for an endpoint that was avoided and has not succeeded since."""
+
+FIRST_AVOIDED_S = 3.0
+LONGEST_AVOIDED_S = 12.0
+"""Time without new work; doubles each time, up to the second figure."""
+
+STALL_S = 2.6
+"""Time without progress after which a run stands still: two looks and some slack."""
+
+STALL_FACTOR = 1.5
+"""A run is no stall before it has taken this many times its estimated time."""
+
+START_UP_S = 3.0
+"""Time within which a long-running task should be at work after its start."""
+
+SLOW_FACTOR = 2.2
+"""Ratio of run times to estimates, against the pool's mean, that counts as slow."""
+
+SLOW_WEIGHT = 0.3
+"""Weight of a new ratio in the endpoint's mean."""
+
+MIN_PROGRESS_PERCENT = 10
+"""Progress below which a run tells nothing of an endpoint's speed."""
+
+
+class Trust:
+    """What is held against one endpoint; times are seconds of the boot clock."""
+
+    __slots__ = ("_avoided_s", "_failed", "avoided_until", "slowness")
+
+    def __init__(self) -> None:
+        self.avoided_until = 0.0
+        self.slowness = 1.0
+        self._failed: set[str] = set()
+        self._avoided_s = 0.0
+
+    def note_success(self) -> None:
+        """Clear what was held against the endpoint."""
+        self._failed.clear()
+        self._avoided_s = 0.0
+
+    def note_failure(self, work: str, now: float) -> float:
+        """Note that a piece of work failed or stalled.
+
+        Returns
+        -------
+        float
+            Seconds for which the endpoint is avoided from now on; 0 if it is not.
+        """
+        self._failed.add(work)
+        is_on_probation = self._avoided_s > 0
+        limit = FAILURES_ON_PROBATION if is_on_probation else FAILURES_TO_AVOID
+        if now < self.avoided_until or len(self._failed) < limit:
+            return 0.0
+        self._failed.clear()
+        longer = self._avoided_s * 2 or FIRST_AVOIDED_S
+        self._avoided_s = min(LONGEST_AVOIDED_S, longer)
+        self.avoided_until = now + self._avoided_s
+        return self._avoided_s
+
+    def note_speed(self, ratio: float) -> None:
+        """Note how long a run took, or will take, against its estimate."""
+        self.slowness += SLOW_WEIGHT * (ratio - self.slowness)
+
+
+class Stall(NamedTuple):
+    """A run that stands still, and for how long in seconds."""
+
+    run: Run
+    seconds: float
+
+
+def project_ratio(run: Run, now: float) -> float | None:
+    """Return the expected run time over the estimate, or None if it cannot be told."""
+    elapsed = now - run.confirmed_at
+    if run.percent < MIN_PROGRESS_PERCENT or not run.step.estimate or run.checkpoint:
+        return None
+    return elapsed * 100 / run.percent / run.step.estimate
+
+
+def list_stalls(endpoints: Iterable[Endpoint], now: float) -> list[Stall]:
+    """Return the runs whose progress has stood still for too long."""
+    return [
+        Stall(run, now - run.progressed_at)
+        for endpoint in endpoints
+        if not endpoint.failing_since and now - endpoint.answered_at < STALL_S
+        for run in endpoint.runs.values()
+        if run.is_present and not run.stop_asked and _stands_still(run, now)
+    ]
+
+
+def _stands_still(run: Run, now: float) -> bool:
+    if not run.confirmed_at:
+        return False
+    quiet = now - run.progressed_at > STALL_S
+    if run.step.long_running:
+        # A slow endpoint takes its time to start one up; stopping it begins anew.
+        is_late = now - run.confirmed_at > START_UP_S
+        return quiet and is_late and run.percent < 100
+    if run.step.gang:
+        return False
+    return quiet and now - run.confirmed_at > STALL_FACTOR * run.step.estimate
+
+
+def find_slow(endpoints: Iterable[Endpoint]) -> set[str]:
+    """Return the endpoints that are slow against the others of their pool.
+
+    At most half of them, so that a pool is never left with nothing.
+    """
+    rows = list(endpoints)
+    if len(rows) < 2:
+        return set()
+    ordered = sorted(rows, key=lambda row: row.trust.slowness)
+    usual = ordered[(len(ordered) - 1) // 2].trust.slowness
+    slow = [row for row in ordered if row.trust.slowness > SLOW_FACTOR * usual]
+    return {row.name for row in slow[-(len(rows) // 2) :]}
