--- a/features/workloads/steps/wave_takeover_steps.py
+++ b/features/workloads/steps/wave_takeover_steps.py
@@ -8,7 +8,7 @@
 
 from briarshed_entry import clock
 from briarshed_workloads.maintenance import Maintenance
-from briarshed_workloads.options import EntryOptions, Promises, StoreRates
+from briarshed_workloads.options import EntryOptions, Promises
 from briarshed_workloads.ports import Ordered
 from briarshed_workloads.records import WaveRecord
 from briarshed_workloads.workloads import NOTHING, Instance, WaveOrder
@@ -28,8 +28,6 @@
     1.0,
     100.0,
     Promises(),
-    StoreRates(),
-    64.0,
 )
 
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/disruption.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/disruption.py
@@ -13,7 +13,7 @@
     StopOrder,
 )
 from briarshed_workloads.jobs import Job
-from briarshed_workloads.workloads import Step, TaskId
+from briarshed_workloads.workloads import TaskId
 
 TAIL_HIGH = 0.85
 """Share of a tail target above which fillers beside the task are slowed."""
@@ -30,9 +30,6 @@
 PACE_INTERVAL_S = 0.6
 """Time between changes of one filler's pace; readings cover the last half second."""
 
-FINISH_RATHER_S = 1.2
-"""A task without checkpoints that ends within this time is left to finish."""
-
 
 def list_evacuations(
     engine: Engine, now: float, is_urgent: Callable[[Endpoint], bool]
@@ -84,11 +81,6 @@
     )
 
 
-def is_empty_enough(endpoint: Endpoint) -> bool:
-    """Tell whether nothing worth keeping runs at an endpoint."""
-    return not endpoint.runs
-
-
 def list_pacing(engine: Engine, now: float) -> list[PaceOrder]:
     """Return changes of pace for fillers, by the tails of the tasks beside them."""
     orders: list[PaceOrder] = []
@@ -130,8 +122,3 @@
     if strain <= TAIL_LOW:
         return min(100, pace + PACE_UP)
     return pace
-
-
-def estimate_left(run: Run, step: Step, now: float) -> float:
-    """Return the seconds that a run still needs, by its progress."""
-    return max(0.0, step.estimate * (1 - run.percent / 100))
--- a/packages/briarshed-workloads/src/briarshed_workloads/entry.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/entry.py
@@ -158,7 +158,8 @@
         self.options = options
         self.incarnation = secrets.token_hex(4)
         self.configuration: Configuration | None = None
-        self.configurations: Subject[Configuration] = Subject()
+        self._configurations: Subject[Configuration] = Subject()
+        self._configurations.subscribe(self._pass_on)
         self.leader: LeaderView | None = None
         self.conductor: Conductor | None = None
         self.is_stopping = False
@@ -274,9 +275,12 @@
         log_event(
             events.CONFIGURATION_APPLIED, version=configuration.version, source=source
         )
+        self._configurations.on_next(configuration)
+
+    def _pass_on(self, configuration: Configuration) -> None:
+        """Hand a new configuration to the leader's loops and to other entries."""
         if self.conductor is not None and self.conductor.is_loaded:
             self.conductor.set_configuration(configuration)
-        self.configurations.on_next(configuration)
         if self._reign is not None:
             self._offer_configuration()
         self._send_hello()
@@ -395,6 +399,7 @@
         for address, view in list(self._peers.items()):
             if now - view.heard_at > PEER_FORGOTTEN_S:
                 del self._peers[address]
+                self._links.close(address)
                 continue
             self._links.send(address, beacon)
         self._offer_configuration()
--- a/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
@@ -123,7 +123,6 @@
         "is_gone",
         "is_listed",
         "last_deadline_ms",
-        "looked_at",
         "needs_fence",
         "observed",
         "retiring",
@@ -146,7 +145,6 @@
         self.anchor_ms = 0
         self.anchor_at = 0.0
         self.answered_at = 0.0
-        self.looked_at = 0.0
         self.failing_since = 0.0
         self.full_until = 0.0
         self.last_deadline_ms = 0
--- a/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Iterator
 
 from briarshed.charts import advance, load_chart
@@ -39,7 +38,6 @@
         "checkpoints",
         "completed_occurrences",
         "description",
-        "due_at",
         "ended_at",
         "failed_at",
         "failed_runs",
@@ -90,7 +88,6 @@
         self.waiting: dict[TaskId, None] = {}
         self.opened: set[tuple[int, int]] = set()
         self.completed_occurrences: set[int] = set()
-        self.due_at: dict[int, float] = {}
         self.work = sum(
             step.count * step.need.cpu / 1000 * step.estimate
             for step in description.steps
@@ -136,12 +133,6 @@
             return self.accepted_at
         return schedule.first_due + occurrence * schedule.interval
 
-    def find_next_due(self) -> float:
-        """Return when the next occurrence opens, in Unix seconds; inf if none."""
-        opened = {occurrence for occurrence, _ in self.opened}
-        rest = [k for k in range(self.count_occurrences()) if k not in opened]
-        return self.find_due(rest[0]) if rest else math.inf
-
     def open_due(self, wall_now: float) -> None:
         """Open the steps that are ready and put their tasks among the waiting."""
         if not self.is_open or self.cancelled:
--- a/packages/briarshed-workloads/src/briarshed_workloads/links.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/links.py
@@ -180,10 +180,11 @@
         except zmq.Again:
             self.dropped += 1
 
-    def keep_only(self, addresses: set[str]) -> None:
-        """Close the connections to peers that have left."""
-        for address in self._sockets.keys() - addresses:
-            self._sockets.pop(address).close(linger=0)
+    def close(self, address: str) -> None:
+        """Close the connection to a peer that has left."""
+        socket = self._sockets.pop(address, None)
+        if socket is not None:
+            socket.close(linger=0)
 
     async def _read(self) -> None:
         assert self._receiver is not None
--- a/packages/briarshed-workloads/src/briarshed_workloads/options.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/options.py
@@ -41,14 +41,6 @@
     lease: float = 3.0
 
 
-class StoreRates(NamedTuple):
-    """What the store takes; calls a second over all entries, seconds."""
-
-    writes: float = 400.0
-    reads: float = 2000.0
-    shortest_lease: float = 1.0
-
-
 class EntryOptions(NamedTuple):
     """Everything an entry learns from its settings.
 
@@ -72,10 +64,6 @@
         Bandwidth of the instance's network link in Mbit/s.
     promises : Promises
         Bounds of the site.
-    store_rates : StoreRates
-        Limits of the store.
-    instance_calls : float
-        Move and maintenance calls a second over all entries.
     """
 
     name: str
@@ -91,5 +79,3 @@
     cores: float
     link_mbps: float
     promises: Promises
-    store_rates: StoreRates
-    instance_calls: float
