--- /dev/null
+++ b/packages/briarshed-workloads/src/briarshed_workloads/bookkeeping.py
@@ -0,0 +1,261 @@
+"""The leader's records: read at the start of a reign, written as jobs go on.
+
+Several ends share a write. An end is acknowledged, an outcome told and an endpoint used
+only after the write that records it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable, Mapping
+
+from briarshed import events
+from briarshed.exceptions import DocumentError
+from briarshed_entry.logs import log_event
+from briarshed_workloads.engine import Engine
+from briarshed_workloads.fleet import Endpoint
+from briarshed_workloads.journal import CHUNK
+from briarshed_workloads.leadership import Reign
+from briarshed_workloads.maintenance import Maintenance
+from briarshed_workloads.ports import Directory, Item, Put, Store
+from briarshed_workloads.records import (
+    JOBS,
+    PROGRESS,
+    ROSTER,
+    SIZES,
+    WAVES,
+    JobRecord,
+    ProgressRecord,
+    RosterRecord,
+    SizesRecord,
+    WaveRecord,
+    decode,
+    encode,
+)
+from briarshed_workloads.workloads import NOTHING, Observed
+
+FLUSH_PAUSE_S = 0.04
+"""Pause between two writes of progress, so that one serves several ends."""
+
+CLEAN_S = 10.0
+"""Interval of removing the records of jobs that ended long ago."""
+
+
+class Bookkeeper:
+    """Reads and writes the durable records of one reign.
+
+    Parameters
+    ----------
+    reign : Reign
+        Leadership under which records are written.
+    engine : Engine
+        The state that is recorded.
+    store, directory
+        Where records are, and how the operator's status items are encoded.
+    status_kept : float
+        Seconds for which the outcome of a job is told.
+    note_saved : callable
+        Called with the name of an endpoint whose ends may be acknowledged, or with an
+        empty name when jobs may start.
+
+    Attributes
+    ----------
+    accepting : dict
+        Jobs whose acceptance is not durable yet, with the futures of their callers.
+    outcomes : dict
+        Durable outcomes of jobs that have ended.
+    """
+
+    def __init__(
+        self,
+        reign: Reign,
+        engine: Engine,
+        store: Store,
+        directory: Directory,
+        status_kept: float,
+        note_saved: Callable[[str], None],
+    ) -> None:
+        self.accepting: dict[str, asyncio.Future[bool]] = {}
+        self.outcomes: dict[str, str] = {}
+        self._reign = reign
+        self._engine = engine
+        self._store = store
+        self._directory = directory
+        self._status_kept = status_kept
+        self._note_saved = note_saved
+        self._unsaved = asyncio.Event()
+
+    def request_save(self) -> None:
+        """Let what has changed be written soon."""
+        self._unsaved.set()
+
+    def fail_accepting(self) -> None:
+        """Tell the callers of jobs in doubt that their outcome is unknown."""
+        for future in self.accepting.values():
+            if not future.done():
+                future.set_result(False)
+
+    async def load_jobs(self) -> None:
+        """Take over all recorded jobs."""
+        jobs = await self._store.read_all(JOBS)
+        progress = await self._store.read_all(PROGRESS)
+        rows = {item.key.removeprefix(PROGRESS): item for item in progress.items}
+        for item in jobs.items:
+            self._restore_job(item.key.removeprefix(JOBS), item.value, rows)
+
+    def _restore_job(self, job_id: str, value: bytes, rows: Mapping[str, Item]) -> None:
+        try:
+            record = decode(value, JobRecord)
+            row = rows.get(job_id)
+            progress = decode(row.value, ProgressRecord) if row else None
+        except DocumentError as error:
+            log_event(events.RECORD_UNREADABLE, key=JOBS + job_id, error=str(error))
+            return
+        self._engine.restore(job_id, record, progress, time.time())
+        if record.outcome:
+            self.outcomes[job_id] = record.outcome
+
+    async def load_roster(self) -> None:
+        """Take over the endpoints that may hold runs and are not registered."""
+        item = await self._store.read(ROSTER)
+        if item is None:
+            return
+        for name, born, address, instance, pool in decode(
+            item.value, RosterRecord
+        ).rows:
+            if name not in self._engine.endpoints:
+                lost = Observed(
+                    name, born, address, pool, "", "", (), NOTHING, instance=instance
+                )
+                endpoint = Endpoint(lost, self._engine.epoch)
+                endpoint.is_listed = False
+                self._engine.endpoints[name] = endpoint
+
+    async def load_waves(self, maintenance: Maintenance) -> None:
+        """Take over the progress of waves and the sizes of pools."""
+        for item in (await self._store.read_all(WAVES)).items:
+            record = decode(item.value, WaveRecord)
+            maintenance.restore(int(item.key.removeprefix(WAVES)), record)
+        sizes = await self._store.read(SIZES)
+        if sizes is not None:
+            maintenance.sizes = decode(sizes.value, SizesRecord).sizes
+
+    async def save(self) -> None:
+        """Write what has changed, again and again."""
+        while True:
+            await self._unsaved.wait()
+            self._unsaved.clear()
+            if not self.accepting:
+                await asyncio.sleep(FLUSH_PAUSE_S)
+            await self._save_once()
+
+    async def _save_once(self) -> None:
+        engine = self._engine
+        seen = {name: row.seen for name, row in engine.endpoints.items()}
+        await self._save_roster()
+        job_ids = list(engine.dirty)
+        engine.dirty.clear()
+        # New jobs first: their callers wait.
+        job_ids.sort(key=lambda job_id: job_id not in self.accepting)
+        for start in range(0, len(job_ids), CHUNK // 2):
+            await self._save_jobs(job_ids[start : start + CHUNK // 2])
+        for name, number in seen.items():
+            endpoint = engine.endpoints.get(name)
+            if endpoint is not None and number > endpoint.acknowledged:
+                endpoint.acknowledged = number
+                self._note_saved(name)
+
+    async def _save_jobs(self, job_ids: list[str]) -> None:
+        puts: list[Put] = []
+        removals: list[str] = []
+        states: dict[str, str] = {}
+        for job_id in job_ids:
+            job = self._engine.jobs.get(job_id)
+            if job is None:
+                continue
+            is_new = job_id in self.accepting
+            if is_new or not job.is_open:
+                puts.append(Put(JOBS + job_id, encode(job.encode_job())))
+            if job.is_open and not is_new:
+                puts.append(Put(PROGRESS + job_id, encode(job.encode_progress())))
+            if not job.is_open:
+                removals.append(PROGRESS + job_id)
+                states[job_id] = job.state
+        if puts:
+            await self._reign.journal.commit(puts, removals)
+        self.outcomes.update(states)
+        for job_id in job_ids:
+            self._confirm(job_id)
+
+    def _confirm(self, job_id: str) -> None:
+        waiting = self.accepting.pop(job_id, None)
+        job = self._engine.jobs.get(job_id)
+        if waiting is None or job is None:
+            return
+        if not waiting.done():
+            waiting.set_result(True)
+        if job.is_open:
+            self._engine.release(job, time.time())
+        log_event(
+            events.JOB_ACCEPTED,
+            job_id=job_id,
+            queue=job.queue,
+            team=job.team,
+            tasks=sum(step.count for step in job.description.steps),
+            epoch=self._engine.epoch,
+            commit=self._reign.journal.commits,
+        )
+        self._note_saved("")
+
+    async def _save_roster(self) -> None:
+        """Record new endpoints before the first order to them.
+
+        Those that have gone are left out, so that the next leader need not wait for
+        them.
+        """
+        engine = self._engine
+        names = {
+            name
+            for name, row in engine.endpoints.items()
+            if not row.is_gone and (row.is_listed or row.runs or not row.fenced_counter)
+        }
+        if names == engine.roster:
+            return
+        rows = tuple(
+            (
+                name,
+                row.observed.born,
+                row.observed.address,
+                row.observed.instance,
+                row.observed.pool,
+            )
+            for name, row in engine.endpoints.items()
+            if name in names
+        )
+        await self._reign.journal.commit([Put(ROSTER, encode(RosterRecord(rows)))])
+        engine.roster = names
+        self._note_saved("")
+
+    async def clean(self) -> None:
+        """Remove the records of jobs that ended long ago, again and again."""
+        while True:
+            await asyncio.sleep(CLEAN_S)
+            kept = self._status_kept + CLEAN_S
+            old = self._engine.forget_ended(time.time(), kept)
+            for job_id in old:
+                self.outcomes.pop(job_id, None)
+            for start in range(0, len(old), CHUNK):
+                part = old[start : start + CHUNK]
+                await self._reign.journal.commit([], [JOBS + row for row in part])
+
+    async def save_sizes(self, record: SizesRecord) -> None:
+        """Record the sizes of the pools."""
+        await self._reign.journal.commit([Put(SIZES, encode(record))])
+
+    async def save_wave(self, wave: int, record: WaveRecord) -> None:
+        """Record the progress of a wave and tell it to the operator."""
+        status = self._directory.encode_wave_status(wave, record.is_completed)
+        await self._reign.journal.commit(
+            [status, Put(f"{WAVES}{wave}", encode(record))]
+        )
--- a/packages/briarshed-workloads/src/briarshed_workloads/conductor.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/conductor.py
@@ -9,10 +9,10 @@
 from typing import Any, NamedTuple, Self
 
 from briarshed import events
-from briarshed.exceptions import DocumentError
 from briarshed_entry import clock
 from briarshed_entry.logs import log_event
 from briarshed_workloads import telemetry
+from briarshed_workloads.bookkeeping import Bookkeeper
 from briarshed_workloads.configuration import Configuration
 from briarshed_workloads.disruption import list_evacuations, list_pacing
 from briarshed_workloads.engine import Bounds, Engine
@@ -25,7 +25,7 @@
     StopOrder,
 )
 from briarshed_workloads.jobs import FINAL
-from briarshed_workloads.journal import CHUNK, LeadershipLostError
+from briarshed_workloads.journal import LeadershipLostError
 from briarshed_workloads.leadership import Reign
 from briarshed_workloads.maintenance import Maintenance
 from briarshed_workloads.options import EntryOptions
@@ -37,29 +37,12 @@
     Instances,
     NotExecutedError,
     OutcomeUnknownError,
-    Put,
     Refused,
     Started,
     Store,
 )
-from briarshed_workloads.records import (
-    JOBS,
-    PROGRESS,
-    ROSTER,
-    SIZES,
-    WAVES,
-    JobRecord,
-    ProgressRecord,
-    RosterRecord,
-    SizesRecord,
-    WaveRecord,
-    decode,
-    encode,
-)
 from briarshed_workloads.suspicion import list_stalls
 from briarshed_workloads.workloads import (
-    NOTHING,
-    Observed,
     Start,
     Submission,
 )
@@ -90,18 +73,12 @@
 PLAN_PAUSE_S = 0.008
 """Pause between two plans, so that one plan serves several events."""
 
-FLUSH_PAUSE_S = 0.04
-"""Pause between two writes of progress, so that one serves several ends."""
-
 REFUSED_PAUSE_S = 0.3
 """Time without new starts at an endpoint that refused one for want of room."""
 
 RETRY_AFTER_S = 1.0
 """Told to callers whose job cannot be accepted now; the store is tried more often."""
 
-CLEAN_S = 10.0
-"""Interval of removing the records of jobs that ended long ago."""
-
 
 class Verdict(NamedTuple):
     """What became of a submission."""
@@ -144,16 +121,21 @@
         self._attended: dict[tuple[str, int], asyncio.Task[None]] = {}
         self._wakers: dict[str, asyncio.Event] = {}
         self._changed = asyncio.Event()
-        self._unsaved = asyncio.Event()
-        self._accepting: dict[str, asyncio.Future[bool]] = {}
-        self._saved_states: dict[str, str] = {}
+        self.books = Bookkeeper(
+            reign,
+            self.engine,
+            store,
+            directory,
+            options.promises.status_kept,
+            self._note_saved,
+        )
         self.maintenance = Maintenance(
             options,
             reign,
             self.engine,
             instances,
-            self._save_wave,
-            self._save_sizes,
+            self.books.save_wave,
+            self.books.save_sizes,
         )
 
     async def __aenter__(self) -> Self:
@@ -169,9 +151,7 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        for future in self._accepting.values():
-            if not future.done():
-                future.set_result(False)
+        self.books.fail_accepting()
 
     def spawn(self, work: Coroutine[Any, Any, None], name: str) -> None:
         """Run work in the background; a failure is logged."""
@@ -196,14 +176,10 @@
         engine = self.engine
         engine.configuration = configuration
         engine.wall_offset = time.time() - now
-        jobs = await self._store.read_all(JOBS)
-        progress = await self._store.read_all(PROGRESS)
-        rows = {item.key.removeprefix(PROGRESS): item for item in progress.items}
-        for item in jobs.items:
-            self._restore_job(item.key.removeprefix(JOBS), item.value, rows)
+        await self.books.load_jobs()
         engine.observe(await self._directory.read_endpoints(), clock.now())
-        await self._restore_roster()
-        await self._restore_waves()
+        await self.books.load_roster()
+        await self.books.load_waves(self.maintenance)
         engine.quarantine_until = (
             clock.now() + engine.bounds.lapse + QUARANTINE_MARGIN_S
         )
@@ -219,48 +195,13 @@
         loops = {
             "observe": self._observe(),
             "plan": self._plan(),
-            "save": self._save(),
-            "clean": self._clean(),
+            "save": self.books.save(),
+            "clean": self.books.clean(),
             "maintain": self.maintenance.run(),
         }
         for name, loop in loops.items():
             self.spawn(loop, name)
 
-    def _restore_job(self, job_id: str, value: bytes, rows: dict) -> None:
-        try:
-            record = decode(value, JobRecord)
-            row = rows.get(job_id)
-            progress = decode(row.value, ProgressRecord) if row else None
-        except DocumentError as error:
-            log_event(events.RECORD_UNREADABLE, key=JOBS + job_id, error=str(error))
-            return
-        self.engine.restore(job_id, record, progress, time.time())
-        if record.outcome:
-            self._saved_states[job_id] = record.outcome
-
-    async def _restore_roster(self) -> None:
-        item = await self._store.read(ROSTER)
-        if item is None:
-            return
-        for name, born, address, instance, pool in decode(
-            item.value, RosterRecord
-        ).rows:
-            if name not in self.engine.endpoints:
-                lost = Observed(
-                    name, born, address, pool, "", "", (), NOTHING, instance=instance
-                )
-                endpoint = Endpoint(lost, self.engine.epoch)
-                endpoint.is_listed = False
-                self.engine.endpoints[name] = endpoint
-
-    async def _restore_waves(self) -> None:
-        for item in (await self._store.read_all(WAVES)).items:
-            record = decode(item.value, WaveRecord)
-            self.maintenance.restore(int(item.key.removeprefix(WAVES)), record)
-        sizes = await self._store.read(SIZES)
-        if sizes is not None:
-            self.maintenance.sizes = decode(sizes.value, SizesRecord).sizes
-
     def set_configuration(self, configuration: Configuration) -> None:
         """Apply a newer configuration."""
         self.engine.configuration = configuration
@@ -282,7 +223,7 @@
             ``accepted``, ``refused`` (it is certain that the job will not run) or
             ``unknown``.
         """
-        waiting = self._accepting.get(submission.job)
+        waiting = self.books.accepting.get(submission.job)
         if waiting is None:
             if submission.job in self.engine.jobs:
                 return Verdict("accepted")
@@ -291,8 +232,8 @@
             job = self.engine.accept(submission, time.time())
             self.maintenance.note_work(job.pool, job.work)
             waiting = asyncio.get_running_loop().create_future()
-            self._accepting[job.job_id] = waiting
-            self._unsaved.set()
+            self.books.accepting[job.job_id] = waiting
+            self.books.request_save()
         is_saved = await asyncio.shield(waiting)
         return Verdict("accepted" if is_saved else "unknown")
 
@@ -308,11 +249,11 @@
             return "unknown"
         if job is None:
             return "missing" if self.reign.has_authority() else "unknown"
-        if job_id in self._accepting:
+        if job_id in self.books.accepting:
             return "pending"
         if job.state in FINAL:
             # An outcome is told once it is durable.
-            return self._saved_states.get(job_id, "running")
+            return self.books.outcomes.get(job_id, "running")
         return job.state
 
     async def cancel(self, job_id: str) -> str:
@@ -325,128 +266,13 @@
         if job.is_open:
             self.engine.cancel(job, time.time())
             self._changed.set()
-            self._unsaved.set()
-        while job_id not in self._saved_states:
+            self.books.request_save()
+        while job_id not in self.books.outcomes:
             if self.reign.lost.is_set():
                 return "unknown"
             await asyncio.sleep(0.02)
         return "cancelled"
 
-    # Records
-
-    async def _save(self) -> None:
-        while True:
-            await self._unsaved.wait()
-            self._unsaved.clear()
-            if not self._accepting:
-                await asyncio.sleep(FLUSH_PAUSE_S)
-            await self._save_once()
-
-    async def _save_once(self) -> None:
-        engine = self.engine
-        seen = {name: row.seen for name, row in engine.endpoints.items()}
-        await self._save_roster()
-        job_ids = list(engine.dirty)
-        engine.dirty.clear()
-        # New jobs first: their callers wait.
-        job_ids.sort(key=lambda job_id: job_id not in self._accepting)
-        for start in range(0, len(job_ids), CHUNK // 2):
-            await self._save_jobs(job_ids[start : start + CHUNK // 2])
-        for name, number in seen.items():
-            endpoint = engine.endpoints.get(name)
-            if endpoint is not None and number > endpoint.acknowledged:
-                endpoint.acknowledged = number
-                self._wake(name)
-
-    async def _save_jobs(self, job_ids: list[str]) -> None:
-        puts: list[Put] = []
-        removals: list[str] = []
-        states: dict[str, str] = {}
-        for job_id in job_ids:
-            job = self.engine.jobs.get(job_id)
-            if job is None:
-                continue
-            is_new = job_id in self._accepting
-            if is_new or not job.is_open:
-                puts.append(Put(JOBS + job_id, encode(job.encode_job())))
-            if job.is_open and not is_new:
-                puts.append(Put(PROGRESS + job_id, encode(job.encode_progress())))
-            if not job.is_open:
-                removals.append(PROGRESS + job_id)
-                states[job_id] = job.state
-        if puts:
-            await self.reign.journal.commit(puts, removals)
-        self._saved_states.update(states)
-        for job_id in job_ids:
-            self._confirm(job_id)
-
-    def _confirm(self, job_id: str) -> None:
-        waiting = self._accepting.pop(job_id, None)
-        job = self.engine.jobs.get(job_id)
-        if waiting is None or job is None:
-            return
-        if not waiting.done():
-            waiting.set_result(True)
-        if job.is_open:
-            self.engine.release(job, time.time())
-        log_event(
-            events.JOB_ACCEPTED,
-            job_id=job_id,
-            queue=job.queue,
-            team=job.team,
-            tasks=sum(step.count for step in job.description.steps),
-            epoch=self.engine.epoch,
-            commit=self.reign.journal.commits,
-        )
-        self._changed.set()
-
-    async def _save_roster(self) -> None:
-        """Record new endpoints before the first order to them.
-
-        Those that have gone are left out, so that the next leader need not wait for
-        them.
-        """
-        engine = self.engine
-        names = {
-            name
-            for name, row in engine.endpoints.items()
-            if not row.is_gone and (row.is_listed or row.runs or not row.fenced_counter)
-        }
-        if names == engine.roster:
-            return
-        rows = tuple(
-            (
-                name,
-                row.observed.born,
-                row.observed.address,
-                row.observed.instance,
-                row.observed.pool,
-            )
-            for name, row in engine.endpoints.items()
-            if name in names
-        )
-        await self.reign.journal.commit([Put(ROSTER, encode(RosterRecord(rows)))])
-        engine.roster = names
-        self._changed.set()
-
-    async def _clean(self) -> None:
-        while True:
-            await asyncio.sleep(CLEAN_S)
-            kept = self.options.promises.status_kept + CLEAN_S
-            old = self.engine.forget_ended(time.time(), kept)
-            for job_id in old:
-                self._saved_states.pop(job_id, None)
-            for start in range(0, len(old), CHUNK):
-                part = old[start : start + CHUNK]
-                await self.reign.journal.commit([], [JOBS + row for row in part])
-
-    async def _save_sizes(self, record: SizesRecord) -> None:
-        await self.reign.journal.commit([Put(SIZES, encode(record))])
-
-    async def _save_wave(self, wave: int, record: WaveRecord) -> None:
-        status = self._directory.encode_wave_status(wave, record.is_completed)
-        await self.reign.journal.commit([status, Put(f"{WAVES}{wave}", encode(record))])
-
     # Endpoints
 
     async def _observe(self) -> None:
@@ -470,7 +296,13 @@
                 task = asyncio.create_task(work)
                 self._attended[key] = task
                 task.add_done_callback(lambda _, key=key: self._attended.pop(key, None))
-        self._unsaved.set()
+        self.books.request_save()
+
+    def _note_saved(self, name: str) -> None:
+        if name:
+            self._wake(name)
+        else:
+            self._changed.set()
 
     def _wake(self, name: str) -> None:
         waker = self._wakers.get(name)
@@ -538,7 +370,7 @@
                 ends=ends,
             )
         if endpoint.seen > endpoint.acknowledged:
-            self._unsaved.set()
+            self.books.request_save()
         self._changed.set()
         if ends:
             await asyncio.sleep(LOOK_PAUSE_S)
