Acknowledge no ends of an endpoint that has started again meanwhile; add a fault soak

An endpoint that started again under its name meanwhile counts anew, and its first ends were acknowledged up to the old number before anybody had seen them; its tasks ran again.

The soak runs the real program as processes on loopback against the stand-ins and checks the promises from what callers and endpoints see: make soak SEED=N.

Ruled out: the store's conditions, late transactions, the change of the leader.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN = .venv/bin
 STAMP = .venv/.installed
 
-.PHONY: setup format lint test proofs demo fleet bench clean
+.PHONY: setup format lint test proofs demo fleet soak bench clean
 
 setup: $(STAMP)
 
@@ -38,6 +38,11 @@
 fleet: setup
 	$(BIN)/python -m briarshed_standins.fleet
 
+SEED ?= 1
+SECONDS ?= 30
+soak: setup
+	$(BIN)/python -m briarshed_platform_standins.soak --seed $(SEED) --seconds $(SECONDS)
+
 bench: setup
 	$(BIN)/python bench/run.py
 
--- /dev/null
+++ b/features/platform/steps/input_steps.py
@@ -0,0 +1,255 @@
+"""Steps for input that the adapter decodes; nothing is sent."""
+
+import asyncio
+import base64
+import json
+from types import SimpleNamespace
+
+from behave import given, then, when
+
+from briarshed.exceptions import SettingsError
+from briarshed_platform import directory as directory_module
+from briarshed_platform.callers import decode_job
+from briarshed_platform.directory import PlatformDirectory
+from briarshed_platform.http_client import HttpClient
+from briarshed_platform.settings import decode_options
+from briarshed_platform.store import PlatformStore
+from briarshed_platform_standins.store import StoreStandin
+from briarshed_workloads.configuration import find_queue
+from briarshed_workloads.entry import Entry
+from briarshed_workloads.options import EntryOptions, Promises
+from briarshed_workloads.workloads import Resources, Step
+
+JOB = "00000000000000aa"
+ENDPOINT = {
+    "backend": "p",
+    "address": "10.0.0.1:80",
+    "zone": "z",
+    "state": "ready",
+    "capacity": {"cpu": 1000, "mem-mb": 10, "gpus": 0},
+    "labels": ["a", "r1"],
+    "born": 5,
+}
+SETTINGS = {
+    "node-name": "e1",
+    "zone": "z",
+    "zones": {"z": "r"},
+    "ip": "10.0.0.1",
+    "internal-ports": [7000, 7015],
+    "listen-addrs": {"front": "10.0.0.1:1", "ready": "10.0.0.1:2"},
+    "platform": {"address": "10.0.0.9:1"},
+    "cloud-api": {"address": "10.0.0.9:2"},
+    "limits": {"cpu-share": 0.5, "cores": 2},
+}
+
+
+def find_fault(job, body):
+    """Return the text of the error that decoding raises."""
+    try:
+        decode_job(job, body.encode())
+    except ValueError as error:
+        return str(error)
+    raise AssertionError("the job was taken")
+
+
+@when("a caller hands in {body}")
+def step_hand_in(context, body):
+    if body == "a job with every field":
+        context.step = decode_job(JOB, json.dumps(FULL).encode()).steps[1]
+    elif body.startswith("a job under the id"):
+        context.fault = find_fault("../etc", '{"spec":"x","steps":[{"count":1}]}')
+    else:
+        context.fault = find_fault(JOB, body)
+
+
+FULL = {
+    "spec": "x",
+    "steps": [
+        {"count": 1},
+        {
+            "count": 3,
+            "cpu": 500,
+            "mem-mb": 20,
+            "gpus": 1,
+            "estimate-ms": 1500,
+            "after": [0],
+            "checkpointing": True,
+            "gang": True,
+            "same-rack": True,
+            "requires": "k",
+            "affinity": "r1",
+            "anti-affinity": 2,
+            "speculative": True,
+            "long-running": True,
+            "image": "i",
+            "target-ms": 250,
+            "fills": True,
+            "miss-budget": 1,
+        },
+    ],
+}
+
+
+@then("the finding names the id")
+def step_names_id(context):
+    assert "job id" in context.fault
+
+
+@then("the finding names {place}")
+def step_names(context, place):
+    assert place in context.fault, context.fault
+
+
+@then("each field of the step holds its value")
+def step_fields(context):
+    expected = Step(
+        3,
+        Resources(500, 20, 1),
+        1.5,
+        (0,),
+        True,
+        True,
+        True,
+        "k",
+        "r1",
+        2,
+        True,
+        True,
+        "i",
+        0.25,
+        True,
+        1,
+    )
+    assert context.step == expected, context.step
+
+
+@given("two registered endpoints and an entry {value}")
+def step_entries(context, value):
+    good = json.dumps(ENDPOINT)
+    context.items = {"servers/a": good, "servers/b": good, "servers/c": value}
+
+
+@when("the endpoints are read")
+def step_read(context):
+    logged = []
+    log_event = directory_module.log_event
+
+    async def run():
+        async with StoreStandin() as standin, HttpClient() as client:
+            for key, value in context.items.items():
+                standin.put(key, base64.b64encode(value.encode()).decode())
+            directory = PlatformDirectory(PlatformStore(client, standin.address))
+            await directory.read_endpoints()
+            return await directory.read_endpoints()
+
+    directory_module.log_event = lambda event, **fields: logged.append(fields["key"])
+    try:
+        context.rows = asyncio.run(run())
+    finally:
+        directory_module.log_event = log_event
+    context.logged = logged
+
+
+@then("the two are there, and the entry is logged once")
+def step_two(context):
+    assert [row.endpoint for row in context.rows] == ["a", "b"]
+    assert context.rows[0].rack == "r1"
+    assert context.rows[0].capacity == Resources(1000, 10, 0)
+    assert context.logged == ["servers/c"]
+
+
+def make_entry():
+    """Return an entry that is not started."""
+    options = EntryOptions(
+        "e", "z", ("z",), "", "", "127.0.0.1:0", "", "", "", "", 1.0, 100.0, Promises()
+    )
+    store = SimpleNamespace(answered_at=0.0)
+    return Entry(options, store, None, None, PlatformDirectory(store))
+
+
+def write(context, body):
+    """Let the entry read what the operator wrote."""
+    context.entry.apply_configuration(json.dumps(body).encode(), "test")
+
+
+@given("an entry with configuration 3")
+def step_configuration(context):
+    context.entry = make_entry()
+    write(context, {"version": 3})
+
+
+@when('"{"version":"four"}" is written')
+def step_unreadable(context):
+    write(context, {"version": "four"})
+
+
+@when("configuration {version:d} is written")
+def step_version(context, version):
+    write(context, {"version": version})
+
+
+@then("configuration {version:d} is in force")
+def step_in_force(context, version):
+    assert context.entry.configuration.version == version
+
+
+@given('an entry with queues "/a/" and "/a/b/" on "h.example"')
+def step_queues(context):
+    context.entry = make_entry()
+    routes = [
+        {"name": prefix, "hostname": "h.example", "path-prefix": prefix, "backend": "p"}
+        for prefix in ("/a/", "/a/b/")
+    ]
+    write(context, {"version": 1, "routes": routes})
+
+
+def find(context, host, path):
+    """Return the name of the queue that a request addresses."""
+    queue = find_queue(context.entry.configuration, host, path)
+    return queue.name if queue else None
+
+
+@then('"/a/b/0123" addresses "/a/b/" and "/a/0123" addresses "/a/"')
+def step_longest(context):
+    assert find(context, "h.example:80", "/a/b/0123") == "/a/b/"
+    assert find(context, "H.example", "/a/0123") == "/a/"
+
+
+@then('"/c/0123" and another host address none')
+def step_none(context):
+    assert find(context, "h.example", "/c/0123") is None
+    assert find(context, "other", "/a/0123") is None
+
+
+def find_findings(content):
+    """Return the messages of a settings file's findings."""
+    try:
+        decode_options(content, "boot.toml")
+    except SettingsError as error:
+        return [finding.message for finding in error.findings]
+    return []
+
+
+@when('a settings file lacks "node-name" and has a text for "limits.cores"')
+def step_two_findings(context):
+    content = {key: SETTINGS[key] for key in SETTINGS if key != "node-name"}
+    content["limits"] = {"cpu-share": 0.5, "cores": "two"}
+    context.findings = find_findings(content)
+
+
+@then("the findings name both")
+def step_both(context):
+    text = "\n".join(context.findings)
+    assert len(context.findings) == 2, context.findings
+    assert "node-name" in text
+    assert "limits.cores" in text
+
+
+@when('a settings file has a field "colour"')
+def step_unknown_field(context):
+    context.findings = find_findings({**SETTINGS, "colour": "red"})
+
+
+@then("it has no findings")
+def step_no_findings(context):
+    assert not context.findings, context.findings
--- /dev/null
+++ b/features/workloads/steps/records_steps.py
@@ -0,0 +1,116 @@
+"""Steps for the records of a reign; the store takes a write when it is told to."""
+
+import asyncio
+from types import SimpleNamespace
+
+from behave import given, then, when
+from engine_steps import JOB, NEED, NOW, TASK, look, make_engine, make_observed, submit
+
+from briarshed_workloads.bookkeeping import Bookkeeper
+from briarshed_workloads.workloads import Ended, Step, TaskId
+
+ENDS = 7
+
+
+class Journal:
+    """Takes one write at a time, when the gate opens."""
+
+    def __init__(self):
+        self.gate = asyncio.Event()
+        self.commits = 0
+
+    async def commit(self, puts, removals=()):
+        """Wait until the store is there."""
+        await self.gate.wait()
+        self.commits += 1
+
+
+def play(context, during=None):
+    """Begin a write, do something meanwhile, let it through; keep what was seen."""
+
+    async def run():
+        journal = Journal()
+        reign = SimpleNamespace(journal=journal, epoch=2)
+        books = Bookkeeper(reign, context.engine, None, None, 120.0, lambda _: None)
+        saving = asyncio.create_task(books.save())
+        books.request_save()
+        await asyncio.sleep(0.1)
+        endpoint = context.engine.endpoints["a"]
+        context.before = endpoint.acknowledged, dict(books.outcomes)
+        if during is not None:
+            during()
+        journal.gate.set()
+        await asyncio.sleep(0.1)
+        context.after = (
+            context.engine.endpoints["a"].acknowledged,
+            dict(books.outcomes),
+        )
+        saving.cancel()
+        await asyncio.gather(saving, return_exceptions=True)
+
+    asyncio.run(run())
+
+
+@given('a leader whose endpoint "a" has listed 7 ends')
+def step_ends(context):
+    context.engine = make_engine()
+    submit(context.engine, JOB, (Step(20, NEED, 1.0),), NOW)
+    ended = [
+        Ended(number, TaskId(JOB, 0, 0, number), number, "succeeded", "")
+        for number in range(1, ENDS + 1)
+    ]
+    look(context.engine, "a", NOW, ended=ended)
+
+
+@given("a leader with a job whose last task has succeeded")
+def step_last(context):
+    context.engine = make_engine()
+    submit(context.engine, JOB, (Step(1, NEED, 1.0),), NOW)
+    look(context.engine, "a", NOW, ended=[Ended(1, TASK, 5, "succeeded", "")])
+
+
+@when('a write begins, "a" {starts}, and the write goes through')
+def step_restart(context, starts):
+    def restart():
+        if starts == "answers a look as a new one":
+            look(context.engine, "a", NOW + 1, born=2)
+        else:
+            entries = [make_observed("a", born=2), make_observed("b")]
+            context.engine.observe(entries, NOW + 1)
+
+    play(context, restart)
+
+
+@then("no end of the new incarnation is acknowledged")
+def step_none_acknowledged(context):
+    assert context.after[0] == 0, context.after
+
+
+@when("a write begins")
+def step_begins(context):
+    play(context)
+
+
+@then("no end is acknowledged")
+def step_not_yet(context):
+    assert context.before[0] == 0
+
+
+@when("the write goes through")
+def step_goes_through(context):
+    assert context.after is not None
+
+
+@then("7 ends are acknowledged")
+def step_acknowledged(context):
+    assert context.after[0] == ENDS
+
+
+@then("the job is not told to be completed")
+def step_not_told(context):
+    assert JOB not in context.before[1]
+
+
+@then("the job is told to be completed")
+def step_told(context):
+    assert context.after[1][JOB] == "completed"
--- /dev/null
+++ b/features/workloads/steps/soak_steps.py
@@ -0,0 +1,28 @@
+"""Steps that run the fault soak as a process of its own."""
+
+import re
+import subprocess
+import sys
+
+from behave import then, when
+
+LIMIT_S = 120
+"""The soak itself waits 30 s at most for the last job."""
+
+
+@when("the soak runs with seed {seed:d} for {seconds:d} s")
+def step_run(context, seed, seconds):
+    command = [sys.executable, "-m", "briarshed_platform_standins.soak"]
+    command += ["--seed", str(seed), "--seconds", str(seconds)]
+    done = subprocess.run(
+        command, capture_output=True, text=True, timeout=LIMIT_S, check=False
+    )
+    context.output, context.code = done.stdout, done.returncode
+
+
+@then("it has seen faults and jobs, and no violation")
+def step_seen(context):
+    figures = dict(re.findall(r"(\w+)=(\d+)", context.output))
+    assert context.code == 0, context.output
+    assert int(figures["faults"]) > 0, context.output
+    assert int(figures["accepted"]) > 0, context.output
--- a/packages/briarshed-workloads/src/briarshed_workloads/bookkeeping.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/bookkeeping.py
@@ -152,7 +152,7 @@
 
     async def _save_once(self) -> None:
         engine = self._engine
-        seen = {name: row.seen for name, row in engine.endpoints.items()}
+        seen = [(row, row.observed.born, row.seen) for row in engine.endpoints.values()]
         await self._save_roster()
         job_ids = list(engine.dirty)
         engine.dirty.clear()
@@ -160,11 +160,12 @@
         job_ids.sort(key=lambda job_id: job_id not in self.accepting)
         for start in range(0, len(job_ids), CHUNK // 2):
             await self._save_jobs(job_ids[start : start + CHUNK // 2])
-        for name, number in seen.items():
-            endpoint = engine.endpoints.get(name)
-            if endpoint is not None and number > endpoint.acknowledged:
+        for endpoint, born, number in seen:
+            # A later incarnation of the name counts its ends anew.
+            is_same = endpoint.observed.born == born
+            if is_same and number > endpoint.acknowledged:
                 endpoint.acknowledged = number
-                self._note_saved(name)
+                self._note_saved(endpoint.name)
 
     async def _save_jobs(self, job_ids: list[str]) -> None:
         puts: list[Put] = []
