--- a/features/platform/endpoints.feature
+++ b/features/platform/endpoints.feature
@@ -49,3 +49,10 @@
     Given an endpoint
     When a run of 5 s is started with a deadline 0.2 s ahead and nobody looks for 0.4 s
     Then a look tells the end "lapsed"
+
+  Scenario: A connection that this side gave up proves nothing
+    # Hunt 752a-3 and mix --seed 261820620045 (co-operative): TWICE. After the first reset
+    # of a cut, the other connections were closed here, and that was taken for an end.
+    Given an endpoint
+    When a look waits, this side gives its connections up and new ones are refused
+    Then the end of the endpoint is not proved
--- a/features/platform/steps/endpoint_steps.py
+++ b/features/platform/steps/endpoint_steps.py
@@ -168,6 +168,27 @@
     context.is_proved = asyncio.run(run())
 
 
+@when("a look waits, this side gives its connections up and new ones are refused")
+def step_given_up(context):
+    async def run():
+        async with EndpointStandin("e") as standin, HttpClient() as client:
+            calls = PlatformEndpoints(client)
+            address = standin.address
+            looking = asyncio.create_task(calls.look("e", address, 5, 0, None, 1.0))
+            await asyncio.sleep(0.1)
+            await calls.forget(address)
+            with contextlib.suppress(OutcomeUnknownError):
+                await looking
+            await standin.__aexit__(None, None, None)
+            try:
+                await calls.look("e", address, 5, 0, None, 0.0)
+            except (EndpointEndedError, NotExecutedError) as error:
+                return isinstance(error, EndpointEndedError)
+        raise AssertionError("the connection was not refused")
+
+    context.is_proved = asyncio.run(run())
+
+
 @then("the end of the endpoint is {proved}")
 def step_proved(context, proved):
     assert context.is_proved == (proved == "proved")
--- a/features/platform/steps/store_steps.py
+++ b/features/platform/steps/store_steps.py
@@ -22,7 +22,7 @@
     OutcomeUnknownError,
     Put,
 )
-from briarshed_workloads.records import LEADER, EntryRecord, EraRecord
+from briarshed_workloads.records import LEADER, EntryRecord, TermRecord
 
 ME = EntryRecord("entry-1", "i1", "127.0.0.1:1")
 OTHER = EntryRecord("entry-2", "i2", "127.0.0.1:2")
@@ -195,10 +195,10 @@
 
 
 async def begin(store, entry):
-    """Begin a reign for an entry."""
-    reign = await acquire(store, entry, lambda: False)
-    assert reign is not None
-    return reign
+    """Begin a term for an entry."""
+    term = await acquire(store, entry, lambda: False)
+    assert term is not None
+    return term
 
 
 @when("the answer to a commit is lost and the change is made {when}")
@@ -206,22 +206,22 @@
     late = 0.0 if when == "at once" else 1.5
 
     async def work(standin, store):
-        reign = await begin(store, ME)
+        term = await begin(store, ME)
         standin.faults = Faults(lost=1.0, late=late)
-        commit = asyncio.create_task(reign.journal.commit([Put("a", b"1")]))
+        commit = asyncio.create_task(term.journal.commit([Put("a", b"1")]))
         await asyncio.sleep(0.2)
         standin.faults = Faults()
         await commit
-        await reign.journal.commit([Put("a", b"2")])
+        await term.journal.commit([Put("a", b"2")])
         await asyncio.sleep(late)
-        return reign.journal, await store.read("a")
+        return term.journal, await store.read("a")
 
     context.journal, context.item = play(context, work)
 
 
 @then("the journal finds out that the change was made once")
 def step_once(context):
-    assert context.journal.era.writes == 2
+    assert context.journal.term.writes == 2
 
 
 @then("a later commit stands over the earlier one")
@@ -229,7 +229,7 @@
     assert context.item.value == b"2"
 
 
-@when("another leader begins its era")
+@when("another leader begins its term")
 def step_other(context):
     async def work(standin, store):
         first = await begin(store, ME)
@@ -249,7 +249,7 @@
     assert context.is_deposed
     assert context.second.epoch == 2
     assert isinstance(context.second.journal, Journal)
-    assert context.second.journal.era == EraRecord(2, "entry-2/i2", 0)
+    assert context.second.journal.term == TermRecord(2, "entry-2/i2", 0)
 
 
 @then("nothing of it was written")
--- a/features/platform/store.feature
+++ b/features/platform/store.feature
@@ -57,6 +57,6 @@
 
   Scenario: A deposed leader writes nothing
     Given a store with a leader's journal
-    When another leader begins its era
+    When another leader begins its term
     Then the first leader's commit tells that leadership is lost
     And nothing of it was written
--- a/features/workloads/records.feature
+++ b/features/workloads/records.feature
@@ -1,4 +1,4 @@
-Feature: Records of a reign
+Feature: Records of a term
 
   Scenario Outline: An endpoint starts again under its name while the store is away
     # Soak seed 4: started after its success. The ends of the new incarnation were
--- a/features/workloads/steps/records_steps.py
+++ b/features/workloads/steps/records_steps.py
@@ -1,4 +1,4 @@
-"""Steps for the records of a reign; the store takes a write when it is told to."""
+"""Steps for the records of a term; the store takes a write when it is told to."""
 
 import asyncio
 from types import SimpleNamespace
@@ -30,8 +30,8 @@
 
     async def run():
         journal = Journal()
-        reign = SimpleNamespace(journal=journal, epoch=2)
-        books = Bookkeeper(reign, context.engine, None, None, 120.0, lambda _: None)
+        term = SimpleNamespace(journal=journal, epoch=2)
+        books = Bookkeeper(term, context.engine, None, None, 120.0, lambda _: None)
         saving = asyncio.create_task(books.save())
         books.request_save()
         await asyncio.sleep(0.1)
--- a/features/workloads/steps/wave_takeover_steps.py
+++ b/features/workloads/steps/wave_takeover_steps.py
@@ -50,7 +50,7 @@
 
 
 def build(context, maximum=3, down=()):
-    """Make the maintenance of a reign that is the second one."""
+    """Make the maintenance of a term that is the second one."""
     rows = {
         name: Instance(
             name, "p", "maintenance" if name in down else "up", "d", (), NOTHING, ""
@@ -66,11 +66,11 @@
         return None
 
     context.calls = Calls(rows)
-    reign = SimpleNamespace(epoch=2, has_authority=lambda: True)
+    term = SimpleNamespace(epoch=2, has_authority=lambda: True)
     context.order = WaveOrder(1, NAMES, 20.0, maximum)
     context.engine = make_engine()
     context.maintenance = Maintenance(
-        OPTIONS, reign, context.engine, context.calls, save, save_sizes
+        OPTIONS, term, context.engine, context.calls, save, save_sizes
     )
 
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/bookkeeping.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/bookkeeping.py
@@ -1,4 +1,4 @@
-"""The leader's records: read at the start of a reign, written as jobs go on.
+"""The leader's records: read at the start of a term, written as jobs go on.
 
 Several ends share a write. An end is acknowledged, an outcome told and an endpoint used
 only after the write that records it.
@@ -16,7 +16,7 @@
 from briarshed_workloads.engine import Engine
 from briarshed_workloads.fleet import Endpoint
 from briarshed_workloads.journal import CHUNK
-from briarshed_workloads.leadership import Reign
+from briarshed_workloads.leadership import LeaderTerm
 from briarshed_workloads.maintenance import Maintenance
 from briarshed_workloads.ports import Directory, Item, Put, Store
 from briarshed_workloads.records import (
@@ -43,11 +43,11 @@
 
 
 class Bookkeeper:
-    """Reads and writes the durable records of one reign.
+    """Reads and writes the durable records of one term.
 
     Parameters
     ----------
-    reign : Reign
+    term : LeaderTerm
         Leadership under which records are written.
     engine : Engine
         The state that is recorded.
@@ -69,7 +69,7 @@
 
     def __init__(
         self,
-        reign: Reign,
+        term: LeaderTerm,
         engine: Engine,
         store: Store,
         directory: Directory,
@@ -78,7 +78,7 @@
     ) -> None:
         self.accepting: dict[str, asyncio.Future[bool]] = {}
         self.outcomes: dict[str, str] = {}
-        self._reign = reign
+        self._term = term
         self._engine = engine
         self._store = store
         self._directory = directory
@@ -184,7 +184,7 @@
                 removals.append(PROGRESS + job_id)
                 states[job_id] = job.state
         if puts:
-            await self._reign.journal.commit(puts, removals)
+            await self._term.journal.commit(puts, removals)
         self.outcomes.update(states)
         for job_id in job_ids:
             self._confirm(job_id)
@@ -205,7 +205,7 @@
             team=job.team,
             tasks=sum(step.count for step in job.description.steps),
             epoch=self._engine.epoch,
-            commit=self._reign.journal.commits,
+            commit=self._term.journal.commits,
         )
         self._note_saved("")
 
@@ -234,7 +234,7 @@
             for name, row in engine.endpoints.items()
             if name in names
         )
-        await self._reign.journal.commit([Put(ROSTER, encode(RosterRecord(rows)))])
+        await self._term.journal.commit([Put(ROSTER, encode(RosterRecord(rows)))])
         engine.roster = names
         self._note_saved("")
 
@@ -248,15 +248,13 @@
                 self.outcomes.pop(job_id, None)
             for start in range(0, len(old), CHUNK):
                 part = old[start : start + CHUNK]
-                await self._reign.journal.commit([], [JOBS + row for row in part])
+                await self._term.journal.commit([], [JOBS + row for row in part])
 
     async def save_sizes(self, record: SizesRecord) -> None:
         """Record the sizes of the pools."""
-        await self._reign.journal.commit([Put(SIZES, encode(record))])
+        await self._term.journal.commit([Put(SIZES, encode(record))])
 
     async def save_wave(self, wave: int, record: WaveRecord) -> None:
         """Record the progress of a wave and tell it to the operator."""
         status = self._directory.encode_wave_status(wave, record.is_completed)
-        await self._reign.journal.commit(
-            [status, Put(f"{WAVES}{wave}", encode(record))]
-        )
+        await self._term.journal.commit([status, Put(f"{WAVES}{wave}", encode(record))])
--- a/packages/briarshed-workloads/src/briarshed_workloads/conductor.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/conductor.py
@@ -26,7 +26,7 @@
 )
 from briarshed_workloads.jobs import FINAL
 from briarshed_workloads.journal import LeadershipLostError
-from briarshed_workloads.leadership import Reign
+from briarshed_workloads.leadership import LeaderTerm
 from briarshed_workloads.maintenance import Maintenance
 from briarshed_workloads.options import EntryOptions
 from briarshed_workloads.planning import plan_copies, plan_starts
@@ -88,13 +88,13 @@
 
 
 class Conductor:
-    """Runs the fleet for one reign; a context manager that owns the loops.
+    """Runs the fleet for one term; a context manager that owns the loops.
 
     Parameters
     ----------
     options : EntryOptions
         Settings of this entry.
-    reign : Reign
+    term : LeaderTerm
         Leadership under which this conductor acts.
     store, endpoints, instances, directory
         The outside systems.
@@ -103,7 +103,7 @@
     def __init__(
         self,
         options: EntryOptions,
-        reign: Reign,
+        term: LeaderTerm,
         store: Store,
         endpoints: Endpoints,
         instances: Instances,
@@ -111,9 +111,9 @@
     ) -> None:
         hold = min(HOLD_S, options.promises.longest_hold)
         self.options = options
-        self.reign = reign
+        self.term = term
         self.is_loaded = False
-        self.engine = Engine(reign.epoch, Bounds(hold, hold), telemetry.report)
+        self.engine = Engine(term.epoch, Bounds(hold, hold), telemetry.report)
         self._store = store
         self._endpoints = endpoints
         self._directory = directory
@@ -122,7 +122,7 @@
         self._wakers: dict[str, asyncio.Event] = {}
         self._changed = asyncio.Event()
         self.books = Bookkeeper(
-            reign,
+            term,
             self.engine,
             store,
             directory,
@@ -131,7 +131,7 @@
         )
         self.maintenance = Maintenance(
             options,
-            reign,
+            term,
             self.engine,
             instances,
             self.books.save_wave,
@@ -163,8 +163,8 @@
         try:
             await work
         except LeadershipLostError as error:
-            if not self.reign.lost.is_set():
-                self.reign.note_event("lose", str(error))
+            if not self.term.lost.is_set():
+                self.term.note_event("lose", str(error))
         except (NotExecutedError, OutcomeUnknownError) as error:
             log_event(events.LOOP_FAILED, task=name, error=str(error))
 
@@ -185,7 +185,7 @@
         )
         self.is_loaded = True
         log_event(
-            events.REIGN_LOADED,
+            events.TERM_LOADED,
             epoch=engine.epoch,
             jobs=len(engine.jobs),
             endpoints=len(engine.endpoints),
@@ -239,8 +239,8 @@
 
     def can_accept(self) -> bool:
         """Tell whether a new job can be made durable now."""
-        is_away = self.reign.is_store_failing or self.reign.journal.is_failing
-        return self.is_loaded and self.reign.has_authority() and not is_away
+        is_away = self.term.is_store_failing or self.term.journal.is_failing
+        return self.is_loaded and self.term.has_authority() and not is_away
 
     def find_state(self, job_id: str) -> str:
         """Return the state that callers may be told; ``missing`` if there is none."""
@@ -248,7 +248,7 @@
         if not self.is_loaded:
             return "unknown"
         if job is None:
-            return "missing" if self.reign.has_authority() else "unknown"
+            return "missing" if self.term.has_authority() else "unknown"
         if job_id in self.books.accepting:
             return "pending"
         if job.state in FINAL:
@@ -262,13 +262,13 @@
             return "unknown"
         job = self.engine.jobs.get(job_id)
         if job is None:
-            return "missing" if self.reign.has_authority() else "unknown"
+            return "missing" if self.term.has_authority() else "unknown"
         if job.is_open:
             self.engine.cancel(job, time.time())
             self._changed.set()
             self.books.request_save()
         while job_id not in self.books.outcomes:
-            if self.reign.lost.is_set():
+            if self.term.lost.is_set():
                 return "unknown"
             await asyncio.sleep(0.02)
         return "cancelled"
@@ -324,7 +324,7 @@
                 await asyncio.sleep(LOOK_RETRY_S)
 
     def _needs_look(self, endpoint: Endpoint) -> bool:
-        if not self.reign.has_authority() and endpoint.is_fenced:
+        if not self.term.has_authority() and endpoint.is_fenced:
             return False
         if endpoint.seen > endpoint.acknowledged:
             # Without an acknowledgement a look would list the same ends at once.
@@ -336,7 +336,7 @@
         sent_at = clock.now()
         counter = endpoint.counter
         deadline = None
-        if endpoint.anchor_ms and self.reign.has_authority():
+        if endpoint.anchor_ms and self.term.has_authority():
             deadline = endpoint.choose_deadline(sent_at, engine.bounds.hold)
         wait = LOOK_WAIT_S if endpoint.is_fenced else 0.0
         try:
@@ -381,7 +381,7 @@
             self._note_gone(endpoint, reason)
         elif reason == "fenced":
             log_event(events.ORDER_FENCED, endpoint=endpoint.name, what="look")
-            self.reign.lost.set()
+            self.term.lost.set()
         return False
 
     def _note_silence(self, endpoint: Endpoint, reason: str) -> None:
@@ -414,7 +414,7 @@
             except TimeoutError:
                 pass
             self._changed.clear()
-            if self.reign.has_authority():
+            if self.term.has_authority():
                 self._give_orders(clock.now())
             await asyncio.sleep(PLAN_PAUSE_S)
 
@@ -506,7 +506,7 @@
             self._note_gone(endpoint, reason)
         elif reason == "fenced" and run.token >= endpoint.token:
             log_event(events.ORDER_FENCED, endpoint=endpoint.name, what="start")
-            self.reign.lost.set()
+            self.term.lost.set()
         elif reason != "old":
             endpoint.full_until = now + REFUSED_PAUSE_S
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -70,7 +70,7 @@
     Parameters
     ----------
     epoch : int
-        Number of the leader's reign; fences the orders of earlier ones.
+        Number of the leader's term; fences the orders of earlier ones.
     bounds : Bounds
         Times.
     report : callable
--- a/packages/briarshed-workloads/src/briarshed_workloads/entry.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/entry.py
@@ -18,7 +18,7 @@
 from briarshed_workloads import telemetry
 from briarshed_workloads.conductor import Conductor
 from briarshed_workloads.configuration import Configuration
-from briarshed_workloads.leadership import Reign, acquire, read_leader
+from briarshed_workloads.leadership import LeaderTerm, acquire, read_leader
 from briarshed_workloads.links import (
     Ask,
     Beacon,
@@ -172,7 +172,7 @@
         self._calls = Calls()
         self._links = Links(options.peers, self._handle)
         self._tasks: list[asyncio.Task[None]] = []
-        self._reign: Reign | None = None
+        self._term: LeaderTerm | None = None
         self._silent_epoch = 0
         self._behind_since = 0.0
         self._offered: dict[str, tuple[int, float]] = {}
@@ -239,7 +239,7 @@
     def _is_informed(self) -> bool:
         """Tell whether the leader keeps this entry's configuration up to date."""
         leader = self.leader
-        if self._reign is not None or leader is None or self.configuration is None:
+        if self._term is not None or leader is None or self.configuration is None:
             return False
         if not self.hears_leader() or not leader.beacon.has_authority:
             return False
@@ -281,7 +281,7 @@
         """Hand a new configuration to the leader's loops and to other entries."""
         if self.conductor is not None and self.conductor.is_loaded:
             self.conductor.set_configuration(configuration)
-        if self._reign is not None:
+        if self._term is not None:
             self._offer_configuration()
         self._send_hello()
 
@@ -292,9 +292,9 @@
             if self.configuration is not None and self._may_stand():
                 # Stronger entries try first: the leader carries the whole fleet.
                 await asyncio.sleep(find_election_delay(self.options))
-                reign = await self._try_to_lead() if self._may_stand() else None
-                if reign is not None:
-                    await self._lead(reign)
+                term = await self._try_to_lead() if self._may_stand() else None
+                if term is not None:
+                    await self._lead(term)
             await asyncio.sleep(ELECTION_S)
 
     def _may_stand(self) -> bool:
@@ -308,7 +308,7 @@
         beacon = leader.beacon
         return age > LEADER_SILENCE_S or beacon.is_resigning or not beacon.has_authority
 
-    async def _try_to_lead(self) -> Reign | None:
+    async def _try_to_lead(self) -> LeaderTerm | None:
         try:
             standing = await read_leader(self._store)
             if standing is None:
@@ -330,26 +330,26 @@
             for view in views
         )
 
-    async def _lead(self, reign: Reign) -> None:
-        self._reign = reign
-        keeping = asyncio.create_task(reign.keep())
-        async with Conductor(self.options, reign, *self._outside) as conductor:
+    async def _lead(self, term: LeaderTerm) -> None:
+        self._term = term
+        keeping = asyncio.create_task(term.keep())
+        async with Conductor(self.options, term, *self._outside) as conductor:
             self.conductor = conductor
-            beacons = asyncio.create_task(self._send_beacons(reign))
+            beacons = asyncio.create_task(self._send_beacons(term))
             try:
-                await self._load(conductor, reign)
-                await reign.lost.wait()
+                await self._load(conductor, term)
+                await term.lost.wait()
             finally:
                 self.conductor = None
-                self._reign = None
+                self._term = None
                 self.leader = None
                 for task in (keeping, beacons):
                     task.cancel()
                 await asyncio.gather(keeping, beacons, return_exceptions=True)
 
-    async def _load(self, conductor: Conductor, reign: Reign) -> None:
+    async def _load(self, conductor: Conductor, term: LeaderTerm) -> None:
         assert self.configuration is not None
-        while not reign.lost.is_set():
+        while not term.lost.is_set():
             try:
                 await self._load_peers()
                 self._take_orders(await self._directory.read_orders())
@@ -359,8 +359,8 @@
                 await asyncio.sleep(WATCH_RETRY_S)
         conductor.set_configuration(self.configuration)
         conductor.maintenance.set_waves(tuple(self._waves.values()))
-        if reign.state == "loading":
-            reign.note_event("loaded", "records read")
+        if term.state == "loading":
+            term.note_event("loaded", "records read")
 
     async def _load_peers(self) -> None:
         listing = await self._store.read_all(ENTRIES)
@@ -374,12 +374,12 @@
                 hello = Hello(record.name, record.incarnation, 0, 0.0, False)
                 self._peers[record.address] = PeerView(hello, clock.now())
 
-    async def _send_beacons(self, reign: Reign) -> None:
+    async def _send_beacons(self, term: LeaderTerm) -> None:
         while True:
-            self._send_beacon(reign, False)
+            self._send_beacon(term, False)
             await asyncio.sleep(BEACON_S)
 
-    def _send_beacon(self, reign: Reign, is_resigning: bool) -> None:
+    def _send_beacon(self, term: LeaderTerm, is_resigning: bool) -> None:
         conductor = self.conductor
         waiting = {}
         if conductor is not None and conductor.is_loaded:
@@ -387,9 +387,9 @@
         version = self.configuration.version if self.configuration else 0
         beacon = Beacon(
             self.options.name,
-            reign.epoch,
-            reign.has_authority(),
-            reign.is_store_failing or reign.journal.is_failing,
+            term.epoch,
+            term.has_authority(),
+            term.is_store_failing or term.journal.is_failing,
             is_resigning,
             version,
             waiting,
@@ -484,7 +484,7 @@
         )
 
     def _send_hello(self) -> None:
-        if self.leader is not None and self._reign is None:
+        if self.leader is not None and self._term is None:
             self._links.send(self.leader.address, self._make_hello())
 
     # Messages
@@ -508,9 +508,9 @@
             return
         if known is None or known.beacon.epoch != beacon.epoch:
             log_event(events.LEADER_HEARD, leader=beacon.leader, epoch=beacon.epoch)
-        if self._reign is not None and beacon.epoch > self._reign.epoch:
-            if not self._reign.lost.is_set():
-                self._reign.note_event("lose", f"{beacon.leader} leads")
+        if self._term is not None and beacon.epoch > self._term.epoch:
+            if not self._term.lost.is_set():
+                self._term.note_event("lose", f"{beacon.leader} leads")
             return
         self.leader = LeaderView(sender, beacon, clock.now())
 
@@ -548,7 +548,7 @@
         while True:
             left = started_at + timeout - clock.now()
             reply = None
-            if self._reign is not None or self.hears_leader():
+            if self._term is not None or self.hears_leader():
                 reply = await self._send_submission(submission, min(left, RESEND_S))
             if reply is not None and reply.outcome == "accepted":
                 return reply
@@ -561,7 +561,7 @@
             await asyncio.sleep(RESEND_PAUSE_S)
 
     async def _send_submission(self, submission: Submission, timeout: float) -> Reply:
-        if self._reign is not None:
+        if self._term is not None:
             return await self._limit(self._submit_here(0, submission), timeout)
         assert self.leader is not None
         id, future = self._calls.open()
@@ -575,7 +575,7 @@
 
         Without a leader the state is read from the store.
         """
-        if self._reign is not None:
+        if self._term is not None:
             reply = await self._limit(self._ask_here(0, job, cancel), timeout)
         elif self.hears_leader():
             id, future = self._calls.open()
@@ -646,9 +646,9 @@
         """Give the leadership up ahead of a planned stop."""
         self.is_stopping = True
         log_event(events.ENTRY_STOPPING, name=self.options.name, reason="signal")
-        reign = self._reign
-        if reign is None or reign.lost.is_set():
+        term = self._term
+        if term is None or term.lost.is_set():
             self._send_hello()
             return
-        await reign.resign()
-        self._send_beacon(reign, True)
+        await term.resign()
+        self._send_beacon(term, True)
--- a/packages/briarshed-workloads/src/briarshed_workloads/journal.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/journal.py
@@ -1,6 +1,6 @@
-"""The leader's writes to the store, one after the other and fenced by its era.
+"""The leader's writes to the store, one after the other and fenced by its term.
 
-Every transaction replaces the era item under the condition that the last one stands.
+Every transaction replaces the term item under the condition that the last one stands.
 So a deposed leader writes nothing, and a transaction whose answer was lost cannot take
 effect after a later one.
 """
@@ -22,17 +22,17 @@
     Put,
     Store,
 )
-from briarshed_workloads.records import ERA, EraRecord, decode, encode
+from briarshed_workloads.records import TERM, TermRecord, decode, encode
 
 CHUNK = 30
-"""Entries of a transaction besides the era's own two; the store takes 32."""
+"""Entries of a transaction besides the term's own two; the store takes 32."""
 
 RETRY_S = 0.1
 """Pause before a transaction that did not go through is sent again."""
 
 
 class LeadershipLostError(BriarshedError):
-    """Another leader's era stands in the store."""
+    """Another leader's term stands in the store."""
 
 
 class LeaseLostError(BriarshedError):
@@ -46,14 +46,14 @@
     ----------
     store : Store
         Where the records are.
-    era : EraRecord
-        The era that this leader began.
+    term : TermRecord
+        The term that this leader began.
     revision : int
-        Revision of the era item as this leader wrote it.
+        Revision of the term item as this leader wrote it.
     """
 
-    def __init__(self, store: Store, era: EraRecord, revision: int) -> None:
-        self.era = era
+    def __init__(self, store: Store, term: TermRecord, revision: int) -> None:
+        self.term = term
         self.revision = revision
         self.is_lost = False
         self.is_failing = False
@@ -67,25 +67,25 @@
         Raises
         ------
         LeadershipLostError
-            If another era stands; nothing of this call was written.
+            If another term stands; nothing of this call was written.
         """
         async with self._lock:
             if self.is_lost:
-                raise LeadershipLostError("another leader has begun its era")
-            last = self.era
-            era = EraRecord(last.epoch, last.leader, last.writes + 1)
-            await self._write(era, puts, removals)
-            self.era = era
+                raise LeadershipLostError("another leader has begun its term")
+            last = self.term
+            term = TermRecord(last.epoch, last.leader, last.writes + 1)
+            await self._write(term, puts, removals)
+            self.term = term
             self.commits += 1
 
     async def _write(
-        self, era: EraRecord, puts: Sequence[Put], removals: Sequence[str]
+        self, term: TermRecord, puts: Sequence[Put], removals: Sequence[str]
     ) -> None:
-        rows = [Put(ERA, encode(era)), *puts]
+        rows = [Put(TERM, encode(term)), *puts]
         while True:
             try:
                 outcome = await self._store.commit(
-                    [(ERA, self.revision)], rows, removals
+                    [(TERM, self.revision)], rows, removals
                 )
             except NotExecutedError:
                 # The store client has logged it.
@@ -94,24 +94,24 @@
                 continue
             except OutcomeUnknownError as error:
                 self.is_failing = True
-                log_event(STORE_ANSWER_LOST, writes=era.writes, error=str(error))
+                log_event(STORE_ANSWER_LOST, writes=term.writes, error=str(error))
                 await asyncio.sleep(RETRY_S)
                 continue
             self.is_failing = False
             if isinstance(outcome, Committed):
                 self.revision = outcome.revision
                 return
-            if isinstance(outcome, Conflicted) and self._is_own(outcome, era):
+            if isinstance(outcome, Conflicted) and self._is_own(outcome, term):
                 return
             if isinstance(outcome, LeaseEnded):
                 raise LeaseLostError("the lease of a put has ended")
             self.is_lost = True
-            raise LeadershipLostError("another leader has begun its era")
+            raise LeadershipLostError("another leader has begun its term")
 
-    def _is_own(self, outcome: Conflicted, era: EraRecord) -> bool:
+    def _is_own(self, outcome: Conflicted, term: TermRecord) -> bool:
         """Tell whether the transaction had taken effect before, unanswered."""
-        item = outcome.items.get(ERA)
-        if item is None or decode(item.value, EraRecord) != era:
+        item = outcome.items.get(TERM)
+        if item is None or decode(item.value, TermRecord) != term:
             return False
         self.revision = item.revision
         return True
--- a/packages/briarshed-workloads/src/briarshed_workloads/leadership.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/leadership.py
@@ -1,6 +1,6 @@
-"""Who leads: a leased item in the store tells that the leader lives, the era fences it.
+"""Who leads: a leased item tells that the leader lives, the term fences its writes.
 
-The era item decides. A new leader raises it, after which no earlier leader can write.
+The term item decides. A new leader raises it, after which no earlier leader can write.
 The lease only tells the others when to try.
 """
 
@@ -31,10 +31,10 @@
     Store,
 )
 from briarshed_workloads.records import (
-    ERA,
     LEADER,
+    TERM,
     EntryRecord,
-    EraRecord,
+    TermRecord,
     decode,
     encode,
 )
@@ -58,17 +58,17 @@
     return decode(item.value, EntryRecord) if item else None
 
 
-class Reign:
+class LeaderTerm:
     """The time for which this entry leads.
 
     Parameters
     ----------
     store : Store
-        Where lease and era are.
+        Where lease and term are.
     me : EntryRecord
         This entry.
     journal : Journal
-        Writes under this reign's era.
+        Writes of this term.
     lease : int
         Lease of the leader item.
     confirmed_at : float
@@ -87,7 +87,7 @@
         may_go_on: Callable[[], bool],
     ) -> None:
         self.journal = journal
-        self.epoch = journal.era.epoch
+        self.epoch = journal.term.epoch
         self.state = advance(load_chart("leadership"), "following", "acquire")
         self.is_store_failing = False
         self._store = store
@@ -126,7 +126,7 @@
         return self.is_store_failing and self._may_go_on()
 
     async def keep(self) -> None:
-        """Renew the lease until the reign ends."""
+        """Renew the lease until the term ends."""
         while not self.lost.is_set():
             await asyncio.sleep(RENEW_S)
             had = self.has_authority()
@@ -152,7 +152,7 @@
         sent_at = clock.now()
         if not await self._store.renew_lease(self._lease):
             # The lease ended while the store was away or this process stood still.
-            # The era decides whether somebody else has led since.
+            # The term decides whether somebody else has led since.
             sent_at = clock.now()
             self._lease = await self._store.grant_lease(LEASE_S)
             try:
@@ -172,8 +172,8 @@
 
 async def acquire(
     store: Store, me: EntryRecord, may_go_on: Callable[[], bool]
-) -> Reign | None:
-    """Try to begin a reign; None if another entry leads or was faster.
+) -> LeaderTerm | None:
+    """Try to begin a term; None if another entry leads or was faster.
 
     Raises
     ------
@@ -182,26 +182,26 @@
     """
     if await store.read(LEADER) is not None:
         return None
-    standing = await store.read(ERA)
-    era = _begin_era(standing, me)
+    standing = await store.read(TERM)
+    term = _begin_term(standing, me)
     confirmed_at = clock.now()
     lease = await store.grant_lease(LEASE_S)
-    conditions = [(LEADER, 0), (ERA, standing.revision if standing else 0)]
-    puts = [Put(LEADER, encode(me), lease), Put(ERA, encode(era))]
+    conditions = [(LEADER, 0), (TERM, standing.revision if standing else 0)]
+    puts = [Put(LEADER, encode(me), lease), Put(TERM, encode(term))]
     try:
         outcome = await store.commit(conditions, puts)
         if not isinstance(outcome, Committed):
             return None
         revision = outcome.revision
     except OutcomeUnknownError:
-        item = await store.read(ERA)
-        if item is None or decode(item.value, EraRecord) != era:
+        item = await store.read(TERM)
+        if item is None or decode(item.value, TermRecord) != term:
             return None
         revision = item.revision
-    journal = Journal(store, era, revision)
-    return Reign(store, me, journal, lease, confirmed_at, may_go_on)
+    journal = Journal(store, term, revision)
+    return LeaderTerm(store, me, journal, lease, confirmed_at, may_go_on)
 
 
-def _begin_era(standing: Item | None, me: EntryRecord) -> EraRecord:
-    last = decode(standing.value, EraRecord).epoch if standing else 0
-    return EraRecord(last + 1, f"{me.name}/{me.incarnation}", 0)
+def _begin_term(standing: Item | None, me: EntryRecord) -> TermRecord:
+    last = decode(standing.value, TermRecord).epoch if standing else 0
+    return TermRecord(last + 1, f"{me.name}/{me.incarnation}", 0)
--- a/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
@@ -13,7 +13,7 @@
 from briarshed_workloads import telemetry
 from briarshed_workloads.engine import Engine
 from briarshed_workloads.fleet import TOKEN_COUNTER_BITS, Endpoint
-from briarshed_workloads.leadership import Reign
+from briarshed_workloads.leadership import LeaderTerm
 from briarshed_workloads.options import EntryOptions
 from briarshed_workloads.ports import (
     Instances,
@@ -35,7 +35,7 @@
 """Time for which a moved instance is left alone; a move takes 1.5 s to show."""
 
 WARM_UP_S = 6.0
-"""Time of the first reign before instances move: until then nothing is known."""
+"""Time of the first term before instances move: until then nothing is known."""
 
 FIRST_EPOCH = 1
 
@@ -99,12 +99,12 @@
 
 
 class Maintenance:
-    """Carries open waves and moves out under one reign."""
+    """Carries open waves and moves out under one term."""
 
     def __init__(
         self,
         options: EntryOptions,
-        reign: Reign,
+        term: LeaderTerm,
         engine: Engine,
         instances: Instances,
         save: Callable[[int, WaveRecord], Awaitable[None]],
@@ -116,7 +116,7 @@
         self._restored: dict[int, WaveRecord] = {}
         self.instances: dict[str, Instance] = {}
         self._options = options
-        self._reign = reign
+        self._term = term
         self._engine = engine
         self._calls = instances
         self._save = save
@@ -129,7 +129,7 @@
         self._rates: dict[str, ArrivalRate] = {}
         # A deposed leader may have given orders until a moment ago; holders that
         # take turns on one instance within the lease are an error.
-        first = reign.epoch == FIRST_EPOCH
+        first = term.epoch == FIRST_EPOCH
         self._moves_from = clock.now() + (WARM_UP_S if first else 0.0)
         self._orders_from = clock.now() + (0.0 if first else options.promises.lease)
 
@@ -168,14 +168,14 @@
         self._rates.setdefault(pool, ArrivalRate()).add(work, clock.now())
 
     async def run(self) -> None:
-        """Work on waves and moves until the reign ends."""
+        """Work on waves and moves until the term ends."""
         while True:
             await self.work(clock.now())
             await asyncio.sleep(STEP_S)
 
     async def work(self, now: float) -> None:
         """Give the orders that are due."""
-        if not self._reign.has_authority():
+        if not self._term.has_authority():
             return
         try:
             await self._step(now)
@@ -253,7 +253,7 @@
 
     def _next_token(self) -> int:
         self._counter += 1
-        return (self._reign.epoch << TOKEN_COUNTER_BITS) | self._counter
+        return (self._term.epoch << TOKEN_COUNTER_BITS) | self._counter
 
     async def _read_instances(self) -> None:
         rows = await self._calls.read_instances()
--- a/packages/briarshed-workloads/src/briarshed_workloads/records.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/records.py
@@ -12,7 +12,7 @@
 JOBS = "briarshed/jobs/"
 PROGRESS = "briarshed/progress/"
 ENTRIES = "briarshed/entries/"
-ERA = "briarshed/era"
+TERM = "briarshed/term"
 LEADER = "briarshed/leader"
 ROSTER = "briarshed/roster"
 WAVES = "briarshed/waves/"
@@ -62,8 +62,8 @@
     tasks: tuple[TaskRecord, ...]
 
 
-class EraRecord(msgspec.Struct, array_like=True, frozen=True):
-    """The reign of a leader: every write of a leader is conditional on this item."""
+class TermRecord(msgspec.Struct, array_like=True, frozen=True):
+    """The term of a leader: every write of a leader is conditional on this item."""
 
     epoch: int
     leader: str
--- a/packages/briarshed/src/briarshed/events.py
+++ b/packages/briarshed/src/briarshed/events.py
@@ -89,7 +89,7 @@
 LEADERSHIP_CHANGED = Event(
     801, "INFO", "leadership: {before} to {after} in epoch {epoch}: {reason}"
 )
-REIGN_LOADED = Event(
+TERM_LOADED = Event(
     802, "INFO", "epoch {epoch}: took over {jobs} jobs and {endpoints} endpoints"
 )
 LEADER_HEARD = Event(803, "INFO", "leader is {leader} in epoch {epoch}")
