--- a/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
@@ -262,7 +262,7 @@
 
     async def _advance(self, view: WaveView, now: float) -> None:
         order = view.order
-        # An instance may be down for another wave, so that only an order's answer counts.
+        # It may be down for another wave: only the answer to an order counts.
         left = [
             name
             for name in order.instances
