--- /dev/null
+++ b/features/workloads/steps/handover_steps.py
@@ -0,0 +1,87 @@
+"""Steps for the hand-over of the leadership; the store is a list of calls."""
+
+import asyncio
+from types import SimpleNamespace
+
+from behave import given, then, when
+from briarshed_workloads.leadership import RENEW_S, LeaderTerm
+from briarshed_workloads.records import EntryRecord, TermRecord
+
+ME = EntryRecord("e", "i", "127.0.0.1:1")
+
+
+class Store:
+    """Answers a renewal when the gate opens, with the word that the lease ended."""
+
+    def __init__(self):
+        self.gate = asyncio.Event()
+        self.renewing = asyncio.Event()
+        self.granted = 0
+
+    async def renew_lease(self, lease):
+        """Wait, and tell that the lease has ended."""
+        self.renewing.set()
+        await self.gate.wait()
+        return False
+
+    async def grant_lease(self, ttl):
+        """Grant a lease."""
+        self.granted += 1
+        return 7
+
+    async def end_lease(self, lease):
+        """End a lease."""
+
+
+def play(context, resigns):
+    """Let a renewal meet the end of its lease, with or without a resignation."""
+
+    async def run():
+        store, written = Store(), []
+
+        async def commit(puts, removals=()):
+            written.extend(puts)
+
+        record = TermRecord(1, "e/i", 0)
+        journal = SimpleNamespace(term=record, is_lost=False, commit=commit)
+        term = LeaderTerm(store, ME, journal, 1, 0.0, lambda: False)
+        term.note_event("loaded", "test")
+        keeping = asyncio.create_task(term.keep())
+        async with asyncio.timeout(10 * RENEW_S):
+            await store.renewing.wait()
+        if resigns:
+            await term.resign()
+        store.gate.set()
+        await asyncio.sleep(0.05)
+        keeping.cancel()
+        await asyncio.gather(keeping, return_exceptions=True)
+        return store.granted, written
+
+    context.granted, context.written = asyncio.run(run())
+
+
+@given("a leader whose renewal is under way")
+def step_renewing(context):
+    context.granted = None
+
+
+@when("it resigns and the renewal is told that the lease has ended")
+def step_resigns(context):
+    play(context, True)
+
+
+@when("the renewal is told that the lease has ended")
+def step_ended(context):
+    play(context, False)
+
+
+@then("it takes no new lease and writes nothing")
+def step_nothing(context):
+    assert context.granted == 0
+    assert not context.written
+
+
+@then("it takes a new lease and writes that it leads")
+def step_again(context):
+    assert context.granted >= 1
+    assert context.written[0].lease == 7
--- a/packages/briarshed-workloads/src/briarshed_workloads/leadership.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/leadership.py
@@ -151,6 +151,9 @@
     async def _renew(self) -> None:
         sent_at = clock.now()
         if not await self._store.renew_lease(self._lease):
+            if self.lost.is_set():
+                # Ended by `resign`; a new lease would keep the others waiting.
+                return
             # The lease ended while the store was away or this process stood still.
             # The term decides whether somebody else has led since.
             sent_at = clock.now()
