--- a/features/workloads/steps/handover_steps.py
+++ b/features/workloads/steps/handover_steps.py
@@ -4,6 +4,7 @@
 from types import SimpleNamespace
 
 from behave import given, then, when
+
 from briarshed_workloads.leadership import RENEW_S, LeaderTerm
 from briarshed_workloads.records import EntryRecord, TermRecord
 
