--- a/features/workloads/handover.feature
+++ b/features/workloads/handover.feature
@@ -1,8 +1,8 @@
 Feature: Hand-over of the leadership at a planned stop
 
   Scenario: A renewal that meets the end of its own lease takes no new one
-    # Incident de4f (Msasani): the second hand-over took 2.6 s. A renewal was under way
-    # when the leader resigned, found its lease ended, and led again under a new one.
+    # Found while incident de4f (Msasani) was traced; it was not that incident's cause. A
+    # renewal under way when the leader resigns wrote the leader item again.
     Given a leader whose renewal is under way
     When it resigns and the renewal is told that the lease has ended
     Then it takes no new lease and writes nothing
