--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -15,6 +15,7 @@
     Run,
     StopOrder,
     Usage,
+    read_counter,
 )
 from briarshed_workloads.jobs import (
     COMPLETED,
@@ -404,7 +405,7 @@
         for key, run in list(endpoint.runs.items()):
             if key in listed:
                 continue
-            settled = run.state == DOUBTFUL and counter > run.token & 0xFFFFFFFF
+            settled = run.state == DOUBTFUL and counter > read_counter(run.token)
             confirmed = run.confirmed_at and run.confirmed_at < sent_at
             if settled or (confirmed and run.state in (PRESENT, STOPPING)):
                 self.drop(run, "not present" if settled else "vanished")
--- a/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
@@ -239,6 +239,11 @@
     )
 
 
+def read_counter(token: int) -> int:
+    """Return the counter of an endpoint's orders that a fencing token holds."""
+    return token & ((1 << TOKEN_COUNTER_BITS) - 1)
+
+
 class StopOrder(NamedTuple):
     """End a run at its endpoint; the reason goes to the log."""
 
