Change the leader sooner, to a strong entry, and keep its authority in an outage

The delay of a weak entry now begins at the vacancy; unseen endpoints are waited for from the vacancy on; renewals are sent every 0.25 s whatever became of the last one, which allows a lease of 1.2 s; entries without store and authority are not ready and refuse at once, others wait up to 2 s for the next leader; entries that were silent for 3 s before the store failed count as ended.

--- /dev/null
+++ b/features/workloads/steps/election_steps.py
@@ -0,0 +1,211 @@
+"""Steps for elections: entries that are not started, around one store."""
+
+import asyncio
+import json
+from types import SimpleNamespace
+
+from behave import given, then, when
+from wave_takeover_steps import OPTIONS
+
+from briarshed_entry import clock
+from briarshed_platform.directory import PlatformDirectory
+from briarshed_workloads.engine import Bounds, Engine
+from briarshed_workloads.entry import Entry, LeaderView, PeerView
+from briarshed_workloads.links import Beacon, Hello
+from briarshed_workloads.ports import Committed, Conflicted, Item
+from briarshed_workloads.records import LEADER, TERM, EntryRecord, encode
+from briarshed_workloads.workloads import Description, Submission
+
+CALL_S = 0.004
+WEAK_CORES, WEAK_MBPS = 0.5, 10.0
+HOLD_S = 4.0
+
+
+class Store:
+    """The leader item and the term, with the store's usual time to answer."""
+
+    def __init__(self):
+        self.answered_at = clock.now()
+        standing = encode(EntryRecord("gone", "i", "127.0.0.1:9"))
+        self.items = {LEADER: Item(LEADER, standing, 1, 1)}
+        self.revision = 1
+
+    async def read(self, key):
+        """Return an item."""
+        await asyncio.sleep(CALL_S)
+        return self.items.get(key)
+
+    async def grant_lease(self, ttl):
+        """Return a lease."""
+        await asyncio.sleep(CALL_S)
+        return 1
+
+    async def commit(self, conditions, puts, removals=(), timeout=1.0):
+        """Write all or nothing."""
+        await asyncio.sleep(CALL_S)
+        for key, revision in conditions:
+            known = self.items.get(key)
+            if (known.revision if known else 0) != revision:
+                return Conflicted({})
+        self.revision += 1
+        for put in puts:
+            self.items[put.key] = Item(put.key, put.value, self.revision, 1)
+        return Committed(self.revision)
+
+
+def make_entry(store, name="e", cores=4.0, mbps=1000.0):
+    """Return an entry that is not started and has a configuration."""
+    options = OPTIONS._replace(
+        name=name, peers="127.0.0.1:0", cores=cores, link_mbps=mbps
+    )
+    entry = Entry(options, store, None, None, PlatformDirectory(store))
+    entry._links = SimpleNamespace(send=lambda *_: None)
+    entry.apply_configuration(json.dumps({"version": 1}).encode(), "test")
+    return entry
+
+
+@given("{weak:d} weak entries and {strong:d} strong ones that look for a leader")
+def step_entries(context, weak, strong):
+    context.counts = weak, strong
+
+
+@when("the leadership becomes vacant after 0.5 s")
+def step_vacant(context):
+    async def run():
+        store = Store()
+        weak, strong = context.counts
+        entries = [
+            make_entry(store, f"weak-{number}", WEAK_CORES, WEAK_MBPS)
+            for number in range(weak)
+        ]
+        entries += [make_entry(store, f"strong-{number}") for number in range(strong)]
+        taken = asyncio.get_running_loop().create_future()
+
+        def lead_as(name):
+            async def lead(term):
+                if not taken.done():
+                    taken.set_result((name, clock.now()))
+                await asyncio.sleep(60)
+
+            return lead
+
+        tasks = []
+        for number, entry in enumerate(entries):
+            entry._lead = lead_as(entry.options.name)
+            await asyncio.sleep(0.5 / len(entries) if number else 0)
+            tasks.append(asyncio.create_task(entry._elect()))
+        # The strong ones have asked a moment before.
+        await asyncio.sleep(5 * CALL_S)
+        vacant_at = clock.now()
+        del store.items[LEADER]
+        async with asyncio.timeout(5):
+            name, at = await taken
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        assert TERM in store.items
+        return name, at - vacant_at
+
+    context.name, context.seconds = asyncio.run(run())
+
+
+@then("a strong entry takes it within {bound:g} s")
+def step_strong(context, bound):
+    assert context.name.startswith("strong"), context.name
+    assert context.seconds < bound, context.seconds
+
+
+@then("an entry takes it within {bound:g} s")
+def step_any(context, bound):
+    assert context.seconds < bound, context.seconds
+
+
+@given("an entry whose store answered {seconds:g} s ago")
+def step_entry(context, seconds):
+    context.entry = make_entry(SimpleNamespace(answered_at=clock.now() - seconds))
+
+
+@given(
+    "a leader that was heard {heard:g} s ago, {authority} authority, its store {store}"
+)
+def step_leader(context, heard, authority, store):
+    beacon = Beacon("l", 3, authority == "with", store == "failing", False, 1, {})
+    context.entry.leader = LeaderView("127.0.0.1:9", beacon, clock.now() - heard)
+
+
+@then("the entry is {verdict}")
+def step_ready(context, verdict):
+    assert context.entry.is_ready() == (verdict == "ready")
+
+
+@when("a caller hands a job in with 3 s to go")
+def step_hand_in(context):
+    async def run():
+        job = Submission("00000000000000aa", "q", "p", "", 0.0, Description("", ()))
+        started_at = clock.now()
+        reply = await context.entry.submit(job, 3.0)
+        return reply.outcome, clock.now() - started_at
+
+    context.outcome, context.seconds = asyncio.run(run())
+
+
+@then("it is refused after {least:g} to {most:g} s")
+def step_refused(context, least, most):
+    assert context.outcome == "refused"
+    assert least <= context.seconds <= most, context.seconds
+
+
+@given("an entry that {consent}")
+def step_consent(context, consent):
+    context.has_consented = consent.startswith("told")
+
+
+@when("it finds the leadership vacant")
+def step_finds(context):
+    async def run():
+        store = Store()
+        del store.items[LEADER]
+        entry = make_entry(store)
+        if context.has_consented:
+            store.answered_at = clock.now() - 5.0
+        entry._make_hello()
+        found_at = clock.now()
+        return found_at, await entry._try_to_lead()
+
+    context.found_at, context.term = asyncio.run(run())
+
+
+@then("its quarantine ends {seconds:g} s after that")
+def step_quarantine(context, seconds):
+    engine = Engine(2, Bounds(HOLD_S, HOLD_S), lambda *_, **__: None)
+    engine.note_vacancy(context.term.vacant_at)
+    until = engine.quarantine_until - context.found_at
+    assert abs(until - seconds) < 0.15, until
+
+
+def hear(entry, name, heard, store):
+    """Let an entry have heard of another one."""
+    store_age = 5.0 if store == "without" else 0.1
+    hello = Hello(name, "i", 1, store_age, False)
+    entry._peers[name] = PeerView(hello, clock.now() - heard)
+
+
+@given("a leader that heard one entry {heard:g} s ago, {store} the store")
+def step_leader_heard(context, heard, store):
+    context.entry = make_entry(SimpleNamespace(answered_at=clock.now()))
+    hear(context.entry, "127.0.0.1:1", heard, store)
+
+
+@given("another entry, last heard {heard:g} s ago, {store} the store")
+def step_other_heard(context, heard, store):
+    hear(context.entry, "127.0.0.1:2", heard, store)
+
+
+@when("the leader's store has failed for {seconds:g} s")
+def step_store_failed(context, seconds):
+    context.may_go_on = context.entry._may_go_on(clock.now() - seconds)
+
+
+@then("the leader {verdict}")
+def step_goes_on(context, verdict):
+    assert context.may_go_on == (verdict == "goes on")
--- a/features/workloads/steps/handover_steps.py
+++ b/features/workloads/steps/handover_steps.py
@@ -45,7 +45,7 @@
 
         record = TermRecord(1, "e/i", 0)
         journal = SimpleNamespace(term=record, is_lost=False, commit=commit)
-        term = LeaderTerm(store, ME, journal, 1, 0.0, lambda: False)
+        term = LeaderTerm(store, ME, journal, 1, 0.0, 0.0, lambda _: False)
         term.note_event("loaded", "test")
         keeping = asyncio.create_task(term.keep())
         async with asyncio.timeout(10 * RENEW_S):
--- a/packages/briarshed-workloads/src/briarshed_workloads/entry.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/entry.py
@@ -58,11 +58,12 @@
 LEADER_SILENCE_S = 1.0
 """Silence of the leader after which an entry asks the store who leads."""
 
-ELECTION_S = 0.3
+ELECTION_S = 0.15
 """Interval of asking the store while there is no leader."""
 
 ELECTION_DELAY_S = 0.6
-"""Longest time for which a weak entry leaves the leadership to others."""
+"""Longest time for which a weak entry leaves a vacant leadership to others; a strong
+one takes it within `ELECTION_S` and four calls to the store."""
 
 STRONG_CORES = 2.0
 STRONG_LINK_MBPS = 100.0
@@ -90,6 +91,10 @@
 PEER_FORGOTTEN_S = 30.0
 """Silence after which the leader sends nothing more to an entry."""
 
+PEER_ENDED_S = 3.0
+"""Silence before the store began to fail after which an entry counts as ended; a living
+one is heard four times a second."""
+
 CONSENT_S = 1.2
 """Age up to which an entry's word that the store is away counts."""
 
@@ -104,8 +109,12 @@
 
 RESEND_PAUSE_S = 0.1
 
-NO_LEADER_S = 0.8
-"""How long a submission waits for a leader before it is refused."""
+NO_LEADER_S = 2.0
+"""How long a submission waits while the leader changes, before it is refused; most of
+the time that a change takes after the leader has fallen silent."""
+
+NO_STORE_S = 0.3
+"""How long it waits for a leader that cannot write, whose view is one beacon old."""
 
 RETRY_AFTER_S = 1.0
 """Told to callers while there is no leader: a change takes between 1 s and 3 s."""
@@ -174,6 +183,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._term: LeaderTerm | None = None
         self._silent_epoch = 0
+        self._consented_at = 0.0
         self._behind_since = 0.0
         self._offered: dict[str, tuple[int, float]] = {}
 
@@ -290,9 +300,7 @@
     async def _elect(self) -> None:
         while True:
             if self.configuration is not None and self._may_stand():
-                # Stronger entries try first: the leader carries the whole fleet.
-                await asyncio.sleep(find_election_delay(self.options))
-                term = await self._try_to_lead() if self._may_stand() else None
+                term = await self._try_to_lead()
                 if term is not None:
                     await self._lead(term)
             await asyncio.sleep(ELECTION_S)
@@ -311,20 +319,38 @@
     async def _try_to_lead(self) -> LeaderTerm | None:
         try:
             standing = await read_leader(self._store)
-            if standing is None:
-                return await acquire(self._store, self._describe(), self._may_go_on)
+            if standing is not None:
+                self._links.send(standing.address, self._make_hello())
+                return None
+            # The leader carries the whole fleet, so that stronger entries go first. The
+            # delay begins once the leadership is vacant: many weak entries that ask in
+            # turn would find it before the few strong ones.
+            await asyncio.sleep(find_election_delay(self.options))
+            if not self._may_stand():
+                return None
+            term = await acquire(self._store, self._describe(), self._may_go_on)
+            if term is not None:
+                term.vacant_at = max(term.vacant_at, self._consented_at + CONSENT_S)
+            return term
         except (NotExecutedError, OutcomeUnknownError):
             return None
-        self._links.send(standing.address, self._make_hello())
-        return None
 
     def _describe(self) -> EntryRecord:
         return EntryRecord(self.options.name, self.incarnation, self.options.peers)
 
-    def _may_go_on(self) -> bool:
-        """Tell whether every other known entry is without the store as well."""
+    def _may_go_on(self, failing_since: float) -> bool:
+        """Tell whether every other living entry is without the store as well.
+
+        An entry that was silent before the store began to fail has ended: whatever cuts
+        this entry off from living ones cuts it off from the store no later.
+        """
         now = clock.now()
-        views = [view for view in self._peers.values() if not view.hello.is_stopping]
+        views = [
+            view
+            for view in self._peers.values()
+            if not view.hello.is_stopping
+            and view.heard_at > failing_since - PEER_ENDED_S
+        ]
         return bool(views) and all(
             now - view.heard_at < CONSENT_S and view.hello.store_age > STORE_AWAY_S
             for view in views
@@ -475,16 +501,22 @@
             return
 
     def _make_hello(self) -> Hello:
+        now = clock.now()
+        store_age = now - self._store.answered_at
+        if store_age > STORE_AWAY_S:
+            self._consented_at = now
         return Hello(
             self.options.name,
             self.incarnation,
             self.configuration.version if self.configuration else 0,
-            clock.now() - self._store.answered_at,
+            store_age,
             self.is_stopping,
         )
 
     def _send_hello(self) -> None:
-        if self.leader is not None and self._term is None:
+        # None to a silent leader: it must not go on with the consent of an entry that
+        # may lead itself.
+        if self.leader is not None and self._term is None and self.hears_leader():
             self._links.send(self.leader.address, self._make_hello())
 
     # Messages
@@ -556,10 +588,20 @@
             waited = clock.now() - started_at
             if was_sent and waited + RESEND_PAUSE_S > timeout:
                 return Reply(0, "unknown", RETRY_AFTER_S)
-            if not was_sent and waited > min(timeout, NO_LEADER_S):
+            if not was_sent and waited > min(timeout, self._choose_patience()):
                 return Reply(0, "refused", RETRY_AFTER_S)
             await asyncio.sleep(RESEND_PAUSE_S)
 
+    def _choose_patience(self) -> float:
+        """Return the seconds that a submission may wait if no leader takes it now."""
+        if self._is_cut_off():
+            # Another entry can serve it.
+            return 0.0
+        if self.hears_leader():
+            # It cannot make a job durable.
+            return NO_STORE_S
+        return NO_LEADER_S
+
     async def _send_submission(self, submission: Submission, timeout: float) -> Reply:
         if self._term is not None:
             return await self._limit(self._submit_here(0, submission), timeout)
@@ -636,11 +678,20 @@
         """Tell whether callers are served well here."""
         if self.is_stopping or self.configuration is None:
             return False
-        now = clock.now()
-        if self.hears_leader() or now - self._store.answered_at < CONTACT_S:
+        return not self._is_cut_off()
+
+    def _is_cut_off(self) -> bool:
+        """Tell whether neither the store nor a leader with authority is in contact.
+
+        Callers then do better elsewhere. While the store is away for all entries, the
+        leader keeps its authority.
+        """
+        if clock.now() - self._store.answered_at < CONTACT_S:
+            return False
+        leader = self.leader
+        if leader is None or not leader.beacon.has_authority:
             return True
-        # Alone: callers do better elsewhere, unless the store is away for all.
-        return self.leader is not None and self.leader.beacon.is_store_failing
+        return not (self.hears_leader() or leader.beacon.is_store_failing)
 
     async def resign(self) -> None:
         """Give the leadership up ahead of a planned stop."""
--- a/packages/briarshed-workloads/src/briarshed_workloads/leadership.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/leadership.py
@@ -39,18 +39,16 @@
     encode,
 )
 
-LEASE_S = 1.5
+LEASE_S = 1.2
 """Time to live of the leader's lease: what a crash of the leader costs at least."""
 
-RENEW_S = 0.35
-"""Interval of renewals; three may be lost before the lease ends."""
+RENEW_S = 0.25
+"""Interval of renewals. Each is sent on time, whatever became of the last one, so that
+three must go unanswered before the lease ends."""
 
 LEASE_MARGIN_S = 0.2
 """The leader stops this long before its lease can end; covers a late timer."""
 
-RETRY_S = 0.25
-"""Pause after a renewal that got no answer."""
-
 
 async def read_leader(store: Store) -> EntryRecord | None:
     """Return the living leader, or None."""
@@ -71,10 +69,13 @@
         Writes of this term.
     lease : int
         Lease of the leader item.
+    vacant_at : float
+        When no other leader's lease stood any more, in seconds of the boot clock.
     confirmed_at : float
         When the lease was asked for, in seconds of the boot clock.
     may_go_on : callable
-        Tells whether, while the store is away, no other entry can take over.
+        Tells whether, while the store is away, no other entry can take over; it is
+        called with the time from which on the store has failed.
     """
 
     def __init__(
@@ -83,18 +84,23 @@
         me: EntryRecord,
         journal: Journal,
         lease: int,
+        vacant_at: float,
         confirmed_at: float,
-        may_go_on: Callable[[], bool],
+        may_go_on: Callable[[float], bool],
     ) -> None:
         self.journal = journal
         self.epoch = journal.term.epoch
         self.state = advance(load_chart("leadership"), "following", "acquire")
         self.is_store_failing = False
+        self.vacant_at = vacant_at
         self._store = store
         self._me = me
         self._lease = lease
         self._may_go_on = may_go_on
         self._authority_until = confirmed_at + LEASE_S - LEASE_MARGIN_S
+        self._answered_from = confirmed_at
+        self._failing_since = 0.0
+        self._replacing = asyncio.Lock()
         self.lost = asyncio.Event()
 
     def note_event(self, event: str, reason: str) -> None:
@@ -123,46 +129,78 @@
             return False
         if clock.now() < self._authority_until:
             return True
-        return self.is_store_failing and self._may_go_on()
+        return self.is_store_failing and self._may_go_on(self._failing_since)
 
     async def keep(self) -> None:
         """Renew the lease until the term ends."""
-        while not self.lost.is_set():
-            await asyncio.sleep(RENEW_S)
-            had = self.has_authority()
-            try:
-                await self._renew()
-            except (NotExecutedError, OutcomeUnknownError) as error:
-                self.is_store_failing = True
-                if self.state == "leading" and not self.has_authority():
-                    self.note_event("isolate", str(error))
-                    log_event(AUTHORITY_LOST, reason=str(error))
-                await asyncio.sleep(RETRY_S)
-                continue
-            except LeadershipLostError as error:
-                self.note_event("lose", str(error))
-                return
-            self.is_store_failing = False
-            if self.state == "isolated":
-                self.note_event("rejoin", "lease renewed")
-            if not had:
-                log_event(AUTHORITY_GAINED, reason="lease renewed")
+        renewals: set[asyncio.Task[None]] = set()
+        try:
+            while not self.lost.is_set():
+                await asyncio.sleep(RENEW_S)
+                task = asyncio.create_task(self._renew())
+                renewals.add(task)
+                task.add_done_callback(renewals.discard)
+        finally:
+            for task in renewals:
+                task.cancel()
+            await asyncio.gather(*renewals, return_exceptions=True)
 
     async def _renew(self) -> None:
+        had = self.has_authority()
         sent_at = clock.now()
-        if not await self._store.renew_lease(self._lease):
-            if self.lost.is_set():
-                # Ended by `resign`; a new lease would keep the others waiting.
-                return
-            # The lease ended while the store was away or this process stood still.
-            # The term decides whether somebody else has led since.
+        try:
+            is_standing = await self._store.renew_lease(self._lease)
+            if not is_standing:
+                sent_at = await self._replace_lease()
+        except (NotExecutedError, OutcomeUnknownError) as error:
+            self._note_unanswered(sent_at, str(error))
+            return
+        except LeadershipLostError as error:
+            if not self.lost.is_set():
+                self.note_event("lose", str(error))
+            return
+        if sent_at is None:
+            return
+        self._answered_from = max(self._answered_from, sent_at)
+        self.is_store_failing = False
+        until = sent_at + LEASE_S - LEASE_MARGIN_S
+        self._authority_until = max(self._authority_until, until)
+        if self.state == "isolated":
+            self.note_event("rejoin", "lease renewed")
+        if not had:
+            log_event(AUTHORITY_GAINED, reason="lease renewed")
+
+    def _note_unanswered(self, sent_at: float, reason: str) -> None:
+        if sent_at < self._answered_from:
+            # A later renewal has been answered meanwhile.
+            return
+        if not self.is_store_failing:
+            self.is_store_failing = True
+            self._failing_since = sent_at
+        if self.state == "leading" and not self.has_authority():
+            self.note_event("isolate", reason)
+            log_event(AUTHORITY_LOST, reason=reason)
+
+    async def _replace_lease(self) -> float | None:
+        """Return the time from which a new lease counts, or None if none is wanted.
+
+        The lease ended while the store was away or this process stood still. The term
+        decides whether somebody else has led since.
+        """
+        ended = self._lease
+        async with self._replacing:
+            if self.lost.is_set() or self._lease != ended:
+                # Ended by `resign`, where a new lease would keep the others waiting, or
+                # replaced by a renewal that was sent before this one.
+                return None
             sent_at = clock.now()
-            self._lease = await self._store.grant_lease(LEASE_S)
+            lease = await self._store.grant_lease(LEASE_S)
             try:
-                await self.journal.commit([Put(LEADER, encode(self._me), self._lease)])
+                await self.journal.commit([Put(LEADER, encode(self._me), lease)])
             except LeaseLostError as error:
                 raise NotExecutedError(str(error)) from error
-        self._authority_until = sent_at + LEASE_S - LEASE_MARGIN_S
+            self._lease = lease
+            return sent_at
 
     async def resign(self) -> None:
         """Give the leadership up, so that another entry can take it at once."""
@@ -174,7 +212,7 @@
 
 
 async def acquire(
-    store: Store, me: EntryRecord, may_go_on: Callable[[], bool]
+    store: Store, me: EntryRecord, may_go_on: Callable[[float], bool]
 ) -> LeaderTerm | None:
     """Try to begin a term; None if another entry leads or was faster.
 
@@ -185,6 +223,7 @@
     """
     if await store.read(LEADER) is not None:
         return None
+    vacant_at = clock.now()
     standing = await store.read(TERM)
     term = _begin_term(standing, me)
     confirmed_at = clock.now()
@@ -202,7 +241,7 @@
             return None
         revision = item.revision
     journal = Journal(store, term, revision)
-    return LeaderTerm(store, me, journal, lease, confirmed_at, may_go_on)
+    return LeaderTerm(store, me, journal, lease, vacant_at, confirmed_at, may_go_on)
 
 
 def _begin_term(standing: Item | None, me: EntryRecord) -> TermRecord:
