Let waves wait for pools in demand, and move instances at once after a change of leader

Instances of pools that lack room are emptied when the time left requires it; the age of a wave is recorded, so that it stays as urgent after a change of the leader. Moves are recorded before they are ordered; the next leader lets those instances rest for the lease time and moves the others. Ruled out: the platform's rate of orders (215 a second).

--- a/features/workloads/steps/wave_takeover_steps.py
+++ b/features/workloads/steps/wave_takeover_steps.py
@@ -1,19 +1,31 @@
 """Steps for waves; the platform's calls are a list, and nothing waits."""
 
 import asyncio
+import time
 from types import SimpleNamespace
 
 from behave import given, then, when
-from engine_steps import NOW, look, make_engine
+from engine_steps import (
+    JOB,
+    NEED,
+    NOW,
+    ROOM,
+    look,
+    make_configuration,
+    make_engine,
+    submit,
+)
 
 from briarshed_entry import clock
-from briarshed_workloads.maintenance import Maintenance
+from briarshed_workloads.configuration import PoolRules
+from briarshed_workloads.maintenance import Maintenance, WaveView, choose_next
 from briarshed_workloads.options import EntryOptions, Promises
 from briarshed_workloads.ports import Ordered
-from briarshed_workloads.records import WaveRecord
-from briarshed_workloads.workloads import NOTHING, Instance, WaveOrder
+from briarshed_workloads.records import SizesRecord, WaveRecord
+from briarshed_workloads.workloads import NOTHING, Instance, Step, WaveOrder
 
 NAMES = ("m1", "m2", "m3")
+ROUND_S = 5.0
 OPTIONS = EntryOptions(
     "e",
     "d",
@@ -182,3 +194,122 @@
 @then('it orders one of "m2" and "m3"')
 def step_one(context):
     assert len(context.calls.ordered) == 1
+
+
+def choose(context, age):
+    """Return the names that are to be emptied when the wave has this age."""
+    view = WaveView(context.order, NOW, set(), {})
+    rows = choose_next(
+        view, context.instances, lambda _: None, {"busy"}, ROUND_S, NOW + age
+    )
+    return sorted(row.instance.instance for row in rows)
+
+
+@given(
+    'a wave over "m1", "m2" and "m3" within 20 s, and "m1" in a pool that lacks room'
+)
+def step_busy_pool(context):
+    context.order = WaveOrder(1, NAMES, 20.0, 3)
+    context.instances = {
+        name: Instance(name, "p", "up", "d", (), NOTHING, "") for name in NAMES
+    }
+    context.instances["m1"] = context.instances["m1"]._replace(pool="busy")
+
+
+@when("2 s have passed")
+def step_early(context):
+    context.chosen = choose(context, 2.0)
+
+
+@when("12 s have passed")
+def step_late(context):
+    context.chosen = choose(context, 12.0)
+
+
+@then('"m2" and "m3" are to be emptied')
+def step_calm_pools(context):
+    assert context.chosen == ["m2", "m3"], context.chosen
+
+
+@then('"m1", "m2" and "m3" are to be emptied')
+def step_all(context):
+    assert context.chosen == list(NAMES), context.chosen
+
+
+@given('a wave over "m1", "m2" and "m3" that the last leader saw 18 s ago')
+def step_old_wave(context):
+    build(context, maximum=0)
+    context.record = WaveRecord((), False, (), time.time() - 18.0)
+
+
+@then("the wave's age is 18 s")
+def step_age(context):
+    age = clock.now() - context.maintenance.waves[1].seen_at
+    assert abs(age - 18.0) < 1.0, age
+
+
+class MoveCalls(Calls):
+    """The platform's instance interface, with moves."""
+
+    def __init__(self, rows, records):
+        super().__init__(rows)
+        self.records = records
+        self.recorded_at_move = []
+
+    async def move(self, instance, pool, holder, token):
+        """Move an instance."""
+        self.ordered.append(instance)
+        self.recorded_at_move.append(self.records[-1].moved if self.records else ())
+        self.rows[instance] = self.rows[instance]._replace(pool=pool, state="moving")
+        return Ordered()
+
+
+@given('a pool that lacks 2 instances, and "m1" and "m2" in reserve')
+def step_lacking(context):
+    context.records = []
+
+    async def save_sizes(record):
+        context.records.append(record)
+
+    rows = {
+        name: Instance(name, "reserve", "up", "d", (), ROOM, "") for name in NAMES[:2]
+    }
+    rows["own"] = Instance("own", "pool", "up", "d", (), ROOM, "a")
+    context.calls = MoveCalls(rows, context.records)
+    plain = make_configuration()
+    reserve = PoolRules("reserve", False, True)
+    configuration = plain._replace(pools={**plain.pools, "reserve": reserve})
+    context.engine = make_engine(names=("a",), configuration=configuration)
+    look(context.engine, "a", NOW)
+    now = time.time()
+    submit(context.engine, JOB, (Step(40, NEED, 2.0),), now)
+    context.engine.wall_offset = now - clock.now()
+    term = SimpleNamespace(epoch=2, has_authority=lambda: True)
+    context.maintenance = Maintenance(
+        OPTIONS, term, context.engine, context.calls, None, save_sizes
+    )
+
+
+@given('"m1" was moved by the last leader a moment ago')
+def step_moved_before(context):
+    context.record = SizesRecord({"pool": 1}, ("m1",))
+    context.maintenance.restore_sizes(context.record)
+    context.maintenance.restore = lambda *_: None
+    context.order = WaveOrder(9, (), 20.0, 1)
+    context.maintenance.set_waves = lambda _: None
+
+
+@then('it has moved "m2" and not "m1"')
+def step_moved_other(context):
+    assert context.calls.ordered == ["m2"], context.calls.ordered
+
+
+@then('the move of "m2" was recorded before it was ordered')
+def step_recorded_before(context):
+    assert "m2" in context.calls.recorded_at_move[0]
+    assert "m1" in context.calls.recorded_at_move[0]
+
+
+@then('it has moved "m1" as well')
+def step_moved_both(context):
+    assert context.calls.ordered == ["m2", "m1"], context.calls.ordered
--- a/features/workloads/wave_takeover.feature
+++ b/features/workloads/wave_takeover.feature
@@ -47,3 +47,28 @@
     Given a wave over "m1", "m2" and "m3" with a maximum of 3, of which "m1" is down
     When the new leader takes over the records and the orders
     Then the wave is not recorded as completed
+
+  Scenario: Instances of a pool that lacks room wait for their maintenance
+    # Pattern: wave in a turn of demand. trouble-1 (Msasani, grown): up to 38 endpoints of
+    # the pool in demand got no new work while they were to be emptied.
+    Given a wave over "m1", "m2" and "m3" within 20 s, and "m1" in a pool that lacks room
+    When 2 s have passed
+    Then "m2" and "m3" are to be emptied
+    When 12 s have passed
+    Then "m1", "m2" and "m3" are to be emptied
+
+  Scenario: A wave stays as urgent as it was after a change of the leader
+    Given a wave over "m1", "m2" and "m3" that the last leader saw 18 s ago
+    When the new leader takes over the records and the orders
+    Then the wave's age is 18 s
+
+  Scenario: A new leader moves at once what the last one has not moved
+    # trouble-2 (Msasani, grown): after the cut no instance moved for 3 s, and 28 moved in
+    # the second after that.
+    Given a pool that lacks 2 instances, and "m1" and "m2" in reserve
+    And "m1" was moved by the last leader a moment ago
+    When the new leader has led for less than the lease time
+    Then it has moved "m2" and not "m1"
+    And the move of "m2" was recorded before it was ordered
+    When the lease time has passed
+    Then it has moved "m1" as well
--- a/packages/briarshed-workloads/src/briarshed_workloads/bookkeeping.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/bookkeeping.py
@@ -139,7 +139,7 @@
             maintenance.restore(int(item.key.removeprefix(WAVES)), record)
         sizes = await self._store.read(SIZES)
         if sizes is not None:
-            maintenance.sizes = decode(sizes.value, SizesRecord).sizes
+            maintenance.restore_sizes(decode(sizes.value, SizesRecord))
 
     async def save(self) -> None:
         """Write what has changed, again and again."""
--- a/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import math
+import time
 from collections import Counter
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Collection, Sequence
 from typing import NamedTuple
 
 from briarshed import events
@@ -22,7 +24,12 @@
     OutcomeUnknownError,
 )
 from briarshed_workloads.records import SizesRecord, WaveRecord
-from briarshed_workloads.sizing import ArrivalRate, Move, plan_moves
+from briarshed_workloads.sizing import (
+    ArrivalRate,
+    Move,
+    measure_surplus,
+    plan_moves,
+)
 from briarshed_workloads.workloads import Instance, WaveOrder
 
 STEP_S = 0.15
@@ -42,12 +49,18 @@
 URGENT_SHARE = 0.2
 """Share of a wave's time left at which work that does not save is interrupted too."""
 
+EMPTY_S = 3.0
+"""Time in which an instance that gets no new work becomes empty; covers most tasks."""
+
 ORDER_RETRY_S = 0.5
 """Pause before an instance order without effect is repeated."""
 
 
 class WaveView(NamedTuple):
-    """An open wave: its order, when it was seen, and which instances have begun."""
+    """An open wave: its order, when it was seen, and which instances have begun.
+
+    ``seen_at`` and ``ordered_at`` are in seconds of the boot clock.
+    """
 
     order: WaveOrder
     seen_at: float
@@ -66,12 +79,24 @@
     view: WaveView,
     instances: dict[str, Instance],
     find_endpoint: Callable[[str], Endpoint | None],
+    busy_pools: Collection[str],
+    round_s: float,
     now: float,
 ) -> list[Candidate]:
     """Return the instances to empty now, at most the wave's maximum together.
 
     Instances that are down for the wave, or whose order has no answer yet, count
     against the maximum. Those without work come first, then those with the least.
+    While there is time, those of pools that lack room wait: their demand passes.
+
+    Parameters
+    ----------
+    find_endpoint : callable
+        Returns the endpoint that lives on an instance, if it is known.
+    busy_pools : collection of str
+        Pools that lack room now.
+    round_s : float
+        Time to empty and maintain instances up to the maximum, in seconds.
     """
     order = view.order
     down = sum(
@@ -86,6 +111,14 @@
         and instances[name].state == "up"
     ]
     candidates = [Candidate(instances[name], find_endpoint(name)) for name in pending]
+    rounds = math.ceil(len(pending) / max(1, order.maximum))
+    time_left = view.seen_at + order.duration * (1 - URGENT_SHARE) - now
+    if time_left > rounds * round_s:
+        candidates = [
+            row
+            for row in candidates
+            if row.instance.pool not in busy_pools or _is_evacuating(row)
+        ]
     candidates.sort(key=lambda row: (not _is_evacuating(row), _count_work(row)))
     return candidates[: max(0, order.maximum - down)]
 
@@ -114,6 +147,7 @@
         self.closed: set[int] = set()
         self.sizes: dict[str, int] = {}
         self._restored: dict[int, WaveRecord] = {}
+        self._earlier: set[str] = set()
         self.instances: dict[str, Instance] = {}
         self._options = options
         self._term = term
@@ -136,11 +170,26 @@
     def restore(self, wave: int, record: WaveRecord) -> None:
         """Take over how far an earlier leader came with a wave."""
         self._restored[wave] = record
+        self._earlier.update(record.ordered)
         if record.is_completed:
             self.closed.add(wave)
             self.waves.pop(wave, None)
         elif wave in self.waves:
-            self.waves[wave].begun.update(record.begun)
+            view = self.waves[wave]
+            view.begun.update(record.begun)
+            self.waves[wave] = view._replace(seen_at=self._find_seen(view.order))
+
+    def restore_sizes(self, record: SizesRecord) -> None:
+        """Take over the sizes of the pools and the last moves of an earlier leader."""
+        self.sizes = record.sizes
+        self._earlier.update(record.moved)
+
+    def _find_seen(self, order: WaveOrder) -> float:
+        """Return when a leader first saw a wave, in seconds of the boot clock."""
+        known = self._restored.get(order.wave)
+        age = time.time() - known.seen_at if known and known.seen_at else 0.0
+        # The time of day may jump, and differs between entries.
+        return clock.now() - min(max(0.0, age), order.duration)
 
     def set_waves(self, orders: Sequence[WaveOrder]) -> None:
         """Take over the operator's waves."""
@@ -148,7 +197,7 @@
             if order.wave not in self.waves and order.wave not in self.closed:
                 known = self._restored.get(order.wave)
                 begun = set(known.begun) if known else set()
-                view = WaveView(order, clock.now(), begun, {})
+                view = WaveView(order, self._find_seen(order), begun, {})
                 self.waves[order.wave] = view
                 log_event(
                     events.WAVE_STARTED, wave=order.wave, count=len(order.instances)
@@ -188,14 +237,12 @@
             await self._read_instances()
         for view in list(self.waves.values()):
             await self._advance(view, now)
-        if now >= max(self._moves_from, self._orders_from):
+        if now >= self._moves_from:
             await self._move_instances(now)
 
     async def _move_instances(self, now: float) -> None:
         if not self.sizes:
-            counts = Counter(row.pool for row in self.instances.values())
-            await self._save_sizes(SizesRecord(dict(counts)))
-            self.sizes = dict(counts)
+            self.sizes = dict(Counter(row.pool for row in self.instances.values()))
         due = {
             name
             for view in self.waves.values()
@@ -205,6 +252,8 @@
         recent = {
             name for name, at in self._moved_at.items() if now - at < MOVE_AGAIN_S
         }
+        if now < self._orders_from:
+            recent |= self._earlier
         moves = plan_moves(
             self._engine,
             self.instances,
@@ -213,13 +262,21 @@
             self.sizes,
             now,
         )
-        await asyncio.gather(
-            *(
-                self._move(move)
-                for move in moves
-                if (move.instance, move.pool) not in self._rejected
-            )
-        )
+        moves = [
+            move for move in moves if (move.instance, move.pool) not in self._rejected
+        ]
+        if moves:
+            await self._record_moves(moves, now)
+            await asyncio.gather(*(self._move(move) for move in moves))
+
+    async def _record_moves(self, moves: Sequence[Move], now: float) -> None:
+        """Record moves before they are ordered: the next leader lets these rest."""
+        self._moved_at.update({move.instance: now for move in moves})
+        lease = self._options.promises.lease
+        recent = [name for name, at in self._moved_at.items() if now - at < lease]
+        if now < self._orders_from:
+            recent += self._earlier
+        await self._save_sizes(SizesRecord(self.sizes, tuple(recent)))
 
     async def _move(self, move: Move) -> None:
         row = self.instances[move.instance]
@@ -227,7 +284,6 @@
         if endpoint is not None:
             # Nothing may start there between the decision and its effect.
             endpoint.require_fence()
-        self._moved_at[move.instance] = clock.now()
         token = self._next_token()
         outcome = await self._calls.move(
             move.instance, move.pool, self._options.name, token
@@ -251,6 +307,11 @@
         elif outcome.reason == "invalid":
             self._rejected.add((move.instance, move.pool))
 
+    def _list_busy(self, now: float) -> set[str]:
+        """Return the pools that lack room."""
+        surplus = measure_surplus(self._engine, self.instances, self._rates, now)
+        return {pool for pool, rest in surplus.items() if rest < 0}
+
     def _next_token(self) -> int:
         self._counter += 1
         return (self._term.epoch << TOKEN_COUNTER_BITS) | self._counter
@@ -271,7 +332,14 @@
         if not left:
             await self._close(view)
             return
-        chosen = choose_next(view, self.instances, self._find_endpoint, now)
+        chosen = choose_next(
+            view,
+            self.instances,
+            self._find_endpoint,
+            self._list_busy(now),
+            self._options.promises.maintenance + EMPTY_S,
+            now,
+        )
         names = {row.instance.instance for row in chosen}
         for endpoint in self._engine.endpoints.values():
             instance = endpoint.observed.instance
@@ -291,10 +359,10 @@
         name = row.instance.instance
         if now - view.ordered_at.get(name, 0.0) < ORDER_RETRY_S:
             return False
-        known = self._restored.get(view.order.wave)
-        if known is not None and name in known.ordered and now < self._orders_from:
+        if name in self._earlier and now < self._orders_from:
             return False
-        return self._is_known_empty(row, now)
+        moved_at = self._moved_at.get(name, -math.inf)
+        return now - moved_at >= MOVE_AGAIN_S and self._is_known_empty(row, now)
 
     def _is_known_empty(self, row: Candidate, now: float) -> bool:
         """Tell whether nothing runs on an instance, as far as can be known.
@@ -308,7 +376,8 @@
         return not row.endpoint.runs
 
     async def _save_progress(self, view: WaveView) -> None:
-        record = WaveRecord(tuple(view.begun), False, tuple(view.ordered_at))
+        seen_at = time.time() - (clock.now() - view.seen_at)
+        record = WaveRecord(tuple(view.begun), False, tuple(view.ordered_at), seen_at)
         await self._save(view.order.wave, record)
 
     def _find_endpoint(self, instance: str) -> Endpoint | None:
--- a/packages/briarshed-workloads/src/briarshed_workloads/records.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/records.py
@@ -88,21 +88,27 @@
 
 
 class SizesRecord(msgspec.Struct, array_like=True, frozen=True):
-    """Instances that each pool had before the first move."""
+    """Instances that each pool had before the first move.
+
+    ``moved`` names those that were about to be moved within the last lease time.
+    """
 
     sizes: dict[str, int]
+    moved: tuple[str, ...] = ()
 
 
 class WaveRecord(msgspec.Struct, array_like=True, frozen=True):
     """Progress of a wave.
 
     ``begun`` names the instances whose maintenance has begun, ``ordered`` those that
-    were about to be ordered and may have begun.
+    were about to be ordered and may have begun. ``seen_at`` is the Unix time in seconds
+    at which a leader first saw the wave.
     """
 
     begun: tuple[str, ...]
     is_completed: bool
     ordered: tuple[str, ...] = ()
+    seen_at: float = 0.0
 
 
 def encode(record: msgspec.Struct) -> bytes:
--- a/packages/briarshed-workloads/src/briarshed_workloads/sizing.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/sizing.py
@@ -227,6 +227,40 @@
     )
 
 
+def measure_needs(
+    engine: Engine,
+    instances: Mapping[str, Instance],
+    rates: Mapping[str, ArrivalRate],
+    now: float,
+) -> dict[str, PoolNeed]:
+    """Return the need of each pool that is not a standby pool."""
+    configuration = engine.configuration
+    assert configuration is not None
+    needs = {}
+    for pool, rules in configuration.pools.items():
+        if rules.standby:
+            continue
+        rate = rates[pool].read(now) if pool in rates else 0.0
+        incoming = [
+            row.capacity
+            for row in instances.values()
+            if row.pool == pool and row.state == "moving"
+        ]
+        needs[pool] = measure_pool(engine, pool, rate, incoming, now)
+    return needs
+
+
+def measure_surplus(
+    engine: Engine,
+    instances: Mapping[str, Instance],
+    rates: Mapping[str, ArrivalRate],
+    now: float,
+) -> dict[str, float]:
+    """Return how many instances each pool could do without; negative if it lacks."""
+    needs = measure_needs(engine, instances, rates, now)
+    return {pool: need.find_surplus() for pool, need in needs.items()}
+
+
 def plan_moves(
     engine: Engine,
     instances: Mapping[str, Instance],
@@ -258,16 +292,7 @@
     if not standby:
         return []
     surplus: dict[str, float] = {}
-    for pool, rules in configuration.pools.items():
-        if rules.standby:
-            continue
-        rate = rates[pool].read(now) if pool in rates else 0.0
-        incoming = [
-            row.capacity
-            for row in instances.values()
-            if row.pool == pool and row.state == "moving"
-        ]
-        need = measure_pool(engine, pool, rate, incoming, now)
+    for pool, need in measure_needs(engine, instances, rates, now).items():
         surplus[pool] = need.find_surplus()
         _choose_retiring(engine, pool, need.count - sizes.get(pool, 0), surplus, held)
     free = [
