Settle a start without an answer at once, and copy runs of silent endpoints

Runs of speculative steps at an endpoint that fell silent were copied only after twice their time.

A refusal of that older look for its token does not end the term. A speculative run at an endpoint that has been silent for 0.3 s gets a copy.

--- a/features/workloads/heavy_days.feature
+++ b/features/workloads/heavy_days.feature
@@ -99,6 +99,21 @@
     When the copy succeeds
     Then the first run is to be stopped
 
+  Scenario Outline: A run of a speculative step at an endpoint that falls silent
+    # Pattern: zone_cut, srv_crash (dark). The run lapses unseen after 4.5 s, when its job
+    # is late.
+    Given a leader of epoch 2 with an endpoint "a" and an endpoint "b"
+    And an accepted job with 1 <kind> task
+    And the task runs at "a"
+    When "a" has been silent for <seconds> s
+    Then <count> copies of it start at "b"
+
+    Examples:
+      | kind        | seconds | count |
+      | speculative | 0.2     | 0     |
+      | speculative | 0.5     | 1     |
+      | plain       | 0.5     | 0     |
+
   Scenario: Long-running tasks are moved within the outage budget of their step
     # Pattern: wave. Everything on an instance ends when its maintenance begins.
     Given a long-running step of 3 tasks with a budget of 1, one on each endpoint
--- a/features/workloads/steps/heavy_days_steps.py
+++ b/features/workloads/steps/heavy_days_steps.py
@@ -320,6 +320,24 @@
     context.job = submit(context.engine, JOB, steps, NOW)
 
 
+@given("an accepted job with 1 plain task")
+def step_plain(context):
+    look(context.engine, "a", NOW)
+    context.job = submit(context.engine, JOB, (Step(1, NEED, 1.0),), NOW)
+
+
+@when('"a" has been silent for {seconds:g} s')
+def step_silent_for(context, seconds):
+    context.engine.note_failing(context.engine.endpoints["a"], "no answer", NOW + 0.1)
+    context.orders = plan_copies(context.engine, NOW + 0.1 + seconds)
+
+
+@then('{count:d} copies of it start at "b"')
+def step_count_copies(context, count):
+    names = [order.run.endpoint.name for order in context.orders]
+    assert names == ["b"] * count, names
+
+
 @when("it has taken 2.5 times its estimate")
 def step_overdue(context):
     listed = Running(TASK, context.run.number, "", 40, 0)
--- /dev/null
+++ b/features/workloads/steps/orders_steps.py
@@ -0,0 +1,116 @@
+"""Steps for orders without an answer; the endpoint is a fake."""
+
+import asyncio
+from types import SimpleNamespace
+
+from behave import given, then, when
+from engine_steps import JOB, NEED, submit
+from slow_store_steps import make_conductor
+
+from briarshed_entry import clock
+from briarshed_workloads.ports import OutcomeUnknownError, Refused, Started
+from briarshed_workloads.workloads import Look, Running, Step
+
+
+class Endpoints:
+    """Runs nothing but what the test lets it; the first start gets no answer."""
+
+    def __init__(self, refuses_waiting_look):
+        self.starts = []
+        self.looks = []
+        self.running = ()
+        self.refuses_waiting_look = refuses_waiting_look
+
+    def read_clock(self):
+        """Return the endpoint's clock in ms."""
+        return int(clock.now() * 1000)
+
+    async def look(self, name, address, token, acknowledged, deadline_ms, wait):
+        """Answer at once, or after the wait."""
+        self.looks.append((clock.now(), token, wait))
+        if wait:
+            await asyncio.sleep(0.2 if self.refuses_waiting_look else wait)
+            if self.refuses_waiting_look and token < self.looks[-1][1]:
+                return Refused("fenced")
+        return Look(self.read_clock(), 1, self.running, ())
+
+    async def start(self, name, address, order):
+        """Lose the first order, and carry the others out."""
+        self.starts.append((clock.now(), order))
+        if len(self.starts) == 1:
+            await asyncio.sleep(0.05)
+            raise OutcomeUnknownError("no answer")
+        self.running += (Running(order.task, order.run, "", 10, 0),)
+        return Started(self.read_clock())
+
+    async def stop(self, name, address, task, run, token):
+        """Stop nothing."""
+        return Started(self.read_clock())
+
+    async def forget(self, address):
+        """Close nothing."""
+
+
+def play(context, refuses_waiting_look):
+    """Let a look wait, lose the answer to a start, and keep what was seen."""
+
+    async def run():
+        journal = SimpleNamespace(commits=0)
+        conductor, _ = make_conductor(journal)
+        endpoints = Endpoints(refuses_waiting_look)
+        conductor._endpoints = endpoints
+        engine = conductor.engine
+        async with conductor:
+            # A run keeps the endpoint's loop looking.
+            other = "00000000000000bb"
+            submit(engine, other, (Step(1, NEED, 60.0),), clock.now())
+            conductor._attend_all()
+            await asyncio.sleep(0.05)
+            endpoints.starts.append(None)
+            conductor._give_orders(clock.now())
+            await asyncio.sleep(0.05)
+            endpoints.starts.clear()
+            assert endpoints.looks[-1][2], "no look waits"
+            submit(engine, JOB, (Step(1, NEED, 60.0),), clock.now())
+            conductor._give_orders(clock.now())
+            await asyncio.sleep(0.1)
+            conductor._give_orders(clock.now())
+            await asyncio.sleep(0.3)
+            context.is_lost = conductor.term.lost.is_set()
+        context.starts, context.looks = endpoints.starts, endpoints.looks
+
+    asyncio.run(run())
+
+
+@given("a leader that looks at an endpoint, and a look that waits")
+def step_leader(context):
+    context.starts = []
+
+
+@when("the answer to a start is lost and nothing runs there")
+def step_lost(context):
+    play(context, refuses_waiting_look=False)
+
+
+@when("it is refused for its token after a look with a higher one")
+def step_refused(context):
+    play(context, refuses_waiting_look=True)
+
+
+@then("a look with a higher token settles it within {bound:g} s")
+def step_settles(context, bound):
+    started_at, order = context.starts[0]
+    settling = [row for row in context.looks if row[1] > order.token]
+    assert settling, context.looks
+    assert settling[0][0] - started_at < bound + 0.05, context.looks
+
+
+@then("the task is started again")
+def step_again(context):
+    tasks = [order.task.job for _, order in context.starts]
+    assert tasks == [JOB, JOB], tasks
+
+
+@then("the term goes on")
+def step_leading(context):
+    assert not context.is_lost
--- a/packages/briarshed-workloads/src/briarshed_workloads/conductor.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/conductor.py
@@ -376,7 +376,7 @@
         now = clock.now()
         telemetry.observe_seconds("look", now - sent_at)
         if isinstance(answer, Refused):
-            return self._note_refused_look(endpoint, answer.reason)
+            return self._note_refused_look(endpoint, answer.reason, counter)
         was_fenced = endpoint.is_fenced
         known = endpoint.seen
         engine.note_look(endpoint, answer, counter, sent_at, now)
@@ -394,10 +394,10 @@
             await asyncio.sleep(LOOK_PAUSE_S)
         return True
 
-    def _note_refused_look(self, endpoint: Endpoint, reason: str) -> bool:
+    def _note_refused_look(self, endpoint: Endpoint, reason: str, counter: int) -> bool:
         if reason == "replaced":
             self._note_gone(endpoint, reason)
-        elif reason == "fenced":
+        elif reason == "fenced" and counter >= endpoint.counter:
             log_event(events.ORDER_FENCED, endpoint=endpoint.name, what="look")
             self.term.lost.set()
         return False
@@ -481,7 +481,8 @@
         except OutcomeUnknownError as error:
             self.engine.note_unknown(run)
             self._log_start(order, f"no answer: {error}")
-            self._wake(endpoint.name)
+            # The look that waits for an end has too low a token to settle this.
+            await self._look(endpoint)
             return
         except EndpointEndedError as error:
             self._log_start(order, f"not sent: {error}")
--- a/packages/briarshed-workloads/src/briarshed_workloads/planning.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/planning.py
@@ -21,6 +21,10 @@
 OVERDUE_FACTOR = 2.0
 """Ratio of a run's time to the usual one from which on a copy is worth its room."""
 
+SILENT_S = 0.3
+"""Silence of an endpoint after which copies of its runs are worth their room; a lost
+answer is made up for by the next look within this time."""
+
 LEAST_USUAL_S = 0.2
 """Run time below which a copy would come too late to help."""
 
@@ -112,7 +116,13 @@
 
 
 def is_overdue(engine: Engine, run: Run, now: float) -> bool:
-    """Tell whether a run has taken, or will take, far longer than estimated."""
+    """Tell whether a run has taken, or will take, far longer than estimated.
+
+    So does a run at a silent endpoint: it ends unseen, or lapses there.
+    """
+    silent_since = run.endpoint.failing_since
+    if silent_since and not run.stop_asked:
+        return now - silent_since > SILENT_S
     if not run.is_present or not run.confirmed_at:
         return False
     usual = max(estimate_task(engine, run.step), LEAST_USUAL_S)
