--- a/bench/_emulator.py
+++ b/bench/_emulator.py
@@ -76,6 +76,7 @@
     spare: int
     room: Resources
     lasting: int
+    lasting_width: int
     lasting_need: Resources
     kinds: tuple[Kind, ...]
     turn_s: float
@@ -87,6 +88,7 @@
     8,
     Resources(16_000, 65_536, 0),
     6,
+    5,
     Resources(1_500, 11_000, 0),
     (
         Kind("p0", 3.68, 1.6, 6, 0.64, 1_100, 3_300, 0.2, 0, 2, 0.03),
@@ -103,6 +105,7 @@
     6,
     Resources(64_000, 262_144, 0),
     6,
+    5,
     Resources(6_700, 32_000, 0),
     (
         Kind("p0", 2.96, 1.6, 6, 1.0, 3_500, 13_000, 0.2, 0, 3, 0.03),
@@ -113,6 +116,42 @@
     4.5,
 )
 
+GROWN_MOLDURAS = Site(
+    "molduras-grown",
+    38,
+    30,
+    Resources(16_000, 32_768, 0),
+    1,
+    20,
+    Resources(1_900, 6_000, 0),
+    (
+        Kind("p0", 7.09, 1.6, 8, 1.0, 2_000, 2_900, 0.2, 0, 2, 0.03),
+        Kind("p1", 1.38, 2.0, 8, 2.1, 4_400, 5_900, 0.2, 1, 2, 0.0),
+        Kind("p2", 8.86, 1.6, 8, 1.0, 2_000, 2_900, 0.2, 0, 2, 0.03),
+        Kind("p3", 1.69, 2.0, 8, 2.1, 4_400, 5_900, 0.2, 1, 2, 0.0),
+    ),
+    4.0,
+)
+
+GROWN_MSASANI = Site(
+    "msasani-grown",
+    37,
+    29,
+    Resources(64_000, 262_144, 0),
+    1,
+    20,
+    Resources(9_000, 47_000, 0),
+    (
+        Kind("p0", 9.14, 1.6, 8, 1.0, 6_200, 23_000, 0.2, 0, 3, 0.03),
+        Kind("p1", 2.31, 2.0, 8, 1.7, 13_000, 49_000, 0.2, 1, 3, 0.0),
+        Kind("p2", 11.4, 1.6, 8, 1.0, 6_200, 23_000, 0.2, 0, 3, 0.03),
+        Kind("p3", 2.82, 2.0, 8, 1.7, 13_000, 49_000, 0.2, 1, 3, 0.0),
+    ),
+    4.0,
+)
+
+SITES = {site.name: site for site in (MOLDURAS, MSASANI, GROWN_MOLDURAS, GROWN_MSASANI)}
+
 
 class Result(NamedTuple):
     """What a day came to; parts of the worth that was owed."""
@@ -225,7 +264,13 @@
         return min(value, most)
 
     def _submit_lasting(self, pool: str, number: int) -> None:
-        step = Step(5, self.site.lasting_need, 0.5, per_endpoint=1, long_running=True)
+        step = Step(
+            self.site.lasting_width,
+            self.site.lasting_need,
+            0.5,
+            per_endpoint=1,
+            long_running=True,
+        )
         self._accept(f"lasting-{pool}-{number}", f"last-{pool}", pool, (step,))
 
     def _submit(self, number: int) -> None:
