Tell the expected wait from the jobs that leave a pool

Too many were accepted, and half of the refusals came when their slot was too late. Ruled out: the load generator (its own lag was 4 ms in the median where refusals took 108 ms).

The wait is now the larger of that estimate and what the times between the ends of jobs tell while others wait. The longest tenth still waits for its slot.

--- a/features/serving/decisions.feature
+++ b/features/serving/decisions.feature
@@ -48,6 +48,22 @@
       | 99    | 2        | 0     | 200  |
       | 9999  | 60       | 1     | 600  |
 
+  Scenario Outline: Expected wait where jobs leave every <interval> s
+    # overload.feature beside 6 busy processes: slots stood idle between jobs, more jobs
+    # were accepted than could start, and half of them were refused after over 50 ms.
+    Given 40 jobs have left every <interval> s while others waited
+    Then a job with <ahead> ahead, 0.2 s each on 4 slots, waits <wait> s
+
+    Examples:
+      | interval | ahead | wait |
+      | 0.05     | 9     | 0.5  |
+      | 0.1      | 9     | 1.0  |
+      | 0.02     | 9     | 0.5  |
+
+  Scenario: Without a backlog nothing is learned of the time between jobs
+    Given 40 jobs have left every 5 s while none waited
+    Then a job with 9 ahead, 0.2 s each on 4 slots, waits 0.5 s
+
   Scenario Outline: A team with <own> queued jobs of <total>, share <share> of <shares>
     Then <ahead> jobs start before its next one
 
--- a/features/serving/steps/decisions_steps.py
+++ b/features/serving/steps/decisions_steps.py
@@ -4,7 +4,7 @@
 import time
 from collections import Counter
 
-from behave import then, when
+from behave import given, then, when
 from hypothesis import given, seed, settings
 from hypothesis import strategies as some
 
@@ -386,3 +386,26 @@
         f"{decision}: {least * 500:.1f} us at {small}, {most * 500:.1f} us at {large}"
     )
     assert most < 3 * least, (least, most)
+
+
+def let_leave(context, interval, is_backlogged):
+    """Let 40 jobs end at equal intervals."""
+    context.departures = admission.Departures()
+    for number in range(40):
+        context.departures.note_end(is_backlogged, number * interval)
+
+
+@given("40 jobs have left every {interval:g} s while others waited")
+def step_leave(context, interval):
+    let_leave(context, interval, True)
+
+
+@given("40 jobs have left every {interval:g} s while none waited")
+def step_leave_alone(context, interval):
+    let_leave(context, interval, False)
+
+
+@then("a job with {ahead:d} ahead, 0.2 s each on 4 slots, waits {wait:g} s")
+def step_waits(context, ahead, wait):
+    found = admission.expect_wait(ahead, 0.2, 4, context.departures.interval)
+    assert abs(found - wait) < 0.01, found
--- a/packages/briarshed-entry/src/briarshed_entry/scheduler.py
+++ b/packages/briarshed-entry/src/briarshed_entry/scheduler.py
@@ -75,6 +75,7 @@
         self.placement = Placement(slow_start_s, self._find_pause)
         self.health = PoolHealth()
         self.budget = RetryBudget()
+        self.departures = admission.Departures()
         self.shares = 0.0
         self.timer: asyncio.TimerHandle | None = None
         self.refreshed_at = 0.0
@@ -272,6 +273,7 @@
             ahead,
             self._run_times.get(job.queue),
             max(slots / entries, own),
+            pool.departures.interval,
         )
 
     def _check_right(self, job: Job) -> Outcome | None:
@@ -519,6 +521,7 @@
             average = self._run_times.get(queue)
             taken = now - life.sent_at
             self._run_times[queue] = admission.learn_run_time(average, taken)
+            pool.departures.note_end(bool(pool.queue), now)
         self._pump(pool)
 
     def _free(self, pool: _Pool, place: Place, team: str | None) -> None:
--- a/packages/briarshed/src/briarshed/admission.py
+++ b/packages/briarshed/src/briarshed/admission.py
@@ -25,6 +25,26 @@
     return average + LEARNING_RATE * (seconds - average)
 
 
+class Departures:
+    """Mean time between the ends of a pool's jobs while others wait, in seconds.
+
+    Slots are idle for a moment between two jobs, and other entries take some of them,
+    so that jobs leave more slowly than slots and run times tell.
+    """
+
+    def __init__(self) -> None:
+        self.interval: float | None = None
+        self._ended_at: float | None = None
+
+    def note_end(self, is_backlogged: bool, now: float) -> None:
+        """Count the end of a job; without a backlog nothing is learned."""
+        if self._ended_at is not None:
+            self.interval = learn_run_time(self.interval, now - self._ended_at)
+        self._ended_at = now if is_backlogged else None
+        if not is_backlogged:
+            self.interval = None
+
+
 def find_full_bound(queue: Queue, jobs: int, held: int, size: int) -> str:
     """Return which bound forbids one more job, or an empty text.
 
@@ -60,7 +80,9 @@
     return min(float(total), (own + 1) * all_shares / share - 1)
 
 
-def expect_wait(ahead: float, run_time: float | None, slots: float) -> float:
+def expect_wait(
+    ahead: float, run_time: float | None, slots: float, interval: float | None = None
+) -> float:
     """Return the seconds that a new job will wait; 0 while nothing is known.
 
     Parameters
@@ -71,10 +93,13 @@
         Learned run time in seconds.
     slots : float
         Slots of the pool that this entry can use; all are busy.
+    interval : float or None
+        Mean time between the ends of jobs, in seconds, if it was observed.
     """
     if run_time is None:
         return 0.0
-    return min(MAX_WAIT_S, (ahead + 1) * run_time / max(slots, 1.0))
+    each = max(run_time / max(slots, 1.0), interval or 0.0)
+    return min(MAX_WAIT_S, (ahead + 1) * each)
 
 
 def is_too_late(left: float, run_time: float | None, waiting: int) -> bool:
