--- a/features/serving/steps/decisions_steps.py
+++ b/features/serving/steps/decisions_steps.py
@@ -4,7 +4,8 @@
 import time
 from collections import Counter
 
-from behave import given, then, when
+from behave import given as given_step
+from behave import then, when
 from hypothesis import given, seed, settings
 from hypothesis import strategies as some
 
@@ -395,12 +396,12 @@
         context.departures.note_end(is_backlogged, number * interval)
 
 
-@given("40 jobs have left every {interval:g} s while others waited")
+@given_step("40 jobs have left every {interval:g} s while others waited")
 def step_leave(context, interval):
     let_leave(context, interval, True)
 
 
-@given("40 jobs have left every {interval:g} s while none waited")
+@given_step("40 jobs have left every {interval:g} s while none waited")
 def step_leave_alone(context, interval):
     let_leave(context, interval, False)
 
