--- a/features/workloads/slow_store.feature
+++ b/features/workloads/slow_store.feature
@@ -32,6 +32,12 @@
       | 1.5     | renewed     | refused  |
       | 0.6     | not renewed | refused  |
 
+  Scenario: A job is refused at once while the store refuses writes
+    # trouble-3 (co-operative, grown): platform_down (busy). Jobs that were taken could
+    # neither be accepted nor refused until the store was back.
+    Given a leader whose last write was refused by the store
+    Then a job is refused
+
   Scenario: A new job does not wait for the progress of all others
     # Pattern: platform_slow. Each write takes a quarter of a second.
     Given a leader with 200 jobs whose progress is unsaved, and writes of 0.05 s
--- a/features/workloads/steps/slow_store_steps.py
+++ b/features/workloads/steps/slow_store_steps.py
@@ -211,6 +211,18 @@
     context.taken = asyncio.run(run())
 
 
+@given("a leader whose last write was refused by the store")
+def step_refused(context):
+    async def run():
+        journal = Journal(None, TermRecord(1, "e/i", 0), 1)
+        journal.failing_since = clock.now() - 0.05
+        journal.is_refused = True
+        conductor, _ = make_conductor(journal)
+        return conductor.can_accept()
+
+    context.taken = asyncio.run(run())
+
+
 @then("a job is {verdict}")
 def step_verdict(context, verdict):
     assert context.taken == (verdict == "taken")
--- a/packages/briarshed-workloads/src/briarshed_workloads/journal.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/journal.py
@@ -68,6 +68,7 @@
         self.revision = revision
         self.is_lost = False
         self.failing_since = 0.0
+        self.is_refused = False
         self.commits = 0
         self._store = store
         self._lock = asyncio.Lock()
@@ -78,8 +79,13 @@
         return self.failing_since > 0
 
     def is_away(self, now: float) -> bool:
-        """Tell whether transactions have failed for some time."""
-        return self.is_failing and now - self.failing_since > AWAY_S
+        """Tell whether the store refuses transactions, or has failed for some time.
+
+        A lost answer may be chance; a refusal tells that nothing is written now.
+        """
+        if not self.is_failing:
+            return False
+        return self.is_refused or now - self.failing_since > AWAY_S
 
     def _note_failing(self, sent_at: float) -> None:
         self.failing_since = self.failing_since or sent_at
@@ -115,15 +121,18 @@
             except NotExecutedError:
                 # The store client has logged it.
                 self._note_failing(sent_at)
+                self.is_refused = True
                 await asyncio.sleep(RETRY_S)
                 continue
             except OutcomeUnknownError as error:
                 self._note_failing(sent_at)
+                self.is_refused = False
                 timeout = COMMIT_TIMEOUT_S
                 log_event(STORE_ANSWER_LOST, writes=term.writes, error=str(error))
                 await asyncio.sleep(RETRY_S)
                 continue
             self.failing_since = 0.0
+            self.is_refused = False
             if isinstance(outcome, Committed):
                 self.revision = outcome.revision
                 return
