--- a/features/workloads/heavy_days.feature
+++ b/features/workloads/heavy_days.feature
@@ -114,6 +114,17 @@
       | speculative | 0.5     | 1     |
       | plain       | 0.5     | 0     |
 
+  Scenario: A copy of a run at a silent endpoint succeeds
+    # Score 496a, trouble-3 (co-operative): TWICE. The unseen run kept its task among those
+    # that have one run, so that it was copied again and again after its success.
+    Given a leader of epoch 2 with an endpoint "a" and an endpoint "b"
+    And an accepted job with 1 speculative task and a later step
+    And the task runs at "a"
+    When "a" has been silent for 0.5 s
+    Then 1 copies of it start at "b"
+    When that copy succeeds while "a" stays silent
+    Then the later step is started, and no other copy
+
   Scenario: Long-running tasks are moved within the outage budget of their step
     # Pattern: wave. Everything on an instance ends when its maintenance begins.
     Given a long-running step of 3 tasks with a budget of 1, one on each endpoint
--- a/features/workloads/steps/heavy_days_steps.py
+++ b/features/workloads/steps/heavy_days_steps.py
@@ -338,6 +338,32 @@
     assert names == ["b"] * count, names
 
 
+@given("an accepted job with 1 speculative task and a later step")
+def step_speculative_then(context):
+    look(context.engine, "a", NOW)
+    steps = (
+        Step(1, NEED, 1.0, speculative=True),
+        Step(1, NEED, 1.0, after=(0,)),
+    )
+    context.job = submit(context.engine, JOB, steps, NOW)
+
+
+@when('that copy succeeds while "a" stays silent')
+def step_silent_success(context):
+    (order,) = context.orders
+    context.engine.note_started(order.run, int(NOW * 1000) + 700, NOW + 0.7)
+    ended = Ended(1, TASK, order.run.number, "succeeded", "")
+    look(context.engine, "b", NOW + 1.7, ended=[ended])
+
+
+@then("the later step is started, and no other copy")
+def step_later_only(context):
+    now = NOW + 2.0
+    assert not plan_copies(context.engine, now)
+    (order,) = plan_starts(context.engine, now)
+    assert order.run.task.step == 1
+
+
 @when("it has taken 2.5 times its estimate")
 def step_overdue(context):
     listed = Running(TASK, context.run.number, "", 40, 0)
--- a/packages/briarshed-workloads/src/briarshed_workloads/planning.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/planning.py
@@ -101,7 +101,7 @@
 
 
 def _list_lone_runs(engine: Engine, job: Job) -> list[list[Run]]:
-    """Return the runs of speculative steps that are their task's only one."""
+    """Return the lone runs of unfinished tasks of speculative steps."""
     found = []
     for occurrence, number in job.opened:
         step = job.description.steps[number]
@@ -110,7 +110,7 @@
         for index in range(step.count):
             task = TaskId(job.job_id, occurrence, number, index)
             runs = engine.runs.get(task, [])
-            if len(runs) == 1:
+            if len(runs) == 1 and not job.has_succeeded(task):
                 found.append(runs)
     return found
 
