Give the looks at endpoints a module of their own, and look at once after an outage

Found in the move: after an outage without authority an endpoint was looked at only with the next start there; all are woken when the authority is back.

--- a/features/workloads/orders.feature
+++ b/features/workloads/orders.feature
@@ -19,3 +19,10 @@
     Given a leader that looks at an endpoint, and a look that waits
     When the look is refused for its token
     Then the term has ended, and the log tells why
+
+  Scenario: Endpoints are looked at as soon as the leader has its authority back
+    # Found while the looks were given a module of their own: after an outage without
+    # consent, an endpoint was looked at only with the next start there.
+    Given a leader without authority, whose endpoint has a run
+    When it has its authority back
+    Then the endpoint is looked at within 0.4 s
--- a/features/workloads/steps/orders_steps.py
+++ b/features/workloads/steps/orders_steps.py
@@ -55,17 +55,16 @@
 @contextlib.asynccontextmanager
 async def wait_for_end(endpoints):
     """Let a conductor run whose look at an endpoint waits for the end of a run."""
-    conductor, _ = make_conductor(SimpleNamespace(commits=0))
+    conductor, _ = make_conductor(SimpleNamespace(commits=0), endpoints=endpoints)
     conductor.term.ended = []
     conductor.term.note_event = lambda event, reason: (
         conductor.term.ended.append((event, reason)),
         conductor.term.lost.set(),
     )
-    conductor._endpoints = endpoints
     engine = conductor.engine
     async with conductor:
         submit(engine, "00000000000000bb", (Step(1, NEED, 60.0),), clock.now())
-        conductor._attend_all()
+        conductor.looks.attend_all()
         await asyncio.sleep(0.05)
         endpoints.starts.append(None)
         conductor._give_orders(clock.now())
@@ -142,3 +141,31 @@
 @then("the term goes on")
 def step_goes_on(context):
     assert not context.is_lost
+
+
+@given("a leader without authority, whose endpoint has a run")
+def step_without_authority(context):
+    context.authority = False
+
+
+@when("it has its authority back")
+def step_authority(context):
+    async def run():
+        endpoints = Endpoints()
+        async with wait_for_end(endpoints) as conductor:
+            conductor.term.has_authority = lambda: context.authority
+            conductor.spawn(conductor._plan(), "plan")
+            await asyncio.sleep(1.4)
+            count = len(endpoints.looks)
+            await asyncio.sleep(0.3)
+            assert len(endpoints.looks) == count, "looks went on"
+            context.authority = True
+            await asyncio.sleep(0.4)
+        return len(endpoints.looks) - count
+
+    context.count = asyncio.run(run())
+
+
+@then("the endpoint is looked at within 0.4 s")
+def step_looked_at(context):
+    assert context.count
--- a/features/workloads/steps/slow_store_steps.py
+++ b/features/workloads/steps/slow_store_steps.py
@@ -61,7 +61,7 @@
         return Look(int(clock.now() * 1000), 1, rows, ended if not acknowledged else ())
 
 
-def make_conductor(journal, *, is_store_failing=False):
+def make_conductor(journal, *, is_store_failing=False, endpoints=None):
     """Return a conductor that has loaded its records, with one endpoint."""
     term = SimpleNamespace(
         epoch=2,
@@ -70,7 +70,7 @@
         is_store_failing=is_store_failing,
         lost=asyncio.Event(),
     )
-    endpoints = Endpoints()
+    endpoints = endpoints or Endpoints()
     conductor = Conductor(OPTIONS, term, None, endpoints, None, None)
     conductor.is_loaded = True
     engine = conductor.engine
@@ -92,7 +92,7 @@
         async with conductor:
             submit(conductor.engine, JOB, (Step(2, NEED, 60.0),), clock.now())
             conductor.spawn(conductor.books.save(), "save")
-            conductor._attend_all()
+            conductor.looks.attend_all()
             await asyncio.sleep(2.0)
         context.acknowledged = conductor.engine.endpoints["a"].acknowledged
         context.looks = endpoints.looks
--- a/packages/briarshed-workloads/src/briarshed_workloads/conductor.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/conductor.py
@@ -18,7 +18,6 @@
 from briarshed_workloads.engine import Bounds, Engine
 from briarshed_workloads.fleet import (
     STOPPING,
-    Endpoint,
     PaceOrder,
     Run,
     StartOrder,
@@ -27,6 +26,7 @@
 from briarshed_workloads.jobs import FINAL
 from briarshed_workloads.journal import LeadershipLostError
 from briarshed_workloads.leadership import LeaderTerm
+from briarshed_workloads.looks import Looks
 from briarshed_workloads.maintenance import Maintenance
 from briarshed_workloads.options import EntryOptions
 from briarshed_workloads.planning import plan_copies, plan_starts
@@ -41,7 +41,7 @@
     Started,
     Store,
 )
-from briarshed_workloads.suspicion import START_UP_S, list_stalls
+from briarshed_workloads.suspicion import list_stalls
 from briarshed_workloads.workloads import (
     Start,
     Submission,
@@ -54,23 +54,6 @@
 OBSERVE_S = 0.6
 """Interval of reading the endpoints; a leaving one must get no work after 2 s."""
 
-LOOK_WAIT_S = 1.2
-"""How long a look waits for an end; shorter than a third of the hold."""
-
-START_UP_LOOK_S = 0.3
-"""Interval of looks at a long-running task that starts up. Evacuations within an outage
-budget wait for it; the look that waits for an end would tell up to 1.2 s later."""
-
-LOOK_PAUSE_S = 0.03
-"""Pause after the ends of a look, so that one look and one write serve several."""
-
-LOOK_RETRY_S = 0.25
-"""Pause after a look without an answer."""
-
-UNSAVED_LOOK_S = 0.4
-"""Interval of looks at an endpoint whose ends are not durable yet. Such a look answers
-at once; ten of them fit into the hold."""
-
 TICK_S = 0.25
 """Longest time between two plans; covers what only time changes."""
 
@@ -122,8 +105,6 @@
         self._endpoints = endpoints
         self._directory = directory
         self._tasks: set[asyncio.Task[None]] = set()
-        self._attended: dict[tuple[str, int], asyncio.Task[None]] = {}
-        self._wakers: dict[str, asyncio.Event] = {}
         self._changed = asyncio.Event()
         self.books = Bookkeeper(
             term,
@@ -133,6 +114,14 @@
             options.promises.status_kept,
             self._note_saved,
         )
+        self.looks = Looks(
+            term,
+            self.engine,
+            endpoints,
+            self.spawn,
+            self.books.request_save,
+            self._changed.set,
+        )
         self.maintenance = Maintenance(
             options,
             term,
@@ -151,17 +140,18 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        tasks = [*self._tasks, *self._attended.values()]
+        tasks = list(self._tasks)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         self.books.fail_accepting()
 
-    def spawn(self, work: Coroutine[Any, Any, None], name: str) -> None:
+    def spawn(self, work: Coroutine[Any, Any, Any], name: str) -> asyncio.Task[None]:
         """Run work in the background; a failure is logged."""
         task = asyncio.create_task(self._guard(work, name))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
     async def _guard(self, work: Awaitable[None], name: str) -> None:
         try:
@@ -193,7 +183,7 @@
             endpoints=len(engine.endpoints),
             seconds=round(clock.now() - now, 3),
         )
-        self._attend_all()
+        self.looks.attend_all()
         loops = {
             "observe": self._observe(),
             "plan": self._plan(),
@@ -290,161 +280,19 @@
                 # The store client has logged it; the last listing stands.
                 continue
             self.engine.observe(listing, clock.now())
-            self._attend_all()
+            self.looks.attend_all()
             self._changed.set()
 
-    def _attend_all(self) -> None:
-        for name, endpoint in self.engine.endpoints.items():
-            key = name, endpoint.observed.born
-            if key not in self._attended:
-                work = self._guard(self._attend(endpoint), f"attend {name}")
-                task = asyncio.create_task(work)
-                self._attended[key] = task
-                task.add_done_callback(lambda _, key=key: self._attended.pop(key, None))
-        self.books.request_save()
-
     def _note_saved(self, name: str) -> None:
         if name:
-            self._wake(name)
+            self.looks.wake(name)
         else:
             self._changed.set()
 
-    def _wake(self, name: str) -> None:
-        waker = self._wakers.get(name)
-        if waker is not None:
-            waker.set()
-
-    async def _attend(self, endpoint: Endpoint) -> None:
-        """Look at one endpoint for as long as there is something to see."""
-        waker = self._wakers[endpoint.name] = asyncio.Event()
-        while self.engine.endpoints.get(endpoint.name) is endpoint:
-            if endpoint.is_gone:
-                return
-            if not self._needs_look(endpoint):
-                waker.clear()
-                if not self._needs_look(endpoint):
-                    await waker.wait()
-                continue
-            await self._await_saved(endpoint, waker)
-            if not await self._look(endpoint):
-                await asyncio.sleep(LOOK_RETRY_S)
-
-    async def _await_saved(self, endpoint: Endpoint, waker: asyncio.Event) -> None:
-        """Wait until the endpoint's ends are durable, but not for long.
-
-        A look without an acknowledgement lists the same ends at once. While the store
-        is slow or away, looks go on all the same: they keep the hold and show new ends.
-        """
-        until = clock.now() + UNSAVED_LOOK_S
-        while endpoint.has_unsaved_ends:
-            waker.clear()
-            left = until - clock.now()
-            if left <= 0:
-                return
-            try:
-                async with asyncio.timeout(left):
-                    await waker.wait()
-            except TimeoutError:
-                return
-
-    def _needs_look(self, endpoint: Endpoint) -> bool:
-        if not self.term.has_authority() and endpoint.is_fenced:
-            return False
-        return bool(not endpoint.is_fenced or endpoint.runs)
-
-    async def _watch_start_up(self, run: Run) -> None:
-        """Look at a long-running task until it is at work or should be."""
-        endpoint = run.endpoint
-        until = clock.now() + START_UP_S
-        while clock.now() < until:
-            await asyncio.sleep(START_UP_LOOK_S)
-            is_there = endpoint.runs.get((run.task, run.number)) is run
-            if run.is_serving or not is_there or endpoint.failing_since:
-                return
-            await self._look(endpoint, is_quick=True)
-
-    async def _look(self, endpoint: Endpoint, is_quick: bool = False) -> bool:
-        engine = self.engine
-        sent_at = clock.now()
-        counter = endpoint.counter
-        deadline = None
-        if endpoint.anchor_ms and self.term.has_authority():
-            deadline = endpoint.choose_deadline(sent_at, engine.bounds.hold)
-        is_quick |= endpoint.has_unsaved_ends or not endpoint.is_fenced
-        wait = 0.0 if is_quick else LOOK_WAIT_S
-        try:
-            answer = await self._endpoints.look(
-                endpoint.name,
-                endpoint.observed.address,
-                endpoint.token,
-                endpoint.acknowledged,
-                deadline,
-                wait,
-            )
-        except (OutcomeUnknownError, NotExecutedError) as error:
-            # A refused connection is no proof of an end: cut links refuse as well.
-            self._note_silence(endpoint, str(error))
-            return False
-        except EndpointEndedError as error:
-            self._note_gone(endpoint, str(error))
-            return False
-        now = clock.now()
-        telemetry.observe_seconds("look", now - sent_at)
-        if isinstance(answer, Refused):
-            return self._note_refused_look(endpoint, answer.reason, counter)
-        was_fenced = endpoint.is_fenced
-        known = endpoint.seen
-        engine.note_look(endpoint, answer, counter, sent_at, now)
-        if endpoint.is_fenced and not was_fenced:
-            log_event(
-                events.ENDPOINT_FENCED,
-                endpoint=endpoint.name,
-                runs=len(endpoint.runs),
-                ends=len(answer.ended),
-            )
-        if endpoint.has_unsaved_ends:
-            self.books.request_save()
-        self._changed.set()
-        if endpoint.seen > known:
-            await asyncio.sleep(LOOK_PAUSE_S)
-        return True
-
-    def _note_refused_look(self, endpoint: Endpoint, reason: str, counter: int) -> bool:
-        if reason == "replaced":
-            self._note_gone(endpoint, reason)
-        elif reason == "fenced" and counter >= endpoint.counter:
-            self._note_fenced(endpoint, "look")
-        return False
-
-    def _note_fenced(self, endpoint: Endpoint, what: str) -> None:
-        """Give the term up: another leader's token is known at an endpoint."""
-        log_event(events.ORDER_FENCED, endpoint=endpoint.name, what=what)
-        if not self.term.lost.is_set():
-            self.term.note_event("lose", f"fenced at {endpoint.name}")
-
-    def _note_silence(self, endpoint: Endpoint, reason: str) -> None:
-        now = clock.now()
-        self.engine.note_failing(endpoint, reason, now)
-        self.spawn(self._endpoints.forget(endpoint.observed.address), "forget")
-        if endpoint.runs and now > endpoint.find_lapse():
-            self.engine.drop_runs(endpoint, "lapsed unseen")
-            self._changed.set()
-        if not endpoint.is_listed and now > max(
-            self.engine.quarantine_until, endpoint.find_lapse()
-        ):
-            self._note_gone(endpoint, "silent and not registered")
-
-    def _note_gone(self, endpoint: Endpoint, reason: str) -> None:
-        now = clock.now()
-        self.engine.note_failing(endpoint, reason, now)
-        self.engine.drop_runs(endpoint, reason)
-        endpoint.is_gone = True
-        log_event(events.ENDPOINT_GONE, endpoint=endpoint.name, reason=reason)
-        self._changed.set()
-
     # Orders
 
     async def _plan(self) -> None:
+        has_authority = True
         while True:
             try:
                 async with asyncio.timeout(TICK_S):
@@ -452,7 +300,10 @@
             except TimeoutError:
                 pass
             self._changed.clear()
-            if self.term.has_authority():
+            had_authority, has_authority = has_authority, self.term.has_authority()
+            if has_authority:
+                if not had_authority:
+                    self.looks.wake_all()
                 self._give_orders(clock.now())
             await asyncio.sleep(PLAN_PAUSE_S)
 
@@ -478,7 +329,7 @@
             self.spawn(self._pace(pace), "pace")
         for order in plan_starts(engine, now) + plan_copies(engine, now):
             self.spawn(self._start(order), "start")
-            self._wake(order.run.endpoint.name)
+            self.looks.wake(order.run.endpoint.name)
         telemetry.observe_seconds("plan", time.perf_counter() - started_at)
 
     async def _start(self, order: StartOrder) -> None:
@@ -502,16 +353,16 @@
             self.engine.note_unknown(run)
             self._log_start(order, f"no answer: {error}")
             # The look that waits for an end has too low a token to settle this.
-            await self._look(endpoint)
+            await self.looks.look(endpoint)
             return
         except EndpointEndedError as error:
             self._log_start(order, f"not sent: {error}")
-            self._note_gone(endpoint, str(error))
+            self.looks.note_gone(endpoint, str(error))
             return
         except NotExecutedError as error:
             self._log_start(order, f"not sent: {error}")
             self.engine.drop(run, "not sent")
-            self._note_silence(endpoint, str(error))
+            self.looks.note_silence(endpoint, str(error))
             return
         answered_at = clock.now()
         telemetry.observe_seconds("start", answered_at - now)
@@ -519,7 +370,7 @@
             self.engine.note_started(run, answer.clock_ms, answered_at)
             self._log_start(order, "started")
             if run.step.long_running and not run.step.filler:
-                await self._watch_start_up(run)
+                await self.looks.watch_start_up(run)
             return
         self._log_start(order, answer.reason)
         self._note_refused_start(run, answer.reason)
@@ -544,9 +395,9 @@
         now = clock.now()
         self.engine.drop(run, f"refused: {reason}")
         if reason == "replaced":
-            self._note_gone(endpoint, reason)
+            self.looks.note_gone(endpoint, reason)
         elif reason == "fenced" and run.token >= endpoint.token:
-            self._note_fenced(endpoint, "start")
+            self.looks.note_fenced(endpoint, "start")
         elif reason != "old":
             endpoint.full_until = now + REFUSED_PAUSE_S
 
@@ -580,7 +431,7 @@
             reason=stop.reason,
             outcome=outcome,
         )
-        self._wake(endpoint.name)
+        self.looks.wake(endpoint.name)
 
     async def _pace(self, order: PaceOrder) -> None:
         run, endpoint = order.run, order.run.endpoint
--- /dev/null
+++ b/packages/briarshed-workloads/src/briarshed_workloads/looks.py
@@ -0,0 +1,241 @@
+"""The leader's looks at endpoints: what runs there, what has ended, who is silent."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from briarshed import events
+from briarshed_entry import clock
+from briarshed_entry.logs import log_event
+from briarshed_workloads import telemetry
+from briarshed_workloads.engine import Engine
+from briarshed_workloads.fleet import Endpoint, Run
+from briarshed_workloads.leadership import LeaderTerm
+from briarshed_workloads.ports import (
+    EndpointEndedError,
+    Endpoints,
+    NotExecutedError,
+    OutcomeUnknownError,
+    Refused,
+)
+from briarshed_workloads.suspicion import START_UP_S
+
+LOOK_WAIT_S = 1.2
+"""How long a look waits for an end; shorter than a third of the hold."""
+
+START_UP_LOOK_S = 0.3
+"""Interval of looks at a long-running task that starts up. Evacuations within an outage
+budget wait for it; the look that waits for an end would tell up to 1.2 s later."""
+
+LOOK_PAUSE_S = 0.03
+"""Pause after the ends of a look, so that one look and one write serve several."""
+
+LOOK_RETRY_S = 0.25
+"""Pause after a look without an answer."""
+
+UNSAVED_LOOK_S = 0.4
+"""Interval of looks at an endpoint whose ends are not durable yet. Such a look answers
+at once; ten of them fit into the hold."""
+
+
+class Looks:
+    """Looks at every endpoint for as long as there is something to see.
+
+    Parameters
+    ----------
+    term : LeaderTerm
+        Leadership under which the looks are sent.
+    engine : Engine
+        Takes over what they tell.
+    endpoints : Endpoints
+        Calls to endpoints.
+    spawn : callable
+        Runs work in the background under a name.
+    request_save : callable
+        Called when there is something to be written.
+    note_changed : callable
+        Called when the fleet has changed, so that orders may be due.
+    """
+
+    def __init__(
+        self,
+        term: LeaderTerm,
+        engine: Engine,
+        endpoints: Endpoints,
+        spawn: Callable[[Coroutine[Any, Any, Any], str], asyncio.Task[None]],
+        request_save: Callable[[], None],
+        note_changed: Callable[[], None],
+    ) -> None:
+        self._term = term
+        self._engine = engine
+        self._endpoints = endpoints
+        self._spawn = spawn
+        self._request_save = request_save
+        self._note_changed = note_changed
+        self._attended: dict[tuple[str, int], asyncio.Task[None]] = {}
+        self._wakers: dict[str, asyncio.Event] = {}
+
+    def attend_all(self) -> None:
+        """Begin to look at endpoints that are new."""
+        for name, endpoint in self._engine.endpoints.items():
+            key = name, endpoint.observed.born
+            if key not in self._attended:
+                task = self._spawn(self._attend(endpoint), f"attend {name}")
+                self._attended[key] = task
+                task.add_done_callback(lambda _, key=key: self._attended.pop(key, None))
+        self._request_save()
+
+    def wake(self, name: str) -> None:
+        """Let an endpoint be looked at if there is something to see."""
+        waker = self._wakers.get(name)
+        if waker is not None:
+            waker.set()
+
+    def wake_all(self) -> None:
+        """Let all endpoints be looked at; those without authority to look wait."""
+        for waker in self._wakers.values():
+            waker.set()
+
+    async def _attend(self, endpoint: Endpoint) -> None:
+        """Look at one endpoint for as long as there is something to see."""
+        waker = self._wakers[endpoint.name] = asyncio.Event()
+        while self._engine.endpoints.get(endpoint.name) is endpoint:
+            if endpoint.is_gone:
+                return
+            if not self._needs_look(endpoint):
+                waker.clear()
+                if not self._needs_look(endpoint):
+                    await waker.wait()
+                continue
+            await self._await_saved(endpoint, waker)
+            if not await self.look(endpoint):
+                await asyncio.sleep(LOOK_RETRY_S)
+
+    async def _await_saved(self, endpoint: Endpoint, waker: asyncio.Event) -> None:
+        """Wait until the endpoint's ends are durable, but not for long.
+
+        A look without an acknowledgement lists the same ends at once. While the store
+        is slow or away, looks go on all the same: they keep the hold and show new ends.
+        """
+        until = clock.now() + UNSAVED_LOOK_S
+        while endpoint.has_unsaved_ends:
+            waker.clear()
+            left = until - clock.now()
+            if left <= 0:
+                return
+            try:
+                async with asyncio.timeout(left):
+                    await waker.wait()
+            except TimeoutError:
+                return
+
+    def _needs_look(self, endpoint: Endpoint) -> bool:
+        if not self._term.has_authority() and endpoint.is_fenced:
+            return False
+        return bool(not endpoint.is_fenced or endpoint.runs)
+
+    async def watch_start_up(self, run: Run) -> None:
+        """Look at a long-running task until it is at work or should be."""
+        endpoint = run.endpoint
+        until = clock.now() + START_UP_S
+        while clock.now() < until:
+            await asyncio.sleep(START_UP_LOOK_S)
+            is_there = endpoint.runs.get((run.task, run.number)) is run
+            if run.is_serving or not is_there or endpoint.failing_since:
+                return
+            await self.look(endpoint, is_quick=True)
+
+    async def look(self, endpoint: Endpoint, is_quick: bool = False) -> bool:
+        """Look at an endpoint once and take over what it lists.
+
+        Parameters
+        ----------
+        is_quick : bool
+            Whether the look is answered at once and not with the next end.
+
+        Returns
+        -------
+        bool
+            Whether the endpoint has answered with its runs and ends.
+        """
+        engine = self._engine
+        sent_at = clock.now()
+        counter = endpoint.counter
+        deadline = None
+        if endpoint.anchor_ms and self._term.has_authority():
+            deadline = endpoint.choose_deadline(sent_at, engine.bounds.hold)
+        is_quick |= endpoint.has_unsaved_ends or not endpoint.is_fenced
+        wait = 0.0 if is_quick else LOOK_WAIT_S
+        try:
+            answer = await self._endpoints.look(
+                endpoint.name,
+                endpoint.observed.address,
+                endpoint.token,
+                endpoint.acknowledged,
+                deadline,
+                wait,
+            )
+        except (OutcomeUnknownError, NotExecutedError) as error:
+            # A refused connection is no proof of an end: cut links refuse as well.
+            self.note_silence(endpoint, str(error))
+            return False
+        except EndpointEndedError as error:
+            self.note_gone(endpoint, str(error))
+            return False
+        now = clock.now()
+        telemetry.observe_seconds("look", now - sent_at)
+        if isinstance(answer, Refused):
+            return self._note_refused_look(endpoint, answer.reason, counter)
+        was_fenced = endpoint.is_fenced
+        known = endpoint.seen
+        engine.note_look(endpoint, answer, counter, sent_at, now)
+        if endpoint.is_fenced and not was_fenced:
+            log_event(
+                events.ENDPOINT_FENCED,
+                endpoint=endpoint.name,
+                runs=len(endpoint.runs),
+                ends=len(answer.ended),
+            )
+        if endpoint.has_unsaved_ends:
+            self._request_save()
+        self._note_changed()
+        if endpoint.seen > known:
+            await asyncio.sleep(LOOK_PAUSE_S)
+        return True
+
+    def _note_refused_look(self, endpoint: Endpoint, reason: str, counter: int) -> bool:
+        if reason == "replaced":
+            self.note_gone(endpoint, reason)
+        elif reason == "fenced" and counter >= endpoint.counter:
+            self.note_fenced(endpoint, "look")
+        return False
+
+    def note_fenced(self, endpoint: Endpoint, what: str) -> None:
+        """Give the term up: another leader's token is known at an endpoint."""
+        log_event(events.ORDER_FENCED, endpoint=endpoint.name, what=what)
+        if not self._term.lost.is_set():
+            self._term.note_event("lose", f"fenced at {endpoint.name}")
+
+    def note_silence(self, endpoint: Endpoint, reason: str) -> None:
+        """Take over that an endpoint does not answer, and what follows with time."""
+        now = clock.now()
+        self._engine.note_failing(endpoint, reason, now)
+        self._spawn(self._endpoints.forget(endpoint.observed.address), "forget")
+        if endpoint.runs and now > endpoint.find_lapse():
+            self._engine.drop_runs(endpoint, "lapsed unseen")
+            self._note_changed()
+        if not endpoint.is_listed and now > max(
+            self._engine.quarantine_until, endpoint.find_lapse()
+        ):
+            self.note_gone(endpoint, "silent and not registered")
+
+    def note_gone(self, endpoint: Endpoint, reason: str) -> None:
+        """Take over that an endpoint's process has certainly ended."""
+        now = clock.now()
+        self._engine.note_failing(endpoint, reason, now)
+        self._engine.drop_runs(endpoint, reason)
+        endpoint.is_gone = True
+        log_event(events.ENDPOINT_GONE, endpoint=endpoint.name, reason=reason)
+        self._note_changed()
