--- a/features/workloads/steps/election_steps.py
+++ b/features/workloads/steps/election_steps.py
@@ -143,7 +143,7 @@
     async def run():
         job = Submission("00000000000000aa", "q", "p", "", 0.0, Description("", ()))
         started_at = clock.now()
-        reply = await context.entry.submit(job, 3.0)
+        reply = await context.entry.relay.submit(job, 3.0)
         return reply.outcome, clock.now() - started_at
 
     context.outcome, context.seconds = asyncio.run(run())
--- a/packages/briarshed-workloads/src/briarshed_workloads/entry.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/entry.py
@@ -44,13 +44,11 @@
 )
 from briarshed_workloads.records import (
     ENTRIES,
-    JOBS,
     EntryRecord,
-    JobRecord,
     decode,
     encode,
 )
-from briarshed_workloads.workloads import Submission
+from briarshed_workloads.relay import Relay
 
 BEACON_S = 0.3
 """Interval of the leader's signs of life; three fit into the silence below."""
@@ -101,24 +99,6 @@
 STORE_AWAY_S = 1.0
 """Age of the last answer from which on the store counts as away for an entry."""
 
-ANSWER_TIMEOUT_S = 2.0
-"""How long an entry waits for the leader's answer to a question of a caller."""
-
-RESEND_S = 0.7
-"""Longest wait for one answer to a submission; a leader answers within 0.1 s."""
-
-RESEND_PAUSE_S = 0.1
-
-NO_LEADER_S = 2.0
-"""How long a submission waits while the leader changes, before it is refused; most of
-the time that a change takes after the leader has fallen silent."""
-
-NO_STORE_S = 0.3
-"""How long it waits for a leader that cannot write, whose view is one beacon old."""
-
-RETRY_AFTER_S = 1.0
-"""Told to callers while there is no leader: a change takes between 1 s and 3 s."""
-
 LOG_FLUSH_S = 0.25
 
 
@@ -180,8 +160,9 @@
         self._peers: dict[str, PeerView] = {}
         self._calls = Calls()
         self._links = Links(options.peers, self._handle)
+        self.relay = Relay(self, store, self._links, self._calls)
         self._tasks: list[asyncio.Task[None]] = []
-        self._term: LeaderTerm | None = None
+        self.term: LeaderTerm | None = None
         self._silent_epoch = 0
         self._consented_at = 0.0
         self._behind_since = 0.0
@@ -249,7 +230,7 @@
     def _is_informed(self) -> bool:
         """Tell whether the leader keeps this entry's configuration up to date."""
         leader = self.leader
-        if self._term is not None or leader is None or self.configuration is None:
+        if self.term is not None or leader is None or self.configuration is None:
             return False
         if not self.hears_leader() or not leader.beacon.has_authority:
             return False
@@ -291,7 +272,7 @@
         """Hand a new configuration to the leader's loops and to other entries."""
         if self.conductor is not None and self.conductor.is_loaded:
             self.conductor.set_configuration(configuration)
-        if self._term is not None:
+        if self.term is not None:
             self._offer_configuration()
         self._send_hello()
 
@@ -357,7 +338,7 @@
         )
 
     async def _lead(self, term: LeaderTerm) -> None:
-        self._term = term
+        self.term = term
         keeping = asyncio.create_task(term.keep())
         async with Conductor(self.options, term, *self._outside) as conductor:
             self.conductor = conductor
@@ -367,7 +348,7 @@
                 await term.lost.wait()
             finally:
                 self.conductor = None
-                self._term = None
+                self.term = None
                 self.leader = None
                 for task in (keeping, beacons):
                     task.cancel()
@@ -516,7 +497,7 @@
     def _send_hello(self) -> None:
         # None to a silent leader: it must not go on with the consent of an entry that
         # may lead itself.
-        if self.leader is not None and self._term is None and self.hears_leader():
+        if self.leader is not None and self.term is None and self.hears_leader():
             self._links.send(self.leader.address, self._make_hello())
 
     # Messages
@@ -540,121 +521,21 @@
             return
         if known is None or known.beacon.epoch != beacon.epoch:
             log_event(events.LEADER_HEARD, leader=beacon.leader, epoch=beacon.epoch)
-        if self._term is not None and beacon.epoch > self._term.epoch:
-            if not self._term.lost.is_set():
-                self._term.note_event("lose", f"{beacon.leader} leads")
+        if self.term is not None and beacon.epoch > self.term.epoch:
+            if not self.term.lost.is_set():
+                self.term.note_event("lose", f"{beacon.leader} leads")
             return
         self.leader = LeaderView(sender, beacon, clock.now())
 
     async def _serve(self, sender: str, message: Submit | Ask) -> None:
+        relay = self.relay
         if isinstance(message, Submit):
-            reply = await self._submit_here(message.id, message.submission)
+            reply = await relay.submit_here(message.id, message.submission)
         else:
-            reply = await self._ask_here(message.id, message.job, message.cancel)
+            reply = await relay.ask_here(message.id, message.job, message.cancel)
         self._links.send(sender, reply)
 
-    async def _submit_here(self, id: int, submission: Submission) -> Reply:
-        if self.conductor is None:
-            return Reply(id, "not leader", RETRY_AFTER_S)
-        verdict = await self.conductor.submit(submission)
-        return Reply(id, verdict.outcome, verdict.retry_after)
-
-    async def _ask_here(self, id: int, job: str, cancel: bool) -> Reply:
-        if self.conductor is None:
-            return Reply(id, "not leader", RETRY_AFTER_S)
-        if cancel:
-            return Reply(id, await self.conductor.cancel(job))
-        return Reply(id, self.conductor.find_state(job))
-
-    # Callers
-
-    async def submit(self, submission: Submission, timeout: float) -> Reply:
-        """Hand a job to the leader and return its answer.
-
-        A job is handed in again where the leader fell silent or changed: it stays one
-        job. The outcome is ``refused`` only if it certainly never runs, ``unknown`` if
-        it was handed in and no answer came within ``timeout`` seconds.
-        """
-        started_at = clock.now()
-        was_sent = False
-        while True:
-            left = started_at + timeout - clock.now()
-            reply = None
-            if self._term is not None or self.hears_leader():
-                reply = await self._send_submission(submission, min(left, RESEND_S))
-            if reply is not None and reply.outcome == "accepted":
-                return reply
-            was_sent = was_sent or (reply is not None and reply.outcome == "unknown")
-            waited = clock.now() - started_at
-            if was_sent and waited + RESEND_PAUSE_S > timeout:
-                return Reply(0, "unknown", RETRY_AFTER_S)
-            if not was_sent and waited > min(timeout, self._choose_patience()):
-                return Reply(0, "refused", RETRY_AFTER_S)
-            await asyncio.sleep(RESEND_PAUSE_S)
-
-    def _choose_patience(self) -> float:
-        """Return the seconds that a submission may wait if no leader takes it now."""
-        if self._is_cut_off():
-            # Another entry can serve it.
-            return 0.0
-        if self.hears_leader():
-            # It cannot make a job durable.
-            return NO_STORE_S
-        return NO_LEADER_S
-
-    async def _send_submission(self, submission: Submission, timeout: float) -> Reply:
-        if self._term is not None:
-            return await self._limit(self._submit_here(0, submission), timeout)
-        assert self.leader is not None
-        id, future = self._calls.open()
-        self._links.send(self.leader.address, Submit(id, submission))
-        reply = await self._limit(future, timeout)
-        self._calls.close(id)
-        return reply
-
-    async def ask(self, job: str, cancel: bool, timeout: float) -> Reply:
-        """Ask for a job's state, or cancel it.
-
-        Without a leader the state is read from the store.
-        """
-        if self._term is not None:
-            reply = await self._limit(self._ask_here(0, job, cancel), timeout)
-        elif self.hears_leader():
-            id, future = self._calls.open()
-            assert self.leader is not None
-            self._links.send(self.leader.address, Ask(id, job, cancel))
-            limit = timeout if cancel else min(timeout, ANSWER_TIMEOUT_S)
-            reply = await self._limit(future, limit)
-            self._calls.close(id)
-        else:
-            reply = Reply(0, "unknown", RETRY_AFTER_S)
-        if cancel or reply.outcome not in ("unknown", "not leader"):
-            return reply
-        return await self._read_state(job)
-
-    async def _limit(self, answer: object, timeout: float) -> Reply:
-        try:
-            async with asyncio.timeout(timeout):
-                return await answer  # type: ignore[misc]
-        except TimeoutError:
-            return Reply(0, "unknown", RETRY_AFTER_S)
-
-    async def _read_state(self, job: str) -> Reply:
-        try:
-            item = await self._store.read(JOBS + job)
-        except (NotExecutedError, OutcomeUnknownError):
-            return Reply(0, "unknown", RETRY_AFTER_S)
-        if item is None:
-            return Reply(0, "missing")
-        return Reply(0, decode(item.value, JobRecord).outcome or "pending")
-
-    def count_waiting(self, queue: str) -> int | None:
-        """Return the queue's jobs that have not started; None without a leader."""
-        if self.conductor is not None and self.conductor.is_loaded:
-            return self.conductor.engine.count_waiting().get(queue, 0)
-        if self.leader is None or not self.hears_leader():
-            return None
-        return self.leader.beacon.waiting.get(queue, 0)
+    # State for callers and the balancer
 
     def hears_leader(self) -> bool:
         """Tell whether there is a leader with recent word of it."""
@@ -678,9 +559,9 @@
         """Tell whether callers are served well here."""
         if self.is_stopping or self.configuration is None:
             return False
-        return not self._is_cut_off()
+        return not self.is_cut_off()
 
-    def _is_cut_off(self) -> bool:
+    def is_cut_off(self) -> bool:
         """Tell whether neither the store nor a leader with authority is in contact.
 
         Callers then do better elsewhere. While the store is away for all entries, the
@@ -697,7 +578,7 @@
         """Give the leadership up ahead of a planned stop."""
         self.is_stopping = True
         log_event(events.ENTRY_STOPPING, name=self.options.name, reason="signal")
-        term = self._term
+        term = self.term
         if term is None or term.lost.is_set():
             self._send_hello()
             return
--- /dev/null
+++ b/packages/briarshed-workloads/src/briarshed_workloads/relay.py
@@ -0,0 +1,158 @@
+"""Callers' submissions and questions, carried to the leader wherever it is."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from briarshed_entry import clock
+from briarshed_workloads.links import Ask, Calls, Links, Reply, Submit
+from briarshed_workloads.ports import NotExecutedError, OutcomeUnknownError, Store
+from briarshed_workloads.records import JOBS, JobRecord, decode
+from briarshed_workloads.workloads import Submission
+
+if TYPE_CHECKING:
+    from briarshed_workloads.entry import Entry
+
+ANSWER_TIMEOUT_S = 2.0
+"""How long an entry waits for the leader's answer to a question of a caller."""
+
+RESEND_S = 0.7
+"""Longest wait for one answer to a submission; a leader answers within 0.1 s."""
+
+RESEND_PAUSE_S = 0.1
+
+NO_LEADER_S = 2.0
+"""How long a submission waits while the leader changes, before it is refused; most of
+the time that a change takes after the leader has fallen silent."""
+
+NO_STORE_S = 0.3
+"""How long it waits for a leader that cannot write, whose view is one beacon old."""
+
+RETRY_AFTER_S = 1.0
+"""Told to callers while there is no leader: a change takes between 1 s and 3 s."""
+
+
+class Relay:
+    """Hands submissions and questions to the leader and waits for its answers.
+
+    Parameters
+    ----------
+    entry : Entry
+        Knows who leads and whether it is this process.
+    store : Store
+        Where the state of a job is read while there is no leader.
+    links : Links
+        Messages to the leader.
+    calls : Calls
+        Answers that are waited for.
+    """
+
+    def __init__(self, entry: Entry, store: Store, links: Links, calls: Calls) -> None:
+        self._entry = entry
+        self._store = store
+        self._links = links
+        self._calls = calls
+
+    async def submit_here(self, id: int, submission: Submission) -> Reply:
+        """Hand a job to the conductor of this process, if it leads."""
+        if self._entry.conductor is None:
+            return Reply(id, "not leader", RETRY_AFTER_S)
+        verdict = await self._entry.conductor.submit(submission)
+        return Reply(id, verdict.outcome, verdict.retry_after)
+
+    async def ask_here(self, id: int, job: str, cancel: bool) -> Reply:
+        """Ask the conductor of this process for a job, if it leads."""
+        if self._entry.conductor is None:
+            return Reply(id, "not leader", RETRY_AFTER_S)
+        if cancel:
+            return Reply(id, await self._entry.conductor.cancel(job))
+        return Reply(id, self._entry.conductor.find_state(job))
+
+    async def submit(self, submission: Submission, timeout: float) -> Reply:
+        """Hand a job to the leader and return its answer.
+
+        A job is handed in again where the leader fell silent or changed: it stays one
+        job. The outcome is ``refused`` only if it certainly never runs, ``unknown`` if
+        it was handed in and no answer came within ``timeout`` seconds.
+        """
+        started_at = clock.now()
+        was_sent = False
+        while True:
+            left = started_at + timeout - clock.now()
+            reply = None
+            if self._entry.term is not None or self._entry.hears_leader():
+                reply = await self._send_submission(submission, min(left, RESEND_S))
+            if reply is not None and reply.outcome == "accepted":
+                return reply
+            was_sent = was_sent or (reply is not None and reply.outcome == "unknown")
+            waited = clock.now() - started_at
+            if was_sent and waited + RESEND_PAUSE_S > timeout:
+                return Reply(0, "unknown", RETRY_AFTER_S)
+            if not was_sent and waited > min(timeout, self._choose_patience()):
+                return Reply(0, "refused", RETRY_AFTER_S)
+            await asyncio.sleep(RESEND_PAUSE_S)
+
+    def _choose_patience(self) -> float:
+        """Return the seconds that a submission may wait if no leader takes it now."""
+        if self._entry.is_cut_off():
+            # Another entry can serve it.
+            return 0.0
+        if self._entry.hears_leader():
+            # It cannot make a job durable.
+            return NO_STORE_S
+        return NO_LEADER_S
+
+    async def _send_submission(self, submission: Submission, timeout: float) -> Reply:
+        if self._entry.term is not None:
+            return await self._limit(self.submit_here(0, submission), timeout)
+        assert self._entry.leader is not None
+        id, future = self._calls.open()
+        self._links.send(self._entry.leader.address, Submit(id, submission))
+        reply = await self._limit(future, timeout)
+        self._calls.close(id)
+        return reply
+
+    async def ask(self, job: str, cancel: bool, timeout: float) -> Reply:
+        """Ask for a job's state, or cancel it.
+
+        Without a leader the state is read from the store.
+        """
+        if self._entry.term is not None:
+            reply = await self._limit(self.ask_here(0, job, cancel), timeout)
+        elif self._entry.hears_leader():
+            id, future = self._calls.open()
+            assert self._entry.leader is not None
+            self._links.send(self._entry.leader.address, Ask(id, job, cancel))
+            limit = timeout if cancel else min(timeout, ANSWER_TIMEOUT_S)
+            reply = await self._limit(future, limit)
+            self._calls.close(id)
+        else:
+            reply = Reply(0, "unknown", RETRY_AFTER_S)
+        if cancel or reply.outcome not in ("unknown", "not leader"):
+            return reply
+        return await self._read_state(job)
+
+    async def _limit(self, answer: object, timeout: float) -> Reply:
+        try:
+            async with asyncio.timeout(timeout):
+                return await answer  # type: ignore[misc]
+        except TimeoutError:
+            return Reply(0, "unknown", RETRY_AFTER_S)
+
+    async def _read_state(self, job: str) -> Reply:
+        try:
+            item = await self._store.read(JOBS + job)
+        except (NotExecutedError, OutcomeUnknownError):
+            return Reply(0, "unknown", RETRY_AFTER_S)
+        if item is None:
+            return Reply(0, "missing")
+        return Reply(0, decode(item.value, JobRecord).outcome or "pending")
+
+    def count_waiting(self, queue: str) -> int | None:
+        """Return the queue's jobs that have not started; None without a leader."""
+        if self._entry.conductor is not None and self._entry.conductor.is_loaded:
+            return self._entry.conductor.engine.count_waiting().get(queue, 0)
+        if self._entry.leader is None or not self._entry.hears_leader():
+            return None
+        return self._entry.leader.beacon.waiting.get(queue, 0)
