Log a renewal of the lease that fails in an unexpected way

Renewals run as tasks of their own since this sitting, so that an error that nobody expects would have gone unseen until the task was collected.

--- a/features/workloads/handover.feature
+++ b/features/workloads/handover.feature
@@ -11,3 +11,8 @@
     Given a leader whose renewal is under way
     When the renewal is told that the lease has ended
     Then it takes a new lease and writes that it leads
+
+  Scenario: A renewal that fails in an unexpected way is logged, and the next one is sent
+    Given a leader whose store answers a renewal with something unreadable
+    When 3 renewals are due
+    Then each is logged, and the leader keeps renewing
--- a/features/workloads/steps/handover_steps.py
+++ b/features/workloads/steps/handover_steps.py
@@ -5,6 +5,7 @@
 
 from behave import given, then, when
 
+from briarshed_workloads import leadership
 from briarshed_workloads.leadership import RENEW_S, LeaderTerm
 from briarshed_workloads.records import EntryRecord, TermRecord
 
@@ -86,3 +87,46 @@
 def step_again(context):
     assert context.granted >= 1
     assert context.written[0].lease == 7
+
+
+class UnreadableStore(Store):
+    """Answers no renewal in a way that the client expects."""
+
+    async def renew_lease(self, lease):
+        """Fail as a client does that cannot read an answer."""
+        self.granted += 1
+        raise ValueError("unreadable")
+
+
+@given("a leader whose store answers a renewal with something unreadable")
+def step_unreadable(context):
+    context.store = UnreadableStore()
+
+
+@when("3 renewals are due")
+def step_due(context):
+    logged = []
+
+    async def run():
+        record = TermRecord(1, "e/i", 0)
+        journal = SimpleNamespace(term=record, is_lost=False, commit=None)
+        term = LeaderTerm(context.store, ME, journal, 1, 0.0, 0.0, lambda _: False)
+        keeping = asyncio.create_task(term.keep())
+        await asyncio.sleep(3.5 * RENEW_S)
+        keeping.cancel()
+        await asyncio.gather(keeping, return_exceptions=True)
+
+    log_event = leadership.log_event
+    leadership.log_event = lambda event, **fields: logged.append(fields)
+    try:
+        asyncio.run(run())
+    finally:
+        leadership.log_event = log_event
+    context.logged = logged
+
+
+@then("each is logged, and the leader keeps renewing")
+def step_logged(context):
+    assert context.store.granted == 3, context.store.granted
+    assert [row["task"] for row in context.logged] == ["renewal"] * 3
+    assert "unreadable" in context.logged[0]["error"]
--- a/packages/briarshed-workloads/src/briarshed_workloads/leadership.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/leadership.py
@@ -14,6 +14,7 @@
     AUTHORITY_GAINED,
     AUTHORITY_LOST,
     LEADERSHIP_CHANGED,
+    LOOP_FAILED,
 )
 from briarshed_entry import clock
 from briarshed_entry.logs import log_event
@@ -140,6 +141,7 @@
                 task = asyncio.create_task(self._renew())
                 renewals.add(task)
                 task.add_done_callback(renewals.discard)
+                task.add_done_callback(_log_failure)
         finally:
             for task in renewals:
                 task.cancel()
@@ -211,6 +213,12 @@
             log_event(AUTHORITY_LOST, reason=f"lease left to lapse: {error}")
 
 
+def _log_failure(task: asyncio.Task[None]) -> None:
+    """Log what a renewal did not expect; the next one is sent all the same."""
+    if not task.cancelled() and task.exception() is not None:
+        log_event(LOOP_FAILED, task="renewal", error=repr(task.exception()))
+
+
 async def acquire(
     store: Store, me: EntryRecord, may_go_on: Callable[[float], bool]
 ) -> LeaderTerm | None:
