Let two features wait for what they check instead of for a time

Its new job also had the id of another one, so that it did not show what it says; it does now, and fails when new jobs are not taken between two writes.

--- a/features/workloads/steps/handover_steps.py
+++ b/features/workloads/steps/handover_steps.py
@@ -93,9 +93,15 @@
 class UnreadableStore(Store):
     """Answers no renewal in a way that the client expects."""
 
+    def __init__(self):
+        super().__init__()
+        self.is_done = asyncio.Event()
+
     async def renew_lease(self, lease):
         """Fail as a client does that cannot read an answer."""
         self.granted += 1
+        if self.granted == RENEWALS:
+            self.is_done.set()
         raise ValueError("unreadable")
 
 
@@ -114,8 +120,10 @@
         term = LeaderTerm(context.store, ME, journal, 1, 0.0, 0.0, lambda _: False)
         keeping = asyncio.create_task(term.keep())
         async with asyncio.timeout(40 * RENEW_S):
-            while context.store.granted < RENEWALS:
-                await asyncio.sleep(RENEW_S / 10)
+            await context.store.is_done.wait()
+            # The last renewal ends, and its failure is logged.
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
         keeping.cancel()
         await asyncio.gather(keeping, return_exceptions=True)
 
--- a/features/workloads/steps/slow_store_steps.py
+++ b/features/workloads/steps/slow_store_steps.py
@@ -43,6 +43,7 @@
 
 ROOM = Resources(4_000, 8_000, 0)
 STEP = Step(1, NEED, 1.0)
+NEWEST = "f" * 16
 LEAST_LOOKS = 3
 
 
@@ -230,42 +231,47 @@
 
 @given("a leader with 200 jobs whose progress is unsaved, and writes of 0.05 s")
 def step_unsaved(context):
-    context.writes = []
-
-    async def commit(puts, removals=()):
-        context.writes.append([*(put.key for put in puts), *removals])
-        await asyncio.sleep(0.05)
-
-    engine = make_engine()
+    context.engine = make_engine()
     for number in range(200):
-        submit(engine, f"{number:016x}", (Step(1, NEED, 1.0),), NOW)
-    journal = SimpleNamespace(commit=commit, commits=0)
-    term = SimpleNamespace(journal=journal, epoch=2)
-    context.engine = engine
-    context.books = Bookkeeper(term, engine, None, None, 120.0, lambda _: None)
+        submit(context.engine, f"{number:016x}", (STEP,), NOW)
 
 
 @when("a job is handed in after the first write has begun")
 def step_handed_in(context):
+    engine = context.engine
+
     async def run():
-        saving = asyncio.create_task(context.books.save())
-        context.books.request_save()
-        await asyncio.sleep(0.06)
-        context.engine.accept(
-            Submission(JOB, "q", "pool", "team", NOW, Description("", (STEP,))), NOW
-        )
-        context.books.accepting[JOB] = asyncio.get_running_loop().create_future()
-        context.books.request_save()
-        await asyncio.sleep(0.6)
+        writes, has_begun, is_done = [], asyncio.Event(), asyncio.Event()
+
+        async def commit(puts, removals=()):
+            writes.append([*(put.key for put in puts), *removals])
+            has_begun.set()
+            await asyncio.sleep(0.05)
+            if sum(len(row) for row in writes) > 200:
+                is_done.set()
+
+        journal = SimpleNamespace(commit=commit, commits=0)
+        term = SimpleNamespace(journal=journal, epoch=2)
+        books = Bookkeeper(term, engine, None, None, 120.0, lambda _: None)
+        saving = asyncio.create_task(books.save())
+        books.request_save()
+        async with asyncio.timeout(20):
+            await has_begun.wait()
+            steps = Description("", (STEP,))
+            engine.accept(Submission(NEWEST, "q", "pool", "team", NOW, steps), NOW)
+            books.accepting[NEWEST] = asyncio.get_running_loop().create_future()
+            books.request_save()
+            await is_done.wait()
         saving.cancel()
         await asyncio.gather(saving, return_exceptions=True)
+        return writes
 
-    asyncio.run(run())
+    context.writes = asyncio.run(run())
 
 
 @then("it is in the second write")
 def step_second(context):
-    assert JOBS + JOB in context.writes[1], [len(row) for row in context.writes]
+    assert JOBS + NEWEST in context.writes[1], [len(row) for row in context.writes]
 
 
 @then("every write is full but the last, and none has over 30 entries")
