--- a/features/serving/decisions.feature
+++ b/features/serving/decisions.feature
@@ -59,6 +59,7 @@
       | 0.05     | 9     | 0.5  |
       | 0.1      | 9     | 1.0  |
       | 0.02     | 9     | 0.5  |
+      | 0.5      | 9     | 1.0  |
 
   Scenario: Without a backlog nothing is learned of the time between jobs
     Given 40 jobs have left every 5 s while none waited
--- a/packages/briarshed/src/briarshed/admission.py
+++ b/packages/briarshed/src/briarshed/admission.py
@@ -25,6 +25,11 @@
     return average + LEARNING_RATE * (seconds - average)
 
 
+IDLE_FACTOR = 2.0
+"""Most by which observed ends lengthen the expected wait: slots that are idle as long
+as they work. A longer pause is a failure of an endpoint and tells nothing of the next."""
+
+
 class Departures:
     """Mean time between the ends of a pool's jobs while others wait, in seconds.
 
@@ -98,7 +103,9 @@
     """
     if run_time is None:
         return 0.0
-    each = max(run_time / max(slots, 1.0), interval or 0.0)
+    each = run_time / max(slots, 1.0)
+    if interval is not None:
+        each = min(max(each, interval), IDLE_FACTOR * each)
     return min(MAX_WAIT_S, (ahead + 1) * each)
 
 
