--- a/packages/briarshed/src/briarshed/admission.py
+++ b/packages/briarshed/src/briarshed/admission.py
@@ -27,7 +27,7 @@
 
 IDLE_FACTOR = 2.0
 """Most by which observed ends lengthen the expected wait: slots that are idle as long
-as they work. A longer pause is a failure of an endpoint and tells nothing of the next."""
+as they work. A longer pause is a failure of an endpoint, not of the pool."""
 
 
 class Departures:
