--- a/bench/turns.py
+++ b/bench/turns.py
@@ -1,6 +1,6 @@
 """Worth of a day of turning demand under the product's decisions, emulated.
 
-    python bench/turns.py [--days N] [--load X]
+    python bench/turns.py [--days N] [--load X] [--seconds S] [--sites NAME,...]
 
 Prints a row a site: parts of the owed worth that were earned, and what it cost.
 """
@@ -10,7 +10,7 @@
 import argparse
 import statistics
 
-from _emulator import MOLDURAS, MSASANI, Emulation, Result
+from _emulator import SITES, Emulation, Result
 
 
 def average(results: list[Result]) -> Result:
@@ -23,12 +23,14 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--days", type=int, default=5)
     parser.add_argument("--load", type=float, default=1.0)
+    parser.add_argument("--seconds", type=float, default=34.0)
+    parser.add_argument("--sites", default="molduras,msasani", help=", ".join(SITES))
     arguments = parser.parse_args()
     print("site      moves  earned on_time largest worst_kind inst_s  moved")
-    for site in (MOLDURAS, MSASANI):
+    for site in (SITES[name] for name in arguments.sites.split(",")):
         for moves in (False, True):
             days = [
-                Emulation(site, seed, arguments.load, moves).run()
+                Emulation(site, seed, arguments.load, moves, arguments.seconds).run()
                 for seed in range(arguments.days)
             ]
             row = average(days)
