--- a/features/run.py
+++ b/features/run.py
@@ -57,7 +57,9 @@
 def list_outcomes(path: Path, content: list[dict]) -> list[Outcome]:
     """Return the outcome of every scenario in a behave report."""
     return [
-        Outcome(f"{path.name}: {element['name']}", element.get("status", "failed"))
+        Outcome(
+            f"{path.name}: {element['name'].strip()}", element.get("status", "failed")
+        )
         for feature in content
         for element in feature.get("elements", [])
         if element["type"] == "scenario"
@@ -86,8 +88,9 @@
     known = read_known_failures()
     outcomes: list[Outcome] = []
     for part, output in results:
-        unexpected = [o for o in part if o.status == "failed" and o.name not in known]
-        if unexpected or arguments.verbose:
+        # A known failure is printed as well: what it shows may be something new.
+        has_failed = any(outcome.status == "failed" for outcome in part)
+        if has_failed or arguments.verbose:
             print(output)
         outcomes += part
     return print_summary(outcomes, known)
