Let the run lease of an unresponsive endpoint expire

Cause: every poll of an endpoint that did not respond carried a new deadline and moved the known expiry of its run lease 4 s ahead.

Each plan drops the runs whose lease has expired; before, only a failed poll did. A registration of an earlier incarnation than the one that answers polls is ignored: it made the leader drop the runs of the present incarnation and start their tasks elsewhere while they ran.

Ruled out: leases of the leader and of grants move only after a response.

--- a/packages/briarshed-workloads/src/briarshed_workloads/controller.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/controller.py
@@ -318,6 +318,7 @@
         engine = self.engine
         started_at = time.perf_counter()
         unix_now = engine.to_unix_time(now)
+        engine.drop_expired_runs(now)
         for jobs in engine.open_jobs.values():
             for job in jobs.values():
                 if job.description.schedule:
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -322,10 +322,13 @@
                 )
                 self._report_endpoint("ENDPOINT_ADDED", registration)
             else:
+                known.is_listed = True
+                if registration.started_at_ms < known.registration.started_at_ms:
+                    # The endpoint has restarted and has not registered again yet.
+                    continue
                 if registration.draining != known.registration.draining:
                     self._report_endpoint("ENDPOINT_CHANGED", registration)
                 known.registration = registration
-                known.is_listed = True
         self._note_earlier_incarnations()
         for name, endpoint in list(self.endpoints.items()):
             if name not in registered:
@@ -372,6 +375,25 @@
         for run in list(endpoint.runs.values()):
             self.drop(run, reason)
 
+    def drop_expired_runs(self, now: float) -> int:
+        """Remove the runs of unresponsive endpoints whose run lease has expired.
+
+        Returns
+        -------
+        int
+            Number of endpoints whose runs were removed.
+        """
+        expired = [
+            endpoint
+            for endpoint in self.endpoints.values()
+            if endpoint.failing_since
+            and endpoint.runs
+            and now > endpoint.find_lease_expiry()
+        ]
+        for endpoint in expired:
+            self.drop_runs(endpoint, "lapsed unseen")
+        return len(expired)
+
     def _note_response(self, endpoint: Endpoint, clock_ms: int, now: float) -> None:
         endpoint.answered_at = now
         endpoint.failing_since = 0.0
--- a/packages/briarshed-workloads/src/briarshed_workloads/polling.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/polling.py
@@ -187,10 +187,13 @@
         engine = self._engine
         sent_at = clock.now()
         counter = endpoint.counter
+        # An unresponsive endpoint may execute a call without responding. If its polls
+        # carried deadlines, its lease would never be known to have expired.
+        is_silent = endpoint.failing_since > 0
         deadline = None
-        if endpoint.clock_sample_ms and self._term.has_authority():
+        if endpoint.clock_sample_ms and not is_silent and self._term.has_authority():
             deadline = endpoint.choose_deadline(sent_at, engine.lease_times.run_lease)
-        is_immediate |= endpoint.has_unsaved_ends or not endpoint.is_fenced
+        is_immediate |= is_silent or endpoint.has_unsaved_ends or not endpoint.is_fenced
         wait = 0.0 if is_immediate else POLL_WAIT_S
         try:
             response = await self._endpoints.poll(
@@ -254,8 +257,7 @@
             self._endpoints.discard_connections(endpoint.registration.address),
             "disconnect",
         )
-        if endpoint.runs and now > endpoint.find_lease_expiry():
-            self._engine.drop_runs(endpoint, "lapsed unseen")
+        if self._engine.drop_expired_runs(now):
             self._note_changed()
         if not endpoint.is_listed and now > max(
             self._engine.earlier_runs_until, endpoint.find_lease_expiry()
