Reject malformed responses instead of reading them as empty

Cause: a response whose body was no JSON object passed for an empty one. A poll without runs means that all of them have ended, so that their tasks start elsewhere while they run; an empty instance list means that every wave is complete; an empty page of the store means that there are no jobs. An end with an unknown outcome counted as an expired lease.

A body with status 200 that does not fit counts as no response, with the reason in the log; one over 8 MB is not read to its end.

Ruled out: leaving out single invalid rows. A run that is left out counts as ended. Rows whose task name is not one of ours are still left out.

--- /dev/null
+++ b/features/platform/malformed.feature
@@ -0,0 +1,63 @@
+Feature: Malformed responses and messages
+
+  Scenario Outline: A malformed response counts as no response
+    # Guards against a body that cannot be decoded and passes for an empty one: without
+    # runs, every run at the endpoint seemed to have ended, and its task started
+    # elsewhere; without instances, every wave seemed complete.
+    Given a server that responds with status 200 and <body>
+    When <call> is called there
+    Then the outcome is unknown, and the reason names the body's fault
+
+    Examples: bodies that no call accepts
+      | call           | body       |
+      | poll           | not JSON   |
+      | poll           | a list     |
+      | poll           | no body    |
+      | poll           | 9 MB       |
+      | start          | not JSON   |
+      | start          | no body    |
+      | stop           | a list     |
+      | read_all       | not JSON   |
+      | read_all       | no body    |
+      | read           | a list     |
+      | commit         | no body    |
+      | grant_lease    | no body    |
+      | watch          | not JSON   |
+      | read_instances | not JSON   |
+      | read_instances | no body    |
+
+    Examples: fields of a wrong type or without a meaning
+      | call           | body                                                                                |
+      | poll           | {"clock-ms": "1", "born": 1}                                                        |
+      | poll           | {"clock-ms": 1, "running": []}                                                      |
+      | poll           | {"clock-ms": 1, "born": 1, "running": [["00000000000000aa.0.0.0"]]}                 |
+      | poll           | {"clock-ms": 1, "born": 1, "running": {"a": 1}}                                     |
+      | poll           | {"clock-ms": 1, "born": 1, "ended": [[1, "00000000000000aa.0.0.0", 1, "odd", ""]]}  |
+      | read_all       | {"at": 1, "items": [{"value": "YQ=="}]}                                             |
+      | read_all       | {"items": []}                                                                       |
+      | read_instances | {"machines": [{"pool": "p"}]}                                                       |
+      | read_instances | {"machines": []}                                                                    |
+
+  Scenario Outline: Malformed messages of peers
+    # Guards against one message that ends the handling of all others.
+    Given two entries' transports, where the handler fails for one message
+    When one sends <message>, and then a heartbeat
+    Then the heartbeat arrives at the other, which logs <event>
+
+    Examples:
+      | message                        | event            |
+      | bytes that are no message      | PEER_REJECTED    |
+      | a message of an unknown type   | PEER_REJECTED    |
+      | the message that fails         | UNEXPECTED_ERROR |
+      | 5 MB                           | nothing          |
+
+  Scenario Outline: Damaged configurations of peers
+    Given an entry without a configuration
+    When a peer sends a configuration that is <damage>
+    Then it is rejected, and the entry has no configuration
+
+    Examples:
+      | damage         |
+      | not compressed |
+      | cut off        |
+      | 17 MB          |
