--- a/features/platform/steps/malformed_steps.py
+++ b/features/platform/steps/malformed_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 import zlib
 
 import zmq
@@ -95,6 +96,13 @@
     assert "time-out" not in str(context.error), context.error
 
 
+def find_free_address():
+    """Return a loopback address with a port that is free now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
 @given("two entries' transports, where the handler fails for one message")
 def step_transports(context):
     context.received = []
@@ -115,8 +123,8 @@
         context.received.append(received)
 
     async def run():
-        address = "127.0.0.1:39271"
-        sender = PeerTransport("127.0.0.1:39272", lambda *_: None)
+        address, other = find_free_address(), find_free_address()
+        sender = PeerTransport(other, lambda *_: None)
         async with PeerTransport(address, handle), sender:
             if data is None:
                 sender.send(address, FAILING)
