Check the leader's authority where the bytes of an order leave

Cause: authority was checked once for a plan. Orders are sent from tasks of their own, which wait for a connection; a process paused meanwhile sent them after it woke, when another leader could have taken over. A report that the store is unavailable counted from its arrival, although it can be held up for seconds.

The deadline of a start is the end of the leader's authority and 0.5 s; the poll that follows extends it. Entries echo the time of the leader's heartbeat, and consent counts from that time, for its epoch only.

Ruled out: a check before the call only (a connection may have to be opened or become free). Polls carry no permit: their deadlines are absolute, and they acknowledge only what is durable.

--- a/features/platform/steps/endpoint_steps.py
+++ b/features/platform/steps/endpoint_steps.py
@@ -37,7 +37,7 @@
         """Order a start."""
         deadline = self.standin.read_clock() + ahead
         order = StartRequest(TASK, run, spec, token, deadline)
-        return await self.calls.start(name, self.standin.address, order)
+        return await self.calls.start(name, self.standin.address, order, lambda: True)
 
     async def poll(self, acknowledged=0, wait=0.0, token=5):
         """Poll the endpoint."""
@@ -69,7 +69,8 @@
         if how == "with a lower token":
             await fixture.poll(token=6)
         if how == "with the number of a stopped run":
-            await fixture.calls.stop("e", fixture.standin.address, TASK, 10, 5)
+            address = fixture.standin.address
+            await fixture.calls.stop("e", address, TASK, 10, 5, lambda: True)
         if how == "past its deadline":
             return await fixture.start(ahead=-500)
         if how == "for another incarnation":
--- a/features/platform/steps/malformed_steps.py
+++ b/features/platform/steps/malformed_steps.py
@@ -35,8 +35,12 @@
 START = StartRequest(TASK, 1, "", 1, 1)
 CALLS = {
     "poll": lambda fixture: fixture.endpoints.poll("e", fixture.address, 1, 0, 1, 0.0),
-    "start": lambda fixture: fixture.endpoints.start("e", fixture.address, START),
-    "stop": lambda fixture: fixture.endpoints.stop("e", fixture.address, TASK, 1, 1),
+    "start": lambda fixture: fixture.endpoints.start(
+        "e", fixture.address, START, lambda: True
+    ),
+    "stop": lambda fixture: fixture.endpoints.stop(
+        "e", fixture.address, TASK, 1, 1, lambda: True
+    ),
     "read": lambda fixture: fixture.store.read("k"),
     "read_all": lambda fixture: fixture.store.read_all("k"),
     "watch": lambda fixture: fixture.store.watch("k", 1, 0.1),
--- a/features/workloads/steps/election_steps.py
+++ b/features/workloads/steps/election_steps.py
@@ -186,8 +186,11 @@
 def note_heartbeat(entry, name, age, store):
     """Give an entry a heartbeat of another one that came ``age`` s ago."""
     store_age = 5.0 if store == "without" else 0.1
+    sent_at = clock.now() - age
     heartbeat = EntryHeartbeat(name, "i", 1, store_age, False)
-    entry._peers[name] = PeerView(heartbeat, clock.now() - age)
+    entry._peers[name] = PeerView(
+        heartbeat, sent_at, sent_at if store == "without" else 0.0
+    )
 
 
 @given("a leader that got a heartbeat of one entry {age:g} s ago, {store} the store")
@@ -203,11 +206,9 @@
 
 @when("the leader's store has failed for {seconds:g} s")
 def step_store_failed(context, seconds):
-    context.may_continue_without_store = context.entry._may_continue_without_store(
-        clock.now() - seconds
-    )
+    context.consent = context.entry.measure_consent(clock.now() - seconds)
 
 
 @then("the leader {verdict}")
 def step_continues(context, verdict):
-    assert context.may_continue_without_store == (verdict == "continues")
+    assert (context.consent > 0) == (verdict == "continues")
--- a/features/workloads/steps/orders_steps.py
+++ b/features/workloads/steps/orders_steps.py
@@ -35,7 +35,7 @@
                 return Refused("fenced")
         return PollResponse(self.read_clock(), 1, self.running, ())
 
-    async def start(self, name, address, order):
+    async def start(self, name, address, order, permit):
         """Lose the first order and execute the others."""
         self.starts.append((clock.now(), order))
         if len(self.starts) == 1:
@@ -44,7 +44,7 @@
         self.running += (ListedRun(order.task, order.run, "", 10, 0),)
         return Accepted(self.read_clock())
 
-    async def stop(self, name, address, task, run, token):
+    async def stop(self, name, address, task, run, token, permit):
         """Accept the order without an effect."""
         return Accepted(self.read_clock())
 
--- a/features/workloads/steps/silent_endpoint_steps.py
+++ b/features/workloads/steps/silent_endpoint_steps.py
@@ -16,7 +16,12 @@
     START_TIMEOUT_S,
 )
 from briarshed_workloads.controller import Controller
-from briarshed_workloads.interfaces import Accepted, OutcomeUnknownError
+from briarshed_workloads.interfaces import (
+    Accepted,
+    NotExecutedError,
+    OutcomeUnknownError,
+)
+from briarshed_workloads.planning import list_eligible
 from briarshed_workloads.workloads import (
     EndedRun,
     ListedRun,
@@ -91,6 +96,7 @@
     def __init__(self):
         self.by_name = {name: LeasedEndpoint(name) for name in "ab"}
         self.is_silent = False
+        self.refuses = False
         self.executes_silently = False
         self.starts = []
 
@@ -114,6 +120,8 @@
 
     async def poll(self, name, address, token, acknowledged, deadline_ms, wait):
         """Answer after the wait."""
+        if self.refuses and name == "a":
+            raise NotExecutedError("refused")
         row = self.by_name[name]
         timeout = wait + POLL_SLACK_S if wait else IMMEDIATE_POLL_TIMEOUT_S
         await self._carry_out(
@@ -122,14 +130,16 @@
         await asyncio.sleep(wait)
         return await self._carry_out(name, lambda: row.poll(0, None), timeout - wait)
 
-    async def start(self, name, address, order):
+    async def start(self, name, address, order, permit):
         """Start a run."""
+        if self.refuses and name == "a":
+            raise NotExecutedError("refused")
         self.starts.append((clock.now(), name))
         row = self.by_name[name]
         await self._carry_out(name, lambda: row.start(order), START_TIMEOUT_S)
         return Accepted(row.read_clock())
 
-    async def stop(self, name, address, task, run, token):
+    async def stop(self, name, address, task, run, token, permit):
         """Ignore the order."""
         return Accepted(self.by_name[name].read_clock())
 
@@ -152,12 +162,14 @@
             epoch=2,
             fenced_writer=SimpleNamespace(commit=self._commit, commit_count=0),
             has_authority=lambda: self.has_authority,
+            measure_authority=lambda: 1.0,
             is_store_failing=False,
             lost=asyncio.Event(),
         )
         directory = SimpleNamespace(read_endpoints=self._read_endpoints)
         controller = Controller(OPTIONS, term, None, self.endpoints, None, directory)
         engine = controller.engine
+        self.controller, self.engine = controller, engine
         engine.configuration = make_configuration()
         engine.note_registrations(await self._read_endpoints(), clock.now())
         async with controller:
@@ -276,6 +288,29 @@
     play_fault(context, fault)
 
 
+@when('"a" has no runs, {fault} for 2 s, and another task arrives')
+def step_idle(context, fault):
+    async def fail(play):
+        endpoints = play.endpoints
+        endpoints.refuses = fault == "refuses connections"
+        endpoints.is_silent = not endpoints.refuses
+        submit(play.engine, JOB, (Step(1, NEED, TASK_S),), clock.now())
+        play.controller._changed.set()
+        await asyncio.sleep(2.0)
+        endpoints.refuses = endpoints.is_silent = False
+        await asyncio.sleep(1.5)
+        context.eligible = [
+            row.name for row in list_eligible(play.engine, "pool", clock.now())
+        ]
+
+    play_fault(context, fail, is_before_start=True)
+
+
+@then('"a" can get runs again 1.5 s after that')
+def step_eligible(context):
+    assert context.eligible == ["a", "b"], context.eligible
+
+
 @then('the task starts at "b" between {least:g} s and {most:g} s later')
 def step_starts_at_b(context, least, most):
     play = context.play
--- a/features/workloads/steps/slow_store_steps.py
+++ b/features/workloads/steps/slow_store_steps.py
@@ -70,6 +70,7 @@
         epoch=2,
         fenced_writer=fenced_writer,
         has_authority=lambda: True,
+        measure_authority=lambda: 1.0,
         is_store_failing=is_store_failing,
         lost=asyncio.Event(),
     )
--- a/features/workloads/steps/wave_takeover_steps.py
+++ b/features/workloads/steps/wave_takeover_steps.py
@@ -55,7 +55,7 @@
         """Return all instances."""
         return tuple(self.rows.values())
 
-    async def maintain(self, instance, wave, holder, token):
+    async def maintain(self, instance, wave, holder, token, permit):
         """Begin the maintenance of an instance."""
         self.ordered.append(instance)
         self.rows[instance] = self.rows[instance]._replace(state="maintenance")
@@ -261,7 +261,7 @@
         self.records = records
         self.recorded_at_move = []
 
-    async def move(self, instance, pool, holder, token):
+    async def move(self, instance, pool, holder, token, permit):
         """Move an instance."""
         self.ordered.append(instance)
         self.recorded_at_move.append(self.records[-1].moved if self.records else ())
--- a/features/workloads/virtual_fleet.py
+++ b/features/workloads/virtual_fleet.py
@@ -32,6 +32,7 @@
     Ordered,
     Orders,
     OutcomeUnknownError,
+    PermitExpiredError,
     Put,
     Refused,
 )
@@ -180,6 +181,14 @@
         await self._call(lambda: self._store.end_lease(lease))
 
 
+async def wait_to_send(permit, before_send):
+    """Wait for a connection, and send nothing if the order is not permitted then."""
+    await asyncio.sleep(LATENCY_S)
+    before_send()
+    if not permit():
+        raise PermitExpiredError("not permitted")
+
+
 class Endpoint:
     """An endpoint with token, run lease and ends, which records its runs."""
 
@@ -200,9 +209,13 @@
     def end(self, key, how):
         """End a run and list the end."""
         started_at = self.running.pop(key)
+        ended_at = {
+            "lapsed": max(started_at, self.deadline_ms / 1000),
+            "succeeded": started_at + TASK_S,
+        }.get(how, clock.now())
         self.count += 1
         self.ended.append(EndedRun(self.count, *key, how, ""))
-        self.record.append((key[0], started_at, clock.now(), how))
+        self.record.append((key[0], started_at, ended_at, how))
         self.changed.set()
 
     def advance(self):
@@ -221,11 +234,16 @@
 
 
 class Endpoints:
-    """All endpoints; ``calls`` records the time, entry and name of each order."""
+    """All endpoints.
+
+    ``calls`` records the time and order of each start, and whether it was permitted.
+    ``before_send`` is called before each order is sent.
+    """
 
     def __init__(self):
         self.by_name = {name: Endpoint(name) for name in NAMES}
         self.calls = []
+        self.before_send = lambda: None
 
     async def poll(self, name, address, token, acknowledged, deadline_ms, wait):
         """Raise the token, extend the lease and list runs and ends after the wait."""
@@ -246,23 +264,23 @@
         listed = tuple(ListedRun(*key, "", 50, 0) for key in row.running)
         return PollResponse(row.read_clock(), 1, listed, tuple(row.ended))
 
-    async def start(self, name, address, order):
+    async def start(self, name, address, order, permit):
         """Start a run."""
         row = self.by_name[name]
-        await asyncio.sleep(LATENCY_S)
+        await wait_to_send(permit, self.before_send)
         if not row.accept(order.token):
             return Refused("fenced")
         if row.read_clock() > order.deadline_ms:
             return Refused("late")
-        self.calls.append((clock.now(), order))
+        self.calls.append((clock.now(), order, permit()))
         row.deadline_ms = max(row.deadline_ms, order.deadline_ms)
         row.running[order.task, order.run] = clock.now()
         return Accepted(row.read_clock())
 
-    async def stop(self, name, address, task, run, token):
+    async def stop(self, name, address, task, run, token, permit):
         """Stop a run."""
         row = self.by_name[name]
-        await asyncio.sleep(LATENCY_S)
+        await wait_to_send(permit, self.before_send)
         if not row.accept(token):
             return Refused("fenced")
         if (task, run) in row.running:
@@ -274,10 +292,11 @@
 
 
 class Instances:
-    """The platform's instances; ``orders`` records the orders of each holder."""
+    """The platform's instances; ``orders`` records what the endpoints' ``calls`` do."""
 
     def __init__(self):
         self.orders = []
+        self.before_send = lambda: None
         self.rows = {
             f"m-{name}": Instance(f"m-{name}", "pool", "up", "d", (), CAPACITY, name)
             for name in NAMES
@@ -288,16 +307,16 @@
         await asyncio.sleep(LATENCY_S)
         return tuple(self.rows.values())
 
-    async def move(self, instance, pool, holder, token):
+    async def move(self, instance, pool, holder, token, permit):
         """Record a move."""
-        await asyncio.sleep(LATENCY_S)
-        self.orders.append((clock.now(), instance, holder, token))
+        await wait_to_send(permit, self.before_send)
+        self.orders.append((clock.now(), instance, holder, token, permit()))
         return Ordered()
 
-    async def maintain(self, instance, wave, holder, token):
+    async def maintain(self, instance, wave, holder, token, permit):
         """Record the maintenance of an instance, which takes no time."""
-        await asyncio.sleep(LATENCY_S)
-        self.orders.append((clock.now(), instance, holder, token))
+        await wait_to_send(permit, self.before_send)
+        self.orders.append((clock.now(), instance, holder, token, permit()))
         return Ordered()
 
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/controller.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/controller.py
@@ -32,6 +32,7 @@
     Instances,
     NotExecutedError,
     OutcomeUnknownError,
+    PermitExpiredError,
     Refused,
     Store,
 )
@@ -69,6 +70,10 @@
 PLAN_PAUSE_S = 0.008
 """Pause between two plans, so that a plan covers several events."""
 
+START_LEASE_MARGIN_S = 0.5
+"""Added to the remaining authority in the lease of a start: clocks of endpoints are
+known to a fraction of this, and the poll that extends the lease needs some time."""
+
 REFUSED_PAUSE_S = 0.3
 """Time without new starts at an endpoint that refused one for lack of capacity."""
 
@@ -410,12 +415,15 @@
             run.number,
             order.spec,
             run.token,
-            endpoint.choose_deadline(now, self.engine.lease_times.run_lease),
+            endpoint.choose_deadline(now, self._choose_start_lease()),
             order.checkpoint,
         )
         try:
             response = await self._endpoints.start(
-                endpoint.name, endpoint.registration.address, start
+                endpoint.name,
+                endpoint.registration.address,
+                start,
+                self.term.has_authority,
             )
         except OutcomeUnknownError as error:
             self.engine.note_outcome_unknown(run)
@@ -428,6 +436,10 @@
             self._log_start(order, f"not sent: {error}")
             self.poller.note_gone(endpoint, str(error))
             return
+        except PermitExpiredError as error:
+            self._log_start(order, f"not sent: {error}")
+            self.engine.drop(run, "not sent")
+            return
         except NotExecutedError as error:
             self._log_start(order, f"not sent: {error}")
             self.engine.drop(run, "not sent")
@@ -445,6 +457,16 @@
         self._note_refused_start(run, response.reason)
         self._changed.set()
 
+    def _choose_start_lease(self) -> float:
+        """Return the run lease of a start order, in seconds.
+
+        The endpoint refuses an order that arrives after it. A leader that is paused
+        before the order is sent may have lost its authority by then. The poll that
+        follows extends the lease.
+        """
+        authority_left = self.term.measure_authority() + START_LEASE_MARGIN_S
+        return min(self.engine.lease_times.run_lease, authority_left)
+
     def _log_start(self, order: StartOrder, outcome: str) -> None:
         run = order.run
         telemetry.count("starts", outcome.partition(":")[0])
@@ -486,6 +508,7 @@
                 run.task,
                 run.number,
                 endpoint.token,
+                self.term.has_authority,
             )
             if isinstance(response, Refused):
                 outcome = response.reason
@@ -512,6 +535,7 @@
                 run.number,
                 order.percent,
                 endpoint.token,
+                self.term.has_authority,
             )
         except (OutcomeUnknownError, NotExecutedError, EndpointEndedError) as error:
             log_event(
--- a/packages/briarshed-workloads/src/briarshed_workloads/entry.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/entry.py
@@ -100,7 +100,8 @@
 ended; a live entry sends four a second."""
 
 CONSENT_TTL_S = 1.2
-"""Age up to which an entry's report that its store is unavailable counts."""
+"""Age up to which an entry's report that its store is unavailable counts. It is counted
+from when the leader sent the heartbeat that the report echoes."""
 
 STORE_TIMEOUT_S = 1.0
 """Time since the last successful store call after which an entry counts the store as
@@ -124,10 +125,16 @@
 
 
 class PeerView(NamedTuple):
-    """Last heartbeat of a peer; ``received_at`` is in seconds of the boot clock."""
+    """Last heartbeat of a peer.
+
+    ``consented_at`` is a time before which the peer had certainly not yet sent its
+    report that the store is unavailable; 0 if it did not report this. Times are seconds
+    of the boot clock.
+    """
 
     heartbeat: EntryHeartbeat
     received_at: float
+    consented_at: float = 0.0
 
 
 class LeaderView(NamedTuple):
@@ -335,9 +342,7 @@
             await asyncio.sleep(find_election_delay(self.options))
             if not self._may_lead():
                 return None
-            term = await acquire(
-                self._store, self._describe(), self._may_continue_without_store
-            )
+            term = await acquire(self._store, self._describe(), self.measure_consent)
             if term is not None:
                 term.vacant_at = max(term.vacant_at, self._consented_at + CONSENT_TTL_S)
             return term
@@ -347,10 +352,11 @@
     def _describe(self) -> EntryRecord:
         return EntryRecord(self.options.name, self.incarnation, self.options.peers)
 
-    def _may_continue_without_store(self, failing_since: float) -> bool:
-        """Tell whether the store is unavailable to every other live entry as well.
+    def measure_consent(self, failing_since: float) -> float:
+        """Return for how many seconds no other entry can take over, at least 0.
 
-        An entry whose heartbeats stopped before the store began to fail has ended: a
+        None can while the store is unavailable to every other live entry as well. An
+        entry whose heartbeats stopped before the store began to fail has ended: a
         partition that separates this entry from a live one separates it from the store
         at the same time or earlier.
         """
@@ -361,11 +367,20 @@
             if not view.heartbeat.is_stopping
             and view.received_at > failing_since - PEER_TIMEOUT_S
         ]
-        return bool(views) and all(
-            now - view.received_at < CONSENT_TTL_S
-            and view.heartbeat.store_age > STORE_TIMEOUT_S
-            for view in views
-        )
+        until = min((view.consented_at + CONSENT_TTL_S for view in views), default=0.0)
+        return max(0.0, until - now)
+
+    def _find_consent_time(self, heartbeat: EntryHeartbeat) -> float:
+        """Return a time before which a peer's consent had not been sent; 0 without one.
+
+        A heartbeat may have been on its way for seconds. It was sent after the leader's
+        heartbeat that it echoes.
+        """
+        if self.term is None or heartbeat.store_age <= STORE_TIMEOUT_S:
+            return 0.0
+        if heartbeat.epoch != self.term.epoch or heartbeat.echoed_at > clock.now():
+            return 0.0
+        return heartbeat.echoed_at
 
     async def _lead(self, term: LeaderTerm) -> None:
         self.term = term
@@ -443,6 +458,7 @@
             version,
             waiting,
             term.has_yielded,
+            clock.now(),
         )
         self.leader = LeaderView(self.options.peers, heartbeat, clock.now())
         now = clock.now()
@@ -540,6 +556,8 @@
             self.configuration.version if self.configuration else 0,
             store_age,
             self.is_stopping,
+            self.leader.heartbeat.epoch if self.leader else 0,
+            self.leader.heartbeat.sent_at if self.leader else 0.0,
         )
 
     def _send_entry_heartbeat(self) -> None:
@@ -554,7 +572,9 @@
         if isinstance(message, LeaderHeartbeat):
             self._handle_leader_heartbeat(sender, message)
         elif isinstance(message, EntryHeartbeat):
-            self._peers[sender] = PeerView(message, clock.now())
+            self._peers[sender] = PeerView(
+                message, clock.now(), self._find_consent_time(message)
+            )
         elif isinstance(message, ConfigurationUpdate):
             self.apply_configuration(_decompress(message.compressed), "leader")
         elif isinstance(message, Reply):
--- a/packages/briarshed-workloads/src/briarshed_workloads/interfaces.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/interfaces.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import NamedTuple, Protocol
 
 from briarshed.exceptions import BriarshedError
@@ -24,6 +24,10 @@
     """The call was not executed and will not be executed later."""
 
 
+class PermitExpiredError(NotExecutedError):
+    """The order was withheld, since it was not permitted any more."""
+
+
 class OutcomeUnknownError(BriarshedError):
     """The call may have been executed, or may be executed later."""
 
@@ -150,6 +154,12 @@
     reason: str
 
 
+Permit = Callable[[], bool]
+"""Tells whether an order may still be given. It is called immediately before the bytes
+of the order are sent, since a process can be paused after its decision. If it returns
+False, nothing is sent and PermitExpiredError is raised."""
+
+
 class Endpoints(Protocol):
     """Calls to endpoints.
 
@@ -159,12 +169,18 @@
     """
 
     async def start(
-        self, endpoint: str, address: str, order: StartRequest
+        self, endpoint: str, address: str, order: StartRequest, permit: Permit
     ) -> Accepted | Refused:
         """Start a run."""
 
     async def stop(
-        self, endpoint: str, address: str, task: TaskId, run: int, token: int
+        self,
+        endpoint: str,
+        address: str,
+        task: TaskId,
+        run: int,
+        token: int,
+        permit: Permit,
     ) -> Accepted | Refused:
         """Stop a run; it and all lower run numbers of the task can no longer start."""
 
@@ -190,6 +206,7 @@
         run: int,
         percent: int,
         token: int,
+        permit: Permit,
     ) -> Accepted | Refused:
         """Limit a run to a percentage of its full speed."""
 
@@ -214,12 +231,12 @@
         """Return all instances."""
 
     async def move(
-        self, instance: str, pool: str, holder: str, token: int
+        self, instance: str, pool: str, holder: str, token: int, permit: Permit
     ) -> Ordered | Rejected:
         """Move an instance to a pool; all runs there end immediately."""
 
     async def maintain(
-        self, instance: str, wave: int, holder: str, token: int
+        self, instance: str, wave: int, holder: str, token: int, permit: Permit
     ) -> Ordered | Rejected:
         """Start the maintenance of an instance; all runs there end immediately."""
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/leadership.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/leadership.py
@@ -88,9 +88,9 @@
         clock.
     confirmed_at : float
         When the lease was requested, in seconds of the boot clock.
-    may_continue_without_store : callable
+    measure_consent : callable
         Called, while the store is unavailable, with the time at which it began to fail;
-        tells whether no other entry can take over.
+        returns for how many seconds no other entry can take over.
 
     Attributes
     ----------
@@ -109,7 +109,7 @@
         lease: int,
         vacant_at: float,
         confirmed_at: float,
-        may_continue_without_store: Callable[[float], bool],
+        measure_consent: Callable[[float], float],
     ) -> None:
         self.fenced_writer = fenced_writer
         self.epoch = fenced_writer.term.epoch
@@ -119,7 +119,7 @@
         self._store = store
         self._entry = entry
         self._lease = lease
-        self._may_continue_without_store = may_continue_without_store
+        self._measure_consent = measure_consent
         self._authority_until = confirmed_at + LEASE_TTL_S - LEASE_MARGIN_S
         self._renewed_from = confirmed_at
         self._failing_since = 0.0
@@ -148,15 +148,18 @@
         Without a valid lease another entry may have taken over, unless the store is
         known to be unavailable to every other entry as well.
         """
+        return self.measure_authority() > 0
+
+    def measure_authority(self) -> float:
+        """Return for how many seconds this leader still has authority, at least 0."""
         if self.state not in ("loading", "leading", "isolated"):
-            return False
+            return 0.0
         if self.fenced_writer.is_leadership_lost:
-            return False
-        if clock.now() < self._authority_until:
-            return True
-        return self.is_store_failing and self._may_continue_without_store(
-            self._failing_since
-        )
+            return 0.0
+        left = self._authority_until - clock.now()
+        if left <= 0 and self.is_store_failing:
+            left = self._measure_consent(self._failing_since)
+        return max(0.0, left)
 
     async def renew_until_lost(self) -> None:
         """Renew the lease until the term ends."""
@@ -260,7 +263,7 @@
 async def acquire(
     store: Store,
     entry: EntryRecord,
-    may_continue_without_store: Callable[[float], bool],
+    measure_consent: Callable[[float], float],
 ) -> LeaderTerm | None:
     """Try to start a term; return None if another entry leads or was faster.
 
@@ -296,7 +299,7 @@
         lease,
         vacant_at,
         confirmed_at,
-        may_continue_without_store,
+        measure_consent,
     )
 
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
@@ -344,7 +344,11 @@
             endpoint.require_fence()
         token = self._next_token()
         outcome = await self._api.move(
-            move.instance, move.pool, self._options.name, token
+            move.instance,
+            move.pool,
+            self._options.name,
+            token,
+            self._term.has_authority,
         )
         done = isinstance(outcome, Ordered)
         log_event(
@@ -451,7 +455,11 @@
         name = row.instance.instance
         token = self._next_token()
         outcome = await self._api.maintain(
-            name, view.order.wave, self._options.name, token
+            name,
+            view.order.wave,
+            self._options.name,
+            token,
+            self._term.has_authority,
         )
         done = isinstance(outcome, Ordered)
         log_event(
--- a/packages/briarshed-workloads/src/briarshed_workloads/transport.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/transport.py
@@ -48,7 +48,7 @@
 
     ``version`` is that of its configuration. ``waiting`` maps a queue to the number of
     its jobs that have not started. ``has_yielded`` is set if it resigns because of
-    unexpected errors.
+    unexpected errors. ``sent_at`` is a time of the leader's boot clock in seconds.
     """
 
     leader: str
@@ -59,13 +59,15 @@
     version: int
     waiting: dict[str, int]
     has_yielded: bool = False
+    sent_at: float = 0.0
 
 
 class EntryHeartbeat(msgspec.Struct, tag="h", array_like=True, frozen=True):
     """An entry's heartbeat to the leader.
 
     ``version`` is that of its configuration. ``store_age`` is the time in seconds since
-    its last successful call to the store.
+    its last successful call to the store. ``echoed_at`` is the time at which the last
+    heartbeat of the leader of ``epoch`` was sent, by the leader's clock.
     """
 
     name: str
@@ -73,6 +75,8 @@
     version: int
     store_age: float
     is_stopping: bool
+    epoch: int = 0
+    echoed_at: float = 0.0
 
 
 class ConfigurationUpdate(msgspec.Struct, tag="o", array_like=True, frozen=True):
