Poll idle endpoints that did not respond until they are used again

Cause: an endpoint whose start order was not sent (connection refused) counts as unresponsive and gets no new runs until it responds. Without runs it was never polled again, so that it stayed unused until it restarted.

Change: an unresponsive endpoint is polled every 0.6 s until it responds, is gone or is not registered any more.

Test: silent_endpoints.feature, "An endpoint without runs is used again once it responds"; the example with refused connections fails without the change.

--- a/features/workloads/silent_endpoints.feature
+++ b/features/workloads/silent_endpoints.feature
@@ -32,6 +32,18 @@
       | 3.0     |
       | 3.6     |
 
+  Scenario Outline: An endpoint without runs is used again once it responds
+    # Guards against lost capacity: an endpoint that did not respond to a start and had no
+    # other runs was never polled again, so that it got no runs until it restarted.
+    Given a leader with endpoints "a" and "b", and a task that starts at "a"
+    When "a" has no runs, <fault> for 2 s, and another task arrives
+    Then "a" can get runs again 1.5 s after that
+
+    Examples:
+      | fault                            |
+      | refuses connections              |
+      | does not respond                 |
+
   Scenario: An endpoint responds again after its runs have expired
     Given a leader with endpoints "a" and "b", and a task that starts at "a"
     When "a" does not respond for 5 s
--- a/packages/briarshed-workloads/src/briarshed_workloads/polling.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/polling.py
@@ -36,6 +36,10 @@
 POLL_RETRY_S = 0.25
 """Pause after a poll without a response."""
 
+IDLE_RETRY_S = 0.6
+"""The same for an endpoint without runs, which only waits to be used again; polls are
+billed."""
+
 RECHECK_S = 0.5
 """Interval of checking whether an endpoint with runs may be polled again; short
 compared with the run lease of 4 s."""
@@ -122,18 +126,21 @@
             except Exception as error:
                 report_error(f"poll of {endpoint.name}", error)
             if not is_polled:
-                await asyncio.sleep(POLL_RETRY_S)
+                await asyncio.sleep(POLL_RETRY_S if endpoint.runs else IDLE_RETRY_S)
 
     async def _wait_until_needed(
         self, endpoint: Endpoint, wake_event: asyncio.Event
     ) -> None:
         """Wait until a poll may be needed.
 
-        For an endpoint with runs the wait is limited: authority can be lost and
+        For an endpoint that is not idle the wait is limited: authority can be lost and
         regained between two plans, in which case no event is set, and without polls the
         end of a run would never be seen.
         """
-        limit = RECHECK_S if endpoint.runs or not endpoint.is_fenced else None
+        is_idle = (
+            endpoint.is_fenced and not endpoint.runs and not endpoint.failing_since
+        )
+        limit = None if is_idle else RECHECK_S
         try:
             async with asyncio.timeout(limit):
                 await wake_event.wait()
@@ -164,7 +171,8 @@
     def _needs_poll(self, endpoint: Endpoint) -> bool:
         if not self._term.has_authority() and endpoint.is_fenced:
             return False
-        return bool(not endpoint.is_fenced or endpoint.runs)
+        # An unresponsive endpoint gets no new runs until it responds to a poll.
+        return bool(not endpoint.is_fenced or endpoint.runs or endpoint.failing_since)
 
     async def watch_start_up(self, run: Run) -> None:
         """Poll the endpoint of a long-running task until it serves or is overdue."""
@@ -259,6 +267,7 @@
         """
         now = clock.now()
         self._engine.note_failing(endpoint, reason, now)
+        self.wake(endpoint.name)
         self._spawn(
             self._endpoints.discard_connections(endpoint.registration.address),
             "disconnect",
