Keep a leader's term and an endpoint's capacity when endpoints come back

When they were registered again it polled them from counter 1, with lower tokens than it had used before. The refusal looked like another leader's, and the leader ended its term; nothing ran from 40.3 to 42.9 s.

After a change of leader, runs of jobs that had ended were adopted without resources, since their records keep no description, and new runs were started beside them.

Change: the counter of an endpoint's name survives its removal. An endpoint that has a run of unknown size gets no new runs until that run has ended.

--- a/features/workloads/engine.feature
+++ b/features/workloads/engine.feature
@@ -59,10 +59,23 @@
     And "a" gets no runs until it is fenced again
 
   Scenario: A run of an unknown job is stopped and keeps its capacity until then
+    # Guards against overbooked endpoints (LIMIT 11, trouble-2 of rncm-briarshed-grown,
+    # after a change of leader): the records of ended jobs do not tell the resources of
+    # runs that are still being stopped, and none were reserved for them.
     Given a leader of epoch 2 with an endpoint "a" and an endpoint "b"
     When "a" lists a run of an unknown job
     Then the run is to be stopped for "unknown job"
     And "a" has no more than the rest of its capacity free
+    And nothing starts at "a" before that run has ended
+
+  Scenario: An endpoint that is registered again accepts the polls of its leader
+    # Guards against a leader that ends its own term: trouble-2 of rncm-briarshed-grown,
+    # where nothing ran for 2.6 s. The registrations of a data centre that was cut off
+    # had expired; when they were back, polls began with a lower token than before.
+    Given a leader of epoch 2 with an endpoint "a" and an endpoint "b"
+    And an order at "b" got no response, and a poll with a higher token was answered
+    When "b" is not registered for a while and then again
+    Then the next poll of "b" has a higher token than all before
 
   Scenario: Random events never start a task twice or overbook an endpoint
     Then random events keep to capacities, limits and one run per task
--- a/features/workloads/steps/engine_steps.py
+++ b/features/workloads/steps/engine_steps.py
@@ -231,6 +231,37 @@
     assert context.engine.endpoints["a"].find_free() <= CAPACITY
 
 
+@then('nothing starts at "a" before that run has ended')
+def step_nothing_starts(context):
+    engine = context.engine
+    engine.endpoints["b"].full_until = NOW + 9
+    submit(engine, "00000000000000cc", (Step(1, NEED, 1.0),), NOW)
+    assert not plan_starts(engine, NOW + 1)
+    poll_endpoint(engine, "a", NOW + 2, ended=[EndedRun(1, TASK, 7, "stopped", "")])
+    assert plan_starts(engine, NOW + 2)
+
+
+@given('an order at "b" got no response, and a poll with a higher token was answered')
+def step_settled(context):
+    endpoint = context.engine.endpoints["b"]
+    endpoint.require_fence()
+    poll_endpoint(context.engine, "b", NOW + 1)
+    context.token = endpoint.token
+
+
+@when('"b" is not registered for a while and then again')
+def step_registered_again(context):
+    engine = context.engine
+    engine.note_registrations([make_registration("a")], NOW + 2)
+    assert "b" not in engine.endpoints
+    engine.note_registrations([make_registration(name) for name in "ab"], NOW + 5)
+
+
+@then('the next poll of "b" has a higher token than all before')
+def step_higher(context):
+    assert context.engine.endpoints["b"].token > context.token
+
+
 EVENTS = some.lists(
     some.tuples(
         some.sampled_from(["submit", "plan", "end", "fail", "lose", "poll", "restart"]),
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -110,6 +110,7 @@
         self.run_times: dict[str, float] = {}
         self.shares = Shares()
         self._sequence = 0
+        self._last_counters: dict[str, int] = {}
         self._stop_candidates: dict[Run, None] = {}
 
     # Jobs
@@ -324,16 +325,17 @@
                     self._report_endpoint("ENDPOINT_UNLISTED", endpoint.registration)
                 endpoint.is_listed = False
                 if not endpoint.runs and (endpoint.is_fenced or endpoint.is_gone):
+                    self._last_counters[name] = endpoint.counter
                     del self.endpoints[name]
 
     def _note_registration(self, registration: Registration) -> None:
         known = self.endpoints.get(registration.endpoint)
         if known is None:
-            self.endpoints[registration.endpoint] = Endpoint(registration, self.epoch)
+            self.add_endpoint(registration)
             self._report_endpoint("ENDPOINT_ADDED", registration)
         elif registration.started_at_ms > known.registration.started_at_ms:
             self.note_replaced(known, "registered again")
-            self.endpoints[registration.endpoint] = Endpoint(registration, self.epoch)
+            self.add_endpoint(registration)
             self._report_endpoint("ENDPOINT_ADDED", registration)
         else:
             known.is_listed = True
@@ -344,6 +346,20 @@
                 self._report_endpoint("ENDPOINT_CHANGED", registration)
             known.registration = registration
 
+    def add_endpoint(self, registration: Registration) -> Endpoint:
+        """Add an endpoint, or replace its earlier incarnation.
+
+        Its counter continues where the last one of its name ended. An endpoint that was
+        not registered for a while has seen that one, and rejects lower ones.
+        """
+        name = registration.endpoint
+        known = self.endpoints.get(name)
+        last = known.counter if known is not None else self._last_counters.pop(name, 0)
+        endpoint = Endpoint(registration, self.epoch)
+        endpoint.counter = last + 1
+        self.endpoints[name] = endpoint
+        return endpoint
+
     def _note_earlier_incarnations(self) -> None:
         """Note that endpoints were replaced by a later one on their instance."""
         latest: dict[str, int] = {}
@@ -518,12 +534,13 @@
     def _adopt(self, endpoint: Endpoint, row: ListedRun, now: float) -> Run | None:
         """Track a listed run that this leader did not order or had removed."""
         job = self.jobs.get(row.task.job)
-        if job is None or not job.has_task(row.task):
-            step, team = Step(1, NO_RESOURCES), ""
-        else:
+        is_known = job is not None and job.has_task(row.task)
+        step, team = Step(1, NO_RESOURCES), ""
+        if is_known:
             step, team = job.find_step(row.task), job.team
         run = Run(row.task, row.run, endpoint, step, find_need(step), team, now)
         run.confirmed_at = now
+        run.has_unknown_need = not is_known
         wanted = (
             job is not None
             and job.is_open
--- a/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
@@ -34,13 +34,15 @@
 
     ``state`` is ``ordered`` (no response yet), ``present``, ``stopping``, or
     ``doubtful`` (there was no response to the start or stop order). Times are seconds
-    of the boot clock.
+    of the boot clock. ``has_unknown_need`` is set for a run whose job is not known or
+    has ended before this leader's term, so that the records do not tell its resources.
     """
 
     __slots__ = (
         "checkpoint",
         "confirmed_at",
         "endpoint",
+        "has_unknown_need",
         "is_copy",
         "load",
         "need",
@@ -86,6 +88,7 @@
         self.checkpoint = ""
         self.stop_requested_at = 0.0
         self.is_copy = False
+        self.has_unknown_need = False
 
     @property
     def is_present(self) -> bool:
@@ -112,6 +115,7 @@
     """
 
     __slots__ = (
+        "_unknown_needs",
         "acknowledged",
         "answered_at",
         "clock_sample_ms",
@@ -143,6 +147,7 @@
         self.needs_fence = True
         self.runs: dict[tuple[TaskId, int], Run] = {}
         self.used = NO_RESOURCES
+        self._unknown_needs = 0
         self.acknowledged = 0
         self.last_listed_end = 0
         self.clock_sample_ms = 0
@@ -178,8 +183,13 @@
         """Whether ends have been listed whose effect is not durable yet."""
         return self.last_listed_end > self.acknowledged
 
+    @property
+    def has_known_capacity(self) -> bool:
+        """Whether the resources of all runs are known."""
+        return self._unknown_needs == 0
+
     def find_free(self) -> Resources:
-        """Return the free capacity."""
+        """Return the free capacity; an upper bound without a known capacity."""
         return subtract(self.registration.capacity, self.used)
 
     def find_clock(self, now: float) -> int:
@@ -211,12 +221,14 @@
         """Add a run and reserve its resources."""
         self.runs[run.task, run.number] = run
         self.used = add(self.used, run.need)
+        self._unknown_needs += run.has_unknown_need
 
     def remove_run(self, run: Run) -> bool:
         """Remove a run and free its resources; return False if it was not present."""
         if self.runs.pop((run.task, run.number), None) is None:
             return False
         self.used = subtract(self.used, run.need)
+        self._unknown_needs -= run.has_unknown_need
         return True
 
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/persistence.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/persistence.py
@@ -16,7 +16,6 @@
 from briarshed_entry.logs import log_event
 from briarshed_workloads.engine import Engine
 from briarshed_workloads.fenced_writer import MAX_TRANSACTION_WRITES
-from briarshed_workloads.fleet import Endpoint
 from briarshed_workloads.interfaces import Directory, Item, Put, Store
 from briarshed_workloads.jobs import Job
 from briarshed_workloads.leadership import LeaderTerm
@@ -166,9 +165,7 @@
                     NO_RESOURCES,
                     instance=instance,
                 )
-                endpoint = Endpoint(lost, self._engine.epoch)
-                endpoint.is_listed = False
-                self._engine.endpoints[name] = endpoint
+                self._engine.add_endpoint(lost).is_listed = False
 
     async def load_waves(self, maintenance: Maintenance) -> None:
         """Load the progress of waves and the sizes of pools."""
--- a/packages/briarshed-workloads/src/briarshed_workloads/planning.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/planning.py
@@ -191,6 +191,7 @@
         and endpoint.reputation.ejected_until <= now
         and endpoint.full_until <= now
         and endpoint.name in engine.roster
+        and endpoint.has_known_capacity
     ]
 
 
