Log once a second why tasks wait

Cause: on-call engineers could not tell from the log whether waiting tasks lack capacity, wait for the limit of their team or for an earlier leader's runs, nor why endpoints get no runs; lines about single runs are dropped first in a busy second.

Change: event 826, one line a second for each pool with waiting tasks: tasks by reason, cores used and free, endpoints by state.

--- a/packages/briarshed-workloads/src/briarshed_workloads/controller.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/controller.py
@@ -51,6 +51,7 @@
     LoopSupervisor,
     contain_errors,
 )
+from briarshed_workloads.waiting import list_waiting
 from briarshed_workloads.workloads import (
     StartRequest,
     Submission,
@@ -81,6 +82,8 @@
 """Interval of correcting contradictions in the state; a task that nothing runs must not
 wait for 3 s."""
 
+WAITING_REPORT_INTERVAL_S = 1.0
+
 MAX_FAILURES, FAILURE_PERIOD_S = 10, 3.0
 """Number of unexpected errors of one loop within this time after which another entry
 should lead."""
@@ -206,6 +209,13 @@
         if counter.add(clock.now()):
             self.spawn(self.term.yield_leadership(f"{task} fails repeatedly"), "yield")
 
+    async def _report_waiting(self) -> None:
+        """Log at intervals why tasks wait."""
+        while True:
+            await asyncio.sleep(WAITING_REPORT_INTERVAL_S)
+            for row in list_waiting(self.engine, clock.now()):
+                log_event(events.TASKS_WAITING, **row._asdict())
+
     async def _reconcile(self) -> None:
         """Correct contradictions in the state at intervals."""
         while True:
@@ -246,6 +256,7 @@
             "clean": self.persistence.clean,
             "maintain": self.maintenance.run,
             "reconcile": self._reconcile,
+            "report": self._report_waiting,
         }
         for name, loop in loops.items():
             self._loops.start(loop, name)
--- a/packages/briarshed-workloads/src/briarshed_workloads/planning.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/planning.py
@@ -177,6 +177,7 @@
 
 def list_eligible(engine: Engine, pool: str, now: float) -> list[Endpoint]:
     """Return the endpoints of a pool that may get new runs."""
+    # waiting.find_endpoint_state names the reason for each endpoint that is left out.
     return [
         endpoint
         for endpoint in engine.endpoints.values()
--- /dev/null
+++ b/packages/briarshed-workloads/src/briarshed_workloads/waiting.py
@@ -0,0 +1,98 @@
+"""Why tasks wait, and why endpoints get no runs: a summary of each pool for the log."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from briarshed_workloads.engine import Engine
+from briarshed_workloads.fleet import Endpoint, is_within
+from briarshed_workloads.jobs import Job, find_need
+from briarshed_workloads.planning import may_have_earlier_runs
+
+MILLICORES = 1000
+
+
+class PoolWaiting(NamedTuple):
+    """Waiting tasks of a pool, and its endpoints.
+
+    Attributes
+    ----------
+    pool : str
+    tasks : dict
+        Number of waiting tasks by the reason for which they wait.
+    oldest : float
+        Time in seconds since the oldest of their jobs was accepted.
+    used, free : float
+        Cores that runs have reserved, and that endpoints for new runs have free.
+    endpoints : dict
+        Number of endpoints by their state.
+    """
+
+    pool: str
+    tasks: dict[str, int]
+    oldest: float
+    used: float
+    free: float
+    endpoints: dict[str, int]
+
+
+def list_waiting(engine: Engine, now: float) -> Iterator[PoolWaiting]:
+    """Yield a summary of each pool in which tasks wait."""
+    unix_now = engine.to_unix_time(now)
+    for pool in list(engine.open_jobs):
+        jobs = [job for job in engine.list_open(pool).values() if job.waiting]
+        if not jobs:
+            continue
+        may_run_already = may_have_earlier_runs(engine, pool, now)
+        tasks: Counter[str] = Counter()
+        for job in jobs:
+            tasks[_find_reason(engine, job, may_run_already)] += len(job.waiting)
+        states: Counter[str] = Counter()
+        used = free = 0
+        for endpoint in engine.endpoints.values():
+            if endpoint.registration.pool != pool:
+                continue
+            state = find_endpoint_state(engine, endpoint, now)
+            states[state] += 1
+            used += endpoint.used.cpu
+            free += endpoint.find_free().cpu if state == "eligible" else 0
+        yield PoolWaiting(
+            pool,
+            dict(tasks),
+            round(unix_now - min(job.accepted_at for job in jobs), 2),
+            used / MILLICORES,
+            free / MILLICORES,
+            dict(states),
+        )
+
+
+def _find_reason(engine: Engine, job: Job, may_run_already: bool) -> str:
+    """Return why the first waiting task of a job waits."""
+    if may_run_already and job.is_restored:
+        return "earlier leader's runs"
+    step = job.find_step(next(iter(job.waiting)))
+    maximum = engine.find_team_limit(job.team)
+    if not is_within(engine.usage.read(job.team), find_need(step), maximum):
+        return "limit of the team"
+    return "capacity"
+
+
+def find_endpoint_state(engine: Engine, endpoint: Endpoint, now: float) -> str:
+    """Return why an endpoint gets no new runs, or ``eligible``."""
+    reputation = endpoint.reputation
+    reasons = {
+        "gone": endpoint.is_gone,
+        "not registered": not endpoint.is_listed,
+        "unresponsive": endpoint.failing_since > 0,
+        "draining": endpoint.registration.draining,
+        "in maintenance": endpoint.evicting,
+        "moving": endpoint.retiring,
+        "not fenced": not endpoint.is_fenced,
+        "ejected": reputation.ejected_until > now,
+        "full": endpoint.full_until > now,
+        "not recorded": endpoint.name not in engine.roster,
+        "unknown runs": not endpoint.has_known_capacity,
+    }
+    return next((reason for reason, holds in reasons.items() if holds), "eligible")
--- a/packages/briarshed/src/briarshed/events.py
+++ b/packages/briarshed/src/briarshed/events.py
@@ -113,6 +113,12 @@
 CALL_ANSWERED = Event(824, "INFO", "{what} {job_id}: {status} {reason}")
 CALL_MALFORMED = Event(825, "INFO", "{what} {job_id} malformed: {reason}")
 
+TASKS_WAITING = Event(
+    826,
+    "INFO",
+    "pool {pool}: tasks wait for {tasks}; {free} cores free, endpoints {endpoints}",
+)
+
 RUN_ORDERED = Event(841, "INFO", "start {job_id} {task} at {endpoint}: {outcome}")
 RUN_STOPPED = Event(842, "INFO", "stop {job_id} {task} at {endpoint}: {reason}")
 RUN_DROPPED = Event(843, "INFO", "run {job_id} {task} at {endpoint} ended: {reason}")
