Log whose count of waiting jobs a caller got, and how old it is

Change: each answer has an event 827 with the count, the entry that counted and its epoch, whether it had read the records, the age of the count and that of the oldest waiting job; a histogram of the age. The leader's heartbeat carries whether the records were read and when each queue's oldest waiting job was accepted, in fields at its end, so that entries of the earlier version read it as before. The answers themselves do not change. Ruled out: a line for each heartbeat, which would repeat the same counts in 34 entries three times a second.

--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -210,15 +210,6 @@
             del jobs[job_id]
         return jobs
 
-    def count_waiting(self) -> dict[str, int]:
-        """Return for each queue the number of open jobs without an ordered run."""
-        counts: dict[str, int] = {}
-        for jobs in self.open_jobs.values():
-            for job in jobs.values():
-                if job.is_open and not job.has_ordered_run:
-                    counts[job.queue] = counts.get(job.queue, 0) + 1
-        return counts
-
     # Runs
 
     def reserve(
--- a/packages/briarshed-workloads/src/briarshed_workloads/entry.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/entry.py
@@ -55,6 +55,7 @@
     Reply,
     SubmitRequest,
 )
+from briarshed_workloads.waiting import count_waiting
 
 LEADER_HEARTBEAT_S = 0.3
 """Interval of the leader's heartbeats; three fit into `LEADER_TIMEOUT_S`."""
@@ -445,9 +446,8 @@
 
     def _send_leader_heartbeat(self, term: LeaderTerm, is_resigning: bool) -> None:
         controller = self.controller
-        waiting = {}
-        if controller is not None and controller.is_loaded:
-            waiting = controller.engine.count_waiting()
+        is_loaded = controller is not None and controller.is_loaded
+        waiting = count_waiting(controller.engine) if is_loaded else {}
         version = self.configuration.version if self.configuration else 0
         heartbeat = LeaderHeartbeat(
             self.options.name,
@@ -456,9 +456,11 @@
             term.is_store_failing or term.fenced_writer.is_failing,
             is_resigning,
             version,
-            waiting,
+            {queue: row.count for queue, row in waiting.items()},
             term.has_yielded,
             clock.now(),
+            is_loaded,
+            {queue: row.oldest_at for queue, row in waiting.items()},
         )
         self.leader = LeaderView(self.options.peers, heartbeat, clock.now())
         now = clock.now()
--- a/packages/briarshed-workloads/src/briarshed_workloads/forwarding.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/forwarding.py
@@ -3,9 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+import time
+from collections.abc import Mapping
+from typing import TYPE_CHECKING, NamedTuple
 
+from briarshed import events
 from briarshed_entry import clock
+from briarshed_entry.logs import log_event
+from briarshed_workloads import telemetry
 from briarshed_workloads.interfaces import NotExecutedError, OutcomeUnknownError, Store
 from briarshed_workloads.records import JOBS, JobRecord, decode
 from briarshed_workloads.transport import (
@@ -15,6 +20,7 @@
     Reply,
     SubmitRequest,
 )
+from briarshed_workloads.waiting import count_waiting
 from briarshed_workloads.workloads import Submission
 
 if TYPE_CHECKING:
@@ -41,6 +47,34 @@
 """Retry delay for callers while there is no leader; a change takes 1 s to 3 s."""
 
 
+class WaitingReport(NamedTuple):
+    """A leader's count of waiting jobs.
+
+    Attributes
+    ----------
+    leader : str
+        Name of the entry that counted.
+    epoch : int
+        Its term.
+    is_loaded : bool
+        Whether it had read the records.
+    counted_at : float
+        When it counted, or when its heartbeat was received, in seconds of the boot
+        clock.
+    counts : Mapping
+        Number of waiting jobs of each queue that has any.
+    oldest_at : Mapping
+        When the oldest of them was accepted, in Unix seconds.
+    """
+
+    leader: str
+    epoch: int
+    is_loaded: bool
+    counted_at: float
+    counts: Mapping[str, int]
+    oldest_at: Mapping[str, float]
+
+
 class Forwarder:
     """Forwards submissions and queries to the leader and awaits its replies.
 
@@ -169,8 +203,45 @@
 
     def count_waiting(self, queue: str) -> int | None:
         """Return the number of the queue's jobs that wait; None without a leader."""
-        if self._entry.controller is not None and self._entry.controller.is_loaded:
-            return self._entry.controller.engine.count_waiting().get(queue, 0)
-        if self._entry.leader is None or not self._entry.is_leader_alive():
+        report = self._find_waiting_report()
+        if report is None:
+            return None
+        count = report.counts.get(queue, 0)
+        age = clock.now() - report.counted_at
+        oldest_at = report.oldest_at.get(queue)
+        telemetry.observe_seconds("waiting count age", age)
+        log_event(
+            events.WAITING_JOBS_ANSWERED,
+            queue=queue,
+            count=count,
+            leader=report.leader,
+            epoch=report.epoch,
+            is_loaded=report.is_loaded,
+            age=round(age, 3),
+            oldest=None if oldest_at is None else round(time.time() - oldest_at, 2),
+        )
+        return count
+
+    def _find_waiting_report(self) -> WaitingReport | None:
+        entry = self._entry
+        if entry.controller is not None and entry.controller.is_loaded:
+            waiting = count_waiting(entry.controller.engine)
+            return WaitingReport(
+                entry.options.name,
+                entry.controller.term.epoch,
+                True,
+                clock.now(),
+                {queue: row.count for queue, row in waiting.items()},
+                {queue: row.oldest_at for queue, row in waiting.items()},
+            )
+        if entry.leader is None or not entry.is_leader_alive():
             return None
-        return self._entry.leader.heartbeat.waiting.get(queue, 0)
+        heartbeat = entry.leader.heartbeat
+        return WaitingReport(
+            heartbeat.leader,
+            heartbeat.epoch,
+            heartbeat.is_loaded,
+            entry.leader.received_at,
+            heartbeat.waiting,
+            heartbeat.oldest_waiting_at,
+        )
--- a/packages/briarshed-workloads/src/briarshed_workloads/transport.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/transport.py
@@ -47,8 +47,11 @@
     """The leader's heartbeat.
 
     ``version`` is that of its configuration. ``waiting`` maps a queue to the number of
-    its jobs that have not started. ``has_yielded`` is set if it resigns because of
-    unexpected errors. ``sent_at`` is a time of the leader's boot clock in seconds.
+    its jobs that have not started, and ``oldest_waiting_at`` to the Unix time in
+    seconds at which the oldest of them was accepted; queues without such jobs are left
+    out. ``has_yielded`` is set if it resigns because of unexpected errors. ``sent_at``
+    is a time of the leader's boot clock in seconds. ``is_loaded`` is set once it has
+    read the records.
     """
 
     leader: str
@@ -60,6 +63,8 @@
     waiting: dict[str, int]
     has_yielded: bool = False
     sent_at: float = 0.0
+    is_loaded: bool = True
+    oldest_waiting_at: dict[str, float] = {}
 
 
 class EntryHeartbeat(msgspec.Struct, tag="h", array_like=True, frozen=True):
--- a/packages/briarshed-workloads/src/briarshed_workloads/waiting.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/waiting.py
@@ -1,4 +1,4 @@
-"""Why tasks wait, and why endpoints get no runs: a summary of each pool for the log."""
+"""Waiting jobs by queue, and for the log why tasks wait and endpoints get no runs."""
 
 from __future__ import annotations
 
@@ -14,6 +14,21 @@
 MILLICORES = 1000
 
 
+class WaitingJobs(NamedTuple):
+    """The waiting jobs of a queue.
+
+    Attributes
+    ----------
+    count : int
+        Number of open jobs without an ordered run.
+    oldest_at : float
+        When the oldest of them was accepted, in Unix seconds.
+    """
+
+    count: int
+    oldest_at: float
+
+
 class PoolWaiting(NamedTuple):
     """Waiting tasks of a pool, and its endpoints.
 
@@ -38,6 +53,19 @@
     endpoints: dict[str, int]
 
 
+def count_waiting(engine: Engine) -> dict[str, WaitingJobs]:
+    """Return the waiting jobs of each queue that has any."""
+    found: dict[str, WaitingJobs] = {}
+    for jobs in engine.open_jobs.values():
+        for job in jobs.values():
+            if job.is_open and not job.has_ordered_run:
+                known = found.get(job.queue, WaitingJobs(0, job.accepted_at))
+                found[job.queue] = WaitingJobs(
+                    known.count + 1, min(known.oldest_at, job.accepted_at)
+                )
+    return found
+
+
 def list_waiting(engine: Engine, now: float) -> Iterator[PoolWaiting]:
     """Yield a summary of each pool in which tasks wait."""
     unix_now = engine.to_unix_time(now)
--- a/packages/briarshed/src/briarshed/events.py
+++ b/packages/briarshed/src/briarshed/events.py
@@ -119,6 +119,13 @@
     "pool {pool}: tasks wait for {tasks}; {free} cores free, endpoints {endpoints}",
 )
 
+WAITING_JOBS_ANSWERED = Event(
+    827,
+    "INFO",
+    "queue {queue}: {count} jobs wait, the oldest for {oldest} s, as counted {age} s"
+    " ago by {leader} in epoch {epoch}, records read: {is_loaded}",
+)
+
 RUN_ORDERED = Event(841, "INFO", "start {job_id} {task} at {endpoint}: {outcome}")
 RUN_STOPPED = Event(842, "INFO", "stop {job_id} {task} at {endpoint}: {reason}")
 RUN_DROPPED = Event(843, "INFO", "run {job_id} {task} at {endpoint} ended: {reason}")
