--- a/features/workloads/virtual_fleet.py
+++ b/features/workloads/virtual_fleet.py
@@ -37,6 +37,7 @@
     Refused,
 )
 from briarshed_workloads.options import EntryOptions, SiteLimits
+from briarshed_workloads.records import JOBS
 from briarshed_workloads.workloads import (
     NO_RESOURCES,
     Description,
@@ -106,11 +107,15 @@
 
 
 class StoreClient:
-    """One entry's client of the store; fails while ``is_cut`` is set."""
+    """One entry's client of the store; fails while ``is_cut`` is set.
+
+    ``load_s`` is the time that reading the jobs takes besides.
+    """
 
     def __init__(self, store, entry_name):
         self.answered_at = clock.now()
         self.is_cut = False
+        self.load_s = 0.0
         self._store = store
         self._name = entry_name
 
@@ -134,6 +139,8 @@
 
     async def read_all(self, prefix):
         """Return the items under a prefix."""
+        if prefix == JOBS:
+            await asyncio.sleep(self.load_s)
         return await self._call(
             lambda: Listing(
                 tuple(
@@ -444,6 +451,10 @@
         entry = Entry(options, client, self.endpoints, self.instances, self.directory)
         self.entries[name] = await self._stack.enter_async_context(entry)
 
+    async def kill(self, name):
+        """End an entry without a resignation; its lease expires."""
+        await self.entries.pop(name).__aexit__(None, None, None)
+
     async def __aexit__(self, kind, error, trace):
         for task in self._tasks:
             task.cancel()
