Count a job as waiting until an endpoint has started a task of it

What callers saw: a number of waiting jobs that was too low (MIXED). Cause: a job was left out of the count once capacity had been reserved for a task of it, and stayed out when the start was refused, not sent, lost or ended with its endpoint. The class: an order that was given is taken for its effect. The state that callers get, running, had the same source. Change: a job changes from pending to running when an endpoint confirms a start, lists a run or lists an end; the count takes pending jobs, and the separate mark is gone. A new leader knows from recorded successes, failures and checkpoints that a job began. Evidence: waiting_counts.feature, 8 scenarios that failed before, 274 to 358 answers too low by 1 to 6 jobs while endpoints refuse starts, do not respond or refuse connections; none after. Ruled out: taking the mark back in each place where a run is dropped, which every new place would have to repeat.

--- a/features/workloads/steps/slow_store_steps.py
+++ b/features/workloads/steps/slow_store_steps.py
@@ -145,7 +145,7 @@
 @when("its endpoint answers a start order 2.5 s later, and is not polled")
 def step_answers(context):
     other = SimpleNamespace(
-        **{name: getattr(context.run, name) for name in ("state", "endpoint")}
+        **{name: getattr(context.run, name) for name in ("state", "endpoint", "task")}
     )
     context.engine.note_started(other, int((NOW + 3.5) * 1000), NOW + 3.5)
     rows = context.engine.endpoints.values()
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -277,6 +277,9 @@
             run.state = PRESENT
         run.confirmed_at = now
         run.progressed_at = now
+        job = self.jobs.get(run.task.job)
+        if job is not None:
+            job.note_begun()
         self._note_response(run.endpoint, clock_ms, now)
 
     def note_outcome_unknown(self, run: Run) -> None:
@@ -516,11 +519,13 @@
         if ratio is not None and ratio > SLOW_FACTOR:
             endpoint.reputation.note_speed(ratio)
         run.load = row.load
+        job = self.jobs.get(row.task.job)
+        if job is None:
+            return
+        job.note_begun()
         if row.checkpoint and row.checkpoint != run.checkpoint:
             run.checkpoint = row.checkpoint
-            job = self.jobs.get(row.task.job)
-            if job is not None:
-                self._note_checkpoint(job, row.task, row.checkpoint)
+            self._note_checkpoint(job, row.task, row.checkpoint)
 
     def _adopt(self, endpoint: Endpoint, row: ListedRun, now: float) -> Run | None:
         """Track a listed run that this leader did not order or had removed."""
@@ -563,6 +568,7 @@
             if run is not None:
                 self.drop(run, ended.outcome)
             return
+        job.note_begun()
         if run is not None and ended.checkpoint:
             run.checkpoint = ended.checkpoint
         elif ended.checkpoint:
--- a/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
@@ -43,7 +43,6 @@
         "ended_at",
         "failed_endpoints",
         "failed_runs",
-        "has_ordered_run",
         "is_restored",
         "is_within_share",
         "job_id",
@@ -80,7 +79,6 @@
         self.is_restored = False
         self.is_within_share = True
         self.failed_endpoints: dict[TaskId, set[str]] = {}
-        self.has_ordered_run = False
         self.cached_remaining: tuple[float, float] | None = None
         self.succeeded: dict[tuple[int, int], set[int]] = {}
         self.failed_runs: dict[TaskId, set[int]] = {}
@@ -190,7 +188,12 @@
     def note_ordered(self, task: TaskId) -> None:
         """Remove a task from the waiting tasks after a run of it was ordered."""
         self.waiting.pop(task, None)
-        self.has_ordered_run = True
+
+    def note_begun(self) -> None:
+        """Note that an endpoint has started a task of the job.
+
+        An order alone does not tell that: it may be refused or lost.
+        """
         if self.state == PENDING:
             self.state = advance(load_chart("job"), self.state, "start")
 
@@ -256,8 +259,8 @@
             self._finish("cancel", unix_now)
 
     def _finish(self, event: str, unix_now: float) -> None:
-        if self.state == PENDING and event != "cancel":
-            self.state = advance(load_chart("job"), self.state, "start")
+        if event != "cancel":
+            self.note_begun()
         self.state = advance(load_chart("job"), self.state, event)
         self.ended_at = unix_now
         self.waiting.clear()
@@ -310,6 +313,8 @@
                     self.failed_runs[task] = set(row.failed_runs)
                 if row.checkpoint:
                     self.checkpoints[task] = row.checkpoint
+            if self.succeeded or self.failed_runs or self.checkpoints:
+                self.note_begun()
         steps = range(len(self.description.steps))
         for occurrence in range(self.count_occurrences()):
             if all(self._is_step_done(occurrence, number) for number in steps):
--- a/packages/briarshed-workloads/src/briarshed_workloads/waiting.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/waiting.py
@@ -8,7 +8,7 @@
 
 from briarshed_workloads.engine import Engine
 from briarshed_workloads.fleet import Endpoint, is_within
-from briarshed_workloads.jobs import Job, find_need
+from briarshed_workloads.jobs import PENDING, Job, find_need
 from briarshed_workloads.planning import may_have_earlier_runs
 
 MILLICORES = 1000
@@ -20,7 +20,7 @@
     Attributes
     ----------
     count : int
-        Number of open jobs without an ordered run.
+        Number of open jobs of which no task is known to have started.
     oldest_at : float
         When the oldest of them was accepted, in Unix seconds.
     """
@@ -58,7 +58,7 @@
     found: dict[str, WaitingJobs] = {}
     for jobs in engine.open_jobs.values():
         for job in jobs.values():
-            if job.is_open and not job.has_ordered_run:
+            if job.state == PENDING:
                 known = found.get(job.queue, WaitingJobs(0, job.accepted_at))
                 found[job.queue] = WaitingJobs(
                     known.count + 1, min(known.oldest_at, job.accepted_at)
