Give callers no count of waiting jobs from a leader without the records

Cause: from the start of its term, a leader sends heartbeats. Until it had read the records they carried no counts, and entries took a missing count for 0: unknown and none had the same form. Change: entries keep the last count of a leader that had read the records, apart from the heartbeat, and give it to callers up to an age of 1.5 s. After that the answer is 503 with Retry-After. Callers may get a count that is 2 s old, so that most changes of the leader are not noticed. Event 827 needs no field for the state of the records any more. Ruled out: 503 during every change of the leader, which tells callers less than they may get; counts from the store, which do not tell which jobs have started.

--- a/packages/briarshed-workloads/src/briarshed_workloads/entry.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/entry.py
@@ -600,6 +600,7 @@
                 self.term.note_event("lose", f"{heartbeat.leader} leads")
             return
         self.leader = LeaderView(sender, heartbeat, clock.now())
+        self.forwarder.note_leader_heartbeat(heartbeat)
 
     async def _handle_request(
         self, sender: str, message: SubmitRequest | JobRequest
--- a/packages/briarshed-workloads/src/briarshed_workloads/forwarding.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/forwarding.py
@@ -15,6 +15,7 @@
 from briarshed_workloads.records import JOBS, JobRecord, decode
 from briarshed_workloads.transport import (
     JobRequest,
+    LeaderHeartbeat,
     PeerTransport,
     PendingReplies,
     Reply,
@@ -46,6 +47,10 @@
 RETRY_AFTER_S = 1.0
 """Retry delay for callers while there is no leader; a change takes 1 s to 3 s."""
 
+MAX_COUNT_AGE_S = 1.5
+"""Age up to which a count of waiting jobs is given to callers, who may get one that is
+2 s old; the rest is for the way of the heartbeat that carried it."""
+
 
 class WaitingReport(NamedTuple):
     """A leader's count of waiting jobs.
@@ -56,8 +61,6 @@
         Name of the entry that counted.
     epoch : int
         Its term.
-    is_loaded : bool
-        Whether it had read the records.
     counted_at : float
         When it counted, or when its heartbeat was received, in seconds of the boot
         clock.
@@ -69,7 +72,6 @@
 
     leader: str
     epoch: int
-    is_loaded: bool
     counted_at: float
     counts: Mapping[str, int]
     oldest_at: Mapping[str, float]
@@ -101,6 +103,7 @@
         self._store = store
         self._transport = transport
         self._pending_replies = pending_replies
+        self._waiting_report: WaitingReport | None = None
 
     async def submit_locally(self, id: int, submission: Submission) -> Reply:
         """Submit a job to the controller of this process, if it leads."""
@@ -201,8 +204,22 @@
             return Reply(0, "missing")
         return Reply(0, decode(item.value, JobRecord).outcome or "pending")
 
+    def note_leader_heartbeat(self, heartbeat: LeaderHeartbeat) -> None:
+        """Keep the count of waiting jobs of a leader that has read the records."""
+        if heartbeat.is_loaded:
+            self._waiting_report = WaitingReport(
+                heartbeat.leader,
+                heartbeat.epoch,
+                clock.now(),
+                heartbeat.waiting,
+                heartbeat.oldest_waiting_at,
+            )
+
     def count_waiting(self, queue: str) -> int | None:
-        """Return the number of the queue's jobs that wait; None without a leader."""
+        """Return the number of the queue's jobs that wait; None if it is not known.
+
+        While the next leader reads the records, that is the last leader's count.
+        """
         report = self._find_waiting_report()
         if report is None:
             return None
@@ -216,7 +233,6 @@
             count=count,
             leader=report.leader,
             epoch=report.epoch,
-            is_loaded=report.is_loaded,
             age=round(age, 3),
             oldest=None if oldest_at is None else round(time.time() - oldest_at, 2),
         )
@@ -229,19 +245,11 @@
             return WaitingReport(
                 entry.options.name,
                 entry.controller.term.epoch,
-                True,
                 clock.now(),
                 {queue: row.count for queue, row in waiting.items()},
                 {queue: row.oldest_at for queue, row in waiting.items()},
             )
-        if entry.leader is None or not entry.is_leader_alive():
+        report = self._waiting_report
+        if report is None or clock.now() - report.counted_at > MAX_COUNT_AGE_S:
             return None
-        heartbeat = entry.leader.heartbeat
-        return WaitingReport(
-            heartbeat.leader,
-            heartbeat.epoch,
-            heartbeat.is_loaded,
-            entry.leader.received_at,
-            heartbeat.waiting,
-            heartbeat.oldest_waiting_at,
-        )
+        return report
--- a/packages/briarshed-workloads/src/briarshed_workloads/transport.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/transport.py
@@ -49,9 +49,10 @@
     ``version`` is that of its configuration. ``waiting`` maps a queue to the number of
     its jobs that have not started, and ``oldest_waiting_at`` to the Unix time in
     seconds at which the oldest of them was accepted; queues without such jobs are left
-    out. ``has_yielded`` is set if it resigns because of unexpected errors. ``sent_at``
-    is a time of the leader's boot clock in seconds. ``is_loaded`` is set once it has
-    read the records.
+    out. Both mean nothing unless ``is_loaded`` is set: a leader that has not read the
+    records yet does not know which jobs wait. ``has_yielded`` is set if it resigns
+    because of unexpected errors. ``sent_at`` is a time of the leader's boot clock in
+    seconds.
     """
 
     leader: str
--- a/packages/briarshed/src/briarshed/events.py
+++ b/packages/briarshed/src/briarshed/events.py
@@ -123,7 +123,7 @@
     827,
     "INFO",
     "queue {queue}: {count} jobs wait, the oldest for {oldest} s, as counted {age} s"
-    " ago by {leader} in epoch {epoch}, records read: {is_loaded}",
+    " ago by {leader} in epoch {epoch}",
 )
 
 RUN_ORDERED = Event(841, "INFO", "start {job_id} {task} at {endpoint}: {outcome}")
