Add failing tests of tasks that crash their endpoints

The bound is the users' rule: after three crashes a task must not be started three times more. The fake endpoints can now crash and come back as later incarnations.

--- /dev/null
+++ b/features/workloads/crashing_tasks.feature
@@ -0,0 +1,44 @@
+Feature: Tasks that crash the endpoints that start them
+
+  Scenario Outline: A task that crashes its endpoints is given up, and no other task
+    # Guards against a task that crashes one endpoint after another without a limit
+    # (BUDGET, molduras-pichincha, days with such tasks, seeds 2 and 3): runs that are
+    # lost with their endpoint counted as nothing, and the task was started again at once.
+    Given 40 jobs, <count> of them with a task that crashes its endpoint <when>
+    When they are submitted to 2 entries with 8 endpoints
+    Then no such task is started 3 times more after 3 crashes
+    And the jobs of these tasks are failed, and all others completed
+
+    Examples:
+      | count | when               |
+      | 1     | at once            |
+      | 4     | at once            |
+      | 1     | after 0.2 s        |
+      | 1     | after 0.45 s       |
+      | 1     | at once, silently  |
+
+  Scenario Outline: A change of the leader does not forget the crashes of a task
+    # Guards against a count that each new leader begins anew: with leaders killed among
+    # the crashes, 5 tasks had too many starts on such a day.
+    Given 40 jobs, 2 of them with a task that crashes its endpoint at once
+    When they are submitted to <entries> entries with 8 endpoints, and <kills> leaders are killed just after a crash
+    Then no such task is started 3 times more after 3 crashes
+    And the jobs of these tasks are failed, and all others completed
+
+    Examples:
+      | entries | kills |
+      | 3       | 1     |
+      | 4       | 2     |
+
+  Scenario Outline: No task is given up when endpoints crash for other reasons
+    # Guards against giving up sound work that was running where endpoints crashed.
+    Given 60 jobs without such a task
+    When they are submitted to 2 entries with 8 endpoints, and <crashes>
+    Then all jobs are completed
+
+    Examples:
+      | crashes                                                  |
+      | a random endpoint crashes every 0.7 s, with seed 1       |
+      | a random endpoint crashes every 0.7 s, with seed 2       |
+      | 4 endpoints crash together every 3.5 s, with seed 3      |
+      | one endpoint crashes every 3.2 s, with seed 4            |
--- /dev/null
+++ b/features/workloads/steps/crashing_task_steps.py
@@ -0,0 +1,176 @@
+"""Steps for tasks that crash their endpoints, with entries on fakes in virtual time."""
+
+import asyncio
+import random
+
+from behave import given, then, when
+from virtual_fleet import Fleet, find_overlap
+from virtual_time import run_virtually
+
+from briarshed_workloads.workloads import TaskId
+
+ENDPOINTS = tuple("abcdefgh")
+SUBMIT_INTERVAL_S = 0.1
+REST_S = 25.0
+CRASHES_ALLOWED = 3
+MORE_STARTS = 3
+"""A task breaks the rule when it is started this many times after that many crashes."""
+
+CRASHING_STEP = 0
+OUTAGES = 12
+
+
+def name_job(number):
+    """Return the id of a job."""
+    return f"{number:016x}"
+
+
+class Crasher:
+    """Crashes each endpoint that starts one of certain tasks.
+
+    Parameters
+    ----------
+    tasks : set of TaskId
+        Tasks that crash their endpoints.
+    when : str
+        When an endpoint crashes after the start, and whether it is silent then.
+    """
+
+    def __init__(self, tasks, when):
+        self.starts = dict.fromkeys(tasks, 0)
+        self.crashed = asyncio.Event()
+        delay = when.removeprefix("after ").partition(" ")[0]
+        self._delay = 0.0 if when.startswith("at once") else float(delay)
+        self._how = "silent" if when.endswith("silently") else "closed"
+        self._running = set()
+
+    def note_start(self, endpoint, order):
+        """Count a start, and crash the endpoint."""
+        if order.task in self.starts:
+            self.starts[order.task] += 1
+            task = asyncio.create_task(self._crash(endpoint, order))
+            self._running.add(task)
+            task.add_done_callback(self._running.discard)
+
+    async def _crash(self, endpoint, order):
+        await asyncio.sleep(self._delay)
+        if (order.task, order.run) in endpoint.running:
+            self.crashed.set()
+            await endpoint.crash(self._how)
+
+
+@given("{jobs:d} jobs, {count:d} of them with a task that crashes its endpoint {when}")
+def step_crashing_tasks(context, jobs, count, when):
+    every = jobs // count
+    context.jobs = jobs
+    context.when = when
+    context.tasks = {
+        TaskId(name_job(number), 0, CRASHING_STEP, 1)
+        for number in range(every // 2, jobs, every)
+    }
+
+
+@given("{jobs:d} jobs without such a task")
+def step_sound_tasks(context, jobs):
+    context.jobs = jobs
+    context.when = "at once"
+    context.tasks = set()
+
+
+def play(context, entries, disturb):
+    """Submit the jobs, disturb the fleet, and keep what came of the jobs."""
+
+    async def run():
+        names = tuple(f"e{number}" for number in range(entries))
+        async with Fleet(names, ENDPOINTS) as fleet:
+            crasher = Crasher(context.tasks, context.when)
+            fleet.endpoints.after_start = crasher.note_start
+            await fleet.wait_for_leader()
+            disturbing = asyncio.create_task(disturb(fleet, crasher))
+            for number in range(context.jobs):
+                fleet.submit(number)
+                await asyncio.sleep(SUBMIT_INTERVAL_S)
+            await disturbing
+            await asyncio.sleep(REST_S)
+            await fleet.wait_for_leader()
+            context.starts = crasher.starts
+            context.outcomes = fleet.list_outcomes()
+            context.overlap = find_overlap(fleet.list_runs())
+
+    run_virtually(run())
+
+
+async def do_nothing(fleet, crasher):
+    """Let the fleet run undisturbed."""
+
+
+@when("they are submitted to {entries:d} entries with 8 endpoints")
+def step_submitted(context, entries):
+    play(context, entries, do_nothing)
+
+
+@when(
+    "they are submitted to {entries:d} entries with 8 endpoints, and {kills:d} leaders"
+    " are killed just after a crash"
+)
+def step_leaders_killed(context, entries, kills):
+    async def kill(fleet, crasher):
+        for _ in range(kills):
+            crasher.crashed.clear()
+            await crasher.crashed.wait()
+            await asyncio.sleep(0.1)
+            leader = await fleet.wait_for_leader()
+            await fleet.kill(leader.options.name)
+
+    play(context, entries, kill)
+
+
+@when(
+    "they are submitted to {entries:d} entries with 8 endpoints, and {which} every"
+    " {seconds:g} s, with seed {seed:d}"
+)
+def step_endpoints_crash(context, entries, which, seconds, seed):
+    chance = random.Random(seed)
+
+    def choose():
+        if which.startswith("one endpoint"):
+            return ENDPOINTS[:1]
+        return chance.sample(ENDPOINTS, 4 if which.startswith("4 ") else 1)
+
+    async def crash(fleet, crasher):
+        crashing = []
+        for _ in range(OUTAGES):
+            await asyncio.sleep(seconds * chance.uniform(0.9, 1.1))
+            crashing += [
+                asyncio.create_task(fleet.endpoints.by_name[name].crash())
+                for name in choose()
+            ]
+        await asyncio.gather(*crashing)
+
+    play(context, entries, crash)
+
+
+@then("no such task is started 3 times more after 3 crashes")
+def step_starts(context):
+    assert all(context.starts.values()), context.starts
+    most = CRASHES_ALLOWED + MORE_STARTS - 1
+    assert max(context.starts.values()) <= most, context.starts
+    assert context.overlap is None, context.overlap
+
+
+@then("the jobs of these tasks are failed, and all others completed")
+def step_outcomes(context):
+    given_up = {task.job for task in context.tasks}
+    wrong = {
+        job: outcome
+        for job, outcome in context.outcomes.items()
+        if outcome != ("failed" if job in given_up else "completed")
+    }
+    assert len(context.outcomes) >= context.jobs - 1, len(context.outcomes)
+    assert not wrong, wrong
+
+
+@then("all jobs are completed")
+def step_all_completed(context):
+    assert len(context.outcomes) >= context.jobs - 1, len(context.outcomes)
+    assert set(context.outcomes.values()) == {"completed"}, context.outcomes
--- a/features/workloads/virtual_fleet.py
+++ b/features/workloads/virtual_fleet.py
@@ -25,6 +25,7 @@
     Accepted,
     Committed,
     Conflicted,
+    EndpointEndedError,
     Events,
     Item,
     LeaseEnded,
@@ -56,6 +57,8 @@
 STEPS = (Step(3, NEED, TASK_S), Step(2, NEED, TASK_S, after=(0,)))
 CONFIGURATION = b"configuration"
 NAMES = ("a", "b", "c", "d")
+REBOOT_S = 3.0
+SILENT_CALL_S = 0.5
 
 
 class Store:
@@ -201,13 +204,47 @@
 
     def __init__(self, name):
         self.name = name
+        self.started_at_ms = 1
+        self.down = ""
+        self.capacity = CAPACITY
+        self.crashes = []
+        self.record = []
+        self.running = {}
+        self.changed = asyncio.Event()
+        self._reset()
+
+    def _reset(self):
         self.token = 0
         self.deadline_ms = 0
-        self.running = {}
+        self.running.clear()
         self.ended = []
         self.count = 0
-        self.record = []
-        self.changed = asyncio.Event()
+
+    async def crash(self, how="closed"):
+        """Lose everything, and start again after a while.
+
+        Its connections are closed, or it is ``silent``. ``crashes`` records the time
+        and the runs that were lost.
+        """
+        if self.down:
+            return
+        self.down = how
+        self.crashes.append((clock.now(), list(self.running)))
+        for key, started_at in self.running.items():
+            self.record.append((key[0], started_at, clock.now(), "crashed"))
+        self._reset()
+        self.changed.set()
+        await asyncio.sleep(REBOOT_S)
+        self.started_at_ms += 1
+        self.down = ""
+
+    async def check_up(self):
+        """Raise the error that a call gets while the endpoint is down."""
+        if self.down == "silent":
+            await asyncio.sleep(SILENT_CALL_S)
+            raise OutcomeUnknownError("no response")
+        if self.down:
+            raise EndpointEndedError("closed its connection and refused a new one")
 
     def read_clock(self):
         """Return the endpoint's clock in ms."""
@@ -244,18 +281,21 @@
     """All endpoints.
 
     ``calls`` records the time and order of each start, and whether it was permitted.
-    ``before_send`` is called before each order is sent.
+    ``before_send`` is called before each order is sent, and ``after_start`` with the
+    endpoint and the order after each start.
     """
 
-    def __init__(self):
-        self.by_name = {name: Endpoint(name) for name in NAMES}
+    def __init__(self, names=NAMES):
+        self.by_name = {name: Endpoint(name) for name in names}
         self.calls = []
         self.before_send = lambda: None
+        self.after_start = lambda endpoint, order: None
 
     async def poll(self, name, address, token, acknowledged, deadline_ms, wait):
         """Raise the token, extend the lease and list runs and ends after the wait."""
         row = self.by_name[name]
         await asyncio.sleep(LATENCY_S)
+        await row.check_up()
         if not row.accept(token):
             return Refused("fenced")
         row.deadline_ms = max(row.deadline_ms, deadline_ms or 0)
@@ -268,13 +308,17 @@
                     await row.changed.wait()
             row.advance()
         await asyncio.sleep(LATENCY_S)
+        await row.check_up()
         listed = tuple(ListedRun(*key, "", 50, 0) for key in row.running)
-        return PollResponse(row.read_clock(), 1, listed, tuple(row.ended))
+        return PollResponse(
+            row.read_clock(), row.started_at_ms, listed, tuple(row.ended)
+        )
 
     async def start(self, name, address, order, permit):
         """Start a run."""
         row = self.by_name[name]
         await wait_to_send(permit, self.before_send)
+        await row.check_up()
         if not row.accept(order.token):
             return Refused("fenced")
         if row.read_clock() > order.deadline_ms:
@@ -282,6 +326,7 @@
         self.calls.append((clock.now(), order, permit()))
         row.deadline_ms = max(row.deadline_ms, order.deadline_ms)
         row.running[order.task, order.run] = clock.now()
+        self.after_start(row, order)
         return Accepted(row.read_clock())
 
     async def stop(self, name, address, task, run, token, permit):
@@ -301,12 +346,12 @@
 class Instances:
     """The platform's instances; ``orders`` records what the endpoints' ``calls`` do."""
 
-    def __init__(self):
+    def __init__(self, names=NAMES):
         self.orders = []
         self.before_send = lambda: None
         self.rows = {
             f"m-{name}": Instance(f"m-{name}", "pool", "up", "d", (), CAPACITY, name)
-            for name in NAMES
+            for name in names
         }
 
     async def read_instances(self):
@@ -344,17 +389,27 @@
 class Directory:
     """Registrations and orders."""
 
-    def __init__(self):
+    def __init__(self, endpoints):
         self.waves = ()
+        self._endpoints = endpoints
 
     async def read_endpoints(self):
         """Return the registered endpoints."""
         await asyncio.sleep(LATENCY_S)
         return tuple(
             Registration(
-                name, 1, name, "pool", "d", name, (), CAPACITY, instance=f"m-{name}"
+                name,
+                row.started_at_ms,
+                name,
+                "pool",
+                "d",
+                name,
+                (),
+                row.capacity,
+                instance=f"m-{name}",
             )
-            for name in NAMES
+            for name, row in self._endpoints.by_name.items()
+            if not row.down
         )
 
     async def read_orders(self):
@@ -426,11 +481,11 @@
 class Fleet:
     """Entries on fakes; a context manager that owns them."""
 
-    def __init__(self, names=("e1", "e2")):
+    def __init__(self, names=("e1", "e2"), endpoint_names=NAMES):
         self.store = Store()
-        self.endpoints = Endpoints()
-        self.instances = Instances()
-        self.directory = Directory()
+        self.endpoints = Endpoints(endpoint_names)
+        self.instances = Instances(endpoint_names)
+        self.directory = Directory(self.endpoints)
         self.network = Network()
         self.clients = {}
         self.entries = {}
