Give up tasks that crash the endpoints that start them

Cause: a run that was lost with its endpoint counted as nothing. The class is that of a retry without a budget: only the failures that an endpoint lists were counted, and a crash lists none. Change: the crash of an endpoint is evidence against the tasks that had just started there, and weak evidence against the others. A suspected task starts in isolation, which tells it from its neighbours; after two crashes with nothing else just started in one of them, or after four, it is given up, and its job fails. The evidence is part of the job's durable progress. Ordered and announced ends of endpoints, and endpoints that are silent but not known to have ended, are none. A suspected task is not copied.

--- a/packages/briarshed-workloads/src/briarshed_workloads/controller.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/controller.py
@@ -445,7 +445,8 @@
             return
         except EndpointEndedError as error:
             self._log_start(order, f"not sent: {error}")
-            self.poller.note_gone(endpoint, str(error))
+            self.engine.drop(run, "not sent")
+            self.poller.note_ended(endpoint, str(error))
             return
         except PermitExpiredError as error:
             self._log_start(order, f"not sent: {error}")
@@ -497,7 +498,7 @@
         now = clock.now()
         self.engine.drop(run, f"refused: {reason}")
         if reason == "replaced":
-            self.poller.note_gone(endpoint, reason)
+            self.poller.note_ended(endpoint, reason)
         elif reason == "fenced" and run.token >= endpoint.token:
             self.poller.note_fenced(endpoint, "start")
         elif reason != "old":
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from briarshed_workloads.configuration import UNLIMITED_TEAM, Configuration, QueueRules
+from briarshed_workloads.crashes import note_crash
 from briarshed_workloads.fleet import (
     DOUBTFUL,
     EXPIRY_MARGIN_S,
@@ -86,6 +87,9 @@
         Ids of the jobs whose records must be written.
     is_roster_unreadable : bool
         Whether the record of endpoints that may have runs could not be decoded.
+    crashed_at : dict
+        When an endpoint on an instance was last known to have crashed, in seconds of
+        the boot clock.
     earlier_runs_until : float
         Time until which runs ordered by earlier leaders may continue at endpoints that
         have not been polled yet, in seconds of the boot clock.
@@ -108,6 +112,7 @@
         self.roster: set[str] = set()
         self.is_roster_unreadable = False
         self.run_times: dict[str, float] = {}
+        self.crashed_at: dict[str, float] = {}
         self.shares = Shares()
         self._sequence = 0
         self._last_counters: dict[str, int] = {}
@@ -190,7 +195,7 @@
         """Cancel a job; the next plan stops its runs."""
         job.cancel(unix_now)
         self.unsaved_jobs[job.job_id] = None
-        self._add_stop_candidates(job)
+        self.add_stop_candidates(job)
 
     def forget_ended(self, unix_now: float, keep: float) -> list[str]:
         """Remove jobs that ended over ``keep`` seconds ago; return their ids."""
@@ -221,6 +226,7 @@
         run = Run(task, number, endpoint, step, find_need(step), team, now)
         run.is_copy = bool(self.runs.get(task))
         self._track(run)
+        endpoint.last_ordered_at = now
         self.jobs[task.job].note_ordered(task)
         return run
 
@@ -309,10 +315,10 @@
         for registration in listing:
             registered.add(registration.endpoint)
             try:
-                self._note_registration(registration)
+                self._note_registration(registration, now)
             except Exception as error:
                 report_error(f"registration of {registration.endpoint}", error)
-        self._note_earlier_incarnations()
+        self._note_earlier_incarnations(now)
         for name, endpoint in list(self.endpoints.items()):
             if name not in registered:
                 if endpoint.is_listed:
@@ -322,12 +328,13 @@
                     self._last_counters[name] = endpoint.counter
                     del self.endpoints[name]
 
-    def _note_registration(self, registration: Registration) -> None:
+    def _note_registration(self, registration: Registration, now: float) -> None:
         known = self.endpoints.get(registration.endpoint)
         if known is None:
             self.add_endpoint(registration)
             self._report_endpoint("ENDPOINT_ADDED", registration)
         elif registration.started_at_ms > known.registration.started_at_ms:
+            note_crash(self, known, now)
             self.note_replaced(known, "registered again")
             self.add_endpoint(registration)
             self._report_endpoint("ENDPOINT_ADDED", registration)
@@ -354,7 +361,7 @@
         self.endpoints[name] = endpoint
         return endpoint
 
-    def _note_earlier_incarnations(self) -> None:
+    def _note_earlier_incarnations(self, now: float) -> None:
         """Note that endpoints were replaced by a later one on their instance."""
         latest: dict[str, int] = {}
         for endpoint in self.endpoints.values():
@@ -370,6 +377,7 @@
                 registration.instance, 0
             )
             if is_earlier and not endpoint.is_gone:
+                note_crash(self, endpoint, now)
                 self.note_replaced(endpoint, "a later incarnation runs on its instance")
 
     def _report_endpoint(self, event: str, registration: Registration) -> None:
@@ -407,20 +415,29 @@
             and now > endpoint.find_lease_expiry()
         ]
         for endpoint in expired:
+            endpoint.lost_runs += endpoint.runs.values()
             self.drop_runs(endpoint, "lapsed unseen")
         return len(expired)
 
     def _note_response(self, endpoint: Endpoint, clock_ms: int, now: float) -> None:
         endpoint.answered_at = now
         endpoint.failing_since = 0.0
+        endpoint.lost_runs.clear()
         if clock_ms >= endpoint.clock_sample_ms:
             endpoint.clock_sample_ms = clock_ms
             endpoint.clock_sampled_at = now
 
-    def note_failing(self, endpoint: Endpoint, reason: str, now: float) -> None:
-        """Note that an endpoint did not respond."""
+    def note_failing(
+        self, endpoint: Endpoint, reason: str, now: float, alive_until: float = 0.0
+    ) -> None:
+        """Note that an endpoint did not respond.
+
+        ``alive_until`` is a time at which it was certainly running, if that is later
+        than its last response.
+        """
         if not endpoint.failing_since:
             endpoint.failing_since = now
+            endpoint.alive_until = max(alive_until, endpoint.answered_at)
             self.report(
                 "ENDPOINT_SILENT",
                 endpoint=endpoint.name,
@@ -450,7 +467,7 @@
             response.started_at_ms != endpoint.registration.started_at_ms
             and response.started_at_ms
         ):
-            self._note_restart(endpoint, response.started_at_ms)
+            self._note_restart(endpoint, response.started_at_ms, now)
             return
         self._note_response(endpoint, response.clock_ms, now)
         endpoint.polled_at = now
@@ -469,8 +486,9 @@
             self._note_running(endpoint, row, now)
         self._drop_missing(endpoint, listed_runs, counter, sent_at)
 
-    def _note_restart(self, endpoint: Endpoint, started_at_ms: int) -> None:
+    def _note_restart(self, endpoint: Endpoint, started_at_ms: int, now: float) -> None:
         """Reset the state of an endpoint that restarted under the same name."""
+        note_crash(self, endpoint, now)
         self.drop_runs(endpoint, "endpoint restarted")
         self._report_endpoint("ENDPOINT_RESTARTED", endpoint.registration)
         endpoint.registration = endpoint.registration._replace(
@@ -523,6 +541,8 @@
         if job is None:
             return
         job.note_begun()
+        if run.is_serving and job.crashes.pop(row.task, None):
+            self.unsaved_jobs[job.job_id] = None
         if row.checkpoint and row.checkpoint != run.checkpoint:
             run.checkpoint = row.checkpoint
             self._note_checkpoint(job, row.task, row.checkpoint)
@@ -536,6 +556,7 @@
             step, team = job.find_step(row.task), job.team
         run = Run(row.task, row.run, endpoint, step, find_need(step), team, now)
         run.confirmed_at = now
+        run.is_adopted = True
         run.has_unknown_need = not is_known
         wanted = (
             job is not None
@@ -606,7 +627,7 @@
         for other in self.runs.get(ended.task, ()):
             self._stop_candidates[other] = None
         if not job.is_open:
-            self._add_stop_candidates(job)
+            self.add_stop_candidates(job)
         if was_open and job.state == COMPLETED:
             self.report("JOB_COMPLETED", job_id=job.job_id, queue=job.queue)
 
@@ -636,7 +657,7 @@
         job.failed_endpoints.setdefault(ended.task, set()).add(endpoint.name)
         self.note_task_failure(endpoint, step.image or job.job_id, now)
         if job.note_failed(ended.task, ended.run, self.to_unix_time(now)):
-            self._add_stop_candidates(job)
+            self.add_stop_candidates(job)
             self.report(
                 "JOB_FAILED",
                 job_id=job.job_id,
@@ -666,7 +687,7 @@
                 orders.append(StopOrder(run, reason))
         return orders
 
-    def _add_stop_candidates(self, job: Job) -> None:
+    def add_stop_candidates(self, job: Job) -> None:
         """Let the next `list_due_stop_orders` check all runs of a job."""
         for number, step in enumerate(job.description.steps):
             for occurrence in range(job.count_occurrences()):
--- a/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
@@ -34,8 +34,9 @@
 
     ``state`` is ``ordered`` (no response yet), ``present``, ``stopping``, or
     ``doubtful`` (there was no response to the start or stop order). Times are seconds
-    of the boot clock. ``has_unknown_need`` is set for a run whose job is not known or
-    has ended before this leader's term, so that the records do not tell its resources.
+    of the boot clock. ``is_adopted`` is set for a run that this leader has found and
+    not ordered. ``has_unknown_need`` is set for a run whose job is not known or has
+    ended before this leader's term, so that the records do not tell its resources.
     """
 
     __slots__ = (
@@ -43,6 +44,7 @@
         "confirmed_at",
         "endpoint",
         "has_unknown_need",
+        "is_adopted",
         "is_copy",
         "load",
         "need",
@@ -88,8 +90,14 @@
         self.checkpoint = ""
         self.stop_requested_at = 0.0
         self.is_copy = False
+        self.is_adopted = False
         self.has_unknown_need = False
 
+    @property
+    def started_at(self) -> float:
+        """When the start was confirmed, or else ordered."""
+        return self.confirmed_at or self.ordered_at
+
     @property
     def is_present(self) -> bool:
         """Whether the endpoint has confirmed the run and it is not being stopped."""
@@ -101,22 +109,37 @@
         return self.state == PRESENT and self.percent >= 100
 
 
+class Isolation(NamedTuple):
+    """Lets one task start at an endpoint, and no other before a time.
+
+    ``until`` is in seconds of the boot clock.
+    """
+
+    task: TaskId
+    until: float
+
+
 class Endpoint:
     """One incarnation of an endpoint.
 
     ``acknowledged`` is the highest number of an end whose effect is durable, and
     ``last_listed_end`` the highest that was listed. ``answered_at`` is the time of the
-    last response to any call, and ``polled_at`` that of the last list of runs.
+    last response to any call, and ``polled_at`` that of the last list of runs. While
+    calls fail, ``alive_until`` is the last time at which it was certainly running.
     ``is_fenced`` is set once this incarnation has answered a poll of this leader, so
     that it rejects orders of earlier leaders.
 
     An endpoint that is ``evicting`` is drained for maintenance; one that is
     ``retiring`` gets no new runs, since its pool has surplus capacity.
+    ``is_end_ordered`` is set once its instance may have been ordered into maintenance
+    or another pool. ``lost_runs`` holds the runs whose lease expired while it did not
+    respond.
     """
 
     __slots__ = (
         "_unknown_needs",
         "acknowledged",
+        "alive_until",
         "answered_at",
         "clock_sample_ms",
         "clock_sampled_at",
@@ -126,10 +149,14 @@
         "failing_since",
         "fenced_counter",
         "full_until",
+        "is_end_ordered",
         "is_gone",
         "is_listed",
+        "isolation",
         "last_deadline_ms",
         "last_listed_end",
+        "last_ordered_at",
+        "lost_runs",
         "needs_fence",
         "polled_at",
         "registration",
@@ -153,12 +180,17 @@
         self.clock_sample_ms = 0
         self.clock_sampled_at = 0.0
         self.answered_at = 0.0
+        self.alive_until = 0.0
         self.polled_at = 0.0
         self.failing_since = 0.0
         self.full_until = 0.0
         self.last_deadline_ms = 0
         self.is_listed = True
         self.is_gone = False
+        self.is_end_ordered = False
+        self.isolation: Isolation | None = None
+        self.last_ordered_at = 0.0
+        self.lost_runs: list[Run] = []
         self.evicting = False
         self.retiring = False
         self.reputation = outliers.EndpointReputation()
@@ -168,6 +200,11 @@
         """Name of the endpoint."""
         return self.registration.endpoint
 
+    @property
+    def place(self) -> str:
+        """Instance on which it runs, or its own name if that is not known."""
+        return self.registration.instance or self.name
+
     @property
     def token(self) -> int:
         """Fencing token of the next order."""
@@ -188,6 +225,10 @@
         """Whether the resources of all runs are known."""
         return self._unknown_needs == 0
 
+    def is_isolated(self, now: float) -> bool:
+        """Return whether only one task may start there."""
+        return self.isolation is not None and now < self.isolation.until
+
     def find_free(self) -> Resources:
         """Return the free capacity; an upper bound without a known capacity."""
         return subtract(self.registration.capacity, self.used)
--- a/packages/briarshed-workloads/src/briarshed_workloads/interfaces.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/interfaces.py
@@ -32,6 +32,10 @@
     """The call may have been executed, or may be executed later."""
 
 
+class ConnectionClosedError(OutcomeUnknownError):
+    """The peer closed the connection gracefully without a response."""
+
+
 class EndpointEndedError(BriarshedError):
     """The endpoint's process, and with it every run there, has provably ended."""
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
@@ -6,6 +6,12 @@
 
 from briarshed.charts import advance, load_chart
 from briarshed_workloads.configuration import QueueRules
+from briarshed_workloads.crashes import (
+    MAX_ISOLATION_WAIT_S,
+    MIN_CRASHES,
+    is_given_up,
+    is_suspected,
+)
 from briarshed_workloads.records import JobRecord, ProgressRecord, TaskRecord
 from briarshed_workloads.workloads import Description, Resources, Step, TaskId
 
@@ -39,6 +45,7 @@
         "checkpoints",
         "completed_occurrences",
         "core_seconds",
+        "crashes",
         "description",
         "ended_at",
         "failed_endpoints",
@@ -52,6 +59,7 @@
         "queue",
         "state",
         "succeeded",
+        "suspected_at",
         "team",
         "waiting",
     )
@@ -82,6 +90,8 @@
         self.cached_remaining: tuple[float, float] | None = None
         self.succeeded: dict[tuple[int, int], set[int]] = {}
         self.failed_runs: dict[TaskId, set[int]] = {}
+        self.crashes: dict[TaskId, dict[int, int]] = {}
+        self.suspected_at: dict[TaskId, float] = {}
         self.checkpoints: dict[TaskId, str] = {}
         self.waiting: dict[TaskId, None] = {}
         self.opened_steps: set[tuple[int, int]] = set()
@@ -252,6 +262,40 @@
             runs |= self.failed_runs.get(task._replace(index=index), set())
         return len(runs) >= self.max_attempts
 
+    def note_crash(
+        self, task: TaskId, run: int, evidence: int, unix_now: float
+    ) -> bool:
+        """Record that the endpoint of a run has crashed.
+
+        Parameters
+        ----------
+        evidence : int
+            Evidence against the run, see `briarshed_workloads.crashes`.
+
+        Returns
+        -------
+        bool
+            Whether the task is given up and the job fails because of it.
+        """
+        self.crashes.setdefault(task, {})[run] = evidence
+        self.suspected_at.pop(task, None)
+        if self.is_open and is_given_up(self.crashes[task]):
+            self._finish("fail", unix_now)
+            return True
+        return False
+
+    def must_isolate(self, task: TaskId, now: float) -> bool:
+        """Return whether a waiting task should start in isolation now.
+
+        A task that was suspected once waits for that for a limited time only. The
+        members of a gang start together.
+        """
+        crashes = self.crashes.get(task)
+        if not crashes or not is_suspected(crashes) or self.find_step(task).gang:
+            return False
+        waited = now - self.suspected_at.setdefault(task, now)
+        return len(crashes) >= MIN_CRASHES or waited < MAX_ISOLATION_WAIT_S
+
     def cancel(self, unix_now: float) -> None:
         """Cancel the job at the caller's request."""
         if self.is_open:
@@ -286,7 +330,7 @@
         )
         names = [
             task
-            for task in {*self.failed_runs, *self.checkpoints}
+            for task in {*self.failed_runs, *self.checkpoints, *self.crashes}
             if not self.has_succeeded(task)
         ]
         tasks = tuple(
@@ -296,6 +340,7 @@
                 task.index,
                 tuple(sorted(self.failed_runs.get(task, ()))),
                 self.checkpoints.get(task, ""),
+                tuple(self.crashes.get(task, {}).items()),
             )
             for task in names
         )
@@ -313,7 +358,9 @@
                     self.failed_runs[task] = set(row.failed_runs)
                 if row.checkpoint:
                     self.checkpoints[task] = row.checkpoint
-            if self.succeeded or self.failed_runs or self.checkpoints:
+                if row.crashes:
+                    self.crashes[task] = dict(row.crashes)
+            if progress.succeeded or progress.tasks:
                 self.note_begun()
         steps = range(len(self.description.steps))
         for occurrence in range(self.count_occurrences()):
--- a/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
@@ -342,6 +342,7 @@
         if endpoint is not None:
             # No run may start there between the decision and its effect.
             endpoint.require_fence()
+            endpoint.is_end_ordered = True
         token = self._next_token()
         outcome = await self._api.move(
             move.instance,
@@ -366,7 +367,10 @@
             self.instances[move.instance] = row._replace(
                 pool=move.pool, state="moving", endpoint=""
             )
-        elif outcome.reason == "invalid":
+            return
+        if endpoint is not None:
+            endpoint.is_end_ordered = False
+        if outcome.reason == "invalid":
             self._rejected.add((move.instance, move.pool))
 
     def _list_short_pools(self, now: float) -> set[str]:
@@ -454,6 +458,8 @@
     async def _order(self, view: WaveView, row: Candidate) -> None:
         name = row.instance.instance
         token = self._next_token()
+        if row.endpoint is not None:
+            row.endpoint.is_end_ordered = True
         outcome = await self._api.maintain(
             name,
             view.order.wave,
@@ -471,6 +477,8 @@
         )
         if done or outcome.reason == "wave":
             self._note_begun(view, name)
+        if row.endpoint is not None and not done:
+            row.endpoint.is_end_ordered = False
         if done and row.endpoint is not None:
             # The call also succeeds if an earlier leader's order was carried out. Then
             # this endpoint is still running, which its next poll shows.
--- a/packages/briarshed-workloads/src/briarshed_workloads/planning.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/planning.py
@@ -7,8 +7,13 @@
 from collections.abc import Collection, Iterable, Sequence
 from typing import NamedTuple
 
+from briarshed_workloads.crashes import (
+    ISOLATION_S,
+    SUSPICION_WINDOW_S,
+    has_crashed_recently,
+)
 from briarshed_workloads.engine import Engine
-from briarshed_workloads.fleet import Endpoint, Run, StartOrder, is_within
+from briarshed_workloads.fleet import Endpoint, Isolation, Run, StartOrder, is_within
 from briarshed_workloads.jobs import Job, find_need, find_objective
 from briarshed_workloads.outliers import find_slow, project_ratio
 from briarshed_workloads.supervision import report_error
@@ -57,16 +62,18 @@
 def _plan_pool(engine: Engine, pool: str, now: float, orders: list[StartOrder]) -> None:
     """Reserve runs for the waiting tasks of a pool and add their start orders."""
     jobs = [job for job in engine.list_open(pool).values() if job.waiting]
+    if may_have_earlier_runs(engine, pool, now):
+        jobs = [job for job in jobs if not job.is_restored]
     if not jobs:
         return
+    _start_suspects(engine, pool, jobs, now, orders)
     eligible = list_eligible(engine, pool, now)
     if not eligible or not _has_capacity(jobs, eligible):
         return
-    may_run_already = may_have_earlier_runs(engine, pool, now)
     unix_now = engine.to_unix_time(now)
     ranked: list[tuple[tuple, Job]] = []
     for job in jobs:
-        if may_run_already and job.is_restored:
+        if not job.waiting:
             continue
         try:
             ranked.append((rank_job(engine, job, unix_now), job))
@@ -93,7 +100,7 @@
             for job in engine.list_open(pool).values()
             if any(step.speculative for step in job.description.steps)
             for runs in _list_single_runs(engine, job)
-            if is_overdue(engine, runs[0], now)
+            if not job.crashes.get(runs[0].task) and is_overdue(engine, runs[0], now)
         ]
         if not overdue:
             continue
@@ -176,7 +183,16 @@
 
 
 def list_eligible(engine: Engine, pool: str, now: float) -> list[Endpoint]:
-    """Return the endpoints of a pool that may get new runs."""
+    """Return the endpoints of a pool that may get new runs of any task."""
+    return [
+        endpoint
+        for endpoint in list_available(engine, pool, now)
+        if not endpoint.is_isolated(now)
+    ]
+
+
+def list_available(engine: Engine, pool: str, now: float) -> list[Endpoint]:
+    """Return the endpoints of a pool that may get new runs, isolated ones included."""
     # waiting.find_endpoint_state names the reason for each endpoint that is left out.
     return [
         endpoint
@@ -272,6 +288,8 @@
             # An earlier leader started it before this one knew that its step is ready.
             job.waiting.pop(task)
             continue
+        if job.must_isolate(task, now):
+            continue
         step = job.find_step(task)
         need = find_need(step)
         if step.gang:
@@ -288,6 +306,61 @@
         orders.append(_reserve(engine, job, task, step, endpoint, now))
 
 
+def _start_suspects(
+    engine: Engine, pool: str, jobs: Iterable[Job], now: float, orders: list[StartOrder]
+) -> None:
+    """Isolate an endpoint for each suspected task, and start the task there.
+
+    Those with the most crashes come first. At most half of the endpoints are isolated
+    at a time. A task starts once nothing else has started at its endpoint for
+    `SUSPICION_WINDOW_S`.
+    """
+    suspects = [
+        (job, task)
+        for job in jobs
+        if job.crashes
+        for task in job.waiting
+        if job.must_isolate(task, now) and not engine.runs.get(task)
+    ]
+    if not suspects:
+        return
+    suspects.sort(key=lambda row: -len(row[0].crashes[row[1]]))
+    available = list_available(engine, pool, now)
+    for job, task in suspects:
+        endpoint = _isolate(engine, job, task, available, now)
+        if endpoint is None:
+            continue
+        endpoint.isolation = Isolation(task, now + ISOLATION_S)
+        if now - endpoint.last_ordered_at >= SUSPICION_WINDOW_S:
+            step = job.find_step(task)
+            orders.append(_reserve(engine, job, task, step, endpoint, now))
+
+
+def _isolate(
+    engine: Engine, job: Job, task: TaskId, available: Sequence[Endpoint], now: float
+) -> Endpoint | None:
+    """Return the endpoint that is or can be isolated for a task, or None."""
+    step = job.find_step(task)
+    need = find_need(step)
+    maximum = engine.find_team_limit(job.team)
+    if not is_within(engine.usage.read(job.team), need, maximum):
+        return None
+    counts = _count_step(engine, task, step)
+    fitting = [row for row in available if _can_start(step, need, row, counts)]
+    isolated = [row for row in available if row.is_isolated(now)]
+    for endpoint in fitting:
+        if endpoint in isolated and endpoint.isolation.task == task:
+            return endpoint
+    if len(isolated) >= max(1, len(available) // 2):
+        return None
+    # A crash costs what runs at the endpoint.
+    return min(
+        (row for row in fitting if row not in isolated),
+        key=lambda row: (has_crashed_recently(engine, row, now), row.used.cpu),
+        default=None,
+    )
+
+
 def _reserve(
     engine: Engine,
     job: Job,
@@ -392,11 +465,9 @@
     best: Endpoint | None = None
     best_score: tuple = (math.inf,)
     for endpoint in candidates.endpoints:
-        if not fits(need, endpoint.find_free()) or not _has_label(step, endpoint):
+        if not _can_start(step, need, endpoint, counts):
             continue
         here = counts.get(endpoint.name, 0)
-        if step.per_endpoint and here >= step.per_endpoint:
-            continue
         is_last_choice = (
             endpoint.name in failed_endpoints or endpoint.name in candidates.slow
         )
@@ -406,6 +477,15 @@
     return best
 
 
+def _can_start(
+    step: Step, need: Resources, endpoint: Endpoint, counts: dict[str, int]
+) -> bool:
+    """Return whether an endpoint has capacity and label for a task of a step."""
+    if not fits(need, endpoint.find_free()) or not _has_label(step, endpoint):
+        return False
+    return not step.per_endpoint or counts.get(endpoint.name, 0) < step.per_endpoint
+
+
 def _has_label(step: Step, endpoint: Endpoint) -> bool:
     return not step.label or step.label in endpoint.registration.labels
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/polling.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/polling.py
@@ -7,12 +7,15 @@
 from typing import Any
 
 from briarshed import events
+from briarshed.exceptions import BriarshedError
 from briarshed_entry import clock
 from briarshed_entry.logs import log_event
 from briarshed_workloads import telemetry
+from briarshed_workloads.crashes import SUSPICION_WINDOW_S, note_crash
 from briarshed_workloads.engine import Engine
 from briarshed_workloads.fleet import Endpoint, Run
 from briarshed_workloads.interfaces import (
+    ConnectionClosedError,
     EndpointEndedError,
     Endpoints,
     NotExecutedError,
@@ -220,10 +223,11 @@
             )
         except (OutcomeUnknownError, NotExecutedError) as error:
             # A refused connection does not prove an end: a partition refuses as well.
-            self.note_unresponsive(endpoint, str(error))
+            alive_until = _find_alive_until(error, sent_at)
+            self.note_unresponsive(endpoint, str(error), alive_until)
             return False
         except EndpointEndedError as error:
-            self.note_gone(endpoint, str(error))
+            self.note_ended(endpoint, str(error), _find_alive_until(error, sent_at))
             return False
         now = clock.now()
         telemetry.observe_seconds("look", now - sent_at)
@@ -239,7 +243,7 @@
                 runs=len(endpoint.runs),
                 ends=len(response.ended),
             )
-        if endpoint.has_unsaved_ends:
+        if endpoint.has_unsaved_ends or engine.unsaved_jobs:
             self._request_save()
         self._note_changed()
         if endpoint.last_listed_end > known:
@@ -248,7 +252,7 @@
 
     def _note_refused_poll(self, endpoint: Endpoint, reason: str, counter: int) -> bool:
         if reason == "replaced":
-            self.note_gone(endpoint, reason)
+            self.note_ended(endpoint, reason)
         elif reason == "fenced" and counter >= endpoint.counter:
             self.note_fenced(endpoint, "look")
         return False
@@ -259,14 +263,16 @@
         if not self._term.lost.is_set():
             self._term.note_event("lose", f"fenced at {endpoint.name}")
 
-    def note_unresponsive(self, endpoint: Endpoint, reason: str) -> None:
+    def note_unresponsive(
+        self, endpoint: Endpoint, reason: str, alive_until: float = 0.0
+    ) -> None:
         """Note that an endpoint does not respond.
 
         Once its run lease has expired, its runs are dropped. If it is not registered
         either, it counts as gone.
         """
         now = clock.now()
-        self._engine.note_failing(endpoint, reason, now)
+        self._engine.note_failing(endpoint, reason, now, alive_until)
         self.wake(endpoint.name)
         self._spawn(
             self._endpoints.discard_connections(endpoint.registration.address),
@@ -279,11 +285,34 @@
         ):
             self.note_gone(endpoint, "not responding and not registered")
 
-    def note_gone(self, endpoint: Endpoint, reason: str) -> None:
+    def note_ended(
+        self, endpoint: Endpoint, reason: str, alive_until: float = 0.0
+    ) -> None:
         """Note that an endpoint's process has provably ended."""
         now = clock.now()
+        self._engine.note_failing(endpoint, reason, now, alive_until)
+        note_crash(self._engine, endpoint, now)
+        self.note_gone(endpoint, reason)
+
+    def note_gone(self, endpoint: Endpoint, reason: str) -> None:
+        """Note that an endpoint and all its runs have ended."""
+        if endpoint.is_gone:
+            return
+        now = clock.now()
         self._engine.note_failing(endpoint, reason, now)
         self._engine.drop_runs(endpoint, reason)
         endpoint.is_gone = True
         log_event(events.ENDPOINT_GONE, endpoint=endpoint.name, reason=reason)
+        self._request_save()
         self._note_changed()
+
+
+def _find_alive_until(error: BriarshedError, sent_at: float) -> float:
+    """Return when the endpoint of a failed poll was certainly running, or 0.
+
+    An endpoint that closes the connection of a poll that has been waiting there was
+    running until then.
+    """
+    is_closed = isinstance(error, ConnectionClosedError | EndpointEndedError)
+    now = clock.now()
+    return now if is_closed and now - sent_at > SUSPICION_WINDOW_S else 0.0
--- a/packages/briarshed-workloads/src/briarshed_workloads/records.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/records.py
@@ -40,7 +40,8 @@
     """State of a task that has not succeeded.
 
     ``failed_runs`` lists the numbers of failed runs, so that an end that is listed
-    again after a change of leader is counted once.
+    again after a change of leader is counted once. ``crashes`` holds rows of the number
+    of a run whose endpoint has crashed, and the evidence against the run.
     """
 
     occurrence: int
@@ -48,6 +49,7 @@
     index: int
     failed_runs: tuple[int, ...]
     checkpoint: str
+    crashes: tuple[tuple[int, int], ...] = ()
 
 
 class ProgressRecord(msgspec.Struct, array_like=True, frozen=True):
--- a/packages/briarshed-workloads/src/briarshed_workloads/waiting.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/waiting.py
@@ -76,7 +76,7 @@
         may_run_already = may_have_earlier_runs(engine, pool, now)
         tasks: Counter[str] = Counter()
         for job in jobs:
-            tasks[_find_reason(engine, job, may_run_already)] += len(job.waiting)
+            tasks[_find_reason(engine, job, may_run_already, now)] += len(job.waiting)
         states: Counter[str] = Counter()
         used = free = 0
         for endpoint in engine.endpoints.values():
@@ -96,11 +96,14 @@
         )
 
 
-def _find_reason(engine: Engine, job: Job, may_run_already: bool) -> str:
+def _find_reason(engine: Engine, job: Job, may_run_already: bool, now: float) -> str:
     """Return why the first waiting task of a job waits."""
     if may_run_already and job.is_restored:
         return "earlier leader's runs"
-    step = job.find_step(next(iter(job.waiting)))
+    task = next(iter(job.waiting))
+    if job.must_isolate(task, now):
+        return "isolation"
+    step = job.find_step(task)
     maximum = engine.find_team_limit(job.team)
     if not is_within(engine.usage.read(job.team), find_need(step), maximum):
         return "limit of the team"
@@ -118,6 +121,7 @@
         "in maintenance": endpoint.evicting,
         "moving": endpoint.retiring,
         "not fenced": not endpoint.is_fenced,
+        "isolated": endpoint.is_isolated(now),
         "ejected": reputation.ejected_until > now,
         "full": endpoint.full_until > now,
         "not recorded": endpoint.name not in engine.roster,
--- a/packages/briarshed/src/briarshed/events.py
+++ b/packages/briarshed/src/briarshed/events.py
@@ -119,6 +119,11 @@
     "pool {pool}: tasks wait for {tasks}; {free} cores free, endpoints {endpoints}",
 )
 
+JOB_GIVEN_UP = Event(
+    828,
+    "WARNING",
+    "job {job_id} failed: {crashes} endpoints crashed while {task} was running",
+)
 WAITING_JOBS_ANSWERED = Event(
     827,
     "INFO",
@@ -150,6 +155,9 @@
 ENDPOINT_AVOIDED = Event(
     868, "WARNING", "endpoint {endpoint} ejected; no new tasks for {seconds} s"
 )
+ENDPOINT_CRASHED = Event(
+    870, "WARNING", "endpoint {endpoint} crashed with {runs} runs; suspects {suspects}"
+)
 ENTRY_UNREADABLE = Event(869, "WARNING", "store key {key} is unreadable: {error}")
 
 
