Take an instance for gone only after lists have lacked it for 3 s

What users would see: a wave said to be completed although an instance that stays has not begun its maintenance (MIXED), or more instances down than the maximum (LIMIT). Cause: an instance that the last list lacked counted as gone, and as not down. The wave was recorded as completed and never opened again, by later leaders either. A list that had not been read was taken for empty too: the time of the last read started at 0, so that no list was read within 0.9 s of the start of the machine. Change: an instance is gone once all lists have lacked it for 3 s and no registered endpoint runs on it. Until then its wave stays open, and it counts as down if its maintenance had begun. The list is read before the first decision. Evidence: wave_takeover.feature, five new scenarios. Four failed before; the fifth, a wave that is completed without an instance that is gone, passed before and guards the change. Ruled out: ordering an instance that is not listed, and taking the rejection as proof that it is gone. If it exists, its runs are not known and would be ended. Keeping the last row of an instance that is not listed: orders would rely on its old endpoint.

--- a/features/workloads/steps/wave_takeover_steps.py
+++ b/features/workloads/steps/wave_takeover_steps.py
@@ -1,8 +1,10 @@
 """Steps for maintenance waves, with a fake of the platform's instance interface."""
 
 import asyncio
+import math
 import time
 from types import SimpleNamespace
+from unittest import mock
 
 from behave import given, then, when
 from engine_steps import (
@@ -342,3 +344,66 @@
     holders = [name for name in context.chosen if name < "m06"]
     assert len(holders) == 2, context.chosen
     assert len(context.chosen) == 8, context.chosen
+
+
+@given('the instance list lacks "{name}" for a moment')
+@given('the instance list lacks "{name}" from now on')
+def step_unlisted(context, name):
+    context.unlisted = context.calls.rows.pop(name)
+
+
+@given('an endpoint is registered on "m2", which the instance list lacks')
+def step_registered_unlisted(context):
+    step_unlisted(context, "m2")
+    endpoint = context.engine.endpoints["a"]
+    endpoint.registration = endpoint.registration._replace(instance="m2")
+
+
+@given('a wave over "m1", "m2" and "m3" with a maximum of 1, of which "m1" is down')
+def step_down_of_one(context):
+    build(context, maximum=1, down=("m1",))
+    context.record = WaveRecord(("m1",), False)
+
+
+@then("the wave is not completed")
+def step_not_completed(context):
+    assert context.maintenance.waves
+    step_not_recorded(context)
+
+
+def read_list_again(context):
+    """Let the next step read the instance list."""
+    context.maintenance._listed_at = -math.inf
+
+
+@when('the instance list names "m2" again')
+def step_listed_again(context):
+    context.calls.rows["m2"] = context.unlisted
+    read_list_again(context)
+    run_maintenance(context)
+
+
+@then('"m2" is ordered before the wave is recorded as completed')
+def step_ordered_before(context):
+    assert context.calls.ordered == ["m3", "m2"], context.calls.ordered
+    assert context.saved[-1].is_completed
+
+
+@when('the instance list has lacked "m2" for 10 s')
+def step_lacked(context):
+    with mock.patch.object(clock, "now", return_value=clock.now() + 10.0):
+        run_maintenance(context)
+
+
+@then('the wave is recorded as completed without "m2"')
+def step_completed_without(context):
+    assert context.saved[-1].is_completed
+    assert sorted(context.saved[-1].begun) == ["m1", "m3"]
+
+
+@when("the new leader decides 0.5 s after the start of its machine")
+def step_after_boot(context):
+    with mock.patch.object(clock, "now", return_value=0.5):
+        context.maintenance.restore(1, context.record)
+        context.maintenance.set_waves([context.order])
+        asyncio.run(context.maintenance.run_once(0.5))
--- a/features/workloads/wave_takeover.feature
+++ b/features/workloads/wave_takeover.feature
@@ -84,3 +84,45 @@
     Given a wave over 12 instances, 6 of them with a task of one step with a budget of 1
     When 2 s have passed
     Then 2 instances with such a task are to be drained, and all others without
+
+  Scenario: An instance that a list lacks for a moment still needs its maintenance
+    # Guards against a wave that is completed too early (MIXED). The pages of a list
+    # are no snapshot, and an instance that a list lacked counted as gone.
+    Given a wave over "m1", "m2" and "m3", of which an earlier leader began "m1"
+    And the instance list lacks "m2" for a moment
+    When the new leader takes over the records and the orders
+    Then the wave is not completed
+    When the instance list names "m2" again
+    Then "m2" is ordered before the wave is recorded as completed
+
+  Scenario: A wave is completed without the instances that are gone
+    # Guards against a wave that never ends: an instance that is lost for good is no
+    # longer listed.
+    Given a wave over "m1", "m2" and "m3", of which an earlier leader began "m1"
+    And the instance list lacks "m2" from now on
+    When the new leader takes over the records and the orders
+    And the instance list has lacked "m2" for 10 s
+    Then the wave is recorded as completed without "m2"
+
+  Scenario: An instance is not gone while its endpoint is registered
+    # Guards against a wave that is completed too early (MIXED) when the list stays
+    # incomplete, as after an outage of the platform.
+    Given a wave over "m1", "m2" and "m3", of which an earlier leader began "m1"
+    And an endpoint is registered on "m2", which the instance list lacks
+    When the new leader takes over the records and the orders
+    And the instance list has lacked "m2" for 10 s
+    Then the wave is not completed
+
+  Scenario: An instance that is down counts although a list lacks it
+    # Guards against more instances down than the wave's maximum (LIMIT).
+    Given a wave over "m1", "m2" and "m3" with a maximum of 1, of which "m1" is down
+    And the instance list lacks "m1" for a moment
+    When the new leader takes over the records and the orders
+    Then it orders nothing
+
+  Scenario: A leader reads the instance list before it decides on a wave
+    # Guards against a wave that is completed too early (MIXED): within 0.9 s of the
+    # start of its machine, a leader took the list that it had not read for empty.
+    Given a wave over "m1", "m2" and "m3", of which an earlier leader began "m1"
+    When the new leader decides 0.5 s after the start of its machine
+    Then the wave is not recorded as completed
--- a/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
@@ -38,6 +38,10 @@
 LIST_INTERVAL_S = 0.9
 """Interval between reads of the instance list; each page is billed."""
 
+GONE_AFTER_S = 3.0
+"""Time for which all lists must lack an instance until it counts as gone. The pages of
+a list are no snapshot, so that one list may lack an instance that exists."""
+
 MOVE_COOLDOWN_S = 2.5
 """Time for which a moved instance gets no order; a move is visible after 1.5 s."""
 
@@ -62,13 +66,15 @@
 
     ``seen_at`` is when a leader first read the order, ``begun`` names the instances
     whose maintenance has begun, and ``ordered_at`` holds the times of their orders.
-    Times are seconds of the boot clock.
+    ``gone`` names the instances that no longer exist. Times are seconds of the boot
+    clock.
     """
 
     order: WaveOrder
     seen_at: float
     begun: set[str]
     ordered_at: dict[str, float]
+    gone: frozenset[str] = frozenset()
 
 
 class Candidate(NamedTuple):
@@ -89,10 +95,11 @@
     """Return the instances to drain now, at most the wave's maximum at a time.
 
     Instances that are down for the wave, or whose order has no response yet, count
-    against the maximum. Those with long-running tasks come first, as many as the
-    outage budget of a step allows and one more: they can only be drained one after the
-    other. The others follow, ordered by their number of runs. While there is time, they
-    wait if their pool is short of capacity, since its demand subsides.
+    against the maximum, and so do those that have begun and are not listed. Those with
+    long-running tasks come first, as many as the outage budget of a step allows and one
+    more: they can only be drained one after the other. The others follow, ordered by
+    their number of runs. While there is time, they wait if their pool is short of
+    capacity, since its demand subsides.
 
     Parameters
     ----------
@@ -105,7 +112,9 @@
     """
     order = view.order
     down = sum(
-        name in instances and instances[name].state == "maintenance"
+        instances[name].state == "maintenance"
+        if name in instances
+        else name in view.begun and name not in view.gone
         for name in order.instances
     )
     pending = [
@@ -209,7 +218,8 @@
         self._save = save
         self._note_sizes = note_sizes
         self._instance_list = telemetry.Dependency("instance list")
-        self._listed_at = 0.0
+        self._listed_at = -math.inf
+        self._missing_since: dict[str, float] = {}
         self._counter = 0
         self._moved_at: dict[str, float] = {}
         self._rejected: set[tuple[str, str]] = set()
@@ -386,16 +396,29 @@
         rows = await self._api.read_instances()
         self._listed_at = clock.now()
         self.instances = {row.instance: row for row in rows}
+        for name in self.instances.keys() & self._missing_since.keys():
+            del self._missing_since[name]
+
+    def _is_gone(self, name: str) -> bool:
+        """Return whether an instance is known to exist no longer."""
+        if name in self.instances:
+            return False
+        missing_since = self._missing_since.setdefault(name, self._listed_at)
+        if self._listed_at - missing_since < GONE_AFTER_S:
+            return False
+        return not any(
+            endpoint.registration.instance == name
+            and endpoint.is_listed
+            and not endpoint.is_gone
+            for endpoint in self._engine.endpoints.values()
+        )
 
     async def _advance(self, view: WaveView, now: float) -> None:
         order = view.order
+        gone = frozenset(name for name in order.instances if self._is_gone(name))
+        view = self.waves[order.wave] = view._replace(gone=gone)
         # It may be down for another wave: only the response to an order counts.
-        left = [
-            name
-            for name in order.instances
-            if name in self.instances and name not in view.begun
-        ]
-        if not left:
+        if gone.issuperset(set(order.instances) - view.begun):
             await self._close(view)
             return
         chosen = choose_next(
