Keep the orders of earlier leaders in a wave's record

What users would see: two leaders that order one instance within the lease time (ONE). Cause: a leader waits the lease time with the instances that the record names as ordered. Its own first order replaced these names by its own, so that a third leader, after a short term of the second, took the orders of the first for "none". Change: a wave is opened with the names of all earlier orders, which each record repeats. Orders of earlier leaders have no time, so that they delay no retry. Evidence: wave_takeover.feature, "Orders of earlier leaders are recorded by each leader", which failed before. Ruled out: dropping a name when the lease time has passed, as the record of moves does. Waves name few instances that have not begun, and the next leader waits once at most.

--- a/features/workloads/steps/wave_takeover_steps.py
+++ b/features/workloads/steps/wave_takeover_steps.py
@@ -407,3 +407,8 @@
         context.maintenance.restore(1, context.record)
         context.maintenance.set_waves([context.order])
         asyncio.run(context.maintenance.run_once(0.5))
+
+
+@then('"m2" is still recorded as ordered')
+def step_still_recorded(context):
+    assert "m2" in context.saved[-1].ordered, context.saved[-1]
--- a/features/workloads/wave_takeover.feature
+++ b/features/workloads/wave_takeover.feature
@@ -126,3 +126,12 @@
     Given a wave over "m1", "m2" and "m3", of which an earlier leader began "m1"
     When the new leader decides 0.5 s after the start of its machine
     Then the wave is not recorded as completed
+
+  Scenario: Orders of earlier leaders are recorded by each leader
+    # Guards against two leaders that order one instance within the lease time (ONE),
+    # with a short term between them.
+    Given a wave over "m1", "m2" and "m3", of which an earlier leader began "m1"
+    And "m2" was about to be ordered by the previous leader
+    When the new leader has led for less than the lease time
+    Then it has ordered "m3" and not "m2"
+    And "m2" is still recorded as ordered
--- a/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
@@ -65,9 +65,9 @@
     """An open wave: its order and its progress.
 
     ``seen_at`` is when a leader first read the order, ``begun`` names the instances
-    whose maintenance has begun, and ``ordered_at`` holds the times of their orders.
-    ``gone`` names the instances that no longer exist. Times are seconds of the boot
-    clock.
+    whose maintenance has begun, and ``ordered_at`` holds the times of their orders;
+    orders of earlier leaders have no time. ``gone`` names the instances that no longer
+    exist. Times are seconds of the boot clock.
     """
 
     order: WaveOrder
@@ -238,9 +238,7 @@
             self.closed.add(wave)
             self.waves.pop(wave, None)
         elif wave in self.waves:
-            view = self.waves[wave]
-            view.begun.update(record.begun)
-            self.waves[wave] = view._replace(seen_at=self._find_seen_at(view.order))
+            self.waves[wave] = self._open(self.waves[wave].order)
 
     def restore_sizes(self, record: SizesRecord) -> None:
         """Restore the sizes of the pools and the last moves of an earlier leader."""
@@ -258,14 +256,21 @@
         """Apply the operator's orders for waves."""
         for order in orders:
             if order.wave not in self.waves and order.wave not in self.closed:
-                known = self._restored.get(order.wave)
-                begun = set(known.begun) if known else set()
-                view = WaveView(order, self._find_seen_at(order), begun, {})
-                self.waves[order.wave] = view
+                self.waves[order.wave] = self._open(order)
                 log_event(
                     events.WAVE_STARTED, wave=order.wave, count=len(order.instances)
                 )
 
+    def _open(self, order: WaveOrder) -> WaveView:
+        """Return a wave with its progress under earlier leaders."""
+        known = self._restored.get(order.wave, WaveRecord((), False))
+        return WaveView(
+            order,
+            self._find_seen_at(order),
+            set(known.begun),
+            dict.fromkeys(known.ordered, -math.inf),
+        )
+
     def is_urgent(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint's instance must not wait for its runs to end."""
         now = clock.now()
