Let orders without a response keep their place in a wave

What users would see: more instances of a wave down than its maximum (LIMIT). Cause: an order without a response may have been carried out, or be carried out later. Until the list showed its effect, the instance counted as up: another one could come before it and be ordered as well. A new leader, which waits the lease time with the instances that the earlier one was about to order, ordered others meanwhile. Change: instances with an order without a response, of this leader or an earlier one, are chosen before all others until a response is known. If a list lacks them, they count as down. An order that was not executed for certain changes nothing. Evidence: wave_takeover.feature, "An earlier leader's order without a response keeps its place" and "An order without a response keeps its place", which failed before. Ruled out: a list that was read after the order as proof that it had no effect. The order may still be on its way.

--- a/features/workloads/steps/wave_takeover_steps.py
+++ b/features/workloads/steps/wave_takeover_steps.py
@@ -20,7 +20,7 @@
 
 from briarshed_entry import clock
 from briarshed_workloads.configuration import PoolRules
-from briarshed_workloads.interfaces import Ordered
+from briarshed_workloads.interfaces import Ordered, OutcomeUnknownError
 from briarshed_workloads.maintenance import Maintenance, WaveView, choose_next
 from briarshed_workloads.options import EntryOptions, SiteLimits
 from briarshed_workloads.planning import plan_starts
@@ -52,6 +52,7 @@
     def __init__(self, rows):
         self.rows = rows
         self.ordered = []
+        self.unanswered = set()
 
     async def read_instances(self):
         """Return all instances."""
@@ -60,6 +61,8 @@
     async def maintain(self, instance, wave, holder, token, permit):
         """Begin the maintenance of an instance."""
         self.ordered.append(instance)
+        if instance in self.unanswered:
+            raise OutcomeUnknownError("no response")
         self.rows[instance] = self.rows[instance]._replace(state="maintenance")
         return Ordered()
 
@@ -207,7 +210,7 @@
 
 def choose(context, age):
     """Return the names of the instances to drain when the wave has this age."""
-    view = WaveView(context.order, NOW, set(), {})
+    view = WaveView(context.order, NOW, set(), {}, set())
     engine = getattr(context, "engine", None)
     find = engine.endpoints.get if engine else lambda _: None
     rows = choose_next(view, context.instances, find, {"short"}, ROUND_S, NOW + age)
@@ -409,6 +412,45 @@
         asyncio.run(context.maintenance.run_once(0.5))
 
 
+@given('a wave over "m1", "m2" and "m3" with a maximum of {maximum:d}')
+def step_maximum(context, maximum):
+    build(context, maximum=maximum)
+    context.record = WaveRecord((), False)
+
+
+@given('"m3" was about to be ordered by the previous leader')
+def step_intended_third(context):
+    context.record = WaveRecord((), False, ("m3",))
+
+
+@then('it orders "m3" first')
+def step_third_first(context):
+    assert context.calls.ordered[0] == "m3", context.calls.ordered
+
+
+@given('the wave has 100 s, and "m1" is in a pool short of capacity')
+def step_short_of_capacity(context):
+    context.order = context.order._replace(duration=100.0)
+    context.calls.rows["m1"] = context.calls.rows["m1"]._replace(pool="short")
+    context.maintenance._list_short_pools = lambda _: {"short"}
+
+
+@given('the order for "m2" gets no response')
+def step_unanswered(context):
+    context.calls.unanswered.add("m2")
+
+
+@when('the pool of "m1" is no longer short of capacity')
+def step_no_longer_short(context):
+    context.maintenance._list_short_pools = lambda _: set()
+    run_maintenance(context)
+
+
+@then('only "m2" has been ordered')
+def step_only_second(context):
+    assert set(context.calls.ordered) == {"m2"}, context.calls.ordered
+
+
 @then('"m2" is still recorded as ordered')
 def step_still_recorded(context):
     assert "m2" in context.saved[-1].ordered, context.saved[-1]
--- a/features/workloads/wave_takeover.feature
+++ b/features/workloads/wave_takeover.feature
@@ -127,6 +127,25 @@
     When the new leader decides 0.5 s after the start of its machine
     Then the wave is not recorded as completed
 
+  Scenario: An earlier leader's order without a response keeps its place
+    # Guards against more instances down than the wave's maximum (LIMIT): the order may
+    # take effect although the list does not show it yet.
+    Given a wave over "m1", "m2" and "m3" with a maximum of 1
+    And "m3" was about to be ordered by the previous leader
+    When the new leader has led for less than the lease time
+    Then it orders nothing
+    When the lease time has passed
+    Then it orders "m3" first
+
+  Scenario: An order without a response keeps its place
+    # Guards against more instances down than the wave's maximum (LIMIT).
+    Given a wave over "m1", "m2" and "m3" with a maximum of 1
+    And the wave has 100 s, and "m1" is in a pool short of capacity
+    And the order for "m2" gets no response
+    When the new leader takes over the records and the orders
+    And the pool of "m1" is no longer short of capacity
+    Then only "m2" has been ordered
+
   Scenario: Orders of earlier leaders are recorded by each leader
     # Guards against two leaders that order one instance within the lease time (ONE),
     # with a short term between them.
--- a/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
@@ -66,14 +66,16 @@
 
     ``seen_at`` is when a leader first read the order, ``begun`` names the instances
     whose maintenance has begun, and ``ordered_at`` holds the times of their orders;
-    orders of earlier leaders have no time. ``gone`` names the instances that no longer
-    exist. Times are seconds of the boot clock.
+    orders of earlier leaders have no time. ``unanswered`` names the instances whose
+    order may take effect, since no response to it is known. ``gone`` names the
+    instances that no longer exist. Times are seconds of the boot clock.
     """
 
     order: WaveOrder
     seen_at: float
     begun: set[str]
     ordered_at: dict[str, float]
+    unanswered: set[str]
     gone: frozenset[str] = frozenset()
 
 
@@ -94,12 +96,12 @@
 ) -> list[Candidate]:
     """Return the instances to drain now, at most the wave's maximum at a time.
 
-    Instances that are down for the wave, or whose order has no response yet, count
-    against the maximum, and so do those that have begun and are not listed. Those with
-    long-running tasks come first, as many as the outage budget of a step allows and one
-    more: they can only be drained one after the other. The others follow, ordered by
-    their number of runs. While there is time, they wait if their pool is short of
-    capacity, since its demand subsides.
+    Instances that are down for the wave count against the maximum, and so do those that
+    have begun and are not listed. Instances whose order has no response yet keep their
+    place. Those with long-running tasks come next, as many as the outage budget of a
+    step allows and one more: they can only be drained one after the other. The others
+    follow, ordered by their number of runs. While there is time, they wait if their
+    pool is short of capacity, since its demand subsides.
 
     Parameters
     ----------
@@ -114,7 +116,7 @@
     down = sum(
         instances[name].state == "maintenance"
         if name in instances
-        else name in view.begun and name not in view.gone
+        else name in view.begun | view.unanswered and name not in view.gone
         for name in order.instances
     )
     pending = [
@@ -132,13 +134,20 @@
         candidates = [
             row
             for row in candidates
-            if ranks[row.instance.instance] <= ONE_BY_ONE
+            if row.instance.instance in view.unanswered
+            or ranks[row.instance.instance] <= ONE_BY_ONE
             or (
                 ranks[row.instance.instance] == IN_ANY_ORDER
                 and row.instance.pool not in short_pools
             )
         ]
-    candidates.sort(key=lambda row: (ranks[row.instance.instance], _count_runs(row)))
+    candidates.sort(
+        key=lambda row: (
+            row.instance.instance not in view.unanswered,
+            ranks[row.instance.instance],
+            _count_runs(row),
+        )
+    )
     return candidates[: max(0, order.maximum - down)]
 
 
@@ -269,6 +278,7 @@
             self._find_seen_at(order),
             set(known.begun),
             dict.fromkeys(known.ordered, -math.inf),
+            set(known.ordered) - set(known.begun),
         )
 
     def is_urgent(self, endpoint: Endpoint) -> bool:
@@ -486,15 +496,23 @@
     async def _order(self, view: WaveView, row: Candidate) -> None:
         name = row.instance.instance
         token = self._next_token()
+        is_repeated = name in view.unanswered
+        view.unanswered.add(name)
         if row.endpoint is not None:
             row.endpoint.is_end_ordered = True
-        outcome = await self._api.maintain(
-            name,
-            view.order.wave,
-            self._options.name,
-            token,
-            self._term.has_authority,
-        )
+        try:
+            outcome = await self._api.maintain(
+                name,
+                view.order.wave,
+                self._options.name,
+                token,
+                self._term.has_authority,
+            )
+        except NotExecutedError:
+            if not is_repeated:
+                view.unanswered.discard(name)
+            raise
+        view.unanswered.discard(name)
         done = isinstance(outcome, Ordered)
         log_event(
             events.MAINTENANCE_ORDERED,
