Wait the lease time if the last orders cannot be decoded

What users would see: two leaders that order one instance within the lease time (ONE), if a record of a wave or of the moves cannot be decoded. Cause: such a record was logged and then treated as if there were none, that is as if the earlier leaders had ordered nothing. Change: a leader that cannot decode one of these records orders no instance before the lease time has passed, like those that a record names. Evidence: wave_takeover.feature, "A new leader waits with all instances if the orders cannot be decoded" and the same for moves, which failed before. Ruled out: waiting only with the instances of the wave whose record cannot be decoded.

--- a/features/workloads/steps/wave_takeover_steps.py
+++ b/features/workloads/steps/wave_takeover_steps.py
@@ -20,9 +20,15 @@
 
 from briarshed_entry import clock
 from briarshed_workloads.configuration import PoolRules
-from briarshed_workloads.interfaces import Ordered, OutcomeUnknownError
+from briarshed_workloads.interfaces import (
+    Item,
+    Listing,
+    Ordered,
+    OutcomeUnknownError,
+)
 from briarshed_workloads.maintenance import Maintenance, WaveView, choose_next
 from briarshed_workloads.options import EntryOptions, SiteLimits
+from briarshed_workloads.persistence import Persistence
 from briarshed_workloads.planning import plan_starts
 from briarshed_workloads.records import SizesRecord, WaveRecord
 from briarshed_workloads.workloads import NO_RESOURCES, Instance, Step, WaveOrder
@@ -454,3 +460,39 @@
 @then('"m2" is still recorded as ordered')
 def step_still_recorded(context):
     assert "m2" in context.saved[-1].ordered, context.saved[-1]
+
+
+class Records:
+    """A store that holds one record that cannot be decoded."""
+
+    def __init__(self, key):
+        self.item = Item(key, b"\xc1", 1, 1)
+
+    async def read(self, key):
+        """Return the record if it has this key."""
+        return self.item if self.item.key == key else None
+
+    async def read_all(self, prefix):
+        """Return the record if it is under the prefix."""
+        return Listing((self.item,) if self.item.key.startswith(prefix) else (), 1)
+
+
+@given('the record "{key}" cannot be decoded')
+def step_undecodable(context, key):
+    persistence = Persistence(None, context.engine, Records(key), None, 1.0, None)
+    asyncio.run(persistence.load_waves(context.maintenance))
+    if not hasattr(context, "order"):
+        context.record = WaveRecord((), False)
+        context.order = WaveOrder(9, (), 20.0, 1)
+        context.maintenance.restore = lambda *_: None
+        context.maintenance.set_waves = lambda _: None
+
+
+@then('it has ordered "m1", "m2" and "m3"')
+def step_ordered_all(context):
+    assert sorted(context.calls.ordered) == list(NAMES), context.calls.ordered
+
+
+@then('it has moved both "m1" and "m2"')
+def step_moved_all(context):
+    assert sorted(context.calls.ordered) == ["m1", "m2"], context.calls.ordered
--- a/features/workloads/wave_takeover.feature
+++ b/features/workloads/wave_takeover.feature
@@ -154,3 +154,22 @@
     When the new leader has led for less than the lease time
     Then it has ordered "m3" and not "m2"
     And "m2" is still recorded as ordered
+
+  Scenario: A new leader waits with all instances if the orders cannot be decoded
+    # Guards against two leaders that order one instance within the lease time (ONE):
+    # a record that could not be decoded was taken for no orders.
+    Given a wave over "m1", "m2" and "m3" with a maximum of 3
+    And the record "briarshed/waves/1" cannot be decoded
+    When the new leader has led for less than the lease time
+    Then it orders nothing
+    When the lease time has passed
+    Then it has ordered "m1", "m2" and "m3"
+
+  Scenario: A new leader waits with all moves if the last ones cannot be decoded
+    # Guards against two leaders that order one instance within the lease time (ONE).
+    Given a pool that is short of 2 instances, and "m1" and "m2" in reserve
+    And the record "briarshed/sizes" cannot be decoded
+    When the new leader has led for less than the lease time
+    Then it orders nothing
+    When the lease time has passed
+    Then it has moved both "m1" and "m2"
--- a/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
@@ -219,6 +219,7 @@
         self.sizes: dict[str, int] = {}
         self._restored: dict[int, WaveRecord] = {}
         self._earlier_orders: set[str] = set()
+        self._has_unreadable_orders = False
         self.instances: dict[str, Instance] = {}
         self._options = options
         self._term = term
@@ -254,6 +255,17 @@
         self.sizes = record.sizes
         self._earlier_orders.update(record.moved)
 
+    def note_unreadable_orders(self) -> None:
+        """Note that any instance may have been ordered by an earlier leader."""
+        self._has_unreadable_orders = True
+
+    def _list_held(self, now: float) -> set[str]:
+        """Return the instances that an earlier leader may have ordered just now."""
+        if now >= self._orders_from:
+            return set()
+        unknown = self.instances.keys() if self._has_unreadable_orders else ()
+        return self._earlier_orders.union(unknown)
+
     def _find_seen_at(self, order: WaveOrder) -> float:
         """Return when a leader first read a wave, in seconds of the boot clock."""
         known = self._restored.get(order.wave)
@@ -330,8 +342,7 @@
         recent = {
             name for name, at in self._moved_at.items() if now - at < MOVE_COOLDOWN_S
         }
-        if now < self._orders_from:
-            recent |= self._earlier_orders
+        recent |= self._list_held(now)
         moves = plan_moves(
             self._engine,
             self.instances,
@@ -357,8 +368,7 @@
         self._moved_at.update({move.instance: now for move in moves})
         lease = self._options.site_limits.lease
         recent = [name for name, at in self._moved_at.items() if now - at < lease]
-        if now < self._orders_from:
-            recent += self._earlier_orders
+        recent += self._list_held(now)
         self._note_sizes(SizesRecord(self.sizes, tuple(recent)))
 
     async def _move(self, move: Move) -> None:
@@ -463,7 +473,7 @@
         name = row.instance.instance
         if now - view.ordered_at.get(name, 0.0) < ORDER_RETRY_INTERVAL_S:
             return False
-        if name in self._earlier_orders and now < self._orders_from:
+        if name in self._list_held(now):
             return False
         moved_at = self._moved_at.get(name, -math.inf)
         return now - moved_at >= MOVE_COOLDOWN_S and self._is_known_drained(row, now)
--- a/packages/briarshed-workloads/src/briarshed_workloads/persistence.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/persistence.py
@@ -172,11 +172,17 @@
         for item in (await self._store.read_all(WAVES)).items:
             number = item.key.removeprefix(WAVES)
             record = _decode_or_report(item, WaveRecord)
-            if record is not None and number.isdigit():
+            if record is None:
+                maintenance.note_unreadable_orders()
+            elif number.isdigit():
                 maintenance.restore(int(number), record)
         item = await self._store.read(SIZES)
-        sizes = _decode_or_report(item, SizesRecord) if item else None
-        if sizes is not None:
+        if item is None:
+            return
+        sizes = _decode_or_report(item, SizesRecord)
+        if sizes is None:
+            maintenance.note_unreadable_orders()
+        else:
             maintenance.restore_sizes(sizes)
 
     async def save(self) -> None:
