Add a test of evictions before a new leader knows all tasks

A review for places where "not known yet" is taken for 0 asked whether a new leader evicts long-running tasks too early. It does not: a task whose endpoint has not responded counts as unavailable, so that nothing is evicted beyond the outage budget, and it is not started a second time. No test guarded this. The test passes on the code as it was; no code changes.

--- a/features/workloads/heavy_days.feature
+++ b/features/workloads/heavy_days.feature
@@ -136,6 +136,15 @@
     When it serves again elsewhere
     Then the next one is stopped
 
+  Scenario: A new leader evicts nothing beside tasks that it does not know yet
+    # Guards against an outage beyond the budget (AVAIL): a task whose endpoint has not
+    # responded to the new leader may serve or not.
+    Given a long-running step of 3 tasks with a budget of 1, one on each endpoint
+    When a new leader has polled 1 of the 3 endpoints, which are due for maintenance
+    Then no task is stopped or started
+    When the new leader has polled all 3 endpoints
+    Then 1 task is stopped
+
   Scenario Outline: Best-effort runs are slowed before a tail latency exceeds its target
     Given a best-effort run at <pace> percent beside one at <ratio> of its tail target
     Then the pace of the best-effort run becomes <after> percent
--- a/features/workloads/steps/heavy_days_steps.py
+++ b/features/workloads/steps/heavy_days_steps.py
@@ -472,3 +472,32 @@
 @then("the pace of the best-effort run becomes {after:d} percent")
 def step_pace(context, after):
     assert context.after == after, context.after
+
+
+@when("a new leader has polled 1 of the 3 endpoints, which are due for maintenance")
+def step_polled_one(context):
+    context.listed = {
+        name: [ListedRun(run.task, run.number, "", 100, 0) for run in row.runs.values()]
+        for name, row in context.engine.endpoints.items()
+    }
+    step = context.engine.jobs[JOB].description.steps[0]
+    engine = context.engine = make_engine(epoch=3, names=tuple(context.listed))
+    engine.earlier_runs_until = context.now + 5.0
+    submit(engine, JOB, (step,), NOW).is_restored = True
+    for name in ("a", "d"):
+        poll_endpoint(engine, name, context.now, context.listed[name])
+    for name in ("a", "b", "c"):
+        engine.endpoints[name].evicting = True
+
+
+@then("no task is stopped or started")
+def step_none_stopped(context):
+    assert not list_stops(context)
+    assert not plan_starts(context.engine, context.now)
+
+
+@when("the new leader has polled all 3 endpoints")
+def step_polled_all(context):
+    for name, listed in context.listed.items():
+        poll_endpoint(context.engine, name, context.now, listed)
+    context.stops = list_stops(context)
