Reject a list from the store that breaks off

What users would see: accepted jobs that do not exist after a change of the leader, or endpoints that are out of use. Cause: a page without items that announces more was taken for the end of the list, so that a part of the list passed for all of it. Ruled out: reading on from the last key, which could go on for ever.

--- a/features/platform/malformed.feature
+++ b/features/platform/malformed.feature
@@ -35,6 +35,7 @@
       | poll           | {"clock-ms": 1, "born": 1, "ended": [[1, "00000000000000aa.0.0.0", 1, "odd", ""]]}  |
       | read_all       | {"at": 1, "items": [{"value": "YQ=="}]}                                             |
       | read_all       | {"items": []}                                                                       |
+      | read_all       | {"at": 1, "items": [], "has-more": true}                                            |
       | read_instances | {"machines": [{"pool": "p"}]}                                                       |
       | read_instances | {"machines": []}                                                                    |
 
