Find the endpoint on an instance by its registration too

What users would see: tasks that are ended by the maintenance of their instance, in the worst case beyond the outage budget of their step (AVAIL). Cause: an instance for which the list named no endpoint, or one that does not run any more, counted as drained. Change: if the endpoint in the list is not known or gone, the one that has registered on the instance counts. It is drained like any other. Evidence: wave_takeover.feature, "An instance is not drained while a task runs at its endpoint", 3 rows that failed before: the instance was ordered while a task with a budget of 0 served there. Ruled out: waiting for a list that names an endpoint. Instances in reserve have none. The step that lets "a" respond without runs now polls the current incarnation, 1 s later, so that the poll is later than the runs that it refutes.

--- a/features/workloads/steps/wave_takeover_steps.py
+++ b/features/workloads/steps/wave_takeover_steps.py
@@ -12,6 +12,7 @@
     JOB,
     NEED,
     NOW,
+    TASK,
     make_configuration,
     make_engine,
     poll_endpoint,
@@ -31,7 +32,13 @@
 from briarshed_workloads.persistence import Persistence
 from briarshed_workloads.planning import plan_starts
 from briarshed_workloads.records import SizesRecord, WaveRecord
-from briarshed_workloads.workloads import NO_RESOURCES, Instance, Step, WaveOrder
+from briarshed_workloads.workloads import (
+    NO_RESOURCES,
+    Instance,
+    ListedRun,
+    Step,
+    WaveOrder,
+)
 
 NAMES = ("m1", "m2", "m3")
 ROUND_S = 5.0
@@ -185,7 +192,8 @@
 
 @when('the endpoint on "m2" has listed no runs')
 def step_listed(context):
-    poll_endpoint(context.engine, "a", NOW)
+    started_at_ms = context.engine.endpoints["a"].registration.started_at_ms
+    poll_endpoint(context.engine, "a", NOW + 1, started_at_ms=started_at_ms)
     run_maintenance(context)
 
 
@@ -496,3 +504,24 @@
 @then('it has moved both "m1" and "m2"')
 def step_moved_all(context):
     assert sorted(context.calls.ordered) == ["m1", "m2"], context.calls.ordered
+
+
+@given('a task runs at endpoint "a" on "m2", for which the list names {named}')
+def step_other_named(context, named):
+    engine = context.engine
+    for name, started_at_ms in (("a", 2), ("b", 1)):
+        endpoint = engine.endpoints[name]
+        endpoint.registration = endpoint.registration._replace(
+            instance="m2", started_at_ms=started_at_ms
+        )
+    engine.note_replaced(engine.endpoints["b"], "replaced")
+    submit(engine, JOB, (Step(1, NEED, 1.0, long_running=True, outage_budget=0),), NOW)
+    poll_endpoint(engine, "a", NOW, [ListedRun(TASK, 1, "", 100, 0)], started_at_ms=2)
+    listed = {"no endpoint": "", "an earlier endpoint": "b"}.get(named, "other")
+    row = context.calls.rows["m2"]
+    context.calls.rows["m2"] = row._replace(endpoint=listed)
+
+
+@then('it has ordered "m1" and "m3" and not "m2"')
+def step_ordered_others(context):
+    assert sorted(context.calls.ordered) == ["m1", "m3"], context.calls.ordered
--- a/features/workloads/wave_takeover.feature
+++ b/features/workloads/wave_takeover.feature
@@ -173,3 +173,19 @@
     Then it orders nothing
     When the lease time has passed
     Then it has moved both "m1" and "m2"
+
+  Scenario Outline: An instance is not drained while a task runs at its endpoint
+    # Guards against an outage beyond the budget (AVAIL): an instance whose endpoint the
+    # list did not name, or named as it was before a restart, counted as drained.
+    Given a wave over "m1", "m2" and "m3" with a maximum of 3
+    And a task runs at endpoint "a" on "m2", for which the list names <named>
+    When the new leader takes over the records and the orders
+    Then it has ordered "m1" and "m3" and not "m2"
+    When the endpoint on "m2" has listed no runs
+    Then it has ordered "m1", "m2" and "m3"
+
+    Examples:
+      | named                |
+      | no endpoint          |
+      | an earlier endpoint  |
+      | an unknown endpoint  |
--- a/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
@@ -483,9 +483,10 @@
 
         An endpoint that this leader has not polled yet may have runs of an earlier one.
         """
-        if not row.instance.endpoint or now >= self._engine.earlier_runs_until:
-            return row.endpoint is None or not row.endpoint.runs
-        if row.endpoint is None or not row.endpoint.fenced_counter:
+        may_have_earlier_runs = now < self._engine.earlier_runs_until
+        if row.endpoint is None:
+            return not row.instance.endpoint or not may_have_earlier_runs
+        if may_have_earlier_runs and not row.endpoint.fenced_counter:
             return False
         return not row.endpoint.runs
 
@@ -495,13 +496,24 @@
         await self._save(view.order.wave, record)
 
     def _find_endpoint(self, instance: str) -> Endpoint | None:
+        """Return the endpoint that runs on an instance, if it is known.
+
+        The list may be older than the registration of the endpoint.
+        """
         row = self.instances.get(instance)
         if row is None:
             return None
         found = self._engine.endpoints.get(row.endpoint) if row.endpoint else None
         if found is not None and not found.registration.instance:
             found.registration = found.registration._replace(instance=instance)
-        return found
+        if found is not None and not found.is_gone:
+            return found
+        registered = (
+            endpoint
+            for endpoint in self._engine.endpoints.values()
+            if endpoint.registration.instance == instance and not endpoint.is_gone
+        )
+        return next(registered, found)
 
     async def _order(self, view: WaveView, row: Candidate) -> None:
         name = row.instance.instance
