Take a list of 500 ends for one that may not be complete

What callers saw: nothing yet; read from the code and shown by a test. A task would run twice (TWICE): it starts again although it has succeeded. Cause: an endpoint lists its ends 500 at a time. A run that had ended beyond these was in neither list and counted as lost, and a new leader took the endpoint's runs for known. Not listed yet and not there had the same form. Change: a response with 500 ends may have more. Until a shorter list has been read, no run counts as missing there, and an endpoint that was not fenced stays so. Polls go on, since each acknowledges the ends that are durable. Ruled out: the number of the last end as the sign, which the endpoint does not tell.

--- a/features/platform/endpoints.feature
+++ b/features/platform/endpoints.feature
@@ -33,6 +33,18 @@
     And a poll without an acknowledgement returns it again
     And a poll with an acknowledgement does not
 
+  Scenario Outline: A list of ends may not be complete
+    # Guards against a task that runs twice (TWICE, read from the code): an endpoint lists
+    # 500 ends at a time, and a run that had ended beyond these counted as lost.
+    When an endpoint lists <count> ends in response to a poll
+    Then it <may> have more ends
+
+    Examples:
+      | count | may     |
+      | 0     | may not |
+      | 499   | may not |
+      | 500   | may     |
+
   Scenario Outline: Refused connections and the end of an endpoint
     # A crashed endpoint (fault srv_crash) closes its connections gracefully. A partition may
     # reset them while the endpoint behind it still runs.
--- a/features/platform/steps/endpoint_steps.py
+++ b/features/platform/steps/endpoint_steps.py
@@ -8,7 +8,11 @@
 
 from behave import given, then, when
 
-from briarshed_platform.endpoints import PlatformEndpoints
+from briarshed_platform.endpoints import (
+    PlatformEndpoints,
+    decode_poll_response,
+    encode_task,
+)
 from briarshed_platform.http_client import HttpClient
 from briarshed_platform_standins._server import Faults
 from briarshed_platform_standins.endpoint import EndpointStandin
@@ -225,3 +229,18 @@
 @then('a poll returns the end "lapsed"')
 def step_lapsed(context):
     assert [row.outcome for row in context.first.ended] == ["lapsed"]
+
+
+@when("an endpoint lists {count:d} ends in response to a poll")
+def step_lists_ends(context, count):
+    rows = [
+        [number, encode_task(TASK), number, "done", ""]
+        for number in range(1, count + 1)
+    ]
+    body = {"clock-ms": 1, "born": 1, "running": [], "ended": rows}
+    context.response = decode_poll_response(body)
+
+
+@then("it {may} have more ends")
+def step_more_ends(context, may):
+    assert context.response.may_have_more_ends == (may == "may")
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -473,9 +473,12 @@
         endpoint.polled_at = now
         if not endpoint.fenced_counter:
             endpoint.note_earlier_deadline(self.lease_times.max_run_lease)
-        if counter >= endpoint.counter:
-            endpoint.needs_fence = False
-        endpoint.fenced_counter = max(endpoint.fenced_counter, counter)
+        if not response.may_have_more_ends:
+            # Until all ends are listed, a task of an earlier leader's run that is not
+            # listed may have succeeded, so that it must not start again.
+            if counter >= endpoint.counter:
+                endpoint.needs_fence = False
+            endpoint.fenced_counter = max(endpoint.fenced_counter, counter)
         for ended in response.ended:
             if ended.end_number > endpoint.last_listed_end:
                 # An end that could not be noted must not be acknowledged.
@@ -484,7 +487,8 @@
         listed_runs = {(row.task, row.run) for row in response.running}
         for row in response.running:
             self._note_running(endpoint, row, now)
-        self._drop_missing(endpoint, listed_runs, counter, sent_at)
+        if not response.may_have_more_ends:
+            self._drop_missing(endpoint, listed_runs, counter, sent_at)
 
     def _note_restart(self, endpoint: Endpoint, started_at_ms: int, now: float) -> None:
         """Reset the state of an endpoint that restarted under the same name."""
--- a/packages/briarshed-workloads/src/briarshed_workloads/workloads.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/workloads.py
@@ -206,12 +206,15 @@
     """An endpoint's response to a poll: its clock, its runs and the ends of runs.
 
     ``started_at_ms`` is the Unix time at which this incarnation started.
+    ``may_have_more_ends`` is set if ends beyond those in ``ended`` may be listed once
+    these are acknowledged.
     """
 
     clock_ms: int
     started_at_ms: int
     running: tuple[ListedRun, ...]
     ended: tuple[EndedRun, ...]
+    may_have_more_ends: bool = False
 
 
 class Registration(NamedTuple):
