--- a/features/platform/malformed.feature
+++ b/features/platform/malformed.feature
@@ -39,6 +39,22 @@
       | read_instances | {"machines": [{"pool": "p"}]}                                                       |
       | read_instances | {"machines": []}                                                                    |
 
+  Scenario Outline: A page that was not read does not end the instance list
+    # Guards against a wave that is reported as completed (MIXED, read from the code): an
+    # error in place of a later page passed for an empty last page, and the instances on
+    # it for ones that have left.
+    Given a server with two pages of instances that responds to the second with status <status>
+    When the instances are read there
+    Then the list is not taken for complete
+
+    Examples:
+      | status |
+      | 400    |
+      | 404    |
+      | 409    |
+      | 429    |
+      | 503    |
+
   Scenario Outline: Malformed messages of peers
     # Guards against one message that ends the handling of all others.
     Given two entries' transports, where the handler fails for one message
--- a/features/platform/steps/malformed_steps.py
+++ b/features/platform/steps/malformed_steps.py
@@ -18,7 +18,7 @@
 from briarshed_platform.store import PlatformStore
 from briarshed_workloads import supervision, transport
 from briarshed_workloads.entry import _decompress
-from briarshed_workloads.interfaces import OutcomeUnknownError
+from briarshed_workloads.interfaces import NotExecutedError, OutcomeUnknownError
 from briarshed_workloads.transport import (
     EntryHeartbeat,
     JobRequest,
@@ -48,6 +48,10 @@
     "grant_lease": lambda fixture: fixture.store.grant_lease(1.0),
     "read_instances": lambda fixture: fixture.instances.read_instances(),
 }
+FIRST_PAGE = {
+    "machines": [{"machine": "m", "pool": "p", "state": "up"}],
+    "next-token": "2",
+}
 HEARTBEAT = EntryHeartbeat("e", "i", 1, 0.0, False)
 FAILING = JobRequest(1, "fails", False)
 UNKNOWN_TYPE = b"\x92\xa1a\x91\xa2xx"
@@ -75,6 +79,16 @@
         await request.read()
         return web.Response(body=context.body)
 
+    context.error = None
+    try:
+        context.result = call_server(respond, CALLS[call])
+    except OutcomeUnknownError as error:
+        context.error = error
+
+
+def call_server(respond, call):
+    """Call a server that handles requests with a function, and return the result."""
+
     async def run():
         runner = web.ServerRunner(web.Server(respond))
         await runner.setup()
@@ -83,15 +97,11 @@
         port = site._server.sockets[0].getsockname()[1]
         try:
             async with HttpClient() as client:
-                return await CALLS[call](Fixture(client, f"127.0.0.1:{port}"))
+                return await call(Fixture(client, f"127.0.0.1:{port}"))
         finally:
             await runner.cleanup()
 
-    context.error = None
-    try:
-        context.result = asyncio.run(run())
-    except OutcomeUnknownError as error:
-        context.error = error
+    return asyncio.run(run())
 
 
 @then("the outcome is unknown, and the reason names the body's fault")
@@ -100,6 +110,33 @@
     assert "time-out" not in str(context.error), context.error
 
 
+@given(
+    "a server with two pages of instances that responds to the second with status"
+    " {status:d}"
+)
+def step_pages(context, status):
+    async def respond(request):
+        if "page-token" in request.query:
+            return web.json_response({"error": "page"}, status=status)
+        return web.json_response(FIRST_PAGE)
+
+    context.respond = respond
+
+
+@when("the instances are read there")
+def step_read(context):
+    context.error = None
+    try:
+        context.result = call_server(context.respond, CALLS["read_instances"])
+    except (NotExecutedError, OutcomeUnknownError) as error:
+        context.error = error
+
+
+@then("the list is not taken for complete")
+def step_not_complete(context):
+    assert context.error is not None, context.result
+
+
 def find_free_address():
     """Return a loopback address with a port that is free now."""
     with socket.socket() as probe:
