Take the age of a count from the heartbeat that the leader echoes

Cause: the age of a count was taken from when its heartbeat was received. The class is that of a permission that has run out: the time on the way did not count. Change: an entry's heartbeat carries a time of its own clock, the leader's echoes it, and the count is at most as old as that. A leader that has not heard the entry sends none, and the entry answers at once; a leader of the earlier version sends none at all, so that its counts are not given to callers by entries of this version, during an upgrade. Ruled out: the fastest heartbeat of a term as the measure of the leader's clock: a leader whose heartbeats are all held up has none that is fast.

--- a/packages/briarshed-workloads/src/briarshed_workloads/entry.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/entry.py
@@ -8,6 +8,7 @@
 from types import TracebackType
 from typing import NamedTuple, Self
 
+from msgspec.structs import replace
 from reactivex.subject import Subject
 
 from briarshed import events
@@ -463,14 +464,16 @@
             {queue: row.oldest_at for queue, row in waiting.items()},
         )
         self.leader = LeaderView(self.options.peers, heartbeat, clock.now())
-        self.forwarder.note_leader_heartbeat(heartbeat)
         now = clock.now()
+        self.forwarder.note_leader_heartbeat(heartbeat, now)
         for address, view in list(self._peers.items()):
             if now - view.received_at > PEER_EXPIRY_S:
                 del self._peers[address]
                 self._transport.close(address)
                 continue
-            self._transport.send(address, heartbeat)
+            self._transport.send(
+                address, replace(heartbeat, echoed_at=view.heartbeat.sent_at)
+            )
         self._send_configuration()
 
     def _send_configuration(self) -> None:
@@ -561,6 +564,7 @@
             self.is_stopping,
             self.leader.heartbeat.epoch if self.leader else 0,
             self.leader.heartbeat.sent_at if self.leader else 0.0,
+            now,
         )
 
     def _send_entry_heartbeat(self) -> None:
@@ -601,7 +605,9 @@
                 self.term.note_event("lose", f"{heartbeat.leader} leads")
             return
         self.leader = LeaderView(sender, heartbeat, clock.now())
-        self.forwarder.note_leader_heartbeat(heartbeat)
+        self.forwarder.note_leader_heartbeat(heartbeat, heartbeat.echoed_at)
+        if not heartbeat.echoed_at:
+            self._send_entry_heartbeat()
 
     async def _handle_request(
         self, sender: str, message: SubmitRequest | JobRequest
--- a/packages/briarshed-workloads/src/briarshed_workloads/forwarding.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/forwarding.py
@@ -48,7 +48,7 @@
 
 MAX_COUNT_AGE_S = 1.5
 """Age up to which a count of waiting jobs is given to callers, who may get one that is
-2 s old; the rest is for the way of the heartbeat that carried it."""
+2 s old."""
 
 
 class WaitingReport(NamedTuple):
@@ -61,7 +61,7 @@
     epoch : int
         Its term.
     counted_at : float
-        When its heartbeat was received, in seconds of the boot clock.
+        Time before which it had certainly not counted, in seconds of the boot clock.
     counts : Mapping
         Number of waiting jobs of each queue that has any.
     oldest_at : Mapping
@@ -202,17 +202,25 @@
             return Reply(0, "missing")
         return Reply(0, decode(item.value, JobRecord).outcome or "pending")
 
-    def note_leader_heartbeat(self, heartbeat: LeaderHeartbeat) -> None:
+    def note_leader_heartbeat(
+        self, heartbeat: LeaderHeartbeat, counted_at: float
+    ) -> None:
         """Keep the leader's count of waiting jobs, unless it may leave some out.
 
         A leader that has not read the records does not know all jobs, and without
         authority there may be a later leader that has accepted others.
+
+        Parameters
+        ----------
+        counted_at : float
+            Time before which it had certainly not counted, in seconds of the boot
+            clock. The heartbeat may have been held up on its way.
         """
         if heartbeat.is_loaded and heartbeat.has_authority:
             self._waiting_report = WaitingReport(
                 heartbeat.leader,
                 heartbeat.epoch,
-                clock.now(),
+                counted_at,
                 heartbeat.waiting,
                 heartbeat.oldest_waiting_at,
             )
@@ -223,10 +231,12 @@
         While the next leader reads the records, that is the last leader's count.
         """
         report = self._waiting_report
-        if report is None or clock.now() - report.counted_at > MAX_COUNT_AGE_S:
+        if report is None:
             return None
-        count = report.counts.get(queue, 0)
         age = clock.now() - report.counted_at
+        if not 0 <= age <= MAX_COUNT_AGE_S:
+            return None
+        count = report.counts.get(queue, 0)
         oldest_at = report.oldest_at.get(queue)
         telemetry.observe_seconds("waiting count age", age)
         log_event(
--- a/packages/briarshed-workloads/src/briarshed_workloads/transport.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/transport.py
@@ -52,7 +52,8 @@
     out. Both mean nothing unless ``is_loaded`` is set: a leader that has not read the
     records yet does not know which jobs wait. ``has_yielded`` is set if it resigns
     because of unexpected errors. ``sent_at`` is a time of the leader's boot clock in
-    seconds.
+    seconds, and ``echoed_at`` the time, by the receiver's clock, at which the receiver
+    sent the last heartbeat that the leader has received; 0 if there was none.
     """
 
     leader: str
@@ -66,6 +67,7 @@
     sent_at: float = 0.0
     is_loaded: bool = True
     oldest_waiting_at: dict[str, float] = {}
+    echoed_at: float = 0.0
 
 
 class EntryHeartbeat(msgspec.Struct, tag="h", array_like=True, frozen=True):
@@ -73,7 +75,8 @@
 
     ``version`` is that of its configuration. ``store_age`` is the time in seconds since
     its last successful call to the store. ``echoed_at`` is the time at which the last
-    heartbeat of the leader of ``epoch`` was sent, by the leader's clock.
+    heartbeat of the leader of ``epoch`` was sent, by the leader's clock, and ``sent_at``
+    a time of the entry's own boot clock in seconds.
     """
 
     name: str
@@ -83,6 +86,7 @@
     is_stopping: bool
     epoch: int = 0
     echoed_at: float = 0.0
+    sent_at: float = 0.0
 
 
 class ConfigurationUpdate(msgspec.Struct, tag="o", array_like=True, frozen=True):
