Do not refuse a job that is recorded while there is no leader

What callers would see: a refusal, which says that the job never runs, for a job that an earlier leader had accepted, after the response to their first try was lost. Cause: an entry without a leader, or with one that had not read the records, knew of no earlier submission and took that for none. Change: before an entry refuses, it reads whether the job is recorded, for at most 0.3 s; a recorded job is accepted. An entry that is cut off refuses at once as before, and so does one for which the store does not respond: there the refusal can still be untrue. Ruled out: no outcome instead of a refusal, which tells callers of new jobs less.

--- a/packages/briarshed-workloads/src/briarshed_workloads/forwarding.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/forwarding.py
@@ -43,6 +43,9 @@
 """How long a submission waits for a leader that cannot write. The entry's view of the
 leader is up to one heartbeat old."""
 
+RECORD_TIMEOUT_S = 0.3
+"""How long a refusal waits for the store to tell whether the job is recorded."""
+
 RETRY_AFTER_S = 1.0
 """Retry delay for callers while there is no leader; a change takes 1 s to 3 s."""
 
@@ -122,8 +125,9 @@
         """Submit a job to the leader and return its reply.
 
         The job is sent again if the leader does not reply or changes; submitting is
-        idempotent. The outcome is ``refused`` only if the job will certainly not run,
-        and ``unknown`` if it was sent and no reply came within ``timeout`` seconds.
+        idempotent. The outcome is ``refused`` only if this submission will certainly
+        not run, and none before it is recorded as far as the store responds. It is
+        ``unknown`` if the job was sent and no reply came within ``timeout`` seconds.
         """
         started_at = clock.now()
         was_sent = False
@@ -141,9 +145,25 @@
             if was_sent and waited + RESEND_PAUSE_S > timeout:
                 return Reply(0, "unknown", RETRY_AFTER_S)
             if not was_sent and waited > min(timeout, self._choose_timeout()):
+                if await self._is_recorded(submission.job):
+                    return Reply(0, "accepted")
                 return Reply(0, "refused", RETRY_AFTER_S)
             await asyncio.sleep(RESEND_PAUSE_S)
 
+    async def _is_recorded(self, job: str) -> bool:
+        """Return whether an earlier submission of a job is known to have been accepted.
+
+        Its caller may have got no response to that one.
+        """
+        if self._entry.is_cut_off():
+            return False
+        try:
+            async with asyncio.timeout(RECORD_TIMEOUT_S):
+                return await self._store.read(JOBS + job) is not None
+        except (NotExecutedError, OutcomeUnknownError, TimeoutError):
+            # Logged by the store client; callers are not kept waiting for the store.
+            return False
+
     def _choose_timeout(self) -> float:
         """Return how long, in seconds, a submission may wait for a leader."""
         if self._entry.is_cut_off():
--- a/packages/briarshed-workloads/src/briarshed_workloads/transport.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/transport.py
@@ -75,7 +75,7 @@
 
     ``version`` is that of its configuration. ``store_age`` is the time in seconds since
     its last successful call to the store. ``echoed_at`` is the time at which the last
-    heartbeat of the leader of ``epoch`` was sent, by the leader's clock, and ``sent_at``
+    heartbeat of the leader of ``epoch`` was sent, by the leader's clock. ``sent_at`` is
     a time of the entry's own boot clock in seconds.
     """
 
