Count a crash that is proved after its endpoint was removed

What users saw: a task that crashes endpoints silently was started 6 or 7 times if the instance was back later than the run lease expires (BUDGET). Cause: the runs of a silent endpoint are dropped when its lease has expired, and an endpoint without runs that is no longer registered is removed, with the runs to weigh. One that counted as gone by then was not weighed either. The registration of the next incarnation, which proves the crash, found nothing to prove it of. Change: an endpoint that is removed with lost runs is kept by its instance until an endpoint is registered there. If that is a later incarnation, the crash is noted. Ruled out: counting the loss of a registration itself, which a partition causes as well; keeping the removed endpoint in the list of endpoints, where it would be polled on.

--- a/features/workloads/crashing_tasks.feature
+++ b/features/workloads/crashing_tasks.feature
@@ -17,6 +17,20 @@
       | 1     | after 0.45 s       |
       | 1     | at once, silently  |
 
+  Scenario Outline: A crash counts, however late it is proved
+    # Guards against evidence that is lost with an endpoint that is no longer registered:
+    # the runs of a silent endpoint end with its lease, before its instance is back.
+    Given 40 jobs, <count> of them with a task that crashes its endpoint at once, silently
+    And an endpoint that has crashed is back <seconds> s later
+    When they are submitted to 2 entries with 8 endpoints
+    Then no such task is started 3 times more after 3 crashes
+    And the jobs of these tasks are failed, and all others completed
+
+    Examples:
+      | count | seconds |
+      | 1     | 7       |
+      | 3     | 10      |
+
   Scenario Outline: A change of the leader does not forget the crashes of a task
     # Guards against a count that each new leader begins anew: with leaders killed among
     # the crashes, 5 tasks had too many starts on such a day.
--- a/features/workloads/steps/crashing_task_steps.py
+++ b/features/workloads/steps/crashing_task_steps.py
@@ -4,7 +4,7 @@
 import random
 
 from behave import given, then, when
-from virtual_fleet import Fleet, find_overlap
+from virtual_fleet import REBOOT_S, Fleet, find_overlap
 from virtual_time import run_virtually
 
 from briarshed_workloads.workloads import TaskId
@@ -70,6 +70,11 @@
     }
 
 
+@given("an endpoint that has crashed is back {seconds:g} s later")
+def step_reboot(context, seconds):
+    context.reboot_s = seconds
+
+
 @given("{jobs:d} jobs without such a task")
 def step_sound_tasks(context, jobs):
     context.jobs = jobs
@@ -85,6 +90,8 @@
         async with Fleet(names, ENDPOINTS) as fleet:
             crasher = Crasher(context.tasks, context.when)
             fleet.endpoints.after_start = crasher.note_start
+            for endpoint in fleet.endpoints.by_name.values():
+                endpoint.reboot_s = getattr(context, "reboot_s", REBOOT_S)
             await fleet.wait_for_leader()
             disturbing = asyncio.create_task(disturb(fleet, crasher))
             for number in range(context.jobs):
--- a/features/workloads/virtual_fleet.py
+++ b/features/workloads/virtual_fleet.py
@@ -208,6 +208,7 @@
         self.started_at_ms = 1
         self.down = ""
         self.capacity = CAPACITY
+        self.reboot_s = REBOOT_S
         self.crashes = []
         self.record = []
         self.running = {}
@@ -235,7 +236,7 @@
             self.record.append((key[0], started_at, clock.now(), "crashed"))
         self._reset()
         self.changed.set()
-        await asyncio.sleep(REBOOT_S)
+        await asyncio.sleep(self.reboot_s)
         self.started_at_ms += 1
         self.down = ""
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/crashes.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/crashes.py
@@ -92,7 +92,8 @@
     An end that was ordered or announced is no evidence against a task.
     """
     is_expected = endpoint.is_end_ordered or endpoint.evicting
-    if endpoint.is_gone or is_expected or endpoint.registration.draining:
+    is_noted = endpoint.is_gone and not endpoint.lost_runs
+    if is_noted or is_expected or endpoint.registration.draining:
         return
     engine.crashed_at[endpoint.place] = now
     crashed_at = endpoint.answered_at
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -116,6 +116,8 @@
         self.shares = Shares()
         self._sequence = 0
         self._last_counters: dict[str, int] = {}
+        # Endpoints, by place, that were removed without a proof that they have crashed.
+        self._unproved: dict[str, Endpoint] = {}
         self._stop_candidates: dict[Run, None] = {}
 
     # Jobs
@@ -326,12 +328,15 @@
                 endpoint.is_listed = False
                 if not endpoint.runs and (endpoint.is_fenced or endpoint.is_gone):
                     self._last_counters[name] = endpoint.counter
+                    if endpoint.lost_runs:
+                        self._unproved[endpoint.place] = endpoint
                     del self.endpoints[name]
 
     def _note_registration(self, registration: Registration, now: float) -> None:
         known = self.endpoints.get(registration.endpoint)
         if known is None:
-            self.add_endpoint(registration)
+            added = self.add_endpoint(registration)
+            self._note_return(added, now)
             self._report_endpoint("ENDPOINT_ADDED", registration)
         elif registration.started_at_ms > known.registration.started_at_ms:
             note_crash(self, known, now)
@@ -347,6 +352,17 @@
                 self._report_endpoint("ENDPOINT_CHANGED", registration)
             known.registration = registration
 
+    def _note_return(self, added: Endpoint, now: float) -> None:
+        """Note the crash that a later incarnation proves of one no longer registered.
+
+        The same incarnation may also be back; then its runs have only lapsed.
+        """
+        earlier = self._unproved.pop(added.place, None)
+        if earlier is None:
+            return
+        if added.registration.started_at_ms > earlier.registration.started_at_ms:
+            note_crash(self, earlier, now)
+
     def add_endpoint(self, registration: Registration) -> Endpoint:
         """Add an endpoint, or replace its earlier incarnation.
 
@@ -376,7 +392,7 @@
             is_earlier = registration.started_at_ms < latest.get(
                 registration.instance, 0
             )
-            if is_earlier and not endpoint.is_gone:
+            if is_earlier and (not endpoint.is_gone or endpoint.lost_runs):
                 note_crash(self, endpoint, now)
                 self.note_replaced(endpoint, "a later incarnation runs on its instance")
 
