Count crashes of an endpoint that restarted after an ordered end

What users saw: no report. An endpoint that was ordered into maintenance and answered a poll under the same name afterwards was never held against a task again, so that a task could crash it without a limit (BUDGET). Cause: the mark of an ordered end belongs to an incarnation, and was not reset when the leader learns of a restart from a poll. A registration that follows finds the incarnation known already and leaves the mark as well. Change: a restart that a poll shows takes back the mark. Evidence: crashing_tasks.feature, "The crash of an endpoint counts after an earlier end of it was ordered": failed before with no crash counted. Ruled out: an endpoint that registers again before it is polled; it gets a new state.

--- a/features/workloads/crashing_tasks.feature
+++ b/features/workloads/crashing_tasks.feature
@@ -56,3 +56,13 @@
       | a random endpoint crashes every 0.7 s, with seed 2       |
       | 4 endpoints crash together every 3.5 s, with seed 3      |
       | one endpoint crashes every 3.2 s, with seed 4            |
+
+  Scenario: The crash of an endpoint counts after an earlier end of it was ordered
+    # Guards against an order of maintenance that is taken for the reason of each later
+    # end: an endpoint that had restarted under its name was never weighed again.
+    Given a leader of epoch 2 with an endpoint "a" and an endpoint "b"
+    And an accepted job with 1 task
+    And the end of "a" was ordered, and it has restarted
+    And the task runs at "a"
+    When "a" restarts again
+    Then 1 crash counts against the task
--- a/features/workloads/steps/crashing_task_steps.py
+++ b/features/workloads/steps/crashing_task_steps.py
@@ -4,6 +4,7 @@
 import random
 
 from behave import given, then, when
+from engine_steps import NOW, TASK, poll_endpoint
 from virtual_fleet import REBOOT_S, Fleet, find_overlap
 from virtual_time import run_virtually
 
@@ -181,3 +182,20 @@
 def step_all_completed(context):
     assert len(context.outcomes) >= context.jobs - 1, len(context.outcomes)
     assert set(context.outcomes.values()) == {"completed"}, context.outcomes
+
+
+@given('the end of "a" was ordered, and it has restarted')
+def step_end_ordered(context):
+    context.engine.endpoints["a"].is_end_ordered = True
+    for _ in range(2):  # the second poll fences the new incarnation
+        poll_endpoint(context.engine, "a", NOW, started_at_ms=2)
+
+
+@when('"a" restarts again')
+def step_restarts_again(context):
+    poll_endpoint(context.engine, "a", NOW + 0.05, started_at_ms=3)
+
+
+@then("1 crash counts against the task")
+def step_crash_counts(context):
+    assert len(context.job.crashes.get(TASK, ())) == 1, context.job.crashes
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -514,6 +514,7 @@
         endpoint.registration = endpoint.registration._replace(
             started_at_ms=started_at_ms
         )
+        endpoint.is_end_ordered = False
         endpoint.require_fence()
         endpoint.fenced_counter = 0
         endpoint.acknowledged = 0
