Start tasks that only ran at several crashes without a long wait

After two crashes of the same endpoints, as when a rack is lost twice, all that ran there waited for isolation, one task per endpoint and 0.55 s; in a pool with one endpoint nothing else started meanwhile (LOST: waiting beside free capacity). Cause: the wait for isolation was limited for tasks with one crash only, although two crashes at which a task merely ran are no stronger evidence than that. Change: only a task that had just started at a crash, and has two, waits without a limit. Ruled out: a limit for all suspected tasks; those that had just started would start together again and be suspected together, up to the fourth crash.

--- a/features/workloads/crashing_tasks.feature
+++ b/features/workloads/crashing_tasks.feature
@@ -66,3 +66,16 @@
     And the task runs at "a"
     When "a" restarts again
     Then 1 crash counts against the task
+
+  Scenario Outline: No job waits long for others to start in isolation
+    # Guards against jobs that wait while capacity is free (LOST): after two crashes of
+    # all endpoints every task is suspected, and each starts alone.
+    Given a leader with <endpoints> endpoints and <jobs> jobs whose tasks ran at 2 crashes
+    When a further job is submitted, and each run takes 0.2 s
+    Then every job has begun within 3 s
+
+    Examples:
+      | endpoints | jobs |
+      | 1         | 16   |
+      | 2         | 16   |
+      | 4         | 32   |
--- a/features/workloads/steps/crashing_task_steps.py
+++ b/features/workloads/steps/crashing_task_steps.py
@@ -4,11 +4,21 @@
 import random
 
 from behave import given, then, when
-from engine_steps import NOW, TASK, poll_endpoint
+from engine_steps import (
+    JOB,
+    NEED,
+    NOW,
+    TASK,
+    make_engine,
+    poll_endpoint,
+    submit,
+)
 from virtual_fleet import REBOOT_S, Fleet, find_overlap
 from virtual_time import run_virtually
 
-from briarshed_workloads.workloads import TaskId
+from briarshed_workloads.crashes import BYSTANDER
+from briarshed_workloads.planning import plan_starts
+from briarshed_workloads.workloads import Step, TaskId
 
 ENDPOINTS = tuple("abcdefgh")
 SUBMIT_INTERVAL_S = 0.1
@@ -199,3 +209,42 @@
 @then("1 crash counts against the task")
 def step_crash_counts(context):
     assert len(context.job.crashes.get(TASK, ())) == 1, context.job.crashes
+
+
+@given(
+    "a leader with {endpoints:d} endpoints and {jobs:d} jobs whose tasks ran at 2"
+    " crashes"
+)
+def step_many_suspects(context, endpoints, jobs):
+    context.engine = make_engine(names=ENDPOINTS[:endpoints])
+    for name in ENDPOINTS[:endpoints]:
+        poll_endpoint(context.engine, name, NOW)
+    for number in range(jobs):
+        job = submit(context.engine, name_job(number), (Step(1, NEED, 0.2),), NOW)
+        for run in (1, 2):
+            job.note_crash(TaskId(job.job_id, 0, 0, 0), run, BYSTANDER, NOW)
+
+
+@when("a further job is submitted, and each run takes {seconds:g} s")
+def step_runs_take(context, seconds):
+    engine, now = context.engine, NOW
+    submit(engine, JOB, (Step(1, NEED, seconds),), now)
+    context.begun_at = {}
+    running = []
+    for _ in range(400):
+        for run in [row for row in running if now - row.ordered_at >= seconds]:
+            running.remove(run)
+            engine.jobs[run.task.job].note_succeeded(run.task, now)
+            engine.drop(run, "succeeded")
+        for order in plan_starts(engine, now):
+            engine.note_started(order.run, int(now * 1000), now)
+            context.begun_at[order.run.task.job] = now
+            running.append(order.run)
+        now += 0.05
+
+
+@then("every job has begun within {seconds:g} s")
+def step_all_begun(context, seconds):
+    waited = {job: at - NOW for job, at in context.begun_at.items()}
+    assert waited.keys() == context.engine.jobs.keys(), len(waited)
+    assert max(waited.values()) <= seconds, sorted(waited.values())
--- a/packages/briarshed-workloads/src/briarshed_workloads/crashes.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/crashes.py
@@ -38,9 +38,9 @@
 takes up to 0.4 s, and `SUSPICION_WINDOW_S` follows."""
 
 MAX_ISOLATION_WAIT_S = 2.0
-"""Time for which a task that was suspected once waits for an endpoint in isolation.
-Many are suspected after the loss of a rack, and none may wait long for capacity that is
-free."""
+"""Time for which a task that is not strongly suspected waits for an endpoint in
+isolation. Many are suspected after the loss of a rack, and none may wait long for
+capacity that is free."""
 
 RECENT_CRASH_S = 10.0
 """Time for which an instance that has crashed is the last choice for a suspected task:
@@ -58,6 +58,14 @@
     return len(crashes) >= MIN_CRASHES or max(crashes.values(), default=0) > BYSTANDER
 
 
+def is_strongly_suspected(crashes: Mapping[int, int]) -> bool:
+    """Return whether a task must start in isolation, however long it waits.
+
+    A task that merely ran at several crashes need not: the loss of racks leaves many.
+    """
+    return len(crashes) >= MIN_CRASHES and max(crashes.values()) > BYSTANDER
+
+
 def is_given_up(crashes: Mapping[int, int]) -> bool:
     """Return whether a task has crashed too many endpoints to be started again."""
     is_sole_suspect = SOLE_SUSPECT in crashes.values()
--- a/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
@@ -8,8 +8,8 @@
 from briarshed_workloads.configuration import QueueRules
 from briarshed_workloads.crashes import (
     MAX_ISOLATION_WAIT_S,
-    MIN_CRASHES,
     is_given_up,
+    is_strongly_suspected,
     is_suspected,
 )
 from briarshed_workloads.records import JobRecord, ProgressRecord, TaskRecord
@@ -287,14 +287,14 @@
     def must_isolate(self, task: TaskId, now: float) -> bool:
         """Return whether a waiting task should start in isolation now.
 
-        A task that was suspected once waits for that for a limited time only. The
-        members of a gang start together.
+        Without much evidence a task waits for that for a limited time only. The members
+        of a gang start together.
         """
         crashes = self.crashes.get(task)
         if not crashes or not is_suspected(crashes) or self.find_step(task).gang:
             return False
         waited = now - self.suspected_at.setdefault(task, now)
-        return len(crashes) >= MIN_CRASHES or waited < MAX_ISOLATION_WAIT_S
+        return is_strongly_suspected(crashes) or waited < MAX_ISOLATION_WAIT_S
 
     def cancel(self, unix_now: float) -> None:
         """Cancel the job at the caller's request."""
