Plan no further when only suspected tasks were waiting

What users saw: "plan of pool ... failed: min() arg is an empty sequence" (ERROR) in the log whenever all waiting tasks had just been started in isolation. No start was lost. Cause: the jobs with waiting tasks were listed before the suspected tasks were started. Change: they are listed again afterwards. Evidence: crashing_tasks.feature, "A plan of suspected tasks alone raises no error": failed before with this error, which runs of the other scenarios of the feature logged as well. Ruled out: a lost plan; nothing is waiting in that case.

--- a/features/workloads/crashing_tasks.feature
+++ b/features/workloads/crashing_tasks.feature
@@ -79,3 +79,9 @@
       | 1         | 16   |
       | 2         | 16   |
       | 4         | 32   |
+
+  Scenario: A plan of suspected tasks alone raises no error
+    # Guards against the error that was logged whenever nothing waited beside them.
+    Given a leader with 2 endpoints and 1 jobs whose tasks ran at 2 crashes
+    When the pool is planned
+    Then one task has been ordered, and no error was reported
--- a/features/workloads/steps/crashing_task_steps.py
+++ b/features/workloads/steps/crashing_task_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from unittest import mock
 
 from behave import given, then, when
 from engine_steps import (
@@ -16,8 +17,8 @@
 from virtual_fleet import REBOOT_S, Fleet, find_overlap
 from virtual_time import run_virtually
 
+from briarshed_workloads import planning
 from briarshed_workloads.crashes import BYSTANDER
-from briarshed_workloads.planning import plan_starts
 from briarshed_workloads.workloads import Step, TaskId
 
 ENDPOINTS = tuple("abcdefgh")
@@ -236,7 +237,7 @@
             running.remove(run)
             engine.jobs[run.task.job].note_succeeded(run.task, now)
             engine.drop(run, "succeeded")
-        for order in plan_starts(engine, now):
+        for order in planning.plan_starts(engine, now):
             engine.note_started(order.run, int(now * 1000), now)
             context.begun_at[order.run.task.job] = now
             running.append(order.run)
@@ -248,3 +249,15 @@
     waited = {job: at - NOW for job, at in context.begun_at.items()}
     assert waited.keys() == context.engine.jobs.keys(), len(waited)
     assert max(waited.values()) <= seconds, sorted(waited.values())
+
+
+@when("the pool is planned")
+def step_planned(context):
+    with mock.patch.object(planning, "report_error") as context.report_error:
+        context.orders = planning.plan_starts(context.engine, NOW)
+
+
+@then("one task has been ordered, and no error was reported")
+def step_no_error(context):
+    assert len(context.orders) == 1, context.orders
+    assert not context.report_error.called, context.report_error.call_args
--- a/packages/briarshed-workloads/src/briarshed_workloads/planning.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/planning.py
@@ -76,14 +76,13 @@
     if not jobs:
         return
     _start_suspects(engine, pool, jobs, now, orders)
+    jobs = [job for job in jobs if job.waiting]
     eligible = list_eligible(engine, pool, now)
-    if not eligible or not _has_capacity(jobs, eligible):
+    if not jobs or not eligible or not _has_capacity(jobs, eligible):
         return
     unix_now = engine.to_unix_time(now)
     ranked: list[tuple[tuple, Job]] = []
     for job in jobs:
-        if not job.waiting:
-            continue
         try:
             ranked.append((rank_job(engine, job, unix_now), job))
         except Exception as error:
