Start a small task while a larger one of its job waits

What users saw: no report. A job whose first waiting task fitted nowhere had nothing running, although another task of it would have fitted (LOST), until another job waited with a first task that fitted, or capacity for the large one was free. Cause: the check that skips a plan without capacity compared only the first waiting task of each job with the free CPU. Change: it compares the steps of the job that are ready and not done as well. Evidence: crashing_tasks.feature, "A small task starts while a larger one of its job waits": failed before with no order. Ruled out: a check of every waiting task; jobs have thousands, and each plan needs it.

--- a/features/workloads/crashing_tasks.feature
+++ b/features/workloads/crashing_tasks.feature
@@ -95,3 +95,11 @@
     And "a" lists the run with 100 percent after a crash of another endpoint
     When "a" restarts
     Then 2 crashes count against the task
+
+  Scenario: A small task starts while a larger one of its job waits
+    # Guards against a job that waits beside free capacity (LOST): only the first waiting
+    # task of each job was compared with the capacity that is free.
+    Given a leader of epoch 2 with an endpoint "a" and an endpoint "b"
+    And a job waits whose first task fits nowhere, and whose second task fits at "b"
+    When the pool is planned
+    Then one task has been ordered, and no error was reported
--- a/features/workloads/steps/crashing_task_steps.py
+++ b/features/workloads/steps/crashing_task_steps.py
@@ -6,6 +6,7 @@
 
 from behave import given, then, when
 from engine_steps import (
+    CAPACITY,
     JOB,
     NEED,
     NOW,
@@ -273,3 +274,9 @@
 def step_no_error(context):
     assert len(context.orders) == 1, context.orders
     assert not context.report_error.called, context.report_error.call_args
+
+
+@given('a job waits whose first task fits nowhere, and whose second task fits at "b"')
+def step_large_and_small(context):
+    large = Step(1, CAPACITY._replace(cpu=CAPACITY.cpu + 1), 1.0)
+    submit(context.engine, JOB, (large, Step(1, NEED, 1.0)), NOW)
--- a/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
@@ -172,6 +172,12 @@
         done = self.succeeded.get((occurrence, number), ())
         return len(done) >= self.description.steps[number].count
 
+    def list_unfinished_steps(self) -> Iterator[Step]:
+        """Yield the steps that are ready and not done, once for each occurrence."""
+        for occurrence, number in self.opened_steps:
+            if not self._is_step_done(occurrence, number):
+                yield self.description.steps[number]
+
     def list_tasks(self) -> Iterator[TaskId]:
         """Yield the tasks of the steps that are ready or done."""
         for occurrence, number in self.opened_steps:
--- a/packages/briarshed-workloads/src/briarshed_workloads/planning.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/planning.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import itertools
 import math
 from collections import Counter
 from collections.abc import Collection, Iterable, Sequence
@@ -166,11 +165,18 @@
 
 
 def _has_capacity(jobs: Sequence[Job], eligible: Sequence[Endpoint]) -> bool:
-    """Return whether the CPU of the smallest waiting task fits at any endpoint."""
+    """Return whether the CPU of the smallest unfinished task fits at any endpoint.
+
+    For speed, it looks at steps that are ready instead of at their tasks.
+    """
     least = min(
-        find_need(job.find_step(task)).cpu
+        find_need(step).cpu
         for job in jobs
-        for task in itertools.islice(job.waiting, 1)
+        # A task that an earlier leader started may wait before its step is opened.
+        for step in (
+            job.find_step(next(iter(job.waiting))),
+            *job.list_unfinished_steps(),
+        )
     )
     return any(endpoint.find_free().cpu >= least for endpoint in eligible)
 
