--- a/features/workloads/crashing_tasks.feature
+++ b/features/workloads/crashing_tasks.feature
@@ -30,6 +30,7 @@
       | count | seconds |
       | 1     | 7       |
       | 3     | 10      |
+      | 1     | 20      |
 
   Scenario Outline: A change of the leader does not forget the crashes of a task
     # Guards against a count that each new leader begins anew: with leaders killed among
@@ -57,6 +58,7 @@
       | 4 endpoints crash together every 3.5 s, with seed 3      |
       | one endpoint crashes every 3.2 s, with seed 4            |
       | 4 endpoints crash together every 1.5 s, with seed 16     |
+      | a random endpoint crashes every 0.7 s, with seed 14      |
 
   Scenario: The crash of an endpoint counts after an earlier end of it was ordered
     # Guards against an order of maintenance that is taken for the reason of each later
