--- a/features/workloads/steps/waiting_count_steps.py
+++ b/features/workloads/steps/waiting_count_steps.py
@@ -45,21 +45,29 @@
 
 
 class Observer:
-    """Asks every entry for its count, and knows which jobs wait.
+    """Asks every entry for its count, and knows which jobs wait; a context manager.
 
     Parameters
     ----------
     fleet : Fleet
         Entries on fakes.
+    samples : list
+        Filled with the counts.
     """
 
-    def __init__(self, fleet):
-        self.samples = []
+    def __init__(self, fleet, samples):
+        self._samples = samples
         self._fleet = fleet
         self._accepted_at = {}
 
-    async def run(self):
-        """Take samples until cancelled."""
+    async def __aenter__(self):
+        self._task = asyncio.create_task(self._run())
+        return self
+
+    async def __aexit__(self, kind, error, trace):
+        self._task.cancel()
+
+    async def _run(self):
         while True:
             self._take()
             await asyncio.sleep(SAMPLE_INTERVAL_S)
@@ -76,12 +84,22 @@
         )
         for name, entry in fleet.entries.items():
             count = entry.forwarder.count_waiting(QUEUE)
-            self.samples.append(Sample(now, name, count, least))
+            self._samples.append(Sample(now, name, count, least))
+
+
+async def submit_jobs(fleet, first=0):
+    """Submit far more jobs than the endpoints can run, and let most of them wait."""
+    started_at = clock.now()
+    for number in range(first, first + JOBS):
+        fleet.submit(number)
+        await asyncio.sleep(SUBMIT_INTERVAL_S)
+    await asyncio.sleep(started_at + BACKLOG_S - clock.now())
 
 
 @given("3 entries at which far more jobs wait than the endpoints can run")
 def step_entries(context):
     context.names = ("e1", "e2", "e3")
+    context.samples = []
 
 
 @when("the leader {event} and the next one reads the records in {seconds:g} s")
@@ -89,46 +107,31 @@
     async def run():
         async with Fleet(context.names) as fleet:
             leader = await fleet.wait_for_leader()
-            observer = Observer(fleet)
-            observing = asyncio.create_task(observer.run())
-            await submit_jobs(fleet)
-            for client in fleet.clients.values():
-                client.load_s = seconds
-            if event == "resigns":
-                await leader.resign()
-                await asyncio.sleep(0.1)
-            await fleet.kill(leader.options.name)
-            await fleet.wait_for_leader()
-            context.loaded_at = clock.now()
-            await asyncio.sleep(REST_S)
-            observing.cancel()
-            context.samples = observer.samples
+            async with Observer(fleet, context.samples):
+                await submit_jobs(fleet)
+                for client in fleet.clients.values():
+                    client.load_s = seconds
+                if event == "resigns":
+                    await leader.resign()
+                    await asyncio.sleep(0.1)
+                await fleet.kill(leader.options.name)
+                await fleet.wait_for_leader()
+                context.loaded_at = clock.now()
+                await asyncio.sleep(REST_S)
 
     run_virtually(run())
 
 
-async def submit_jobs(fleet, first=0):
-    """Submit far more jobs than the endpoints can run, and let most of them wait."""
-    started_at = clock.now()
-    for number in range(first, first + JOBS):
-        fleet.submit(number)
-        await asyncio.sleep(SUBMIT_INTERVAL_S)
-    await asyncio.sleep(started_at + BACKLOG_S - clock.now())
-
-
 @when("the leader is cut off, and more jobs arrive")
 def step_cut_off(context):
     async def run():
         async with Fleet(context.names) as fleet:
             leader = await fleet.wait_for_leader()
-            observer = Observer(fleet)
-            observing = asyncio.create_task(observer.run())
-            await submit_jobs(fleet)
-            fleet.cut_off(leader.options.name)
-            await submit_jobs(fleet, first=JOBS)
-            await asyncio.sleep(2 * REST_S)
-            observing.cancel()
-            context.samples = observer.samples
+            async with Observer(fleet, context.samples):
+                await submit_jobs(fleet)
+                fleet.cut_off(leader.options.name)
+                await submit_jobs(fleet, first=JOBS)
+                await asyncio.sleep(2 * REST_S)
 
     run_virtually(run())
 
@@ -140,11 +143,8 @@
             await fleet.wait_for_leader()
             fleet.network.heartbeat_delay_s = seconds
             await asyncio.sleep(seconds + 1)
-            observer = Observer(fleet)
-            observing = asyncio.create_task(observer.run())
-            await submit_jobs(fleet)
-            observing.cancel()
-            context.samples = observer.samples
+            async with Observer(fleet, context.samples):
+                await submit_jobs(fleet)
 
     run_virtually(run())
 
@@ -163,15 +163,12 @@
     async def run():
         async with Fleet(context.names) as fleet:
             await fleet.wait_for_leader()
-            observer = Observer(fleet)
-            observing = asyncio.create_task(observer.run())
             original, fleet.endpoints.start = fleet.endpoints.start, start
-            await submit_jobs(fleet)
-            await asyncio.sleep(seconds)
-            fleet.endpoints.start = original
-            await asyncio.sleep(REST_S)
-            observing.cancel()
-            context.samples = observer.samples
+            async with Observer(fleet, context.samples):
+                await submit_jobs(fleet)
+                await asyncio.sleep(seconds)
+                fleet.endpoints.start = original
+                await asyncio.sleep(REST_S)
 
     run_virtually(run())
 
