--- a/features/workloads/steps/crashing_task_steps.py
+++ b/features/workloads/steps/crashing_task_steps.py
@@ -19,7 +19,7 @@
 from virtual_time import run_virtually
 
 from briarshed_workloads import planning
-from briarshed_workloads.crashes import BYSTANDER
+from briarshed_workloads.crashes import WEAK
 from briarshed_workloads.workloads import ListedRun, Step, TaskId
 
 ENDPOINTS = tuple("abcdefgh")
@@ -205,7 +205,7 @@
 
 @given('"a" lists the run with 100 percent after a crash of another endpoint')
 def step_nearly_done(context):
-    context.job.note_crash(TASK, 1, BYSTANDER, NOW)
+    context.job.note_crash(TASK, 1, WEAK, NOW)
     listed = [ListedRun(TASK, context.run.number, "", 100, 0)]
     poll_endpoint(context.engine, "a", NOW + 1, listed)
 
@@ -236,7 +236,7 @@
     for number in range(jobs):
         job = submit(context.engine, name_job(number), (Step(1, NEED, 0.2),), NOW)
         for run in (1, 2):
-            job.note_crash(TaskId(job.job_id, 0, 0, 0), run, BYSTANDER, NOW)
+            job.note_crash(TaskId(job.job_id, 0, 0, 0), run, WEAK, NOW)
 
 
 @when("a further job is submitted, and each run takes {seconds:g} s")
--- a/packages/briarshed-workloads/src/briarshed_workloads/crashes.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/crashes.py
@@ -15,7 +15,7 @@
     from briarshed_workloads.engine import Engine
     from briarshed_workloads.fleet import Endpoint, Run
 
-BYSTANDER, SUSPECT, SOLE_SUSPECT = 0, 1, 2
+WEAK, SUSPECT, SOLE_SUSPECT = 0, 1, 2
 """Evidence of a crash against a run: it had been running for a while, it had just
 started, or nothing else had just started."""
 
@@ -56,7 +56,7 @@
     crashes : mapping of int to int
         Evidence by the number of the run that was lost.
     """
-    return len(crashes) >= MIN_CRASHES or max(crashes.values(), default=0) > BYSTANDER
+    return len(crashes) >= MIN_CRASHES or max(crashes.values(), default=0) > WEAK
 
 
 def is_strongly_suspected(crashes: Mapping[int, int]) -> bool:
@@ -64,7 +64,7 @@
 
     A task that merely ran at several crashes need not: the loss of racks leaves many.
     """
-    return len(crashes) >= MIN_CRASHES and max(crashes.values()) > BYSTANDER
+    return len(crashes) >= MIN_CRASHES and max(crashes.values()) > WEAK
 
 
 def is_given_up(crashes: Mapping[int, int]) -> bool:
@@ -73,7 +73,7 @@
     Endpoints that crash for other reasons may do so just after a start by chance, so
     that one such crash and others at which the task merely ran are not enough.
     """
-    suspicions = [weight for weight in crashes.values() if weight > BYSTANDER]
+    suspicions = [weight for weight in crashes.values() if weight > WEAK]
     if SOLE_SUSPECT in suspicions and len(suspicions) >= MIN_CRASHES:
         return True
     return len(crashes) >= MAX_CRASHES
@@ -98,7 +98,7 @@
         if run in recent:
             yield run, SOLE_SUSPECT if len(recent) == 1 else SUSPECT
         elif crashed_at - run.started_at < MAX_RUN_AGE_S:
-            yield run, BYSTANDER
+            yield run, WEAK
 
 
 def note_crash(engine: Engine, endpoint: Endpoint, now: float) -> None:
@@ -125,7 +125,7 @@
         suspects=[
             f"{run.task.job} {list(run.task[1:])}"
             for run, weight in evidence
-            if weight > BYSTANDER
+            if weight > WEAK
         ],
     )
     for run, weight in evidence:
