--- a/packages/briarshed-workloads/src/briarshed_workloads/entry.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/entry.py
@@ -607,6 +607,7 @@
         self.leader = LeaderView(sender, heartbeat, clock.now())
         self.forwarder.note_leader_heartbeat(heartbeat, heartbeat.echoed_at)
         if not heartbeat.echoed_at:
+            # The leader's next heartbeat then tells the age of its counts.
             self._send_entry_heartbeat()
 
     async def _handle_request(
