--- a/features/workloads/steps/wave_takeover_steps.py
+++ b/features/workloads/steps/wave_takeover_steps.py
@@ -1,6 +1,7 @@
 """Steps for maintenance waves, with a fake of the platform's instance interface."""
 
 import asyncio
+import json
 import math
 import time
 from types import SimpleNamespace
@@ -525,3 +526,31 @@
 @then('it has ordered "m1" and "m3" and not "m2"')
 def step_ordered_others(context):
     assert sorted(context.calls.ordered) == ["m1", "m3"], context.calls.ordered
+
+
+@given("a pool of 8 idle instances with the recorded sizes {sizes}")
+def step_idle_pool(context, sizes):
+    names = tuple("abcdefgh")
+    plain = make_configuration()
+    reserve = PoolRules("reserve", False, True)
+    context.engine = make_engine(
+        names=names,
+        configuration=plain._replace(pools={**plain.pools, "reserve": reserve}),
+    )
+    rows = {}
+    for name in names:
+        poll_endpoint(context.engine, name, NOW)
+        endpoint = context.engine.endpoints[name]
+        endpoint.registration = endpoint.registration._replace(instance=name)
+        rows[name] = Instance(name, "pool", "up", "d", (), CAPACITY, name)
+    context.calls = MoveCalls(rows, [])
+    term = SimpleNamespace(epoch=2, has_authority=lambda: True)
+    context.maintenance = Maintenance(
+        OPTIONS, term, context.engine, context.calls, None, lambda _: None
+    )
+    context.maintenance.restore_sizes(SizesRecord(json.loads(sizes)))
+
+
+@when("the new leader takes its first decisions")
+def step_first_decisions(context):
+    run_maintenance(context, after_lease=False)
--- a/features/workloads/wave_takeover.feature
+++ b/features/workloads/wave_takeover.feature
@@ -189,3 +189,15 @@
       | no endpoint          |
       | an earlier endpoint  |
       | an unknown endpoint  |
+
+  Scenario Outline: A new leader releases no instance before it knows the demand
+    # Guards against moving instances away and back (price of moves, late jobs): a new
+    # leader knows no arrival rate, and takes it for 0.
+    Given a pool of 8 idle instances with the recorded sizes <sizes>
+    When the new leader takes its first decisions
+    Then it orders nothing
+
+    Examples:
+      | sizes        |
+      | {"pool": 4}  |
+      | {"other": 3} |
