Log of which incarnation and in which state a run is removed

The record shows that the leader took an order for not executed while it was on its way, but not for which reason: the log named neither the state of the removed run nor the incarnation of its endpoint, so that a restart, a refused connection and a response of a later poll looked alike.

RUN_DROPPED (843) has the state, the time of the order and the start of the incarnation; RUN_ORDERED (841) tells whether the run was still tracked when the outcome of its order arrived; events 861 to 864 have address and start of the incarnation. No logic changes.

--- a/packages/briarshed-workloads/src/briarshed_workloads/controller.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/controller.py
@@ -490,6 +490,8 @@
             endpoint=run.endpoint.name,
             free_cpu=run.endpoint.find_free().cpu,
             looked_ago=round(clock.now() - run.endpoint.answered_at, 3),
+            ordered_at=round(run.ordered_at, 3),
+            is_tracked=(run.task, run.number) in run.endpoint.runs,
             outcome=outcome,
         )
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -266,6 +266,9 @@
             task=run.task,
             run=run.number,
             endpoint=run.endpoint.name,
+            started_at_ms=run.endpoint.registration.started_at_ms,
+            state=run.state,
+            ordered_at=round(run.ordered_at, 3),
             reason=reason,
         )
 
@@ -402,6 +405,8 @@
             endpoint=registration.endpoint,
             pool=registration.pool,
             instance=registration.instance,
+            address=registration.address,
+            started_at_ms=registration.started_at_ms,
             draining=registration.draining,
         )
 
@@ -510,10 +515,10 @@
         """Reset the state of an endpoint that restarted under the same name."""
         note_crash(self, endpoint, now)
         self.drop_runs(endpoint, "endpoint restarted")
-        self._report_endpoint("ENDPOINT_RESTARTED", endpoint.registration)
         endpoint.registration = endpoint.registration._replace(
             started_at_ms=started_at_ms
         )
+        self._report_endpoint("ENDPOINT_RESTARTED", endpoint.registration)
         endpoint.is_end_ordered = False
         endpoint.require_fence()
         endpoint.fenced_counter = 0
@@ -600,6 +605,7 @@
             task=row.task,
             run=row.run,
             endpoint=endpoint.name,
+            started_at_ms=endpoint.registration.started_at_ms,
             wanted=wanted,
         )
         return run
