--- a/features/platform/endpoints.feature
+++ b/features/platform/endpoints.feature
@@ -57,6 +57,22 @@
       | close | proved     |
       | reset | not proved |
 
+  Scenario Outline: A closed connection proves no end of a later process
+    # Guards against a task that runs twice (TWICE, read from the code): an endpoint may
+    # start again at the address where a process has just ended, and a partition may
+    # refuse connections to it. Its runs were taken for ended.
+    Given an endpoint
+    When a process closes its connection, <event> and new connections are refused
+    Then the end of the endpoint is not proved
+
+    Examples:
+      | event                                             |
+      | a later process responds to a call                |
+      | a later process responds with an undecodable body |
+      | a later process responds under another name       |
+      | a later process gets a call and does not respond  |
+      | a later process has another name                  |
+
   Scenario: Runs end when the run lease expires
     Given an endpoint
     When a run of 5 s is started with a deadline in 0.2 s and not polled for 0.4 s
--- a/features/platform/steps/endpoint_steps.py
+++ b/features/platform/steps/endpoint_steps.py
@@ -18,6 +18,7 @@
 from briarshed_platform_standins.endpoint import EndpointStandin
 from briarshed_workloads.interfaces import (
     Accepted,
+    ConnectionClosedError,
     EndpointEndedError,
     NotExecutedError,
     OutcomeUnknownError,
@@ -173,6 +174,62 @@
     context.is_proved = asyncio.run(run())
 
 
+@when("a process closes its connection, {event} and new connections are refused")
+def step_later_process(context, event):
+    """Let later processes take the address of one that has just ended."""
+    responses = {
+        "a later process responds to a call": (200, b'{"clock-ms":1,"born":2}'),
+        "a later process responds with an undecodable body": (200, b"{"),
+        "a later process responds under another name": (421, b"{}"),
+        "a later process gets a call and does not respond": None,
+    }
+
+    async def run():
+        is_closing = asyncio.Event()
+        connections = 0
+
+        async def accept(reader, writer):
+            nonlocal connections
+            connections += 1
+            await reader.readuntil(b"\r\n\r\n")
+            if connections > 1:
+                if responses[event] is None:
+                    await is_closing.wait()
+                else:
+                    status, body = responses[event]
+                    head = f"HTTP/1.1 {status} .\r\nContent-Length: {len(body)}\r\n"
+                    head += "Connection: close\r\n\r\n"
+                    writer.write(head.encode() + body)
+            writer.close()
+
+        server = await asyncio.start_server(accept, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        address = f"{host}:{port}"
+        async with HttpClient() as client:
+            calls = PlatformEndpoints(client)
+
+            async def poll(name):
+                return await calls.poll(name, address, 5, 0, None, 0.0)
+
+            try:
+                await poll("e")
+                raise AssertionError("the connection was not closed")
+            except ConnectionClosedError:
+                pass
+            if event in responses:
+                with contextlib.suppress(OutcomeUnknownError):
+                    await poll("f" if "another name" in event else "e")
+            server.close()
+            is_closing.set()
+            try:
+                await poll("f" if event not in responses else "e")
+            except (EndpointEndedError, NotExecutedError) as error:
+                return isinstance(error, EndpointEndedError)
+            raise AssertionError("the connection was not refused")
+
+    context.is_proved = asyncio.run(run())
+
+
 @when("a poll waits, this side discards its connections and new ones are refused")
 def step_given_up(context):
     async def run():
