Let no registration of another writer replace an endpoint

Callers could see a task run twice at the same time: the runs of a live endpoint were removed, and the tasks started elsewhere.

Cause, read from the code: a registration in the store may be of another writer and names no endpoint to use. One with all fields of the right type, but of a service that no configuration names, was decoded and tracked. If it named an existing instance and a later start, the endpoint on that instance counted as replaced.

Such a registration is now no evidence of a later incarnation. The pools are looked up in the present configuration each time, so that an added pool counts with the next reading of the registrations. Without a configuration nothing changes. Tasks start only at endpoints of their own pool.

Not covered: a registration of such a pool under the name of a known endpoint, which is handled in another place.

--- a/features/workloads/steps/unknown_state_steps.py
+++ b/features/workloads/steps/unknown_state_steps.py
@@ -12,6 +12,7 @@
     TASK,
     make_configuration,
     make_engine,
+    make_registration,
     poll_endpoint,
     submit,
 )
@@ -19,6 +20,7 @@
 from virtual_time import run_virtually
 
 from briarshed_entry import clock
+from briarshed_workloads.configuration import PoolRules
 from briarshed_workloads.disruption import list_pacing
 from briarshed_workloads.jobs import COMPLETED, FAILED
 from briarshed_workloads.planning import plan_starts
@@ -228,3 +230,48 @@
 @then("an order sets it to full speed")
 def step_full_speed(context):
     assert [order.percent for order in context.pacing] == [100], context.pacing
+
+
+@given('a leader with {configuration}, and a task that runs at "a" on instance "m"')
+def step_run_on_instance(context, configuration):
+    context.engine = engine = make_engine(2, ("a",))
+    context.registrations = [make_registration("a")._replace(instance="m")]
+    engine.note_registrations(context.registrations, NOW)
+    poll_endpoint(engine, "a", NOW)
+    submit(engine, JOB, (Step(1, NEED, 1.0),), NOW)
+    (order,) = plan_starts(engine, NOW)
+    engine.note_started(order.run, int(NOW * 1000), NOW)
+    if configuration == "no configuration":
+        engine.configuration = None
+
+
+@when('"x" of the pool "{pool}" registers with a later start on that instance')
+def step_registered_by_another(context, pool):
+    other = make_registration("x", started_at_ms=2)._replace(pool=pool, instance="m")
+    context.registrations.append(other)
+    context.engine.note_registrations(context.registrations, NOW + 0.5)
+
+
+@when("a newer configuration adds that pool and the registrations are read again")
+def step_pool_added(context):
+    engine = context.engine
+    pools = {**engine.configuration.pools, "other": PoolRules("other", False, False)}
+    engine.configuration = engine.configuration._replace(version=2, pools=pools)
+    engine.note_registrations(context.registrations, NOW + 1)
+
+
+@then('the run at "a" {goes_on}')
+def step_run_goes_on(context, goes_on):
+    runs = context.engine.runs.get(TASK, [])
+    assert bool(runs) == (goes_on == "goes on"), runs
+
+
+@then('no task starts at "x"')
+def step_unused(context):
+    engine = context.engine
+    if "x" in engine.endpoints:
+        poll_endpoint(engine, "x", NOW + 1, started_at_ms=2)
+    engine.roster.add("x")
+    submit(engine, NEW_JOB, (Step(9, NEED, 1.0),), NOW + 1)
+    names = {order.run.endpoint.name for order in plan_starts(engine, NOW + 1)}
+    assert names == {"a"}, names
--- a/features/workloads/unknown_state.feature
+++ b/features/workloads/unknown_state.feature
@@ -49,3 +49,32 @@
     Given a new leader with an endpoint that lists a best-effort run
     When it runs alone at its endpoint
     Then an order sets it to full speed
+
+  Scenario: A registration of another writer does not replace an endpoint
+    # Guards against a task that runs twice (TWICE, read from the code): a registration
+    # of a pool that the configuration does not name is of another writer. A later start
+    # in it on the same instance removed the runs of the endpoint there.
+    Given a leader with a configuration, and a task that runs at "a" on instance "m"
+    When "x" of the pool "other" registers with a later start on that instance
+    Then the run at "a" goes on
+    And no task starts at "x"
+
+  Scenario Outline: A later registration of a known pool replaces an endpoint
+    # Guards against runs that are kept until their lease expires, although their
+    # instance has a later incarnation.
+    Given a leader with <configuration>, and a task that runs at "a" on instance "m"
+    When "x" of the pool "<pool>" registers with a later start on that instance
+    Then the run at "a" has ended
+
+    Examples:
+      | configuration    | pool  |
+      | a configuration  | pool  |
+      | no configuration | other |
+
+  Scenario: A pool that a newer configuration adds is known at once
+    # Guards against the same, while the leader reads of a new pool after its endpoints.
+    Given a leader with a configuration, and a task that runs at "a" on instance "m"
+    When "x" of the pool "other" registers with a later start on that instance
+    Then the run at "a" goes on
+    When a newer configuration adds that pool and the registrations are read again
+    Then the run at "a" has ended
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -381,11 +381,17 @@
         return endpoint
 
     def _note_earlier_incarnations(self, now: float) -> None:
-        """Note that endpoints were replaced by a later one on their instance."""
+        """Note that endpoints were replaced by a later one on their instance.
+
+        A registration of a pool that the configuration does not name is no evidence: it
+        comes from another writer.
+        """
+        pools = self.configuration.pools if self.configuration is not None else None
         latest: dict[str, int] = {}
         for endpoint in self.endpoints.values():
             registration = endpoint.registration
-            if registration.instance:
+            is_evidence = pools is None or registration.pool in pools
+            if registration.instance and is_evidence:
                 started_at_ms = max(
                     latest.get(registration.instance, 0), registration.started_at_ms
                 )
