Send no order to an address that a response names

Callers could see a task start at an endpoint other than the ordered one, and an order be sent twice.

Cause, read from the code: the HTTP client follows redirects by default. It sends a POST again, with its body, to whatever address a response with status 307 or 308 names. The outcome of the second call was then taken for that of the first: one that was refused counted as never sent.

No peer is documented to redirect, and no such response was seen.

--- a/features/platform/endpoints.feature
+++ b/features/platform/endpoints.feature
@@ -92,3 +92,16 @@
     Given an endpoint
     When a poll waits, this side discards its connections and the run it waits for ends
     Then the poll returns the success
+
+  Scenario Outline: An order that is redirected is sent to no other address
+    # Guards against an order that is carried out by an endpoint which it does not name
+    # (read from the code): the client followed redirects, and sent the order again.
+    Given an endpoint
+    When a process at another address redirects a start to it with status <status>
+    Then the order is unknown
+    And the endpoint has received no order
+
+    Examples:
+      | status |
+      | 307    |
+      | 308    |
--- a/features/platform/steps/endpoint_steps.py
+++ b/features/platform/steps/endpoint_steps.py
@@ -301,3 +301,34 @@
 @then("it {may} have more ends")
 def step_more_ends(context, may):
     assert context.response.may_have_more_ends == (may == "may")
+
+
+@when("a process at another address redirects a start to it with status {status:d}")
+def step_redirected(context, status):
+    async def work(fixture):
+        async def accept(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            target = f"http://{fixture.standin.address}/api/run-start"
+            head = f"HTTP/1.1 {status} .\r\nLocation: {target}\r\n"
+            writer.write(f"{head}Content-Length: 0\r\n\r\n".encode())
+            writer.close()
+
+        server = await asyncio.start_server(accept, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        order = StartRequest(TASK, 10, "run 5", 5, fixture.standin.read_clock() + 3_000)
+        async with server:
+            try:
+                response = await fixture.calls.start(
+                    "e", f"{host}:{port}", order, lambda: True
+                )
+            except OutcomeUnknownError as error:
+                response = error
+        return response, await fixture.poll()
+
+    context.response, context.first = run_with_standin(work)
+
+
+@then("the endpoint has received no order")
+def step_no_order(context):
+    assert not context.first.running, context.first
+    assert not context.first.ended, context.first
