Let no registration of another writer overwrite an endpoint

Callers could see a task run twice at the same time (TWICE; read from the code, not seen in a play): a registration under the name of a live endpoint, of a pool that the configuration does not name, removed the runs of the endpoint ("registered again") if its start was later, and replaced its address otherwise, so that a refusal from there proved its end.

Cause: the same class as the orders of an earlier incarnation: what somebody else wrote was taken for evidence about the endpoint. Change: such a registration changes nothing about a known endpoint; it counts as registered. The check of the pool is shared with that of later incarnations on an instance. Without a configuration nothing changes.

Evidence: the two new scenarios of unknown_state.feature failed before and pass now; engine and restarting_endpoints pass. Left: an entry of a named pool with a start in the future cannot be told from a real one.

--- a/features/workloads/steps/unknown_state_steps.py
+++ b/features/workloads/steps/unknown_state_steps.py
@@ -275,3 +275,19 @@
     submit(engine, NEW_JOB, (Step(9, NEED, 1.0),), NOW + 1)
     names = {order.run.endpoint.name for order in plan_starts(engine, NOW + 1)}
     assert names == {"a"}, names
+
+
+@when(
+    'another writer registers "a" in an unknown pool at another address, started {when}'
+)
+def step_overwritten(context, when):
+    started_at_ms = 2 if when == "later" else 1
+    row = make_registration("a", started_at_ms)._replace(
+        pool="other", address="elsewhere", instance="m"
+    )
+    context.engine.note_registrations([row], NOW + 0.5)
+
+
+@then('orders to "a" go to its own address')
+def step_own_address(context):
+    assert context.engine.endpoints["a"].registration == context.registrations[0]
--- a/features/workloads/unknown_state.feature
+++ b/features/workloads/unknown_state.feature
@@ -78,3 +78,17 @@
     Then the run at "a" goes on
     When a newer configuration adds that pool and the registrations are read again
     Then the run at "a" has ended
+
+  Scenario Outline: A registration of another writer under an endpoint's name
+    # Guards against a task that runs twice (TWICE, read from the code): the registration
+    # has a pool that the configuration does not name, and removed the runs of the
+    # endpoint, or sent its orders to another address.
+    Given a leader with a configuration, and a task that runs at "a" on instance "m"
+    When another writer registers "a" in an unknown pool at another address, started <when>
+    Then the run at "a" goes on
+    And orders to "a" go to its own address
+
+    Examples:
+      | when             |
+      | later            |
+      | at the same time |
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -360,6 +360,9 @@
             added = self.add_endpoint(registration)
             self._note_return(added, now)
             self._report_endpoint("ENDPOINT_ADDED", registration)
+        elif not self._has_pool(registration):
+            # Another writer has overwritten the registration.
+            known.is_listed = True
         elif registration.started_at_ms > known.registration.started_at_ms:
             note_crash(self, known, now)
             known.is_gone = True
@@ -376,6 +379,12 @@
                 self._report_endpoint("ENDPOINT_CHANGED", registration)
             known.registration = registration
 
+    def _has_pool(self, registration: Registration) -> bool:
+        """Return whether the configuration names the pool of a registration."""
+        return (
+            self.configuration is None or registration.pool in self.configuration.pools
+        )
+
     def _note_return(self, added: Endpoint, now: float) -> None:
         """Note the crash that a later incarnation proves of one no longer registered.
 
@@ -407,12 +416,10 @@
         A registration of a pool that the configuration does not name is no evidence: it
         comes from another writer.
         """
-        pools = self.configuration.pools if self.configuration is not None else None
         latest: dict[str, int] = {}
         for endpoint in self.endpoints.values():
             registration = endpoint.registration
-            is_evidence = pools is None or registration.pool in pools
-            if registration.instance and is_evidence:
+            if registration.instance and self._has_pool(registration):
                 started_at_ms = max(
                     latest.get(registration.instance, 0), registration.started_at_ms
                 )
