Acknowledge each end to an endpoint only until it has responded

An endpoint that had restarted unseen forgot its first ends with such a poll before the leader had read them, and the tasks started again.

Change: an end is acknowledged until the endpoint has responded to a poll that carries its number, and not again; an idle endpoint then gets no number at all. What remains is the one poll that is on its way.

--- a/features/workloads/restarting_endpoints.feature
+++ b/features/workloads/restarting_endpoints.feature
@@ -62,6 +62,14 @@
       | closes its connection and refuses new ones | 5       | runs only at "a" |
       | closes its connection and refuses new ones | 12      | waits            |
 
+  Scenario: An endpoint that has restarted unseen does not forget its new ends
+    # Guards against a task that starts again after its success (TWICE): polls went on
+    # to acknowledge the ends of the earlier incarnation, and the numbers of ends start
+    # anew.
+    Given a leader and an endpoint that has forgotten an acknowledged end
+    When it restarts unseen and a run there succeeds before the next poll
+    Then the success is noted
+
   Scenario Outline: Tasks run once at a time while endpoints restart under load
     # Guards against a task that runs twice (TWICE) on a day on which endpoints start
     # again within a fraction of a second, while orders are on their way.
--- a/features/workloads/steps/restarting_endpoint_steps.py
+++ b/features/workloads/steps/restarting_endpoint_steps.py
@@ -2,16 +2,27 @@
 
 import asyncio
 import random
+from types import SimpleNamespace
 
 from behave import given, then, when
-from engine_steps import JOB, NOW, TASK, make_registration, poll_endpoint
-from virtual_fleet import Fleet
+from engine_steps import (
+    JOB,
+    NEED,
+    NOW,
+    TASK,
+    make_registration,
+    poll_endpoint,
+    submit,
+)
+from slow_store_steps import make_controller
+from virtual_fleet import TASK_S, Endpoints, Fleet
 from virtual_time import run_virtually
 
 from briarshed_entry import clock
 from briarshed_workloads.crashes import note_crash
+from briarshed_workloads.jobs import COMPLETED
 from briarshed_workloads.planning import plan_starts
-from briarshed_workloads.workloads import ListedRun
+from briarshed_workloads.workloads import ListedRun, Step
 
 LATER = 2
 """Start of the later incarnation, in Unix ms."""
@@ -104,6 +115,47 @@
         assert not plan_starts(engine, now)
 
 
+@given("a leader and an endpoint that has forgotten an acknowledged end")
+def step_forgotten(context):
+    context.endpoints = Endpoints(("a",))
+
+
+@when("it restarts unseen and a run there succeeds before the next poll")
+def step_ends_unseen(context):
+    context.jobs = run_virtually(play_unseen_restart(context.endpoints))
+
+
+async def play_unseen_restart(endpoints):
+    """Return the jobs of a run before and of one after an unseen restart."""
+    controller, _ = make_controller(
+        SimpleNamespace(commit_count=0), endpoints=endpoints
+    )
+    engine, poller, row = controller.engine, controller.poller, endpoints.by_name["a"]
+    endpoint = engine.endpoints["a"]
+    step = (Step(1, NEED, TASK_S),)
+    async with controller:
+        await poller.poll(endpoint)
+        before = submit(engine, JOB, step, clock.now())
+        controller._issue_orders(clock.now())
+        await asyncio.sleep(TASK_S + 0.1)
+        await poller.poll(endpoint)
+        endpoint.acknowledged = endpoint.last_listed_end
+        await poller.poll(endpoint, is_immediate=True)
+        assert endpoint.acknowledged and not row.ended
+        row.restart()
+        after = submit(engine, "00000000000000bb", step, clock.now())
+        controller._issue_orders(clock.now())
+        await asyncio.sleep(TASK_S + 0.1)
+        for _ in range(3):
+            await poller.poll(endpoint, is_immediate=True)
+    return before, after
+
+
+@then("the success is noted")
+def step_noted(context):
+    assert [job.state for job in context.jobs] == [COMPLETED] * 2
+
+
 @given("entries and endpoints that restart {how} at random times, seed {number:d}")
 def step_fleet(context, how, number):
     context.how, context.random = how, random.Random(number)
--- a/features/workloads/virtual_fleet.py
+++ b/features/workloads/virtual_fleet.py
@@ -222,6 +222,11 @@
         self.ended = []
         self.count = 0
 
+    def restart(self):
+        """Lose everything and go on as the next incarnation."""
+        self._reset()
+        self.started_at_ms += 1
+
     async def crash(self, how="closed"):
         """Lose everything, and start again after a while.
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -577,6 +577,7 @@
         counter: int,
         sent_at: float,
         now: float,
+        acknowledged: int = 0,
     ) -> None:
         """Apply an endpoint's response to a poll.
 
@@ -586,6 +587,8 @@
             Counter of the fencing token that the poll carried.
         sent_at : float
             When the poll was sent, in seconds of the boot clock.
+        acknowledged : int
+            Number of the last end that the poll acknowledged.
         """
         if endpoint.is_gone:
             # The response is from a later incarnation, or overtaken by the end.
@@ -598,6 +601,7 @@
             return
         self._note_response(endpoint, response.clock_ms, now)
         endpoint.polled_at = now
+        endpoint.forgotten = max(endpoint.forgotten, acknowledged)
         if not endpoint.fenced_counter:
             endpoint.note_earlier_deadline(self.lease_times.max_run_lease)
         if not response.may_have_more_ends:
@@ -633,6 +637,7 @@
         endpoint.require_fence()
         endpoint.fenced_counter = 0
         endpoint.acknowledged = 0
+        endpoint.forgotten = 0
         endpoint.last_listed_end = 0
         endpoint.clock_sample_ms = 0
         endpoint.last_deadline_ms = 0
--- a/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
@@ -132,8 +132,9 @@
 class Endpoint:
     """One incarnation of an endpoint.
 
-    ``acknowledged`` is the highest number of an end whose effect is durable, and
-    ``last_listed_end`` the highest that was listed. ``answered_at`` is the time of the
+    ``acknowledged`` is the highest number of an end whose effect is durable,
+    ``forgotten`` the highest that it has certainly forgotten, and ``last_listed_end``
+    the highest that was listed. ``answered_at`` is the time of the
     last response to any call, and ``polled_at`` that of the last list of runs. While
     calls fail, ``alive_until`` is the last time at which it was certainly running.
     ``is_fenced`` is set once this incarnation has answered a poll of this leader, so
@@ -160,6 +161,7 @@
         "evicting",
         "failing_since",
         "fenced_counter",
+        "forgotten",
         "full_until",
         "is_end_ordered",
         "is_gone",
@@ -188,6 +190,7 @@
         self.used = NO_RESOURCES
         self._unknown_needs = 0
         self.acknowledged = 0
+        self.forgotten = 0
         self.last_listed_end = 0
         self.clock_sample_ms = 0
         self.clock_sampled_at = 0.0
@@ -256,6 +259,14 @@
         self.last_deadline_ms = max(self.last_deadline_ms, deadline)
         return deadline
 
+    def choose_acknowledged(self) -> int:
+        """Return the number of the last end to acknowledge in a poll, or 0.
+
+        Each is acknowledged until the endpoint has responded, and not again: an
+        endpoint that has restarted unseen would forget its new ends unread.
+        """
+        return self.acknowledged if self.acknowledged > self.forgotten else 0
+
     def note_earlier_deadline(self, run_lease: float) -> None:
         """Assume that an earlier leader has just set a deadline."""
         earlier = self.clock_sample_ms + int(run_lease * MS_PER_S)
