Ignore what an earlier incarnation of an endpoint has sent

A late response of the earlier incarnation removed the runs of the present one, and noted a crash against their tasks. A late registration did the same where the clock of the instance had been set back.

Change: an endpoint keeps the start times of its earlier incarnations; responses and registrations with one of them are ignored. Endpoints without a known instance are not compared with any instance.

--- a/features/workloads/restarting_endpoints.feature
+++ b/features/workloads/restarting_endpoints.feature
@@ -62,6 +62,22 @@
       | closes its connection and refuses new ones | 5       | runs only at "a" |
       | closes its connection and refuses new ones | 12      | waits            |
 
+  Scenario Outline: What an earlier incarnation has sent is no evidence of a restart
+    # Guards against a task that runs twice (TWICE): a late response or registration of
+    # an earlier incarnation removed the runs of the present one.
+    Given a leader of epoch 2 with an endpoint "a" and an endpoint "b"
+    And an accepted job with 1 task
+    When "a" restarts with a <clock> clock and runs the task
+    And <what> of the earlier incarnation arrives
+    Then the task runs only at "a"
+
+    Examples:
+      | clock   | what                 |
+      | later   | a response to a poll |
+      | later   | the registration     |
+      | set-back | a response to a poll |
+      | set-back | the registration    |
+
   Scenario: An endpoint that has restarted unseen does not forget its new ends
     # Guards against a task that starts again after its success (TWICE): polls went on
     # to acknowledge the ends of the earlier incarnation, and the numbers of ends start
--- a/features/workloads/steps/restarting_endpoint_steps.py
+++ b/features/workloads/steps/restarting_endpoint_steps.py
@@ -115,6 +115,34 @@
         assert not plan_starts(engine, now)
 
 
+@when('"a" restarts with a {clock} clock and runs the task')
+def step_runs_later(context, clock):
+    engine = context.engine
+    context.started_at_ms = LATER if clock == "later" else -LATER
+    engine.endpoints["b"].full_until = NOW + 1
+    for offset in (0.1, 0.2):
+        poll_endpoint(engine, "a", NOW + offset, started_at_ms=context.started_at_ms)
+    (order,) = plan_starts(engine, NOW + 0.3)
+    order.run.token = order.run.endpoint.token
+    engine.note_started(order.run, int(NOW * 1000), NOW + 0.3)
+    row = ListedRun(TASK, order.run.number, "", 10, 0)
+    poll_endpoint(engine, "a", NOW + 0.4, [row], started_at_ms=context.started_at_ms)
+    engine.endpoints["b"].full_until = 0.0
+
+
+@when("a response to a poll of the earlier incarnation arrives")
+def step_late_response(context):
+    poll_endpoint(context.engine, "a", NOW + 0.5, counter=1)
+    assert not plan_starts(context.engine, NOW + 0.5)
+
+
+@when("the registration of the earlier incarnation arrives")
+def step_late_registration(context):
+    rows = [make_registration(name) for name in "ab"]
+    context.engine.note_registrations(rows, NOW + 0.5)
+    assert not plan_starts(context.engine, NOW + 0.5)
+
+
 @given("a leader and an endpoint that has forgotten an acknowledged end")
 def step_forgotten(context):
     context.endpoints = Endpoints(("a",))
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -363,13 +363,16 @@
         elif not self._has_pool(registration):
             # Another writer has overwritten the registration.
             known.is_listed = True
+        elif registration.started_at_ms in known.earlier_starts:
+            # The endpoint has restarted and has not registered again yet.
+            known.is_listed = True
         elif registration.started_at_ms > known.registration.started_at_ms:
             note_crash(self, known, now)
             known.is_gone = True
             self._drop_ended_runs(known, "registered again", now)
             added = self.add_endpoint(registration)
             self._report_endpoint("ENDPOINT_ADDED", registration)
-            self._hand_over_orders(known, added)
+            self._hand_over(known, added)
         else:
             known.is_listed = True
             if registration.started_at_ms < known.registration.started_at_ms:
@@ -427,7 +430,7 @@
         for endpoint in self.endpoints.values():
             registration = endpoint.registration
             is_earlier = registration.started_at_ms < latest.get(
-                registration.instance, 0
+                registration.instance, registration.started_at_ms
             )
             is_settled = endpoint.is_gone and not endpoint.runs
             if is_earlier and (not is_settled or endpoint.lost_runs):
@@ -504,11 +507,13 @@
             reason=reason,
         )
 
-    def _hand_over_orders(self, earlier: Endpoint, later: Endpoint) -> None:
+    def _hand_over(self, earlier: Endpoint, later: Endpoint) -> None:
         """Let the next incarnation of an endpoint settle the orders of the earlier one.
 
         At another address it cannot receive them.
         """
+        start = earlier.registration.started_at_ms
+        later.earlier_starts = earlier.earlier_starts | {start}
         later.earlier_deadlines_until = earlier.earlier_deadlines_until
         if later.registration.address != earlier.registration.address:
             self.drop_runs(earlier, "registered again at another address")
@@ -593,6 +598,9 @@
         if endpoint.is_gone:
             # The response is from a later incarnation, or overtaken by the end.
             return
+        if response.started_at_ms in endpoint.earlier_starts:
+            # A response of an earlier incarnation, which a later one has overtaken.
+            return
         if (
             response.started_at_ms != endpoint.registration.started_at_ms
             and response.started_at_ms
@@ -629,6 +637,7 @@
         """Reset the state of an endpoint that restarted under the same name."""
         note_crash(self, endpoint, now)
         self._drop_ended_runs(endpoint, "endpoint restarted", now)
+        endpoint.earlier_starts |= {endpoint.registration.started_at_ms}
         endpoint.registration = endpoint.registration._replace(
             started_at_ms=started_at_ms
         )
--- a/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
@@ -146,6 +146,7 @@
     or another pool. ``lost_runs`` holds the runs whose lease expired while it did not
     respond. ``earlier_deadlines_until`` is the time until which it may keep runs
     because of deadlines that were chosen by the clock of its earlier incarnation.
+    ``earlier_starts`` holds when its earlier incarnations started, in Unix ms.
     """
 
     __slots__ = (
@@ -157,6 +158,7 @@
         "clock_sampled_at",
         "counter",
         "earlier_deadlines_until",
+        "earlier_starts",
         "epoch",
         "evicting",
         "failing_since",
@@ -201,6 +203,7 @@
         self.full_until = 0.0
         self.last_deadline_ms = 0
         self.earlier_deadlines_until = 0.0
+        self.earlier_starts: frozenset[int] = frozenset()
         self.is_listed = True
         self.is_gone = False
         self.is_end_ordered = False
