Settle an order only by a poll sent after its outcome was unknown

The late response to the poll settled the order as not executed.

Cause: what an incarnation had answered before was taken for evidence about a later moment. Change: the time at which an outcome became unknown is kept with the run, and only polls sent from then on settle it. The poll that follows an order without a response is such a poll, so that nothing waits longer.

Evidence: the new scenario of restarting_endpoints.feature fails without the condition and passes with it; engine, orders, waiting_counts and silent_endpoints pass.

--- a/features/workloads/restarting_endpoints.feature
+++ b/features/workloads/restarting_endpoints.feature
@@ -78,6 +78,19 @@
       | set-back | a response to a poll |
       | set-back | the registration    |
 
+  Scenario: A poll that was sent before the outcome was unknown does not settle an order
+    # Guards against a task that runs twice (TWICE): the response was late and of an
+    # incarnation that had ended, and the next one had carried the order out.
+    Given a leader of epoch 2 with an endpoint "a" and an endpoint "b"
+    And an accepted job with 1 task
+    And an order of the task is on its way to "a"
+    When "a" answers a poll as a later incarnation
+    And the order has no response
+    And "a" lists no runs in response to a poll that was sent before
+    Then nothing is started
+    When the later incarnation of "a" lists the run in response to a poll
+    Then the task runs only at "a"
+
   Scenario: An endpoint that has restarted unseen does not forget its new ends
     # Guards against a task that starts again after its success (TWICE): polls went on
     # to acknowledge the ends of the earlier incarnation, and the numbers of ends start
--- a/features/workloads/steps/engine_steps.py
+++ b/features/workloads/steps/engine_steps.py
@@ -143,7 +143,7 @@
     (order,) = plan_starts(context.engine, NOW)
     order.run.token = order.run.endpoint.token
     context.old_counter = order.run.endpoint.counter
-    context.engine.note_outcome_unknown(order.run)
+    context.engine.note_outcome_unknown(order.run, NOW)
 
 
 @then('the task has one reserved run at "a"')
@@ -326,7 +326,7 @@
             if not is_lost or size % 2:
                 self.present[run.endpoint.name][run.task, run.number] = run
             if is_lost:
-                self.engine.note_outcome_unknown(run)
+                self.engine.note_outcome_unknown(run, self.now)
             else:
                 clock_ms = int(self.now * 1000)
                 self.engine.note_started(run, clock_ms, self.now)
--- a/features/workloads/steps/restarting_endpoint_steps.py
+++ b/features/workloads/steps/restarting_endpoint_steps.py
@@ -6,6 +6,7 @@
 
 from behave import given, then, when
 from engine_steps import (
+    CAPACITY,
     JOB,
     NEED,
     NOW,
@@ -20,12 +21,18 @@
 
 from briarshed_entry import clock
 from briarshed_workloads.crashes import note_crash
+from briarshed_workloads.interfaces import OutcomeUnknownError, Refused
 from briarshed_workloads.jobs import COMPLETED
 from briarshed_workloads.planning import plan_starts
-from briarshed_workloads.workloads import ListedRun, Step
+from briarshed_workloads.workloads import (
+    ListedRun,
+    PollResponse,
+    Registration,
+    Step,
+)
 
-LATER = 2
-"""Start of the later incarnation, in Unix ms."""
+UNSEEN, LATER = 2, 3
+"""Starts of the later incarnations, in Unix ms; the first is known too late."""
 
 MAX_START_DELAY_S = 0.3
 MAX_DOWN_S = 0.2
@@ -34,6 +41,8 @@
 SUBMIT_INTERVAL_S = 0.3
 REST_S = 20.0
 MIN_CRASHES = 12
+LATE_S = 0.4
+"""Time for which a start is held up; shorter than a task."""
 
 
 def register(context, now):
@@ -73,7 +82,7 @@
 
 @when("the order has no response")
 def step_no_response(context):
-    context.engine.note_outcome_unknown(context.run)
+    context.engine.note_outcome_unknown(context.run, NOW + 0.03)
 
 
 @when("the order is not answered yet")
@@ -130,10 +139,21 @@
     engine.endpoints["b"].full_until = 0.0
 
 
-@when("a response to a poll of the earlier incarnation arrives")
-def step_late_response(context):
-    poll_endpoint(context.engine, "a", NOW + 0.5, counter=1)
-    assert not plan_starts(context.engine, NOW + 0.5)
+@when("a response to a poll of {incarnation} incarnation arrives")
+def step_late_response(context, incarnation):
+    engine = context.engine
+    started_at_ms = 1 if incarnation == "the earlier" else UNSEEN
+    late = PollResponse(int(NOW * 1000), started_at_ms, (), ())
+    endpoint = engine.endpoints["a"]
+    engine.note_poll(endpoint, late, 1, NOW + 0.05, NOW + 0.5)
+    assert not plan_starts(engine, NOW + 0.5)
+
+
+@then('"a" is still polled as the present incarnation')
+def step_present(context):
+    endpoint = context.engine.endpoints["a"]
+    assert endpoint.registration.started_at_ms == context.started_at_ms
+    assert endpoint.is_fenced
 
 
 @when("the registration of the earlier incarnation arrives")
@@ -143,6 +163,79 @@
     assert not plan_starts(context.engine, NOW + 0.5)
 
 
+@when('"a" lists no runs in response to a poll that was sent before')
+def step_sent_before(context):
+    engine = context.engine
+    endpoint = engine.endpoints["a"]
+    empty = PollResponse(int(NOW * 1000), endpoint.registration.started_at_ms, (), ())
+    engine.note_poll(endpoint, empty, endpoint.counter, NOW + 0.02, NOW + 0.035)
+
+
+class FencingEndpoints(Endpoints):
+    """Endpoints that register again while a start is on its way, and refuse it."""
+
+    async def start(self, name, address, order, permit):
+        """Refuse the start for its token, after the registrations were read."""
+        self.note_restart()
+        return Refused("fenced")
+
+
+@given("a leader with an order on its way to an endpoint that registers again")
+def step_registers_again(context):
+    context.endpoints = FencingEndpoints(("a",))
+
+
+@when("the later incarnation refuses the order for its token")
+def step_fenced(context):
+    async def run():
+        controller, _ = make_controller(
+            SimpleNamespace(commit_count=0), endpoints=context.endpoints
+        )
+        controller.term.note_event = lambda *_: controller.term.lost.set()
+        engine = controller.engine
+        rows = [Registration("a", LATER, "", "pool", "d", "r", (), CAPACITY)]
+        context.endpoints.note_restart = lambda: engine.note_registrations(
+            rows, clock.now()
+        )
+        async with controller:
+            await controller.poller.poll(engine.endpoints["a"])
+            submit(engine, JOB, (Step(1, NEED, TASK_S),), clock.now())
+            controller._issue_orders(clock.now())
+            await asyncio.sleep(0.1)
+        return controller.term.lost.is_set()
+
+    context.is_lost = run_virtually(run())
+
+
+@given("a leader that polls an endpoint")
+def step_polls(context):
+    context.endpoints = Endpoints(("a",))
+
+
+@when("polls show two restarts, and the registrations are read again")
+def step_two_restarts(context):
+    async def run():
+        controller, endpoints = make_controller(
+            SimpleNamespace(commit_count=0), endpoints=context.endpoints
+        )
+        poller, endpoint = controller.poller, controller.engine.endpoints["a"]
+        async with controller:
+            poller.start_polling()
+            for _ in range(2):
+                await asyncio.sleep(0.1)
+                endpoints.by_name["a"].restart()
+                await poller.poll(endpoint)
+                poller.start_polling()
+            return len(poller._poll_loops)
+
+    context.loops = run_virtually(run())
+
+
+@then("it has one poll loop")
+def step_one_loop(context):
+    assert context.loops == 1, context.loops
+
+
 @given("a leader and an endpoint that has forgotten an acknowledged end")
 def step_forgotten(context):
     context.endpoints = Endpoints(("a",))
@@ -184,6 +277,75 @@
     assert [job.state for job in context.jobs] == [COMPLETED] * 2
 
 
+class LateEndpoints(Endpoints):
+    """Endpoints of which one carries the first start out late, without a response."""
+
+    def __init__(self):
+        super().__init__(("a", "b"))
+        self.late = None
+
+    async def start(self, name, address, order, permit):
+        """Start a run."""
+        if self.late is None:
+            self.late = self.by_name[name]
+            carry_out = super().start(name, address, order, lambda: True)
+            asyncio.get_running_loop().call_later(
+                LATE_S, asyncio.create_task, carry_out
+            )
+            raise OutcomeUnknownError("closed without a response")
+        return await super().start(name, address, order, permit)
+
+
+@given("a leader with two endpoints, and a start that is carried out late")
+def step_late_start(context):
+    context.endpoints = LateEndpoints()
+
+
+@when("there is no response to it, and its endpoint {event}")
+def step_outlives(context, event):
+    context.tasks = run_virtually(
+        play_late_start(context.endpoints, event.startswith("ends"))
+    )
+
+
+async def play_late_start(endpoints, has_ended):
+    """Return the tasks with two runs at a time."""
+    controller, _ = make_controller(
+        SimpleNamespace(commit_count=0), endpoints=endpoints
+    )
+    engine, poller = controller.engine, controller.poller
+    rows = [make_registration(name) for name in "ab"]
+    async with controller:
+        engine.note_registrations(rows, clock.now())
+        engine.roster = {"a", "b"}
+        for endpoint in engine.endpoints.values():
+            await poller.poll(endpoint)
+        submit(engine, JOB, (Step(1, NEED, TASK_S),), clock.now())
+        controller._issue_orders(clock.now())
+        await asyncio.sleep(0)
+        endpoint = engine.endpoints[endpoints.late.name]
+        endpoint.full_until = clock.now() + 1
+        if has_ended:
+            poller.note_ended(endpoint, "closed, then refused")
+        await asyncio.sleep(LATE_S / 2)
+        controller._issue_orders(clock.now())
+        endpoints.late.restart()
+        await asyncio.sleep(1.0)
+        return find_simultaneous(
+            run
+            for row in endpoints.by_name.values()
+            for run in (
+                *row.record,
+                *((task, at, clock.now(), "") for (task, _), at in row.running.items()),
+            )
+        )
+
+
+@then("the task has had one run at a time")
+def step_one_at_a_time(context):
+    assert not context.tasks, context.tasks
+
+
 @given("entries and endpoints that restart {how} at random times, seed {number:d}")
 def step_fleet(context, how, number):
     context.how, context.random = how, random.Random(number)
--- a/features/workloads/steps/waiting_count_steps.py
+++ b/features/workloads/steps/waiting_count_steps.py
@@ -181,7 +181,7 @@
     run, endpoint = order.run, order.run.endpoint
     run.token = endpoint.token
     if outcome.startswith("gets no response"):
-        engine.note_outcome_unknown(run)
+        engine.note_outcome_unknown(run, NOW)
     elif outcome.startswith("is confirmed"):
         engine.note_started(run, int(now * 1000), now)
     elif outcome == "is refused":
--- a/packages/briarshed-workloads/src/briarshed_workloads/controller.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/controller.py
@@ -441,7 +441,7 @@
                 lambda: self.term.has_authority() and self.engine.is_tracked(run),
             )
         except OutcomeUnknownError as error:
-            self.engine.note_outcome_unknown(run)
+            self.engine.note_outcome_unknown(run, clock.now())
             self._log_start(order, f"no answer: {error}")
             # The poll that is waiting for an end was sent with a lower token, so that
             # its response cannot show whether the start took effect.
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -298,7 +298,7 @@
         """Note that the endpoint has confirmed the start of a run."""
         if run.endpoint.is_gone:
             # The response does not tell whether it is from a later incarnation.
-            self.note_outcome_unknown(run)
+            self.note_outcome_unknown(run, now)
             return
         if run.is_unsettled:
             run.state = PRESENT
@@ -312,12 +312,14 @@
             # Otherwise an earlier incarnation may have responded, with another clock.
             self._note_response(run.endpoint, clock_ms, now)
 
-    def note_outcome_unknown(self, run: Run) -> None:
+    def note_outcome_unknown(self, run: Run, now: float) -> None:
         """Note that an order got no response.
 
-        A poll with a higher token decides whether the order was executed.
+        A poll with a higher token, sent from now on, decides whether the order was
+        executed.
         """
         run.state = DOUBTFUL
+        run.unknown_at = now
         endpoint = run.endpoint
         if endpoint.token <= run.token or not endpoint.needs_fence:
             endpoint.require_fence()
@@ -481,6 +483,7 @@
                 continue
             if run.state != ORDERED:
                 run.state = DOUBTFUL
+                run.unknown_at = now
             self._report_kept(run, reason)
 
     @property
@@ -661,7 +664,11 @@
         for key, run in list(endpoint.runs.items()):
             if key in listed_runs:
                 continue
-            settled = run.state == DOUBTFUL and counter > read_counter(run.token)
+            settled = (
+                run.state == DOUBTFUL
+                and counter > read_counter(run.token)
+                and sent_at >= run.unknown_at
+            )
             confirmed = run.confirmed_at and run.confirmed_at < sent_at
             if settled or (confirmed and run.state in (PRESENT, STOPPING)):
                 self.drop(
--- a/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
@@ -40,6 +40,7 @@
     ended before this leader's term, so that the records do not tell its resources.
     ``token`` is 0 until the start order is sent. ``is_listed`` is set once the endpoint
     has listed the run in response to a poll, which tells the incarnation that runs it.
+    ``unknown_at`` is when the outcome of an order became unknown.
     """
 
     __slots__ = (
@@ -64,6 +65,7 @@
         "task",
         "team",
         "token",
+        "unknown_at",
     )
 
     def __init__(
@@ -93,6 +95,7 @@
         self.paced_at = 0.0
         self.checkpoint = ""
         self.stop_requested_at = 0.0
+        self.unknown_at = 0.0
         self.is_copy = False
         self.is_listed = False
         self.is_adopted = False
@@ -146,7 +149,8 @@
     or another pool. ``lost_runs`` holds the runs whose lease expired while it did not
     respond. ``earlier_deadlines_until`` is the time until which it may keep runs
     because of deadlines that were chosen by the clock of its earlier incarnation.
-    ``earlier_starts`` holds when its earlier incarnations started, in Unix ms.
+    ``earlier_starts`` holds when its earlier incarnations started, in Unix ms, and
+    ``seen_at`` is when the present one was last known from the response to a poll.
     """
 
     __slots__ = (
@@ -179,6 +183,7 @@
         "reputation",
         "retiring",
         "runs",
+        "seen_at",
         "used",
     )
 
@@ -204,6 +209,7 @@
         self.last_deadline_ms = 0
         self.earlier_deadlines_until = 0.0
         self.earlier_starts: frozenset[int] = frozenset()
+        self.seen_at = 0.0
         self.is_listed = True
         self.is_gone = False
         self.is_end_ordered = False
--- a/packages/briarshed-workloads/src/briarshed_workloads/reconciliation.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/reconciliation.py
@@ -31,7 +31,7 @@
         for run in endpoint.runs.values():
             if run.state == ORDERED and now - run.ordered_at > ORDER_TIMEOUT_S:
                 _report(engine, "run", run.task.job, ORDERED, "doubtful")
-                engine.note_outcome_unknown(run)
+                engine.note_outcome_unknown(run, now)
     unix_now = engine.to_unix_time(now)
     for job in engine.jobs.values():
         if job.is_open and job.job_id not in pending:
