Compare a refused order's token with that of the present incarnation

A leader could end its own term: an order that was handed over to the next incarnation of an endpoint and refused for its token was compared with the counter of the earlier incarnation, so that the refusal looked like that of another leader.

Change: the token is compared with that of the endpoint that tracks the run. Evidence: the new scenario of restarting_endpoints.feature, which runs the controller's own code.

--- a/features/workloads/restarting_endpoints.feature
+++ b/features/workloads/restarting_endpoints.feature
@@ -91,6 +91,13 @@
     When the later incarnation of "a" lists the run in response to a poll
     Then the task runs only at "a"
 
+  Scenario: An order that the next incarnation refuses does not end the term
+    # Guards against a leader that ends its own term: it compared the token of an order
+    # that was handed over with that of the earlier incarnation.
+    Given a leader with an order on its way to an endpoint that registers again
+    When the later incarnation refuses the order for its token
+    Then the term goes on
+
   Scenario: An endpoint that has restarted unseen does not forget its new ends
     # Guards against a task that starts again after its success (TWICE): polls went on
     # to acknowledge the ends of the earlier incarnation, and the numbers of ends start
--- a/packages/briarshed-workloads/src/briarshed_workloads/controller.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/controller.py
@@ -505,7 +505,7 @@
         self.engine.drop(run, f"refused: {reason}")
         if reason == "replaced":
             self.poller.note_replaced(endpoint, reason)
-        elif reason == "fenced" and run.token >= endpoint.token:
+        elif reason == "fenced" and run.token >= run.endpoint.token:
             self.poller.note_fenced(endpoint, "start")
         elif reason != "old":
             endpoint.full_until = now + REFUSED_PAUSE_S
