Keep one poll loop for an endpoint that restarts under its name

Each restart that a poll showed started a further poll loop for the same endpoint with the next list of registrations, since loops were kept by name and start time.

Change: loops are kept by endpoint. Evidence: the new scenario of restarting_endpoints.feature.

--- a/features/workloads/restarting_endpoints.feature
+++ b/features/workloads/restarting_endpoints.feature
@@ -98,6 +98,13 @@
     When the later incarnation refuses the order for its token
     Then the term goes on
 
+  Scenario: An endpoint that restarts under its name keeps one poll loop
+    # Guards against polls that are billed twice, and whose late responses contradict each
+    # other: each restart that a poll showed started a further loop.
+    Given a leader that polls an endpoint
+    When polls show two restarts, and the registrations are read again
+    Then it has one poll loop
+
   Scenario: An endpoint that has restarted unseen does not forget its new ends
     # Guards against a task that starts again after its success (TWICE): polls went on
     # to acknowledge the ends of the earlier incarnation, and the numbers of ends start
--- a/packages/briarshed-workloads/src/briarshed_workloads/polling.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/polling.py
@@ -86,18 +86,17 @@
         self._spawn = spawn
         self._request_save = request_save
         self._note_changed = note_changed
-        self._poll_loops: dict[tuple[str, int], asyncio.Task[None]] = {}
+        self._poll_loops: dict[Endpoint, asyncio.Task[None]] = {}
         self._wake_events: dict[str, asyncio.Event] = {}
 
     def start_polling(self) -> None:
         """Start a poll loop for each new endpoint."""
         for name, endpoint in self._engine.endpoints.items():
-            key = name, endpoint.registration.started_at_ms
-            if key not in self._poll_loops:
+            if endpoint not in self._poll_loops:
                 task = self._spawn(self._poll_loop(endpoint), f"poll {name}")
-                self._poll_loops[key] = task
+                self._poll_loops[endpoint] = task
                 task.add_done_callback(
-                    lambda _, key=key: self._poll_loops.pop(key, None)
+                    lambda _, key=endpoint: self._poll_loops.pop(key, None)
                 )
         self._request_save()
 
