Acknowledge an end again only when it is listed again

A likely cause, found by the review as well: a poll that acknowledges an end and gets no response was repeated with the same number, also to the next incarnation, whose numbers start anew, so that it forgot its first ends unread.

Change: each end is acknowledged by one poll, and by another only if a response lists it again. The one poll on its way at a restart remains.

--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -585,7 +585,6 @@
         counter: int,
         sent_at: float,
         now: float,
-        acknowledged: int = 0,
     ) -> None:
         """Apply an endpoint's response to a poll.
 
@@ -595,8 +594,6 @@
             Counter of the fencing token that the poll carried.
         sent_at : float
             When the poll was sent, in seconds of the boot clock.
-        acknowledged : int
-            Number of the last end that the poll acknowledged.
         """
         if endpoint.is_gone:
             # The response is from a later incarnation, or overtaken by the end.
@@ -612,7 +609,6 @@
             return
         self._note_response(endpoint, response.clock_ms, now)
         endpoint.polled_at = now
-        endpoint.forgotten = max(endpoint.forgotten, acknowledged)
         if not endpoint.fenced_counter:
             endpoint.note_earlier_deadline(self.lease_times.max_run_lease)
         if not response.may_have_more_ends:
@@ -626,6 +622,7 @@
                 )
             endpoint.fenced_counter = max(endpoint.fenced_counter, counter)
         for ended in response.ended:
+            endpoint.note_listed_end(ended.end_number)
             if ended.end_number > endpoint.last_listed_end:
                 # An end that could not be noted must not be acknowledged.
                 self._note_end(endpoint, ended, now)
--- a/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
@@ -136,8 +136,8 @@
     """One incarnation of an endpoint.
 
     ``acknowledged`` is the highest number of an end whose effect is durable,
-    ``forgotten`` the highest that it has certainly forgotten, and ``last_listed_end``
-    the highest that was listed. ``answered_at`` is the time of the
+    ``forgotten`` the highest that is not to be acknowledged again, and
+    ``last_listed_end`` the highest that was listed. ``answered_at`` is the time of the
     last response to any call, and ``polled_at`` that of the last list of runs. While
     calls fail, ``alive_until`` is the last time at which it was certainly running.
     ``is_fenced`` is set once this incarnation has answered a poll of this leader, so
@@ -271,11 +271,19 @@
     def choose_acknowledged(self) -> int:
         """Return the number of the last end to acknowledge in a poll, or 0.
 
-        Each is acknowledged until the endpoint has responded, and not again: an
-        endpoint that has restarted unseen would forget its new ends unread.
+        Each is acknowledged once. An endpoint that has restarted unseen would forget
+        its new ends unread, since their numbers start anew.
         """
         return self.acknowledged if self.acknowledged > self.forgotten else 0
 
+    def note_acknowledged(self, acknowledged: int) -> None:
+        """Note that a poll has acknowledged the ends up to a number."""
+        self.forgotten = max(self.forgotten, acknowledged)
+
+    def note_listed_end(self, number: int) -> None:
+        """Note that an end is listed, so that it must be acknowledged again."""
+        self.forgotten = min(self.forgotten, number - 1)
+
     def note_earlier_deadline(self, run_lease: float) -> None:
         """Assume that an earlier leader has just set a deadline."""
         earlier = self.clock_sample_ms + int(run_lease * MS_PER_S)
--- a/packages/briarshed-workloads/src/briarshed_workloads/polling.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/polling.py
@@ -204,6 +204,7 @@
         sent_at = clock.now()
         counter = endpoint.counter
         acknowledged = endpoint.choose_acknowledged()
+        endpoint.note_acknowledged(acknowledged)
         # An unresponsive endpoint may execute a call without responding. If its polls
         # carried deadlines, its lease would never be known to have expired.
         is_silent = endpoint.failing_since > 0
@@ -235,7 +236,7 @@
             return self._note_refused_poll(endpoint, response.reason, counter)
         was_fenced = endpoint.is_fenced
         known = endpoint.last_listed_end
-        engine.note_poll(endpoint, response, counter, sent_at, now, acknowledged)
+        engine.note_poll(endpoint, response, counter, sent_at, now)
         if endpoint.is_fenced and not was_fenced:
             log_event(
                 events.ENDPOINT_FENCED,
