Take a late response of an unseen incarnation for no restart

Cause: start times known to be earlier do not cover an incarnation that nobody saw. Change: a response with another start is a restart only if its poll was sent after the present incarnation was last seen; another poll tells otherwise. Start times of earlier incarnations are kept for registrations alone, and one that a poll shows is removed from them.

A run that only its order tells of has an outline of its own.

--- a/features/workloads/restarting_endpoints.feature
+++ b/features/workloads/restarting_endpoints.feature
@@ -27,6 +27,24 @@
       | closes its connection and refuses new ones | the order is not answered yet | lists     | runs only at "a" |
       | closes its connection and refuses new ones | the order has no response | does not list | waits            |
 
+  Scenario Outline: A run that only its order tells of is not removed with an incarnation
+    # Guards against a task that runs twice (TWICE): the response to a start does not tell
+    # the incarnation. The run belonged to the restarted endpoint, and was removed when
+    # the restart became known.
+    Given a leader of epoch 2 with an endpoint "a" and an endpoint "b"
+    And an accepted job with 1 task
+    And an order of the task is on its way to "a"
+    When the order is accepted
+    And "a" <evidence>
+    Then nothing is started
+    When the later incarnation of "a" lists the run in response to a poll
+    Then the task runs only at "a"
+
+    Examples:
+      | evidence                              |
+      | answers a poll as a later incarnation |
+      | is registered as a later incarnation  |
+
   Scenario Outline: An order that was refused is given up at once
     # Guards against a task that waits for an endpoint that has refused it.
     Given a leader of epoch 2 with an endpoint "a" and an endpoint "b"
@@ -68,15 +86,17 @@
     Given a leader of epoch 2 with an endpoint "a" and an endpoint "b"
     And an accepted job with 1 task
     When "a" restarts with a <clock> clock and runs the task
-    And <what> of the earlier incarnation arrives
+    And <what> incarnation arrives
     Then the task runs only at "a"
+    And "a" is still polled as the present incarnation
 
     Examples:
-      | clock   | what                 |
-      | later   | a response to a poll |
-      | later   | the registration     |
-      | set-back | a response to a poll |
-      | set-back | the registration    |
+      | clock    | what                                |
+      | later    | a response to a poll of the earlier |
+      | later    | a response to a poll of an unseen   |
+      | later    | the registration of the earlier     |
+      | set-back | a response to a poll of the earlier |
+      | set-back | the registration of the earlier     |
 
   Scenario: A poll that was sent before the outcome was unknown does not settle an order
     # Guards against a task that runs twice (TWICE): the response was late and of an
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -598,15 +598,15 @@
         if endpoint.is_gone:
             # The response is from a later incarnation, or overtaken by the end.
             return
-        if response.started_at_ms in endpoint.earlier_starts:
-            # A response of an earlier incarnation, which a later one has overtaken.
-            return
         if (
             response.started_at_ms != endpoint.registration.started_at_ms
             and response.started_at_ms
         ):
-            self._note_restart(endpoint, response.started_at_ms, now)
+            # Otherwise the response may be of an earlier incarnation, and overtaken.
+            if sent_at >= endpoint.seen_at:
+                self._note_restart(endpoint, response.started_at_ms, now)
             return
+        endpoint.seen_at = now
         self._note_response(endpoint, response.clock_ms, now)
         endpoint.polled_at = now
         if not endpoint.fenced_counter:
@@ -637,7 +637,9 @@
         """Reset the state of an endpoint that restarted under the same name."""
         note_crash(self, endpoint, now)
         self._drop_ended_runs(endpoint, "endpoint restarted", now)
+        endpoint.seen_at = now
         endpoint.earlier_starts |= {endpoint.registration.started_at_ms}
+        endpoint.earlier_starts -= {started_at_ms}
         endpoint.registration = endpoint.registration._replace(
             started_at_ms=started_at_ms
         )
