--- a/features/workloads/restarting_endpoints.feature
+++ b/features/workloads/restarting_endpoints.feature
@@ -45,6 +45,19 @@
       | answers a poll as a later incarnation |
       | is registered as a later incarnation  |
 
+  Scenario Outline: An order that outlives its call
+    # Guards against a task that runs twice (TWICE): an order that was held up on its way
+    # is carried out after the leader has taken it for settled, by an incarnation that
+    # has not seen the higher token.
+    Given a leader with two endpoints, and a start that is carried out late
+    When there is no response to it, and its endpoint <event>
+    Then the task has had one run at a time
+
+    Examples:
+      | event                                                |
+      | answers a poll with a higher token and then restarts |
+      | ends, refuses a connection and restarts              |
+
   Scenario Outline: An order that was refused is given up at once
     # Guards against a task that waits for an endpoint that has refused it.
     Given a leader of epoch 2 with an endpoint "a" and an endpoint "b"
