Report removed and kept runs with the same fields

Both events named the same facts about a run in two copies. ORDER_KEPT has the time of the order now too, so that it can be matched with RUN_ORDERED.

--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -272,17 +272,7 @@
                 self._note_checkpoint(job, run.task, run.checkpoint)
             if not rest:
                 job.requeue(run.task)
-        self.report(
-            "RUN_DROPPED",
-            job_id=run.task.job,
-            task=run.task,
-            run=run.number,
-            endpoint=run.endpoint.name,
-            started_at_ms=run.endpoint.registration.started_at_ms,
-            state=run.state,
-            ordered_at=round(run.ordered_at, 3),
-            reason=reason,
-        )
+        self._report_run("RUN_DROPPED", run, reason)
 
     def _note_checkpoint(self, job: Job, task: TaskId, checkpoint: str) -> None:
         step = job.find_step(task)
@@ -464,7 +454,7 @@
         self._note_earlier_deadlines(endpoint, now)
         for run in list(endpoint.runs.values()):
             if run.state == ORDERED and run.token:
-                self._report_kept(run, reason)
+                self._report_run("ORDER_KEPT", run, reason)
             else:
                 self.drop(run, reason)
 
@@ -484,7 +474,7 @@
             if run.state != ORDERED:
                 run.state = DOUBTFUL
                 run.unknown_at = now
-            self._report_kept(run, reason)
+            self._report_run("ORDER_KEPT", run, reason)
 
     @property
     def _longest_lease(self) -> float:
@@ -498,15 +488,16 @@
         """
         endpoint.earlier_deadlines_until = now + ORDER_TIMEOUT_S + self._longest_lease
 
-    def _report_kept(self, run: Run, reason: str) -> None:
+    def _report_run(self, event: str, run: Run, reason: str) -> None:
         self.report(
-            "ORDER_KEPT",
+            event,
             job_id=run.task.job,
             task=run.task,
             run=run.number,
             endpoint=run.endpoint.name,
             started_at_ms=run.endpoint.registration.started_at_ms,
             state=run.state,
+            ordered_at=round(run.ordered_at, 3),
             reason=reason,
         )
 
