Send the poll that shows a restart after the endpoint was seen

Its step let the poll that shows the restart be sent 1 ms before the earlier incarnation had answered another one; since such a response is taken for one of an earlier incarnation.

--- a/features/workloads/steps/crashing_task_steps.py
+++ b/features/workloads/steps/crashing_task_steps.py
@@ -200,7 +200,7 @@
 def step_end_ordered(context):
     context.engine.endpoints["a"].is_end_ordered = True
     for _ in range(2):  # the second poll fences the new incarnation
-        poll_endpoint(context.engine, "a", NOW, started_at_ms=2)
+        poll_endpoint(context.engine, "a", NOW + 0.01, started_at_ms=2)
 
 
 @given('"a" lists the run with 100 percent after a crash of another endpoint')
