--- a/review/harness/fleet.py
+++ b/review/harness/fleet.py
@@ -180,6 +180,7 @@
         self.worker_pools: dict[str, str] = {}
         self.addresses: dict[str, str] = {}
         self.keeps_entries = True
+        self.session = ClientSession(timeout=ClientTimeout(total=CALL_TIMEOUT_S))
         self._count = entries
         self._lines: list[tuple[float, str]] = []
         self._beats: dict[str, float] = {}
@@ -191,7 +192,14 @@
         self._lines.append((time.time(), text))
 
     async def __aenter__(self) -> Self:
-        self.session = ClientSession(timeout=ClientTimeout(total=CALL_TIMEOUT_S))
+        try:
+            await self._start()
+        except BaseException:
+            await self.__aexit__(None, None, None)
+            raise
+        return self
+
+    async def _start(self) -> None:
         await self.store.__aenter__()
         await self.instances.__aenter__()
         self._observe_registrations()
@@ -257,7 +265,6 @@
             asyncio.create_task(self._drop_silent_workers()),
         ]
         await self._wait_until_ready()
-        return self
 
     async def __aexit__(
         self,
@@ -474,6 +481,8 @@
 def run_case(play: Callable[[bool], Awaitable[int]]) -> None:
     """Run a case with or without its disruption and exit with its result."""
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    # Lets the fleet end its processes if the test itself is ended.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     try:
         result = asyncio.run(play(has_trouble))
     except Exception as error:
