--- a/review/2/case.py
+++ b/review/2/case.py
@@ -3,14 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import time
+import os
 from pathlib import Path
 from typing import Any
 
 from fleet import (
-    BROKEN,
     HEARTBEAT_S,
-    HELD,
     NOT_RUN,
     Fleet,
     encode,
@@ -23,11 +21,6 @@
 STEP = {"count": 1, "cpu": 1_000, "mem-mb": 100, "estimate-ms": 3_000}
 STEPS = [STEP, {**STEP, "after": [0]}]
 JOBS = 4
-WAIT_S = 40.0
-"""Longer than `finish_s` (14 s) and a change of the leader."""
-
-FOR_S = 3.0
-"""The rule: for 3 s, a job has nothing running."""
 
 
 async def write_repeatedly(fleet: Fleet, entry: dict[str, Any]) -> None:
@@ -59,24 +52,11 @@
             }
             fleet.note(f"disruption: another writer puts servers/other: {entry}")
             writer = asyncio.create_task(write_repeatedly(fleet, entry))
-        written_at = time.monotonic()
-        left = list(jobs)
-        while time.monotonic() - written_at < WAIT_S and left:
-            await asyncio.sleep(1.0)
-            for job in list(left):
-                if await fleet.read_state(POOL, job) == "completed":
-                    left.remove(job)
-        waited = time.monotonic() - written_at
-        fleet.note(f"test: {len(left)} of {JOBS} jobs not completed in {waited:.1f} s")
-        # For the record only: whether a new job is accepted.
-        await fleet.submit(POOL, {"spec": "run 1", "steps": [STEP]}, attempts=3)
+        body = {"spec": "run 1", "steps": [STEP]}
+        result = await fleet.judge_jobs(POOL, jobs, body)
         if has_trouble:
             writer.cancel()
-        idle = time.time() - max(row["at"] for row in fleet.read_events())
-        if left and not fleet.list_running() and idle > FOR_S:
-            fleet.note(f"test: LOST is broken: nothing has run for {idle:.1f} s")
-            return BROKEN
-        return NOT_RUN if left else HELD
+        return result
 
 
-run_case(play)
+run_case(play, has_trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import time
 from pathlib import Path
 
-from fleet import BROKEN, HELD, NOT_RUN, Fleet, run_case
+from fleet import NOT_RUN, Fleet, run_case
 
 CASE = Path(__file__).resolve().parent
 POOL = "desk"
@@ -18,11 +19,6 @@
 STEP = {"count": 1, "cpu": 1_000, "mem-mb": 100, "estimate-ms": 3_000}
 STEPS = [STEP, {**STEP, "after": [0]}]
 JOBS = 4
-WAIT_S = 40.0
-"""Longer than `recovery-s` (12 s) and `finish_s` (14 s) together."""
-
-FOR_S = 3.0
-"""The rule: for 3 s, a job has nothing running."""
 
 
 async def play(has_trouble: bool) -> int:
@@ -51,22 +47,8 @@
                 return NOT_RUN
             fleet.note(f"disruption: {leader}, which leads, is killed")
             fleet.entries[leader].end()
-        killed_at = time.monotonic()
-        left = list(jobs)
-        while time.monotonic() - killed_at < WAIT_S and left:
-            await asyncio.sleep(1.0)
-            for job in list(left):
-                if await fleet.read_state(POOL, job) == "completed":
-                    left.remove(job)
-        waited = time.monotonic() - killed_at
-        fleet.note(f"test: {len(left)} of {JOBS} jobs not completed in {waited:.1f} s")
-        # For the record only: whether a new job is accepted.
-        await fleet.submit(POOL, {"spec": "run 1", "steps": [STEP]}, attempts=3)
-        idle = time.time() - max(row["at"] for row in fleet.read_events())
-        if left and not fleet.list_running() and idle > FOR_S:
-            fleet.note(f"test: LOST is broken: nothing has run for {idle:.1f} s")
-            return BROKEN
-        return NOT_RUN if left else HELD
+        body = {"spec": "run 1", "steps": [STEP]}
+        return await fleet.judge_jobs(POOL, jobs, body)
 
 
-run_case(play)
+run_case(play, has_trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/harness/fleet.py
+++ b/review/harness/fleet.py
@@ -41,6 +41,12 @@
 CALL_TIMEOUT_S = 4.0
 READY_TIMEOUT_S = 25.0
 
+WAIT_S = 40.0
+"""Longer than `recovery-s` (12 s) and `finish_s` (14 s) together."""
+
+FOR_S = 3.0
+"""The rule LOST: for 3 s, a job has nothing running."""
+
 LEADER_KEY = "briarshed/leader"
 
 SETTINGS = """node-name = "{name}"
@@ -443,6 +449,27 @@
             return "unknown job"
         return answer.get("state", "") if status == 200 else ""
 
+    async def judge_jobs(self, pool: str, jobs: list[str], body: dict[str, Any]) -> int:
+        """Ask for jobs for `WAIT_S`, and tell whether LOST is broken for one of them.
+
+        In the end, a job with ``body`` is handed in for the record only.
+        """
+        asked_at = time.monotonic()
+        left = list(jobs)
+        while time.monotonic() - asked_at < WAIT_S and left:
+            await asyncio.sleep(1.0)
+            for job in list(left):
+                if await self.read_state(pool, job) == "completed":
+                    left.remove(job)
+        waited = time.monotonic() - asked_at
+        self.note(f"test: {len(left)} of {len(jobs)} not completed in {waited:.1f} s")
+        await self.submit(pool, body, attempts=3)
+        idle = time.time() - max(row["at"] for row in self.read_events())
+        if left and not self.list_running() and idle > FOR_S:
+            self.note(f"test: LOST is broken: nothing has run for {idle:.1f} s")
+            return BROKEN
+        return NOT_RUN if left else HELD
+
     # Workers
 
     def kill_worker(self, name: str) -> None:
@@ -478,9 +505,8 @@
     return base64.b64encode(json.dumps(value).encode()).decode()
 
 
-def run_case(play: Callable[[bool], Awaitable[int]]) -> None:
+def run_case(play: Callable[[bool], Awaitable[int]], has_trouble: bool) -> None:
     """Run a case with or without its disruption and exit with its result."""
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
     # Lets the fleet end its processes if the test itself is ended.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     try:
