--- a/review/harness/fleet.py
+++ b/review/harness/fleet.py
@@ -111,16 +111,24 @@
     """The deployment did not come up."""
 
 
+_reserved: set[int] = set()
+"""Ports that were returned before, which their processes may not have opened yet."""
+
+
 def find_ports(count: int) -> int:
     """Return the first of some consecutive free ports."""
     for _ in range(200):
         first = 20_000 + secrets.randbelow(11_000)
+        ports = range(first, first + count)
+        if not _reserved.isdisjoint(ports):
+            continue
         opened = []
         try:
-            for port in range(first, first + count):
+            for port in ports:
                 probe = socket.socket()
                 opened.append(probe)
                 probe.bind(("127.0.0.1", port))
+            _reserved.update(ports)
             return first
         except OSError:
             continue
