--- a/features/platform/input.feature
+++ b/features/platform/input.feature
@@ -37,6 +37,56 @@
       | {"backend":"p","address":7,"zone":"z","state":"ready","capacity":{}}      |
       | [1,2]                                                                     |
 
+  Scenario Outline: A registration with one invalid field names no endpoint
+    # Guards against a registration of another writer that stops all writes: one whose
+    # start time exceeds 64 bits was taken for an endpoint, and the record of all
+    # endpoints could not be encoded.
+    Given two registered endpoints, and one whose "<field>" is <value>
+    When the endpoints are read
+    Then the two are returned, and the invalid registration is logged once
+
+    Examples: numbers beyond their bounds
+      | field              | value                                                                 |
+      | born               | 256540638103116199981045407277731807233                               |
+      | born               | 9223372036854775808                                                   |
+      | born               | -1                                                                    |
+      | slots              | 18446744073709551616                                                  |
+      | sequence           | -9223372036854775809                                                  |
+      | capacity           | {"cpu": 18446744073709551616}                                         |
+      | capacity           | {"cpu": 1000, "mem-mb": -1}                                           |
+      | capacity           | {"gpus": -1}                                                          |
+      | drain-remaining-ms | 1e300                                                                 |
+      | drain-remaining-ms | -1                                                                    |
+      | drain-remaining-ms | 1e400                                                                 |
+      | cold-remaining-ms  | -1                                                                    |
+
+    Examples: other types
+      | field              | value                                                                 |
+      | slots              | "eight"                                                               |
+      | sequence           | 1.5                                                                   |
+      | version            | 7                                                                     |
+      | born               | "5"                                                                   |
+      | born               | 1e3                                                                   |
+      | labels             | "a"                                                                   |
+      | machine            | null                                                                  |
+      | state              | "asleep"                                                              |
+
+    Examples: missing fields
+      | field              | value                                                                 |
+      | backend            | missing                                                               |
+      | address            | missing                                                               |
+      | zone               | missing                                                               |
+      | version            | missing                                                               |
+      | slots              | missing                                                               |
+      | state              | missing                                                               |
+      | sequence           | missing                                                               |
+      | capacity           | missing                                                               |
+
+    Examples: texts beyond the length of a key
+      | field              | value                                                                 |
+      | zone               | a long text                                                           |
+      | machine            | a long text                                                           |
+
   Scenario: An invalid or older configuration does not replace the current one
     Given an entry with configuration 3
     When "{"version":"four"}" is written
--- a/features/platform/steps/input_steps.py
+++ b/features/platform/steps/input_steps.py
@@ -25,11 +25,15 @@
     "backend": "p",
     "address": "10.0.0.1:80",
     "zone": "z",
+    "version": "v1",
+    "slots": 8,
     "state": "ready",
+    "sequence": 1,
     "capacity": {"cpu": 1000, "mem-mb": 10, "gpus": 0},
     "labels": ["a", "r1"],
     "born": 5,
 }
+LONG_TEXT = "x" * 1_000_000
 SETTINGS = {
     "node-name": "e1",
     "zone": "z",
@@ -129,6 +133,18 @@
     context.items = {"servers/a": valid, "servers/b": valid, "servers/c": value}
 
 
+@given('two registered endpoints, and one whose "{field}" is {value}')
+def step_invalid_field(context, field, value):
+    fields = {key: json.dumps(content) for key, content in ENDPOINT.items()}
+    if value == "missing":
+        del fields[field]
+    else:
+        fields[field] = json.dumps(LONG_TEXT) if value == "a long text" else value
+    # The value is inserted as written, since it may be none that JSON can encode.
+    rows = ", ".join(f'"{key}": {text}' for key, text in fields.items())
+    step_entries(context, f"{{{rows}}}")
+
+
 @when("the endpoints are read")
 def step_read(context):
     logged = []
