Handle values that are nested too deeply like other invalid data

A job with such a field got 504 in place of 400.

Cause: the decoder raises RecursionError, also for a field that it skips, and the places that set invalid data aside listed the decoder's own errors only. It ended the read of the whole list, the load of each new leader, the watch of the operator's items and the loop that reads the messages of peers.

Change: one list of decoding errors (briarshed.decoding), used at each place that decodes data of other programs: registrations, configurations, waves, jobs, records, messages of peers, and the documents, peers, platform and endpoints of the product's own interface. The places of the own interface have no test for this.

Responses of outside systems with such a body were handled before; the two new rows say so.

Ruled out: a check of the depth before decoding, which would read each body twice.

--- a/features/platform/input.feature
+++ b/features/platform/input.feature
@@ -16,6 +16,12 @@
       | {"spec":7,"steps":[{"count":1}]}                                    | spec          |
       | not json                                                            | JSON          |
 
+  Scenario: A job that is nested too deeply is invalid
+    # Guards against an unexpected error in place of a clear answer: the caller got 504.
+    Given an entry with queues "/a/" and "/a/b/" on "h.example"
+    When a caller posts a job that is nested 5,000 deep to "/a/"
+    Then the answer is 400 and names the depth
+
   Scenario: An invalid job id
     When a caller submits a job with the id "../etc"
     Then the finding names the id
@@ -82,6 +88,12 @@
       | sequence           | missing                                                               |
       | capacity           | missing                                                               |
 
+    Examples: values nested too deeply
+      | field              | value                                                                 |
+      | slots              | nested 5,000 deep                                                     |
+      | labels             | nested 5,000 deep                                                     |
+      | unknown            | nested 5,000 deep                                                     |
+
     Examples: texts beyond the length of a key
       | field              | value                                                                 |
       | zone               | a long text                                                           |
@@ -96,6 +108,18 @@
     When configuration 5 is written
     Then configuration 5 is in force
 
+  Scenario: A configuration that is nested too deeply does not replace the current one
+    # Guards against a watch of the operator's items that ends at each read.
+    Given an entry with configuration 3
+    When a configuration that is nested 5,000 deep is written
+    Then configuration 3 is in force
+
+  Scenario: A wave that is nested too deeply does not hide the others
+    # Guards against a watch of the operator's items that ends at each read.
+    Given the waves 1 and 2, of which 1 is nested 5,000 deep
+    When the operator's orders are read
+    Then the order of wave 2 is returned, and wave 1 is logged
+
   Scenario: Queues are found by host and longest prefix
     Given an entry with queues "/a/" and "/a/b/" on "h.example"
     Then "/a/b/0123" addresses "/a/b/" and "/a/0123" addresses "/a/"
--- a/features/platform/malformed.feature
+++ b/features/platform/malformed.feature
@@ -14,6 +14,8 @@
       | poll           | a list     |
       | poll           | no body    |
       | poll           | 9 MB       |
+      | poll           | nested     |
+      | read_all       | nested     |
       | start          | not JSON   |
       | start          | no body    |
       | stop           | a list     |
@@ -65,6 +67,7 @@
       | message                        | event            |
       | bytes that are no message      | PEER_REJECTED    |
       | a message of an unknown type   | PEER_REJECTED    |
+      | a message nested 5,000 deep    | PEER_REJECTED    |
       | the message that fails         | UNEXPECTED_ERROR |
       | 5 MB                           | nothing          |
 
--- a/features/platform/steps/input_steps.py
+++ b/features/platform/steps/input_steps.py
@@ -5,11 +5,13 @@
 import json
 from types import SimpleNamespace
 
+import aiohttp
+from aiohttp import web
 from behave import given, then, when
 
 from briarshed.exceptions import SettingsError
 from briarshed_platform import directory as directory_module
-from briarshed_platform.callers import decode_job
+from briarshed_platform.callers import Callers, decode_job
 from briarshed_platform.directory import PlatformDirectory
 from briarshed_platform.http_client import HttpClient
 from briarshed_platform.settings import decode_options
@@ -34,6 +36,9 @@
     "born": 5,
 }
 LONG_TEXT = "x" * 1_000_000
+DEPTH = 5_000
+NESTED = "[" * DEPTH + "]" * DEPTH
+TEXTS = {"a long text": json.dumps(LONG_TEXT), "nested 5,000 deep": NESTED}
 SETTINGS = {
     "node-name": "e1",
     "zone": "z",
@@ -94,6 +99,36 @@
 }
 
 
+@when('a caller posts a job that is nested 5,000 deep to "/a/"')
+def step_post(context):
+    body = f'{{"spec":"x","steps":[{{"count":1}}],"other":{NESTED}}}'
+    context.status, context.answer = asyncio.run(post_job(context.entry, body))
+
+
+async def post_job(entry, body):
+    """Post a job to an entry's interface for callers; return status and body."""
+    runner = web.ServerRunner(web.Server(Callers(entry).handle))
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    port = site._server.sockets[0].getsockname()[1]
+    url, headers = f"http://127.0.0.1:{port}/a/{JOB}", {"Host": "h.example"}
+    try:
+        async with (
+            aiohttp.ClientSession() as session,
+            session.post(url, data=body, headers=headers) as response,
+        ):
+            return response.status, await response.text()
+    finally:
+        await runner.cleanup()
+
+
+@then("the answer is 400 and names the depth")
+def step_names_depth(context):
+    assert context.status == 400, (context.status, context.answer)
+    assert "recursion depth" in context.answer, context.answer
+
+
 @then("the finding names the id")
 def step_names_id(context):
     assert "job id" in context.fault
@@ -139,31 +174,37 @@
     if value == "missing":
         del fields[field]
     else:
-        fields[field] = json.dumps(LONG_TEXT) if value == "a long text" else value
+        fields[field] = TEXTS.get(value, value)
     # The value is inserted as written, since it may be none that JSON can encode.
     rows = ", ".join(f'"{key}": {text}' for key, text in fields.items())
     step_entries(context, f"{{{rows}}}")
 
 
-@when("the endpoints are read")
-def step_read(context):
+def call_directory(items, read):
+    """Call a directory with these items; return the result and the logged keys."""
     logged = []
     log_event = directory_module.log_event
 
     async def run():
         async with StoreStandin() as standin, HttpClient() as client:
-            for key, value in context.items.items():
+            for key, value in items.items():
                 standin.put(key, base64.b64encode(value.encode()).decode())
-            directory = PlatformDirectory(PlatformStore(client, standin.address))
-            await directory.read_endpoints()
-            return await directory.read_endpoints()
+            return await read(PlatformDirectory(PlatformStore(client, standin.address)))
 
     directory_module.log_event = lambda event, **fields: logged.append(fields["key"])
     try:
-        context.rows = asyncio.run(run())
+        return asyncio.run(run()), logged
     finally:
         directory_module.log_event = log_event
-    context.logged = logged
+
+
+@when("the endpoints are read")
+def step_read(context):
+    async def read(directory):
+        await directory.read_endpoints()
+        return await directory.read_endpoints()
+
+    context.rows, context.logged = call_directory(context.items, read)
 
 
 @then("the two are returned, and the invalid registration is logged once")
@@ -221,12 +262,39 @@
     assert context.entry.configuration.version == version
 
 
+@when("a configuration that is nested 5,000 deep is written")
+def step_nested_configuration(context):
+    data = f'{{"version": 4, "other": {NESTED}}}'.encode()
+    context.entry.apply_configuration(data, "test")
+
+
+@given("the waves 1 and 2, of which 1 is nested 5,000 deep")
+def step_nested_wave(context):
+    wave = {"wave": 2, "machines": ["m"], "duration-s": 1}
+    nested = f'{{"other": {NESTED}, {json.dumps(wave)[1:]}'
+    context.items = {"op/wave/1": nested, "op/wave/2": json.dumps(wave)}
+
+
+@when("the operator's orders are read")
+def step_read_orders(context):
+    async def read(directory):
+        return await directory.read_orders()
+
+    context.orders, context.logged = call_directory(context.items, read)
+
+
+@then("the order of wave 2 is returned, and wave 1 is logged")
+def step_other_wave(context):
+    assert [row.wave for row in context.orders.waves] == [2], context.orders
+    assert context.logged == ["op/wave/1"], context.logged
+
+
 @given('an entry with queues "/a/" and "/a/b/" on "h.example"')
 def step_queues(context):
     context.entry = make_entry()
+    queue = {"hostname": "h.example", "backend": "p", "public": True}
     routes = [
-        {"name": prefix, "hostname": "h.example", "path-prefix": prefix, "backend": "p"}
-        for prefix in ("/a/", "/a/b/")
+        {**queue, "name": prefix, "path-prefix": prefix} for prefix in ("/a/", "/a/b/")
     ]
     write(context, {"version": 1, "routes": routes})
 
--- a/features/platform/steps/malformed_steps.py
+++ b/features/platform/steps/malformed_steps.py
@@ -5,6 +5,7 @@
 import socket
 import zlib
 
+import msgspec
 import zmq
 from aiohttp import web
 from behave import given, then, when
@@ -21,6 +22,7 @@
 from briarshed_workloads.interfaces import NotExecutedError, OutcomeUnknownError
 from briarshed_workloads.transport import (
     EntryHeartbeat,
+    Envelope,
     JobRequest,
     PeerTransport,
 )
@@ -30,6 +32,7 @@
     "not JSON": b"<html>",
     "a list": b"[]",
     "no body": b"",
+    "nested": b'{"clock-ms": 1, "born": 1, "x": ' + b"[" * 5_000 + b"]" * 5_000 + b"}",
     "9 MB": b'{"clock-ms": 1, "born": 1, "x": "' + b"x" * 9_000_000 + b'"}',
 }
 START = StartRequest(TASK, 1, "", 1, 1)
@@ -53,7 +56,10 @@
     "next-token": "2",
 }
 HEARTBEAT = EntryHeartbeat("e", "i", 1, 0.0, False)
+ENCODED_HEARTBEAT = msgspec.msgpack.encode(Envelope("a", HEARTBEAT))
 FAILING = JobRequest(1, "fails", False)
+NESTED_MESSAGE = b"\x93" + ENCODED_HEARTBEAT[1:] + b"\x91" * 5_000 + b"\xc0"
+"""An envelope, an array of two elements, with a third one."""
 UNKNOWN_TYPE = b"\x92\xa1a\x91\xa2xx"
 WAIT_S = 3.0
 
@@ -154,6 +160,7 @@
     data = {
         "bytes that are no message": b"\xc1",
         "a message of an unknown type": UNKNOWN_TYPE,
+        "a message nested 5,000 deep": NESTED_MESSAGE,
         "5 MB": b"x" * 5_000_000,
     }.get(message)
     logged = []
--- a/features/workloads/steps/unexpected_error_steps.py
+++ b/features/workloads/steps/unexpected_error_steps.py
@@ -32,6 +32,10 @@
 PAUSE_S = 0.25
 REST_S = 6.0
 SERVED_SHARE = 0.95
+UNREADABLE = b"\xc1"
+NESTED = b"\x91" * 5_000 + b"\xc0"
+MAX_SHORT_ARRAY = 0x9F
+EMPTY_RECORD = b"\x90"
 MODULES = (controller, entry_module, leadership, persistence, supervision)
 NOT_CONTAINED = {
     # The containment itself.
@@ -350,7 +354,13 @@
     context.logged = []
 
 
-async def play_unreadable(context, key):
+def append_nested(record):
+    """Return a record, an encoded short array, with one more element."""
+    assert record[0] < MAX_SHORT_ARRAY, record[0]
+    return bytes([record[0] + 1]) + record[1:] + NESTED
+
+
+async def play_unreadable(context, key, damage=lambda _: UNREADABLE):
     """Damage a record, end the leader, and note who leads when."""
     async with Fleet(("e1", "e2", "e3")) as fleet:
         first = await fleet.wait_for_leader()
@@ -362,9 +372,10 @@
         keys = [name for name in items if name.startswith(key)]
         damaged = keys[-1] if keys else key
         fleet.store.revision += 1
-        _, lease = items.get(damaged, (None, 0))
+        item, lease = items.get(damaged, (None, 0))
         revision = fleet.store.revision
-        items[damaged] = Item(damaged, b"\xc1", revision, revision), lease
+        content = damage(item.value if item else EMPTY_RECORD)
+        items[damaged] = Item(damaged, content, revision, revision), lease
         context.damaged = damaged
         context.leaders, context.first = [], first.options.name
         context.failed_at = clock.now()
@@ -390,6 +401,12 @@
         run_virtually(play_unreadable(context, key))
 
 
+@when('the record "{key}" is nested 5,000 deep and the leader ends')
+def step_nested(context, key):
+    with collect_events(context.logged):
+        run_virtually(play_unreadable(context, key, append_nested))
+
+
 @then("the unreadable record is logged")
 def step_unreadable_logged(context):
     keys = {
--- a/features/workloads/unexpected_errors.feature
+++ b/features/workloads/unexpected_errors.feature
@@ -98,6 +98,25 @@
       | briarshed/entries/   |
       | briarshed/leader     |
 
+  Scenario Outline: A record that is nested too deeply does not stop the next leader
+    # Guards against a record that ends the load of one leader after the other: the error
+    # of the decoder was not among those that count as an unreadable record.
+    Given two entries that have done some jobs and a wave
+    When the record "<key>" is nested 5,000 deep and the leader ends
+    Then the other entry leads within 4 s, and jobs go on
+    And the unreadable record is logged
+
+    Examples:
+      | key                  |
+      | briarshed/jobs/      |
+      | briarshed/progress/  |
+      | briarshed/roster     |
+      | briarshed/waves/     |
+      | briarshed/sizes      |
+      | briarshed/term       |
+      | briarshed/entries/   |
+      | briarshed/leader     |
+
   Scenario: The state of a job whose record cannot be decoded is not "no such job"
     Given two entries that have done some jobs and a wave
     When the record "briarshed/jobs/" is unreadable and the leader ends
--- a/packages/briarshed-entry/src/briarshed_entry/endpoints.py
+++ b/packages/briarshed-entry/src/briarshed_entry/endpoints.py
@@ -21,6 +21,7 @@
 import aiohttp
 import msgspec
 
+from briarshed.decoding import DECODING_ERRORS
 from briarshed.events import ANSWER_DROPPED
 from briarshed.exceptions import EndpointUnreachableError, ResponseLostError
 from briarshed.settings import Settings
@@ -359,7 +360,7 @@
                 return msgspec.json.decode(body, type=dict)
         except _FAILURES as error:
             raise ResponseLostError(f"endpoint {address}: {error!r}") from error
-        except msgspec.MsgspecError as error:
+        except DECODING_ERRORS as error:
             raise ResponseLostError(f"endpoint {address}: {error}") from error
 
     async def _read_reply(
@@ -448,7 +449,7 @@
 
 
 def _find_refusal(body: bytes) -> str:
-    with suppress(msgspec.MsgspecError):
+    with suppress(*DECODING_ERRORS):
         content = msgspec.json.decode(body)
         if isinstance(content, dict) and content.get("outcome") == "not run":
             return str(content.get("code") or "refused")[:MAX_CODE_LENGTH]
--- a/packages/briarshed-entry/src/briarshed_entry/peers.py
+++ b/packages/briarshed-entry/src/briarshed_entry/peers.py
@@ -16,6 +16,7 @@
 import zmq.asyncio
 from zmq.auth.asyncio import AsyncioAuthenticator
 
+from briarshed.decoding import DECODING_ERRORS
 from briarshed.events import LOOP_FAILED, PEER_REJECTED
 from briarshed.settings import PeersSettings
 from briarshed_entry.clock import now
@@ -300,7 +301,7 @@
             return None
         try:
             return _DECODER.decode(data)
-        except msgspec.MsgspecError as error:
+        except DECODING_ERRORS as error:
             self._reject(name, f"message cannot be decoded: {error}")
             return None
 
--- a/packages/briarshed-entry/src/briarshed_entry/platform.py
+++ b/packages/briarshed-entry/src/briarshed_entry/platform.py
@@ -9,6 +9,7 @@
 import aiohttp
 import msgspec
 
+from briarshed.decoding import DECODING_ERRORS
 from briarshed.exceptions import PlatformUnavailableError
 from briarshed.settings import PlatformSettings
 
@@ -150,5 +151,5 @@
 def _decode(body: bytes, kind: Any) -> Any:
     try:
         return msgspec.json.decode(body, type=kind)
-    except msgspec.MsgspecError as error:
+    except DECODING_ERRORS as error:
         raise PlatformUnavailableError(f"response not understood: {error}") from error
--- a/packages/briarshed-entry/src/briarshed_entry/store.py
+++ b/packages/briarshed-entry/src/briarshed_entry/store.py
@@ -15,6 +15,7 @@
 import aiohttp
 import msgspec
 
+from briarshed.decoding import DECODING_ERRORS
 from briarshed.documents import (
     ALIVE_PREFIX,
     DOCUMENT_KEYS,
@@ -289,7 +290,7 @@
             ) from error
         except (aiohttp.ClientError, OSError) as error:
             raise StoreUnavailableError(f"no connection: {error}") from error
-        except msgspec.MsgspecError as error:
+        except DECODING_ERRORS as error:
             raise StoreUnavailableError(f"response is not JSON: {error}") from error
         if not isinstance(response, dict):
             raise StoreUnavailableError("the store's response is not a JSON object")
--- a/packages/briarshed-workloads/src/briarshed_workloads/records.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/records.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from briarshed.decoding import DECODING_ERRORS
 from briarshed.exceptions import DocumentError
 from briarshed_workloads.workloads import Description
 
@@ -131,7 +132,7 @@
     """
     try:
         return msgspec.msgpack.decode(data, type=kind)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except DECODING_ERRORS as error:
         raise DocumentError(
             f"stored bytes are no valid {kind.__name__}: {error}"
         ) from error
--- a/packages/briarshed-workloads/src/briarshed_workloads/transport.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/transport.py
@@ -17,6 +17,7 @@
 import zmq
 import zmq.asyncio
 
+from briarshed.decoding import DECODING_ERRORS
 from briarshed.events import PEER_REJECTED
 from briarshed.exceptions import BriarshedError
 from briarshed_entry.logs import log_event
@@ -223,7 +224,7 @@
             data = await self._receiver.recv()
             try:
                 envelope = _DECODER.decode(data)
-            except (msgspec.MsgspecError, ValueError) as error:
+            except DECODING_ERRORS as error:
                 log_event(PEER_REJECTED, reason=str(error))
                 continue
             try:
--- a/packages/briarshed/src/briarshed/documents.py
+++ b/packages/briarshed/src/briarshed/documents.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from briarshed.decoding import DECODING_ERRORS
 from briarshed.exceptions import DocumentError
 
 CONFIGURATION_KEY = "briarshed/configuration"
@@ -202,5 +203,5 @@
     """
     try:
         return msgspec.json.decode(data, type=_TYPES[key])
-    except msgspec.MsgspecError as error:
+    except DECODING_ERRORS as error:
         raise DocumentError(f"document '{key}' cannot be decoded: {error}") from error
