--- a/features/platform/input.feature
+++ b/features/platform/input.feature
@@ -88,6 +88,20 @@
       | sequence           | missing                                                               |
       | capacity           | missing                                                               |
 
+    Examples: addresses that cannot be called
+      | field              | value                                                                 |
+      | address            | "10.0.0.1:65536"                                                      |
+      | address            | "10.0.0.1:0"                                                          |
+      | address            | "10.0.0.1:-1"                                                         |
+      | address            | "10.0.0.1:\u0661"                                                     |
+      | address            | "10.0.0.1"                                                            |
+      | address            | "10.0.0.1:80/x"                                                       |
+      | address            | "10.0.0.1:80:80"                                                      |
+      | address            | "10.0.0.256:80"                                                       |
+      | address            | "x@10.0.0.1:80"                                                       |
+      | address            | "host:80"                                                             |
+      | address            | ""                                                                    |
+
     Examples: values nested too deeply
       | field              | value                                                                 |
       | slots              | nested 5,000 deep                                                     |
@@ -99,6 +113,17 @@
       | zone               | a long text                                                           |
       | machine            | a long text                                                           |
 
+  Scenario: A registration under a name that no header can hold names no endpoint
+    # Guards against calls that fail with an unexpected error before they are sent.
+    Given two registered endpoints, and one with a line break in its name
+    When the endpoints are read
+    Then the two are returned, and the invalid registration is logged once
+
+  Scenario: An endpoint with an IPv6 address is registered
+    Given a registered endpoint at "[::1]:80"
+    When the endpoints are read
+    Then it is returned
+
   Scenario: An invalid or older configuration does not replace the current one
     Given an entry with configuration 3
     When "{"version":"four"}" is written
--- a/features/platform/steps/input_steps.py
+++ b/features/platform/steps/input_steps.py
@@ -198,6 +198,22 @@
         directory_module.log_event = log_event
 
 
+@given("two registered endpoints, and one with a line break in its name")
+def step_invalid_name(context):
+    valid = json.dumps(ENDPOINT)
+    context.items = dict.fromkeys(("servers/a", "servers/b", "servers/c\r\nd"), valid)
+
+
+@given('a registered endpoint at "[::1]:80"')
+def step_ipv6(context):
+    context.items = {"servers/a": json.dumps({**ENDPOINT, "address": "[::1]:80"})}
+
+
+@then("it is returned")
+def step_returned(context):
+    assert [row.address for row in context.rows] == ["[::1]:80"], context.logged
+
+
 @when("the endpoints are read")
 def step_read(context):
     async def read(directory):
@@ -212,7 +228,8 @@
     assert [row.endpoint for row in context.rows] == ["a", "b"]
     assert context.rows[0].rack == "r1"
     assert context.rows[0].capacity == Resources(1000, 10, 0)
-    assert context.logged == ["servers/c"]
+    odd = [key for key in context.items if key not in ("servers/a", "servers/b")]
+    assert context.logged == odd, context.logged
 
 
 def make_entry():
