Open overdue occurrences of a schedule as far as there is room

A schedule that began long ago with many occurrences stops each entry that leads, as soon as it is accepted and after each change of the leader.

Cause: all occurrences that were due were opened at once, each with its tasks in memory.

Change: no further occurrence is opened while 1,000 are open or 1,000 tasks of the job wait. Each plan opens the next ones once tasks are ordered or occurrences completed. A wide occurrence that is at work does not count, so that its last task holds up no other.

--- a/features/workloads/scheduled_jobs.feature
+++ b/features/workloads/scheduled_jobs.feature
@@ -61,6 +61,30 @@
     When the next leader restores it, and the job is due
     Then only the tasks of occurrences 1 and 2 wait
 
+  Scenario Outline: Overdue occurrences are opened as far as there is room for them
+    # Guards against a leader that opens all occurrences that are due at once, and so
+    # does all further ones: a schedule that began long ago stops every entry.
+    Given a scheduled job with 1000000000 overdue occurrences, one each <interval> s
+    When the next leader restores it, plans and corrects its state
+    Then this took less processor time than the interval of renewing the lease
+    And the tasks of the first 500 occurrences wait
+    When the first 3 occurrences are completed
+    Then the tasks of the first 503 occurrences wait, without those of the first 3
+
+    Examples:
+      | interval |
+      | 0        |
+      | 0.001    |
+      | 3600     |
+
+  Scenario: A wide occurrence that is at work does not hold up the next one
+    # Guards against occurrences that wait for the last task of an earlier one.
+    Given a scheduled job with 2 overdue occurrences of 1500 tasks
+    When a leader restores it
+    Then 1500 tasks wait
+    When all of them but one are ordered
+    Then 1501 tasks wait
+
   Scenario: Each task of random schedules succeeds once
     # Guards against occurrences that are left out, run again or end the job early,
     # whatever the order of successes, failures and changes of the leader.
--- a/features/workloads/steps/scheduled_job_steps.py
+++ b/features/workloads/steps/scheduled_job_steps.py
@@ -97,6 +97,55 @@
     use(context, make_record(count, NOW), now=context.now)
 
 
+@given("a scheduled job with 1000000000 overdue occurrences, one each {interval:g} s")
+def step_long_overdue(context, interval):
+    context.now = NOW + 1_000_000_000 * max(interval, 1.0)
+    context.record = make_record(1_000_000_000, NOW, interval)
+    context.job, context.progress = None, None
+
+
+@given("a scheduled job with 2 overdue occurrences of 1500 tasks")
+def step_wide(context):
+    context.record = make_record(2, NOW, steps=(Step(1_500, NEED, 1.0),))
+    context.now = NOW + HOUR_S
+
+
+@when("a leader restores it")
+def step_leader_restores(context):
+    use(context, context.record, now=context.now)
+
+
+@then("{count:d} tasks wait")
+def step_count_waiting(context, count):
+    assert len(context.job.waiting) == count, len(context.job.waiting)
+
+
+@when("all of them but one are ordered")
+def step_ordered(context):
+    for task in list(context.job.waiting)[1:]:
+        context.job.note_ordered(task)
+    context.job.open_due(context.now)
+
+
+@when("the first {count:d} occurrences are completed")
+def step_complete_first(context, count):
+    for occurrence in range(count):
+        succeed(context.job, occurrence, context.now)
+
+
+@then("the tasks of the first {count:d} occurrences wait")
+def step_first_wait(context, count):
+    check_waiting(context.job, set(range(count)))
+
+
+@then(
+    "the tasks of the first {count:d} occurrences wait, without those of the first"
+    " {done:d}"
+)
+def step_rest_wait(context, count, done):
+    check_waiting(context.job, set(range(done, count)))
+
+
 @given("a record of an earlier version, where occurrences 0, 1 and 3 are completed")
 def step_earlier_version(context):
     rows = tuple(
--- a/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
@@ -19,6 +19,11 @@
 COMPLETED, FAILED, CANCELLED = "completed", "failed", "cancelled"
 FINAL_STATES = frozenset({COMPLETED, FAILED, CANCELLED})
 
+MAX_OPEN_OCCURRENCES, MAX_WAITING_TASKS = 1_000, 1_000
+"""Numbers of open occurrences and of waiting tasks of a job from which on no further
+occurrence is opened. A job with many overdue occurrences then needs little more time
+and memory than others; each occurrence is opened when there is room for it."""
+
 RUN_TIME_WEIGHT = 0.3
 """Weight of a new run time in the moving average of an image's run times."""
 
@@ -162,11 +167,11 @@
         return schedule.first_due + occurrence * schedule.interval
 
     def open_due(self, unix_now: float) -> None:
-        """Open the occurrences that became due."""
+        """Open the occurrences that became due, as far as there is room for them."""
         if not self.is_open or self.cancelled:
             return
         schedule = self.description.schedule
-        while self.next_occurrence < self.count_occurrences():
+        while self.next_occurrence < self.count_occurrences() and self._has_room():
             occurrence = self.next_occurrence
             if schedule and unix_now < self.find_due(occurrence):
                 break
@@ -174,6 +179,13 @@
             self.next_occurrence += 1
             self.open_ready_steps(occurrence)
 
+    def _has_room(self) -> bool:
+        """Return whether a further occurrence may be opened."""
+        return (
+            len(self.open_occurrences) < MAX_OPEN_OCCURRENCES
+            and len(self.waiting) < MAX_WAITING_TASKS
+        )
+
     def open_ready_steps(self, occurrence: int) -> None:
         """Open the steps of an open occurrence that became ready, or close it."""
         if self._are_steps_done(occurrence):
