Find the runs of a cancelled job among the runs

Cause: to stop its runs, a cancel visited each task of each occurrence of the job. The same step follows when a job completes, fails or is given up.

Change: the runs are searched for those of the job. Their number is bounded by what the endpoints run.

Ruled out: visits to the open steps alone. A run that an earlier leader ordered may belong to a step that is not open here.

--- a/features/workloads/scheduled_jobs.feature
+++ b/features/workloads/scheduled_jobs.feature
@@ -85,6 +85,19 @@
     When all of them but one are ordered
     Then 1501 tasks wait
 
+  Scenario Outline: A schedule of any length is cancelled at once
+    # Guards against a cancel that stops every entry: it visited each task of each
+    # occurrence to find the runs to be stopped.
+    Given a scheduled job with <occurrences> occurrences, of which 2 tasks run
+    When it is cancelled
+    Then this took less processor time than the interval of renewing the lease
+    And both runs are to be stopped
+
+    Examples:
+      | occurrences         |
+      | 10000000            |
+      | 4611686018427387904 |
+
   Scenario: Each task of random schedules succeeds once
     # Guards against occurrences that are left out, run again or end the job early,
     # whatever the order of successes, failures and changes of the leader.
--- a/features/workloads/steps/scheduled_job_steps.py
+++ b/features/workloads/steps/scheduled_job_steps.py
@@ -4,12 +4,12 @@
 import signal
 
 from behave import given, then, when
-from engine_steps import JOB, NEED, NOW, make_engine
+from engine_steps import JOB, NEED, NOW, make_engine, poll_endpoint
 from hypothesis import given as given_cases
 from hypothesis import seed, settings
 from hypothesis import strategies as some
 
-from briarshed_workloads.jobs import COMPLETED, Job
+from briarshed_workloads.jobs import CANCELLED, COMPLETED, Job
 from briarshed_workloads.leadership import RENEWAL_INTERVAL_S
 from briarshed_workloads.planning import plan_starts
 from briarshed_workloads.reconciliation import correct_state
@@ -19,7 +19,13 @@
     decode,
     encode,
 )
-from briarshed_workloads.workloads import Description, Schedule, Step, TaskId
+from briarshed_workloads.workloads import (
+    Description,
+    Schedule,
+    Step,
+    Submission,
+    TaskId,
+)
 
 STEPS = (Step(2, NEED, 1.0), Step(1, NEED, 1.0, after=(0,)))
 ALL_TASKS = [
@@ -146,6 +152,38 @@
     check_waiting(context.job, set(range(done, count)))
 
 
+@given("a scheduled job with {count:d} occurrences, of which 2 tasks run")
+def step_running(context, count):
+    engine = context.engine = make_engine()
+    poll_endpoint(engine, "a", NOW)
+    schedule = Schedule(NOW, INTERVAL_S, count)
+    submission = Submission(
+        JOB, "q", "pool", "team", NOW, Description("", STEPS, schedule)
+    )
+    context.job = engine.accept(submission, NOW)
+    engine.activate(context.job, NOW)
+    for order in plan_starts(engine, NOW):
+        engine.note_started(order.run, int(NOW * 1000), NOW)
+    assert len(engine.runs) == STEPS[0].count
+
+
+@when("it is cancelled")
+def step_cancel(context):
+    context.error = None
+    try:
+        with limit_processor_time(RENEWAL_INTERVAL_S):
+            context.engine.cancel(context.job, NOW + 1)
+    except AssertionError as error:
+        context.error = error
+
+
+@then("both runs are to be stopped")
+def step_to_stop(context):
+    orders = context.engine.list_due_stop_orders(NOW + 1)
+    assert {order.run.task[1:] for order in orders} == {(0, 0, 0), (0, 0, 1)}, orders
+    assert {order.reason for order in orders} == {CANCELLED}, orders
+
+
 @given("a record of an earlier version, where occurrences 0, 1 and 3 are completed")
 def step_earlier_version(context):
     rows = tuple(
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -839,12 +839,10 @@
 
     def add_stop_candidates(self, job: Job) -> None:
         """Let the next `list_due_stop_orders` check all runs of a job."""
-        for number, step in enumerate(job.description.steps):
-            for occurrence in range(job.count_occurrences()):
-                for index in range(step.count):
-                    task = TaskId(job.job_id, occurrence, number, index)
-                    for run in self.runs.get(task, ()):
-                        self._stop_candidates[run] = None
+        # Runs are few, whereas a job may have any number of tasks.
+        for task, runs in self.runs.items():
+            if task.job == job.job_id:
+                self._stop_candidates.update(dict.fromkeys(runs))
 
     def add_stop_candidate(self, run: Run) -> None:
         """Let `list_due_stop_orders` check a stopping run until it has ended."""
