Let other tasks run while the records of jobs are restored

Jobs that take no time each still add up.

Cause: a new leader restored all jobs in one step of the event loop, on which the lease is renewed and requests of callers are answered. Its length grows with the number of jobs.

Change: after 10 ms of restoring, the load lets other tasks run. Until it ends, the entry counts as loading, as it did while it waited for the store: it refuses new jobs and answers no state from the engine.

--- /dev/null
+++ b/features/workloads/restores.feature
@@ -0,0 +1,16 @@
+Feature: Restoring many records at the start of a term
+
+  Scenario Outline: The lease is renewed while a new leader restores many jobs
+    # Guards against jobs that are lost (LOST): the records of all jobs were restored in
+    # one step of the event loop, on which the lease is renewed too, so that no entry
+    # could lead once this took longer than the lease.
+    Given two entries and the records of <jobs> jobs, each of which takes 10 ms to restore
+    When the leader is killed
+    Then the other one leads once it has restored all jobs
+    And its event loop is never busy for longer than the interval of renewing the lease
+    And new jobs are accepted and completed
+
+    Examples:
+      | jobs |
+      | 200  |
+      | 1000 |
--- /dev/null
+++ b/features/workloads/steps/restore_steps.py
@@ -0,0 +1,105 @@
+"""Steps for records that take long to restore, in virtual time."""
+
+import asyncio
+import contextlib
+from collections import Counter
+
+from behave import given, then, when
+from engine_steps import NEED, NOW
+from virtual_fleet import Fleet
+from virtual_time import run_virtually
+
+from briarshed_entry import clock
+from briarshed_workloads.engine import Engine
+from briarshed_workloads.interfaces import Item
+from briarshed_workloads.leadership import RENEWAL_INTERVAL_S
+from briarshed_workloads.records import JOBS, JobRecord, encode
+from briarshed_workloads.workloads import Description, Schedule, Step
+
+RESTORE_S = 0.01
+REST_S = 5.0
+TICK_S = 0.05
+NEW_JOBS = 20
+PAUSE_S = 0.1
+FAR_S = 1e10
+
+
+@contextlib.contextmanager
+def slow_restore():
+    """Let the restore of each job take some time, in which nothing else runs."""
+    original = Engine.restore
+
+    def restore(self, *arguments):
+        asyncio.get_running_loop().pause(RESTORE_S)
+        original(self, *arguments)
+
+    Engine.restore = restore
+    try:
+        yield
+    finally:
+        Engine.restore = original
+
+
+def add_jobs(store, count):
+    """Put records of jobs into the store that are due in the far future."""
+    schedule = Schedule(FAR_S, 1.0, 1)
+    description = Description("", (Step(1, NEED, 1.0),), schedule)
+    record = encode(JobRecord("q", "pool", "team", NOW, "", 0.0, description))
+    for number in range(count):
+        key = f"{JOBS}ffffffff{number:08x}"
+        store.items[key] = Item(key, record, 1, 1), 0
+
+
+async def measure_pauses(pauses):
+    """Measure for how long the event loop is busy at a time."""
+    while True:
+        before = clock.now()
+        await asyncio.sleep(TICK_S)
+        pauses.append(clock.now() - before - TICK_S)
+
+
+async def play(context, count):
+    """Kill the leader beside recorded jobs, and submit jobs to the next one."""
+    context.pauses = []
+    async with Fleet() as fleet:
+        first = await fleet.wait_for_leader()
+        add_jobs(fleet.store, count)
+        await fleet.kill(first.options.name)
+        measuring = asyncio.create_task(measure_pauses(context.pauses))
+        leader = await fleet.wait_for_leader()
+        context.restored = len(leader.controller.engine.jobs)
+        for number in range(NEW_JOBS):
+            fleet.submit(number)
+            await asyncio.sleep(PAUSE_S)
+        await asyncio.sleep(REST_S)
+        context.outcomes = Counter(fleet.list_outcomes().values())
+        measuring.cancel()
+
+
+@given(
+    "two entries and the records of {count:d} jobs, each of which takes 10 ms to"
+    " restore"
+)
+def step_records(context, count):
+    context.count = count
+
+
+@when("the leader is killed")
+def step_killed(context):
+    with slow_restore():
+        run_virtually(play(context, context.count))
+
+
+@then("the other one leads once it has restored all jobs")
+def step_leads(context):
+    assert context.restored == context.count, context.restored
+
+
+@then("its event loop is never busy for longer than the interval of renewing the lease")
+def step_not_busy(context):
+    assert max(context.pauses) < RENEWAL_INTERVAL_S, max(context.pauses)
+
+
+@then("new jobs are accepted and completed")
+def step_new_jobs(context):
+    assert context.outcomes == {"completed": NEW_JOBS}, context.outcomes
--- a/packages/briarshed-workloads/src/briarshed_workloads/persistence.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/persistence.py
@@ -13,6 +13,7 @@
 
 from briarshed import events
 from briarshed.exceptions import DocumentError
+from briarshed_entry import clock
 from briarshed_entry.logs import log_event
 from briarshed_workloads.engine import Engine
 from briarshed_workloads.fenced_writer import MAX_TRANSACTION_WRITES
@@ -42,6 +43,9 @@
 
 T = TypeVar("T")
 
+MAX_LOOP_STEP_S = 0.01
+"""Time for which records are restored before other tasks of the event loop may run."""
+
 MAX_RECORD_ATTEMPTS = 3
 """Attempts to encode the records of a job; meanwhile no end is acknowledged."""
 
@@ -116,8 +120,13 @@
         jobs = await self._store.read_all(JOBS)
         progress = await self._store.read_all(PROGRESS)
         rows = {item.key.removeprefix(PROGRESS): item for item in progress.items}
+        paused_at = clock.now()
         for item in jobs.items:
             self._restore_job(item.key.removeprefix(JOBS), item.value, rows)
+            if clock.now() - paused_at >= MAX_LOOP_STEP_S:
+                # Lets the renewals of the lease run, however many jobs there are.
+                await asyncio.sleep(0)
+                paused_at = clock.now()
 
     def _restore_job(self, job_id: str, value: bytes, rows: Mapping[str, Item]) -> None:
         try:
