Refuse jobs with numbers beyond their bounds

A job that requests a negative amount of a resource was accepted, and a run of it would have given capacity back; one with an amount beyond 64 bits got 504 at each attempt, since its record could not be encoded.

Change: the fields of jobs have the bounds of the records.

--- a/features/platform/input.feature
+++ b/features/platform/input.feature
@@ -1,6 +1,8 @@
 Feature: Validation of input
 
   Scenario Outline: Invalid jobs
+    # Guards against a job that is accepted and gives capacity back when it starts, and
+    # against one whose record cannot be encoded, so that each attempt gets 504.
     When a caller submits <body>
     Then the finding names <place>
 
@@ -16,6 +18,22 @@
       | {"spec":7,"steps":[{"count":1}]}                                    | spec          |
       | not json                                                            | JSON          |
 
+    Examples: numbers beyond their bounds
+      | body                                                                | place         |
+      | {"spec":"x","steps":[{"count":-1}]}                                 | count         |
+      | {"spec":"x","steps":[{"count":1,"cpu":-1000}]}                      | cpu           |
+      | {"spec":"x","steps":[{"count":1,"cpu":18446744073709551616}]}       | cpu           |
+      | {"spec":"x","steps":[{"count":1,"mem-mb":-1}]}                      | mem-mb        |
+      | {"spec":"x","steps":[{"count":1,"gpus":9223372036854775808}]}       | gpus          |
+      | {"spec":"x","steps":[{"count":1,"estimate-ms":-1}]}                 | estimate-ms   |
+      | {"spec":"x","steps":[{"count":1,"target-ms":1e300}]}                | target-ms     |
+      | {"spec":"x","steps":[{"count":1,"anti-affinity":-1}]}               | anti-affinity |
+      | {"spec":"x","steps":[{"count":1,"miss-budget":-2}]}                 | miss-budget   |
+      | {"spec":"x","steps":[{"count":1}],"repeat-count":-1}                | repeat-count  |
+      | {"spec":"x","steps":[{"count":1}],"repeat-count":18446744073709551616}  | repeat-count  |
+      | {"spec":"x","steps":[{"count":1}],"repeat-count":2,"interval-ms":-1}    | interval-ms   |
+      | {"spec":"x","steps":[{"count":1}],"repeat-count":2,"start-time-ms":1e18} | start-time-ms |
+
   Scenario: A job that is nested too deeply is invalid
     # Guards against an unexpected error in place of a clear answer: the caller got 504.
     Given an entry with queues "/a/" and "/a/b/" on "h.example"
