Refuse jobs with more tasks than an entry can hold

What callers saw: not tried with processes. A job with a step of 10^9 tasks was accepted, and the tasks were then held in memory, by this leader and each next one.

Change: a job of more than 100,000 tasks is refused at once with 400, and the answer names the field.

Evidence: 3 new rows fail without the change.

--- a/features/platform/input.feature
+++ b/features/platform/input.feature
@@ -34,6 +34,19 @@
       | {"spec":"x","steps":[{"count":1}],"repeat-count":2,"interval-ms":-1}    | interval-ms   |
       | {"spec":"x","steps":[{"count":1}],"repeat-count":2,"start-time-ms":1e18} | start-time-ms |
 
+  Scenario Outline: A job with more tasks than an entry can hold is refused
+    # Guards against a job that stops each entry that leads: its tasks are held in memory
+    # as soon as its record is durable, and again by each next leader.
+    When steps of <first> and then <second> tasks are submitted
+    Then it is <outcome>
+
+    Examples:
+      | first  | second                | outcome                            |
+      | 1      | 99999                 | accepted                           |
+      | 100001 | 1                     | refused for "steps.0.count"        |
+      | 1      | 100000                | refused for "steps.1.count"        |
+      | 1      | 9223372036854775807   | refused for "steps.1.count"        |
+
   Scenario: A job that is nested too deeply is invalid
     # Guards against an unexpected error in place of a clear answer: the caller got 504.
     Given an entry with queues "/a/" and "/a/b/" on "h.example"
--- a/features/platform/steps/input_steps.py
+++ b/features/platform/steps/input_steps.py
@@ -71,6 +71,26 @@
         context.fault = find_fault(JOB, body)
 
 
+@when("steps of {first:d} and then {second:d} tasks are submitted")
+def step_wide(context, first, second):
+    body = json.dumps({"spec": "x", "steps": [{"count": first}, {"count": second}]})
+    context.fault = ""
+    try:
+        decode_job(JOB, body.encode())
+    except ValueError as error:
+        context.fault = str(error)
+
+
+@then("it is accepted")
+def step_no_finding(context):
+    assert not context.fault, context.fault
+
+
+@then('it is refused for "{place}"')
+def step_names_place(context, place):
+    assert place in context.fault, context.fault
+
+
 FULL = {
     "spec": "x",
     "steps": [
--- a/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
@@ -19,6 +19,10 @@
 COMPLETED, FAILED, CANCELLED = "completed", "failed", "cancelled"
 FINAL_STATES = frozenset({COMPLETED, FAILED, CANCELLED})
 
+MAX_JOB_TASKS = 100_000
+"""Most tasks of one occurrence of a job. Its progress, with a number for each task that
+has succeeded, then fits into an item of the store."""
+
 MAX_OPEN_OCCURRENCES, MAX_WAITING_TASKS = 1_000, 1_000
 """Numbers of open occurrences and of waiting tasks of a job from which on no further
 occurrence is opened. A job with many overdue occurrences then needs little more time
