--- a/features/platform/steps/malformed_steps.py
+++ b/features/platform/steps/malformed_steps.py
@@ -76,7 +76,8 @@
 
 @given("a server that responds with status 200 and {body}")
 def step_server(context, body):
-    context.body = BODIES.get(body, body.encode())
+    text = body.replace("a long text", "x" * 100_000)
+    context.body = BODIES.get(body, text.encode())
 
 
 @when("{call} is called there")
