Write no record that is too large for the store

Should a record exceed what an item of the store holds, the store refuses each attempt to write it, the attempt is repeated, and no other write follows: no job is accepted, no end acknowledged.

Cause: the size of a job's progress grows with its tasks and with the checkpoints that endpoints report, and nothing checked it. A write that the store refuses for good is taken for one without an outcome.

Change: records of jobs are checked against a megabyte. Progress that exceeds it is written without checkpoints, so that tasks start from the beginning after a change of the leader; if that does not suffice, only this job is left out and reported, and set aside after three attempts, as other jobs that cannot be recorded.

Evidence: the two new rows of records.feature fail without the change and pass with it. How the store answers a value that is too large was not tried.

Open: the record of all endpoints and the number of bytes of one transaction have no such check.

--- a/features/workloads/records.feature
+++ b/features/workloads/records.feature
@@ -34,6 +34,21 @@
     When an instance is moved and a write goes through
     Then one write contains the outcome of the job and the move
 
+  Scenario Outline: A record that is too large for the store does not stop other writes
+    # Guards against jobs that are lost (LOST): the store refuses the record at each
+    # attempt, and no other write can follow.
+    Given a leader with a job whose last task has succeeded
+    And another job of 1000 tasks <with> of 4000 bytes
+    When a write begins
+    And the write goes through
+    Then the job is reported as completed
+    And the other job <is recorded>, and no record exceeds a megabyte
+
+    Examples:
+      | with             | is recorded                      |
+      | with checkpoints | is recorded with its failed runs |
+      | with failed runs | is not recorded                  |
+
   Scenario: An endpoint that cannot be recorded does not stop other writes
     # Guards against jobs that are lost (LOST, review/2): the record of all endpoints
     # could not be encoded because of one of them, and nothing else was written.
--- a/features/workloads/steps/records_steps.py
+++ b/features/workloads/steps/records_steps.py
@@ -17,10 +17,18 @@
 
 from briarshed_workloads.persistence import Persistence
 from briarshed_workloads.planning import list_available
-from briarshed_workloads.records import JOBS, SIZES, SizesRecord
+from briarshed_workloads.records import (
+    JOBS,
+    PROGRESS,
+    SIZES,
+    ProgressRecord,
+    SizesRecord,
+    decode,
+)
 from briarshed_workloads.workloads import EndedRun, Step, TaskId
 
 ENDS = 7
+OTHER_JOB = "00000000000000bb"
 
 
 class FencedWriter:
@@ -30,12 +38,14 @@
         self.gate = asyncio.Event()
         self.commit_count = 0
         self.keys = []
+        self.values = {}
 
     async def commit(self, puts, removals=()):
         """Wait for the gate and record the write."""
         await self.gate.wait()
         self.commit_count += 1
         self.keys.append([put.key for put in puts])
+        self.values.update({put.key: put.value for put in puts})
 
 
 def play(context, during=None):
@@ -56,6 +66,7 @@
             during()
         fenced_writer.gate.set()
         await asyncio.sleep(0.1)
+        context.values = fenced_writer.values
         context.after = (
             context.engine.endpoints["a"].acknowledged,
             dict(persistence.outcomes),
@@ -173,3 +184,38 @@
     poll_endpoint(context.engine, "odd", NOW, started_at_ms=2**64)
     names = {row.name for row in list_available(context.engine, "pool", NOW)}
     assert "odd" not in names and "a" in names, names
+
+
+@given("another job of {count:d} tasks {content} of {size:d} bytes")
+def step_large(context, count, content, size):
+    job = submit(context.engine, OTHER_JOB, (Step(count, NEED, 1.0),), NOW)
+    for index in range(count):
+        task = TaskId(OTHER_JOB, 0, 0, index)
+        if content == "with checkpoints":
+            job.checkpoints[task] = "x" * size
+            job.failed_runs[task] = {5}
+        else:
+            # Nine bytes each.
+            job.failed_runs[task] = set(range(2**62, 2**62 + size // 9))
+    context.engine.unsaved_jobs[OTHER_JOB] = None
+
+
+@then(
+    "the other job is recorded with its failed runs, and no record exceeds a megabyte"
+)
+def step_large_recorded(context):
+    progress = decode(context.values[PROGRESS + OTHER_JOB], ProgressRecord)
+    assert {row.failed_runs for row in progress.tasks} == {(5,)}, progress.tasks[0]
+    check_sizes(context)
+
+
+@then("the other job is not recorded, and no record exceeds a megabyte")
+def step_large_not_recorded(context):
+    assert PROGRESS + OTHER_JOB not in context.values
+    check_sizes(context)
+
+
+def check_sizes(context):
+    """Check that each written value fits into an item of the store."""
+    sizes = {key: len(value) for key, value in context.values.items()}
+    assert max(sizes.values()) <= 2**20, sizes
--- a/packages/briarshed-workloads/src/briarshed_workloads/persistence.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/persistence.py
@@ -11,6 +11,8 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import TypeVar
 
+import msgspec
+
 from briarshed import events
 from briarshed.exceptions import DocumentError
 from briarshed_entry import clock
@@ -46,6 +48,9 @@
 MAX_LOOP_STEP_S = 0.01
 """Time for which records are restored before other tasks of the event loop may run."""
 
+MAX_RECORD_BYTES = 1_000_000
+"""Largest record; an item of the store holds a megabyte."""
+
 MAX_RECORD_ATTEMPTS = 3
 """Attempts to encode the records of a job; meanwhile no end is acknowledged."""
 
@@ -292,9 +297,9 @@
         puts: list[Put] = []
         is_new = job.job_id in self.pending_acceptances
         if is_new or not job.is_open:
-            puts.append(Put(JOBS + job.job_id, encode(job.encode_job())))
+            puts.append(Put(JOBS + job.job_id, _encode_bounded(job.encode_job())))
         if job.is_open and not is_new:
-            puts.append(Put(PROGRESS + job.job_id, encode(job.encode_progress())))
+            puts.append(Put(PROGRESS + job.job_id, _encode_progress(job)))
         return puts
 
     def _note_failed_record(self, job_id: str) -> None:
@@ -400,6 +405,40 @@
         )
 
 
+def _encode_bounded(record: msgspec.Struct) -> bytes:
+    """Return the encoding of a record.
+
+    Raises
+    ------
+    DocumentError
+        If it is too large for an item of the store. The store would refuse each attempt
+        to write it, and no other write could follow.
+    """
+    data = encode(record)
+    if len(data) > MAX_RECORD_BYTES:
+        kind = type(record).__name__
+        raise DocumentError(f"{kind} of {len(data)} bytes exceeds {MAX_RECORD_BYTES}")
+    return data
+
+
+def _encode_progress(job: Job) -> bytes:
+    """Return the progress of a job, without checkpoints if they make it too large.
+
+    Tasks without a checkpoint start from the beginning.
+    """
+    progress = job.encode_progress()
+    try:
+        return _encode_bounded(progress)
+    except DocumentError as error:
+        report_error(f"checkpoints of job {job.job_id}", error)
+    tasks = tuple(
+        msgspec.structs.replace(row, checkpoint="")
+        for row in progress.tasks
+        if row.failed_runs or row.crashes
+    )
+    return _encode_bounded(msgspec.structs.replace(progress, tasks=tasks))
+
+
 def _make_roster(registrations: Iterable[Registration]) -> RosterRecord:
     """Return the record of endpoints that may have runs."""
     return RosterRecord(
