Refuse jobs beyond what a leader can plan within its lease

Slices help where the work can be split; the order of starts needs all jobs.

Change: a job has a size in tasks, those that may wait at the same time and 20 for itself, and no job is accepted while the open ones have a size of 200,000 or more. The refusal is sent at once, without the attempts that bridge a change of the leader, with 10 s as the time to come back, and logged with the size (event 849). For the size of schedules to be bounded, occurrences are opened while fewer than 20 tasks wait, in place of 1,000; each plan, some 10 ms later, opens the next ones.

Evidence: the new scenario of busy_loop.feature fails without the change (accepted) and passes with it.

Ruled out: a limit on the number of jobs alone, since few jobs may have many tasks.

--- a/features/workloads/busy_loop.feature
+++ b/features/workloads/busy_loop.feature
@@ -23,3 +23,12 @@
     Then the other one leads once it has restored all jobs
     And its event loop is never busy for longer than the interval of renewing the lease
     And new jobs are accepted and completed
+
+  Scenario: Jobs beyond what a leader can plan within its lease are refused at once
+    # Guards against accepted jobs that are lost (LOST): the time that a plan takes grows
+    # with the open jobs, and beyond the lease no entry can lead.
+    Given three entries and the records of 5300 jobs
+    When the leader is killed, and a job is submitted at each of the others
+    Then both jobs are refused within 0.1 s, with 10 s as the time to come back
+    When 1000 jobs are cancelled, and a job is submitted 2 s later
+    Then it is accepted and completed
--- a/features/workloads/scheduled_jobs.feature
+++ b/features/workloads/scheduled_jobs.feature
@@ -67,9 +67,9 @@
     Given a scheduled job with 1000000000 overdue occurrences, one each <interval> s
     When the next leader restores it, plans and corrects its state
     Then this took less processor time than the interval of renewing the lease
-    And the tasks of the first 500 occurrences wait
+    And the tasks of the first 10 occurrences wait
     When the first 3 occurrences are completed
-    Then the tasks of the first 503 occurrences wait, without those of the first 3
+    Then the tasks of the first 13 occurrences wait, without those of the first 3
 
     Examples:
       | interval |
--- a/features/workloads/steps/busy_loop_steps.py
+++ b/features/workloads/steps/busy_loop_steps.py
@@ -15,11 +15,12 @@
 from briarshed_workloads.interfaces import Item
 from briarshed_workloads.leadership import RENEWAL_INTERVAL_S
 from briarshed_workloads.records import JOBS, JobRecord, encode
-from briarshed_workloads.workloads import Description, Schedule, Step
+from briarshed_workloads.workloads import Description, Schedule, Step, Submission
 
 CALL_S = 0.01
 REST_S = 5.0
 TICK_S = 0.05
+CANCELLED_JOBS = 1_000
 NEW_JOBS = 20
 PAUSE_S = 0.1
 FAR_S = 1e10
@@ -107,3 +108,66 @@
 @then("new jobs are accepted and completed")
 def step_new_jobs(context):
     assert context.outcomes == {"completed": NEW_JOBS}, context.outcomes
+
+
+@given("three entries and the records of {count:d} jobs")
+def step_many_records(context, count):
+    context.count = count
+
+
+async def submit(entry, job):
+    """Submit a job at an entry; return the reply and how long it took in seconds."""
+    submission = Submission(
+        job, "q", "pool", "team", clock.now(), Description("", (Step(1, NEED, 1.0),))
+    )
+    before = clock.now()
+    reply = await entry.forwarder.submit(submission, 2.8)
+    return reply, clock.now() - before
+
+
+async def play_full(context):
+    """Submit jobs while too many are open, and again after some were cancelled."""
+    async with Fleet(("e1", "e2", "e3")) as fleet:
+        first = await fleet.wait_for_leader()
+        add_jobs(fleet.store, context.count)
+        await fleet.kill(first.options.name)
+        leader = await fleet.wait_for_leader()
+        await asyncio.sleep(REST_S)
+        entries = list(fleet.entries.values())
+        context.refused = [
+            await submit(entry, f"{number:016x}")
+            for number, entry in enumerate(entries)
+        ]
+        jobs = list(leader.controller.engine.jobs)[:CANCELLED_JOBS]
+        await asyncio.gather(*map(leader.controller.cancel, jobs))
+        await asyncio.sleep(2.0)
+        context.reply, _ = await submit(entries[0], "00000000000000ff")
+        await asyncio.sleep(REST_S)
+        context.state = leader.controller.find_state("00000000000000ff")
+
+
+@when("the leader is killed, and a job is submitted at each of the others")
+def step_play_full(context):
+    run_virtually(play_full(context))
+
+
+@then(
+    "both jobs are refused within {seconds:g} s, with {delay:g} s as the time to come"
+    " back"
+)
+def step_refused(context, seconds, delay):
+    assert len(context.refused) == 2
+    for reply, took in context.refused:
+        assert (reply.outcome, reply.retry_after) == ("refused", delay), reply
+        assert took <= seconds, took
+
+
+@when("{count:d} jobs are cancelled, and a job is submitted 2 s later")
+def step_cancelled(context, count):
+    assert count == CANCELLED_JOBS
+
+
+@then("it is accepted and completed")
+def step_accepted(context):
+    assert context.reply.outcome == "accepted", context.reply
+    assert context.state == "completed", context.state
--- a/packages/briarshed-workloads/src/briarshed_workloads/controller.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/controller.py
@@ -90,6 +90,9 @@
 """Number of unexpected errors of one loop within this time after which another entry
 should lead."""
 
+FULL_RETRY_AFTER_S = 10.0
+"""Retry delay for callers whose job is refused because too much work is open."""
+
 RETRY_AFTER_S = 1.0
 """Retry delay for callers whose job cannot be accepted now; the store is retried more
 often."""
@@ -285,7 +288,8 @@
         Returns
         -------
         SubmitResult
-            ``accepted``, ``refused`` (the job will certainly not run) or ``unknown``.
+            ``accepted``, ``refused`` or ``full`` (the job will certainly not run; the
+            latter is not worth another attempt now) or ``unknown``.
         """
         waiting = self.persistence.pending_acceptances.get(submission.job)
         if waiting is None:
@@ -293,6 +297,13 @@
                 return SubmitResult("accepted")
             if not self.can_accept():
                 return SubmitResult("refused", RETRY_AFTER_S)
+            if not self.engine.has_room():
+                log_event(
+                    events.WORK_LIMIT_REACHED,
+                    job_id=submission.job,
+                    size=self.engine.open_size,
+                )
+                return SubmitResult("full", FULL_RETRY_AFTER_S)
             job = self.engine.accept(submission, time.time())
             self.maintenance.note_submitted_work(job.pool, job.core_seconds)
             waiting = asyncio.get_running_loop().create_future()
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -43,6 +43,10 @@
     TaskId,
 )
 
+MAX_OPEN_SIZE = 200_000
+"""Size of the open jobs from which on no job is accepted. This leader and the next one
+plan so many within their leases."""
+
 RUN_SEQUENCE_BITS = 24
 """Low bits of a run number: counter of one leader; the high bits are its epoch."""
 
@@ -93,6 +97,9 @@
     ----------
     unsaved_jobs : dict
         Ids of the jobs whose records must be written.
+    open_size : int
+        Size of all open jobs; those that have ended since the last correction of the
+        state still count.
     is_roster_unreadable : bool
         Whether the record of endpoints that may have runs could not be decoded.
     crashed_at : dict
@@ -112,6 +119,7 @@
         self.configuration: Configuration | None = None
         self.jobs: dict[str, Job] = {}
         self.open_jobs: dict[str, dict[str, Job]] = {}
+        self.open_size = 0
         self.endpoints: dict[str, Endpoint] = {}
         self.runs: dict[TaskId, list[Run]] = {}
         self.usage = Usage()
@@ -162,9 +170,14 @@
             rules = self.configuration.teams.get(job.team, UNLIMITED_TEAM)
             job.is_within_share = self.shares.take(job.team, rules.weight, unix_now)
         self.jobs[job.job_id] = job
+        self.open_size += job.size
         self.unsaved_jobs[job.job_id] = None
         return job
 
+    def has_room(self) -> bool:
+        """Return whether one more job can be accepted."""
+        return self.open_size < MAX_OPEN_SIZE
+
     def activate(self, job: Job, unix_now: float) -> None:
         """Make an accepted job's tasks ready to start.
 
@@ -199,6 +212,7 @@
             return
         job.restore(progress, unix_now)
         if job.is_open:
+            self.open_size += job.size
             self.open_jobs.setdefault(job.pool, {})[job_id] = job
 
     def cancel(self, job: Job, unix_now: float) -> None:
--- a/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
@@ -19,11 +19,14 @@
 COMPLETED, FAILED, CANCELLED = "completed", "failed", "cancelled"
 FINAL_STATES = frozenset({COMPLETED, FAILED, CANCELLED})
 
+JOB_SIZE = 20
+"""Number of tasks that cost as much memory and time as a job itself."""
+
 MAX_JOB_TASKS = 100_000
 """Most tasks of one occurrence of a job. Its progress, with a number for each task that
 has succeeded, then fits into an item of the store."""
 
-MAX_OPEN_OCCURRENCES, MAX_WAITING_TASKS = 1_000, 1_000
+MAX_OPEN_OCCURRENCES, MAX_WAITING_TASKS = 1_000, 20
 """Numbers of open occurrences and of waiting tasks of a job from which on no further
 occurrence is opened. A job with many overdue occurrences then needs little more time
 and memory than others; each occurrence is opened when there is room for it."""
@@ -48,6 +51,8 @@
 
     Attributes
     ----------
+    size : int
+        Cost of the job to an entry, in tasks: those that may wait, and `JOB_SIZE`.
     next_occurrence : int
         The first occurrence that has not been opened yet.
     open_occurrences : dict
@@ -76,6 +81,7 @@
         "opened_steps",
         "pool",
         "queue",
+        "size",
         "state",
         "succeeded",
         "suspected_at",
@@ -116,6 +122,9 @@
         self.opened_steps: set[tuple[int, int]] = set()
         self.next_occurrence = 0
         self.open_occurrences: dict[int, None] = {}
+        self.size = JOB_SIZE + sum(step.count for step in description.steps)
+        if description.schedule:
+            self.size += MAX_WAITING_TASKS
         self.core_seconds = sum(
             step.count * step.need.cpu / 1000 * step.estimate
             for step in description.steps
--- a/packages/briarshed-workloads/src/briarshed_workloads/reconciliation.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/reconciliation.py
@@ -29,6 +29,7 @@
     now : float
         Seconds of the boot clock.
     """
+    engine.open_size = sum(job.size for job in engine.jobs.values() if job.is_open)
     _correct_runs(engine)
     _correct_usage(engine)
     for endpoint in engine.endpoints.values():
--- a/packages/briarshed/src/briarshed/events.py
+++ b/packages/briarshed/src/briarshed/events.py
@@ -148,6 +148,9 @@
     "start {job_id} {task} at {endpoint} may still be carried out: {reason}",
 )
 
+WORK_LIMIT_REACHED = Event(
+    849, "WARNING", "job {job_id} refused: open jobs have the size {size}"
+)
 ENDPOINT_ADDED = Event(861, "INFO", "endpoint {endpoint} joined pool {pool}")
 ENDPOINT_CHANGED = Event(862, "INFO", "endpoint {endpoint}: draining {draining}")
 ENDPOINT_UNLISTED = Event(863, "INFO", "endpoint {endpoint} is not registered")
