--- a/features/platform/input.feature
+++ b/features/platform/input.feature
@@ -170,12 +170,23 @@
     When a configuration that is nested 5,000 deep is written
     Then configuration 3 is in force
 
-  Scenario: A wave that is nested too deeply does not hide the others
-    # Guards against a watch of the operator's items that ends at each read.
-    Given the waves 1 and 2, of which 1 is nested 5,000 deep
+  Scenario Outline: An invalid wave does not hide the others
+    # Guards against a watch of the operator's items that ends at each read, and against
+    # an order that cannot be encoded and ends each step of the maintenance.
+    Given the waves 1 and 2, of which "<field>" of 1 is <value>
     When the operator's orders are read
     Then the order of wave 2 is returned, and wave 1 is logged
 
+    Examples:
+      | field      | value                |
+      | other      | nested 5,000 deep    |
+      | wave       | 18446744073709551616 |
+      | wave       | -1                   |
+      | maximum    | 18446744073709551616 |
+      | duration-s | -1                   |
+      | duration-s | 1e300                |
+      | machines   | ["m", 7]             |
+
   Scenario: Queues are found by host and longest prefix
     Given an entry with queues "/a/" and "/a/b/" on "h.example"
     Then "/a/b/0123" addresses "/a/b/" and "/a/0123" addresses "/a/"
--- a/features/platform/steps/input_steps.py
+++ b/features/platform/steps/input_steps.py
@@ -190,14 +190,21 @@
 
 @given('two registered endpoints, and one whose "{field}" is {value}')
 def step_invalid_field(context, field, value):
-    fields = {key: json.dumps(content) for key, content in ENDPOINT.items()}
+    step_entries(context, replace_field(ENDPOINT, field, value))
+
+
+def replace_field(item, field, value):
+    """Return the text of an item in which the value of one field is replaced.
+
+    The value is inserted as written, since it may be none that JSON can encode.
+    """
+    fields = {key: json.dumps(content) for key, content in item.items()}
     if value == "missing":
         del fields[field]
     else:
         fields[field] = TEXTS.get(value, value)
-    # The value is inserted as written, since it may be none that JSON can encode.
     rows = ", ".join(f'"{key}": {text}' for key, text in fields.items())
-    step_entries(context, f"{{{rows}}}")
+    return f"{{{rows}}}"
 
 
 def call_directory(items, read):
@@ -305,11 +312,11 @@
     context.entry.apply_configuration(data, "test")
 
 
-@given("the waves 1 and 2, of which 1 is nested 5,000 deep")
-def step_nested_wave(context):
+@given('the waves 1 and 2, of which "{field}" of 1 is {value}')
+def step_invalid_wave(context, field, value):
     wave = {"wave": 2, "machines": ["m"], "duration-s": 1}
-    nested = f'{{"other": {NESTED}, {json.dumps(wave)[1:]}'
-    context.items = {"op/wave/1": nested, "op/wave/2": json.dumps(wave)}
+    odd = replace_field(wave, field, value)
+    context.items = {"op/wave/1": odd, "op/wave/2": json.dumps(wave)}
 
 
 @when("the operator's orders are read")
