Count the remaining tasks of a job in one pass

What callers saw: not seen; found by reading the diff. The remaining work of a job was counted by a search of all its successes for each of its steps, so that its time grew with the square of the steps (10,000 steps fit into a request).

Change: one pass over steps and successes.

--- a/features/workloads/scheduled_jobs.feature
+++ b/features/workloads/scheduled_jobs.feature
@@ -98,6 +98,15 @@
       | 10000000            |
       | 4611686018427387904 |
 
+  Scenario: The remaining work of a scheduled job is that of its open occurrences
+    # Guards against instances that are held for a schedule long before it is due, and
+    # against none for its later occurrences: the first one counted, due or not.
+    Given a scheduled job with 3 occurrences that begins in an hour
+    When the next leader restores it, plans and corrects its state
+    Then its remaining work is 0 core-seconds
+    When the job is due, and occurrence 0 is completed
+    Then its remaining work is 6 core-seconds
+
   Scenario: Each task of random schedules succeeds once
     # Guards against occurrences that are left out, run again or end the job early,
     # whatever the order of successes, failures and changes of the leader.
--- a/features/workloads/steps/scheduled_job_steps.py
+++ b/features/workloads/steps/scheduled_job_steps.py
@@ -19,6 +19,7 @@
     decode,
     encode,
 )
+from briarshed_workloads.sizing import find_remaining_work
 from briarshed_workloads.workloads import (
     Description,
     Schedule,
@@ -184,6 +185,18 @@
     assert {order.reason for order in orders} == {CANCELLED}, orders
 
 
+@then("its remaining work is {work:g} core-seconds")
+def step_remaining_work(context, work):
+    assert find_remaining_work(context.engine, context.job) == work
+
+
+@when("the job is due, and occurrence 0 is completed")
+def step_due_and_completed(context):
+    now = NOW + HOUR_S + INTERVAL_S * 2
+    context.job.open_due(now)
+    succeed(context.job, 0, now)
+
+
 @given("a record of an earlier version, where occurrences 0, 1 and 3 are completed")
 def step_earlier_version(context):
     rows = tuple(
--- a/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
@@ -236,14 +236,14 @@
             if not self._is_step_done(occurrence, number):
                 yield self.description.steps[number]
 
-    def count_remaining_tasks(self, number: int) -> int:
-        """Return how many tasks of a step in open occurrences have not succeeded."""
-        done = sum(
-            len(indices)
-            for (occurrence, step), indices in self.succeeded.items()
-            if step == number and occurrence in self.open_occurrences
-        )
-        return len(self.open_occurrences) * self.description.steps[number].count - done
+    def count_remaining_tasks(self) -> list[int]:
+        """Return the number of tasks left in open occurrences for each step."""
+        occurrences = len(self.open_occurrences)
+        counts = [occurrences * step.count for step in self.description.steps]
+        for (occurrence, number), done in self.succeeded.items():
+            if occurrence in self.open_occurrences:
+                counts[number] -= len(done)
+        return counts
 
     def list_tasks(self) -> Iterator[TaskId]:
         """Yield the tasks of the open occurrences' steps that are ready or done."""
--- a/packages/briarshed-workloads/src/briarshed_workloads/sizing.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/sizing.py
@@ -220,12 +220,10 @@
 
 def find_remaining_work(engine: Engine, job: Job) -> float:
     """Return the estimated core-seconds of due tasks that have not succeeded."""
+    steps = zip(job.description.steps, job.count_remaining_tasks(), strict=True)
     return sum(
-        job.count_remaining_tasks(number)
-        * step.need.cpu
-        / 1000
-        * estimate_task(engine, step)
-        for number, step in enumerate(job.description.steps)
+        count * step.need.cpu / 1000 * estimate_task(engine, step)
+        for step, count in steps
         if not step.long_running
     )
 
