--- a/features/platform/malformed.feature
+++ b/features/platform/malformed.feature
@@ -81,7 +81,7 @@
       | 5 MB                           | nothing          |
 
   Scenario Outline: Peers whose address cannot be used
-    # Guards against one odd record of an entry, or message of one, that ends the
+    # Guards against one invalid record of an entry, or message of one, that ends the
     # heartbeats to all entries after it.
     Given two entries' transports, where the handler fails for one message
     When one sends a heartbeat to <address>, and then to the other
--- a/features/workloads/busy_loop.feature
+++ b/features/workloads/busy_loop.feature
@@ -29,6 +29,6 @@
     # with the open jobs, and beyond the lease no entry can lead.
     Given three entries and the records of 5300 jobs
     When the leader is killed, and a job is submitted at each of the others
-    Then both jobs are refused within 0.1 s, with 10 s as the time to come back
+    Then both jobs are refused within 0.1 s, with a retry delay of 10 s
     When 1000 jobs are cancelled, and a job is submitted 2 s later
     Then it is accepted and completed
--- a/features/workloads/steps/busy_loop_steps.py
+++ b/features/workloads/steps/busy_loop_steps.py
@@ -151,10 +151,7 @@
     run_virtually(play_full(context))
 
 
-@then(
-    "both jobs are refused within {seconds:g} s, with {delay:g} s as the time to come"
-    " back"
-)
+@then("both jobs are refused within {seconds:g} s, with a retry delay of {delay:g} s")
 def step_refused(context, seconds, delay):
     assert len(context.refused) == 2
     for reply, took in context.refused:
