--- a/packages/briarshed-workloads/src/briarshed_workloads/leadership.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/leadership.py
@@ -12,6 +12,7 @@
 
 from briarshed.charts import advance, load_chart
 from briarshed.events import (
+    AUTHORITY_CHANGED,
     AUTHORITY_GAINED,
     AUTHORITY_LOST,
     LEADERSHIP_CHANGED,
@@ -62,6 +63,16 @@
 RESIGN_TIMEOUT_S = 0.5
 """Time for the last write of a leader that resigns."""
 
+LEASE, CONSENT, NOTHING = "lease", "consent of all members", "nothing"
+"""What gives a leader its authority."""
+
+
+class Authority(NamedTuple):
+    """What gives a leader its authority, and for how many seconds."""
+
+    basis: str
+    seconds: float
+
 
 class Vacancy(NamedTuple):
     """Time, in seconds of the boot clock, from which no entry is known to have led.
@@ -149,6 +160,7 @@
         self._measure_consent = measure_consent
         self._authority_until = confirmed_at + LEASE_TTL_S - LEASE_MARGIN_S
         self._renewed_from = confirmed_at
+        self._reported_basis = LEASE
         self._replacing = asyncio.Lock()
         self.lost = asyncio.Event()
         self.yields_from = 0.0
@@ -178,14 +190,35 @@
 
     def measure_authority(self) -> float:
         """Return for how many seconds this leader still has authority, at least 0."""
+        return self._find_authority().seconds
+
+    def _find_authority(self) -> Authority:
         if self.state not in ("loading", "leading", "isolated"):
-            return 0.0
+            return Authority(NOTHING, 0.0)
         if self.fenced_writer.is_leadership_lost:
-            return 0.0
+            return Authority(NOTHING, 0.0)
         left = self._authority_until - clock.now()
-        if left <= 0 and self.is_store_failing:
+        if left > 0:
+            return Authority(LEASE, left)
+        if self.is_store_failing:
             left = self._measure_consent(self._renewed_from)
-        return max(0.0, left)
+            if left > 0:
+                return Authority(CONSENT, left)
+        return Authority(NOTHING, 0.0)
+
+    def _report_authority(self) -> None:
+        """Log a change of what gives this leader its authority."""
+        basis = self._find_authority().basis
+        if basis == self._reported_basis:
+            return
+        log_event(
+            AUTHORITY_CHANGED,
+            epoch=self.epoch,
+            before=self._reported_basis,
+            after=basis,
+            renewed_ago=round(clock.now() - self._renewed_from, 3),
+        )
+        self._reported_basis = basis
 
     async def renew_until_lost(self) -> None:
         """Renew the lease until the term ends."""
@@ -193,6 +226,7 @@
         try:
             while not self.lost.is_set():
                 await asyncio.sleep(RENEWAL_INTERVAL_S)
+                self._report_authority()
                 task = asyncio.create_task(self._renew())
                 renewals.add(task)
                 task.add_done_callback(renewals.discard)
--- a/packages/briarshed/src/briarshed/events.py
+++ b/packages/briarshed/src/briarshed/events.py
@@ -107,6 +107,12 @@
 DEPENDENCY_LOST = Event(810, "WARNING", "{name} does not respond: {error}")
 DEPENDENCY_REGAINED = Event(811, "INFO", "{name} responds again after {seconds} s")
 MEMBERS_CHANGED = Event(812, "INFO", "entries that may lead at once: {members}")
+AUTHORITY_CHANGED = Event(
+    813,
+    "WARNING",
+    "authority in epoch {epoch} by {after}, before by {before}; the lease was last"
+    " renewed {renewed_ago} s ago",
+)
 
 JOB_ACCEPTED = Event(821, "INFO", "job {job_id} of queue {queue} is durable")
 JOB_COMPLETED = Event(822, "INFO", "job {job_id} completed")
