Do not take a write that was given up for the next one

The number of a transaction in the term item was raised only when the transaction was done. One that was given up with an unknown outcome, because its lease had ended, and the next one then wrote the same term item: if the first had been executed, the store's conflict passed for the success of the second.

What follows next is taken for written and is not: - progress: ends are acknowledged to endpoints, and a leader that follows starts their tasks again; - the next new lease: the leader renews it while the store holds no leader item, so that another entry leads while it has authority; - members: one that the store still names is not asked for consent.

Now each transaction has a number of its own, and a conflict that shows an earlier number of the same leader is followed by another attempt on the revision found.

Cancelled writes and unreadable responses are of the same class; no place is known where a term goes on after either.

Ruled out: keeping the numbers of given-up writes, or stepping down on a conflict with an own record, which would end a term for nothing.

--- /dev/null
+++ b/features/workloads/lost_responses.feature
@@ -0,0 +1,23 @@
+Feature: A store that loses responses and executes calls late
+
+  Scenario Outline: A write counts as done only if the store holds it
+    # Guards against successes that are acknowledged to endpoints and not recorded, whose
+    # tasks the next leader starts again. A write that was given up after it had been
+    # executed was taken for the next one, since both had the same number.
+    Given a leader whose write is executed, with all responses lost
+    When it is given up because <reason>, and another write follows
+    Then the store holds the other write
+    And writes go on
+
+    Examples:
+      | reason                     |
+      | its lease has ended        |
+      | it is cancelled            |
+      | a response is not readable |
+
+  Scenario: A new lease is that of the leader item
+    # Guards against two leaders: a leader that renews one lease while the store has bound
+    # the leader item to another one has authority when another entry takes over.
+    Given a leader whose lease has ended, with the response to its write of a new one lost
+    When the store says that this lease has ended too, and 5 s pass
+    Then another entry leads only while the leader has no authority
--- a/features/workloads/virtual_fleet.py
+++ b/features/workloads/virtual_fleet.py
@@ -66,13 +66,19 @@
 
 
 class Store:
-    """The platform's store in memory; ``commits`` lists the keys written."""
+    """The platform's store in memory; ``commits`` lists the keys written.
+
+    A transaction with an ended lease whose condition does not hold either is a conflict
+    unless ``checks_leases_first`` is set; the protocol does not say which.
+    """
 
     def __init__(self):
         self.items = {}
         self.revision = 1
         self.leases = {}
+        self.last_lease = 0
         self.commits = []
+        self.checks_leases_first = False
 
     def connect(self, entry_name):
         """Return an entry's client."""
@@ -98,10 +104,13 @@
         current = {
             key: self.items[key][0] for key, _ in conditions if key in self.items
         }
+        has_ended = any(put.lease and put.lease not in self.leases for put in puts)
+        if has_ended and self.checks_leases_first:
+            return LeaseEnded()
         for key, revision in conditions:
             if (current[key].revision if key in current else 0) != revision:
                 return Conflicted(current)
-        if any(put.lease and put.lease not in self.leases for put in puts):
+        if has_ended:
             return LeaseEnded()
         self.revision += 1
         for put in puts:
@@ -182,7 +191,8 @@
         """Grant a lease."""
 
         def grant():
-            lease = len(self._store.leases) + self._store.revision * 1_000
+            self._store.last_lease += 1
+            lease = self._store.last_lease
             self._store.leases[lease] = ttl, clock.now() + ttl
             return lease
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/fenced_writer.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/fenced_writer.py
@@ -3,7 +3,8 @@
 The store holds the leader's term in one item, under the key `TERM`. Every transaction
 replaces this item on the condition that it has not changed since the previous
 transaction. So a deposed leader can write nothing, and a transaction whose
-response was lost cannot take effect after a later one.
+response was lost cannot take effect after a later one. Each transaction has a number of
+its own in the item, so that one that was given up is not taken for the next one.
 """
 
 from __future__ import annotations
@@ -11,6 +12,8 @@
 import asyncio
 from collections.abc import Sequence
 
+from msgspec.structs import replace
+
 from briarshed.events import STORE_ANSWER_LOST
 from briarshed.exceptions import BriarshedError
 from briarshed_entry import clock
@@ -67,6 +70,8 @@
 
     Attributes
     ----------
+    term : TermRecord
+        Record of the last transaction, which may have been given up.
     is_leadership_lost : bool
         Whether the store was found to hold another leader's term.
     failing_since : float
@@ -126,16 +131,13 @@
         async with self._lock:
             if self.is_leadership_lost:
                 raise LeadershipLostError("the store holds the term of another leader")
-            last = self.term
-            term = TermRecord(last.epoch, last.leader, last.writes + 1)
-            await self._write(term, puts, removals)
-            self.term = term
+            # Not repeated even if this transaction is given up: it may be executed.
+            self.term = replace(self.term, writes=self.term.writes + 1)
+            await self._write(puts, removals)
             self.commit_count += 1
 
-    async def _write(
-        self, term: TermRecord, puts: Sequence[Put], removals: Sequence[str]
-    ) -> None:
-        all_puts = [Put(TERM, encode(term)), *puts]
+    async def _write(self, puts: Sequence[Put], removals: Sequence[str]) -> None:
+        all_puts = [Put(TERM, encode(self.term)), *puts]
         timeout = FIRST_ATTEMPT_TIMEOUT_S
         while True:
             sent_at = clock.now()
@@ -153,7 +155,7 @@
                 self._note_failing(sent_at)
                 self.last_attempt_not_executed = False
                 timeout = COMMIT_TIMEOUT_S
-                log_event(STORE_ANSWER_LOST, writes=term.writes, error=str(error))
+                log_event(STORE_ANSWER_LOST, writes=self.term.writes, error=str(error))
                 await asyncio.sleep(RETRY_PAUSE_S)
                 continue
             self.failing_since = 0.0
@@ -161,19 +163,26 @@
             if isinstance(outcome, Committed):
                 self.revision = outcome.revision
                 return
-            if isinstance(outcome, Conflicted) and self._accept_own_commit(
-                outcome, term
-            ):
-                return
             if isinstance(outcome, LeaseEnded):
                 raise LeaseLostError("the lease of a put has ended")
-            self.is_leadership_lost = True
-            raise LeadershipLostError("the store holds the term of another leader")
+            written = self._find_own_write(outcome)
+            if written == self.term.writes:
+                return
+            if written is None:
+                self.is_leadership_lost = True
+                raise LeadershipLostError("the store holds the term of another leader")
+            # A transaction that was given up had been executed.
+
+    def _find_own_write(self, outcome: Conflicted) -> int | None:
+        """Return the number of this leader's last executed transaction.
 
-    def _accept_own_commit(self, outcome: Conflicted, term: TermRecord) -> bool:
-        """Return whether an earlier attempt was committed, and note its revision."""
+        Its revision is noted. None if the term is that of another leader.
+        """
         item = outcome.items.get(TERM)
-        if item is None or decode(item.value, TermRecord) != term:
-            return False
+        if item is None:
+            return None
+        found = decode(item.value, TermRecord)
+        if replace(found, writes=self.term.writes) != self.term:
+            return None
         self.revision = item.revision
-        return True
+        return found.writes
