Do not take an earlier attempt to lead for the present one

An entry that gets no response to its attempt to lead reads the term item, and leads if that is its own. The items of two attempts by the same process were equal: same epoch, same name. If the first one is executed late, while the second is under way and also gets no response, the entry took the first one's item for that of the second. The store has then bound the leader item to the first lease, which nobody renews; the entry renews the second one and keeps its authority, and another entry leads after 1.2 s.

Now the term item carries a value that is unique to the attempt. An attempt that is executed late delays the next leader by the rest of its lease, and nobody acts for it.

Test: lost_responses.feature. The step of store.feature that compared the term item still compares all of it.

Ruled out: the lease as the unique value, which relies on the store not to reuse numbers of leases; waiting for the end of the earlier lease, which an entry can't know when the store pauses leases.

--- a/features/platform/steps/store_steps.py
+++ b/features/platform/steps/store_steps.py
@@ -249,7 +249,9 @@
     assert context.is_deposed
     assert context.second.epoch == 2
     assert isinstance(context.second.fenced_writer, FencedWriter)
-    assert context.second.fenced_writer.term == TermRecord(2, "entry-2/i2", 0)
+    term = context.second.fenced_writer.term
+    assert term.attempt
+    assert term == TermRecord(2, "entry-2/i2", 0, term.attempt)
 
 
 @then("nothing of it was written")
--- a/features/workloads/lost_responses.feature
+++ b/features/workloads/lost_responses.feature
@@ -21,3 +21,10 @@
     Given a leader whose lease has ended, with the response to its write of a new one lost
     When the store says that this lease has ended too, and 5 s pass
     Then another entry leads only while the leader has no authority
+
+  Scenario: An attempt to lead is not taken for an earlier one
+    # Guards against two leaders in the same way: the first attempt, with a lease of its
+    # own, was executed during the second one, whose response was lost.
+    Given an attempt of an entry to lead that gets no response and is executed late
+    When its second attempt gets no response either, and 5 s pass
+    Then another entry leads only while the leader has no authority
--- a/features/workloads/steps/lost_response_steps.py
+++ b/features/workloads/steps/lost_response_steps.py
@@ -158,6 +158,28 @@
     run_virtually(context.play())
 
 
+@given("an attempt of an entry to lead that gets no response and is executed late")
+def step_late_attempt(context):
+    async def run():
+        store = Store()
+        client = LossyClient(store, "e")
+        client.commit_losses = [Loss(LATENCY_S, 0.4), Loss(0.5, None)]
+        term = await lead(client, "e")
+        assert term is None
+        await asyncio.sleep(0.15)
+        term = await lead(client, "e")
+        context.found = []
+        if term is not None:
+            context.found = await watch_takeover(store, term)
+
+    context.play = run
+
+
+@when("its second attempt gets no response either, and 5 s pass")
+def step_second_attempt(context):
+    run_virtually(context.play())
+
+
 @then("another entry leads only while the leader has no authority")
 def step_alone(context):
     assert not context.found, context.found
--- a/packages/briarshed-workloads/src/briarshed_workloads/leadership.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/leadership.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import secrets
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -393,4 +394,5 @@
             # epoch exceeds the revision.
             log_event(RECORD_UNREADABLE, key=TERM, error=str(error))
             last = current.revision
-    return TermRecord(last + 1, f"{entry.name}/{entry.incarnation}", 0)
+    leader = f"{entry.name}/{entry.incarnation}"
+    return TermRecord(last + 1, leader, 0, secrets.token_hex(4))
--- a/packages/briarshed-workloads/src/briarshed_workloads/records.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/records.py
@@ -74,11 +74,17 @@
 
 
 class TermRecord(msgspec.Struct, array_like=True, frozen=True):
-    """The term of a leader; all its writes are conditional on this item."""
+    """The term of a leader; all its writes are conditional on this item.
+
+    ``attempt`` is unique to the attempt to begin the term: an earlier one by the same
+    entry, with another lease, may be executed late. Records of earlier versions have
+    none.
+    """
 
     epoch: int
     leader: str
     writes: int
+    attempt: str = ""
 
 
 class EntryRecord(msgspec.Struct, array_like=True, frozen=True):
