Take no reply to the process before a restart for one's own

Requests to the leader were numbered from 1 in each process. The leader, whose store was down, held the reply to a job of the process of e0 before its restart for 10 s; it arrived at the next process at that address, which had an open request with the same number for another job.

Now the numbers count from a random one in each process, so that a reply to another process matches no request: the one before a restart, or one of another deployment at a reused address.

--- a/packages/briarshed-workloads/src/briarshed_workloads/transport.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/transport.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+import secrets
 from collections.abc import Awaitable, Callable
 from types import TracebackType
 from typing import Self
@@ -40,6 +41,9 @@
 LINGER_MS = 150
 """Time allowed for sending queued messages when a connection is closed."""
 
+FIRST_ID_BITS = 48
+"""Size of the random number from which ids of requests count; they have 64 bits."""
+
 RECONNECT_MIN_MS = 100
 RECONNECT_MAX_MS = 800
 
@@ -262,11 +266,15 @@
 
 
 class PendingReplies:
-    """Matches the leader's replies to the requests of this entry."""
+    """Matches the leader's replies to the requests of this process.
+
+    Ids count from a random number: a reply that was held up may be meant for another
+    process at this address, the one before a restart in most cases.
+    """
 
     def __init__(self) -> None:
         self._waiting: dict[int, asyncio.Future[Reply]] = {}
-        self._last = 0
+        self._last = secrets.randbits(FIRST_ID_BITS)
 
     def open(self) -> tuple[int, asyncio.Future[Reply]]:
         """Return the id of a new request and the future of its reply."""
