Choose the deadlines of runs by the least that an endpoint's clock can show

An endpoint without runs is not polled. The deadline of the next start and poll was chosen by a clock that was read when it last had work; after 300 s, one that is 2% slow is 6 s behind the estimate, so that it kept runs for up to the longest lease that it accepts. A next leader that could not reach it counted 4 s from the end of the term and started the task elsewhere: both runs were at work for 0.17 s (the leader ends) and 1.23 s (it resigns), with 6 s accepted.

Now a deadline is at most the run lease ahead on the slowest clock, and an endpoint whose clock was read over 10 s ago is polled before a start; orders that wait for it share the poll. That also shows whether it has restarted. A start at an endpoint that does not respond is not sent.

Test: run_leases.feature, rows 2, 3, 5 and 6; 5 and 6 failed before.

--- a/features/workloads/run_leases.feature
+++ b/features/workloads/run_leases.feature
@@ -9,7 +9,13 @@
     Then the task is started elsewhere, and not before "a" has ended the run
 
     Examples:
-      | state                                     | event    |
-      | was idle for 20 s                         | goes on  |
-      | was idle for 300 s and has a slow clock   | goes on  |
-      | was idle for 20 s and has restarted unseen | goes on |
+      | state                                     | event   |
+      | was idle for 20 s                         | goes on |
+      | was idle for 20 s                         | resigns |
+      | was idle for 20 s                         | ends    |
+      | was idle for 300 s and has a slow clock   | goes on |
+      | was idle for 300 s and has a slow clock   | resigns |
+      | was idle for 300 s and has a slow clock   | ends    |
+      | was idle for 5 s and has restarted unseen | goes on |
+      | was idle for 5 s and has restarted unseen | resigns |
+      | was idle for 5 s and has restarted unseen | ends    |
--- a/packages/briarshed-workloads/src/briarshed_workloads/controller.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/controller.py
@@ -436,6 +436,12 @@
         run = order.run
         # The run may be handed over to the endpoint's next incarnation meanwhile.
         endpoint = run.endpoint
+        if not await self.poller.read_clock(endpoint):
+            self._log_start(order, "not sent: no recent response")
+            self.engine.drop(run, "not sent")
+            self._changed.set()
+            return
+        endpoint = run.endpoint
         now = clock.now()
         run.token = endpoint.token
         start = StartRequest(
--- a/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
@@ -27,6 +27,10 @@
 EXPIRY_MARGIN_S = 0.5
 """Added to the computed expiry of a run lease; the time that killing the runs takes."""
 
+MAX_CLOCK_AGE_S = 10.0
+"""Age from which the clock of an endpoint is read again before a start. A slow clock is
+0.2 s behind by then, which the lease of a start allows for."""
+
 CLOCK_RESOLUTION_MS = 2
 """Rounding of two readings of a clock."""
 
@@ -283,6 +287,10 @@
         """Whether the resources of all runs are known."""
         return self._unknown_needs == 0
 
+    def has_recent_clock(self, now: float) -> bool:
+        """Return whether the endpoint's clock was read lately."""
+        return now - self.clock_sampled_at <= MAX_CLOCK_AGE_S
+
     def is_isolated(self, now: float) -> bool:
         """Return whether only one task may start there."""
         return self.isolation is not None and now < self.isolation.until
@@ -316,8 +324,14 @@
         return most_of_next < least <= clock_ms <= most
 
     def choose_deadline(self, now: float, run_lease: float) -> int:
-        """Return a deadline ``run_lease`` seconds ahead on the endpoint's clock."""
-        deadline = self.find_clock(now) + int(run_lease * MS_PER_S)
+        """Return a deadline at most ``run_lease`` seconds ahead.
+
+        The endpoint's clock may have run slowly since it was read, and the next leader
+        counts the run lease from the end of this term.
+        """
+        elapsed = now - self.clock_sampled_at
+        least_clock = self.clock_sample_ms + int(MIN_CLOCK_RATE * elapsed * MS_PER_S)
+        deadline = least_clock + int(run_lease * MS_PER_S)
         self.last_deadline_ms = max(self.last_deadline_ms, deadline)
         self.deadline_sent_at = now
         return deadline
--- a/packages/briarshed-workloads/src/briarshed_workloads/polling.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/polling.py
@@ -90,6 +90,7 @@
         self._note_changed = note_changed
         self._poll_loops: dict[Endpoint, asyncio.Task[None]] = {}
         self._wake_events: dict[str, asyncio.Event] = {}
+        self._clock_reads: dict[Endpoint, asyncio.Task[None]] = {}
 
     def start_polling(self) -> None:
         """Start a poll loop for each new endpoint."""
@@ -189,6 +190,23 @@
                 return
             await self.poll(endpoint, is_immediate=True)
 
+    async def read_clock(self, endpoint: Endpoint) -> bool:
+        """Poll an endpoint whose clock was read long ago; return whether it is known.
+
+        An endpoint without runs is not polled, and may have restarted meanwhile. Orders
+        that wait for its clock share a poll.
+        """
+        if endpoint.has_recent_clock(clock.now()):
+            return True
+        reading = self._clock_reads.get(endpoint)
+        if reading is None:
+            poll = self.poll(endpoint, is_immediate=True)
+            reading = self._spawn(poll, f"clock of {endpoint.name}")
+            self._clock_reads[endpoint] = reading
+            reading.add_done_callback(lambda _: self._clock_reads.pop(endpoint, None))
+        await asyncio.wait([reading])
+        return endpoint.has_recent_clock(clock.now())
+
     async def check_survival(self, run: Run) -> None:
         """Poll the endpoint of a task that was in a crash just after its next start.
 
