Count no vacancy that ended while it was read

An entry that is no member waits until it has seen the leadership vacant for 63 s without a change of the term item. It read the leader item first and the term item after that. A leader that replaced its lease between the two reads, and wrote nothing for 63 s, counted as vacant all that time, so that the entry could lead as soon as that leader's store failed, while the members let it go on.

The term item is read first now. The number of calls stays the same while the leadership is vacant.

Test: election.feature, one new row, failed before.

--- a/features/workloads/election.feature
+++ b/features/workloads/election.feature
@@ -86,14 +86,15 @@
     Then it <outcome>
 
     Examples:
-      | members                    | seconds | outcome    |
-      | not recorded               | 0       | leads      |
-      | e, f                       | 0       | leads      |
-      | f, g                       | 0       | waits      |
-      | f, g                       | 59      | waits      |
-      | f, g                       | 64      | leads      |
-      | f, g, which led meanwhile  | 64      | waits      |
-      | unreadable                 | 0       | waits      |
+      | members                               | seconds | outcome |
+      | not recorded                          | 0       | leads   |
+      | e, f                                  | 0       | leads   |
+      | f, g                                  | 0       | waits   |
+      | f, g                                  | 59      | waits   |
+      | f, g                                  | 64      | leads   |
+      | f, g, which led meanwhile             | 64      | waits   |
+      | f, g, which led from just after that  | 64      | waits   |
+      | unreadable                            | 0       | waits   |
 
   Scenario Outline: Which entries should be members
     # Guards against a set that shrinks without a write, and against a removed entry whose
--- a/features/workloads/steps/election_steps.py
+++ b/features/workloads/steps/election_steps.py
@@ -263,7 +263,7 @@
 
 @given("a store whose members are {members}")
 def step_members(context, members):
-    names, _, context.meanwhile = members.partition(", which")
+    names, _, context.meanwhile = members.partition(", which ")
     context.record = None
     if names == "unreadable":
         context.record = b"?"
@@ -279,15 +279,27 @@
         if context.record is not None:
             store.items[MEMBERS] = Item(MEMBERS, context.record, 1, 1)
         entry = EntryRecord("e", "i", "127.0.0.1:1")
+        read = store.read
+
+        def start_term():
+            store.items[TERM] = Item(TERM, encode(TermRecord(1, "f", 0)), 2, 2)
+
+        async def read_before_term(key):
+            item = await read(key)
+            if key == LEADER:
+                start_term()
+            return item
+
+        if context.meanwhile == "led from just after that":
+            store.read = read_before_term
         outcome = None
         for _ in range(2):
             outcome = await acquire(store, entry, lambda _: 0.0, outcome)
             if isinstance(outcome, LeaderTerm):
                 break
             await asyncio.sleep(seconds)
-            if context.meanwhile:
-                term = encode(TermRecord(1, "f", 0))
-                store.items[TERM] = Item(TERM, term, 2, 2)
+            if context.meanwhile == "led meanwhile":
+                start_term()
         context.outcome = outcome
 
     run_virtually(run())
--- a/packages/briarshed-workloads/src/briarshed_workloads/leadership.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/leadership.py
@@ -333,10 +333,11 @@
     NotExecutedError, OutcomeUnknownError
         If the store does not respond.
     """
+    # Read before the leader item: a write that ends the vacancy afterwards changes it.
+    current = await store.read(TERM)
     if await store.read(LEADER) is not None:
         return None
     vacant_at = clock.now()
-    current = await store.read(TERM)
     members_item = await store.read(MEMBERS)
     members = _decode_members(members_item)
     if members is not None and entry.name not in members:
