--- a/features/workloads/election.feature
+++ b/features/workloads/election.feature
@@ -86,14 +86,15 @@
     Then it <outcome>
 
     Examples:
-      | members                    | seconds | outcome    |
-      | not recorded               | 0       | leads      |
-      | e, f                       | 0       | leads      |
-      | f, g                       | 0       | waits      |
-      | f, g                       | 59      | waits      |
-      | f, g                       | 64      | leads      |
-      | f, g, which led meanwhile  | 64      | waits      |
-      | unreadable                 | 0       | waits      |
+      | members                               | seconds | outcome |
+      | not recorded                          | 0       | leads   |
+      | e, f                                  | 0       | leads   |
+      | f, g                                  | 0       | waits   |
+      | f, g                                  | 59      | waits   |
+      | f, g                                  | 64      | leads   |
+      | f, g, which led meanwhile             | 64      | waits   |
+      | f, g, which led from just after that  | 64      | waits   |
+      | unreadable                            | 0       | waits   |
 
   Scenario Outline: Which entries should be members
     # Guards against a set that shrinks without a write, and against a removed entry whose
@@ -135,3 +136,17 @@
       | seconds | may     |
       | 1.25    | may not |
       | 1.35    | may     |
+
+  Scenario Outline: A promise outlasts the process that gave it
+    # Guards against two leaders: a member that had let the leader go on was killed, started
+    # again where the leader did not hear it, and led while the leader went on by its promise.
+    Given 3 entries, of which one leads
+    When the store fails for 4 s, and a member starts again, cut off, after <seconds> s
+    Then no two entries have authority at a time
+    And the member leads within 3 s
+
+    Examples:
+      | seconds |
+      | 0.0     |
+      | 0.3     |
+      | 0.6     |
--- a/features/workloads/steps/election_steps.py
+++ b/features/workloads/steps/election_steps.py
@@ -5,6 +5,7 @@
 from types import SimpleNamespace
 
 from behave import given, then, when
+from lost_response_steps import watch_authority
 from virtual_fleet import Fleet
 from virtual_time import run_virtually
 from wave_takeover_steps import OPTIONS
@@ -262,7 +263,7 @@
 
 @given("a store whose members are {members}")
 def step_members(context, members):
-    names, _, context.meanwhile = members.partition(", which")
+    names, _, context.meanwhile = members.partition(", which ")
     context.record = None
     if names == "unreadable":
         context.record = b"?"
@@ -278,15 +279,27 @@
         if context.record is not None:
             store.items[MEMBERS] = Item(MEMBERS, context.record, 1, 1)
         entry = EntryRecord("e", "i", "127.0.0.1:1")
+        read = store.read
+
+        def start_term():
+            store.items[TERM] = Item(TERM, encode(TermRecord(1, "f", 0)), 2, 2)
+
+        async def read_before_term(key):
+            item = await read(key)
+            if key == LEADER:
+                start_term()
+            return item
+
+        if context.meanwhile == "led from just after that":
+            store.read = read_before_term
         outcome = None
         for _ in range(2):
             outcome = await acquire(store, entry, lambda _: 0.0, outcome)
             if isinstance(outcome, LeaderTerm):
                 break
             await asyncio.sleep(seconds)
-            if context.meanwhile:
-                term = encode(TermRecord(1, "f", 0))
-                store.items[TERM] = Item(TERM, term, 2, 2)
+            if context.meanwhile == "led meanwhile":
+                start_term()
         context.outcome = outcome
 
     run_virtually(run())
@@ -390,3 +403,37 @@
 @then("it {verdict} try to lead")
 def step_may_lead(context, verdict):
     assert context.may_lead == (verdict == "may")
+
+
+@when(
+    "the store fails for {outage:g} s, and a member starts again, cut off, after"
+    " {seconds:g} s"
+)
+def step_member_restarts(context, outage, seconds):
+    async def run():
+        context.found = []
+        async with Fleet(context.names) as fleet:
+            leader = await fleet.wait_for_leader()
+            await asyncio.sleep(1.0)
+            for client in fleet.clients.values():
+                client.is_cut = True
+            await asyncio.sleep(outage)
+            assert leader.term.has_authority()
+            watching = asyncio.create_task(watch_authority(fleet, context.found))
+            name = next(name for name in context.names if name != leader.options.name)
+            fleet.partition.entries = frozenset({name})
+            await fleet.kill(name)
+            await asyncio.sleep(seconds)
+            await fleet.add_entry(name)
+            fleet.clients[name].is_cut = False
+            await asyncio.sleep(3.0)
+            context.member_leads = fleet.entries[name].term is not None
+            watching.cancel()
+            await asyncio.gather(watching, return_exceptions=True)
+
+    run_virtually(run())
+
+
+@then("the member leads within 3 s")
+def step_member_leads(context):
+    assert context.member_leads
