Let no late response replace a lease that has replaced its own

A leader renews its lease every 0.25 s without waiting for the last response. When the lease has ended, several renewals of it are on their way, and each of their responses says so. One that arrived after the first had been answered with a new lease was taken for a response about the new, valid one: the leader bound the leader item to a third. While the response to that write was missing, each renewal of the second lease succeeded and gave it authority, although the leader item depended on the third, which ended unrenewed: another entry led, 1.2 s after the write at the earliest and until the first one wrote again. A slow store is enough for the needless replacement; a lost response or one that is held up makes it two leaders.

Now a renewal replaces only the lease that it was for. A lease that has been found ended can't be renewed, so that a successful renewal is always of the lease that the leader item is bound to.

Test: late_replies.feature, last scenario; it failed before with two live leases.

Ruled out: one renewal at a time, since a lost response would then cost the lease.

--- a/features/workloads/late_replies.feature
+++ b/features/workloads/late_replies.feature
@@ -9,3 +9,11 @@
     And the replies to the first 3 requests arrive
     Then none of the other jobs counts as accepted
     And each of them does when its own reply arrives
+
+  Scenario: A late response about an ended lease does not replace the next one
+    # Guards against two leaders (TWICE, issue 43): the leader took the response for one about
+    # its new and valid lease, and bound the leader item to a third one. While the response
+    # to that write was missing it went on to renew the second, which nothing depended on.
+    Given a leader with two renewals on their way to the store, whose lease has ended
+    When the first response has led to a new lease, and the second one arrives
+    Then the new lease is the only one, and the leader item is bound to it
--- a/features/workloads/steps/late_reply_steps.py
+++ b/features/workloads/steps/late_reply_steps.py
@@ -1,11 +1,17 @@
-"""Steps for replies of the leader that arrive at the next process of an entry."""
+"""Steps for replies and responses that arrive when something else is waited for."""
 
 import asyncio
 
 from behave import given, then, when
+from virtual_fleet import Store
+from virtual_time import run_virtually
 
+from briarshed_workloads.leadership import LEASE_TTL_S, acquire
+from briarshed_workloads.records import LEADER, EntryRecord
 from briarshed_workloads.transport import PendingReplies, Reply
 
+LATE_S = 0.5
+
 
 async def open_requests(count):
     """Return the pending replies of a new process, and its requests."""
@@ -41,3 +47,48 @@
     for id, future in context.later:
         context.pending.resolve(Reply(id, "accepted"))
         assert future.result() == Reply(id, "accepted")
+
+
+async def lead_with_late_response(store):
+    """Return the leases that two renewals of an ended lease leave behind.
+
+    These are the one to which the leader item is bound and those that were renewed at
+    the end. The response to the second renewal is late.
+    """
+    client = store.connect("e")
+    term = await acquire(client, EntryRecord("e", "i", "e"), lambda _: 0.0)
+    renew, renewed = client.renew_lease, []
+
+    async def renew_late(lease):
+        renewed.append(lease)
+        is_second = len(renewed) == 2
+        is_valid = await renew(lease)
+        if is_second:
+            await asyncio.sleep(LATE_S)
+        return is_valid
+
+    client.renew_lease = renew_late
+    await asyncio.sleep(2 * LEASE_TTL_S)
+    await asyncio.gather(term._renew(), term._renew())
+    bound = store.items[LEADER][1]
+    await term._renew()
+    return bound, renewed, len(store.leases)
+
+
+@given("a leader with two renewals on their way to the store, whose lease has ended")
+def step_renewals(context):
+    context.play = lead_with_late_response
+
+
+@when("the first response has led to a new lease, and the second one arrives")
+def step_late_response(context):
+    async def run():
+        return await context.play(Store())
+
+    context.bound, context.renewed, context.lease_count = run_virtually(run())
+
+
+@then("the new lease is the only one, and the leader item is bound to it")
+def step_bound(context):
+    assert context.renewed[-1] == context.bound, (context.renewed, context.bound)
+    assert context.lease_count == 1, f"{context.lease_count} leases"
--- a/packages/briarshed-workloads/src/briarshed_workloads/leadership.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/leadership.py
@@ -205,10 +205,11 @@
     async def _renew(self) -> None:
         had = self.has_authority()
         sent_at = clock.now()
+        lease = self._lease
         try:
-            is_valid = await self._store.renew_lease(self._lease)
+            is_valid = await self._store.renew_lease(lease)
             if not is_valid:
-                sent_at = await self._replace_lease()
+                sent_at = await self._replace_lease(lease)
         except (NotExecutedError, OutcomeUnknownError) as error:
             self._note_unanswered(sent_at, str(error))
             return
@@ -236,13 +237,14 @@
             self.note_event("isolate", reason)
             log_event(AUTHORITY_LOST, reason=reason)
 
-    async def _replace_lease(self) -> float | None:
+    async def _replace_lease(self, ended: int) -> float | None:
         """Return the time at which a new lease was requested, or None without one.
 
         The lease ended while the store was unavailable or this process was paused. The
-        write fails if the term shows that another entry has led since.
+        write fails if the term shows that another entry has led since. The response may
+        be late: a lease that has replaced the ended one meanwhile may be valid, and
+        renewing it while the leader item is bound to the next one proves nothing.
         """
-        ended = self._lease
         async with self._replacing:
             if self.lost.is_set() or self._lease != ended:
                 # Revoked by `resign`, after which a new lease would delay the next
