--- a/features/workloads/fault_plays.py
+++ b/features/workloads/fault_plays.py
@@ -253,17 +253,22 @@
         play.links.delays.pop(row, None)
 
 
-async def freeze(play):
+async def freeze(play, is_suspended=False):
     """Freeze an entry."""
     name = play.choose_entry()
     if name is not None:
         low = play.chance.choice([FREEZE_S, SHORT_S])
         seconds = play.chance.uniform(*low)
-        play.note("freeze", name, round(seconds, 2))
-        await play.fleet.freeze(name, seconds)
+        play.note("suspend" if is_suspended else "freeze", name, round(seconds, 2))
+        await play.fleet.freeze(name, seconds, is_suspended)
         play.note("wake", name)
 
 
+async def suspend(play):
+    """Suspend the machine of an entry."""
+    await freeze(play, True)
+
+
 async def kill(play):
     """Kill an entry, which starts again."""
     name = play.choose_entry()
@@ -318,6 +323,7 @@
     "lose": lose,
     "slow_links": slow_links,
     "freeze": freeze,
+    "suspend": suspend,
     "kill": kill,
     "stop": stop,
     "join": join,
