--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -106,6 +106,9 @@
         state still count.
     is_roster_unreadable : bool
         Whether the record of endpoints that may have runs could not be decoded.
+    partly_listed : set
+        Endpoints that may have ends besides those in their last response, since they
+        list a limited number at a time.
     crashes : deque
         Crashes of endpoints, in the order in which they became known.
     earlier_runs_until : float
@@ -130,6 +133,7 @@
         self.earlier_runs_until = 0.0
         self.roster: set[str] = set()
         self.is_roster_unreadable = False
+        self.partly_listed: set[Endpoint] = set()
         self.run_times: dict[str, float] = {}
         self.crashes: deque[Crash] = deque(maxlen=MAX_KNOWN_CRASHES)
         self.shares = Shares()
@@ -635,6 +639,10 @@
         endpoint.polled_at = now
         if not endpoint.fenced_counter:
             endpoint.note_earlier_deadline(self.lease_times.max_run_lease)
+        if response.may_have_more_ends:
+            self.partly_listed.add(endpoint)
+        else:
+            self.partly_listed.discard(endpoint)
         if not response.may_have_more_ends:
             # Until all ends are listed, a task of an earlier leader's run that is not
             # listed may have succeeded, so that it must not start again.
@@ -672,6 +680,7 @@
         endpoint.is_end_ordered = False
         endpoint.require_fence()
         endpoint.fenced_counter = 0
+        self.partly_listed.discard(endpoint)
         endpoint.acknowledged = 0
         endpoint.forgotten = 0
         endpoint.last_listed_end = 0
