Do not end the term for a token that this leader has sent itself

The endpoint had registered again while a poll was on its way. The next incarnation had answered a poll with a higher counter of the same leader, and refused the earlier one, which was compared with the counter of the earlier incarnation.

Cause: compares orders with the present incarnation, but not polls. Now a refusal ends the term only if the endpoint is still the one that was called; a later leader is noticed by the next poll. The same holds for an endpoint that was removed and added again.

Test: "A poll that the next incarnation refuses does not end the term", which failed before.

--- a/features/workloads/restarting_endpoints.feature
+++ b/features/workloads/restarting_endpoints.feature
@@ -138,6 +138,13 @@
     When polls show two restarts, and the registrations are read again
     Then it has one poll loop
 
+  Scenario: A poll that the next incarnation refuses does not end the term
+    # Guards against a leader that ends its own term, so that nobody leads for 1.5 s: it
+    # compared the token of a late poll with that of the earlier incarnation.
+    Given a leader with a poll on its way to an endpoint that registers again
+    When the later incarnation refuses the poll for its token
+    Then the term goes on
+
   Scenario: An endpoint that has restarted unseen does not forget its new ends
     # Guards against a task that starts again after its success (TWICE): polls went on
     # to acknowledge the ends of the earlier incarnation, and the numbers of ends start
--- a/features/workloads/steps/restarting_endpoint_steps.py
+++ b/features/workloads/steps/restarting_endpoint_steps.py
@@ -205,6 +205,39 @@
     context.is_lost = run_virtually(run())
 
 
+class PollFencingEndpoints(Endpoints):
+    """Endpoints that register again while a poll is on its way, and refuse it."""
+
+    async def poll(self, name, address, token, *options):
+        """Refuse the poll for its token, after the registrations were read."""
+        self.note_restart()
+        return Refused("fenced")
+
+
+@given("a leader with a poll on its way to an endpoint that registers again")
+def step_polled_again(context):
+    context.endpoints = PollFencingEndpoints(("a",))
+
+
+@when("the later incarnation refuses the poll for its token")
+def step_poll_fenced(context):
+    async def run():
+        controller, _ = make_controller(
+            SimpleNamespace(commit_count=0), endpoints=context.endpoints
+        )
+        controller.term.note_event = lambda *_: controller.term.lost.set()
+        engine = controller.engine
+        rows = [Registration("a", LATER, "", "pool", "d", "r", (), CAPACITY)]
+        context.endpoints.note_restart = lambda: engine.note_registrations(
+            rows, clock.now()
+        )
+        async with controller:
+            await controller.poller.poll(engine.endpoints["a"])
+        return controller.term.lost.is_set()
+
+    context.is_lost = run_virtually(run())
+
+
 @given("a leader that polls an endpoint")
 def step_polls(context):
     context.endpoints = Endpoints(("a",))
--- a/packages/briarshed-workloads/src/briarshed_workloads/controller.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/controller.py
@@ -516,7 +516,7 @@
         if reason == "replaced":
             self.poller.note_unresponsive(endpoint, "another endpoint responds")
         elif reason == "fenced" and run.token >= run.endpoint.token:
-            self.poller.note_fenced(endpoint, "start")
+            self.poller.note_fenced(run.endpoint, "start")
         elif reason != "old":
             endpoint.full_until = now + REFUSED_PAUSE_S
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/polling.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/polling.py
@@ -267,7 +267,12 @@
         return False
 
     def note_fenced(self, endpoint: Endpoint, what: str) -> None:
-        """End the term: an endpoint has seen another leader's token."""
+        """End the term: an endpoint has seen another leader's token.
+
+        If it has registered again since the call, the token may be one of this leader.
+        """
+        if self._engine.endpoints.get(endpoint.name) is not endpoint:
+            return
         log_event(events.ORDER_FENCED, endpoint=endpoint.name, what=what)
         if not self._term.lost.is_set():
             self._term.note_event("lose", f"fenced at {endpoint.name}")
