Let a link lose chunks, as TCP shows it

A link could hold back and delay bytes, but not lose any. The fault "loss" lets a share of the chunks arrive after 0.2, 0.6, 1.4 or 3 s, in order, as after one to four retransmissions.

Tests: standin_link.feature, "Chunks that were lost arrive whole, after a retransmission", which failed before; and that a request that was held back arrives although its caller has closed, which held before and which plays with held bytes rely on.

--- a/features/standins/standin_link.feature
+++ b/features/standins/standin_link.feature
@@ -40,3 +40,18 @@
     Then the caller through the link gets silence
     When the link gets the faults {}
     Then the caller through the link gets the whole answer
+
+  Scenario: A request that was held back arrives although its caller has closed
+    # Guards against plays that hold nothing: calls give up before a partition ends.
+    Given the link has the faults {"silent": true}
+    When a task is posted through the link
+    Then the caller through the link gets silence
+    When the caller closes its connection
+    And the link gets the faults {}
+    Then the endpoint behind the link soon ran 1
+
+  Scenario: Chunks that were lost arrive whole, after a retransmission
+    # Guards against plays that lose nothing: each chunk is late by 0.2 to 3 s.
+    Given the link has the faults {"loss": 1}
+    When a task is posted through the link
+    Then the whole answer arrives through the link after 0.4 s or more
--- a/features/standins/steps/standin_link_steps.py
+++ b/features/standins/steps/standin_link_steps.py
@@ -1,6 +1,7 @@
 """Steps for the link stand-in."""
 
 import json
+import time
 
 from behave import given, then, when
 from steps.standin_endpoint_steps import SILENCE_S, Post
@@ -10,6 +11,7 @@
 from briarshed_standins.tasks import make_answer
 
 ANSWER_TIMEOUT_S = 2.0
+RETRANSMISSION_TIMEOUT_S = 10.0
 SHARED = {}
 
 
@@ -78,6 +80,25 @@
     assert found[expected], (data, ending)
 
 
+@then("the whole answer arrives through the link after {least:g} s or more")
+def step_late_answer(context, least):
+    sent_at = time.monotonic()
+    data, ending = context.post.read(RETRANSMISSION_TIMEOUT_S)
+    assert data.endswith(make_answer(context.post.body)), (data, ending)
+    assert time.monotonic() - sent_at > least
+
+
+@when("the caller closes its connection")
+def step_close(context):
+    context.post.socket.close()
+
+
+@then("the endpoint behind the link soon ran {count:d}")
+def step_soon_ran(context, count):
+    time.sleep(SILENCE_S)
+    step_ran(context, count)
+
+
 @then("the endpoint behind the link ran {count:d}")
 def step_ran(context, count):
     lines = call("GET", f"http://{SHARED['endpoint']}/_records").content
--- a/packages/briarshed-standins/src/briarshed_standins/link.py
+++ b/packages/briarshed-standins/src/briarshed_standins/link.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import fnmatch
+import random
 from collections.abc import Mapping
 from contextlib import suppress
 from typing import Annotated, Any, Literal
@@ -26,8 +27,12 @@
     "close_after_to_target": "closes a connection after this many bytes to the target",
     "close_after_to_client": "closes a connection after this many bytes to the client",
     "delay_ms": "one-way delay",
+    "loss": "share of chunks that arrive after a retransmission, in order",
 }
 CHUNK_BYTES = 65_536
+RETRANSMISSION_S = (0.2, 0.6, 1.4, 3.0)
+"""Delays of TCP after one to four lost packets, whose time-out starts at 0.2 s."""
+
 Direction = Literal["to_target", "to_client"]
 
 
@@ -59,6 +64,7 @@
         self._changed = asyncio.Event()
         self._connections: set[Connection] = set()
         self._server: asyncio.Server | None = None
+        self._random = random.Random(name)
 
     async def open(self) -> str:
         """Listen on an ephemeral port; return the address."""
@@ -118,7 +124,7 @@
             await self._wait_until_open(connection, direction)
             if not data:
                 break
-            await asyncio.sleep(self._faults.get("delay_ms", 0) / 1000)
+            await asyncio.sleep(self._choose_delay())
             limit = self._faults.get(f"close_after_{direction}")
             if limit is not None and sent + len(data) >= limit:
                 writer.write(data[: max(0, limit - sent)])
@@ -131,6 +137,12 @@
         with suppress(OSError):
             writer.write_eof()
 
+    def _choose_delay(self) -> float:
+        delay = self._faults.get("delay_ms", 0) / 1000
+        if self._random.random() < self._faults.get("loss", 0.0):
+            delay += self._random.choice(RETRANSMISSION_S)
+        return delay
+
     async def _wait_until_open(
         self, connection: Connection, direction: Direction
     ) -> None:
