Record in the stand-in when the lease of a run has ended

The stand-in of an endpoint noticed by the next call, or by the end that a task would have had, that a run had lapsed, and recorded that moment.

Test: the last step of "Runs end when the run lease expires", which failed before (0.40 s).

--- a/features/platform/endpoints.feature
+++ b/features/platform/endpoints.feature
@@ -78,6 +78,8 @@
     Given an endpoint
     When a run of 5 s is started with a deadline in 0.2 s and not polled for 0.4 s
     Then a poll returns the end "lapsed"
+    # Guards against overlaps that the stand-in makes up: it noticed the end by the poll.
+    And the stand-in records that the run took less than 0.3 s
 
   Scenario: A connection that this side has discarded does not prove an end
     # Guards against a task that runs twice (TWICE; hunt 752a-3 and mix --seed
--- a/features/platform/steps/endpoint_steps.py
+++ b/features/platform/steps/endpoint_steps.py
@@ -276,6 +276,7 @@
     async def work(fixture):
         await fixture.start(ahead=200)
         await asyncio.sleep(0.4)
+        context.rows = fixture.standin.started
         return await fixture.poll()
 
     context.first = run_with_standin(work)
@@ -286,6 +287,12 @@
     assert [row.outcome for row in context.first.ended] == ["lapsed"]
 
 
+@then("the stand-in records that the run took less than {seconds:g} s")
+def step_length(context, seconds):
+    ((_, _, started_at, ended_at, *_),) = context.rows
+    assert ended_at - started_at < seconds, context.rows
+
+
 @when("an endpoint lists {count:d} ends in response to a poll")
 def step_lists_ends(context, count):
     rows = [
