Sever links between the data centres of the soak, and deliver late

Partitions of the soak lose calls inside the program, so that nothing arrives after they have ended. In a network bytes wait in buffers and proxies: a start, a poll, a write or a promise arrives when its sender has given up, was deposed or has ended.

`--links DATA_CENTRES` puts a link on loopback between each entry and each peer, endpoint and the store, and severs them by data centre: see docs/standins.md. Besides the other invariants, no start may be sent in an epoch after one of a later epoch; the entry program of the soak records when it sends them.

--- a/features/workloads/steps/soak_steps.py
+++ b/features/workloads/steps/soak_steps.py
@@ -10,9 +10,21 @@
 """Timeout of the process; the soak waits up to 30 s for the last job."""
 
 
+LINK_OPTIONS = ["--entries", "6", "--links", "2", "--partition", "4"]
+
+
 @when("the soak runs with seed {seed:d} for {seconds:d} s")
 def step_run(context, seed, seconds):
-    command = [sys.executable, "-m", "briarshed_platform_standins.soak"]
+    run_soak(context, seed, seconds, [])
+
+
+@when("the soak with two data centres runs with seed {seed:d} for {seconds:d} s")
+def step_run_links(context, seed, seconds):
+    run_soak(context, seed, seconds, LINK_OPTIONS)
+
+
+def run_soak(context, seed, seconds, options):
+    command = [sys.executable, "-m", "briarshed_platform_standins.soak", *options]
     command += ["--seed", str(seed), "--seconds", str(seconds)]
     done = subprocess.run(
         command, capture_output=True, text=True, timeout=LIMIT_S, check=False
