Suspend machines, and restart entries that have consented, in the random plays

A suspended machine stops the timers of a process and not its boot clock, which a stopped process does not.

--- a/features/workloads/fault_plays.py
+++ b/features/workloads/fault_plays.py
@@ -206,6 +206,13 @@
     play.cut_ends_at = asyncio.get_running_loop()._virtual.now + seconds
     await asyncio.sleep(seconds)
     for name in names:
+        # Its next process may reach the store before the last one's promise has ended.
+        if "kill" in play.mix and name in play.fleet.entries and chance.random() < 0.4:
+            play.note("kill", name)
+            await play.fleet.kill(name)
+            await asyncio.sleep(chance.uniform(*RESTART_S))
+            turned_away.pop(name, None)
+            await start(play, name)
         turned_away.pop(name, None)
         play.note("store is back", name)
         await asyncio.sleep(chance.choice([0.0, chance.uniform(0.0, END_SPREAD_S)]))
@@ -253,17 +260,22 @@
         play.links.delays.pop(row, None)
 
 
-async def freeze(play):
+async def freeze(play, is_suspended=False):
     """Freeze an entry."""
     name = play.choose_entry()
     if name is not None:
         low = play.chance.choice([FREEZE_S, SHORT_S])
         seconds = play.chance.uniform(*low)
-        play.note("freeze", name, round(seconds, 2))
-        await play.fleet.freeze(name, seconds)
+        play.note("suspend" if is_suspended else "freeze", name, round(seconds, 2))
+        await play.fleet.freeze(name, seconds, is_suspended)
         play.note("wake", name)
 
 
+async def suspend(play):
+    """Suspend the machine of an entry."""
+    await freeze(play, True)
+
+
 async def kill(play):
     """Kill an entry, which starts again."""
     name = play.choose_entry()
@@ -274,8 +286,13 @@
 
 
 async def restart(play, name):
-    """Start an entry again."""
+    """Start an entry again after a while."""
     await asyncio.sleep(play.chance.uniform(*RESTART_S))
+    await start(play, name)
+
+
+async def start(play, name):
+    """Start an entry that does not run."""
     if name not in play.fleet.entries:
         await play.fleet.add_entry(name)
         play.note("started", name)
@@ -318,6 +335,7 @@
     "lose": lose,
     "slow_links": slow_links,
     "freeze": freeze,
+    "suspend": suspend,
     "kill": kill,
     "stop": stop,
     "join": join,
--- a/features/workloads/faulty_fleet.py
+++ b/features/workloads/faulty_fleet.py
@@ -426,13 +426,13 @@
         process.is_frozen = True
         self._ended.append((process, self.entries.pop(name)))
 
-    async def freeze(self, name, seconds):
-        """Stop an entry's process for a while."""
+    async def freeze(self, name, seconds, is_suspended=False):
+        """Stop an entry's process for a while, or suspend its machine."""
         process = self.processes[name]
         process.is_frozen = True
         await asyncio.sleep(seconds)
         if self.processes.get(name) is process:
-            process.wake()
+            process.wake(seconds if is_suspended else 0.0)
 
     async def stop(self, name, seconds):
         """Let an entry resign, and end it after a while."""
--- a/features/workloads/partitions.feature
+++ b/features/workloads/partitions.feature
@@ -64,6 +64,11 @@
       | cut, staggered, kill, clocks     | 50      | 5    |
       | cut, outage_pause, stop, join    | 50      | 6    |
       | cut, outage_lapse, kill, lose    | 50      | 7    |
+      | cut, staggered, suspend          | 50      | 8    |
+
+    Examples: an entry leads within the promise of its process before
+      | faults                           | seconds | seed |
+      | staggered, kill                  | 55      | 12   |
 
     Examples: the leader renews a lease that the leader item is not bound to
       # In the first row the leader took an earlier write for its last one, in the second a
--- a/features/workloads/virtual_time.py
+++ b/features/workloads/virtual_time.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+import heapq
 import selectors
 from collections import deque
 from collections.abc import Callable, Coroutine, Iterator
@@ -27,7 +28,8 @@
 class Process:
     """A process on a machine of its own.
 
-    While it is frozen, its timers and messages wait and its clock goes on.
+    While it is frozen, its timers and messages wait and its clock goes on. Its timers
+    go on meanwhile if only the process is stopped, and not if its machine is suspended.
 
     Parameters
     ----------
@@ -66,12 +68,27 @@
         loop = asyncio.get_running_loop()
         loop.call_soon(function, *arguments, context=self._context.copy())
 
-    def wake(self) -> None:
-        """Go on after a freeze."""
+    def wake(self, suspended_s: float = 0.0) -> None:
+        """Go on after a freeze, in which timers have stood still for a time."""
         self.is_frozen = False
         loop = asyncio.get_running_loop()
-        loop._ready.extend(self.waiting)
-        self.waiting.clear()
+        waiting, self.waiting = self.waiting, []
+        if not suspended_s:
+            loop._ready.extend(waiting)
+            return
+        for handle in loop._scheduled:
+            if handle._context.get(_current) is self:
+                handle._when += suspended_s
+        for handle in waiting:
+            if handle.cancelled():
+                continue
+            if isinstance(handle, asyncio.TimerHandle):
+                handle._when += suspended_s
+                handle._scheduled = True
+                loop._scheduled.append(handle)
+            else:
+                loop._ready.append(handle)
+        heapq.heapify(loop._scheduled)
 
 
 class _ReadyHandles(deque):
