--- a/features/workloads/fault_plays.py
+++ b/features/workloads/fault_plays.py
@@ -1,7 +1,8 @@
 """Random plays of whole entries, in virtual time, with faults chosen by name.
 
-``python fault_plays.py --mix cut,cut+hold --seeds 1-200`` plays many seeds of each mix
-and prints those that break an invariant.
+``PYTHONPATH=features/workloads/steps python features/workloads/fault_plays.py --mix
+cut,cut+hold --seeds 1-200`` plays many seeds of each mix and prints those that break an
+invariant; ``--mix random`` chooses a mix by the seed.
 """
 
 from __future__ import annotations
