Let a poll that acknowledges an end settle earlier orders

Since starts have a higher token than the last acknowledgement, the counter rises with each poll that acknowledges an end, also while the response to it is awaited. An endpoint counted as fenced only once a poll with the present counter was answered, so that one where ends keep coming would have got no starts for as long (read from the code on merging; not seen in a play). The counter that a poll must have is now the one with which the fence was required.

--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -646,7 +646,7 @@
         if not response.may_have_more_ends:
             # Until all ends are listed, a task of an earlier leader's run that is not
             # listed may have succeeded, so that it must not start again.
-            if counter >= endpoint.counter:
+            if counter >= endpoint.fence_counter:
                 endpoint.needs_fence = False
                 # Earlier calls, with their deadlines, are rejected from now on.
                 endpoint.earlier_deadlines_until = min(
--- a/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
@@ -180,6 +180,7 @@
     or another pool. ``lost_runs`` holds the runs whose lease expired while it did not
     respond. ``earlier_deadlines_until`` is the time until which it may keep runs
     because of deadlines that were chosen by the clock of its earlier incarnation.
+    ``fence_counter`` is the least counter of a poll that settles earlier orders.
     ``earlier_starts`` holds when its earlier incarnations started, in Unix ms, and
     ``seen_at`` is when the present one was last known from the response to a poll, and
     ``known_since`` when it became known to this leader. ``deadline_sent_at`` is when
@@ -200,6 +201,7 @@
         "epoch",
         "evicting",
         "failing_since",
+        "fence_counter",
         "fenced_counter",
         "forgotten",
         "full_until",
@@ -227,6 +229,7 @@
         self.epoch = epoch
         self.counter = 1
         self.fenced_counter = 0
+        self.fence_counter = 0
         self.needs_fence = True
         self.runs: dict[tuple[TaskId, int], Run] = {}
         self.used = NO_RESOURCES
@@ -386,6 +389,7 @@
         """Order no more starts until a poll with a higher token has been answered."""
         self.needs_fence = True
         self.counter += 1
+        self.fence_counter = self.counter
 
     def add_run(self, run: Run) -> None:
         """Add a run and reserve its resources."""
