--- a/features/workloads/soak.feature
+++ b/features/workloads/soak.feature
@@ -17,4 +17,4 @@
 
     Examples:
       | seed | seconds |
-      | 2    | 9       |
+      | 2    | 7       |
