--- a/features/workloads/steps/soak_steps.py
+++ b/features/workloads/steps/soak_steps.py
@@ -10,7 +10,7 @@
 """Timeout of the process; the soak waits up to 30 s for the last job."""
 
 
-LINK_OPTIONS = ["--entries", "6", "--links", "2", "--partition", "4"]
+LINK_OPTIONS = ["--entries", "6", "--links", "--partition", "4"]
 
 
 @when("the soak runs with seed {seed:d} for {seconds:d} s")
--- a/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
@@ -180,6 +180,7 @@
     or another pool. ``lost_runs`` holds the runs whose lease expired while it did not
     respond. ``earlier_deadlines_until`` is the time until which it may keep runs
     because of deadlines that were chosen by the clock of its earlier incarnation.
+    ``fence_counter`` is the least counter of a poll that settles earlier orders.
     ``earlier_starts`` holds when its earlier incarnations started, in Unix ms, and
     ``seen_at`` is when the present one was last known from the response to a poll, and
     ``known_since`` when it became known to this leader. ``deadline_sent_at`` is when
@@ -200,6 +201,7 @@
         "epoch",
         "evicting",
         "failing_since",
+        "fence_counter",
         "fenced_counter",
         "forgotten",
         "full_until",
@@ -227,6 +229,7 @@
         self.epoch = epoch
         self.counter = 1
         self.fenced_counter = 0
+        self.fence_counter = 0
         self.needs_fence = True
         self.runs: dict[tuple[TaskId, int], Run] = {}
         self.used = NO_RESOURCES
@@ -347,6 +350,11 @@
             run.may_be_at_next_incarnation for run in self.runs.values()
         )
 
+    @property
+    def has_start_on_its_way(self) -> bool:
+        """Whether a start has no response yet."""
+        return any(run.state == ORDERED and run.token for run in self.runs.values())
+
     def choose_acknowledged(self) -> int:
         """Return the number of the last end to acknowledge in a poll, or 0.
 
@@ -358,7 +366,13 @@
         return self.acknowledged
 
     def note_acknowledged(self, acknowledged: int) -> None:
-        """Note that a poll has acknowledged the ends up to a number."""
+        """Note that a poll has acknowledged the ends up to a number.
+
+        Later starts have a higher token. If the endpoint restarts and carries one out,
+        it refuses that poll, whose number is one of the earlier incarnation.
+        """
+        if acknowledged > self.forgotten:
+            self.counter += 1
         self.forgotten = max(self.forgotten, acknowledged)
 
     def note_listed_end(self, number: int) -> None:
@@ -380,6 +394,7 @@
         """Order no more starts until a poll with a higher token has been answered."""
         self.needs_fence = True
         self.counter += 1
+        self.fence_counter = self.counter
 
     def add_run(self, run: Run) -> None:
         """Add a run and reserve its resources."""
--- a/packages/briarshed-workloads/src/briarshed_workloads/polling.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/polling.py
@@ -124,7 +124,7 @@
                 wake_event.clear()
                 await self._wait_until_needed(endpoint, wake_event)
                 continue
-            await self._wait_until_saved(endpoint, wake_event)
+            await self._wait_to_acknowledge(endpoint, wake_event)
             is_polled = False
             try:
                 is_polled = await self.poll(endpoint)
@@ -152,17 +152,20 @@
         except TimeoutError:
             return
 
-    async def _wait_until_saved(
+    async def _wait_to_acknowledge(
         self, endpoint: Endpoint, wake_event: asyncio.Event
     ) -> None:
-        """Wait until the endpoint's ends are durable, for at most `UNSAVED_POLL_S`.
+        """Wait until ends may be acknowledged, for at most `UNSAVED_POLL_S`.
 
-        A poll that acknowledges nothing is answered with the same ends immediately.
+        They must be durable, and starts have a response. A poll that acknowledges
+        nothing is answered with the same ends immediately.
         While the store is slow or unavailable, polls continue nevertheless, since they
         extend the run lease and return new ends.
         """
         until = clock.now() + UNSAVED_POLL_S
-        while endpoint.has_unsaved_ends:
+        while endpoint.has_unsaved_ends or (
+            endpoint.is_acknowledgement_held and endpoint.has_start_on_its_way
+        ):
             wake_event.clear()
             left = until - clock.now()
             if left <= 0:
@@ -227,11 +230,11 @@
         Returns
         -------
         bool
-            Whether the endpoint responded with its runs and ends.
+            Whether the endpoint responded, so that it may be polled again at once.
         """
         engine = self._engine
         sent_at = clock.now()
-        counter = endpoint.counter
+        counter, token = endpoint.counter, endpoint.token
         acknowledged = endpoint.choose_acknowledged()
         endpoint.note_acknowledged(acknowledged)
         # An unresponsive endpoint may execute a call without responding. If its polls
@@ -246,7 +249,7 @@
             response = await self._endpoints.poll(
                 endpoint.name,
                 endpoint.registration.address,
-                endpoint.token,
+                token,
                 acknowledged,
                 deadline,
                 wait,
@@ -281,7 +284,10 @@
         if reason == "replaced":
             # It may come from an earlier process that still serves its connections.
             self.note_unresponsive(endpoint, "another endpoint responds")
-        elif reason == "fenced" and counter >= endpoint.counter:
+        elif reason == "fenced" and counter < endpoint.counter:
+            # An order with a higher token has overtaken it.
+            return True
+        elif reason == "fenced":
             self.note_fenced(endpoint, "look")
         return False
 
