Send no start whose job has ended or whose task has succeeded

A start waits for a poll if the endpoint's clock was read long ago, up to 0.5 s. If the job was cancelled meanwhile, or an endpoint that is back listed the task's success, the start was sent regardless: its permission asked only for authority and whether the run is tracked. The same held before for the time that a start waits for a connection.

The permission now asks whether the run is wanted, immediately before the bytes are sent.

--- a/packages/briarshed-workloads/src/briarshed_workloads/controller.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/controller.py
@@ -457,7 +457,7 @@
                 endpoint.name,
                 endpoint.registration.address,
                 start,
-                lambda: self.term.has_authority() and self.engine.is_tracked(run),
+                lambda: self.term.has_authority() and self.engine.is_wanted(run),
             )
         except OutcomeUnknownError as error:
             self.engine.note_outcome_unknown(run, clock.now())
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -270,6 +270,12 @@
         """Return whether a run has not been removed."""
         return run.endpoint.runs.get((run.task, run.number)) is run
 
+    def is_wanted(self, run: Run) -> bool:
+        """Return whether a run is tracked and its task is still to be done."""
+        job = self.jobs.get(run.task.job)
+        is_open = job is not None and job.is_open
+        return is_open and self.is_tracked(run) and not job.has_succeeded(run.task)
+
     def was_in_crash(self, task: TaskId) -> bool:
         """Return whether an endpoint has crashed while it ran the task."""
         job = self.jobs.get(task.job)
