Acknowledge ends of a full list although an order is not settled

An endpoint lists 500 ends at a time.

Ends of a list that may not be complete are acknowledged now. An endpoint that has restarted unseen has no 500 ends within a poll interval, and its restart shows in each response.

Test: unneeded_starts.feature, second scenario, which failed before.

--- a/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
@@ -355,15 +355,22 @@
         """Whether a start has no response yet."""
         return any(run.state == ORDERED and run.token for run in self.runs.values())
 
-    def choose_acknowledged(self) -> int:
+    def choose_acknowledged(self, is_partly_listed: bool = False) -> int:
         """Return the number of the last end to acknowledge in a poll, or 0.
 
         Each is acknowledged once, so that an endpoint that restarts unseen later does
         not forget its new ends unread.
+
+        Parameters
+        ----------
+        is_partly_listed : bool
+            Whether there may be further ends. They are listed once these are
+            acknowledged, and no order is settled before.
         """
-        if self.is_acknowledgement_held or self.acknowledged <= self.forgotten:
-            return 0
-        return self.acknowledged
+        is_held = self.is_acknowledgement_held and not is_partly_listed
+        return (
+            0 if is_held or self.acknowledged <= self.forgotten else self.acknowledged
+        )
 
     def note_acknowledged(self, acknowledged: int) -> None:
         """Note that a poll has acknowledged the ends up to a number.
--- a/packages/briarshed-workloads/src/briarshed_workloads/polling.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/polling.py
@@ -235,7 +235,7 @@
         engine = self._engine
         sent_at = clock.now()
         counter, token = endpoint.counter, endpoint.token
-        acknowledged = endpoint.choose_acknowledged()
+        acknowledged = endpoint.choose_acknowledged(endpoint in engine.partly_listed)
         endpoint.note_acknowledged(acknowledged)
         # An unresponsive endpoint may execute a call without responding. If its polls
         # carried deadlines, its lease would never be known to have expired.
