Service no instance whose endpoint has more ends to list

Its successes would have been lost with the instance, and their tasks started again. No test of its own; the condition is that of the starts of restored jobs.

--- a/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
@@ -481,14 +481,15 @@
     def _is_known_drained(self, row: Candidate, now: float) -> bool:
         """Return whether an instance is known to have no runs.
 
-        An endpoint that this leader has not polled yet may have runs of an earlier one.
+        An endpoint that this leader has not polled yet may have runs of an earlier one,
+        and one that has more ends to list may have successes that nobody has noted.
         """
         may_have_earlier_runs = now < self._engine.earlier_runs_until
         if row.endpoint is None:
             return not row.instance.endpoint or not may_have_earlier_runs
         if may_have_earlier_runs and not row.endpoint.fenced_counter:
             return False
-        return not row.endpoint.runs
+        return not row.endpoint.runs and row.endpoint not in self._engine.partly_listed
 
     async def _save_progress(self, view: WaveView) -> None:
         seen_at = time.time() - (clock.now() - view.seen_at)
