Keep an order that an unseen incarnation may carry out for the longest lease

An endpoint that has no runs is not polled, so that a start can reach an incarnation that the leader does not know yet. Its deadline was chosen by the earlier clock and is far ahead on the new one, so that the run is kept for the longest lease that endpoints accept (6 s). If no call is answered from then on, the leader counted 4 s by the earlier clock and started the task elsewhere after 5.57 s, 0.43 s before the run had ended (three tasks of three).

Cause: the end of the lease was computed for the endpoint, from the clock of the incarnation that the leader knows. It holds for runs that this incarnation is known to have: listed by a poll, or confirmed by a reading of its clock. Any other run is kept until the longest lease after the last call with a deadline. An endpoint that is not registered counts as gone once no run is left.

Test: run_leases.feature, whose third row failed before. Ruled out as causes, rows 1 and 2: an endpoint that was idle, with a clock that is 2% slow and was read 300 s before.

--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -544,17 +544,32 @@
         int
             Number of endpoints whose runs were removed.
         """
-        expired = [
-            endpoint
-            for endpoint in self.endpoints.values()
-            if (endpoint.failing_since or endpoint.is_gone)
-            and endpoint.runs
-            and now > endpoint.find_lease_expiry()
-        ]
-        for endpoint in expired:
-            endpoint.lost_runs += endpoint.runs.values()
-            self.drop_runs(endpoint, "lapsed unseen")
-        return len(expired)
+        count = 0
+        for endpoint in self.endpoints.values():
+            if not (endpoint.failing_since or endpoint.is_gone):
+                continue
+            expired = [
+                run
+                for run in endpoint.runs.values()
+                if now > self._find_run_expiry(run)
+            ]
+            endpoint.lost_runs += expired
+            for run in expired:
+                self.drop(run, "lapsed unseen")
+            count += bool(expired)
+        return count
+
+    def _find_run_expiry(self, run: Run) -> float:
+        """Return when a run has ended at the latest if no further call arrives.
+
+        If the endpoint has restarted unseen, the deadlines that were chosen by its
+        earlier clock may be far ahead on the new one.
+        """
+        endpoint = run.endpoint
+        expiry = endpoint.find_lease_expiry()
+        if run.may_be_at_next_incarnation:
+            expiry = max(expiry, endpoint.deadline_sent_at + self._longest_lease)
+        return expiry
 
     def _note_response(self, endpoint: Endpoint, clock_ms: int, now: float) -> None:
         endpoint.answered_at = now
--- a/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
@@ -125,6 +125,14 @@
         has_begun = self.is_listed or self.is_start_confirmed
         return has_begun and not self.stop_requested_at
 
+    @property
+    def may_be_at_next_incarnation(self) -> bool:
+        """Whether the next incarnation may run it, if the endpoint has restarted.
+
+        An order does not name the incarnation, and neither does the response to it.
+        """
+        return self.token > 0 and not (self.is_listed or self.is_start_confirmed)
+
     @property
     def is_unsettled(self) -> bool:
         """Whether it is not known if the endpoint carries out the start order."""
@@ -170,7 +178,8 @@
     because of deadlines that were chosen by the clock of its earlier incarnation.
     ``earlier_starts`` holds when its earlier incarnations started, in Unix ms, and
     ``seen_at`` is when the present one was last known from the response to a poll, and
-    ``known_since`` when it became known to this leader.
+    ``known_since`` when it became known to this leader. ``deadline_sent_at`` is when
+    the last call with a deadline was sent.
     """
 
     __slots__ = (
@@ -181,6 +190,7 @@
         "clock_sample_ms",
         "clock_sampled_at",
         "counter",
+        "deadline_sent_at",
         "earlier_deadlines_until",
         "earlier_starts",
         "epoch",
@@ -228,6 +238,7 @@
         self.failing_since = 0.0
         self.full_until = 0.0
         self.last_deadline_ms = 0
+        self.deadline_sent_at = 0.0
         self.earlier_deadlines_until = 0.0
         self.earlier_starts: frozenset[int] = frozenset()
         self.seen_at = 0.0
@@ -308,6 +319,7 @@
         """Return a deadline ``run_lease`` seconds ahead on the endpoint's clock."""
         deadline = self.find_clock(now) + int(run_lease * MS_PER_S)
         self.last_deadline_ms = max(self.last_deadline_ms, deadline)
+        self.deadline_sent_at = now
         return deadline
 
     def choose_acknowledged(self) -> int:
@@ -332,7 +344,7 @@
         self.last_deadline_ms = max(self.last_deadline_ms, earlier)
 
     def find_lease_expiry(self) -> float:
-        """Return when all runs there have ended at the latest without another poll."""
+        """Return when this incarnation has ended its runs without another poll."""
         left = max(0, self.last_deadline_ms - self.clock_sample_ms) / MS_PER_S
         expiry = self.clock_sampled_at + left / MIN_CLOCK_RATE + EXPIRY_MARGIN_S
         return max(expiry, self.earlier_deadlines_until)
--- a/packages/briarshed-workloads/src/briarshed_workloads/polling.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/polling.py
@@ -289,9 +289,10 @@
         )
         if self._engine.drop_expired_runs(now):
             self._note_changed()
-        if not endpoint.is_listed and now > max(
+        is_expired = not endpoint.runs and now > max(
             self._engine.earlier_runs_until, endpoint.find_lease_expiry()
-        ):
+        )
+        if is_expired and not endpoint.is_listed:
             self.note_gone(endpoint, "not responding and not registered")
 
     def note_gone(self, endpoint: Endpoint, reason: str) -> None:
