Let a new leader wait for the longest lease of endpoints that it cannot reach

A new leader that cannot reach an endpoint started its tasks elsewhere 4.58 s after the earlier leader's lease had ended, since leaders ask for 4 s. Endpoints kept the runs for longer, up to the longest lease that they accept (6 or 10 s):

- the deadline is chosen by a clock that was read when the endpoint last had work; after 300 s without, one that is 2% slow is 6 s behind the estimate, and the poll beside the first start carries a deadline of 10 s.
Both runs were at work for 0.17 s (the leader ends) and 1.23 s (it resigns), with 6 s;

With 10 s instead of 6 s each would be longer (not run). The same bound now holds for an endpoint that a new leader has reached once. `LeaseTimes.max_run_lease` is gone: no bound follows from it.

Test: run_leases.feature, of whose nine rows four failed before and none does. engine.feature: its endpoint accepts leases of 6 s, so that the row in which it started the task after 6.0 s asked for the fault; it is 7.0 s, and a row with 6.4 s that must not start it is new.

Costs: after a change of the leader, restored jobs of a pool with an endpoint that does not respond start 2.0 s later than before with leases of 6 s, and 6.1 s later with 10 s (computed, no play).

--- a/features/workloads/engine.feature
+++ b/features/workloads/engine.feature
@@ -3,7 +3,8 @@
   Scenario Outline: A new leader keeps an unresponsive endpoint's runs until they expire
     # Guards against a task that runs twice: hunt trouble-1 --seed 661929526986
     # (co-operative), TWICE. The new leader took the deadline that the earlier one had
-    # set for zero, and started the task elsewhere.
+    # set for zero, and started the task elsewhere. The endpoint may keep the run for the
+    # longest lease of 6 s.
     Given a leader of epoch 2 with an endpoint "a" and an endpoint "b"
     And a restored job with 1 task
     And endpoint "a" lists a run of epoch 1 of that task
@@ -14,7 +15,8 @@
       | seconds | outcome          |
       | 0.6     | runs only at "a" |
       | 4.9     | runs only at "a" |
-      | 6.0     | runs only at "b" |
+      | 6.4     | runs only at "a" |
+      | 7.0     | runs only at "b" |
 
   Scenario: A poll with a higher token decides about an order without a response
     Given a leader of epoch 2 with an endpoint "a" and an endpoint "b"
--- a/features/workloads/steps/election_steps.py
+++ b/features/workloads/steps/election_steps.py
@@ -194,9 +194,7 @@
 
 @then("runs of the earlier leader may continue until {seconds:g} s after that")
 def step_earlier_runs(context, seconds):
-    engine = Engine(
-        2, LeaseTimes(RUN_LEASE_S, RUN_LEASE_S, RUN_LEASE_S), lambda *_, **__: None
-    )
+    engine = Engine(2, LeaseTimes(RUN_LEASE_S, RUN_LEASE_S), lambda *_, **__: None)
     engine.note_earlier_term_end(context.term.vacant_at)
     until = engine.earlier_runs_until - context.found_at
     assert abs(until - seconds) < 0.4, until
--- a/features/workloads/steps/engine_steps.py
+++ b/features/workloads/steps/engine_steps.py
@@ -34,7 +34,7 @@
 CAPACITY = Resources(4_000, 8_000, 0)
 NEED = Resources(1_000, 1_000, 0)
 RUN_LEASE_S = 5.0
-LEASE_TIMES = LeaseTimes(RUN_LEASE_S, RUN_LEASE_S, 6.0)
+LEASE_TIMES = LeaseTimes(RUN_LEASE_S, 6.0)
 NOW = 100.0
 
 
--- a/features/workloads/steps/heavy_days_steps.py
+++ b/features/workloads/steps/heavy_days_steps.py
@@ -91,7 +91,7 @@
     """An engine with two pools, and the platform's list of instances."""
 
     def __init__(self):
-        self.engine = Engine(1, LeaseTimes(4.0, 4.0, 6.0), lambda *_, **__: None)
+        self.engine = Engine(1, LeaseTimes(4.0, 6.0), lambda *_, **__: None)
         queues = {
             pool: QueueRules(pool, "h", pool, pool, 0, 2, 1.6, 0.6, 3.0, True)
             for pool in POOLS
--- a/packages/briarshed-workloads/src/briarshed_workloads/controller.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/controller.py
@@ -132,7 +132,7 @@
         self.is_loaded = False
         self.engine = Engine(
             term.epoch,
-            LeaseTimes(run_lease, run_lease, options.site_limits.max_run_lease),
+            LeaseTimes(run_lease, options.site_limits.max_run_lease),
             telemetry.report,
         )
         self._store = store
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -73,15 +73,13 @@
     ----------
     run_lease : float
         Time for which endpoints keep runs without a poll.
-    max_run_lease : float
-        Longest run lease that any leader grants.
     max_accepted_lease : float
         Longest run lease that endpoints accept; they shorten longer ones. An endpoint
-        that has restarted takes deadlines of its earlier clock for longer ones.
+        that has restarted takes deadlines of its earlier clock for longer ones, and so
+        does one with a slow clock that was read long ago.
     """
 
     run_lease: float
-    max_run_lease: float
     max_accepted_lease: float
 
 
@@ -343,10 +341,9 @@
         """Note the latest time at which the previous leader's term can have ended.
 
         Runs that it ordered may go on at endpoints that have not been polled yet, until
-        the longest run lease has expired.
+        the longest lease that endpoints accept has expired.
         """
-        longest = self.lease_times.max_run_lease / MIN_CLOCK_RATE + EXPIRY_MARGIN_S
-        self.earlier_runs_until = ended_at + longest
+        self.earlier_runs_until = ended_at + self._longest_lease
 
     def note_registrations(self, listing: Iterable[Registration], now: float) -> None:
         """Apply a new list of registered endpoints."""
@@ -630,7 +627,10 @@
         self._note_response(endpoint, response.clock_ms, now)
         endpoint.polled_at = now
         if not endpoint.fenced_counter:
-            endpoint.note_earlier_deadline(self.lease_times.max_run_lease)
+            endpoint.note_earlier_deadline(self.lease_times.run_lease)
+            endpoint.earlier_deadlines_until = max(
+                endpoint.earlier_deadlines_until, self.earlier_runs_until
+            )
         if not response.may_have_more_ends:
             # Until all ends are listed, a task of an earlier leader's run that is not
             # listed may have succeeded, so that it must not start again.
