Acknowledge no end while a start may be at the next incarnation

An endpoint starts again under its name and carries out a start before its registration is read; its run succeeds. The next poll acknowledges an end of the earlier incarnation, and the new one, whose ends are numbered anew, forgets that of the run. The run is then settled as not carried out.

Cause: that an end is acknowledged once protects only what follows the acknowledgement. Ends are not acknowledged now while a run is there that no poll has listed and no reading of the clock has confirmed.

Test: restarting_endpoints.feature, "An end is not acknowledged while ...", which failed before. Not covered: an acknowledgement that is itself held up until the next incarnation has ended a run (read from the code; a poll names no incarnation).

--- a/features/workloads/restarting_endpoints.feature
+++ b/features/workloads/restarting_endpoints.feature
@@ -146,6 +146,15 @@
     When it restarts unseen and a run there succeeds before the next poll
     Then the success is noted
 
+  Scenario: An end is not acknowledged while a start may be at the next incarnation
+    # Guards against a task that starts again after its success was acknowledged (TWICE):
+    # the first acknowledgement of an end of the earlier incarnation reached the next one
+    # after a start there, of which no poll had told, and covered the number of its end.
+    Given a leader and an endpoint that has listed an end, which is durable
+    When it restarts unseen and a run there succeeds before that end is acknowledged
+    Then the success is noted
+    And the first end is acknowledged by a later poll if the endpoint has not restarted
+
   Scenario Outline: Tasks run once at a time while endpoints restart under load
     # Guards against a task that runs twice (TWICE) on a day on which endpoints start
     # again within a fraction of a second, while orders are on their way.
--- a/features/workloads/steps/restarting_endpoint_steps.py
+++ b/features/workloads/steps/restarting_endpoint_steps.py
@@ -5,6 +5,7 @@
 from types import SimpleNamespace
 
 from behave import given, then, when
+from contract_endpoints import ContractEndpoints
 from engine_steps import (
     CAPACITY,
     JOB,
@@ -270,6 +271,56 @@
     return before, after
 
 
+@given("a leader and an endpoint that has listed an end, which is durable")
+def step_durable(context):
+    context.plays = {}
+
+
+@when("it restarts unseen and a run there succeeds before that end is acknowledged")
+def step_ends_before_acknowledgement(context):
+    for restarts in (True, False):
+        context.plays[restarts] = run_virtually(play_first_acknowledgement(restarts))
+    context.jobs, _ = context.plays[True]
+
+
+@then("the first end is acknowledged by a later poll if the endpoint has not restarted")
+def step_acknowledged_later(context):
+    jobs, ended = context.plays[False]
+    assert [job.state for job in jobs] == [COMPLETED] * 2
+    assert not ended, ended
+
+
+async def play_first_acknowledgement(restarts):
+    """Return the jobs of two runs, and the ends that are not acknowledged."""
+    endpoints = ContractEndpoints(
+        ("a",), lambda task: TASK_S, lambda name: 1.0, CAPACITY, lambda *_: ("", 0.0)
+    )
+    controller, _ = make_controller(
+        SimpleNamespace(commit_count=0), endpoints=endpoints
+    )
+    engine, poller, row = controller.engine, controller.poller, endpoints.by_name["a"]
+    endpoint = engine.endpoints["a"]
+    step = (Step(1, NEED, TASK_S),)
+    async with controller:
+        await asyncio.sleep(1.0)
+        await poller.poll(endpoint)
+        before = submit(engine, JOB, step, clock.now())
+        controller._issue_orders(clock.now())
+        await asyncio.sleep(TASK_S + 0.1)
+        await poller.poll(endpoint, is_immediate=True)
+        endpoint.acknowledged = endpoint.last_listed_end
+        assert endpoint.acknowledged and row.ended
+        if restarts:
+            row.restart()
+        after = submit(engine, "00000000000000bb", step, clock.now())
+        controller._issue_orders(clock.now())
+        await asyncio.sleep(TASK_S + 0.1)
+        for _ in range(4):
+            await poller.poll(endpoint, is_immediate=True)
+            endpoint.acknowledged = endpoint.last_listed_end
+    return (before, after), row.ended
+
+
 @then("the success is noted")
 def step_noted(context):
     assert [job.state for job in context.jobs] == [COMPLETED] * 2
--- a/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
@@ -322,13 +322,26 @@
         self.deadline_sent_at = now
         return deadline
 
+    @property
+    def is_acknowledgement_held(self) -> bool:
+        """Whether ends are not acknowledged because of an order without a proof.
+
+        If the endpoint has restarted unseen and has carried the order out, it would
+        forget the end of that run unread, since its numbers start anew.
+        """
+        return self.acknowledged > self.forgotten and any(
+            run.may_be_at_next_incarnation for run in self.runs.values()
+        )
+
     def choose_acknowledged(self) -> int:
         """Return the number of the last end to acknowledge in a poll, or 0.
 
-        Each is acknowledged once. An endpoint that has restarted unseen would forget
-        its new ends unread, since their numbers start anew.
+        Each is acknowledged once, so that an endpoint that restarts unseen later does
+        not forget its new ends unread.
         """
-        return self.acknowledged if self.acknowledged > self.forgotten else 0
+        if self.is_acknowledgement_held or self.acknowledged <= self.forgotten:
+            return 0
+        return self.acknowledged
 
     def note_acknowledged(self, acknowledged: int) -> None:
         """Note that a poll has acknowledged the ends up to a number."""
--- a/packages/briarshed-workloads/src/briarshed_workloads/polling.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/polling.py
@@ -254,7 +254,8 @@
         if endpoint.has_unsaved_ends or engine.unsaved_jobs:
             self._request_save()
         self._note_changed()
-        if endpoint.last_listed_end > known:
+        if endpoint.last_listed_end > known or endpoint.is_acknowledgement_held:
+            # Until they are acknowledged, ends are listed again immediately.
             await asyncio.sleep(POLL_PAUSE_S)
         return True
 
