Start no restored task while an endpoint that responds has more ends to list

Endpoints list 500 ends at a time, and the next ones once these are acknowledged, which waits for the store. A new leader that had not read all ends of an endpoint started the tasks of the others again once the run leases of the earlier leader had expired. That says nothing of an endpoint that responds: its lease goes on, and its successes count when they are listed later.

Restored jobs of its pool wait until it has listed all ends or is silent until its lease has expired.

Test: unknown_state.feature, "A list of ends that stays incomplete ...", in which 100 tasks that had succeeded started again before.

--- a/features/workloads/steps/unknown_state_steps.py
+++ b/features/workloads/steps/unknown_state_steps.py
@@ -72,14 +72,29 @@
     ]
 
 
+@given('another endpoint "b" that is free')
+def step_free(context):
+    rows = [make_registration(name) for name in "ab"]
+    context.engine.note_registrations(rows, NOW)
+    context.engine.roster.add("b")
+    poll_endpoint(context.engine, "b", NOW)
+
+
 @when("the endpoint lists {count:d} of the ends and says that there are more")
 def step_lists_some(context, count):
-    _list_ends(context.engine, context.ends[:count], NOW + 2, True)
+    context.now = NOW + 2
+    _list_ends(context.engine, context.ends[:count], context.now, True)
+
+
+@when("the store has taken none of them {seconds:g} s later")
+def step_not_taken(context, seconds):
+    context.now += seconds
+    _list_ends(context.engine, context.ends[:LISTED], context.now, True)
 
 
 @when("it lists the others")
 def step_lists_others(context):
-    _list_ends(context.engine, context.ends[LISTED:], NOW + 3, False)
+    _list_ends(context.engine, context.ends[LISTED:], context.now + 1, False)
 
 
 def _list_ends(engine, ends, now, may_have_more):
@@ -90,7 +105,7 @@
 
 @then("no task of these starts again")
 def step_none_again(context):
-    orders = plan_starts(context.engine, NOW + 2)
+    orders = plan_starts(context.engine, context.now)
     assert not orders, f"{len(orders)} tasks start again, first {orders[0].run.task}"
 
 
--- a/features/workloads/unknown_state.feature
+++ b/features/workloads/unknown_state.feature
@@ -14,6 +14,18 @@
       | the leader   |
       | a new leader |
 
+  Scenario: A list of ends that stays incomplete ends no run of an earlier leader
+    # Guards against a task that starts again after its success (TWICE, read from the
+    # code): the new leader waited for the run leases, which say nothing of an endpoint
+    # that responds, and whose further ends are listed once the store has taken these.
+    Given a new leader of an endpoint at which 600 tasks have ended
+    And another endpoint "b" that is free
+    When the endpoint lists 500 of the ends and says that there are more
+    And the store has taken none of them 20 s later
+    Then no task of these starts again
+    When it lists the others
+    Then the job is completed
+
   Scenario: A job keeps its attempts after its queue was removed and the leader has changed
     # Guards against a job that is shown as failed without cause (LOST, read from the
     # code): a new leader does not find the queue, and took one attempt for its rule.
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -634,6 +634,7 @@
             endpoint.earlier_deadlines_until = max(
                 endpoint.earlier_deadlines_until, self.earlier_runs_until
             )
+        endpoint.has_more_ends = response.may_have_more_ends
         if not response.may_have_more_ends:
             # Until all ends are listed, a task of an earlier leader's run that is not
             # listed may have succeeded, so that it must not start again.
@@ -671,6 +672,7 @@
         endpoint.is_end_ordered = False
         endpoint.require_fence()
         endpoint.fenced_counter = 0
+        endpoint.has_more_ends = False
         endpoint.acknowledged = 0
         endpoint.forgotten = 0
         endpoint.last_listed_end = 0
--- a/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
@@ -179,7 +179,8 @@
     ``earlier_starts`` holds when its earlier incarnations started, in Unix ms, and
     ``seen_at`` is when the present one was last known from the response to a poll, and
     ``known_since`` when it became known to this leader. ``deadline_sent_at`` is when
-    the last call with a deadline was sent.
+    the last call with a deadline was sent. ``has_more_ends`` is set while it may have
+    ends that it has not listed, since it lists a limited number at a time.
     """
 
     __slots__ = (
@@ -199,6 +200,7 @@
         "fenced_counter",
         "forgotten",
         "full_until",
+        "has_more_ends",
         "is_end_ordered",
         "is_gone",
         "is_listed",
@@ -243,6 +245,7 @@
         self.earlier_starts: frozenset[int] = frozenset()
         self.seen_at = 0.0
         self.known_since = 0.0
+        self.has_more_ends = False
         self.is_listed = True
         self.is_gone = False
         self.is_end_ordered = False
--- a/packages/briarshed-workloads/src/briarshed_workloads/planning.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/planning.py
@@ -186,18 +186,27 @@
     """Return whether an endpoint of a pool may have unknown runs of an earlier leader.
 
     A waiting task of a restored job may be running there until each endpoint is fenced
-    or gone, or its run lease has expired.
+    or gone, or its run lease has expired. It may have succeeded at an endpoint that
+    responds and has not listed all ends.
     """
-    if now >= engine.earlier_runs_until:
-        return False
-    return engine.is_roster_unreadable or any(
+    is_lease_valid = now < engine.earlier_runs_until
+    if is_lease_valid and engine.is_roster_unreadable:
+        return True
+    return any(
         endpoint.fenced_counter == 0
         and not endpoint.is_gone
         and endpoint.registration.pool in (pool, "")
+        and (is_lease_valid or _may_list_more_ends(endpoint, now))
         for endpoint in engine.endpoints.values()
     )
 
 
+def _may_list_more_ends(endpoint: Endpoint, now: float) -> bool:
+    """Return whether an endpoint has ends to list, which its lease does not void."""
+    is_silent = endpoint.failing_since > 0 and now > endpoint.find_lease_expiry()
+    return endpoint.has_more_ends and not is_silent
+
+
 def measure_unknown_usage(engine: Engine, now: float) -> dict[str, Resources]:
     """Return what unknown runs of an earlier leader may use of the teams' limits.
 
