--- a/features/workloads/steps/late_call_steps.py
+++ b/features/workloads/steps/late_call_steps.py
@@ -90,6 +90,9 @@
                 if name not in fleet.entries:
                     await fleet.add_entry(name)
             await asyncio.sleep(REST_S)
+            # Those at leaders that were killed have no outcome.
+            for task in self.cancels:
+                task.cancel()
             await asyncio.gather(*self.cancels, return_exceptions=True)
             await fleet.wait_for_leader()
             records = list(fleet.endpoints.list_records())
