Separate the evidence of crashes from the engine

Change: `evidence.py` holds the decisions, pure functions of a crash and the crashes before it; `crashes.py` reads the engine and applies the verdict. `Crash` now holds the runs that were lost and its time. No decision changes.

--- a/features/workloads/steps/crashing_task_steps.py
+++ b/features/workloads/steps/crashing_task_steps.py
@@ -20,7 +20,7 @@
 from virtual_time import run_virtually
 
 from briarshed_workloads import crashes, planning
-from briarshed_workloads.crashes import AT_START, NEW_ENDPOINT, SOLE_SUSPECT, WEAK
+from briarshed_workloads.evidence import AT_START, NEW_ENDPOINT, SOLE_SUSPECT, WEAK
 from briarshed_workloads.workloads import ListedRun, Step, TaskId
 
 ENDPOINTS = tuple("abcdefgh")
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -7,7 +7,8 @@
 from typing import NamedTuple
 
 from briarshed_workloads.configuration import UNLIMITED_TEAM, Configuration, QueueRules
-from briarshed_workloads.crashes import Crash, note_crash
+from briarshed_workloads.crashes import note_crash
+from briarshed_workloads.evidence import Crash
 from briarshed_workloads.fleet import (
     DOUBTFUL,
     EXPIRY_MARGIN_S,
--- /dev/null
+++ b/packages/briarshed-workloads/src/briarshed_workloads/evidence.py
@@ -0,0 +1,215 @@
+"""Evidence of crashes against tasks, and when a task is given up; pure decisions.
+
+A crash ends every run of an endpoint and does not tell which of them has caused it.
+Runs that had just started are suspected, and their tasks start again in isolation: for
+a while before and after, nothing else starts at that endpoint. A task that crashes an
+endpoint in isolation is given up. Where endpoints crash often, whatever they run, a
+crash says little about a task.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection, Iterator, Mapping
+from typing import NamedTuple
+
+from briarshed_workloads.workloads import TaskId
+
+WEAK, SUSPECT, SOLE_SUSPECT, AT_START, NONE, NEW_ENDPOINT = 0, 1, 2, 3, 4, 5
+"""Evidence of a crash against a run: it had been running for a while, it had just
+started, or nothing else had just started. Where crashes are usual there is none, unless
+the crash has certainly followed the start (``AT_START``). The crash of an endpoint that
+had just started itself is none in any case."""
+
+SUSPICION_WINDOW_S = 0.1
+"""Time after its start within which a run is suspected if its endpoint crashes. With a
+longer one, more sound runs are suspected when endpoints crash for other reasons."""
+
+DETECTION_S = 0.7
+"""Time after the start within which the poll that checks whether the endpoint has
+survived it has failed."""
+
+MAX_RUN_AGE_S = 10.0
+"""Age from which a run that is lost in a crash is no evidence against its task."""
+
+MIN_CRASHES = 2
+"""Crashes just after its start after which a task is given up if it was the only
+suspect of one."""
+
+MAX_CRASHES = 5
+"""Unusual crashes after which a task is given up in any case. Each further start would
+cost an endpoint and all that runs there."""
+
+MAX_START_CRASHES = 5
+"""Crashes in a row after which a task is given up, however often endpoints crash, if
+each has followed its start. A start that an endpoint survives interrupts the row."""
+
+MAX_POOL_CRASHES = 3
+"""Instances of a pool that have crashed recently without any suspect from which on
+crashes are not unusual: racks are lost, and start again, as a whole."""
+
+ISOLATION_S = 0.5
+"""Time for which nothing else starts at the endpoint of a suspected task: an order
+takes up to 0.4 s, and `SUSPICION_WINDOW_S` follows."""
+
+MAX_ISOLATION_WAIT_S = 2.0
+"""Time for which a task that is not strongly suspected waits for an endpoint in
+isolation. Many are suspected after the loss of a rack, and none may wait long for
+capacity that is free."""
+
+RECENT_CRASH_S = 10.0
+"""Time for which an instance that has crashed is the last choice for a suspected task:
+a further crash there may be the fault of the instance."""
+
+
+class LostRun(NamedTuple):
+    """Run that was at work at an endpoint when it crashed.
+
+    ``started_at`` is in seconds of the boot clock. A run that an earlier leader ordered
+    ``has_survived_start``.
+    """
+
+    task: TaskId
+    number: int
+    started_at: float
+    has_survived_start: bool
+
+
+class CrashTime(NamedTuple):
+    """Times, in seconds of the boot clock, between which an endpoint has crashed.
+
+    ``latest`` is when it stopped responding; behind a partition it may have gone on.
+    """
+
+    earliest: float
+    latest: float
+
+
+class Crash(NamedTuple):
+    """Crash of an endpoint on an instance, and the runs that were at work there.
+
+    ``noted_at`` is in seconds of the boot clock. ``is_new`` is set if the process had
+    just started itself. ``has_suspect`` is set if a run may have just started, and
+    ``is_explained`` if one certainly had, or if one of the tasks has been given up.
+    """
+
+    instance: str
+    pool: str
+    time: CrashTime
+    noted_at: float
+    runs: tuple[LostRun, ...]
+    is_new: bool
+    has_suspect: bool = False
+    is_explained: bool = False
+
+    def has_task(self, task: TaskId) -> bool:
+        """Return whether a run of a task was at work there."""
+        return any(run.task == task for run in self.runs)
+
+
+def is_suspected(crashes: Mapping[int, int]) -> bool:
+    """Return whether a task should start in isolation.
+
+    Parameters
+    ----------
+    crashes : mapping of int to int
+        Evidence by the number of the run that was lost.
+    """
+    weights = _list_weights(crashes)
+    return len(weights) >= MIN_CRASHES or max(weights, default=WEAK) > WEAK
+
+
+def is_strongly_suspected(crashes: Mapping[int, int]) -> bool:
+    """Return whether a task must start in isolation, however long it waits.
+
+    A task that merely ran at several crashes need not: the loss of racks leaves many.
+    """
+    weights = _list_weights(crashes)
+    return len(weights) >= MIN_CRASHES and max(weights) > WEAK
+
+
+def is_given_up(crashes: Mapping[int, int]) -> bool:
+    """Return whether a task has crashed too many endpoints to be started again.
+
+    Endpoints that crash for other reasons may do so just after a start by chance, so
+    that one such crash and others at which the task merely ran are not enough.
+    """
+    weights = _list_weights(crashes)
+    unusual = [weight for weight in weights if weight != AT_START]
+    suspicions = [weight for weight in unusual if weight > WEAK]
+    if SOLE_SUSPECT in suspicions and len(suspicions) >= MIN_CRASHES:
+        return True
+    if len(unusual) >= MAX_CRASHES:
+        return True
+    latest = [*crashes.values()][-MAX_START_CRASHES:]
+    return (
+        len(latest) == MAX_START_CRASHES
+        and not {WEAK, NONE}.intersection(latest)
+        and latest.count(NEW_ENDPOINT) <= 1
+    )
+
+
+def _list_weights(crashes: Mapping[int, int]) -> list[int]:
+    return [weight for weight in crashes.values() if weight not in (NONE, NEW_ENDPOINT)]
+
+
+def weigh_runs(
+    crash: Crash, is_unusual: Callable[[TaskId], bool]
+) -> Iterator[tuple[LostRun, int]]:
+    """Yield the runs that were lost in a crash, and the evidence against each.
+
+    Parameters
+    ----------
+    is_unusual : callable
+        Returns whether the crash is unusual for the endpoint and its pool, apart from
+        crashes with a task.
+    """
+    suspects = list_just_started(crash)
+    for run in crash.runs:
+        if crash.is_new:
+            yield run, NEW_ENDPOINT
+        elif not is_unusual(run.task):
+            is_at_start = run in suspects and _is_detected_at_start(run, crash.time)
+            yield run, AT_START if is_at_start else NONE
+        elif run in suspects:
+            yield run, SOLE_SUSPECT if len(suspects) == 1 else SUSPECT
+        elif crash.time.earliest - run.started_at < MAX_RUN_AGE_S:
+            yield run, WEAK
+
+
+def list_just_started(crash: Crash) -> list[LostRun]:
+    """Return the runs that may have just started when their endpoint crashed."""
+    return [
+        run
+        for run in crash.runs
+        if not run.has_survived_start
+        and crash.time.earliest - run.started_at < SUSPICION_WINDOW_S
+    ]
+
+
+def _is_detected_at_start(run: LostRun, time: CrashTime) -> bool:
+    """Return whether the endpoint did not respond any more just after a run's start."""
+    return time.latest - run.started_at < DETECTION_S
+
+
+def is_unusual(crash: Crash, task: TaskId, recent: Collection[Crash]) -> bool:
+    """Return whether a crash with a task is unusual for the endpoint and its pool.
+
+    A crash on the same instance matters unless it is explained, and those on others
+    unless they may have had the same cause: the task, or a run that had just started.
+
+    Parameters
+    ----------
+    recent : collection of Crash
+        Other crashes of the last `RECENT_CRASH_S`.
+    """
+    unexplained = [
+        row for row in recent if row.pool == crash.pool and not row.is_explained
+    ]
+    if any(row.instance == crash.instance for row in unexplained):
+        return False
+    others = {
+        row.instance
+        for row in unexplained
+        if not row.has_task(task) and not row.has_suspect
+    }
+    return len(others) < MAX_POOL_CRASHES
--- a/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
@@ -6,7 +6,7 @@
 
 from briarshed.charts import advance, load_chart
 from briarshed_workloads.configuration import QueueRules
-from briarshed_workloads.crashes import (
+from briarshed_workloads.evidence import (
     MAX_ISOLATION_WAIT_S,
     is_given_up,
     is_strongly_suspected,
@@ -362,7 +362,7 @@
         Parameters
         ----------
         evidence : int
-            Evidence against the run, see `briarshed_workloads.crashes`.
+            Evidence against the run, see `briarshed_workloads.evidence`.
 
         Returns
         -------
--- a/packages/briarshed-workloads/src/briarshed_workloads/planning.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/planning.py
@@ -7,13 +7,9 @@
 from collections.abc import Collection, Iterable, Sequence
 from typing import NamedTuple
 
-from briarshed_workloads.crashes import (
-    ISOLATION_S,
-    SUSPICION_WINDOW_S,
-    has_crashed_recently,
-    is_new,
-)
+from briarshed_workloads.crashes import has_crashed_recently, is_new
 from briarshed_workloads.engine import Engine
+from briarshed_workloads.evidence import ISOLATION_S, SUSPICION_WINDOW_S
 from briarshed_workloads.fleet import Endpoint, Isolation, Run, StartOrder, is_within
 from briarshed_workloads.jobs import Job, find_need, find_objective
 from briarshed_workloads.outliers import find_slow, project_ratio
--- a/packages/briarshed-workloads/src/briarshed_workloads/polling.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/polling.py
@@ -11,8 +11,8 @@
 from briarshed_entry import clock
 from briarshed_entry.logs import log_event
 from briarshed_workloads import telemetry
-from briarshed_workloads.crashes import SUSPICION_WINDOW_S
 from briarshed_workloads.engine import Engine
+from briarshed_workloads.evidence import SUSPICION_WINDOW_S
 from briarshed_workloads.fleet import Endpoint, Run
 from briarshed_workloads.interfaces import (
     ConnectionClosedError,
