Blame no task for a crash that came together with others

Cause: each endpoint was weighed by itself. A task crashes only the endpoint that starts it. Endpoints of other pools were left out of the base rate.

Change: where an endpoint of the same rack, of any pool, or three others stopped responding at the same time, the crash is weighed as one where crashes are usual. The time is that of the silence, which is known before the proof.

Ruled out: a base rate over all pools alone: it is not known yet at the first racks, and under load nearly each crash has a suspect and leaves it.

Shown by: two outlines in crashing_tasks.feature.

--- a/features/workloads/crashing_tasks.feature
+++ b/features/workloads/crashing_tasks.feature
@@ -110,6 +110,37 @@
       | without any run                   | a crash at its start   |
       | before the leader has polled them | the only one suspected |
 
+  Scenario Outline: A crash together with others speaks against no task in particular
+    # Guards against sound jobs that fail because whole racks are lost, with endpoints of
+    # other pools (LOST, review/5 with real processes: up to 6 jobs a play): each endpoint
+    # was weighed by itself, although a task crashes only the one that starts it.
+    Given a leader with endpoints "a" to "e" and a task that has just started at "a"
+    And <count> endpoints of <place> stopped responding <seconds> s before "a" does
+    When "a" crashes
+    Then the evidence against the task is "<evidence>"
+
+    Examples:
+      | count | place                          | seconds | evidence               |
+      | 1     | its rack and another pool      | 0.02    | a crash at its start   |
+      | 1     | its rack and another pool      | 0.5     | the only one suspected |
+      | 1     | another rack                   | 0.02    | the only one suspected |
+      | 3     | three other racks              | 0.02    | a crash at its start   |
+
+  Scenario Outline: No task is given up where racks are lost in turn
+    # Guards against the same, with the endpoints that are proved to have crashed later.
+    Given 400 jobs without such a task, one every 0.06 s
+    And an endpoint that has crashed is back 0.3 s later
+    When they are submitted to 2 entries with 8 endpoints, and racks of 2 crash <how> in turn, <seconds> s apart, with seed <seed>
+    Then all jobs are completed
+
+    Examples:
+      | how    | seconds | seed |
+      | closed | 0.6     | 4    |
+      | closed | 0.8     | 1    |
+      | closed | 1.2     | 1    |
+      | silent | 0.8     | 4    |
+      | silent | 1.2     | 3    |
+
   Scenario: The crash of an endpoint that had just started is no evidence
     # Guards against sound jobs that fail where processes end soon after their start, each
     # time just after they were given work (LOST, the day of review/5 with the processes of
--- a/features/workloads/steps/crashing_task_steps.py
+++ b/features/workloads/steps/crashing_task_steps.py
@@ -1,6 +1,7 @@
 """Steps for tasks that crash their endpoints, with entries on fakes in virtual time."""
 
 import asyncio
+import itertools
 import random
 from unittest import mock
 
@@ -32,6 +33,7 @@
 
 CRASHING_STEP = 0
 OUTAGES = 12
+RACK_OUTAGES = 40
 RACK_CRASH_INTERVAL_S = 0.5
 """Time for which the endpoints of a rack are up between two crashes."""
 
@@ -94,6 +96,12 @@
     context.reboot_s = seconds
 
 
+@given("{jobs:d} jobs without such a task, one every {seconds:g} s")
+def step_many_sound_tasks(context, jobs, seconds):
+    step_sound_tasks(context, jobs)
+    context.interval_s = seconds
+
+
 @given("{jobs:d} jobs without such a task")
 def step_sound_tasks(context, jobs):
     context.jobs = jobs
@@ -103,6 +111,7 @@
 
 def play(context, entries, disturb):
     """Submit the jobs, disturb the fleet, and keep what came of the jobs."""
+    interval_s = getattr(context, "interval_s", SUBMIT_INTERVAL_S)
 
     async def run():
         names = tuple(f"e{number}" for number in range(entries))
@@ -115,7 +124,7 @@
             disturbing = asyncio.create_task(disturb(fleet, crasher))
             for number in range(context.jobs):
                 fleet.submit(number)
-                await asyncio.sleep(SUBMIT_INTERVAL_S)
+                await asyncio.sleep(interval_s)
             await disturbing
             await asyncio.sleep(REST_S)
             await fleet.wait_for_leader()
@@ -192,6 +201,30 @@
     play(context, entries, crash)
 
 
+@when(
+    "they are submitted to {entries:d} entries with 8 endpoints, and racks of {size:d}"
+    " crash {how} in turn, {seconds:g} s apart, with seed {seed:d}"
+)
+def step_racks_crash(context, entries, size, how, seconds, seed):
+    chance = random.Random(seed)
+    racks = [ENDPOINTS[at : at + size] for at in range(0, len(ENDPOINTS), size)]
+
+    async def crash(fleet, crasher):
+        crashing = []
+        for rack in racks:
+            for name in rack:
+                fleet.endpoints.by_name[name].rack = rack[0]
+        for rack in itertools.islice(itertools.cycle(racks), RACK_OUTAGES):
+            await asyncio.sleep(seconds * chance.uniform(0.95, 1.05))
+            crashing += [
+                asyncio.create_task(fleet.endpoints.by_name[name].crash(how))
+                for name in rack
+            ]
+        await asyncio.gather(*crashing)
+
+    play(context, entries, crash)
+
+
 @then("no such task is started 3 times more after 3 crashes")
 def step_starts(context):
     assert all(context.starts.values()), context.starts
@@ -300,6 +333,22 @@
     assert len(context.orders) == count, context.orders
 
 
+@given(
+    '{count:d} endpoints of {place} stopped responding {seconds:g} s before "a" does'
+)
+def step_others_silent(context, count, place, seconds):
+    engine = context.engine
+    rack = engine.endpoints["a"].registration.rack
+    for name in "bcd"[:count]:
+        endpoint = engine.endpoints[name]
+        poll_endpoint(engine, name, NOW - seconds)
+        engine.note_failing(endpoint, "no answer", NOW + 0.02 - seconds)
+        changes = {"pool": "another"}
+        if place.startswith("its rack"):
+            changes["rack"] = rack
+        endpoint.registration = endpoint.registration._replace(**changes)
+
+
 @given('"a" has started 0.3 s before')
 def step_started_before(context):
     endpoint = context.engine.endpoints["a"]
--- a/features/workloads/virtual_fleet.py
+++ b/features/workloads/virtual_fleet.py
@@ -228,6 +228,7 @@
 
     def __init__(self, name):
         self.name = name
+        self.rack = name
         self.started_at_ms = 1
         self.down = ""
         self.is_refusing = False
@@ -470,7 +471,7 @@
                 name,
                 "pool",
                 "d",
-                name,
+                row.rack,
                 (),
                 row.capacity,
                 instance=f"m-{name}",
--- a/packages/briarshed-workloads/src/briarshed_workloads/crashes.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/crashes.py
@@ -15,6 +15,8 @@
     Crash,
     CrashTime,
     LostRun,
+    Outage,
+    is_shared,
     is_unusual,
     weigh_runs,
 )
@@ -51,7 +53,8 @@
     if endpoint.fenced_counter:
         # Otherwise it is not known what an earlier leader had started there.
         is_explained = any(
-            crash.time.latest - run.started_at < SUSPICION_WINDOW_S for run in suspects
+            crash.outage.time.latest - run.started_at < SUSPICION_WINDOW_S
+            for run in suspects
         )
         engine.crashes.append(
             crash._replace(has_suspect=bool(suspects), is_explained=is_explained)
@@ -60,6 +63,7 @@
         "ENDPOINT_CRASHED",
         endpoint=endpoint.name,
         runs=len(endpoint.runs) + len(endpoint.lost_runs),
+        is_shared=crash.is_shared,
         weighed=sum(weight not in (NONE, NEW_ENDPOINT) for _, weight in evidence),
         suspects=[f"{run.task.job} {list(run.task[1:])}" for run in suspects],
     )
@@ -69,24 +73,46 @@
 
 
 def _make_crash(engine: Engine, endpoint: Endpoint, now: float) -> Crash:
-    time = CrashTime(endpoint.answered_at, now)
-    if endpoint.failing_since:
-        time = CrashTime(endpoint.alive_until, endpoint.failing_since)
+    outage = _find_outage(endpoint, now)
     runs = [*endpoint.runs.values(), *endpoint.lost_runs]
     return Crash(
-        instance=endpoint.place,
+        outage=outage,
         pool=endpoint.registration.pool,
-        time=time,
         noted_at=now,
         runs=tuple(
             LostRun(run.task, run.number, run.started_at, run.is_adopted)
             for run in runs
             if run.is_at_work
         ),
-        is_new=is_new(engine, endpoint, time.earliest),
+        is_new=is_new(engine, endpoint, outage.time.earliest),
+        is_shared=is_shared(outage, _list_outages(engine, now)),
     )
 
 
+def _find_outage(endpoint: Endpoint, now: float) -> Outage:
+    """Return when an endpoint that does not respond, or has crashed, stopped to."""
+    time = CrashTime(endpoint.answered_at, now)
+    if endpoint.failing_since:
+        time = CrashTime(endpoint.alive_until, endpoint.failing_since)
+    registration = endpoint.registration
+    return Outage(endpoint.place, registration.rack or registration.data_centre, time)
+
+
+def _list_outages(engine: Engine, now: float) -> list[Outage]:
+    """Return the recent crashes, and the outages of endpoints that do not respond.
+
+    The proof that an endpoint has crashed follows later. What an earlier leader had
+    started at an endpoint that has not been polled is not known, so that it is left
+    out.
+    """
+    outages = [crash.outage for crash in _list_recent(engine, now)]
+    return outages + [
+        _find_outage(endpoint, now)
+        for endpoint in engine.endpoints.values()
+        if endpoint.failing_since and endpoint.fenced_counter
+    ]
+
+
 def _note_evidence(engine: Engine, run: LostRun, weight: int, now: float) -> None:
     job = engine.jobs.get(run.task.job)
     if job is None or not job.is_open or not job.has_task(run.task):
@@ -108,7 +134,9 @@
 
 def has_crashed_recently(engine: Engine, endpoint: Endpoint, now: float) -> bool:
     """Return whether an earlier incarnation on the endpoint's instance has crashed."""
-    return any(crash.instance == endpoint.place for crash in _list_recent(engine, now))
+    return any(
+        crash.outage.instance == endpoint.place for crash in _list_recent(engine, now)
+    )
 
 
 def is_new(engine: Engine, endpoint: Endpoint, now: float) -> bool:
--- a/packages/briarshed-workloads/src/briarshed_workloads/evidence.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/evidence.py
@@ -16,9 +16,10 @@
 
 WEAK, SUSPECT, SOLE_SUSPECT, AT_START, NONE, NEW_ENDPOINT = 0, 1, 2, 3, 4, 5
 """Evidence of a crash against a run: it had been running for a while, it had just
-started, or nothing else had just started. Where crashes are usual there is none, unless
-the crash has certainly followed the start (``AT_START``). The crash of an endpoint that
-had just started itself is none in any case."""
+started, or nothing else had just started. Where crashes are usual, or others have
+crashed at the same time, there is none, unless the crash has certainly followed the
+start (``AT_START``). The crash of an endpoint that had just started itself is none in
+any case."""
 
 SUSPICION_WINDOW_S = 0.1
 """Time after its start within which a run is suspected if its endpoint crashes. With a
@@ -56,6 +57,18 @@
 isolation. Many are suspected after the loss of a rack, and none may wait long for
 capacity that is free."""
 
+MAX_OUTAGES_ELSEWHERE = 3
+"""Other endpoints outside the rack that may stop responding at the same time by chance.
+Of the rack, a single one has the same cause: a task only crashes its own endpoint."""
+
+TIMING_TOLERANCE_S = 0.05
+"""Time by which processes of a rack that are lost together may end one after the
+other."""
+
+MAX_OUTAGE_SPAN_S = 2.0
+"""Uncertainty of the time of an outage above which it may have been at any time: a poll
+takes up to 1.7 s."""
+
 RECENT_CRASH_S = 10.0
 """Time for which an instance that has crashed is the last choice for a suspected task:
 a further crash there may be the fault of the instance."""
@@ -84,20 +97,32 @@
     latest: float
 
 
+class Outage(NamedTuple):
+    """Time at which an endpoint on an instance stopped responding.
+
+    ``rack`` is the data centre where the rack is not known.
+    """
+
+    instance: str
+    rack: str
+    time: CrashTime
+
+
 class Crash(NamedTuple):
-    """Crash of an endpoint on an instance, and the runs that were at work there.
+    """Crash of an endpoint, and the runs that were at work there.
 
     ``noted_at`` is in seconds of the boot clock. ``is_new`` is set if the process had
-    just started itself. ``has_suspect`` is set if a run may have just started, and
+    just started itself, and ``is_shared`` if other endpoints stopped responding at the
+    same time. ``has_suspect`` is set if a run may have just started, and
     ``is_explained`` if one certainly had, or if one of the tasks has been given up.
     """
 
-    instance: str
+    outage: Outage
     pool: str
-    time: CrashTime
     noted_at: float
     runs: tuple[LostRun, ...]
     is_new: bool
+    is_shared: bool
     has_suspect: bool = False
     is_explained: bool = False
 
@@ -163,16 +188,17 @@
         Returns whether the crash is unusual for the endpoint and its pool, apart from
         crashes with a task.
     """
+    time = crash.outage.time
     suspects = list_just_started(crash)
     for run in crash.runs:
         if crash.is_new:
             yield run, NEW_ENDPOINT
-        elif not is_unusual(run.task):
-            is_at_start = run in suspects and _is_detected_at_start(run, crash.time)
+        elif crash.is_shared or not is_unusual(run.task):
+            is_at_start = run in suspects and _is_detected_at_start(run, time)
             yield run, AT_START if is_at_start else NONE
         elif run in suspects:
             yield run, SOLE_SUSPECT if len(suspects) == 1 else SUSPECT
-        elif crash.time.earliest - run.started_at < MAX_RUN_AGE_S:
+        elif time.earliest - run.started_at < MAX_RUN_AGE_S:
             yield run, WEAK
 
 
@@ -182,7 +208,7 @@
         run
         for run in crash.runs
         if not run.has_survived_start
-        and crash.time.earliest - run.started_at < SUSPICION_WINDOW_S
+        and crash.outage.time.earliest - run.started_at < SUSPICION_WINDOW_S
     ]
 
 
@@ -191,6 +217,27 @@
     return time.latest - run.started_at < DETECTION_S
 
 
+def is_shared(outage: Outage, others: Collection[Outage]) -> bool:
+    """Return whether other endpoints stopped responding at the same time.
+
+    Then their common rack, data centre or network is the likely cause.
+    """
+    at_once = {
+        row.instance: row.rack
+        for row in others
+        if row.instance != outage.instance and _is_at_once(row.time, outage.time)
+    }
+    return outage.rack in at_once.values() or len(at_once) >= MAX_OUTAGES_ELSEWHERE
+
+
+def _is_at_once(other: CrashTime, time: CrashTime) -> bool:
+    return (
+        other.latest - other.earliest <= MAX_OUTAGE_SPAN_S
+        and other.earliest - TIMING_TOLERANCE_S <= time.latest
+        and time.earliest - TIMING_TOLERANCE_S <= other.latest
+    )
+
+
 def is_unusual(crash: Crash, task: TaskId, recent: Collection[Crash]) -> bool:
     """Return whether a crash with a task is unusual for the endpoint and its pool.
 
@@ -205,10 +252,10 @@
     unexplained = [
         row for row in recent if row.pool == crash.pool and not row.is_explained
     ]
-    if any(row.instance == crash.instance for row in unexplained):
+    if any(row.outage.instance == crash.outage.instance for row in unexplained):
         return False
     others = {
-        row.instance
+        row.outage.instance
         for row in unexplained
         if not row.has_task(task) and not row.has_suspect
     }
