Delay the next start of a task that was lost twice at its start

Cause: a lost task starts again as soon as the crash is proved, a fixed time after it.

Change: after two crashes just after its start a task waits for up to 1 s. The delay depends on the task and the run only, so that the decision stays pure, and is spread evenly, so that a start meets a regular crash by chance only. A caller of a sound job waits up to 1 s more; nothing changes for a task that was lost once.

--- a/features/workloads/crashing_tasks.feature
+++ b/features/workloads/crashing_tasks.feature
@@ -136,11 +136,21 @@
     Examples:
       | how    | seconds | seed |
       | closed | 0.6     | 4    |
+      | closed | 0.6     | 1    |
       | closed | 0.8     | 1    |
       | closed | 1.2     | 1    |
       | silent | 0.8     | 4    |
       | silent | 1.2     | 3    |
 
+  Scenario: Tasks that were lost twice at their starts start again at different times
+    # Guards against sound jobs that fail because their starts are in step with endpoints
+    # that crash at regular intervals (LOST, review/5): the next start followed the proof
+    # of the last crash by a fixed time, so that five crashes in a row followed a start.
+    Given 200 tasks, each lost once at its start, and 200 lost twice
+    When the delays of their next starts are chosen
+    Then those lost once are not delayed
+    And the delays of the others are spread evenly up to 1 s
+
   Scenario: The crash of an endpoint that had just started is no evidence
     # Guards against sound jobs that fail where processes end soon after their start, each
     # time just after they were given work (LOST, the day of review/5 with the processes of
--- a/features/workloads/steps/crashing_task_steps.py
+++ b/features/workloads/steps/crashing_task_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import random
+from collections import Counter
 from unittest import mock
 
 from behave import given, then, when
@@ -21,7 +22,14 @@
 from virtual_time import run_virtually
 
 from briarshed_workloads import crashes, planning
-from briarshed_workloads.evidence import AT_START, NEW_ENDPOINT, SOLE_SUSPECT, WEAK
+from briarshed_workloads.evidence import (
+    AT_START,
+    NEW_ENDPOINT,
+    SOLE_SUSPECT,
+    WEAK,
+    LostRun,
+    choose_start_delay,
+)
 from briarshed_workloads.workloads import ListedRun, Step, TaskId
 
 ENDPOINTS = tuple("abcdefgh")
@@ -349,6 +357,32 @@
         endpoint.registration = endpoint.registration._replace(**changes)
 
 
+@given("{count:d} tasks, each lost once at its start, and {more:d} lost twice")
+def step_lost_at_start(context, count, more):
+    context.lost = [({1: AT_START}, number) for number in range(count)]
+    context.lost += [({1: AT_START, 2: AT_START}, number) for number in range(more)]
+
+
+@when("the delays of their next starts are chosen")
+def step_choose_delays(context):
+    context.delays = {1: [], 2: []}
+    for rows, number in context.lost:
+        run = LostRun(TASK._replace(index=number), len(rows), NOW, False)
+        context.delays[len(rows)].append(choose_start_delay(rows, run))
+
+
+@then("those lost once are not delayed")
+def step_not_delayed(context):
+    assert set(context.delays[1]) == {0.0}, context.delays[1]
+
+
+@then("the delays of the others are spread evenly up to {seconds:g} s")
+def step_delays_spread(context, seconds):
+    tenths = Counter(int(delay / seconds * 10) for delay in context.delays[2])
+    assert set(tenths) == set(range(10)), tenths
+    assert max(tenths.values()) < 2 * len(context.delays[2]) / 10, tenths
+
+
 @given('"a" has started 0.3 s before')
 def step_started_before(context):
     endpoint = context.engine.endpoints["a"]
--- a/packages/briarshed-workloads/src/briarshed_workloads/crashes.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/crashes.py
@@ -16,6 +16,7 @@
     CrashTime,
     LostRun,
     Outage,
+    choose_start_delay,
     is_shared,
     is_unusual,
     weigh_runs,
@@ -120,7 +121,11 @@
     if job.has_succeeded(run.task):
         return
     engine.unsaved_jobs[job.job_id] = None
-    if job.note_crash(run.task, run.number, weight, engine.to_unix_time(now)):
+    is_given_up = job.note_crash(run.task, run.number, weight, engine.to_unix_time(now))
+    delay = choose_start_delay(job.crashes[run.task], run)
+    if delay:
+        job.held_until[run.task] = now + delay
+    if is_given_up:
         engine.add_stop_candidates(job)
         _note_explained(engine, run.task)
         engine.report(
--- a/packages/briarshed-workloads/src/briarshed_workloads/evidence.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/evidence.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable, Collection, Iterator, Mapping
 from typing import NamedTuple
 
@@ -48,6 +49,12 @@
 """Instances of a pool that have crashed recently without any suspect from which on
 crashes are not unusual: racks are lost, and start again, as a whole."""
 
+MAX_START_DELAY_S = 1.0
+"""Longest delay of the next start of a task that was lost twice just after its start.
+The next start would otherwise follow the proof of the crash, in step with endpoints
+that crash at regular intervals, so that the evidence of several crashes would be that
+of one."""
+
 ISOLATION_S = 0.5
 """Time for which nothing else starts at the endpoint of a suspected task: an order
 takes up to 0.4 s, and `SUSPICION_WINDOW_S` follows."""
@@ -152,6 +159,17 @@
     return len(weights) >= MIN_CRASHES and max(weights) > WEAK
 
 
+def choose_start_delay(crashes: Mapping[int, int], run: LostRun) -> float:
+    """Return the time in seconds after a crash for which a lost run's task waits.
+
+    It is spread evenly up to `MAX_START_DELAY_S`, and the same for the same run.
+    """
+    at_start = [w for w in crashes.values() if w in (SUSPECT, SOLE_SUSPECT, AT_START)]
+    if len(at_start) < MIN_CRASHES:
+        return 0.0
+    return random.Random(f"{run.task} {run.number}").uniform(0, MAX_START_DELAY_S)
+
+
 def is_given_up(crashes: Mapping[int, int]) -> bool:
     """Return whether a task has crashed too many endpoints to be started again.
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
@@ -72,6 +72,7 @@
         "ended_at",
         "failed_endpoints",
         "failed_runs",
+        "held_until",
         "is_restored",
         "is_within_share",
         "job_id",
@@ -117,6 +118,7 @@
         self.failed_runs: dict[TaskId, set[int]] = {}
         self.crashes: dict[TaskId, dict[int, int]] = {}
         self.suspected_at: dict[TaskId, float] = {}
+        self.held_until: dict[TaskId, float] = {}
         self.checkpoints: dict[TaskId, str] = {}
         self.waiting: dict[TaskId, None] = {}
         self.opened_steps: set[tuple[int, int]] = set()
@@ -325,6 +327,7 @@
             self.crashes,
             self.failed_endpoints,
             self.failed_runs,
+            self.held_until,
             self.suspected_at,
             self.waiting,
         ):
@@ -376,6 +379,17 @@
             return True
         return False
 
+    def is_held(self, task: TaskId, now: float) -> bool:
+        """Return whether a waiting task, or a member of its gang, may not start yet."""
+        if not self.held_until:
+            return False
+        step = self.find_step(task)
+        indices = range(step.count) if step.gang else (task.index,)
+        return any(
+            now < self.held_until.get(task._replace(index=index), 0.0)
+            for index in indices
+        )
+
     def must_isolate(self, task: TaskId, now: float) -> bool:
         """Return whether a waiting task should start in isolation now.
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/planning.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/planning.py
@@ -333,7 +333,7 @@
             # An earlier leader started it before this one knew that its step is ready.
             job.waiting.pop(task)
             continue
-        if job.must_isolate(task, now):
+        if job.is_held(task, now) or job.must_isolate(task, now):
             continue
         step = job.find_step(task)
         need = find_need(step)
@@ -365,7 +365,9 @@
         for job in jobs
         if job.crashes
         for task in job.waiting
-        if job.must_isolate(task, now) and not engine.runs.get(task)
+        if job.must_isolate(task, now)
+        and not job.is_held(task, now)
+        and not engine.runs.get(task)
     ]
     if not suspects:
         return
--- a/packages/briarshed-workloads/src/briarshed_workloads/waiting.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/waiting.py
@@ -101,6 +101,8 @@
     if may_run_already and job.is_restored:
         return "earlier leader's runs"
     task = next(iter(job.waiting))
+    if job.is_held(task, now):
+        return "crash just after its start"
     if job.must_isolate(task, now):
         return "isolation"
     step = job.find_step(task)
