Count crashes of all pools, and of racks under load, in the base rate

Cause: whether crashes are usual was asked of the pool alone, although a rack, a data centre and a network span pools; and a crash with some suspect left the count, although under load some run has just started at nearly each endpoint that is lost with its rack.

Change: crashes of all pools count, from three instances or 5 % of the endpoints on. A crash that came with others has no suspects, so that it counts. One that came alone just after a start does not, as before: it may be the fault of that task.

Ruled out, by a trial: counting these too, unless a task was suspected twice.

--- a/features/workloads/crashing_tasks.feature
+++ b/features/workloads/crashing_tasks.feature
@@ -110,6 +110,22 @@
       | without any run                   | a crash at its start   |
       | before the leader has polled them | the only one suspected |
 
+  Scenario Outline: Earlier crashes count unless a task explains them
+    # Guards against a base rate that leaves out endpoints of other pools, and racks that
+    # were lost under load, where some run has just started at nearly each endpoint (LOST,
+    # review/5), and against one that counts the crashes of other harmful tasks, so that a
+    # harmful task starts too often (BUDGET).
+    Given a leader with endpoints "a" to "e" and a task that has just started at "a"
+    And "c", "d" and "e" of another pool have crashed <how>, <age> s after a start of another task
+    When "a" crashes
+    Then the evidence against the task is "<evidence>"
+
+    Examples:
+      | how             | age | evidence               |
+      | one by one      | 2   | a crash at its start   |
+      | at once         | 0   | a crash at its start   |
+      | one by one      | 0   | the only one suspected |
+
   Scenario Outline: A crash together with others speaks against no task in particular
     # Guards against sound jobs that fail because whole racks are lost, with endpoints of
     # other pools (LOST, review/5 with real processes: up to 6 jobs a play): each endpoint
--- a/features/workloads/steps/crashing_task_steps.py
+++ b/features/workloads/steps/crashing_task_steps.py
@@ -30,6 +30,7 @@
     LostRun,
     choose_start_delay,
 )
+from briarshed_workloads.fleet import Run
 from briarshed_workloads.workloads import ListedRun, Step, TaskId
 
 ENDPOINTS = tuple("abcdefgh")
@@ -315,6 +316,30 @@
         crashes.note_crash(context.engine, context.engine.endpoints[name], NOW + 0.02)
 
 
+@given(
+    '"c", "d" and "e" of another pool have crashed {how}, {age:g} s after a start of'
+    " another task"
+)
+def step_others_crashed_before(context, how, age):
+    engine = context.engine
+    for number, name in enumerate("cde"):
+        crashed_at = NOW - 3.0 + (0.0 if how == "at once" else number / 2)
+        endpoint = engine.endpoints[name]
+        registration = endpoint.registration._replace(pool="another")
+        if how == "at once":
+            registration = registration._replace(rack="another")
+        endpoint.registration = registration
+        poll_endpoint(engine, name, crashed_at - 0.02)
+        task = TASK._replace(job=name_job(number))
+        started_at = crashed_at - age
+        run = Run(task, number, endpoint, Step(1, NEED, 1.0), NEED, "", started_at)
+        run.is_start_confirmed = True
+        endpoint.add_run(run)
+        engine.note_failing(endpoint, "closed", crashed_at + 0.02)
+    for name in "cde":
+        crashes.note_crash(engine, engine.endpoints[name], NOW - 1.0)
+
+
 @given('a leader with an endpoint "a" that it has known for {seconds:g} s')
 def step_known_for(context, seconds):
     context.engine = make_engine(names=("a",))
--- a/packages/briarshed-workloads/src/briarshed_workloads/crashes.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/crashes.py
@@ -11,7 +11,6 @@
     RECENT_CRASH_S,
     SOLE_SUSPECT,
     SUSPECT,
-    SUSPICION_WINDOW_S,
     Crash,
     CrashTime,
     LostRun,
@@ -22,7 +21,6 @@
     weigh_runs,
 )
 from briarshed_workloads.fleet import MS_PER_S
-from briarshed_workloads.workloads import TaskId
 
 if TYPE_CHECKING:
     from briarshed_workloads.engine import Engine
@@ -45,21 +43,16 @@
         return
     crash = _make_crash(engine, endpoint, now)
     recent = _list_recent(engine, now)
+    count = len(engine.endpoints)
     evidence = list(
-        weigh_runs(crash, lambda task: is_unusual(crash, task, recent)),
+        weigh_runs(crash, lambda task: is_unusual(crash, task, recent, count))
     )
     suspects = [
         run for run, weight in evidence if weight in (SUSPECT, SOLE_SUSPECT, AT_START)
     ]
     if endpoint.fenced_counter:
         # Otherwise it is not known what an earlier leader had started there.
-        is_explained = any(
-            crash.outage.time.latest - run.started_at < SUSPICION_WINDOW_S
-            for run in suspects
-        )
-        engine.crashes.append(
-            crash._replace(has_suspect=bool(suspects), is_explained=is_explained)
-        )
+        engine.crashes.append(crash)
     engine.report(
         "ENDPOINT_CRASHED",
         endpoint=endpoint.name,
@@ -78,7 +71,6 @@
     runs = [*endpoint.runs.values(), *endpoint.lost_runs]
     return Crash(
         outage=outage,
-        pool=endpoint.registration.pool,
         noted_at=now,
         runs=tuple(
             LostRun(run.task, run.number, run.started_at, run.is_adopted)
@@ -127,7 +119,9 @@
         job.held_until[run.task] = now + delay
     if is_given_up:
         engine.add_stop_candidates(job)
-        _note_explained(engine, run.task)
+        for index, crash in enumerate(engine.crashes):
+            if crash.has_task(run.task):
+                engine.crashes[index] = crash._replace(is_culprit_known=True)
         engine.report(
             "JOB_GIVEN_UP",
             job_id=job.job_id,
@@ -158,10 +152,3 @@
 
 def _list_recent(engine: Engine, now: float) -> list[Crash]:
     return [row for row in engine.crashes if now - row.noted_at < RECENT_CRASH_S]
-
-
-def _note_explained(engine: Engine, task: TaskId) -> None:
-    """Note that a task that is given up has caused the crashes in which it ran."""
-    for number, crash in enumerate(engine.crashes):
-        if crash.has_task(task):
-            engine.crashes[number] = crash._replace(is_explained=True)
--- a/packages/briarshed-workloads/src/briarshed_workloads/evidence.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/evidence.py
@@ -45,9 +45,9 @@
 """Crashes in a row after which a task is given up, however often endpoints crash, if
 each has followed its start. A start that an endpoint survives interrupts the row."""
 
-MAX_POOL_CRASHES = 3
-"""Instances of a pool that have crashed recently without any suspect from which on
-crashes are not unusual: racks are lost, and start again, as a whole."""
+MIN_USUAL_CRASHES, USUAL_CRASH_SHARE = 3, 0.05
+"""Instances, and share of all endpoints, that have crashed recently without a known
+cause from which on crashes are usual."""
 
 MAX_START_DELAY_S = 1.0
 """Longest delay of the next start of a task that was lost twice just after its start.
@@ -120,18 +120,15 @@
 
     ``noted_at`` is in seconds of the boot clock. ``is_new`` is set if the process had
     just started itself, and ``is_shared`` if other endpoints stopped responding at the
-    same time. ``has_suspect`` is set if a run may have just started, and
-    ``is_explained`` if one certainly had, or if one of the tasks has been given up.
+    same time, and ``is_culprit_known`` if one of the tasks has been given up.
     """
 
     outage: Outage
-    pool: str
     noted_at: float
     runs: tuple[LostRun, ...]
     is_new: bool
     is_shared: bool
-    has_suspect: bool = False
-    is_explained: bool = False
+    is_culprit_known: bool = False
 
     def has_task(self, task: TaskId) -> bool:
         """Return whether a run of a task was at work there."""
@@ -203,8 +200,7 @@
     Parameters
     ----------
     is_unusual : callable
-        Returns whether the crash is unusual for the endpoint and its pool, apart from
-        crashes with a task.
+        Returns whether the crash is unusual, apart from crashes with a task.
     """
     time = crash.outage.time
     suspects = list_just_started(crash)
@@ -256,8 +252,10 @@
     )
 
 
-def is_unusual(crash: Crash, task: TaskId, recent: Collection[Crash]) -> bool:
-    """Return whether a crash with a task is unusual for the endpoint and its pool.
+def is_unusual(
+    crash: Crash, task: TaskId, recent: Collection[Crash], endpoints: int
+) -> bool:
+    """Return whether a crash with a task is unusual for its instance and the fleet.
 
     A crash on the same instance matters unless it is explained, and those on others
     unless they may have had the same cause: the task, or a run that had just started.
@@ -265,16 +263,31 @@
     Parameters
     ----------
     recent : collection of Crash
-        Other crashes of the last `RECENT_CRASH_S`.
+        Other crashes of the last `RECENT_CRASH_S`, of all pools.
+    endpoints : int
+        Number of endpoints of the fleet.
     """
-    unexplained = [
-        row for row in recent if row.pool == crash.pool and not row.is_explained
-    ]
+    unexplained = [row for row in recent if not _is_explained(row)]
     if any(row.outage.instance == crash.outage.instance for row in unexplained):
         return False
     others = {
         row.outage.instance
         for row in unexplained
-        if not row.has_task(task) and not row.has_suspect
+        if not row.has_task(task) and not _list_suspects(row)
     }
-    return len(others) < MAX_POOL_CRASHES
+    return len(others) < max(MIN_USUAL_CRASHES, USUAL_CRASH_SHARE * endpoints)
+
+
+def _is_explained(crash: Crash) -> bool:
+    """Return whether a run had certainly just started, or a task was given up."""
+    return crash.is_culprit_known or any(
+        crash.outage.time.latest - run.started_at < SUSPICION_WINDOW_S
+        for run in _list_suspects(crash)
+    )
+
+
+def _list_suspects(crash: Crash) -> list[LostRun]:
+    """Return the runs that a crash by itself may speak against."""
+    if crash.is_shared or crash.is_new:
+        return []
+    return list_just_started(crash)
