Settle the evidence of a crash before a task is given up

Cause: a task was given up in the same step in which its crash was proved.

Change: evidence is weighed again 1 s after the proof, with all that is known by then, and a job fails when its task would start next, at the earliest then. A new leader finds the evidence in the progress of the job and gives the task up as well. The answer to the caller of a harmful job comes up to 1 s later.

--- a/features/workloads/crashing_tasks.feature
+++ b/features/workloads/crashing_tasks.feature
@@ -142,6 +142,20 @@
       | 1     | another rack                   | 0.02    | the only one suspected |
       | 3     | three other racks              | 0.02    | a crash at its start   |
 
+  Scenario Outline: A task is given up once what came with its last crash is known
+    # Guards against sound jobs that fail by the first proof of several (LOST, review/5):
+    # an endpoint of the same rack is proved to have crashed 0.6 s later, and one whose
+    # poll is waiting is known to be silent later.
+    Given a leader with endpoints "a" to "e" and a task that has just started at "a"
+    And the task was the only suspect of two earlier crashes
+    When "a" crashes, and <others> of its rack is known 0.6 s later to have crashed with it
+    Then the state of the job is "<state>" 1.2 s after the crash
+
+    Examples:
+      | others | state   |
+      | no one | failed  |
+      | "b"    | running |
+
   Scenario Outline: No task is given up where racks are lost in turn
     # Guards against the same, with the endpoints that are proved to have crashed later.
     Given 400 jobs without such a task, one every 0.06 s
--- a/features/workloads/steps/crashing_task_steps.py
+++ b/features/workloads/steps/crashing_task_steps.py
@@ -269,7 +269,7 @@
 
 @given('"a" lists the run with 100 percent after a crash of another endpoint')
 def step_nearly_done(context):
-    context.job.note_crash(TASK, 1, WEAK, NOW)
+    context.job.note_crash(TASK, 1, WEAK)
     listed = [ListedRun(TASK, context.run.number, "", 100, 0)]
     poll_endpoint(context.engine, "a", NOW + 1, listed)
 
@@ -357,7 +357,7 @@
 @when("a task that was in a crash is planned")
 def step_plan_after_crash(context):
     job = submit(context.engine, JOB, (Step(1, NEED, 1.0),), NOW)
-    job.note_crash(TASK, 1, NEW_ENDPOINT, NOW)
+    job.note_crash(TASK, 1, NEW_ENDPOINT)
     context.orders = planning.plan_starts(context.engine, NOW)
 
 
@@ -382,6 +382,36 @@
         endpoint.registration = endpoint.registration._replace(**changes)
 
 
+@given("the task was the only suspect of two earlier crashes")
+def step_suspected(context):
+    for run in (0, 1):
+        context.job.note_crash(TASK, run, SOLE_SUSPECT)
+
+
+@when(
+    '"a" crashes, and {others} of its rack is known 0.6 s later to have crashed with it'
+)
+def step_known_later(context, others):
+    engine = context.engine
+    crashes.note_crash(engine, engine.endpoints["a"], NOW + 0.03)
+    engine.drop_runs(engine.endpoints["a"], "crashed")
+    if others == '"b"':
+        other = engine.endpoints["b"]
+        poll_endpoint(engine, "b", NOW)
+        rack = engine.endpoints["a"].registration.rack
+        other.registration = other.registration._replace(rack=rack)
+        engine.note_failing(other, "closed", NOW + 0.02)
+        crashes.note_crash(engine, other, NOW + 0.63)
+
+
+@then('the state of the job is "{state}" {seconds:g} s after the crash')
+def step_state_after_crash(context, state, seconds):
+    engine = context.engine
+    for tenth in range(int(seconds * 10) + 1):
+        planning.plan_starts(engine, NOW + 0.03 + tenth / 10)
+    assert context.job.state == state, (context.job.state, context.job.crashes)
+
+
 @given("{count:d} tasks, each lost once at its start, and {more:d} lost twice")
 def step_lost_at_start(context, count, more):
     context.lost = [({1: AT_START}, number) for number in range(count)]
@@ -468,7 +498,7 @@
     for number in range(jobs):
         job = submit(context.engine, name_job(number), (Step(1, NEED, 0.2),), NOW)
         for run in (1, 2):
-            job.note_crash(TaskId(job.job_id, 0, 0, 0), run, WEAK, NOW)
+            job.note_crash(TaskId(job.job_id, 0, 0, 0), run, WEAK)
 
 
 @when("a further job is submitted, and each run takes {seconds:g} s")
--- a/packages/briarshed-workloads/src/briarshed_workloads/controller.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/controller.py
@@ -418,6 +418,8 @@
                 for order in plan(engine, now):
                     self.spawn(self._start(order), "start")
                     self.poller.wake(order.run.endpoint.name)
+        if engine.unsaved_jobs:
+            self.persistence.request_save()
         telemetry.observe_seconds("plan", time.perf_counter() - started_at)
 
     def _issue_stops(self, now: float) -> None:
--- a/packages/briarshed-workloads/src/briarshed_workloads/crashes.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/crashes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from typing import TYPE_CHECKING
 
 from briarshed_workloads.evidence import (
@@ -9,6 +10,7 @@
     NEW_ENDPOINT,
     NONE,
     RECENT_CRASH_S,
+    SETTLE_S,
     SOLE_SUSPECT,
     SUSPECT,
     Crash,
@@ -16,6 +18,7 @@
     LostRun,
     Outage,
     choose_start_delay,
+    is_given_up,
     is_shared,
     is_unusual,
     weigh_runs,
@@ -25,6 +28,8 @@
 if TYPE_CHECKING:
     from briarshed_workloads.engine import Engine
     from briarshed_workloads.fleet import Endpoint
+    from briarshed_workloads.jobs import Job
+    from briarshed_workloads.workloads import TaskId
 
 MIN_UPTIME_S = 0.5
 """Time for which a process must have run for its crash to be evidence. One that ends
@@ -42,11 +47,7 @@
     if is_noted or is_expected or endpoint.registration.draining:
         return
     crash = _make_crash(engine, endpoint, now)
-    recent = _list_recent(engine, now)
-    count = len(engine.endpoints)
-    evidence = list(
-        weigh_runs(crash, lambda task: is_unusual(crash, task, recent, count))
-    )
+    evidence = list(_weigh(engine, crash))
     suspects = [
         run for run, weight in evidence if weight in (SUSPECT, SOLE_SUSPECT, AT_START)
     ]
@@ -106,29 +107,78 @@
     ]
 
 
+def _weigh(engine: Engine, crash: Crash) -> Iterator[tuple[LostRun, int]]:
+    """Yield the runs that were lost in a crash, and the evidence against each.
+
+    Crashes count if they were noted within `RECENT_CRASH_S` before it or since.
+    """
+    recent = [row for row in _list_recent(engine, crash.noted_at) if row is not crash]
+    count = len(engine.endpoints)
+    return weigh_runs(crash, lambda task: is_unusual(crash, task, recent, count))
+
+
+def settle_evidence(engine: Engine, now: float) -> None:
+    """Weigh crashes again once all that came with them is known."""
+    for index in reversed(range(len(engine.crashes))):
+        crash = engine.crashes[index]
+        if crash.is_settled:
+            return
+        if now - crash.noted_at < SETTLE_S:
+            continue
+        is_now_shared = is_shared(crash.outage, _list_outages(engine, now))
+        settled = crash._replace(is_shared=is_now_shared, is_settled=True)
+        engine.crashes[index] = settled
+        for run, weight in _weigh(engine, settled):
+            job = _find_open_job(engine, run.task)
+            known = job.crashes.get(run.task, {}) if job else {}
+            if known.get(run.number, weight) != weight:
+                known[run.number] = weight
+                engine.unsaved_jobs[run.task.job] = None
+
+
 def _note_evidence(engine: Engine, run: LostRun, weight: int, now: float) -> None:
-    job = engine.jobs.get(run.task.job)
-    if job is None or not job.is_open or not job.has_task(run.task):
-        return
-    if job.has_succeeded(run.task):
+    job = _find_open_job(engine, run.task)
+    if job is None:
         return
     engine.unsaved_jobs[job.job_id] = None
-    is_given_up = job.note_crash(run.task, run.number, weight, engine.to_unix_time(now))
+    job.note_crash(run.task, run.number, weight)
     delay = choose_start_delay(job.crashes[run.task], run)
     if delay:
         job.held_until[run.task] = now + delay
-    if is_given_up:
+
+
+def _find_open_job(engine: Engine, task: TaskId) -> Job | None:
+    """Return the open job of a task that has not succeeded, or None."""
+    job = engine.jobs.get(task.job)
+    if job is None or not job.is_open or not job.has_task(task):
+        return None
+    return None if job.has_succeeded(task) else job
+
+
+def give_up_tasks(engine: Engine, job: Job, now: float) -> None:
+    """Fail a job one of whose waiting tasks has crashed too many endpoints.
+
+    The evidence is settled by the time at which the task may start again.
+    """
+    for task, evidence in job.crashes.items():
+        is_due = task in job.waiting and not job.is_held(task, now)
+        if not is_due or not is_given_up(evidence):
+            continue
+        job.give_up(engine.to_unix_time(now))
+        engine.unsaved_jobs[job.job_id] = None
         engine.add_stop_candidates(job)
         for index, crash in enumerate(engine.crashes):
-            if crash.has_task(run.task):
+            if crash.has_task(task):
                 engine.crashes[index] = crash._replace(is_culprit_known=True)
         engine.report(
             "JOB_GIVEN_UP",
             job_id=job.job_id,
             queue=job.queue,
-            task=run.task,
-            crashes=len(job.crashes[run.task]),
+            task=task,
+            crashes=len(evidence),
+            evidence=list(evidence.values()),
         )
+        return
 
 
 def has_crashed_recently(engine: Engine, endpoint: Endpoint, now: float) -> bool:
--- a/packages/briarshed-workloads/src/briarshed_workloads/evidence.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/evidence.py
@@ -76,6 +76,11 @@
 """Time by which processes of a rack that are lost together may end one after the
 other."""
 
+SETTLE_S = 1.0
+"""Time after the proof of a crash within which others that came with it become known:
+instances that are lost together are proved to have crashed with one
+reading of the registrations or the next, and a poll that is waiting fails later."""
+
 MAX_OUTAGE_SPAN_S = 2.0
 """Uncertainty of the time of an outage above which it may have been at any time: a poll
 takes up to 1.7 s."""
@@ -124,7 +129,8 @@
 
     ``noted_at`` is in seconds of the boot clock. ``is_new`` is set if the process had
     just started itself, and ``is_shared`` if other endpoints stopped responding at the
-    same time, and ``is_culprit_known`` if one of the tasks has been given up.
+    same time. The evidence ``is_settled`` once all that came with the crash is known,
+    and ``is_culprit_known`` if one of the tasks has been given up.
     """
 
     outage: Outage
@@ -132,6 +138,7 @@
     runs: tuple[LostRun, ...]
     is_new: bool
     is_shared: bool
+    is_settled: bool = False
     is_culprit_known: bool = False
 
     def has_task(self, task: TaskId) -> bool:
@@ -163,12 +170,16 @@
 def choose_start_delay(crashes: Mapping[int, int], run: LostRun) -> float:
     """Return the time in seconds after a crash for which a lost run's task waits.
 
-    It is spread evenly up to `MAX_START_DELAY_S`, and the same for the same run.
+    After several crashes just after a start it is spread evenly up to
+    `MAX_START_DELAY_S`, and the same for the same run. A task is not given up before
+    the evidence is settled.
     """
     at_start = [w for w in crashes.values() if w in (SUSPECT, SOLE_SUSPECT, AT_START)]
+    least = SETTLE_S if is_given_up(crashes) else 0.0
     if len(at_start) < REPEATED_CRASHES:
-        return 0.0
-    return random.Random(f"{run.task} {run.number}").uniform(0, MAX_START_DELAY_S)
+        return least
+    delay = random.Random(f"{run.task} {run.number}").uniform(0, MAX_START_DELAY_S)
+    return max(least, delay)
 
 
 def is_given_up(crashes: Mapping[int, int]) -> bool:
--- a/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
@@ -8,7 +8,6 @@
 from briarshed_workloads.configuration import QueueRules
 from briarshed_workloads.evidence import (
     MAX_ISOLATION_WAIT_S,
-    is_given_up,
     is_strongly_suspected,
     is_suspected,
 )
@@ -357,27 +356,20 @@
             runs |= self.failed_runs.get(task._replace(index=index), set())
         return len(runs) >= self.max_attempts
 
-    def note_crash(
-        self, task: TaskId, run: int, evidence: int, unix_now: float
-    ) -> bool:
+    def note_crash(self, task: TaskId, run: int, evidence: int) -> None:
         """Record that the endpoint of a run has crashed.
 
         Parameters
         ----------
         evidence : int
             Evidence against the run, see `briarshed_workloads.evidence`.
-
-        Returns
-        -------
-        bool
-            Whether the task is given up and the job fails because of it.
         """
         self.crashes.setdefault(task, {})[run] = evidence
         self.suspected_at.pop(task, None)
-        if self.is_open and is_given_up(self.crashes[task]):
-            self._finish("fail", unix_now)
-            return True
-        return False
+
+    def give_up(self, unix_now: float) -> None:
+        """Fail the job, one of whose tasks crashes the endpoints that start it."""
+        self._finish("fail", unix_now)
 
     def is_held(self, task: TaskId, now: float) -> bool:
         """Return whether a waiting task, or a member of its gang, may not start yet."""
--- a/packages/briarshed-workloads/src/briarshed_workloads/planning.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/planning.py
@@ -7,7 +7,12 @@
 from collections.abc import Collection, Iterable, Sequence
 from typing import NamedTuple
 
-from briarshed_workloads.crashes import has_crashed_recently, is_new
+from briarshed_workloads.crashes import (
+    give_up_tasks,
+    has_crashed_recently,
+    is_new,
+    settle_evidence,
+)
 from briarshed_workloads.engine import Engine
 from briarshed_workloads.evidence import ISOLATION_S, SUSPICION_WINDOW_S
 from briarshed_workloads.fleet import Endpoint, Isolation, Run, StartOrder, is_within
@@ -56,6 +61,7 @@
     """
     orders: list[StartOrder] = []
     engine.usage.unknown = measure_unknown_usage(engine, now)
+    settle_evidence(engine, now)
     for pool in list(engine.open_jobs):
         try:
             _plan_pool(engine, pool, now, orders)
@@ -69,6 +75,10 @@
     jobs = [job for job in engine.list_open(pool).values() if job.waiting]
     if may_have_earlier_runs(engine, pool, now):
         jobs = [job for job in jobs if not job.is_restored]
+    for job in jobs:
+        if job.crashes:
+            give_up_tasks(engine, job, now)
+    jobs = [job for job in jobs if job.is_open]
     if not jobs:
         return
     _start_suspects(engine, pool, jobs, now, orders)
