Count crashes where crashes are usual towards a task's limit

Cause: crashes where others are usual counted in a row of five only, and not beside the unusual ones.

Change: a score: an unusual crash just after a start counts 2, one where crashes are usual 1 if no start was survived since, and 5 is the limit. Also, the delay of the next start begins with the first lost start (up to 0.5 s): the second one followed the first proof in step.

Ruled out: evidence from starts without a response: it may be lost, and sound jobs failed by it (docs/incidents/crashes.md).

Shown by: the scenario on delays, and the one on settled evidence, whose earlier crashes now give the score that the last one decides.

--- a/features/workloads/crashing_tasks.feature
+++ b/features/workloads/crashing_tasks.feature
@@ -147,7 +147,7 @@
     # an endpoint of the same rack is proved to have crashed 0.6 s later, and one whose
     # poll is waiting is known to be silent later.
     Given a leader with endpoints "a" to "e" and a task that has just started at "a"
-    And the task was the only suspect of two earlier crashes
+    And the task was lost at an earlier start, and was the only suspect of another crash
     When "a" crashes, and <others> of its rack is known 0.6 s later to have crashed with it
     Then the state of the job is "<state>" 1.2 s after the crash
 
@@ -186,14 +186,14 @@
       | 0.6     | 4    |
       | 0.8     | 1    |
 
-  Scenario: Tasks that were lost twice at their starts start again at different times
+  Scenario: Tasks that were lost at their starts start again at different times
     # Guards against sound jobs that fail because their starts are in step with endpoints
     # that crash at regular intervals (LOST, review/5): the next start followed the proof
     # of the last crash by a fixed time, so that five crashes in a row followed a start.
     Given 200 tasks, each lost once at its start, and 200 lost twice
     When the delays of their next starts are chosen
-    Then those lost once are not delayed
-    And the delays of the others are spread evenly up to 1 s
+    Then the delays of those lost once are spread evenly up to 0.5 s
+    And the delays of those lost twice are spread evenly up to 1 s
 
   Scenario: The crash of an endpoint that had just started is no evidence
     # Guards against sound jobs that fail where processes end soon after their start, each
--- a/packages/briarshed-workloads/src/briarshed_workloads/evidence.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/evidence.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 from collections.abc import Callable, Collection, Iterator, Mapping
 from typing import NamedTuple
@@ -36,10 +37,11 @@
 REPEATED_CRASHES = 2
 """Crashes from which on a task is strongly suspected."""
 
-MIN_CRASHES = 3
-"""Crashes just after its start after which a task is given up if it was the only
-suspect of one. The starts before the last one follow the proof of a crash, so that two
-may both meet crashes at regular intervals."""
+MIN_SCORE = 5
+"""Score from which on a task is given up that was the only suspect of a crash. One
+crash just after its start counts 2, or 1 where crashes are usual, so that at least
+three are needed: the first starts follow the proof of a crash, and two may both meet
+crashes at regular intervals."""
 
 MAX_CRASHES = 5
 """Unusual crashes after which a task is given up in any case. Each further start would
@@ -53,11 +55,11 @@
 """Instances, and share of all endpoints, that have crashed recently without a known
 cause from which on crashes are usual."""
 
-MAX_START_DELAY_S = 1.0
-"""Longest delay of the next start of a task that was lost twice just after its start.
-The next start would otherwise follow the proof of the crash, in step with endpoints
-that crash at regular intervals, so that the evidence of several crashes would be that
-of one."""
+FIRST_START_DELAY_S, MAX_START_DELAY_S = 0.5, 1.0
+"""Longest delays of the next start of a task that was lost just after its start once,
+and more often. The next start would otherwise follow the proof of the crash, in step
+with endpoints that crash at regular intervals, so that the evidence of several crashes
+would be that of one."""
 
 ISOLATION_S = 0.5
 """Time for which nothing else starts at the endpoint of a suspected task: an order
@@ -170,15 +172,15 @@
 def choose_start_delay(crashes: Mapping[int, int], run: LostRun) -> float:
     """Return the time in seconds after a crash for which a lost run's task waits.
 
-    After several crashes just after a start it is spread evenly up to
-    `MAX_START_DELAY_S`, and the same for the same run. A task is not given up before
-    the evidence is settled.
+    After crashes just after a start it is spread evenly, and the same for the same
+    run. A task is not given up before the evidence is settled.
     """
     at_start = [w for w in crashes.values() if w in (SUSPECT, SOLE_SUSPECT, AT_START)]
     least = SETTLE_S if is_given_up(crashes) else 0.0
-    if len(at_start) < REPEATED_CRASHES:
+    if not at_start:
         return least
-    delay = random.Random(f"{run.task} {run.number}").uniform(0, MAX_START_DELAY_S)
+    longest = FIRST_START_DELAY_S if len(at_start) == 1 else MAX_START_DELAY_S
+    delay = random.Random(f"{run.task} {run.number}").uniform(0, longest)
     return max(least, delay)
 
 
@@ -190,17 +192,23 @@
     """
     weights = _list_weights(crashes)
     unusual = [weight for weight in weights if weight != AT_START]
-    suspicions = [weight for weight in unusual if weight > WEAK]
-    if SOLE_SUSPECT in suspicions and len(suspicions) >= MIN_CRASHES:
-        return True
     if len(unusual) >= MAX_CRASHES:
         return True
-    latest = [*crashes.values()][-MAX_START_CRASHES:]
-    return (
-        len(latest) == MAX_START_CRASHES
-        and not {WEAK, NONE}.intersection(latest)
-        and latest.count(NEW_ENDPOINT) <= 1
+    latest = _list_since_survival(crashes)
+    suspicions = [weight for weight in unusual if weight > WEAK]
+    score = 2 * len(suspicions) + latest.count(AT_START)
+    if SOLE_SUSPECT in suspicions and score >= MIN_SCORE:
+        return True
+    new = latest.count(NEW_ENDPOINT)
+    return len(latest) - new + min(new, 1) >= MAX_START_CRASHES
+
+
+def _list_since_survival(crashes: Mapping[int, int]) -> list[int]:
+    """Return the latest evidence, after the last start that an endpoint survived."""
+    latest = itertools.takewhile(
+        lambda weight: weight not in (WEAK, NONE), reversed(crashes.values())
     )
+    return list(latest)
 
 
 def _list_weights(crashes: Mapping[int, int]) -> list[int]:
