Note the silence of an endpoint just after a start as evidence

Starts are not recorded, so that the next leader knows nothing.

Change: when an endpoint stops responding just after a start, `UNPROVED` evidence is noted in the progress of the job at once and written. The proof replaces it; a response, an announced end or the run in a list withdraws it. Until then it counts like a crash where crashes are usual.

Ruled out: to record each start: a write for each of some hundred starts a second. A start without a response still leaves nothing.

--- a/features/workloads/crashing_tasks.feature
+++ b/features/workloads/crashing_tasks.feature
@@ -45,6 +45,34 @@
       | 3       | 1     |
       | 4       | 2     |
 
+  Scenario Outline: Leaders that end before a crash is proved leave its evidence
+    # Guards against a harmful task that each new leader starts anew (BUDGET,
+    # deadly-leader-changes): an endpoint is back 3 s after its crash, which proves it, and
+    # the leader that knew what had just started there is gone by then.
+    Given 40 jobs, 2 of them with a task that crashes its endpoint at once
+    And an endpoint that has crashed is back 3 s later
+    When they are submitted to 8 entries with 8 endpoints, and <kills> leaders are killed 0.6 s after crashes
+    Then no such task is started 3 times more after 3 crashes
+    And the jobs of these tasks are failed, and all others completed
+
+    Examples:
+      | kills |
+      | 3     |
+      | 5     |
+
+  Scenario Outline: The silence of an endpoint just after a start is evidence until it responds
+    # Guards against evidence that is lost with a leader, and against sound jobs that fail
+    # because endpoints were cut off just after their starts.
+    Given a leader with endpoints "a" to "e" and a task that has just started at "a"
+    When "a" becomes silent just after the start, and <what>
+    Then <count> crashes count against the task
+
+    Examples:
+      | what                   | count |
+      | nothing is heard of it | 1     |
+      | it responds again      | 0     |
+      | its end is announced   | 0     |
+
   Scenario Outline: No task is given up when endpoints crash for other reasons
     # Guards against giving up sound work that was running where endpoints crashed.
     Given 60 jobs without such a task
--- a/features/workloads/steps/crashing_task_steps.py
+++ b/features/workloads/steps/crashing_task_steps.py
@@ -4,6 +4,7 @@
 import itertools
 import random
 from collections import Counter
+from functools import partial
 from unittest import mock
 
 from behave import given, then, when
@@ -144,6 +145,16 @@
     run_virtually(run())
 
 
+async def kill_leaders(fleet, crasher, kills, delay_s):
+    """Kill the leader a while after each of some crashes."""
+    for _ in range(kills):
+        crasher.crashed.clear()
+        await crasher.crashed.wait()
+        await asyncio.sleep(delay_s)
+        leader = await fleet.wait_for_leader()
+        await fleet.kill(leader.options.name)
+
+
 async def do_nothing(fleet, crasher):
     """Let the fleet run undisturbed."""
 
@@ -158,15 +169,15 @@
     " are killed just after a crash"
 )
 def step_leaders_killed(context, entries, kills):
-    async def kill(fleet, crasher):
-        for _ in range(kills):
-            crasher.crashed.clear()
-            await crasher.crashed.wait()
-            await asyncio.sleep(0.1)
-            leader = await fleet.wait_for_leader()
-            await fleet.kill(leader.options.name)
+    play(context, entries, partial(kill_leaders, kills=kills, delay_s=0.1))
+
 
-    play(context, entries, kill)
+@when(
+    "they are submitted to {entries:d} entries with 8 endpoints, and {kills:d} leaders"
+    " are killed {seconds:g} s after crashes"
+)
+def step_leaders_killed_later(context, entries, kills, seconds):
+    play(context, entries, partial(kill_leaders, kills=kills, delay_s=seconds))
 
 
 @when(
@@ -505,6 +516,18 @@
         engine.note_registrations(rows, NOW + seconds + 0.01)
 
 
+@when('"a" becomes silent just after the start, and {what}')
+def step_stops_responding(context, what):
+    engine = context.engine
+    endpoint = engine.endpoints["a"]
+    engine.note_failing(endpoint, "closed", NOW + 0.03)
+    if what == "it responds again":
+        poll_endpoint(engine, "a", NOW + 0.5)
+    elif what == "its end is announced":
+        endpoint.evicting = True
+        crashes.note_crash(engine, endpoint, NOW + 0.5)
+
+
 @when('"a" crashes')
 def step_crashes(context):
     engine = context.engine
--- a/packages/briarshed-workloads/src/briarshed_workloads/crashes.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/crashes.py
@@ -13,11 +13,13 @@
     SETTLE_S,
     SOLE_SUSPECT,
     SUSPECT,
+    UNPROVED,
     Crash,
     CrashTime,
     LostRun,
     Outage,
     choose_start_delay,
+    has_followed_start,
     is_given_up,
     is_shared,
     is_unusual,
@@ -44,7 +46,10 @@
     """
     is_expected = endpoint.is_end_ordered or endpoint.evicting
     is_noted = endpoint.is_gone and not endpoint.lost_runs
-    if is_noted or is_expected or endpoint.registration.draining:
+    if is_noted:
+        return
+    if is_expected or endpoint.registration.draining:
+        withdraw_evidence(engine, endpoint)
         return
     crash = _make_crash(engine, endpoint, now)
     evidence = list(_weigh(engine, crash))
@@ -67,22 +72,43 @@
         _note_evidence(engine, run, weight, now)
 
 
+def note_silence(engine: Engine, endpoint: Endpoint) -> None:
+    """Note which runs had just started when an endpoint stopped responding."""
+    time = CrashTime(endpoint.alive_until, endpoint.failing_since)
+    for run in _list_runs_at_work(endpoint):
+        job = _find_open_job(engine, run.task)
+        if job is not None and has_followed_start(run, time):
+            job.note_crash(run.task, run.number, UNPROVED)
+            engine.unsaved_jobs[job.job_id] = None
+
+
+def withdraw_evidence(engine: Engine, endpoint: Endpoint) -> None:
+    """Withdraw what `note_silence` has noted: the endpoint has not crashed."""
+    for run in (*endpoint.runs.values(), *endpoint.lost_runs):
+        job = engine.jobs.get(run.task.job)
+        if job is not None and job.withdraw_crash(run.task, run.number):
+            engine.unsaved_jobs[job.job_id] = None
+
+
 def _make_crash(engine: Engine, endpoint: Endpoint, now: float) -> Crash:
     outage = _find_outage(endpoint, now)
-    runs = [*endpoint.runs.values(), *endpoint.lost_runs]
     return Crash(
         outage=outage,
         noted_at=now,
-        runs=tuple(
-            LostRun(run.task, run.number, run.started_at, run.is_adopted)
-            for run in runs
-            if run.is_at_work
-        ),
+        runs=tuple(_list_runs_at_work(endpoint)),
         is_new=is_new(engine, endpoint, outage.time.earliest),
         is_shared=is_shared(outage, _list_outages(engine, now)),
     )
 
 
+def _list_runs_at_work(endpoint: Endpoint) -> list[LostRun]:
+    return [
+        LostRun(run.task, run.number, run.started_at, run.is_adopted)
+        for run in (*endpoint.runs.values(), *endpoint.lost_runs)
+        if run.is_at_work
+    ]
+
+
 def _find_outage(endpoint: Endpoint, now: float) -> Outage:
     """Return when an endpoint that does not respond, or has crashed, stopped to."""
     time = CrashTime(endpoint.answered_at, now)
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -7,7 +7,11 @@
 from typing import NamedTuple
 
 from briarshed_workloads.configuration import UNLIMITED_TEAM, Configuration, QueueRules
-from briarshed_workloads.crashes import note_crash
+from briarshed_workloads.crashes import (
+    note_crash,
+    note_silence,
+    withdraw_evidence,
+)
 from briarshed_workloads.evidence import Crash
 from briarshed_workloads.fleet import (
     DOUBTFUL,
@@ -587,6 +591,8 @@
         return expiry
 
     def _note_response(self, endpoint: Endpoint, clock_ms: int, now: float) -> None:
+        if endpoint.failing_since:
+            withdraw_evidence(self, endpoint)
         endpoint.answered_at = now
         endpoint.failing_since = 0.0
         endpoint.lost_runs.clear()
@@ -605,6 +611,7 @@
         if not endpoint.failing_since:
             endpoint.failing_since = now
             endpoint.alive_until = max(alive_until, endpoint.answered_at)
+            note_silence(self, endpoint)
             self.report(
                 "ENDPOINT_SILENT",
                 endpoint=endpoint.name,
@@ -739,6 +746,8 @@
         if job is None:
             return
         job.note_begun()
+        if job.withdraw_crash(row.task, row.run):
+            self.unsaved_jobs[job.job_id] = None
         is_settled = run.step.long_running and run.is_serving
         if is_settled and job.crashes.pop(row.task, None):
             self.unsaved_jobs[job.job_id] = None
--- a/packages/briarshed-workloads/src/briarshed_workloads/evidence.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/evidence.py
@@ -16,12 +16,19 @@
 
 from briarshed_workloads.workloads import TaskId
 
-WEAK, SUSPECT, SOLE_SUSPECT, AT_START, NONE, NEW_ENDPOINT, BESIDE_SUSPECT = range(7)
+WEAK, SUSPECT, SOLE_SUSPECT, AT_START, NONE, NEW_ENDPOINT, BESIDE_SUSPECT, UNPROVED = (
+    range(8)
+)
 """Evidence of a crash against a run: it had been running for a while, it had just
 started, or nothing else had just started. Where crashes are usual, or others have
 crashed at the same time, there is none, unless the crash has certainly followed the
 start (``AT_START``). The crash of an endpoint that had just started itself is none in
-any case. ``BESIDE_SUSPECT`` is weak evidence of a crash just after another start."""
+any case. ``BESIDE_SUSPECT`` is weak evidence of a crash just after another start.
+``UNPROVED`` is noted when an endpoint stops responding just after a start: the proof of
+a crash may come after a change of the leader, and the next one does not know what was
+started there. It counts like ``AT_START`` until it is proved or withdrawn."""
+
+_EQUIVALENTS = {BESIDE_SUSPECT: WEAK, UNPROVED: AT_START}
 
 SUSPICION_WINDOW_S = 0.1
 """Time after its start within which a run is suspected if its endpoint crashes. With a
@@ -176,7 +183,7 @@
     After crashes just after a start it is spread evenly, and the same for the same
     run. A task is not given up before the evidence is settled.
     """
-    at_start = [w for w in crashes.values() if w in (SUSPECT, SOLE_SUSPECT, AT_START)]
+    at_start = [weight for weight in _list_weights(crashes) if weight > WEAK]
     least = SETTLE_S if is_given_up(crashes) else 0.0
     if not at_start:
         return least
@@ -211,12 +218,12 @@
         lambda weight: weight not in (WEAK, BESIDE_SUSPECT, NONE),
         reversed(crashes.values()),
     )
-    return list(latest)
+    return [_EQUIVALENTS.get(weight, weight) for weight in latest]
 
 
 def _list_weights(crashes: Mapping[int, int]) -> list[int]:
     return [
-        WEAK if weight == BESIDE_SUSPECT else weight
+        _EQUIVALENTS.get(weight, weight)
         for weight in crashes.values()
         if weight not in (NONE, NEW_ENDPOINT)
     ]
@@ -238,8 +245,7 @@
         if crash.is_new:
             yield run, NEW_ENDPOINT
         elif crash.is_shared or not is_unusual(run.task):
-            is_at_start = run in suspects and _is_detected_at_start(run, time)
-            yield run, AT_START if is_at_start else NONE
+            yield run, AT_START if has_followed_start(run, time) else NONE
         elif run in suspects:
             yield run, SOLE_SUSPECT if len(suspects) == 1 else SUSPECT
         elif time.earliest - run.started_at >= MAX_RUN_AGE_S:
@@ -252,17 +258,19 @@
 
 def list_just_started(crash: Crash) -> list[LostRun]:
     """Return the runs that may have just started when their endpoint crashed."""
-    return [
-        run
-        for run in crash.runs
-        if not run.has_survived_start
-        and crash.outage.time.earliest - run.started_at < SUSPICION_WINDOW_S
-    ]
+    return [run for run in crash.runs if _may_have_started(run, crash.outage.time)]
+
+
+def _may_have_started(run: LostRun, time: CrashTime) -> bool:
+    return (
+        not run.has_survived_start
+        and time.earliest - run.started_at < SUSPICION_WINDOW_S
+    )
 
 
-def _is_detected_at_start(run: LostRun, time: CrashTime) -> bool:
+def has_followed_start(run: LostRun, time: CrashTime) -> bool:
     """Return whether the endpoint did not respond any more just after a run's start."""
-    return time.latest - run.started_at < DETECTION_S
+    return _may_have_started(run, time) and time.latest - run.started_at < DETECTION_S
 
 
 def is_shared(outage: Outage, others: Collection[Outage]) -> bool:
--- a/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
@@ -8,6 +8,7 @@
 from briarshed_workloads.configuration import QueueRules
 from briarshed_workloads.evidence import (
     MAX_ISOLATION_WAIT_S,
+    UNPROVED,
     is_strongly_suspected,
     is_suspected,
 )
@@ -367,6 +368,16 @@
         self.crashes.setdefault(task, {})[run] = evidence
         self.suspected_at.pop(task, None)
 
+    def withdraw_crash(self, task: TaskId, run: int) -> bool:
+        """Remove the evidence of a crash that is not proved; return whether it was."""
+        evidence = self.crashes.get(task, {})
+        if evidence.get(run) != UNPROVED:
+            return False
+        del evidence[run]
+        if not evidence:
+            del self.crashes[task]
+        return True
+
     def give_up(self, unix_now: float) -> None:
         """Fail the job, one of whose tasks crashes the endpoints that start it."""
         self._finish("fail", unix_now)
--- a/packages/briarshed-workloads/src/briarshed_workloads/planning.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/planning.py
@@ -115,7 +115,8 @@
             for job in engine.list_open(pool).values()
             if any(step.speculative for step in job.description.steps)
             for runs in _list_single_runs(engine, job)
-            if not job.crashes.get(runs[0].task) and is_overdue(engine, runs[0], now)
+            if not job.crashes.get(runs[0].task, {}).keys() - {runs[0].number}
+            and is_overdue(engine, runs[0], now)
         ]
         if not overdue:
             continue
--- a/packages/briarshed-workloads/src/briarshed_workloads/polling.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/polling.py
@@ -312,6 +312,8 @@
         """
         now = clock.now()
         self._engine.note_failing(endpoint, reason, now, alive_until)
+        if self._engine.unsaved_jobs:
+            self._request_save()
         self.wake(endpoint.name)
         self._spawn(
             self._endpoints.discard_connections(endpoint.registration.address),
