--- a/features/workloads/crashing_tasks.feature
+++ b/features/workloads/crashing_tasks.feature
@@ -45,6 +45,34 @@
       | 3       | 1     |
       | 4       | 2     |
 
+  Scenario Outline: Leaders that end before a crash is proved leave its evidence
+    # Guards against a harmful task that each new leader starts anew (BUDGET,
+    # deadly-leader-changes): an endpoint is back 3 s after its crash, which proves it, and
+    # the leader that knew what had just started there is gone by then.
+    Given 40 jobs, 2 of them with a task that crashes its endpoint at once
+    And an endpoint that has crashed is back 3 s later
+    When they are submitted to 8 entries with 8 endpoints, and <kills> leaders are killed 0.6 s after crashes
+    Then no such task is started 3 times more after 3 crashes
+    And the jobs of these tasks are failed, and all others completed
+
+    Examples:
+      | kills |
+      | 3     |
+      | 5     |
+
+  Scenario Outline: The silence of an endpoint just after a start is evidence until it responds
+    # Guards against evidence that is lost with a leader, and against sound jobs that fail
+    # because endpoints were cut off just after their starts.
+    Given a leader with endpoints "a" to "e" and a task that has just started at "a"
+    When "a" becomes silent just after the start, and <what>
+    Then <count> crashes count against the task
+
+    Examples:
+      | what                   | count |
+      | nothing is heard of it | 1     |
+      | it responds again      | 0     |
+      | its end is announced   | 0     |
+
   Scenario Outline: No task is given up when endpoints crash for other reasons
     # Guards against giving up sound work that was running where endpoints crashed.
     Given 60 jobs without such a task
@@ -110,6 +138,100 @@
       | without any run                   | a crash at its start   |
       | before the leader has polled them | the only one suspected |
 
+  Scenario Outline: Earlier crashes count unless a task explains them
+    # Guards against a base rate that leaves out endpoints of other pools, and racks that
+    # were lost under load, where some run has just started at nearly each endpoint (LOST,
+    # review/5), and against one that counts the crashes of other harmful tasks, so that a
+    # harmful task starts too often (BUDGET).
+    Given a leader with endpoints "a" to "e" and a task that has just started at "a"
+    And "c", "d" and "e" of another pool have crashed <how>, <age> s after a start of another task
+    When "a" crashes
+    Then the evidence against the task is "<evidence>"
+
+    Examples:
+      | how             | age | evidence               |
+      | one by one      | 2   | a crash at its start   |
+      | at once         | 0   | a crash at its start   |
+      | one by one      | 0   | the only one suspected |
+
+  Scenario Outline: A crash together with others speaks against no task in particular
+    # Guards against sound jobs that fail because whole racks are lost, with endpoints of
+    # other pools (LOST, review/5 with real processes: up to 6 jobs a play): each endpoint
+    # was weighed by itself, although a task crashes only the one that starts it.
+    Given a leader with endpoints "a" to "e" and a task that has just started at "a"
+    And <count> endpoints of <place> stopped responding <seconds> s before "a" does
+    When "a" crashes
+    Then the evidence against the task is "<evidence>"
+
+    Examples:
+      | count | place                          | seconds | evidence               |
+      | 1     | its rack and another pool      | 0.02    | a crash at its start   |
+      | 1     | its rack and another pool      | 0.5     | the only one suspected |
+      | 1     | another rack                   | 0.02    | the only one suspected |
+      | 3     | three other racks              | 0.02    | a crash at its start   |
+
+  Scenario Outline: A task is given up once what came with its last crash is known
+    # Guards against sound jobs that fail by the first proof of several (LOST, review/5):
+    # an endpoint of the same rack is proved to have crashed 0.6 s later, and one whose
+    # poll is waiting is known to be silent later.
+    Given a leader with endpoints "a" to "e" and a task that has just started at "a"
+    And the task was lost at an earlier start, and was the only suspect of another crash
+    When "a" crashes, and <others> of its rack is known 0.6 s later to have crashed with it
+    Then the state of the job is "<state>" 1.2 s after the crash
+
+    Examples:
+      | others | state   |
+      | no one | failed  |
+      | "b"    | running |
+
+  Scenario Outline: No task is given up where racks are lost in turn
+    # Guards against the same, with the endpoints that are proved to have crashed later.
+    Given 400 jobs without such a task, one every 0.06 s
+    And an endpoint that has crashed is back 0.3 s later
+    When they are submitted to 2 entries with 8 endpoints, and racks of 2 crash <how> in turn, <seconds> s apart, with seed <seed>
+    Then all jobs are completed
+
+    Examples:
+      | how    | seconds | seed |
+      | closed | 0.6     | 4    |
+      | closed | 0.6     | 1    |
+      | closed | 0.8     | 1    |
+      | closed | 1.2     | 1    |
+      | silent | 0.8     | 4    |
+      | silent | 1.2     | 3    |
+
+  Scenario Outline: No task is given up where single endpoints are lost in turn
+    # Guards against sound jobs that fail after two crashes just after their starts, where
+    # nothing else is lost at the same time and crashes are not known to be usual yet.
+    Given 400 jobs without such a task, one every 0.06 s
+    And an endpoint that has crashed is back 0.3 s later
+    When they are submitted to 2 entries with 8 endpoints, and racks of 1 crash closed in turn, <seconds> s apart, with seed <seed>
+    Then all jobs are completed
+
+    Examples:
+      | seconds | seed |
+      | 0.6     | 3    |
+      | 0.6     | 4    |
+      | 0.8     | 1    |
+
+  Scenario: Tasks that were lost at their starts start again at different times
+    # Guards against sound jobs that fail because their starts are in step with endpoints
+    # that crash at regular intervals (LOST, review/5): the next start followed the proof
+    # of the last crash by a fixed time, so that five crashes in a row followed a start.
+    Given 200 tasks, each lost once at its start, and 200 lost twice
+    When the delays of their next starts are chosen
+    Then the delays of those lost once are spread evenly up to 0.5 s
+    And the delays of those lost twice are spread evenly up to 1 s
+
+  Scenario: A task that runs where others crash endpoints is not given up
+    # Guards against sound jobs that fail because of harmful ones (LOST): a task of 3 s ran
+    # at five endpoints that five other tasks crashed just after their starts.
+    Given a leader with endpoints "a" to "e"
+    And a task that has been running for 2 s at each endpoint at which another one starts
+    When the endpoints crash in turn every 15 s, just after the starts
+    Then the task is not given up
+    And it is given up if the endpoints crash as often without another start
+
   Scenario: The crash of an endpoint that had just started is no evidence
     # Guards against sound jobs that fail where processes end soon after their start, each
     # time just after they were given work (LOST, the day of review/5 with the processes of
--- a/features/workloads/steps/crashing_task_steps.py
+++ b/features/workloads/steps/crashing_task_steps.py
@@ -1,7 +1,10 @@
 """Steps for tasks that crash their endpoints, with entries on fakes in virtual time."""
 
 import asyncio
+import itertools
 import random
+from collections import Counter
+from functools import partial
 from unittest import mock
 
 from behave import given, then, when
@@ -20,7 +23,15 @@
 from virtual_time import run_virtually
 
 from briarshed_workloads import crashes, planning
-from briarshed_workloads.crashes import AT_START, NEW_ENDPOINT, SOLE_SUSPECT, WEAK
+from briarshed_workloads.evidence import (
+    AT_START,
+    NEW_ENDPOINT,
+    SOLE_SUSPECT,
+    WEAK,
+    LostRun,
+    choose_start_delay,
+)
+from briarshed_workloads.fleet import Run
 from briarshed_workloads.workloads import ListedRun, Step, TaskId
 
 ENDPOINTS = tuple("abcdefgh")
@@ -32,6 +43,7 @@
 
 CRASHING_STEP = 0
 OUTAGES = 12
+RACK_OUTAGES = 40
 RACK_CRASH_INTERVAL_S = 0.5
 """Time for which the endpoints of a rack are up between two crashes."""
 
@@ -94,6 +106,12 @@
     context.reboot_s = seconds
 
 
+@given("{jobs:d} jobs without such a task, one every {seconds:g} s")
+def step_many_sound_tasks(context, jobs, seconds):
+    step_sound_tasks(context, jobs)
+    context.interval_s = seconds
+
+
 @given("{jobs:d} jobs without such a task")
 def step_sound_tasks(context, jobs):
     context.jobs = jobs
@@ -103,6 +121,7 @@
 
 def play(context, entries, disturb):
     """Submit the jobs, disturb the fleet, and keep what came of the jobs."""
+    interval_s = getattr(context, "interval_s", SUBMIT_INTERVAL_S)
 
     async def run():
         names = tuple(f"e{number}" for number in range(entries))
@@ -115,7 +134,7 @@
             disturbing = asyncio.create_task(disturb(fleet, crasher))
             for number in range(context.jobs):
                 fleet.submit(number)
-                await asyncio.sleep(SUBMIT_INTERVAL_S)
+                await asyncio.sleep(interval_s)
             await disturbing
             await asyncio.sleep(REST_S)
             await fleet.wait_for_leader()
@@ -126,6 +145,16 @@
     run_virtually(run())
 
 
+async def kill_leaders(fleet, crasher, kills, delay_s):
+    """Kill the leader a while after each of some crashes."""
+    for _ in range(kills):
+        crasher.crashed.clear()
+        await crasher.crashed.wait()
+        await asyncio.sleep(delay_s)
+        leader = await fleet.wait_for_leader()
+        await fleet.kill(leader.options.name)
+
+
 async def do_nothing(fleet, crasher):
     """Let the fleet run undisturbed."""
 
@@ -140,15 +169,15 @@
     " are killed just after a crash"
 )
 def step_leaders_killed(context, entries, kills):
-    async def kill(fleet, crasher):
-        for _ in range(kills):
-            crasher.crashed.clear()
-            await crasher.crashed.wait()
-            await asyncio.sleep(0.1)
-            leader = await fleet.wait_for_leader()
-            await fleet.kill(leader.options.name)
+    play(context, entries, partial(kill_leaders, kills=kills, delay_s=0.1))
 
-    play(context, entries, kill)
+
+@when(
+    "they are submitted to {entries:d} entries with 8 endpoints, and {kills:d} leaders"
+    " are killed {seconds:g} s after crashes"
+)
+def step_leaders_killed_later(context, entries, kills, seconds):
+    play(context, entries, partial(kill_leaders, kills=kills, delay_s=seconds))
 
 
 @when(
@@ -192,6 +221,30 @@
     play(context, entries, crash)
 
 
+@when(
+    "they are submitted to {entries:d} entries with 8 endpoints, and racks of {size:d}"
+    " crash {how} in turn, {seconds:g} s apart, with seed {seed:d}"
+)
+def step_racks_crash(context, entries, size, how, seconds, seed):
+    chance = random.Random(seed)
+    racks = [ENDPOINTS[at : at + size] for at in range(0, len(ENDPOINTS), size)]
+
+    async def crash(fleet, crasher):
+        crashing = []
+        for rack in racks:
+            for name in rack:
+                fleet.endpoints.by_name[name].rack = rack[0]
+        for rack in itertools.islice(itertools.cycle(racks), RACK_OUTAGES):
+            await asyncio.sleep(seconds * chance.uniform(0.95, 1.05))
+            crashing += [
+                asyncio.create_task(fleet.endpoints.by_name[name].crash(how))
+                for name in rack
+            ]
+        await asyncio.gather(*crashing)
+
+    play(context, entries, crash)
+
+
 @then("no such task is started 3 times more after 3 crashes")
 def step_starts(context):
     assert all(context.starts.values()), context.starts
@@ -227,7 +280,7 @@
 
 @given('"a" lists the run with 100 percent after a crash of another endpoint')
 def step_nearly_done(context):
-    context.job.note_crash(TASK, 1, WEAK, NOW)
+    context.job.note_crash(TASK, 1, WEAK)
     listed = [ListedRun(TASK, context.run.number, "", 100, 0)]
     poll_endpoint(context.engine, "a", NOW + 1, listed)
 
@@ -274,6 +327,30 @@
         crashes.note_crash(context.engine, context.engine.endpoints[name], NOW + 0.02)
 
 
+@given(
+    '"c", "d" and "e" of another pool have crashed {how}, {age:g} s after a start of'
+    " another task"
+)
+def step_others_crashed_before(context, how, age):
+    engine = context.engine
+    for number, name in enumerate("cde"):
+        crashed_at = NOW - 3.0 + (0.0 if how == "at once" else number / 2)
+        endpoint = engine.endpoints[name]
+        registration = endpoint.registration._replace(pool="another")
+        if how == "at once":
+            registration = registration._replace(rack="another")
+        endpoint.registration = registration
+        poll_endpoint(engine, name, crashed_at - 0.02)
+        task = TASK._replace(job=name_job(number))
+        started_at = crashed_at - age
+        run = Run(task, number, endpoint, Step(1, NEED, 1.0), NEED, "", started_at)
+        run.is_start_confirmed = True
+        endpoint.add_run(run)
+        engine.note_failing(endpoint, "closed", crashed_at + 0.02)
+    for name in "cde":
+        crashes.note_crash(engine, engine.endpoints[name], NOW - 1.0)
+
+
 @given('a leader with an endpoint "a" that it has known for {seconds:g} s')
 def step_known_for(context, seconds):
     context.engine = make_engine(names=("a",))
@@ -291,7 +368,7 @@
 @when("a task that was in a crash is planned")
 def step_plan_after_crash(context):
     job = submit(context.engine, JOB, (Step(1, NEED, 1.0),), NOW)
-    job.note_crash(TASK, 1, NEW_ENDPOINT, NOW)
+    job.note_crash(TASK, 1, NEW_ENDPOINT)
     context.orders = planning.plan_starts(context.engine, NOW)
 
 
@@ -300,6 +377,127 @@
     assert len(context.orders) == count, context.orders
 
 
+@given(
+    '{count:d} endpoints of {place} stopped responding {seconds:g} s before "a" does'
+)
+def step_others_silent(context, count, place, seconds):
+    engine = context.engine
+    rack = engine.endpoints["a"].registration.rack
+    for name in "bcd"[:count]:
+        endpoint = engine.endpoints[name]
+        poll_endpoint(engine, name, NOW - seconds)
+        engine.note_failing(endpoint, "no answer", NOW + 0.02 - seconds)
+        changes = {"pool": "another"}
+        if place.startswith("its rack"):
+            changes["rack"] = rack
+        endpoint.registration = endpoint.registration._replace(**changes)
+
+
+@given(
+    "the task was lost at an earlier start, and was the only suspect of another crash"
+)
+def step_suspected(context):
+    context.job.note_crash(TASK, 0, AT_START)
+    context.job.note_crash(TASK, 1, SOLE_SUSPECT)
+
+
+@when(
+    '"a" crashes, and {others} of its rack is known 0.6 s later to have crashed with it'
+)
+def step_known_later(context, others):
+    engine = context.engine
+    crashes.note_crash(engine, engine.endpoints["a"], NOW + 0.03)
+    engine.drop_runs(engine.endpoints["a"], "crashed")
+    if others == '"b"':
+        other = engine.endpoints["b"]
+        poll_endpoint(engine, "b", NOW)
+        rack = engine.endpoints["a"].registration.rack
+        other.registration = other.registration._replace(rack=rack)
+        engine.note_failing(other, "closed", NOW + 0.02)
+        crashes.note_crash(engine, other, NOW + 0.63)
+
+
+@then('the state of the job is "{state}" {seconds:g} s after the crash')
+def step_state_after_crash(context, state, seconds):
+    engine = context.engine
+    for tenth in range(int(seconds * 10) + 1):
+        planning.plan_starts(engine, NOW + 0.03 + tenth / 10)
+    assert context.job.state == state, (context.job.state, context.job.crashes)
+
+
+@given("{count:d} tasks, each lost once at its start, and {more:d} lost twice")
+def step_lost_at_start(context, count, more):
+    context.lost = [({1: AT_START}, number) for number in range(count)]
+    context.lost += [({1: AT_START, 2: AT_START}, number) for number in range(more)]
+
+
+@when("the delays of their next starts are chosen")
+def step_choose_delays(context):
+    context.delays = {1: [], 2: []}
+    for rows, number in context.lost:
+        run = LostRun(TASK._replace(index=number), len(rows), NOW, False)
+        context.delays[len(rows)].append(choose_start_delay(rows, run))
+
+
+@then("the delays of those lost {often} are spread evenly up to {seconds:g} s")
+def step_delays_spread(context, often, seconds):
+    delays = context.delays[1 if often == "once" else 2]
+    tenths = Counter(int(delay / seconds * 10) for delay in delays)
+    assert set(tenths) == set(range(10)), tenths
+    assert max(tenths.values()) < 2 * len(delays) / 10, tenths
+
+
+@given('a leader with endpoints "a" to "e"')
+def step_five_endpoints(context):
+    context.engine = make_engine(names=ENDPOINTS[:5])
+
+
+@given(
+    "a task that has been running for {seconds:g} s at each endpoint at which another"
+    " one starts"
+)
+def step_runs_beside(context, seconds):
+    context.runs_for = seconds
+
+
+def crash_in_turn(context, has_other_start):
+    """Return the state of a job whose task is lost at each endpoint."""
+    engine, at = make_engine(names=ENDPOINTS[:5]), NOW
+    job = submit(engine, JOB, (Step(1, NEED, 3.0),), NOW)
+    for number, name in enumerate(ENDPOINTS[:5]):
+        at += context.interval_s
+        endpoint = engine.endpoints[name]
+        poll_endpoint(engine, name, at - 0.01)
+        starts = [(TASK, at - context.runs_for)]
+        if has_other_start:
+            starts.append((TASK._replace(job=name_job(number)), at - 0.02))
+        for task, started_at in starts:
+            step = Step(1, NEED, 3.0)
+            run = Run(task, number, endpoint, step, NEED, "", started_at)
+            run.is_start_confirmed = True
+            endpoint.add_run(run)
+        crashes.note_crash(engine, endpoint, at)
+        endpoint.runs.clear()
+    planning.plan_starts(engine, at + 5.0)
+    return job.state
+
+
+@when("the endpoints crash in turn every {seconds:g} s, just after the starts")
+def step_crash_in_turn(context, seconds):
+    context.interval_s = seconds
+    context.state = crash_in_turn(context, has_other_start=True)
+
+
+@then("the task is not given up")
+def step_not_given_up(context):
+    assert context.state != "failed", context.state
+
+
+@then("it is given up if the endpoints crash as often without another start")
+def step_given_up_alone(context):
+    assert crash_in_turn(context, has_other_start=False) == "failed"
+
+
 @given('"a" has started 0.3 s before')
 def step_started_before(context):
     endpoint = context.engine.endpoints["a"]
@@ -318,6 +516,18 @@
         engine.note_registrations(rows, NOW + seconds + 0.01)
 
 
+@when('"a" becomes silent just after the start, and {what}')
+def step_stops_responding(context, what):
+    engine = context.engine
+    endpoint = engine.endpoints["a"]
+    engine.note_failing(endpoint, "closed", NOW + 0.03)
+    if what == "it responds again":
+        poll_endpoint(engine, "a", NOW + 0.5)
+    elif what == "its end is announced":
+        endpoint.evicting = True
+        crashes.note_crash(engine, endpoint, NOW + 0.5)
+
+
 @when('"a" crashes')
 def step_crashes(context):
     engine = context.engine
@@ -360,7 +570,7 @@
     for number in range(jobs):
         job = submit(context.engine, name_job(number), (Step(1, NEED, 0.2),), NOW)
         for run in (1, 2):
-            job.note_crash(TaskId(job.job_id, 0, 0, 0), run, WEAK, NOW)
+            job.note_crash(TaskId(job.job_id, 0, 0, 0), run, WEAK)
 
 
 @when("a further job is submitted, and each run takes {seconds:g} s")
--- a/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
@@ -6,9 +6,9 @@
 
 from briarshed.charts import advance, load_chart
 from briarshed_workloads.configuration import QueueRules
-from briarshed_workloads.crashes import (
+from briarshed_workloads.evidence import (
     MAX_ISOLATION_WAIT_S,
-    is_given_up,
+    UNPROVED,
     is_strongly_suspected,
     is_suspected,
 )
@@ -72,6 +72,7 @@
         "ended_at",
         "failed_endpoints",
         "failed_runs",
+        "held_until",
         "is_restored",
         "is_within_share",
         "job_id",
@@ -117,6 +118,7 @@
         self.failed_runs: dict[TaskId, set[int]] = {}
         self.crashes: dict[TaskId, dict[int, int]] = {}
         self.suspected_at: dict[TaskId, float] = {}
+        self.held_until: dict[TaskId, float] = {}
         self.checkpoints: dict[TaskId, str] = {}
         self.waiting: dict[TaskId, None] = {}
         self.opened_steps: set[tuple[int, int]] = set()
@@ -325,6 +327,7 @@
             self.crashes,
             self.failed_endpoints,
             self.failed_runs,
+            self.held_until,
             self.suspected_at,
             self.waiting,
         ):
@@ -354,27 +357,41 @@
             runs |= self.failed_runs.get(task._replace(index=index), set())
         return len(runs) >= self.max_attempts
 
-    def note_crash(
-        self, task: TaskId, run: int, evidence: int, unix_now: float
-    ) -> bool:
+    def note_crash(self, task: TaskId, run: int, evidence: int) -> None:
         """Record that the endpoint of a run has crashed.
 
         Parameters
         ----------
         evidence : int
-            Evidence against the run, see `briarshed_workloads.crashes`.
-
-        Returns
-        -------
-        bool
-            Whether the task is given up and the job fails because of it.
+            Evidence against the run, see `briarshed_workloads.evidence`.
         """
         self.crashes.setdefault(task, {})[run] = evidence
         self.suspected_at.pop(task, None)
-        if self.is_open and is_given_up(self.crashes[task]):
-            self._finish("fail", unix_now)
-            return True
-        return False
+
+    def withdraw_crash(self, task: TaskId, run: int) -> bool:
+        """Remove the evidence of a crash that is not proved; return whether it was."""
+        evidence = self.crashes.get(task, {})
+        if evidence.get(run) != UNPROVED:
+            return False
+        del evidence[run]
+        if not evidence:
+            del self.crashes[task]
+        return True
+
+    def give_up(self, unix_now: float) -> None:
+        """Fail the job, one of whose tasks crashes the endpoints that start it."""
+        self._finish("fail", unix_now)
+
+    def is_held(self, task: TaskId, now: float) -> bool:
+        """Return whether a waiting task, or a member of its gang, may not start yet."""
+        if not self.held_until:
+            return False
+        step = self.find_step(task)
+        indices = range(step.count) if step.gang else (task.index,)
+        return any(
+            now < self.held_until.get(task._replace(index=index), 0.0)
+            for index in indices
+        )
 
     def must_isolate(self, task: TaskId, now: float) -> bool:
         """Return whether a waiting task should start in isolation now.
--- a/packages/briarshed-workloads/src/briarshed_workloads/planning.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/planning.py
@@ -8,12 +8,13 @@
 from typing import NamedTuple
 
 from briarshed_workloads.crashes import (
-    ISOLATION_S,
-    SUSPICION_WINDOW_S,
+    give_up_tasks,
     has_crashed_recently,
     is_new,
+    settle_evidence,
 )
 from briarshed_workloads.engine import Engine
+from briarshed_workloads.evidence import ISOLATION_S, SUSPICION_WINDOW_S
 from briarshed_workloads.fleet import Endpoint, Isolation, Run, StartOrder, is_within
 from briarshed_workloads.jobs import Job, find_need, find_objective
 from briarshed_workloads.outliers import find_slow, project_ratio
@@ -60,6 +61,7 @@
     """
     orders: list[StartOrder] = []
     engine.usage.unknown = measure_unknown_usage(engine, now)
+    settle_evidence(engine, now)
     for pool in list(engine.open_jobs):
         try:
             _plan_pool(engine, pool, now, orders)
@@ -73,6 +75,10 @@
     jobs = [job for job in engine.list_open(pool).values() if job.waiting]
     if may_have_earlier_runs(engine, pool, now):
         jobs = [job for job in jobs if not job.is_restored]
+    for job in jobs:
+        if job.crashes:
+            give_up_tasks(engine, job, now)
+    jobs = [job for job in jobs if job.is_open]
     if not jobs:
         return
     _start_suspects(engine, pool, jobs, now, orders)
@@ -109,7 +115,8 @@
             for job in engine.list_open(pool).values()
             if any(step.speculative for step in job.description.steps)
             for runs in _list_single_runs(engine, job)
-            if not job.crashes.get(runs[0].task) and is_overdue(engine, runs[0], now)
+            if not job.crashes.get(runs[0].task, {}).keys() - {runs[0].number}
+            and is_overdue(engine, runs[0], now)
         ]
         if not overdue:
             continue
@@ -337,7 +344,7 @@
             # An earlier leader started it before this one knew that its step is ready.
             job.waiting.pop(task)
             continue
-        if job.must_isolate(task, now):
+        if job.is_held(task, now) or job.must_isolate(task, now):
             continue
         step = job.find_step(task)
         need = find_need(step)
@@ -369,7 +376,9 @@
         for job in jobs
         if job.crashes
         for task in job.waiting
-        if job.must_isolate(task, now) and not engine.runs.get(task)
+        if job.must_isolate(task, now)
+        and not job.is_held(task, now)
+        and not engine.runs.get(task)
     ]
     if not suspects:
         return
