Count no crash of an endpoint that was certainly lost with its rack

Cause: its task never got through in 30 s, and its last five starts came 0.05 to 0.16 s before the loss of the rack: the pools were full, so that only racks that had just come back had capacity, and the delay of a start did not decide when it came. Each of the five was known to have come with the rack's others.

Change: where the outages of two endpoints of a rack are both known to within 0.3 s and overlap, the crash is `UNRELATED`: it neither counts nor interrupts a row. Where they are vague (silent endpoints) it counts as before, so that a harmful task is not excused by a neighbour that has been silent for long.

Ruled out: no evidence for any crash that came with others: a harmful task beside a rack that crashes silently would start without a limit.

Shown by: crashing_tasks.feature, "A task that is always lost with its rack is not given up", and one row of "A crash together with others speaks against no task in particular", which expected "a crash at its start" since.

--- a/features/workloads/crashing_tasks.feature
+++ b/features/workloads/crashing_tasks.feature
@@ -159,16 +159,25 @@
     # other pools (LOST, review/5 with real processes: up to 6 jobs a play): each endpoint
     # was weighed by itself, although a task crashes only the one that starts it.
     Given a leader with endpoints "a" to "e" and a task that has just started at "a"
-    And <count> endpoints of <place> stopped responding <seconds> s before "a" does
+    And <count> endpoints of <place> stopped responding <seconds> s before "a" does, within <span> s
     When "a" crashes
     Then the evidence against the task is "<evidence>"
 
     Examples:
-      | count | place                          | seconds | evidence               |
-      | 1     | its rack and another pool      | 0.02    | a crash at its start   |
-      | 1     | its rack and another pool      | 0.5     | the only one suspected |
-      | 1     | another rack                   | 0.02    | the only one suspected |
-      | 3     | three other racks              | 0.02    | a crash at its start   |
+      | count | place                     | seconds | span | evidence               |
+      | 1     | its rack and another pool | 0.02    | 0.02 | unrelated              |
+      | 1     | its rack and another pool | 0.02    | 0.6  | a crash at its start   |
+      | 1     | its rack and another pool | 0.5     | 0.02 | the only one suspected |
+      | 1     | another rack              | 0.02    | 0.02 | the only one suspected |
+      | 3     | three other racks         | 0.02    | 0.02 | a crash at its start   |
+
+  Scenario: A task that is always lost with its rack is not given up
+    # Guards against a sound job that fails because its task never gets through (LOST, three
+    # pools with real processes, racks killed in turn each 0.8 s, seed 62): it started five
+    # times just before its rack was lost, since only a rack that is back has capacity.
+    Given a task that was lost 12 times just after its start together with its rack
+    Then the task is not suspected
+    And it is given up if 5 other crashes in a row followed its start
 
   Scenario Outline: A task is given up once what came with its last crash is known
     # Guards against sound jobs that fail by the first proof of several (LOST, review/5):
--- a/features/workloads/steps/crashing_task_steps.py
+++ b/features/workloads/steps/crashing_task_steps.py
@@ -27,9 +27,12 @@
     AT_START,
     NEW_ENDPOINT,
     SOLE_SUSPECT,
+    UNRELATED,
     WEAK,
     LostRun,
     choose_start_delay,
+    is_given_up,
+    is_suspected,
 )
 from briarshed_workloads.fleet import Run
 from briarshed_workloads.workloads import ListedRun, Step, TaskId
@@ -378,15 +381,17 @@
 
 
 @given(
-    '{count:d} endpoints of {place} stopped responding {seconds:g} s before "a" does'
+    '{count:d} endpoints of {place} stopped responding {seconds:g} s before "a" does,'
+    " within {span:g} s"
 )
-def step_others_silent(context, count, place, seconds):
+def step_others_silent(context, count, place, seconds, span):
     engine = context.engine
     rack = engine.endpoints["a"].registration.rack
     for name in "bcd"[:count]:
         endpoint = engine.endpoints[name]
-        poll_endpoint(engine, name, NOW - seconds)
-        engine.note_failing(endpoint, "no answer", NOW + 0.02 - seconds)
+        silent_at = NOW + 0.02 - seconds
+        poll_endpoint(engine, name, silent_at - span)
+        engine.note_failing(endpoint, "no answer", silent_at)
         changes = {"pool": "another"}
         if place.startswith("its rack"):
             changes["rack"] = rack
@@ -425,6 +430,29 @@
     assert context.job.state == state, (context.job.state, context.job.crashes)
 
 
+@given(
+    "a task that was lost {count:d} times just after its start together with its rack"
+)
+def step_lost_with_rack(context, count):
+    context.rows = dict.fromkeys(range(count), UNRELATED)
+
+
+@then("the task is not suspected")
+def step_not_suspected(context):
+    assert not is_suspected(context.rows)
+    assert not is_given_up(context.rows)
+
+
+@then("it is given up if {count:d} other crashes in a row followed its start")
+def step_given_up_after(context, count):
+    rows = context.rows
+    for number in range(count):
+        assert not is_given_up(rows), rows
+        rows[100 + number] = AT_START
+        rows[200 + number] = UNRELATED
+    assert is_given_up(rows), rows
+
+
 @given("{count:d} tasks, each lost once at its start, and {more:d} lost twice")
 def step_lost_at_start(context, count, more):
     context.lost = [({1: AT_START}, number) for number in range(count)]
@@ -555,6 +583,7 @@
         "none": NEW_ENDPOINT,
         "a crash at its start": AT_START,
         "the only one suspected": SOLE_SUSPECT,
+        "unrelated": UNRELATED,
     }
     assert list(context.job.crashes[TASK].values()) == [weights[evidence]]
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/crashes.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/crashes.py
@@ -7,8 +7,7 @@
 
 from briarshed_workloads.evidence import (
     AT_START,
-    NEW_ENDPOINT,
-    NONE,
+    NO_EVIDENCE,
     RECENT_CRASH_S,
     SETTLE_S,
     SOLE_SUSPECT,
@@ -21,6 +20,7 @@
     choose_start_delay,
     has_followed_start,
     is_given_up,
+    is_rack_lost,
     is_shared,
     is_unusual,
     weigh_runs,
@@ -64,7 +64,7 @@
         endpoint=endpoint.name,
         runs=len(endpoint.runs) + len(endpoint.lost_runs),
         is_shared=crash.is_shared,
-        weighed=sum(weight not in (NONE, NEW_ENDPOINT) for _, weight in evidence),
+        weighed=sum(weight not in NO_EVIDENCE for _, weight in evidence),
         suspects=[f"{run.task.job} {list(run.task[1:])}" for run in suspects],
     )
     endpoint.lost_runs.clear()
@@ -92,12 +92,14 @@
 
 def _make_crash(engine: Engine, endpoint: Endpoint, now: float) -> Crash:
     outage = _find_outage(endpoint, now)
+    others = _list_outages(engine, now)
     return Crash(
         outage=outage,
         noted_at=now,
         runs=tuple(_list_runs_at_work(endpoint)),
         is_new=is_new(engine, endpoint, outage.time.earliest),
-        is_shared=is_shared(outage, _list_outages(engine, now)),
+        is_shared=is_shared(outage, others),
+        is_rack_lost=is_rack_lost(outage, others),
     )
 
 
@@ -151,8 +153,12 @@
             return
         if now - crash.noted_at < SETTLE_S:
             continue
-        is_now_shared = is_shared(crash.outage, _list_outages(engine, now))
-        settled = crash._replace(is_shared=is_now_shared, is_settled=True)
+        others = _list_outages(engine, now)
+        settled = crash._replace(
+            is_shared=is_shared(crash.outage, others),
+            is_rack_lost=is_rack_lost(crash.outage, others),
+            is_settled=True,
+        )
         engine.crashes[index] = settled
         for run, weight in _weigh(engine, settled):
             job = _find_open_job(engine, run.task)
--- a/packages/briarshed-workloads/src/briarshed_workloads/evidence.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/evidence.py
@@ -16,9 +16,8 @@
 
 from briarshed_workloads.workloads import TaskId
 
-WEAK, SUSPECT, SOLE_SUSPECT, AT_START, NONE, NEW_ENDPOINT, BESIDE_SUSPECT, UNPROVED = (
-    range(8)
-)
+WEAK, SUSPECT, SOLE_SUSPECT, AT_START = range(4)
+NONE, NEW_ENDPOINT, BESIDE_SUSPECT, UNPROVED, UNRELATED = range(4, 9)
 """Evidence of a crash against a run: it had been running for a while, it had just
 started, or nothing else had just started. Where crashes are usual, or others have
 crashed at the same time, there is none, unless the crash has certainly followed the
@@ -26,8 +25,11 @@
 any case. ``BESIDE_SUSPECT`` is weak evidence of a crash just after another start.
 ``UNPROVED`` is noted when an endpoint stops responding just after a start: the proof of
 a crash may come after a change of the leader, and the next one does not know what was
-started there. It counts like ``AT_START`` until it is proved or withdrawn."""
+started there. It counts like ``AT_START`` until it is proved or withdrawn.
+``UNRELATED`` is the crash of an endpoint that was certainly lost with its rack: it
+speaks neither against the task nor for it."""
 
+NO_EVIDENCE = (NONE, NEW_ENDPOINT, UNRELATED)
 _EQUIVALENTS = {BESIDE_SUSPECT: WEAK, UNPROVED: AT_START}
 
 SUSPICION_WINDOW_S = 0.1
@@ -95,6 +97,11 @@
 """Uncertainty of the time of an outage above which it may have been at any time: a poll
 takes up to 1.7 s."""
 
+MAX_CERTAIN_SPAN_S = 0.3
+"""Uncertainty of the times of two outages of a rack up to which they certainly have one
+cause. That of an endpoint whose connections are closed is lower, and that of one which
+becomes silent is higher."""
+
 RECENT_CRASH_S = 10.0
 """Time for which an instance that has crashed is the last choice for a suspected task:
 a further crash there may be the fault of the instance."""
@@ -122,6 +129,11 @@
     earliest: float
     latest: float
 
+    @property
+    def span(self) -> float:
+        """Uncertainty in seconds."""
+        return self.latest - self.earliest
+
 
 class Outage(NamedTuple):
     """Time at which an endpoint on an instance stopped responding.
@@ -138,9 +150,10 @@
     """Crash of an endpoint, and the runs that were at work there.
 
     ``noted_at`` is in seconds of the boot clock. ``is_new`` is set if the process had
-    just started itself, and ``is_shared`` if other endpoints stopped responding at the
-    same time. The evidence ``is_settled`` once all that came with the crash is known,
-    and ``is_culprit_known`` if one of the tasks has been given up.
+    just started itself, ``is_shared`` if other endpoints stopped responding at the same
+    time, and ``is_rack_lost`` if some of its rack certainly did. The evidence
+    ``is_settled`` once all that came with the crash is known, and ``is_culprit_known``
+    is set if one of the tasks has been given up.
     """
 
     outage: Outage
@@ -148,6 +161,7 @@
     runs: tuple[LostRun, ...]
     is_new: bool
     is_shared: bool
+    is_rack_lost: bool = False
     is_settled: bool = False
     is_culprit_known: bool = False
 
@@ -214,9 +228,9 @@
 
 def _list_since_survival(crashes: Mapping[int, int]) -> list[int]:
     """Return the latest evidence, after the last start that an endpoint survived."""
+    related = [weight for weight in crashes.values() if weight != UNRELATED]
     latest = itertools.takewhile(
-        lambda weight: weight not in (WEAK, BESIDE_SUSPECT, NONE),
-        reversed(crashes.values()),
+        lambda weight: weight not in (WEAK, BESIDE_SUSPECT, NONE), reversed(related)
     )
     return [_EQUIVALENTS.get(weight, weight) for weight in latest]
 
@@ -225,7 +239,7 @@
     return [
         _EQUIVALENTS.get(weight, weight)
         for weight in crashes.values()
-        if weight not in (NONE, NEW_ENDPOINT)
+        if weight not in NO_EVIDENCE
     ]
 
 
@@ -244,6 +258,8 @@
     for run in crash.runs:
         if crash.is_new:
             yield run, NEW_ENDPOINT
+        elif crash.is_rack_lost:
+            yield run, UNRELATED
         elif crash.is_shared or not is_unusual(run.task):
             yield run, AT_START if has_followed_start(run, time) else NONE
         elif run in suspects:
@@ -286,9 +302,20 @@
     return outage.rack in at_once.values() or len(at_once) >= MAX_OUTAGES_ELSEWHERE
 
 
+def is_rack_lost(outage: Outage, others: Collection[Outage]) -> bool:
+    """Return whether another endpoint of the rack was certainly lost with this one."""
+    return outage.time.span <= MAX_CERTAIN_SPAN_S and any(
+        row.rack == outage.rack
+        and row.instance != outage.instance
+        and row.time.span <= MAX_CERTAIN_SPAN_S
+        and _is_at_once(row.time, outage.time)
+        for row in others
+    )
+
+
 def _is_at_once(other: CrashTime, time: CrashTime) -> bool:
     return (
-        other.latest - other.earliest <= MAX_OUTAGE_SPAN_S
+        other.span <= MAX_OUTAGE_SPAN_S
         and other.earliest - TIMING_TOLERANCE_S <= time.latest
         and time.earliest - TIMING_TOLERANCE_S <= other.latest
     )
