--- a/features/workloads/contract_endpoints.py
+++ b/features/workloads/contract_endpoints.py
@@ -54,6 +54,7 @@
 
     def __init__(self, name, capacity, measure_task, rate=1.0):
         self.name = name
+        self.rack = name
         self.capacity = capacity
         self.rate = rate
         self.records = []
