Request a write for new evidence only

Cause: since each plan requested a write while any job was unsaved, also after a write that failed.

Change: a plan or a silent endpoint requests one for jobs that it has changed.

--- a/packages/briarshed-workloads/src/briarshed_workloads/controller.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/controller.py
@@ -400,6 +400,7 @@
         engine = self.engine
         started_at = time.perf_counter()
         unix_now = engine.to_unix_time(now)
+        unsaved = set(engine.unsaved_jobs)
         engine.drop_expired_runs(now)
         for jobs in engine.open_jobs.values():
             for job in jobs.values():
@@ -418,7 +419,7 @@
                 for order in plan(engine, now):
                     self.spawn(self._start(order), "start")
                     self.poller.wake(order.run.endpoint.name)
-        if engine.unsaved_jobs:
+        if engine.unsaved_jobs.keys() - unsaved:
             self.persistence.request_save()
         telemetry.observe_seconds("plan", time.perf_counter() - started_at)
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/polling.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/polling.py
@@ -311,8 +311,9 @@
         either, it counts as gone.
         """
         now = clock.now()
+        unsaved = set(self._engine.unsaved_jobs)
         self._engine.note_failing(endpoint, reason, now, alive_until)
-        if self._engine.unsaved_jobs:
+        if self._engine.unsaved_jobs.keys() - unsaved:
             self._request_save()
         self.wake(endpoint.name)
         self._spawn(
