Count losses with the rack where other crashes follow the starts as well

Change: a loss with the rack just after a start counts towards the row of five if three of it came without the rack; one later than that interrupts the row, as before.

Shown by: crashing_tasks.feature, "A task that is always lost with its rack is not given up".

--- a/features/workloads/crashing_tasks.feature
+++ b/features/workloads/crashing_tasks.feature
@@ -177,7 +177,7 @@
     # times just before its rack was lost, since only a rack that is back has capacity.
     Given a task that was lost 12 times just after its start together with its rack
     Then the task is not suspected
-    And it is given up if 5 other crashes in a row followed its start
+    And it is given up once 3 other crashes in a row followed its start
 
   Scenario Outline: A task is given up once what came with its last crash is known
     # Guards against sound jobs that fail by the first proof of several (LOST, review/5):
--- a/features/workloads/steps/crashing_task_steps.py
+++ b/features/workloads/steps/crashing_task_steps.py
@@ -443,7 +443,7 @@
     assert not is_given_up(context.rows)
 
 
-@then("it is given up if {count:d} other crashes in a row followed its start")
+@then("it is given up once {count:d} other crashes in a row followed its start")
 def step_given_up_after(context, count):
     rows = context.rows
     for number in range(count):
--- a/packages/briarshed-workloads/src/briarshed_workloads/evidence.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/evidence.py
@@ -26,8 +26,8 @@
 ``UNPROVED`` is noted when an endpoint stops responding just after a start: the proof of
 a crash may come after a change of the leader, and the next one does not know what was
 started there. It counts like ``AT_START`` until it is proved or withdrawn.
-``UNRELATED`` is the crash of an endpoint that was certainly lost with its rack: it
-speaks neither against the task nor for it."""
+``UNRELATED`` is a crash just after a start of an endpoint that was certainly lost with
+its rack."""
 
 NO_EVIDENCE = (NONE, NEW_ENDPOINT, UNRELATED)
 _EQUIVALENTS = {BESIDE_SUSPECT: WEAK, UNPROVED: AT_START}
@@ -57,9 +57,10 @@
 other start must explain: where many tasks crash endpoints, their neighbours are in as
 many crashes. Each further start would cost an endpoint and all that runs there."""
 
-MAX_START_CRASHES = 5
+MAX_START_CRASHES, MIN_RELATED_CRASHES = 5, 3
 """Crashes in a row after which a task is given up, however often endpoints crash, if
-each has followed its start. A start that an endpoint survives interrupts the row."""
+each has followed its start, and how many of them must have come without the rack. A
+start that an endpoint survives interrupts the row."""
 
 MIN_USUAL_CRASHES, USUAL_CRASH_SHARE = 3, 0.05
 """Instances, and share of all endpoints, that have crashed recently without a known
@@ -223,14 +224,17 @@
     if SOLE_SUSPECT in suspicions and score >= MIN_SCORE:
         return True
     new = latest.count(NEW_ENDPOINT)
-    return len(latest) - new + min(new, 1) >= MAX_START_CRASHES
+    return (
+        len(latest) - new + min(new, 1) >= MAX_START_CRASHES
+        and len(latest) - latest.count(UNRELATED) >= MIN_RELATED_CRASHES
+    )
 
 
 def _list_since_survival(crashes: Mapping[int, int]) -> list[int]:
     """Return the latest evidence, after the last start that an endpoint survived."""
-    related = [weight for weight in crashes.values() if weight != UNRELATED]
     latest = itertools.takewhile(
-        lambda weight: weight not in (WEAK, BESIDE_SUSPECT, NONE), reversed(related)
+        lambda weight: weight not in (WEAK, BESIDE_SUSPECT, NONE),
+        reversed(crashes.values()),
     )
     return [_EQUIVALENTS.get(weight, weight) for weight in latest]
 
@@ -259,7 +263,7 @@
         if crash.is_new:
             yield run, NEW_ENDPOINT
         elif crash.is_rack_lost:
-            yield run, UNRELATED
+            yield run, UNRELATED if has_followed_start(run, time) else NONE
         elif crash.is_shared or not is_unusual(run.task):
             yield run, AT_START if has_followed_start(run, time) else NONE
         elif run in suspects:
