--- /dev/null
+++ b/review/rig/__init__.py
@@ -0,0 +1,1 @@
+"""Small deployment for the scripts of a review: entries, workers, store and callers."""
--- /dev/null
+++ b/review/rig/deployment.py
@@ -0,0 +1,448 @@
+"""A small deployment: entry processes, workers, the store, machines and callers."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import contextlib
+import itertools
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import AsyncExitStack
+from pathlib import Path
+from typing import Any, Self
+
+import aiohttp
+from briarshed_platform_standins._server import Faults, Response, Standin
+from briarshed_platform_standins.store import StoreStandin
+
+from rig.worker import Capacity, Worker
+
+ROOT = Path(__file__).resolve().parents[3]
+"""Root of the repository: this module runs from ``target/review-2/rig``."""
+
+HEARTBEAT_S = 1.5
+SILENCE_S = 3 * HEARTBEAT_S
+STORE_DELAY_S = 0.004
+HOST = "h.example"
+CALL_TIMEOUT_S = 4.0
+PORTS_PER_ENTRY = 20
+HELD, BROKEN, NOT_RUN = 0, 1, 2
+
+SETTINGS = """\
+node-name = "{name}"
+role = "entry"
+machine-class = "edge"
+serves = ["edge"]
+ip = "127.0.0.1"
+zone = "{zone}"
+region = "r1"
+internal-ports = [{port}, {last_port}]
+seeds = []
+bootstrap = {bootstrap}
+discovery = "platform"
+entry = "virtual_ip"
+heartbeat-ms = 1500
+contracts = ["base", "drain", "config", "cost", "recover", "sched", "tenants", "quota",
+    "platform", "advice", "upkeep", "sharing"]
+orders = "invocation"
+[zones]
+z1 = "r1"
+z2 = "r1"
+[listen-addrs]
+front = "127.0.0.1:{front}"
+ready = "127.0.0.1:{ready}"
+[limits]
+cpu-share = 0.537
+cores = 2
+memory-mb = 300
+max-fds = 4100
+link-mbps = 1000.0
+disk-mb = 0
+[fault-tolerance]
+machines = 1
+zones = 1
+regions = 0
+[bounds]
+contact-ms = 3000
+ack-ms = 4000
+drain-ms = 2000
+grace-s = 6
+config-apply-ms = 2000
+max-hold-ms = 6000
+stop-grace-ms = 200
+gang-wait-ms = 3000
+cancel_ms = 3000
+visible_ms = 3000
+finish_s = 14
+status_s = 120
+notice-ms = 4500
+migrate-s = 1.5
+maintenance-s = 2
+enforce-fencing = true
+lease-ms = 3000
+[platform]
+address = "{store}"
+form = "kv"
+writes-per-s = 400
+reads-per-s = 2000
+retention-s = 20
+value-bytes = 1048576
+min-ttl-ms = 1000
+[cloud-api]
+address = "{machines}"
+rate-per-s = 64.0
+duty-per-s = 64.0
+"""
+
+
+class MachineList(Standin):
+    """Stand-in for the platform's list of machines; no machine moves here."""
+
+    def __init__(self, workers: Callable[[], list[Worker]]) -> None:
+        super().__init__()
+        self._workers = workers
+
+    async def respond(
+        self, method: str, path: str, query: dict[str, str], body: dict, headers: Any
+    ) -> Response:
+        """Return the response to one request."""
+        if path != "/api/machines":
+            return Response(409, {"reason": "busy"})
+        rows = [
+            {
+                "machine": worker.machine,
+                "pool": worker.backend,
+                "state": "up" if worker.is_up else "down",
+                "zone": "z1",
+                "labels": ["a", worker.rack],
+                "capacity": {
+                    "cpu": worker.capacity.cpu,
+                    "mem-mb": worker.capacity.mem_mb,
+                    "gpus": 0,
+                },
+                "id": worker.name,
+            }
+            for worker in self._workers()
+        ]
+        return Response(200, {"machines": rows, "next-token": None})
+
+
+class EntryProcess:
+    """An entry process, started with the command of the deploy file."""
+
+    def __init__(self, name: str, zone: str, folder: Path) -> None:
+        self.name = name
+        self.zone = zone
+        self.port = _find_ports()
+        self.front = f"127.0.0.1:{self.port + 10}"
+        self.is_bootstrap = True
+        self._folder = folder
+        self._process: subprocess.Popen[bytes] | None = None
+
+    def start(self, store: str, machines: str) -> None:
+        """Write the settings and start the process."""
+        path = self._folder / f"{self.name}.toml"
+        path.write_text(
+            SETTINGS.format(
+                name=self.name,
+                zone=self.zone,
+                port=self.port,
+                last_port=self.port + 9,
+                front=self.port + 10,
+                ready=self.port + 11,
+                bootstrap=str(self.is_bootstrap).lower(),
+                store=store,
+                machines=machines,
+            )
+        )
+        environment = {
+            "BRIARSHED_SETTINGS": str(path),
+            "PYTHONPATH": str(ROOT / "target" / "deps"),
+            "PATH": os.environ.get("PATH", ""),
+            "HOME": os.environ.get("HOME", ""),
+            "LANG": os.environ.get("LANG", ""),
+        }
+        with (self._folder / f"{self.name}.log").open("ab") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", "briarshed_platform", "entry"],
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process runs."""
+        return self._process is not None and self._process.poll() is None
+
+    def signal(self, number: int) -> None:
+        """Send a signal to the process if it runs."""
+        if self.is_running:
+            assert self._process is not None
+            self._process.send_signal(number)
+
+    def kill(self) -> None:
+        """Kill the process and wait for its end."""
+        if self._process is not None:
+            self._process.kill()
+            self._process.wait()
+
+
+def _find_ports() -> int:
+    """Return the first of a block of ports that are free."""
+    for _ in range(200):
+        first = random.randrange(20_000, 31_000, PORTS_PER_ENTRY)
+        with contextlib.ExitStack() as stack:
+            try:
+                for port in range(first, first + PORTS_PER_ENTRY):
+                    opened = stack.enter_context(socket.socket())
+                    opened.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return first
+    raise OSError("no free ports")
+
+
+def encode(value: Any) -> str:
+    """Return a value as the store takes it."""
+    return base64.b64encode(json.dumps(value).encode()).decode()
+
+
+class Deployment:
+    """A small deployment; a context manager that ends all that it has started.
+
+    Parameters
+    ----------
+    record : Path
+        File that gets what was sent, answered and run.
+
+    Attributes
+    ----------
+    events : list
+        Rows of the time in seconds since the start, the worker, what has happened, and
+        for runs the work unit and the number of the run.
+    """
+
+    def __init__(self, record: Path) -> None:
+        self.events: list[tuple[float, str, str, str, int]] = []
+        self.workers: list[Worker] = []
+        self.entries: list[EntryProcess] = []
+        self.store = StoreStandin()
+        self.store.faults = Faults(delay=STORE_DELAY_S)
+        self.machines = MachineList(lambda: self.workers)
+        self.started_at = time.monotonic()
+        self._record = record.open("w", encoding="utf-8")
+        self._stack = AsyncExitStack()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._sequence = itertools.count(1)
+
+    async def __aenter__(self) -> Self:
+        await self._stack.enter_async_context(self.store)
+        await self._stack.enter_async_context(self.machines)
+        kept = os.environ.get("KEEP_LOGS")
+        if kept:
+            self._folder = Path(kept)
+            self._folder.mkdir(parents=True, exist_ok=True)
+        else:
+            folder = self._stack.enter_context(tempfile.TemporaryDirectory())
+            self._folder = Path(folder)
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        self._session = await self._stack.enter_async_context(
+            aiohttp.ClientSession(
+                timeout=timeout, connector=aiohttp.TCPConnector(force_close=True)
+            )
+        )
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for entry in self.entries:
+            entry.signal(signal.SIGCONT)
+            entry.kill()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for worker in self.workers:
+            await worker.crash()
+        await self._stack.aclose()
+        self._record.close()
+
+    @property
+    def now(self) -> float:
+        """Seconds since the start."""
+        return time.monotonic() - self.started_at
+
+    def spawn(self, work: Awaitable[Any]) -> asyncio.Task[Any]:
+        """Run a coroutine until the end of the deployment."""
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    def write(self, text: str) -> None:
+        """Write a line to the record."""
+        self._record.write(f"{self.now:8.3f} {text}\n")
+        self._record.flush()
+
+    def _note(self, worker: str, what: str, task: str = "", number: int = 0) -> None:
+        self.events.append((self.now, worker, what, task, number))
+        self.write(f"{worker} {what} {task} {number or ''}".rstrip())
+
+    # Workers
+
+    async def add_worker(
+        self, name: str, backend: str, rack: str, capacity: Capacity
+    ) -> Worker:
+        """Start a worker that registers at once and then every heartbeat."""
+        worker = Worker(name, backend, rack, capacity, self._note)
+        self.workers.append(worker)
+        await worker.start()
+        self.register(worker)
+        self.spawn(self._register(worker))
+        return worker
+
+    def register(self, worker: Worker) -> None:
+        """Write a worker's entry to the store."""
+        entry = worker.describe(next(self._sequence))
+        self.store.put(f"servers/{worker.name}", encode(entry))
+
+    async def _register(self, worker: Worker) -> None:
+        last_up = time.monotonic()
+        while True:
+            await asyncio.sleep(HEARTBEAT_S)
+            if worker.is_up:
+                last_up = time.monotonic()
+                self.register(worker)
+            elif time.monotonic() - last_up > SILENCE_S:
+                self.store.remove(f"servers/{worker.name}")
+
+    async def restart_worker(
+        self, worker: Worker, down_s: float, capacity: Capacity | None = None
+    ) -> None:
+        """Crash a worker; it is back after some time under its id and address."""
+        await worker.crash()
+        await asyncio.sleep(down_s)
+        await worker.start(capacity)
+        self.register(worker)
+
+    # Entries
+
+    def add_entry(self, name: str, zone: str = "z1", bootstrap: bool = True) -> None:
+        """Start an entry on a machine of its own."""
+        entry = EntryProcess(name, zone, self._folder)
+        entry.is_bootstrap = bootstrap
+        self.entries.append(entry)
+        entry.start(self.store.address, self.machines.address)
+        self.write(f"entry {name} started")
+
+    def configure(self, version: int, **fields: Any) -> None:
+        """Write a configuration as the operator."""
+        self.store.put("op/config", encode({"version": version, **fields}))
+        self.write(f"configuration {version} confirmed")
+
+    async def wait_until_ready(self, seconds: float = 15.0) -> bool:
+        """Wait until a submitted probe would be accepted: an entry leads."""
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            status, body = await self.call("GET", "/q/", quiet=True)
+            if status == 200 and "queued-jobs" in body:
+                return True
+            await asyncio.sleep(0.2)
+        return False
+
+    # Callers
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        entry: EntryProcess | None = None,
+        quiet: bool = False,
+    ) -> tuple[int, dict[str, Any]]:
+        """Send a request to an entry that runs; status 0 if there is no answer."""
+        running = [row for row in self.entries if row.is_running]
+        target = entry or (random.choice(running) if running else None)
+        if target is None:
+            return 0, {}
+        headers = {"Host": HOST, "X-Deadline-Ms": "3000"}
+        status, answer = 0, {}
+        if not quiet:
+            self.write(f"caller > {target.name} {method} {path}")
+        try:
+            async with self._session.request(
+                method, f"http://{target.front}{path}", json=body, headers=headers
+            ) as response:
+                status = response.status
+                answer = await response.json()
+        except (aiohttp.ClientError, TimeoutError, ValueError):
+            pass
+        if not quiet:
+            self.write(f"caller < {target.name} {method} {path} {status} {answer}")
+        return status, answer
+
+    async def submit(self, job: str, body: Any, attempts: int = 5) -> bool:
+        """Hand a job in, and again after no answer or a refusal."""
+        for _ in range(attempts):
+            status, _ = await self.call("POST", f"/q/{job}", body)
+            if status == 200:
+                return True
+            await asyncio.sleep(1.0)
+        return False
+
+    async def read_state(self, job: str) -> str:
+        """Return the state of a job, or the status of the answer."""
+        status, body = await self.call("GET", f"/q/{job}")
+        return body.get("state", "") if status == 200 else str(status)
+
+    def list_runs(self, task: str) -> Iterator[tuple[float, str, str]]:
+        """Yield the time, the worker and the event of each run of a work unit."""
+        for at, worker, what, name, _ in self.events:
+            if name == task:
+                yield at, worker, what
+
+
+ROUTE = {
+    "name": "q",
+    "hostname": HOST,
+    "path-prefix": "/q/",
+    "backend": "p",
+    "timeout-ms": 3000,
+    "max-attempts": 3,
+    "stretch": 1.6,
+    "slo-ms": 600,
+    "public": True,
+}
+"""A queue that needs no key; its work units run on the service ``p``."""
+
+
+def make_job(spec: str, **step: Any) -> dict[str, Any]:
+    """Return a job of one step."""
+    return {"spec": spec, "steps": [step]}
+
+
+def run_case(play: Callable[[Deployment, bool], Awaitable[int]], record: Path) -> None:
+    """Play a case and exit with its result; ``TROUBLE=0`` leaves the trouble out."""
+    has_trouble = os.environ.get("TROUBLE", "1") != "0"
+
+    async def run() -> int:
+        async with Deployment(record) as deployment:
+            deployment.write(f"trouble: {has_trouble}")
+            result = await play(deployment, has_trouble)
+            deployment.write(f"result: {result}")
+            return result
+
+    try:
+        sys.exit(asyncio.run(run()))
+    except (OSError, aiohttp.ClientError) as error:
+        print(f"the case could not run: {error!r}", file=sys.stderr)
+        sys.exit(NOT_RUN)
