--- a/review/rig/deployment.py
+++ b/review/rig/deployment.py
@@ -21,9 +21,14 @@
 from typing import Any, Self
 
 import aiohttp
-from briarshed_platform_standins._server import Faults, Response, Standin
-from briarshed_platform_standins.store import StoreStandin
 
+from briarshed_platform_standins._server import (
+    UNRESPONSIVE_S,
+    Faults,
+    Response,
+    Standin,
+)
+from briarshed_platform_standins.store import StoreStandin
 from rig.worker import Capacity, Worker
 
 ROOT = Path(__file__).resolve().parents[3]
@@ -32,6 +37,7 @@
 HEARTBEAT_S = 1.5
 SILENCE_S = 3 * HEARTBEAT_S
 STORE_DELAY_S = 0.004
+UPKEEP_S = 2.0
 HOST = "h.example"
 CALL_TIMEOUT_S = 4.0
 PORTS_PER_ENTRY = 20
@@ -105,36 +111,73 @@
 
 
 class MachineList(Standin):
-    """Stand-in for the platform's list of machines; no machine moves here."""
+    """Stand-in for the platform's list of machines, and for its upkeep call.
+
+    Attributes
+    ----------
+    loses_answers : bool
+        Whether the calls for upkeep are executed and not answered.
+    begin_upkeep : callable
+        Called with the worker on the machine whose upkeep begins.
+    """
 
     def __init__(self, workers: Callable[[], list[Worker]]) -> None:
         super().__init__()
+        self.loses_answers = False
+        self.begin_upkeep: Callable[[Worker], None] = lambda worker: None
         self._workers = workers
+        self._tokens: dict[str, int] = {}
+        self._done: set[tuple[str, int]] = set()
 
     async def respond(
         self, method: str, path: str, query: dict[str, str], body: dict, headers: Any
     ) -> Response:
         """Return the response to one request."""
+        if path == "/api/machine-upkeep":
+            response = self._order_upkeep(body, int(headers["X-Fencing-Token"]))
+            if self.loses_answers:
+                await asyncio.sleep(UNRESPONSIVE_S)
+            return response
         if path != "/api/machines":
             return Response(409, {"reason": "busy"})
-        rows = [
-            {
-                "machine": worker.machine,
-                "pool": worker.backend,
-                "state": "up" if worker.is_up else "down",
-                "zone": "z1",
-                "labels": ["a", worker.rack],
-                "capacity": {
-                    "cpu": worker.capacity.cpu,
-                    "mem-mb": worker.capacity.mem_mb,
-                    "gpus": 0,
-                },
-                "id": worker.name,
-            }
-            for worker in self._workers()
-        ]
+        # A machine has one row: that of its present or else of its last worker.
+        workers = {worker.machine: worker for worker in self._workers()}
+        rows = [_describe_machine(worker) for worker in workers.values()]
         return Response(200, {"machines": rows, "next-token": None})
 
+    def _order_upkeep(self, body: dict, token: int) -> Response:
+        name, wave = body["machine"], body["wave"]
+        if token < self._tokens.get(name, 0):
+            return Response(409, {"reason": "fence"})
+        self._tokens[name] = token
+        if (name, wave) in self._done:
+            return Response(200)
+        worker = next(
+            (row for row in self._workers() if row.machine == name and row.is_up), None
+        )
+        if worker is None:
+            return Response(409, {"reason": "busy"})
+        self._done.add((name, wave))
+        self.begin_upkeep(worker)
+        return Response(200)
+
+
+def _describe_machine(worker: Worker) -> dict[str, Any]:
+    state = "up" if worker.is_up else "upkeep" if worker.is_replaced else "down"
+    return {
+        "machine": worker.machine,
+        "pool": worker.backend,
+        "state": state,
+        "zone": "z1",
+        "labels": [worker.kind, worker.rack],
+        "capacity": {
+            "cpu": worker.capacity.cpu,
+            "mem-mb": worker.capacity.mem_mb,
+            "gpus": 0,
+        },
+        "id": worker.name if worker.is_up else "",
+    }
+
 
 class EntryProcess:
     """An entry process, started with the command of the deploy file."""
@@ -240,6 +283,7 @@
         self.store = StoreStandin()
         self.store.faults = Faults(delay=STORE_DELAY_S)
         self.machines = MachineList(lambda: self.workers)
+        self.machines.begin_upkeep = self._begin_upkeep
         self.started_at = time.monotonic()
         self._record = record.open("w", encoding="utf-8")
         self._stack = AsyncExitStack()
@@ -300,15 +344,19 @@
     # Workers
 
     async def add_worker(
-        self, name: str, backend: str, rack: str, capacity: Capacity
+        self, name: str, backend: str, rack: str, capacity: Capacity, kind: str = "a"
     ) -> Worker:
         """Start a worker that registers at once and then every heartbeat."""
         worker = Worker(name, backend, rack, capacity, self._note)
+        worker.kind = kind
+        await self._add(worker)
+        return worker
+
+    async def _add(self, worker: Worker) -> None:
         self.workers.append(worker)
         await worker.start()
         self.register(worker)
         self.spawn(self._register(worker))
-        return worker
 
     def register(self, worker: Worker) -> None:
         """Write a worker's entry to the store."""
@@ -322,9 +370,31 @@
             if worker.is_up:
                 last_up = time.monotonic()
                 self.register(worker)
+            elif worker.is_replaced:
+                return
             elif time.monotonic() - last_up > SILENCE_S:
                 self.store.remove(f"servers/{worker.name}")
 
+    def _begin_upkeep(self, worker: Worker) -> None:
+        worker.is_replaced = True
+        self.write(f"upkeep of {worker.machine} begins")
+        self.spawn(self._replace_worker(worker))
+
+    async def _replace_worker(self, worker: Worker) -> None:
+        """End a worker; after the upkeep a new one runs on its machine."""
+        await worker.crash()
+        self.store.remove(f"servers/{worker.name}")
+        await asyncio.sleep(UPKEEP_S)
+        again = Worker(
+            f"{worker.name}-again",
+            worker.backend,
+            worker.rack,
+            worker.capacity,
+            self._note,
+        )
+        again.kind, again.machine = worker.kind, worker.machine
+        await self._add(again)
+
     async def restart_worker(
         self, worker: Worker, down_s: float, capacity: Capacity | None = None
     ) -> None:
@@ -435,6 +505,9 @@
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         async with Deployment(record) as deployment:
             deployment.write(f"trouble: {has_trouble}")
             result = await play(deployment, has_trouble)
@@ -443,6 +516,6 @@
 
     try:
         sys.exit(asyncio.run(run()))
-    except (OSError, aiohttp.ClientError) as error:
+    except (OSError, aiohttp.ClientError, asyncio.CancelledError) as error:
         print(f"the case could not run: {error!r}", file=sys.stderr)
         sys.exit(NOT_RUN)
--- a/review/rig/worker.py
+++ b/review/rig/worker.py
@@ -40,8 +40,8 @@
 
     Parameters
     ----------
-    name, backend, rack, machine : str
-        Its id, its service, its rack and the machine that it runs on.
+    name, backend, rack : str
+        Its id, its service and its rack.
     capacity : Capacity
         What it can run at a time. It starts whatever it is told to start.
     note : callable
@@ -56,8 +56,11 @@
         self.rack = rack
         self.machine = f"m-{name}"
         self.capacity = capacity
+        self.kind = "a"
         self.address = ""
         self.is_up = False
+        # Its machine is in upkeep, after which another worker runs there.
+        self.is_replaced = False
         self.running: dict[tuple[str, int], Run] = {}
         self._note = note
         self._runner: web.ServerRunner | None = None
@@ -88,7 +91,7 @@
         self._note(self.name, f"up, capacity {self.capacity.cpu}")
 
     async def crash(self) -> None:
-        """End the incarnation: all runs end, and nothing is known of them afterwards."""
+        """End the incarnation: all runs end, and nothing is known of them."""
         if not self.is_up:
             return
         self.is_up = False
@@ -121,7 +124,7 @@
                 "mem-mb": self.capacity.mem_mb,
                 "gpus": 0,
             },
-            "labels": ["a", self.rack],
+            "labels": [self.kind, self.rack],
             "machine": self.machine,
         }
 
