--- a/review/6/case.py
+++ b/review/6/case.py
@@ -21,10 +21,11 @@
 CAPACITY = Capacity(64_000, 262_144)
 
 LARGE = f"{0xA1:016x}"
-UNITS, UNITS_PER_WORKER, UNIT_CPU = 2_000, 100, 100
-"""The large job: at work everywhere it would use a sixth of the service's capacity."""
+UNITS, UNITS_PER_WORKER, UNIT_CPU = 2_000, 200, 100
+"""The large job: at work everywhere it uses under a third of the service's capacity."""
 
-ORDINARY_JOBS = 5
+ORDINARY_JOBS, STEPS = 5, 12
+"""Jobs with steps of a second, one after the other, that are handed in before it."""
 
 FINISH_S = 14.0
 IDLE_S = 3.0
@@ -44,23 +45,21 @@
         deployment.add_entry(f"e{number}")
     if not await deployment.wait_until_ready():
         return NOT_RUN
-    accepted = []
     step = {"cpu": UNIT_CPU, "mem-mb": 10, "estimate-ms": 1_000}
+    steps: list[dict] = [{"count": 2, **step}]
+    steps += [{"count": 2, **step, "after": [n]} for n in range(STEPS - 1)]
+    accepted = [f"{0x1000 + number:016x}" for number in range(ORDINARY_JOBS)]
+    for job in accepted:
+        if not await deployment.submit(job, {"spec": "run 1", "steps": steps}):
+            return NOT_RUN
+    await asyncio.sleep(1.0)
     if has_trouble:
         large = make_job(
             "run 1", count=UNITS, **step, **{"anti-affinity": UNITS_PER_WORKER}
         )
         if await deployment.submit(LARGE, large):
             accepted.append(LARGE)
-    jobs = [f"{0x1000 + number:016x}" for number in range(ORDINARY_JOBS)]
-    ordinary = make_job("run 1", count=8, **step)
-    answers = await asyncio.gather(
-        *(deployment.submit(job, ordinary, attempts=2) for job in jobs)
-    )
-    accepted += [job for job, is_taken in zip(jobs, answers, strict=True) if is_taken]
     deployment.write(f"end of the traffic; accepted: {accepted}")
-    if not accepted:
-        return NOT_RUN
     await asyncio.sleep(FINISH_S)
     longest = await measure_idle_time(deployment, accepted)
     for job, seconds in longest.items():
