Bound each piece of a leader's work beside jobs with thousands of tasks

Cause: nothing but the size of jobs bounded a piece of work on the event loop, on which the lease is renewed. Each placement looked up all tasks of its step, a plan reserved and sent all that fits at once, calls timed out while they waited for one of six connections, and each long-running task polled its endpoint by itself.

Orders that wait for an endpoint that becomes silent are not sent.

Ruled out: that the look-ups are the only cause.

--- a/bench/run.py
+++ b/bench/run.py
@@ -19,6 +19,7 @@
     "waves": ["waves.py"],
     "moves": ["moves.py"],
     "decisions": ["decisions.py"],
+    "plans": ["plans.py"],
     "policies": ["policies.py"],
 }
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/controller.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/controller.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import time
 from collections.abc import Awaitable, Coroutine
 from types import TracebackType
@@ -40,9 +41,10 @@
 from briarshed_workloads.leadership import LeaderTerm
 from briarshed_workloads.maintenance import Maintenance
 from briarshed_workloads.options import EntryOptions
+from briarshed_workloads.order_slots import OrderSlots
 from briarshed_workloads.outliers import list_stalled_runs
 from briarshed_workloads.persistence import Persistence
-from briarshed_workloads.planning import plan_copies, plan_starts
+from briarshed_workloads.planning import MAX_STARTS_PER_PLAN, plan_copies, plan_starts
 from briarshed_workloads.polling import EndpointPoller
 from briarshed_workloads.reconciliation import correct_state
 from briarshed_workloads.slices import WorkSlice
@@ -140,6 +142,8 @@
         self._directory = directory
         self._tasks: set[asyncio.Task[None]] = set()
         self._changed = asyncio.Event()
+        self._starts = OrderSlots(self._changed.set)
+        self._stops = OrderSlots(self._changed.set)
         self._failures: dict[str, FailureCounter] = {}
         self._loops = LoopSupervisor(
             RESTART_PAUSE_S, self._note_error, self._note_failure
@@ -416,9 +420,15 @@
                 self.spawn(self._pace(pace), "pace")
         for plan in (plan_starts, plan_copies):
             with contain_errors(plan.__name__, self._note_failure):
-                for order in plan(engine, now):
-                    self.spawn(self._start(order), "start")
-                    self.poller.wake(order.run.endpoint.name)
+                orders = plan(engine, now)
+                for order in orders:
+                    name = order.run.endpoint.name
+                    send = functools.partial(self._start, order)
+                    self.spawn(self._starts.queue(name, send), "start")
+                    self.poller.wake(name)
+                if len(orders) >= MAX_STARTS_PER_PLAN:
+                    # Further tasks may be left for the next plan.
+                    self._changed.set()
         if engine.unsaved_jobs.keys() - unsaved:
             self.persistence.request_save()
         telemetry.observe_seconds("plan", time.perf_counter() - started_at)
@@ -429,17 +439,21 @@
         stops += list_evictions(engine, now, self.maintenance.is_urgent)
         for stall in list_stalled_runs(engine.endpoints.values(), now):
             run = stall.run
+            if self._stops.is_full(run.endpoint.name):
+                continue
             engine.note_task_failure(run.endpoint, run.step.image or run.task.job, now)
             reason = f"no progress for {stall.seconds:.1f} s"
             stops.append(StopOrder(run, reason))
         for stop in stops:
-            self._order_stop(stop, now)
+            if not self._stops.is_full(stop.run.endpoint.name):
+                self._order_stop(stop, now)
 
     async def _start(self, order: StartOrder) -> None:
         run = order.run
         # The run may be handed over to the endpoint's next incarnation meanwhile.
         endpoint = run.endpoint
-        if not await self.poller.read_clock(endpoint):
+        is_silent = endpoint.failing_since > 0
+        if is_silent or not await self.poller.read_clock(endpoint):
             self._log_start(order, "not sent: no recent response")
             self.engine.drop(run, "not sent")
             self._changed.set()
@@ -485,15 +499,19 @@
             self.engine.note_started(run, response.clock_ms, answered_at)
             self.poller.wake(endpoint.name)
             self._log_start(order, "started")
-            if self.engine.was_in_crash(run.task):
-                await self.poller.check_survival(run)
-            if run.step.long_running and not run.step.best_effort:
-                await self.poller.watch_start_up(run)
+            self._watch_start(run)
             return
         self._log_start(order, response.reason)
         self._note_refused_start(run, endpoint, response.reason)
         self._changed.set()
 
+    def _watch_start(self, run: Run) -> None:
+        """Poll the endpoint of an accepted start sooner where its fate matters."""
+        if self.engine.was_in_crash(run.task):
+            self.spawn(self.poller.check_survival(run), "survival")
+        if run.step.long_running and not run.step.best_effort:
+            self.spawn(self.poller.watch_start_up(run.endpoint), "start-up")
+
     def _choose_start_lease(self) -> float:
         """Return the run lease of a start order, in seconds.
 
@@ -536,7 +554,8 @@
         stop.run.stop_requested_at = now
         stop.run.state = STOPPING
         self.engine.add_stop_candidate(stop.run)
-        self.spawn(self._stop(stop), "stop")
+        send = functools.partial(self._stop, stop)
+        self.spawn(self._stops.queue(stop.run.endpoint.name, send), "stop")
 
     async def _stop(self, stop: StopOrder) -> None:
         run, endpoint = stop.run, stop.run.endpoint
--- a/packages/briarshed-workloads/src/briarshed_workloads/disruption.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/disruption.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from briarshed_workloads.engine import Engine
+from briarshed_workloads.engine import Engine, StepKey
 from briarshed_workloads.fleet import (
     PRESENT,
     Endpoint,
@@ -40,7 +40,8 @@
     with checkpoints at once. Others may finish, unless the endpoint is urgent.
     """
     orders: list[StopOrder] = []
-    stopped: dict[tuple[str, int, int], int] = {}
+    unavailable: dict[StepKey, int] = {}
+    stopped: dict[StepKey, int] = {}
     for endpoint in engine.endpoints.values():
         is_draining = endpoint.registration.draining
         if not (is_draining or endpoint.evicting):
@@ -53,11 +54,12 @@
                 continue
             key = run.task[:3]
             if run.step.long_running:
-                unavailable = count_unavailable(engine, job, run.task) + stopped.get(
-                    key, 0
-                )
+                if key not in unavailable:
+                    unavailable[key] = count_unavailable(engine, job, key)
+                others = unavailable[key] - (not _is_serving(engine, run.task))
+                others += stopped.get(key, 0)
                 budget = run.step.outage_budget
-                if is_draining or budget < 0 or unavailable < budget:
+                if is_draining or budget < 0 or others < budget:
                     stopped[key] = stopped.get(key, 0) + 1
                     orders.append(StopOrder(run, "endpoint is drained"))
             elif run.step.checkpointing or is_urgent(endpoint):
@@ -65,22 +67,19 @@
     return orders
 
 
-def count_unavailable(engine: Engine, job: Job, task: TaskId) -> int:
-    """Return how many other tasks of a long-running step do not serve."""
-    step = job.find_step(task)
-    unavailable = 0
-    for index in range(step.count):
-        other = task._replace(index=index)
-        if index != task.index and not _is_serving(engine, other):
-            unavailable += 1
-    return unavailable
+def count_unavailable(engine: Engine, job: Job, key: StepKey) -> int:
+    """Return how many tasks of a long-running step do not serve."""
+    serving = {run.task.index for run in engine.step_runs.get(key, ()) if _serves(run)}
+    return job.description.steps[key[2]].count - len(serving)
 
 
 def _is_serving(engine: Engine, task: TaskId) -> bool:
-    return any(
-        run.is_serving and not run.stop_requested_at and not run.endpoint.failing_since
-        for run in engine.runs.get(task, ())
-    )
+    return any(_serves(run) for run in engine.runs.get(task, ()))
+
+
+def _serves(run: Run) -> bool:
+    is_stopping = run.stop_requested_at > 0
+    return run.is_serving and not is_stopping and not run.endpoint.failing_since
 
 
 def list_pacing(engine: Engine, now: float) -> list[PaceOrder]:
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -67,6 +67,9 @@
 """Time after which a stop order that had no effect is repeated."""
 
 
+StepKey = tuple[str, int, int]
+"""Job, occurrence and step: the first three fields of a `TaskId`."""
+
 _EMPTY_DESCRIPTION = Description("", ())
 """Description of ended jobs, whose steps are not recorded."""
 
@@ -111,6 +114,8 @@
         state still count.
     is_roster_unreadable : bool
         Whether the record of endpoints that may have runs could not be decoded.
+    step_runs : dict
+        Runs by the first three fields of their task: job, occurrence and step.
     partly_listed : set
         Endpoints that may have ends besides those in their last response, since they
         list a limited number at a time.
@@ -133,6 +138,7 @@
         self.open_size = 0
         self.endpoints: dict[str, Endpoint] = {}
         self.runs: dict[TaskId, list[Run]] = {}
+        self.step_runs: dict[StepKey, dict[Run, None]] = {}
         self.usage = Usage()
         self.unsaved_jobs: dict[str, None] = {}
         self.earlier_runs_until = 0.0
@@ -268,9 +274,26 @@
 
     def _track(self, run: Run) -> None:
         run.endpoint.add_run(run)
-        self.runs.setdefault(run.task, []).append(run)
+        self.index_run(run)
         self.usage.charge(run.team, run.need)
 
+    def index_run(self, run: Run) -> None:
+        """Add a run to those of its task and of its step."""
+        self.runs.setdefault(run.task, []).append(run)
+        self.step_runs.setdefault(run.task[:3], {})[run] = None
+
+    def unindex_run(self, run: Run) -> None:
+        """Remove a run from those of its task and of its step."""
+        rest = [other for other in self.runs.get(run.task, ()) if other is not run]
+        if rest:
+            self.runs[run.task] = rest
+        else:
+            self.runs.pop(run.task, None)
+        others = self.step_runs.get(run.task[:3], {})
+        others.pop(run, None)
+        if not others:
+            self.step_runs.pop(run.task[:3], None)
+
     def is_tracked(self, run: Run) -> bool:
         """Return whether a run has not been removed."""
         return run.endpoint.runs.get((run.task, run.number)) is run
@@ -298,16 +321,12 @@
             return
         self._stop_candidates.pop(run, None)
         self.usage.refund(run.team, run.need)
-        rest = [other for other in self.runs.get(run.task, ()) if other is not run]
-        if rest:
-            self.runs[run.task] = rest
-        else:
-            self.runs.pop(run.task, None)
+        self.unindex_run(run)
         job = self.jobs.get(run.task.job)
         if job is not None:
             if run.checkpoint:
                 self._note_checkpoint(job, run.task, run.checkpoint)
-            if not rest:
+            if run.task not in self.runs:
                 job.requeue(run.task)
         self._report_run("RUN_DROPPED", run, reason)
 
@@ -899,10 +918,9 @@
 
     def add_stop_candidates(self, job: Job) -> None:
         """Let the next `list_due_stop_orders` check all runs of a job."""
-        # Runs are few, whereas a job may have any number of tasks.
-        for task, runs in self.runs.items():
-            if task.job == job.job_id:
-                self._stop_candidates.update(dict.fromkeys(runs))
+        for key, runs in self.step_runs.items():
+            if key[0] == job.job_id:
+                self._stop_candidates.update(runs)
 
     def add_stop_candidate(self, run: Run) -> None:
         """Let `list_due_stop_orders` check a stopping run until it has ended."""
--- a/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
@@ -355,6 +355,10 @@
         """Whether a start has no response yet."""
         return any(run.state == ORDERED and run.token for run in self.runs.values())
 
+    def count_pending_starts(self) -> int:
+        """Return the number of starts that are planned or have no response yet."""
+        return sum(run.state == ORDERED for run in self.runs.values())
+
     def choose_acknowledged(self, is_partly_listed: bool = False) -> int:
         """Return the number of the last end to acknowledge in a poll, or 0.
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
@@ -13,6 +13,7 @@
     is_suspected,
 )
 from briarshed_workloads.records import JobRecord, ProgressRecord, TaskRecord
+from briarshed_workloads.waiting_tasks import WaitingTasks
 from briarshed_workloads.workloads import Description, Resources, Step, TaskId
 
 PENDING, RUNNING = "pending", "running"
@@ -51,6 +52,12 @@
 
     Attributes
     ----------
+    critical_path : float
+        Estimated length of the critical path of the steps in seconds.
+    is_long_running : bool
+        Whether a step runs until the job is cancelled.
+    is_speculative : bool
+        Whether tasks of a step may have several runs.
     size : int
         Cost of the job to an entry, in tasks: those that may wait, and `JOB_SIZE`.
     next_occurrence : int
@@ -68,12 +75,15 @@
         "checkpoints",
         "core_seconds",
         "crashes",
+        "critical_path",
         "description",
         "ended_at",
         "failed_endpoints",
         "failed_runs",
         "held_until",
+        "is_long_running",
         "is_restored",
+        "is_speculative",
         "is_within_share",
         "job_id",
         "max_attempts",
@@ -120,13 +130,16 @@
         self.suspected_at: dict[TaskId, float] = {}
         self.held_until: dict[TaskId, float] = {}
         self.checkpoints: dict[TaskId, str] = {}
-        self.waiting: dict[TaskId, None] = {}
+        self.waiting = WaitingTasks()
         self.opened_steps: set[tuple[int, int]] = set()
         self.next_occurrence = 0
         self.open_occurrences: dict[int, None] = {}
         self.size = JOB_SIZE + sum(step.count for step in description.steps)
         if description.schedule:
             self.size += MAX_WAITING_TASKS
+        self.is_long_running = any(step.long_running for step in description.steps)
+        self.is_speculative = any(step.speculative for step in description.steps)
+        self.critical_path = find_critical_path(description)
         self.core_seconds = sum(
             step.count * step.need.cpu / 1000 * step.estimate
             for step in description.steps
@@ -138,11 +151,6 @@
         """Whether the job has not ended."""
         return self.state not in FINAL_STATES
 
-    @property
-    def is_long_running(self) -> bool:
-        """Whether a step of the job runs until the job is cancelled."""
-        return any(step.long_running for step in self.description.steps)
-
     def find_step(self, task: TaskId) -> Step:
         """Return the step of a task."""
         return self.description.steps[task.step]
@@ -219,7 +227,7 @@
             for index in range(step.count):
                 task = TaskId(self.job_id, occurrence, number, index)
                 if not self.has_succeeded(task):
-                    self.waiting[task] = None
+                    self.waiting.add(task)
 
     def _dependencies_succeeded(self, occurrence: int, step: Step) -> bool:
         return all(self._is_step_done(occurrence, number) for number in step.after)
@@ -248,8 +256,11 @@
         return counts
 
     def list_tasks(self) -> Iterator[TaskId]:
-        """Yield the tasks of the open occurrences' steps that are ready or done."""
-        for occurrence, number in self.opened_steps:
+        """Yield the tasks of the open occurrences' steps that are ready or done.
+
+        Steps that are opened meanwhile may be left out.
+        """
+        for occurrence, number in list(self.opened_steps):
             for index in range(self.description.steps[number].count):
                 yield TaskId(self.job_id, occurrence, number, index)
 
@@ -272,7 +283,7 @@
 
     def note_ordered(self, task: TaskId) -> None:
         """Remove a task from the waiting tasks after a run of it was ordered."""
-        self.waiting.pop(task, None)
+        self.waiting.discard(task)
 
     def note_begun(self) -> None:
         """Note that an endpoint has started a task of the job.
@@ -285,7 +296,7 @@
     def requeue(self, task: TaskId) -> None:
         """Add a task to the waiting tasks again after a run that did not succeed."""
         if self.is_open and not self.cancelled and not self.has_succeeded(task):
-            self.waiting[task] = None
+            self.waiting.add(task)
 
     def note_succeeded(self, task: TaskId, unix_now: float) -> bool:
         """Record a success; return whether it is the first one of the task."""
@@ -298,10 +309,10 @@
             # Members of a gang end together: a success of one is a success of all.
             done.update(range(step.count))
         done.add(task.index)
-        self.waiting.pop(task, None)
+        self.waiting.discard(task)
         if step.gang:
             for index in range(step.count):
-                self.waiting.pop(task._replace(index=index), None)
+                self.waiting.discard(task._replace(index=index))
         if is_first and len(done) >= step.count:
             self._close_step(task.occurrence, unix_now)
         return is_first
@@ -329,10 +340,10 @@
             self.failed_runs,
             self.held_until,
             self.suspected_at,
-            self.waiting,
         ):
             for task in [row for row in state if row.occurrence == occurrence]:
                 del state[task]
+        self.waiting.discard_occurrence(occurrence)
 
     def note_failed(self, task: TaskId, run: int, unix_now: float) -> bool:
         """Record a failed run; return whether the job fails because of it."""
@@ -510,8 +521,8 @@
 def find_objective(job: Job, queue: QueueRules | None) -> float:
     """Return the time in seconds after which the job loses value: its objective."""
     if queue is None:
-        return find_critical_path(job.description)
-    return queue.stretch * find_critical_path(job.description) + queue.objective
+        return job.critical_path
+    return queue.stretch * job.critical_path + queue.objective
 
 
 def find_need(step: Step) -> Resources:
--- a/packages/briarshed-workloads/src/briarshed_workloads/planning.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/planning.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-from collections import Counter
 from collections.abc import Collection, Iterable, Sequence
 from typing import NamedTuple
 
@@ -17,6 +16,7 @@
 from briarshed_workloads.evidence import ISOLATION_S, SUSPICION_WINDOW_S
 from briarshed_workloads.fleet import Endpoint, Isolation, Run, StartOrder, is_within
 from briarshed_workloads.jobs import Job, find_need, find_objective
+from briarshed_workloads.order_slots import MAX_PENDING_ORDERS
 from briarshed_workloads.outliers import find_slow, project_ratio
 from briarshed_workloads.supervision import report_error
 from briarshed_workloads.workloads import (
@@ -46,18 +46,32 @@
 """Time for which the estimate of a job's remaining time is cached."""
 
 
+MAX_STARTS_PER_PLAN = 100
+"""Starts in a pool from which on a plan ends, so that it takes a small part of the
+leader's lease. The next plan goes on."""
+
+
 class EligibleEndpoints(NamedTuple):
-    """The endpoints that may get new runs, and the names of the slow ones."""
+    """The endpoints that may get new runs, and the names of the slow ones.
+
+    ``starts_left`` holds, by name, how many more starts each may get now.
+    """
 
     endpoints: Sequence[Endpoint]
     slow: Collection[str]
+    starts_left: dict[str, int]
+
+
+PlaceCounts = dict[str, int]
+"""Number of runs by the name of an endpoint, and by ``rack`` and the name of a rack."""
 
 
 def plan_starts(engine: Engine, now: float) -> list[StartOrder]:
     """Reserve runs for waiting tasks and return their start orders.
 
     Jobs are served in the order of `rank_job`; a task goes to the endpoint of its pool
-    that `choose_endpoint` returns. A job whose next task fits nowhere is skipped.
+    that `choose_endpoint` returns. A job whose next task fits nowhere is skipped. The
+    plan of a pool ends after `MAX_STARTS_PER_PLAN` starts.
     """
     orders: list[StartOrder] = []
     engine.usage.unknown = measure_unknown_usage(engine, now)
@@ -94,14 +108,26 @@
         except Exception as error:
             report_error(f"rank of job {job.job_id}", error)
     ranked.sort(key=lambda row: row[0])
-    candidates = EligibleEndpoints(eligible, find_slow(eligible))
+    candidates = EligibleEndpoints(
+        eligible, find_slow(eligible), _count_starts_left(eligible)
+    )
+    limit = len(orders) + MAX_STARTS_PER_PLAN
     for _, job in ranked:
+        if len(orders) >= limit:
+            return
         try:
-            _start_job(engine, job, candidates, now, orders)
+            _start_job(engine, job, candidates, now, orders, limit)
         except Exception as error:
             report_error(f"start of job {job.job_id}", error)
 
 
+def _count_starts_left(endpoints: Iterable[Endpoint]) -> dict[str, int]:
+    """Return how many more starts each endpoint may get before some are answered."""
+    return {
+        row.name: MAX_PENDING_ORDERS - row.count_pending_starts() for row in endpoints
+    }
+
+
 def plan_copies(engine: Engine, now: float) -> list[StartOrder]:
     """Reserve copies of overdue runs of speculative steps, where capacity is free.
 
@@ -113,7 +139,7 @@
         overdue = [
             (job, runs[0])
             for job in engine.list_open(pool).values()
-            if any(step.speculative for step in job.description.steps)
+            if job.is_speculative
             for runs in _list_single_runs(engine, job)
             if not job.crashes.get(runs[0].task, {}).keys() - {runs[0].number}
             and is_overdue(engine, runs[0], now)
@@ -132,8 +158,12 @@
             maximum = engine.find_team_limit(job.team)
             if not is_within(engine.usage.estimate(job.team), need, maximum):
                 continue
-            candidates = EligibleEndpoints(others, frozenset())
-            endpoint = choose_endpoint(engine, job, run.task, need, candidates, now)
+            starts_left = _count_starts_left(others)
+            candidates = EligibleEndpoints(others, frozenset(), starts_left)
+            counts = _count_places(engine, run.task, run.step)
+            endpoint = choose_endpoint(
+                engine, job, run.task, need, candidates, counts, now
+            )
             if endpoint is not None:
                 orders.append(_reserve(engine, job, run.task, run.step, endpoint, now))
     return orders
@@ -143,13 +173,11 @@
     """Return the runs of unfinished tasks of speculative steps that have one run."""
     found = []
     for occurrence, number in job.opened_steps:
-        step = job.description.steps[number]
-        if not step.speculative:
+        if not job.description.steps[number].speculative:
             continue
-        for index in range(step.count):
-            task = TaskId(job.job_id, occurrence, number, index)
-            runs = engine.runs.get(task, [])
-            if len(runs) == 1 and not job.has_succeeded(task):
+        for run in engine.step_runs.get((job.job_id, occurrence, number), ()):
+            runs = engine.runs[run.task]
+            if len(runs) == 1 and not job.has_succeeded(run.task):
                 found.append(runs)
     return found
 
@@ -229,8 +257,9 @@
         for job in jobs.values():
             if not job.is_restored or not any(engine.find_team_limit(job.team)):
                 continue
-            for number, count in Counter(task.step for task in job.waiting).items():
-                need = find_need(job.description.steps[number])
+            for key in job.waiting.list_steps():
+                need = find_need(job.description.steps[key.step])
+                count = job.waiting.count(key)
                 total = Resources(*(part * count for part in need))
                 usage[job.team] = add(usage.get(job.team, NO_RESOURCES), total)
     return usage
@@ -276,7 +305,7 @@
     queue = engine.find_queue(job)
     due = job.accepted_at
     if job.description.schedule:
-        due = max(due, job.find_due(min(task.occurrence for task in job.waiting)))
+        due = max(due, job.find_due(min(job.waiting.list_steps()).occurrence))
     objective = due + find_objective(job, queue)
     rank = ON_TIME if job.is_within_share else BEYOND_SHARE
     if unix_now + estimate_remaining_time(engine, job, unix_now) > objective:
@@ -330,36 +359,74 @@
     candidates: EligibleEndpoints,
     now: float,
     orders: list[StartOrder],
+    limit: int,
 ) -> None:
     """Reserve runs for a job's waiting tasks and add their start orders.
 
     Orders are added one by one, so that none is lost if a later task raises an error.
+
+    Parameters
+    ----------
+    limit : int
+        Length of ``orders`` from which on no order is added, besides those of a gang.
     """
-    maximum = engine.find_team_limit(job.team)
-    blocked: set[int] = set()
-    for task in list(job.waiting):
-        if task.step in blocked:
-            continue
-        if engine.runs.get(task):
-            # An earlier leader started it before this one knew that its step is ready.
-            job.waiting.pop(task)
-            continue
-        if job.is_held(task, now) or job.must_isolate(task, now):
+    for key in job.waiting.list_steps():
+        if len(orders) >= limit:
+            return
+        step = job.description.steps[key.step]
+        tasks = (
+            task
+            for task in job.waiting.iterate(key)
+            if not _is_running(engine, job, task)
+            and not job.is_held(task, now)
+            and not job.must_isolate(task, now)
+        )
+        if not step.gang:
+            _start_tasks(engine, job, tasks, candidates, now, orders, limit)
             continue
+        task = next(tasks, None)
+        if task is not None:
+            orders += _start_gang(engine, job, task, candidates.endpoints, now)
+
+
+def _is_running(engine: Engine, job: Job, task: TaskId) -> bool:
+    """Return whether a waiting task has a run, and let it wait no longer then.
+
+    An earlier leader started it before this one knew that its step is ready.
+    """
+    if not engine.runs.get(task):
+        return False
+    job.waiting.discard(task)
+    return True
+
+
+def _start_tasks(
+    engine: Engine,
+    job: Job,
+    tasks: Iterable[TaskId],
+    candidates: EligibleEndpoints,
+    now: float,
+    orders: list[StartOrder],
+    limit: int,
+) -> None:
+    """Reserve runs for tasks of one step until one fits nowhere."""
+    maximum = engine.find_team_limit(job.team)
+    counts: PlaceCounts | None = None
+    for task in tasks:
         step = job.find_step(task)
         need = find_need(step)
-        if step.gang:
-            orders += _start_gang(engine, job, task, candidates.endpoints, now)
-            blocked.add(task.step)
-            continue
-        if not is_within(engine.usage.estimate(job.team), need, maximum):
-            blocked.add(task.step)
-            continue
-        endpoint = choose_endpoint(engine, job, task, need, candidates, now)
+        if len(orders) >= limit or not is_within(
+            engine.usage.estimate(job.team), need, maximum
+        ):
+            return
+        if counts is None:
+            counts = _count_places(engine, task, step)
+        endpoint = choose_endpoint(engine, job, task, need, candidates, counts, now)
         if endpoint is None:
-            blocked.add(task.step)
-            continue
+            return
         orders.append(_reserve(engine, job, task, step, endpoint, now))
+        candidates.starts_left[endpoint.name] -= 1
+        _add_place(counts, endpoint)
 
 
 def _start_suspects(
@@ -375,8 +442,9 @@
         (job, task)
         for job in jobs
         if job.crashes
-        for task in job.waiting
-        if job.must_isolate(task, now)
+        for task in list(job.crashes)
+        if task in job.waiting
+        and job.must_isolate(task, now)
         and not job.is_held(task, now)
         and not engine.runs.get(task)
     ]
@@ -403,7 +471,7 @@
     maximum = engine.find_team_limit(job.team)
     if not is_within(engine.usage.estimate(job.team), need, maximum):
         return None
-    counts = _count_step(engine, task, step)
+    counts = _count_places(engine, task, step)
     fitting = [
         row
         for row in available
@@ -512,6 +580,7 @@
     task: TaskId,
     need: Resources,
     candidates: EligibleEndpoints,
+    counts: PlaceCounts,
     now: float,
 ) -> Endpoint | None:
     """Return the best endpoint with capacity for the task, or None.
@@ -521,14 +590,20 @@
     serving tasks, and other tasks to the one with the largest share of free CPU. The
     rack that holds the data is preferred. An endpoint that is slow, or where the task
     has failed, comes last.
+
+    Parameters
+    ----------
+    counts : dict
+        Where the runs of the task's step and occurrence are, see `_count_places`.
     """
     step = job.find_step(task)
     failed_endpoints = job.failed_endpoints.get(task, ())
-    counts = _count_step(engine, task, step)
     was_in_crash = engine.was_in_crash(task)
     best: Endpoint | None = None
     best_score: tuple = (math.inf,)
     for endpoint in candidates.endpoints:
+        if not candidates.starts_left.get(endpoint.name, 0) > 0:
+            continue
         if not _can_start(step, need, endpoint, counts):
             continue
         if was_in_crash and is_new(engine, endpoint, now):
@@ -544,7 +619,7 @@
 
 
 def _can_start(
-    step: Step, need: Resources, endpoint: Endpoint, counts: dict[str, int]
+    step: Step, need: Resources, endpoint: Endpoint, counts: PlaceCounts
 ) -> bool:
     """Return whether an endpoint has capacity and label for a task of a step."""
     if not fits(need, endpoint.find_free()) or not _has_label(step, endpoint):
@@ -556,21 +631,26 @@
     return not step.label or step.label in endpoint.registration.labels
 
 
-def _count_step(engine: Engine, task: TaskId, step: Step) -> dict[str, int]:
-    """Return the runs of the task's step and occurrence by endpoint and by rack."""
-    counts: dict[str, int] = {}
-    if not (step.per_endpoint or step.long_running):
-        return counts
-    for index in range(step.count):
-        for run in engine.runs.get(task._replace(index=index), ()):
-            registration = run.endpoint.registration
-            for place in (registration.endpoint, f"rack {registration.rack}"):
-                counts[place] = counts.get(place, 0) + 1
+def _count_places(engine: Engine, task: TaskId, step: Step) -> PlaceCounts:
+    """Return the runs of the task's step and occurrence by endpoint and by rack.
+
+    They are only counted for steps whose placement depends on them.
+    """
+    counts: PlaceCounts = {}
+    if step.per_endpoint or step.long_running:
+        for run in engine.step_runs.get(task[:3], ()):
+            _add_place(counts, run.endpoint)
     return counts
 
 
+def _add_place(counts: PlaceCounts, endpoint: Endpoint) -> None:
+    registration = endpoint.registration
+    for place in (registration.endpoint, f"rack {registration.rack}"):
+        counts[place] = counts.get(place, 0) + 1
+
+
 def _score(
-    step: Step, endpoint: Endpoint, counts: dict[str, int], here: int
+    step: Step, endpoint: Endpoint, counts: PlaceCounts, here: int
 ) -> tuple[float, ...]:
     registration = endpoint.registration
     free = endpoint.find_free()
--- a/packages/briarshed-workloads/src/briarshed_workloads/polling.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/polling.py
@@ -91,6 +91,7 @@
         self._poll_loops: dict[Endpoint, asyncio.Task[None]] = {}
         self._wake_events: dict[str, asyncio.Event] = {}
         self._clock_reads: dict[Endpoint, asyncio.Task[None]] = {}
+        self._watched: set[Endpoint] = set()
 
     def start_polling(self) -> None:
         """Start a poll loop for each new endpoint."""
@@ -182,16 +183,19 @@
         # An unresponsive endpoint gets no new runs until it responds to a poll.
         return bool(not endpoint.is_fenced or endpoint.runs or endpoint.failing_since)
 
-    async def watch_start_up(self, run: Run) -> None:
-        """Poll the endpoint of a long-running task until it serves or is overdue."""
-        endpoint = run.endpoint
-        until = clock.now() + STARTUP_TIMEOUT_S
-        while clock.now() < until:
-            await asyncio.sleep(START_UP_POLL_S)
-            is_current = endpoint.runs.get((run.task, run.number)) is run
-            if run.is_serving or not is_current or endpoint.failing_since:
-                return
-            await self.poll(endpoint, is_immediate=True)
+    async def watch_start_up(self, endpoint: Endpoint) -> None:
+        """Poll an endpoint until its long-running tasks serve or are overdue."""
+        if endpoint in self._watched:
+            return
+        self._watched.add(endpoint)
+        try:
+            while _is_starting_up(endpoint, clock.now()):
+                await asyncio.sleep(START_UP_POLL_S)
+                if endpoint.failing_since or not _is_starting_up(endpoint, clock.now()):
+                    return
+                await self.poll(endpoint, is_immediate=True)
+        finally:
+            self._watched.discard(endpoint)
 
     async def read_clock(self, endpoint: Endpoint) -> bool:
         """Poll an endpoint whose clock was read long ago; return whether it is known.
@@ -340,6 +344,18 @@
         self._note_changed()
 
 
+def _is_starting_up(endpoint: Endpoint, now: float) -> bool:
+    """Return whether a long-running task starts up at an endpoint, and is not late."""
+    return any(
+        run.step.long_running
+        and not run.step.best_effort
+        and run.is_present
+        and not run.is_serving
+        and now - run.confirmed_at < STARTUP_TIMEOUT_S
+        for run in endpoint.runs.values()
+    )
+
+
 def _find_alive_until(error: BriarshedError, sent_at: float) -> float:
     """Return when the endpoint of a failed poll was certainly running, or 0.
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/reconciliation.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/reconciliation.py
@@ -14,13 +14,17 @@
 from briarshed_workloads.jobs import Job
 from briarshed_workloads.workloads import NO_RESOURCES, Resources, add
 
+TASKS_PER_PART = 1_000
+"""Tasks of a job that are checked at a time; their check takes some milliseconds."""
+
 
 def correct_state(
     engine: Engine, pending: Collection[str], now: float
 ) -> Iterator[None]:
     """Correct contradictions between jobs, runs and capacity, and report each.
 
-    This yields after each job, so that other tasks can run in between.
+    This yields after each job, and within large ones, so that other tasks can run in
+    between.
 
     Parameters
     ----------
@@ -42,8 +46,7 @@
         # It may have been removed since the last one was corrected.
         is_kept = engine.jobs.get(job.job_id) is job
         if is_kept and job.is_open and job.job_id not in pending:
-            _correct_job(engine, job, unix_now)
-            yield
+            yield from _correct_job(engine, job, unix_now)
 
 
 def _report(
@@ -63,17 +66,15 @@
     found = {
         run for endpoint in engine.endpoints.values() for run in endpoint.runs.values()
     }
-    known = {run for runs in engine.runs.values() for run in runs}
-    for run in found - known:
+    by_task = {run for runs in engine.runs.values() for run in runs}
+    by_step = {run for runs in engine.step_runs.values() for run in runs}
+    for run in found - (by_task & by_step):
         _report(engine, "runs", run.task.job, "missing", run.endpoint.name)
-        engine.runs.setdefault(run.task, []).append(run)
-    for run in known - found:
+        engine.unindex_run(run)
+        engine.index_run(run)
+    for run in (by_task | by_step) - found:
         _report(engine, "runs", run.task.job, run.endpoint.name, "removed")
-        rest = [other for other in engine.runs[run.task] if other is not run]
-        if rest:
-            engine.runs[run.task] = rest
-        else:
-            del engine.runs[run.task]
+        engine.unindex_run(run)
 
 
 def _sum_needs(endpoint: Endpoint) -> Resources:
@@ -100,14 +101,23 @@
             engine.usage.replace(team, after)
 
 
-def _correct_job(engine: Engine, job: Job, unix_now: float) -> None:
-    """Make an open job active, open its steps and let its idle tasks wait."""
+def _correct_job(engine: Engine, job: Job, unix_now: float) -> Iterator[None]:
+    """Make an open job active, open its steps and let its idle tasks wait.
+
+    This yields after every `TASKS_PER_PART` tasks. The state of each task is read in
+    one piece.
+    """
     active = engine.open_jobs.setdefault(job.pool, {})
     if job.job_id not in active:
         _report(engine, "job", job.job_id, "inactive", "active")
         active[job.job_id] = job
     is_finished = job.finish_if_done(unix_now)
-    for task in job.list_tasks():
+    if is_finished:
+        _report(engine, "job", job.job_id, "open", job.state)
+        engine.unsaved_jobs[job.job_id] = None
+    for number, task in enumerate(job.list_tasks()):
+        if number % TASKS_PER_PART == 0:
+            yield
         is_idle = (
             task not in job.waiting
             and task not in engine.runs
@@ -116,6 +126,4 @@
         if is_idle:
             _report(engine, "task", job.job_id, "idle", "waiting")
             job.requeue(task)
-    if is_finished:
-        _report(engine, "job", job.job_id, "open", job.state)
-        engine.unsaved_jobs[job.job_id] = None
+    yield
--- a/packages/briarshed-workloads/src/briarshed_workloads/sizing.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/sizing.py
@@ -171,8 +171,10 @@
     for job in engine.list_open(pool).values():
         if job.is_long_running:
             min_instances = max(min_instances, _count_min_instances(job))
-            for task in job.waiting:
-                fixed = add(fixed, find_need(job.find_step(task)))
+            for key in job.waiting.list_steps():
+                need = find_need(job.description.steps[key.step])
+                count = job.waiting.count(key)
+                fixed = add(fixed, Resources(*(part * count for part in need)))
         elif can_meet_objective(engine, job, unix_now):
             backlog += find_remaining_work(engine, job)
         else:
