--- a/features/workloads/steps/unknown_state_steps.py
+++ b/features/workloads/steps/unknown_state_steps.py
@@ -56,10 +56,12 @@
     engine = make_engine(2, ("a",))
     poll_endpoint(engine, "a", NOW)
     job = submit(engine, JOB, (Step(count, SMALL, 1.0),), NOW)
-    runs = [order.run for order in plan_starts(engine, NOW)]
+    runs = []
+    while orders := plan_starts(engine, NOW):
+        for order in orders:
+            runs.append(order.run)
+            engine.note_started(order.run, int(NOW * 1000), NOW)
     assert len(runs) == count
-    for run in runs:
-        engine.note_started(run, int(NOW * 1000), NOW)
     if leader == "a new leader":
         records = job.encode_job(), job.encode_progress()
         engine = make_engine(3, ("a",))
