Let new entries lead soon after all members are lost

Cause: an entry that is no member left a vacant leadership alone for 63 s, since a leader may go on by consent for 60 s. The wait was that of the whole fleet, although such a leader can only act where endpoints still take its token.

Change: an entry that is no member leads after 2 s.

Ruled out: that fencing alone suffices.

--- a/features/workloads/election.feature
+++ b/features/workloads/election.feature
@@ -87,14 +87,17 @@
 
     Examples:
       | members                               | seconds | outcome |
-      | not recorded                          | 0       | leads   |
-      | e, f                                  | 0       | leads   |
-      | f, g                                  | 0       | waits   |
-      | f, g                                  | 59      | waits   |
-      | f, g                                  | 64      | leads   |
-      | f, g, which led meanwhile             | 64      | waits   |
-      | f, g, which led from just after that  | 64      | waits   |
-      | unreadable                            | 0       | waits   |
+      | not recorded                          | 0       | leads alone |
+      | e, f                                  | 0       | leads alone |
+      | f, g                                  | 0       | waits       |
+      | f, g                                  | 1.9     | waits       |
+      | f, g                                  | 2.1     | leads, and an earlier leader may go on for 60.9 s |
+      | f, g                                  | 59      | leads, and an earlier leader may go on for 4 s |
+      | f, g                                  | 64      | leads alone |
+      | f, g, which led meanwhile             | 64      | waits       |
+      | f, g, which led from just after that  | 64      | waits       |
+      | unreadable                            | 0       | waits       |
+      | unreadable                            | 2.1     | leads, and an earlier leader may go on for 60.9 s |
 
   Scenario Outline: Which entries should be members
     # Guards against a set that shrinks without a write, and against a removed entry whose
--- a/features/workloads/steps/election_steps.py
+++ b/features/workloads/steps/election_steps.py
@@ -295,6 +295,7 @@
         outcome = None
         for _ in range(2):
             outcome = await acquire(store, entry, lambda _: 0.0, outcome)
+            context.decided_at = clock.now()
             if isinstance(outcome, LeaderTerm):
                 break
             await asyncio.sleep(seconds)
@@ -305,9 +306,17 @@
     run_virtually(run())
 
 
-@then("it leads")
+@then("it leads alone")
 def step_leads(context):
     assert isinstance(context.outcome, LeaderTerm), context.outcome
+    assert context.outcome.earlier_leader_until <= context.decided_at
+
+
+@then("it leads, and an earlier leader may go on for {seconds:g} s")
+def step_leads_beside(context, seconds):
+    assert isinstance(context.outcome, LeaderTerm), context.outcome
+    left = context.outcome.earlier_leader_until - context.decided_at
+    assert abs(left - seconds) < 0.1, left
 
 
 @then("it waits")
--- a/features/workloads/virtual_fleet.py
+++ b/features/workloads/virtual_fleet.py
@@ -235,6 +235,7 @@
         self.capacity = CAPACITY
         self.clock_rate = 1.0
         self.task_s = TASK_S
+        self.reports_progress = False
         self.reboot_s = REBOOT_S
         self.crashes = []
         self.record = []
@@ -306,6 +307,12 @@
         """Return the endpoint's clock in ms."""
         return int(clock.now() * 1000 * self.clock_rate)
 
+    def measure_progress(self, started_at):
+        """Return the progress of a run in percent."""
+        if not self.reports_progress:
+            return 50
+        return min(99, int(100 * (clock.now() - started_at) / self.task_s))
+
     def end(self, key, how):
         """End a run and list the end."""
         started_at = self.running.pop(key)
@@ -371,7 +378,10 @@
             row.advance()
         await asyncio.sleep(LATENCY_S)
         await row.check_up(is_sent=True)
-        listed = tuple(ListedRun(*key, "", 50, 0) for key in row.running)
+        listed = tuple(
+            ListedRun(*key, "", row.measure_progress(at), 0)
+            for key, at in row.running.items()
+        )
         return PollResponse(
             row.read_clock(), row.started_at_ms, listed, tuple(row.ended)
         )
--- a/packages/briarshed-workloads/src/briarshed_workloads/consent.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/consent.py
@@ -4,6 +4,15 @@
 unavailable, a leader goes on as long as every other member promises not to take it.
 Silence is no promise, however long it lasts. A member leaves by a write of the leader
 only, which an entry that wants to lead reads before.
+
+Other entries leave the leadership to the members for a while. One of them may then lead
+beside a leader that goes on by consent. That one cannot write, and can only start tasks
+at recorded endpoints that have not seen the token of the next leader. A pool is
+contested until all its endpoints have answered the next leader, or the earlier one can
+go on no longer. The earlier leader may start each task there again whose run it cannot
+see for the time of a run lease. So the next one keeps no run in a contested pool alive,
+acknowledges no end and starts nothing. It leaves the record of members as it is, since
+the entries in it are still those whose consent the earlier leader needs.
 """
 
 from __future__ import annotations
@@ -25,9 +34,13 @@
 MAX_CONSENT_S = 60.0
 """Longest time after its last renewal for which a leader goes on by consent."""
 
-NON_MEMBER_DELAY_S = 63.0
-"""Time for which an entry that is no member sees the leadership vacant before it takes
-it; longer than `MAX_CONSENT_S` on a clock that is 2% slow."""
+MAX_EARLIER_TERM_S = 63.0
+"""Time after an entry that is no member has seen the leadership vacant within which an
+earlier leader may go on; longer than `MAX_CONSENT_S` on a clock that is 2% slow."""
+
+NON_MEMBER_DELAY_S = 2.0
+"""Time for which such an entry leaves a vacant leadership to the members. One that has
+just started again takes it after `PROMISE_TTL_S`."""
 
 MEMBER_TIMEOUT_S = 10.0
 """Silence after which the leader writes that an entry is no member any more."""
--- a/packages/briarshed-workloads/src/briarshed_workloads/controller.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/controller.py
@@ -252,12 +252,14 @@
         await self.persistence.load_roster()
         await self.persistence.load_waves(self.maintenance)
         engine.note_earlier_term_end(self.term.vacant_at)
+        engine.note_earlier_leader(self.term.earlier_leader_until)
         self.is_loaded = True
         log_event(
             events.TERM_LOADED,
             epoch=engine.epoch,
             jobs=len(engine.jobs),
             endpoints=len(engine.endpoints),
+            earlier_leader_s=round(max(0.0, self.term.earlier_leader_until - now), 1),
             seconds=round(clock.now() - now, 3),
         )
         self.poller.start_polling()
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -116,6 +116,9 @@
         Whether the record of endpoints that may have runs could not be decoded.
     step_runs : dict
         Runs by the first three fields of their task: job, occurrence and step.
+    contested_until : float
+        Time until which a pool may be contested, in seconds of the boot clock; see
+        `briarshed_workloads.consent`.
     partly_listed : set
         Endpoints that may have ends besides those in their last response, since they
         list a limited number at a time.
@@ -142,6 +145,8 @@
         self.usage = Usage()
         self.unsaved_jobs: dict[str, None] = {}
         self.earlier_runs_until = 0.0
+        self.contested_until = 0.0
+        self._uncontested_pools: set[str] = set()
         self.roster: set[str] = set()
         self.is_roster_unreadable = False
         self.partly_listed: set[Endpoint] = set()
@@ -379,8 +384,34 @@
         Runs that it ordered may go on at endpoints that have not been polled yet, until
         the longest run lease has expired.
         """
-        longest = self.lease_times.max_run_lease / MIN_CLOCK_RATE + EXPIRY_MARGIN_S
-        self.earlier_runs_until = ended_at + longest
+        self.earlier_runs_until = ended_at + self._longest_run_lease
+
+    @property
+    def _longest_run_lease(self) -> float:
+        """Longest time in seconds for which the runs of an earlier leader may go on."""
+        return self.lease_times.max_run_lease / MIN_CLOCK_RATE + EXPIRY_MARGIN_S
+
+    def note_earlier_leader(self, until: float) -> None:
+        """Note that an earlier leader may have authority until a time."""
+        self.contested_until = until + self._longest_run_lease
+
+    def is_contested(self, pool: str, now: float) -> bool:
+        """Return whether an earlier leader may start tasks in a pool.
+
+        It cannot any more once all endpoints of the pool have answered a poll.
+        """
+        if now >= self.contested_until or pool in self._uncontested_pools:
+            return False
+        if self.is_roster_unreadable or any(
+            not endpoint.polled_at
+            and not endpoint.is_gone
+            and endpoint.registration.pool in (pool, "")
+            for endpoint in self.endpoints.values()
+        ):
+            return True
+        self._uncontested_pools.add(pool)
+        self.report("POOL_TAKEN_OVER", pool=pool, epoch=self.epoch)
+        return False
 
     def note_registrations(self, listing: Iterable[Registration], now: float) -> None:
         """Apply a new list of registered endpoints."""
--- a/packages/briarshed-workloads/src/briarshed_workloads/entry.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/entry.py
@@ -389,7 +389,8 @@
             views = self._peers.values()
             own_name, now = self.options.name, clock.now()
             names = choose_members(term.members, views, own_name, led_since, now)
-            if names != term.members and not term.is_store_failing:
+            may_write = not (term.is_store_failing or term.may_have_earlier_leader())
+            if names != term.members and may_write:
                 await term.set_members(names)
             await asyncio.sleep(MEMBERS_INTERVAL_S)
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/leadership.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/leadership.py
@@ -23,7 +23,7 @@
 from briarshed.exceptions import DocumentError
 from briarshed_entry import clock
 from briarshed_entry.logs import log_event
-from briarshed_workloads.consent import NON_MEMBER_DELAY_S
+from briarshed_workloads.consent import MAX_EARLIER_TERM_S, NON_MEMBER_DELAY_S
 from briarshed_workloads.fenced_writer import (
     FencedWriter,
     LeadershipLostError,
@@ -117,6 +117,8 @@
     vacant_at : float
         When the previous leader's lease was seen to have ended, in seconds of the boot
         clock.
+    earlier_leader_until : float
+        Until when an earlier leader may have authority by consent.
     confirmed_at : float
         When the lease was requested, in seconds of the boot clock.
     measure_consent : callable
@@ -148,8 +150,10 @@
         confirmed_at: float,
         measure_consent: Callable[[float], float],
         members: frozenset[str] | None = None,
+        earlier_leader_until: float = 0.0,
     ) -> None:
         self.members = members
+        self.earlier_leader_until = earlier_leader_until
         self.fenced_writer = fenced_writer
         self.epoch = fenced_writer.term.epoch
         self.state = advance(load_chart("leadership"), "following", "acquire")
@@ -324,15 +328,23 @@
         This leader does not go on by consent, so that any entry may lead.
         """
         self.note_event("resign", reason)
+        if not self.may_have_earlier_leader():
+            await self._remove_members()
+        try:
+            await self._store.end_lease(self._lease)
+        except (NotExecutedError, OutcomeUnknownError) as error:
+            log_event(AUTHORITY_LOST, reason=f"lease not revoked: {error}")
+
+    def may_have_earlier_leader(self) -> bool:
+        """Tell whether an earlier leader may still have authority by consent."""
+        return clock.now() < self.earlier_leader_until
+
+    async def _remove_members(self) -> None:
         try:
             async with asyncio.timeout(RESIGN_TIMEOUT_S):
                 await self.fenced_writer.commit([], [MEMBERS])
         except (TimeoutError, LeadershipLostError) as error:
             log_event(AUTHORITY_LOST, reason=f"members not removed: {error!r}")
-        try:
-            await self._store.end_lease(self._lease)
-        except (NotExecutedError, OutcomeUnknownError) as error:
-            log_event(AUTHORITY_LOST, reason=f"lease not revoked: {error}")
 
 
 def _log_failure(task: asyncio.Task[None]) -> None:
@@ -361,8 +373,8 @@
     Returns
     -------
     LeaderTerm or Vacancy or None
-        The term; the vacancy if this entry is no member and has to wait; None if
-        another entry leads or was faster, or if a promise may hold.
+        The term; the vacancy if this entry is no member and leaves the leadership to
+        members; None if another entry leads or was faster, or if a promise may hold.
 
     Raises
     ------
@@ -374,6 +386,7 @@
     if await store.read(LEADER) is not None:
         return None
     vacant_at = clock.now()
+    earlier_leader_until = 0.0
     members_item = await store.read(MEMBERS)
     members = _decode_members(members_item)
     if members is not None and entry.name not in members:
@@ -382,6 +395,7 @@
             vacancy = Vacancy(revision, vacant_at)
         if vacant_at - vacancy.since < NON_MEMBER_DELAY_S:
             return vacancy
+        earlier_leader_until = vacancy.since + MAX_EARLIER_TERM_S
     if members is not None and vacant_at < promised_until:
         return None
     term = _begin_term(current, entry)
@@ -413,6 +427,7 @@
         confirmed_at,
         measure_consent,
         members,
+        earlier_leader_until,
     )
 
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/planning.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/planning.py
@@ -86,6 +86,8 @@
 
 def _plan_pool(engine: Engine, pool: str, now: float, orders: list[StartOrder]) -> None:
     """Reserve runs for the waiting tasks of a pool and add their start orders."""
+    if engine.is_contested(pool, now):
+        return
     jobs = [job for job in engine.list_open(pool).values() if job.waiting]
     if may_have_earlier_runs(engine, pool, now):
         jobs = [job for job in jobs if not job.is_restored]
@@ -136,6 +138,8 @@
     orders: list[StartOrder] = []
     engine.usage.unknown = measure_unknown_usage(engine, now)
     for pool in list(engine.open_jobs):
+        if engine.is_contested(pool, now):
+            continue
         overdue = [
             (job, runs[0])
             for job in engine.list_open(pool).values()
--- a/packages/briarshed-workloads/src/briarshed_workloads/polling.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/polling.py
@@ -131,6 +131,9 @@
                 is_polled = await self.poll(endpoint)
             except Exception as error:
                 report_error(f"poll of {endpoint.name}", error)
+            if is_polled and self._is_contested(endpoint):
+                wake_event.clear()
+                await self._wait(wake_event, IDLE_RETRY_S)
             if not is_polled:
                 await asyncio.sleep(POLL_RETRY_S if endpoint.runs else IDLE_RETRY_S)
 
@@ -146,13 +149,20 @@
         is_idle = (
             endpoint.is_fenced and not endpoint.runs and not endpoint.failing_since
         )
-        limit = None if is_idle else RECHECK_S
+        await self._wait(wake_event, None if is_idle else RECHECK_S)
+
+    async def _wait(self, wake_event: asyncio.Event, limit: float | None) -> None:
+        """Wait for an event, for at most ``limit`` seconds."""
         try:
             async with asyncio.timeout(limit):
                 await wake_event.wait()
         except TimeoutError:
             return
 
+    def _is_contested(self, endpoint: Endpoint) -> bool:
+        """Tell whether an earlier leader may start tasks in the endpoint's pool."""
+        return self._engine.is_contested(endpoint.registration.pool, clock.now())
+
     async def _wait_to_acknowledge(
         self, endpoint: Endpoint, wake_event: asyncio.Event
     ) -> None:
@@ -239,13 +249,18 @@
         engine = self._engine
         sent_at = clock.now()
         counter, token = endpoint.counter, endpoint.token
-        acknowledged = endpoint.choose_acknowledged(endpoint in engine.partly_listed)
+        was_contested = self._is_contested(endpoint)
+        acknowledged = 0
+        if not was_contested:
+            is_partly_listed = endpoint in engine.partly_listed
+            acknowledged = endpoint.choose_acknowledged(is_partly_listed)
         endpoint.note_acknowledged(acknowledged)
         # An unresponsive endpoint may execute a call without responding. If its polls
         # carried deadlines, its lease would never be known to have expired.
         is_silent = endpoint.failing_since > 0
         deadline = None
-        if endpoint.clock_sample_ms and not is_silent and self._term.has_authority():
+        may_extend = not (is_silent or was_contested) and self._term.has_authority()
+        if endpoint.clock_sample_ms and may_extend:
             deadline = endpoint.choose_deadline(sent_at, engine.lease_times.run_lease)
         is_immediate |= is_silent or endpoint.has_unsaved_ends or not endpoint.is_fenced
         wait = 0.0 if is_immediate else POLL_WAIT_S
@@ -269,6 +284,9 @@
         was_fenced = endpoint.is_fenced
         known = endpoint.last_listed_end
         engine.note_poll(endpoint, response, counter, sent_at, now)
+        if was_contested and not self._is_contested(endpoint):
+            # The other endpoints wait with their next polls, which extend run leases.
+            self.wake_all()
         if endpoint.is_fenced and not was_fenced:
             log_event(
                 events.ENDPOINT_FENCED,
@@ -329,7 +347,8 @@
         is_expired = not endpoint.runs and now > max(
             self._engine.earlier_runs_until, endpoint.find_lease_expiry()
         )
-        if is_expired and not endpoint.is_listed:
+        is_needed = endpoint.is_listed or self._is_contested(endpoint)
+        if is_expired and not is_needed:
             self.note_gone(endpoint, "not responding and not registered")
 
     def note_gone(self, endpoint: Endpoint, reason: str) -> None:
--- a/packages/briarshed-workloads/src/briarshed_workloads/waiting.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/waiting.py
@@ -98,6 +98,8 @@
 
 def _find_reason(engine: Engine, job: Job, may_run_already: bool, now: float) -> str:
     """Return why the first waiting task of a job waits."""
+    if engine.is_contested(job.pool, now):
+        return "earlier leader"
     if may_run_already and job.is_restored:
         return "earlier leader's runs"
     task = next(iter(job.waiting))
--- a/packages/briarshed/src/briarshed/events.py
+++ b/packages/briarshed/src/briarshed/events.py
@@ -97,6 +97,9 @@
 TERM_LOADED = Event(
     802, "INFO", "epoch {epoch}: took over {jobs} jobs and {endpoints} endpoints"
 )
+POOL_TAKEN_OVER = Event(
+    814, "INFO", "pool {pool}: no earlier leader than epoch {epoch} can start tasks"
+)
 LEADER_HEARD = Event(803, "INFO", "leader is {leader} in epoch {epoch}")
 LEADER_SILENT = Event(804, "WARNING", "no heartbeat from leader {leader} for {age} s")
 STORE_ANSWER_LOST = Event(805, "WARNING", "no response to write {writes}: {error}")
