Refuse a submission whose cancelling was acknowledged before it arrived

Cause: a cancel of an unknown id changed nothing, so that the answer held for the present only. Change: such an id is recorded as withdrawn before the cancel is answered, and each leader refuses its submission. At most 10,000 are kept, as long as outcomes are.

Ruled out as a fix: dropping requests whose caller has left. The request may be read before the end of the connection, and callers may cancel without closing it.

--- a/features/platform/input.feature
+++ b/features/platform/input.feature
@@ -199,3 +199,15 @@
   Scenario: Unknown settings are ignored
     When a settings file has a field "colour"
     Then it has no findings
+
+  Scenario Outline: A cancel of an id that no job can have leaves no record
+    # Guards against keys that the store refuses, and against records that callers can fill
+    # with any text: a cancel of an unknown id is recorded.
+    When a caller cancels the job <id>
+    Then the answer is 410, and the leader is not asked
+
+    Examples:
+      | id                 |
+      | 00000000000000AA   |
+      | 00000000000000aa/x |
+      | aa                 |
--- a/features/platform/steps/input_steps.py
+++ b/features/platform/steps/input_steps.py
@@ -11,7 +11,7 @@
 
 from briarshed.exceptions import SettingsError
 from briarshed_platform import directory as directory_module
-from briarshed_platform.callers import Callers, decode_job
+from briarshed_platform.callers import Call, Callers, decode_job
 from briarshed_platform.directory import PlatformDirectory
 from briarshed_platform.http_client import HttpClient
 from briarshed_platform.settings import decode_options
@@ -393,3 +393,21 @@
 @then("it has no findings")
 def step_no_findings(context):
     assert not context.findings, context.findings
+
+
+@when("a caller cancels the job {job}")
+def step_cancel(context, job):
+    async def ask(*_):
+        raise AssertionError("the leader was asked")
+
+    entry = SimpleNamespace(
+        forwarder=SimpleNamespace(query=ask), describe_basis=lambda: ""
+    )
+    request = SimpleNamespace(method="DELETE", headers={})
+    call = Call(SimpleNamespace(timeout=3.0), "team", job)
+    context.answer = asyncio.run(Callers(entry)._cancel(request, call))
+
+
+@then("the answer is 410, and the leader is not asked")
+def step_gone(context):
+    assert context.answer.status == 410, context.answer.status
--- a/packages/briarshed-workloads/src/briarshed_workloads/controller.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/controller.py
@@ -99,6 +99,13 @@
 often."""
 
 
+MAX_WITHDRAWN = 10_000
+"""Ids cancelled without a job that are kept; each costs a record in the store."""
+
+DURABILITY_CHECK_S = 0.02
+"""Interval of checking whether a change is durable; a write takes 4 ms and more."""
+
+
 class SubmitResult(NamedTuple):
     """Outcome of a submission; ``retry_after`` is in seconds."""
 
@@ -248,6 +255,7 @@
         engine.configuration = configuration
         engine.unix_offset = time.time() - now
         await self.persistence.load_jobs()
+        await self.persistence.load_withdrawn()
         engine.note_registrations(await self._directory.read_endpoints(), clock.now())
         await self.persistence.load_roster()
         await self.persistence.load_waves(self.maintenance)
@@ -293,9 +301,13 @@
         Returns
         -------
         SubmitResult
-            ``accepted``, ``refused`` or ``full`` (the job will certainly not run; the
-            latter is not worth another attempt now) or ``unknown``.
+            ``accepted``, ``refused``, ``full`` or ``withdrawn`` (the job will certainly
+            not run; the last two are not worth another attempt now) or ``unknown``.
         """
+        if submission.job in self.engine.withdrawn:
+            is_recorded = await self._wait_for_withdrawal(submission.job)
+            retry_after = self.options.site_limits.status_retention
+            return SubmitResult("withdrawn" if is_recorded else "unknown", retry_after)
         waiting = self.persistence.pending_acceptances.get(submission.job)
         if waiting is None:
             if submission.job in self.engine.jobs:
@@ -352,7 +364,7 @@
             return "unknown"
         job = self.engine.jobs.get(job_id)
         if job is None:
-            return self._find_state_of_unknown(job_id)
+            return await self._cancel_unknown(job_id)
         if job.is_open:
             self.engine.cancel(job, time.time())
             self._changed.set()
@@ -360,9 +372,32 @@
         while job_id not in self.persistence.outcomes:
             if self.term.lost.is_set():
                 return "unknown"
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(DURABILITY_CHECK_S)
         return "cancelled"
 
+    async def _cancel_unknown(self, job_id: str) -> str:
+        """Return ``missing`` once no later submission of an id can be accepted.
+
+        The submission may be on its way, at an entry that is paused for example.
+        """
+        state = self._find_state_of_unknown(job_id)
+        if state != "missing":
+            return state
+        if job_id not in self.engine.withdrawn:
+            if len(self.engine.withdrawn) >= MAX_WITHDRAWN:
+                log_event(events.WITHDRAWAL_LIMIT_REACHED, job_id=job_id)
+                return "unknown"
+            self.persistence.withdraw(job_id)
+        return "missing" if await self._wait_for_withdrawal(job_id) else "unknown"
+
+    async def _wait_for_withdrawal(self, job_id: str) -> bool:
+        """Wait until a withdrawal is durable; return False if the term ends before."""
+        while not self.persistence.is_withdrawal_recorded(job_id):
+            if self.term.lost.is_set():
+                return False
+            await asyncio.sleep(DURABILITY_CHECK_S)
+        return True
+
     # Endpoints
 
     async def _refresh_endpoints(self) -> None:
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -109,6 +109,9 @@
     ----------
     unsaved_jobs : dict
         Ids of the jobs whose records must be written.
+    withdrawn : dict
+        Ids that callers have cancelled although no job had them, and when, in Unix
+        seconds. A submission that arrives later must not be accepted.
     open_size : int
         Size of all open jobs; those that have ended since the last correction of the
         state still count.
@@ -138,6 +141,7 @@
         self.configuration: Configuration | None = None
         self.jobs: dict[str, Job] = {}
         self.open_jobs: dict[str, dict[str, Job]] = {}
+        self.withdrawn: dict[str, float] = {}
         self.open_size = 0
         self.endpoints: dict[str, Endpoint] = {}
         self.runs: dict[TaskId, list[Run]] = {}
@@ -255,6 +259,13 @@
             del self.jobs[job_id]
         return old
 
+    def forget_withdrawn(self, unix_now: float, keep: float) -> list[str]:
+        """Remove ids that were withdrawn over ``keep`` seconds ago, and return them."""
+        old = [job_id for job_id, at in self.withdrawn.items() if at < unix_now - keep]
+        for job_id in old:
+            del self.withdrawn[job_id]
+        return old
+
     def list_open(self, pool: str) -> dict[str, Job]:
         """Return the open jobs of a pool, after removing those that have ended."""
         jobs = self.open_jobs.setdefault(pool, {})
--- a/packages/briarshed-workloads/src/briarshed_workloads/forwarding.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/forwarding.py
@@ -142,6 +142,8 @@
                 return reply
             if reply is not None and reply.outcome == "full" and not was_sent:
                 return Reply(0, "refused", reply.retry_after)
+            if reply is not None and reply.outcome == "withdrawn":
+                return Reply(0, "refused", reply.retry_after)
             was_sent = was_sent or (reply is not None and reply.outcome == "unknown")
             waited = clock.now() - started_at
             if was_sent and waited + RESEND_PAUSE_S > timeout:
--- a/packages/briarshed-workloads/src/briarshed_workloads/persistence.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/persistence.py
@@ -28,11 +28,13 @@
     ROSTER,
     SIZES,
     WAVES,
+    WITHDRAWN,
     JobRecord,
     ProgressRecord,
     RosterRecord,
     SizesRecord,
     WaveRecord,
+    WithdrawnRecord,
     decode,
     encode,
 )
@@ -95,6 +97,7 @@
         self.pending_acceptances: dict[str, asyncio.Future[bool]] = {}
         self.outcomes: dict[str, str] = {}
         self.unreadable_jobs: set[str] = set()
+        self._unsaved_withdrawn: dict[str, None] = {}
         self._failed_jobs: set[str] = set()
         self._failed_endpoints: dict[str, Registration] = {}
         self._failed_attempts: dict[str, int] = {}
@@ -127,6 +130,25 @@
             self._restore_job(item.key.removeprefix(JOBS), item.value, rows)
             await work.end_if_due()
 
+    async def load_withdrawn(self) -> None:
+        """Load the ids that earlier leaders have withdrawn."""
+        for item in (await self._store.read_all(WITHDRAWN)).items:
+            record = _decode_or_report(item, WithdrawnRecord)
+            # Without a time it is kept as long as one that is withdrawn now.
+            at = time.time() if record is None else record.withdrawn_at
+            self._engine.withdrawn[item.key.removeprefix(WITHDRAWN)] = at
+
+    def withdraw(self, job_id: str) -> None:
+        """Withdraw an id that no job has, and request the write that records it."""
+        self._engine.withdrawn[job_id] = time.time()
+        self._unsaved_withdrawn[job_id] = None
+        self.request_save()
+
+    def is_withdrawal_recorded(self, job_id: str) -> bool:
+        """Return whether an id is withdrawn, also for the next leader."""
+        is_saved = job_id not in self._unsaved_withdrawn
+        return job_id in self._engine.withdrawn and is_saved
+
     def _restore_job(self, job_id: str, value: bytes, rows: Mapping[str, Item]) -> None:
         try:
             record = decode(value, JobRecord)
@@ -199,7 +221,7 @@
         while True:
             await self._unsaved.wait()
             self._unsaved.clear()
-            if not self.pending_acceptances:
+            if not (self.pending_acceptances or self._unsaved_withdrawn):
                 await asyncio.sleep(FLUSH_PAUSE_S)
             try:
                 await self._save_once()
@@ -214,6 +236,7 @@
             for row in engine.endpoints.values()
         ]
         await self._save_roster()
+        await self._save_withdrawn()
         unsaved = set(engine.unsaved_jobs)
         engine.unsaved_jobs.clear()
         self._failed_jobs.clear()
@@ -241,6 +264,22 @@
                 endpoint.acknowledged = number
                 self._note_saved(endpoint.name)
 
+    async def _save_withdrawn(self) -> None:
+        """Record withdrawn ids, whose callers are waiting."""
+        while self._unsaved_withdrawn:
+            batch = list(self._unsaved_withdrawn)[:MAX_TRANSACTION_WRITES]
+            await self._term.fenced_writer.commit(
+                [
+                    Put(
+                        WITHDRAWN + job_id,
+                        encode(WithdrawnRecord(self._engine.withdrawn[job_id])),
+                    )
+                    for job_id in batch
+                ]
+            )
+            for job_id in batch:
+                del self._unsaved_withdrawn[job_id]
+
     def _choose_batch(self, job_ids: Iterable[str]) -> list[str]:
         """Return the jobs of the next write, those with pending acceptance first."""
         batch: list[str] = []
@@ -384,9 +423,12 @@
             old = self._engine.forget_ended(time.time(), kept)
             for job_id in old:
                 self.outcomes.pop(job_id, None)
-            for start in range(0, len(old), MAX_TRANSACTION_WRITES):
-                part = old[start : start + MAX_TRANSACTION_WRITES]
-                await self._term.fenced_writer.commit([], [JOBS + row for row in part])
+            withdrawn = self._engine.forget_withdrawn(time.time(), kept)
+            keys = [JOBS + job_id for job_id in old]
+            keys += [WITHDRAWN + job_id for job_id in withdrawn]
+            for start in range(0, len(keys), MAX_TRANSACTION_WRITES):
+                part = keys[start : start + MAX_TRANSACTION_WRITES]
+                await self._term.fenced_writer.commit([], part)
 
     def note_sizes(self, record: SizesRecord) -> None:
         """Record the pool sizes and the latest moves with the next write."""
--- a/packages/briarshed-workloads/src/briarshed_workloads/records.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/records.py
@@ -12,6 +12,7 @@
 
 JOBS = "briarshed/jobs/"
 PROGRESS = "briarshed/progress/"
+WITHDRAWN = "briarshed/withdrawn/"
 ENTRIES = "briarshed/entries/"
 TERM = "briarshed/term"
 LEADER = "briarshed/leader"
@@ -73,6 +74,12 @@
     open_occurrences: tuple[int, ...] = ()
 
 
+class WithdrawnRecord(msgspec.Struct, array_like=True, frozen=True):
+    """An id that was cancelled although no job had it; the time is in Unix seconds."""
+
+    withdrawn_at: float
+
+
 class TermRecord(msgspec.Struct, array_like=True, frozen=True):
     """The term of a leader; all its writes are conditional on this item.
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/transport.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/transport.py
@@ -119,8 +119,9 @@
 class Reply(msgspec.Struct, tag="r", array_like=True, frozen=True):
     """The leader's reply to a request.
 
-    ``outcome`` is ``accepted``, ``refused``, ``cancelled``, ``missing``, ``unknown``,
-    ``not leader`` or the state of a job. ``retry_after`` is in seconds.
+    ``outcome`` is ``accepted``, ``refused``, ``full``, ``withdrawn``, ``cancelled``,
+    ``missing``, ``unknown``, ``not leader`` or the state of a job. ``retry_after`` is
+    in seconds.
     """
 
     id: int
--- a/packages/briarshed/src/briarshed/events.py
+++ b/packages/briarshed/src/briarshed/events.py
@@ -161,6 +161,9 @@
 WORK_LIMIT_REACHED = Event(
     849, "WARNING", "job {job_id} refused: open jobs have the size {size}"
 )
+WITHDRAWAL_LIMIT_REACHED = Event(
+    850, "WARNING", "cancel of {job_id}, which no job has, is not recorded: too many"
+)
 ENDPOINT_ADDED = Event(861, "INFO", "endpoint {endpoint} joined pool {pool}")
 ENDPOINT_CHANGED = Event(862, "INFO", "endpoint {endpoint}: draining {draining}")
 ENDPOINT_UNLISTED = Event(863, "INFO", "endpoint {endpoint} is not registered")
