Poll an idle endpoint whose fence is required without waiting for an event

Its second cause: the repeated order was answered with "begun", the endpoint that had come up needed a new fence, and its loop waited without a limit for an event that nobody sets. The log shows `not fenced` for it in TASKS_WAITING until the end.

Change: the loop of an idle endpoint checks every 0.5 s whether a poll is needed, like those of all others. It polls no more often than before.

Ruled out: waking the loop at each such place only. A move that is rejected or gets no response leaves the same mark, and so would the next place that requires a fence.

--- a/packages/briarshed-workloads/src/briarshed_workloads/polling.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/polling.py
@@ -43,8 +43,8 @@
 billed."""
 
 RECHECK_S = 0.5
-"""Interval of checking whether an endpoint with runs may be polled again; short
-compared with the run lease of 4 s."""
+"""Interval of checking whether an endpoint must be polled again; short compared with
+the run lease of 4 s."""
 
 CLOSE_DELAY_S = 0.05
 """Time that a process which ends may take to close its connections."""
@@ -123,7 +123,9 @@
                 return
             if not self._needs_poll(endpoint):
                 wake_event.clear()
-                await self._wait_until_needed(endpoint, wake_event)
+                # Authority can be lost and regained, or a fence required, without an
+                # event. Nobody would then poll the endpoint again.
+                await self._wait(wake_event, RECHECK_S)
                 continue
             await self._wait_to_acknowledge(endpoint, wake_event)
             is_polled = False
@@ -137,21 +139,7 @@
             if not is_polled:
                 await asyncio.sleep(POLL_RETRY_S if endpoint.runs else IDLE_RETRY_S)
 
-    async def _wait_until_needed(
-        self, endpoint: Endpoint, wake_event: asyncio.Event
-    ) -> None:
-        """Wait until a poll may be needed.
-
-        For an endpoint that is not idle the wait is limited: authority can be lost and
-        regained between two plans, in which case no event is set, and without polls the
-        end of a run would never be seen.
-        """
-        is_idle = (
-            endpoint.is_fenced and not endpoint.runs and not endpoint.failing_since
-        )
-        await self._wait(wake_event, None if is_idle else RECHECK_S)
-
-    async def _wait(self, wake_event: asyncio.Event, limit: float | None) -> None:
+    async def _wait(self, wake_event: asyncio.Event, limit: float) -> None:
         """Wait for an event, for at most ``limit`` seconds."""
         try:
             async with asyncio.timeout(limit):
