Order a pace again whose order had no response

What callers would see: a best-effort task that stays slow or stopped for good. An order for its pace was carried out and the response lost; the leader kept the pace before it for the present one, and ordered nothing once that was the right one.

Change: the pace of a run is unknown after an order without a response, and is ordered until an order is answered.

--- a/features/workloads/lost_orders.feature
+++ b/features/workloads/lost_orders.feature
@@ -12,3 +12,10 @@
       | in maintenance already, which a repeated order shows    |
       | to be moved, and the platform rejects that              |
       | to be moved, and there is no response                   |
+
+  Scenario: A pace whose order had no response is ordered again
+    # Guards against best-effort tasks that stay slow for good: the order had been carried out,
+    # and the leader took the pace before it for the present one.
+    Given a best-effort task whose pace of 40 % was ordered without a response
+    When its neighbours are below their target again
+    Then its pace is ordered again, until an order is answered
--- a/packages/briarshed-workloads/src/briarshed_workloads/controller.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/controller.py
@@ -635,6 +635,8 @@
                 self.term.has_authority,
             )
         except (OutcomeUnknownError, NotExecutedError) as error:
+            # It may be carried out later, after the next order too.
+            run.is_pace_unknown |= isinstance(error, OutcomeUnknownError)
             log_event(
                 events.RUN_PACED,
                 job_id=run.task.job,
@@ -654,3 +656,4 @@
                 outcome="done",
             )
             run.pace = order.percent
+            run.is_pace_unknown = False
--- a/packages/briarshed-workloads/src/briarshed_workloads/disruption.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/disruption.py
@@ -106,7 +106,7 @@
             percent = choose_pace(run.pace, tail_ratio)
             # An earlier leader may have slowed down a run that this one has found.
             is_pace_unknown = run.is_adopted and not run.paced_at
-            if percent != run.pace or is_pace_unknown:
+            if percent != run.pace or is_pace_unknown or run.is_pace_unknown:
                 orders.append(PaceOrder(run, percent))
     return orders
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
@@ -51,7 +51,8 @@
     ``token`` is 0 until the start order is sent. ``is_listed`` is set once the endpoint
     has listed the run in response to a poll, which tells the incarnation that runs it.
     ``is_start_confirmed`` is set if this incarnation has responded to the start order.
-    ``unknown_at`` is when the outcome of an order became unknown.
+    ``unknown_at`` is when the outcome of an order became unknown. ``is_pace_unknown``
+    is set while an order for its pace has no response.
     """
 
     __slots__ = (
@@ -62,6 +63,7 @@
         "is_adopted",
         "is_copy",
         "is_listed",
+        "is_pace_unknown",
         "is_start_confirmed",
         "load",
         "need",
@@ -112,6 +114,7 @@
         self.is_listed = False
         self.is_start_confirmed = False
         self.is_adopted = False
+        self.is_pace_unknown = False
         self.has_unknown_need = False
 
     @property
