Derive the marks of maintenance from the open waves in each step

Its first cause: the order kept its place, so that the endpoint that came up was marked as evicting, and the wave was closed before the mark was reset.

Change: all marks are replaced in each step. An order without a response is repeated while its instance is down, which tells that it has begun before the next endpoint comes up; "busy" for such an order keeps its place. A mark that an order would end an endpoint holds until it responds more than 10 s later, a retiring mark while there is a pool to move to, and drained endpoints get tasks while the instance list cannot be read.

Ruled out: taking a new endpoint on the instance for a proof that the maintenance has begun. It may have restarted by itself, and the wave would be completed without it.

--- a/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
@@ -180,7 +180,8 @@
     An endpoint that is ``evicting`` is drained for maintenance; one that is
     ``retiring`` gets no new runs, since its pool has surplus capacity.
     ``is_end_ordered`` is set once its instance may have been ordered into maintenance
-    or another pool. ``lost_runs`` holds the runs whose lease expired while it did not
+    or another pool, and ``end_ordered_at`` is when the last such order was sent.
+    ``lost_runs`` holds the runs whose lease expired while it did not
     respond. ``earlier_deadlines_until`` is the time until which it may keep runs
     because of deadlines that were chosen by the clock of its earlier incarnation.
     ``fence_counter`` is the least counter of a poll that settles earlier orders.
@@ -201,6 +202,7 @@
         "deadline_sent_at",
         "earlier_deadlines_until",
         "earlier_starts",
+        "end_ordered_at",
         "epoch",
         "evicting",
         "failing_since",
@@ -256,6 +258,7 @@
         self.is_listed = True
         self.is_gone = False
         self.is_end_ordered = False
+        self.end_ordered_at = 0.0
         self.isolation: Isolation | None = None
         self.last_ordered_at = 0.0
         self.lost_runs: list[Run] = []
@@ -404,6 +407,11 @@
         expiry = self.clock_sampled_at + left / MIN_CLOCK_RATE + EXPIRY_MARGIN_S
         return max(expiry, self.earlier_deadlines_until)
 
+    def note_end_ordered(self, now: float) -> None:
+        """Note that its instance is ordered into maintenance or another pool."""
+        self.is_end_ordered = True
+        self.end_ordered_at = now
+
     def require_fence(self) -> None:
         """Order no more starts until a poll with a higher token has been answered."""
         self.needs_fence = True
--- a/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
@@ -61,6 +61,19 @@
 """Interval after which an instance order that had no effect is repeated."""
 
 
+LATE_ORDER_S = 10.0
+"""Time after which an instance order without a response is not executed any more. An
+endpoint that responds later than this has not been ended by the order."""
+
+MAX_LIST_AGE_S = 3.0
+"""Age of the instance list from which on only endpoints whose order may be on its way
+are kept drained: no further instance can be ordered."""
+
+REJECTED_MOVE_RETRY_S = 30.0
+"""Time after which a move that the platform has rejected as invalid is tried again; the
+configuration may have changed."""
+
+
 class WaveView(NamedTuple):
     """An open wave: its order and its progress.
 
@@ -232,7 +245,7 @@
         self._missing_since: dict[str, float] = {}
         self._counter = 0
         self._moved_at: dict[str, float] = {}
-        self._rejected: set[tuple[str, str]] = set()
+        self._rejected_at: dict[tuple[str, str], float] = {}
         self._rates: dict[str, ArrivalRate] = {}
         # A deposed leader may have given orders until just now, and the platform
         # counts it as an error if two holders order one instance within the lease.
@@ -323,10 +336,25 @@
             self._instance_list.note_failing(str(error))
 
     async def _step(self, now: float) -> None:
+        self._clear_refuted_marks()
         if now - self._listed_at >= LIST_INTERVAL_S:
-            await self._read_instances()
-        for view in list(self.waves.values()):
-            await self._advance(view, now)
+            try:
+                await self._read_instances()
+            except (NotExecutedError, OutcomeUnknownError):
+                if now - self._listed_at >= MAX_LIST_AGE_S:
+                    self._mark_evicting(self._list_unanswered())
+                raise
+        chosen = {
+            number: self._choose_next(view, now)
+            for number, view in list(self.waves.items())
+        }
+        # The marks of all waves are replaced in each step, so that none outlives its
+        # order, its wave or the incarnation that was drained.
+        self._mark_evicting(
+            {row.instance.instance for rows in chosen.values() for row in rows}
+        )
+        for number, rows in chosen.items():
+            await self._advance(self.waves[number], rows, now)
         if now >= self._moves_from:
             await self._move_instances(now)
 
@@ -352,7 +380,10 @@
             now,
         )
         moves = [
-            move for move in moves if (move.instance, move.pool) not in self._rejected
+            move
+            for move in moves
+            if now - self._rejected_at.get((move.instance, move.pool), -math.inf)
+            >= REJECTED_MOVE_RETRY_S
         ]
         if moves:
             self._record_moves(moves, now)
@@ -377,7 +408,7 @@
         if endpoint is not None:
             # No run may start there between the decision and its effect.
             endpoint.require_fence()
-            endpoint.is_end_ordered = True
+            endpoint.note_end_ordered(clock.now())
         token = self._next_token()
         outcome = await self._api.move(
             move.instance,
@@ -406,7 +437,7 @@
         if endpoint is not None:
             endpoint.is_end_ordered = False
         if outcome.reason == "invalid":
-            self._rejected.add((move.instance, move.pool))
+            self._rejected_at[move.instance, move.pool] = clock.now()
 
     def _list_short_pools(self, now: float) -> set[str]:
         """Return the pools that are short of capacity."""
@@ -438,28 +469,50 @@
             for endpoint in self._engine.endpoints.values()
         )
 
-    async def _advance(self, view: WaveView, now: float) -> None:
+    def _clear_refuted_marks(self) -> None:
+        """Note which endpoints have responded long after an order to end them.
+
+        Their crash would otherwise never count as evidence against a task.
+        """
+        for endpoint in self._engine.endpoints.values():
+            is_refuted = endpoint.answered_at > endpoint.end_ordered_at + LATE_ORDER_S
+            if endpoint.is_end_ordered and is_refuted:
+                endpoint.is_end_ordered = False
+
+    def _list_unanswered(self) -> set[str]:
+        """Return the instances whose maintenance may begin at any time."""
+        return {name for view in self.waves.values() for name in view.unanswered}
+
+    def _mark_evicting(self, names: Collection[str]) -> None:
+        """Drain the endpoints on these instances, and no others."""
+        for endpoint in self._engine.endpoints.values():
+            endpoint.evicting = endpoint.registration.instance in names
+
+    def _choose_next(self, view: WaveView, now: float) -> list[Candidate]:
+        """Return the instances of a wave to drain now."""
         order = view.order
         gone = frozenset(name for name in order.instances if self._is_gone(name))
-        view = self.waves[order.wave] = view._replace(gone=gone)
-        # It may be down for another wave: only the response to an order counts.
-        if gone.issuperset(set(order.instances) - view.begun):
-            await self._close(view)
-            return
-        chosen = choose_next(
-            view,
+        self.waves[order.wave] = view._replace(gone=gone)
+        return choose_next(
+            self.waves[order.wave],
             self.instances,
             self._find_endpoint,
             self._list_short_pools(now),
             self._options.site_limits.maintenance + DRAIN_S,
             now,
         )
-        names = {row.instance.instance for row in chosen}
-        for endpoint in self._engine.endpoints.values():
-            instance = endpoint.registration.instance
-            if instance in order.instances:
-                endpoint.evicting = instance in names
+
+    async def _advance(
+        self, view: WaveView, chosen: Sequence[Candidate], now: float
+    ) -> None:
+        """Order the drained instances of a wave, and close it if all have begun."""
+        order = view.order
+        # It may be down for another wave: only the response to an order counts.
+        if view.gone.issuperset(set(order.instances) - view.begun):
+            await self._close(view)
+            return
         due = [row for row in chosen if self._is_due(view, row, now)]
+        due += self._list_repeatable(view, now)
         if not due:
             return
         # Recorded first, since the next leader waits the lease time only for these.
@@ -468,6 +521,21 @@
         await asyncio.gather(*(self._order(view, row) for row in due))
         await self._save_progress(view)
 
+    def _list_repeatable(self, view: WaveView, now: float) -> list[Candidate]:
+        """Return the instances in maintenance whose order has no response.
+
+        Nothing runs there. Once the order is known to have begun, the endpoint that
+        comes up is not drained for a repeated one.
+        """
+        return [
+            Candidate(self.instances[name], None)
+            for name in sorted(view.unanswered)
+            if name in self.instances
+            and self.instances[name].state == "maintenance"
+            and name not in self._list_held(now)
+            and now - view.ordered_at.get(name, 0.0) >= ORDER_RETRY_INTERVAL_S
+        ]
+
     def _is_due(self, view: WaveView, row: Candidate, now: float) -> bool:
         """Return whether an instance is drained and this leader may order it now."""
         name = row.instance.instance
@@ -522,7 +590,7 @@
         is_repeated = name in view.unanswered
         view.unanswered.add(name)
         if row.endpoint is not None:
-            row.endpoint.is_end_ordered = True
+            row.endpoint.note_end_ordered(clock.now())
         try:
             outcome = await self._api.maintain(
                 name,
@@ -535,8 +603,10 @@
             if not is_repeated:
                 view.unanswered.discard(name)
             raise
-        view.unanswered.discard(name)
         done = isinstance(outcome, Ordered)
+        if done or not (is_repeated and outcome.reason == "busy"):
+            # Otherwise the order without a response may be why the instance is busy.
+            view.unanswered.discard(name)
         log_event(
             events.MAINTENANCE_ORDERED,
             wave=view.order.wave,
--- a/packages/briarshed-workloads/src/briarshed_workloads/sizing.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/sizing.py
@@ -293,6 +293,9 @@
     assert configuration is not None
     standby = [name for name, row in configuration.pools.items() if row.standby]
     if not standby:
+        # Without a pool to move to, no endpoint can be retired.
+        for endpoint in engine.endpoints.values():
+            endpoint.retiring = False
         return []
     surplus: dict[str, float] = {}
     for pool, pool_demand in measure_demands(engine, instances, rates, now).items():
