Record which endpoints have restarted, for leaders that come later

Cause: a call for the earlier life that the next one carries out has a deadline far ahead on its clock, so that runs are kept for the longest lease, 10 s. The leader of that time allows for it; the next one counted 4 s for each endpoint that it found or missed.

Change: the roster names endpoints that have had another life. A new leader waits for the longest lease if such a life is young, by Unix time or by the endpoint's own clock, or if the endpoint is not registered and may have restarted unseen.

Ruled out: waiting in all cases. It costs up to 9 s at each change of the leader with a silent endpoint; a row of run_leases.feature bounds the wait at 7.5 s without a restart.

--- a/features/workloads/contract_endpoints.py
+++ b/features/workloads/contract_endpoints.py
@@ -58,6 +58,7 @@
         self.capacity = capacity
         self.rate = rate
         self.records = []
+        self.max_accepted_lease_s = MAX_ACCEPTED_LEASE_S
         self.started_at_ms = 1
         self.down = ""
         self.changed = asyncio.Event()
@@ -124,7 +125,7 @@
 
     def extend(self, deadline_ms):
         """Extend the lease by at most the longest accepted one."""
-        latest = self.read_clock() + int(MAX_ACCEPTED_LEASE_S * 1000)
+        latest = self.read_clock() + int(self.max_accepted_lease_s * 1000)
         self.deadline_ms = max(self.deadline_ms, min(deadline_ms or 0, latest))
 
     def poll(self, token, acknowledged, deadline_ms):
--- a/features/workloads/run_leases.feature
+++ b/features/workloads/run_leases.feature
@@ -19,3 +19,38 @@
       | was idle for 5 s and has restarted unseen | goes on |
       | was idle for 5 s and has restarted unseen | resigns |
       | was idle for 5 s and has restarted unseen | ends    |
+
+  Scenario Outline: A next leader knows that an endpoint may have a late deadline
+    # Guards against a task that runs twice (TWICE, issue 52): an endpoint that had restarted
+    # under its name carried out a poll for its earlier incarnation, whose deadline was far
+    # ahead on its clock. Only the leader of that time knew that it may have.
+    Given three entries, and an endpoint "a" that was idle for <idle> s
+    When "a" restarts, and carries out a poll for its earlier incarnation <late> s later
+    And a task is started at "a", which is cut off <cut> s after its restart
+    And the leader is killed <kills> after the restart
+    Then the task is started elsewhere, and not before "a" has ended the run
+    And the task is started elsewhere at most <most> s after the last kill
+
+    Examples:
+      | idle | late | cut | kills             | most |
+      | 20   | 0.01 | 2.6 | after 2.0 s       | 16   |
+      | 20   | 0.01 | 1.0 | after 2.0 s       | 16   |
+      | 20   | 0.01 | 4.0 | after 2.0 s       | 16   |
+      | 20   | 0.01 | 2.6 | after 2.0 and 3.9 s | 16   |
+      | 20   | 0.01 | 3.7 | after 2.0 and 3.9 s | 16   |
+      | 300  | 0.01 | 2.6 | after 2.0 s       | 16   |
+
+  Scenario Outline: A task waits no longer for an endpoint that has not restarted lately
+    # Guards against tasks that wait for 6 s more (LOST) at each change of the leader with an
+    # endpoint that does not respond.
+    Given three entries, and an endpoint "a" that was idle for 20 s
+    When "a" <state>
+    And a task is started at "a", which is cut off 2.6 s after that
+    And the leader is killed after 2.0 s after the restart
+    Then the task is started elsewhere, and not before "a" has ended the run
+    And the task is started elsewhere at most 7.5 s after the last kill
+
+    Examples:
+      | state                      |
+      | goes on                    |
+      | has restarted 60 s before  |
--- a/features/workloads/steps/run_lease_steps.py
+++ b/features/workloads/steps/run_lease_steps.py
@@ -1,15 +1,24 @@
 """Steps for the time for which runs may go on at endpoints that do not respond."""
 
 import asyncio
+import time
 
 from behave import given, then, when
 from contract_endpoints import SLOWEST_RATE, ContractEndpoints, find_double_runs
 from engine_steps import CAPACITY
-from virtual_fleet import Directory, Fleet
+from virtual_fleet import REGISTRATION_TIMEOUT_S, Directory, Fleet
 from virtual_time import run_virtually
 
+from briarshed_entry import clock
+from briarshed_workloads.options import SiteLimits
+
 LONG_TASK_S = 9.0
 END_S = 40.0
+VERY_LONG_TASK_S = 30.0
+LONGEST_LEASE_S = 10.0
+RUN_LEASE_S = 4.0
+SEEN_S = 0.8
+EARLY_S = 60
 
 
 class SilentEndpoint:
@@ -95,3 +104,110 @@
     assert {row.endpoint for row in context.records} == {"a", "b"}, context.records
     found = find_double_runs(context.records)
     assert not found, found
+
+
+class RestartedEndpoint(SilentEndpoint):
+    """A fleet of which one endpoint, "a", may restart before it is cut off."""
+
+    def __init__(self, idle_s):
+        super().__init__(1.0)
+        self.idle_s = idle_s
+        self.late_s = None
+        self.is_restarted_early = False
+        self.cut_s = 0.0
+        self.kills = []
+
+    async def run(self):
+        """Return the records of all runs, and when a leader was last killed."""
+        fleet = Fleet(("e1", "e2", "e3"), ("a", "b"))
+        fleet.limits = SiteLimits(max_run_lease=LONGEST_LEASE_S)
+        fleet.endpoints = ContractEndpoints(
+            ("a", "b"),
+            lambda task: VERY_LONG_TASK_S,
+            lambda name: 1.0,
+            CAPACITY,
+            self.choose_fate,
+        )
+        for row in fleet.endpoints.by_name.values():
+            row.max_accepted_lease_s = LONGEST_LEASE_S
+            row.started_at_ms = int(time.time() * 1000)
+        fleet.directory = Directory(fleet.endpoints, self)
+        async with fleet:
+            row = fleet.endpoints.by_name["a"]
+            leader = await fleet.wait_for_leader()
+            if self.is_restarted_early:
+                await asyncio.sleep(self.idle_s)
+                row.restart()
+                # Only the boot clock is virtual.
+                row.started_at_ms -= EARLY_S * 1000
+                row.booted_at -= EARLY_S
+                row.started_at_ms = max(row.started_at_ms, 2)
+            await asyncio.sleep(self.idle_s)
+            token = leader.controller.engine.endpoints["a"].token
+            deadline_ms = row.read_clock() + int(RUN_LEASE_S * 1000)
+            restarted_at = clock.now()
+            if self.late_s is not None:
+                row.restart()
+                await asyncio.sleep(self.late_s)
+                assert row.poll(token, 0, deadline_ms)
+                await asyncio.sleep(SEEN_S)
+            row.changed.clear()
+            fleet.submit(1)
+            await row.changed.wait()
+            self.unlisted = set()
+            events = [(self.cut_s, None), *((at, "kill") for at in self.kills)]
+            for at, event in sorted(events, key=lambda item: item[0]):
+                await asyncio.sleep(restarted_at + at - clock.now())
+                if event:
+                    leader = await fleet.wait_for_leader()
+                    self.last_kill = clock.now()
+                    await fleet.restart(leader.options.name)
+                else:
+                    self.is_silent = True
+                    lapse = asyncio.get_running_loop().call_later
+                    lapse(REGISTRATION_TIMEOUT_S, self.unlisted.add, "a")
+            await asyncio.sleep(END_S)
+            return list(fleet.endpoints.list_records())
+
+
+@given('three entries, and an endpoint "a" that was idle for {seconds:g} s')
+def step_three_entries(context, seconds):
+    context.play = RestartedEndpoint(seconds)
+
+
+@when(
+    '"a" restarts, and carries out a poll for its earlier incarnation {seconds:g} s'
+    " later"
+)
+def step_late_poll(context, seconds):
+    context.play.late_s = seconds
+
+
+@when('"a" goes on')
+def step_goes_on(context):
+    pass
+
+
+@when('"a" has restarted 60 s before')
+def step_restarted_before(context):
+    context.play.is_restarted_early = True
+
+
+@when('a task is started at "a", which is cut off {seconds:g} s after its restart')
+@when('a task is started at "a", which is cut off {seconds:g} s after that')
+def step_cut_at(context, seconds):
+    context.play.cut_s = seconds
+
+
+@when("the leader is killed after {times} s after the restart")
+def step_kill_at(context, times):
+    context.play.kills = [float(text) for text in times.split(" and ")]
+    context.records = run_virtually(context.play.run())
+
+
+@then("the task is started elsewhere at most {most:g} s after the last kill")
+def step_started_soon(context, most):
+    started_at = min(row.started_at for row in context.records if row.endpoint == "b")
+    assert started_at - context.play.last_kill <= most, (
+        started_at - context.play.last_kill
+    )
--- a/features/workloads/virtual_fleet.py
+++ b/features/workloads/virtual_fleet.py
@@ -653,6 +653,7 @@
         self.clients = {}
         self.entries = {}
         self.replies = {}
+        self.limits = SiteLimits()
         self._names = names
         self._stack = contextlib.AsyncExitStack()
         self._tasks = []
@@ -667,7 +668,7 @@
     async def add_entry(self, name):
         """Start an entry."""
         options = EntryOptions(
-            name, "d", ("d",), "", "", name, "", "", "", "", 2.0, 100.0, SiteLimits()
+            name, "d", ("d",), "", "", name, "", "", "", "", 2.0, 100.0, self.limits
         )
         client = self.clients[name] = self.store.connect(name)
         client.is_cut = name in self.partition.entries
--- a/packages/briarshed-workloads/src/briarshed_workloads/controller.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/controller.py
@@ -256,10 +256,10 @@
         engine.unix_offset = time.time() - now
         await self.persistence.load_jobs()
         await self.persistence.load_withdrawn()
+        engine.note_earlier_term_end(self.term.vacant_at)
         engine.note_registrations(await self._directory.read_endpoints(), clock.now())
         await self.persistence.load_roster()
         await self.persistence.load_waves(self.maintenance)
-        engine.note_earlier_term_end(self.term.vacant_at)
         engine.note_earlier_leader(self.term.earlier_leader_until)
         self.is_loaded = True
         log_event(
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -17,6 +17,7 @@
     DOUBTFUL,
     EXPIRY_MARGIN_S,
     MIN_CLOCK_RATE,
+    MS_PER_S,
     ORDERED,
     PRESENT,
     STOPPING,
@@ -60,6 +61,13 @@
 """Time after which an order whose outcome was not noted counts as without a response;
 a start has timed out before."""
 
+LATE_CALL_S = 10.0
+"""Time after the start of an endpoint within which it may carry out a call to its
+earlier incarnation: calls may be seconds late, and sent before the start is known."""
+
+CLOCK_DOUBT_S = 10.0
+"""Difference that the clocks of entries and endpoints may have; they may jump."""
+
 MAX_KNOWN_CRASHES = 1_000
 """Crashes that are kept; more than a fleet has within `RECENT_CRASH_S`."""
 
@@ -149,6 +157,8 @@
         self.usage = Usage()
         self.unsaved_jobs: dict[str, None] = {}
         self.earlier_runs_until = 0.0
+        self._earlier_term_ended_at = 0.0
+        self._latest_earlier_run = 0.0
         self.contested_until = 0.0
         self._uncontested_pools: set[str] = set()
         self.roster: set[str] = set()
@@ -395,8 +405,43 @@
         Runs that it ordered may go on at endpoints that have not been polled yet, until
         the longest run lease has expired.
         """
+        self._earlier_term_ended_at = ended_at
         self.earlier_runs_until = ended_at + self._longest_run_lease
 
+    def note_recorded(
+        self, name: str, started_at_ms: int, has_restarted: bool, unix_now: float
+    ) -> None:
+        """Note what the roster tells of an endpoint that earlier leaders have used.
+
+        It may have carried out a late call for its earlier incarnation, with a deadline
+        that is far ahead on its clock, and keep runs for the longest lease that it
+        accepts. This holds if it has restarted lately. One that is not registered may
+        have restarted unseen.
+        """
+        endpoint = self.endpoints[name]
+        registered_at_ms = endpoint.registration.started_at_ms
+        endpoint.has_restarted |= has_restarted or registered_at_ms != started_at_ms
+        age = unix_now - max(registered_at_ms, started_at_ms) / MS_PER_S
+        is_young = age < LATE_CALL_S + CLOCK_DOUBT_S + self._longest_lease
+        if not endpoint.is_listed or (endpoint.has_restarted and is_young):
+            endpoint.earlier_runs_until = (
+                self._earlier_term_ended_at + ORDER_TIMEOUT_S + self._longest_lease
+            )
+            self._latest_earlier_run = max(
+                self._latest_earlier_run, endpoint.earlier_runs_until
+            )
+
+    def find_earlier_runs_end(self, endpoint: Endpoint) -> float:
+        """Return until when unknown runs of earlier leaders may go on at an endpoint.
+
+        This holds unless it has answered a poll of this leader.
+        """
+        return max(self.earlier_runs_until, endpoint.earlier_runs_until)
+
+    def may_have_earlier_runs(self, now: float) -> bool:
+        """Return whether unknown runs of earlier leaders may go on anywhere."""
+        return now < max(self.earlier_runs_until, self._latest_earlier_run)
+
     @property
     def _longest_run_lease(self) -> float:
         """Longest time in seconds for which the runs of an earlier leader may go on."""
@@ -506,6 +551,7 @@
         last = known.counter if known is not None else self._last_counters.pop(name, 0)
         endpoint = Endpoint(registration, self.epoch)
         endpoint.counter = last + 1
+        endpoint.has_restarted = last > 0
         self.endpoints[name] = endpoint
         return endpoint
 
@@ -603,6 +649,7 @@
         start = earlier.registration.started_at_ms
         later.earlier_starts = earlier.earlier_starts | {start}
         later.earlier_deadlines_until = earlier.earlier_deadlines_until
+        later.earlier_runs_until = earlier.earlier_runs_until
         if later.registration.address != earlier.registration.address:
             self.drop_runs(earlier, "registered again at another address")
             return
@@ -714,6 +761,8 @@
         endpoint.polled_at = now
         if not endpoint.fenced_counter:
             endpoint.note_earlier_deadline(self.lease_times.max_run_lease)
+            if self._may_have_late_deadline(endpoint, response.clock_ms):
+                endpoint.earlier_deadlines_until = now + self._longest_lease
         if response.may_have_more_ends:
             self.partly_listed.add(endpoint)
         else:
@@ -740,6 +789,14 @@
         if not response.may_have_more_ends:
             self._drop_missing(endpoint, listed_runs, counter, sent_at)
 
+    def _may_have_late_deadline(self, endpoint: Endpoint, clock_ms: int) -> bool:
+        """Return whether a call for an earlier incarnation may have set a deadline.
+
+        The clock of an incarnation starts anew.
+        """
+        longest = LATE_CALL_S + self._longest_lease
+        return endpoint.has_restarted and clock_ms < longest * MS_PER_S
+
     def _note_restart(self, endpoint: Endpoint, started_at_ms: int, now: float) -> None:
         """Reset the state of an endpoint that restarted under the same name."""
         note_crash(self, endpoint, now)
@@ -751,6 +808,7 @@
         endpoint.registration = endpoint.registration._replace(
             started_at_ms=started_at_ms
         )
+        endpoint.has_restarted = True
         self._report_endpoint("ENDPOINT_RESTARTED", endpoint.registration)
         endpoint.is_end_ordered = False
         endpoint.require_fence()
--- a/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
@@ -183,7 +183,10 @@
     or another pool, and ``end_ordered_at`` is when the last such order was sent.
     ``lost_runs`` holds the runs whose lease expired while it did not
     respond. ``earlier_deadlines_until`` is the time until which it may keep runs
-    because of deadlines that were chosen by the clock of its earlier incarnation.
+    because of deadlines that were chosen by the clock of its earlier incarnation, and
+    ``earlier_runs_until`` the time until which it may keep runs that only an earlier
+    leader knows, besides that for all endpoints. ``has_restarted`` is set if it had
+    another incarnation before.
     ``fence_counter`` is the least counter of a poll that settles earlier orders.
     ``earlier_starts`` holds when its earlier incarnations started, in Unix ms, and
     ``seen_at`` is when the present one was last known from the response to a poll, and
@@ -201,6 +204,7 @@
         "counter",
         "deadline_sent_at",
         "earlier_deadlines_until",
+        "earlier_runs_until",
         "earlier_starts",
         "end_ordered_at",
         "epoch",
@@ -210,6 +214,7 @@
         "fenced_counter",
         "forgotten",
         "full_until",
+        "has_restarted",
         "is_end_ordered",
         "is_gone",
         "is_listed",
@@ -252,7 +257,9 @@
         self.last_deadline_ms = 0
         self.deadline_sent_at = 0.0
         self.earlier_deadlines_until = 0.0
+        self.earlier_runs_until = 0.0
         self.earlier_starts: frozenset[int] = frozenset()
+        self.has_restarted = False
         self.seen_at = 0.0
         self.known_since = 0.0
         self.is_listed = True
--- a/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
@@ -552,10 +552,13 @@
         An endpoint that this leader has not polled yet may have runs of an earlier one,
         and one that has more ends to list may have successes that nobody has noted.
         """
-        may_have_earlier_runs = now < self._engine.earlier_runs_until
         if row.endpoint is None:
+            may_have_earlier_runs = self._engine.may_have_earlier_runs(now)
             return not row.instance.endpoint or not may_have_earlier_runs
-        if may_have_earlier_runs and not row.endpoint.fenced_counter:
+        if (
+            now < self._engine.find_earlier_runs_end(row.endpoint)
+            and not row.endpoint.fenced_counter
+        ):
             return False
         return not row.endpoint.runs and row.endpoint not in self._engine.partly_listed
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/persistence.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/persistence.py
@@ -18,6 +18,7 @@
 from briarshed_entry.logs import log_event
 from briarshed_workloads.engine import Engine
 from briarshed_workloads.fenced_writer import MAX_TRANSACTION_WRITES
+from briarshed_workloads.fleet import Endpoint
 from briarshed_workloads.interfaces import Directory, Item, Put, Store
 from briarshed_workloads.jobs import Job
 from briarshed_workloads.leadership import LeaderTerm
@@ -98,6 +99,7 @@
         self.outcomes: dict[str, str] = {}
         self.unreadable_jobs: set[str] = set()
         self._unsaved_withdrawn: dict[str, None] = {}
+        self._recorded_starts: dict[str, int] = {}
         self._failed_jobs: set[str] = set()
         self._failed_endpoints: dict[str, Registration] = {}
         self._failed_attempts: dict[str, int] = {}
@@ -197,6 +199,8 @@
                     instance=instance,
                 )
                 self._engine.add_endpoint(lost).is_listed = False
+            has_restarted = name in record.restarted
+            self._engine.note_recorded(name, started_at_ms, has_restarted, time.time())
 
     async def load_waves(self, maintenance: Maintenance) -> None:
         """Load the progress of waves and the sizes of pools."""
@@ -381,24 +385,35 @@
         """
         engine = self._engine
         rows = {
-            name: row.registration
+            name: row
             for name, row in engine.endpoints.items()
             if not row.is_gone and (row.is_listed or row.runs or not row.fenced_counter)
         }
-        if rows.keys() == engine.roster:
+        if self._is_recorded(rows):
             return
         rows = {
-            name: row for name, row in rows.items() if self._can_record_endpoint(row)
+            name: row
+            for name, row in rows.items()
+            if self._can_record_endpoint(row.registration)
         }
-        if rows.keys() == engine.roster:
+        if self._is_recorded(rows):
             return
+        starts = _list_starts(rows.values())
         record = _make_roster(rows.values())
         # The write may be done at any time from now on, whatever its outcome.
         engine.roster &= rows.keys()
         await self._term.fenced_writer.commit([Put(ROSTER, encode(record))])
         engine.roster = set(rows)
+        self._recorded_starts = starts
         self._note_saved("")
 
+    def _is_recorded(self, endpoints: Mapping[str, Endpoint]) -> bool:
+        """Return whether the roster names these endpoints and their incarnations."""
+        starts = _list_starts(endpoints.values())
+        return endpoints.keys() == self._engine.roster and (
+            starts == self._recorded_starts
+        )
+
     def _can_record_endpoint(self, registration: Registration) -> bool:
         """Return whether an endpoint can be recorded; report one that cannot.
 
@@ -408,7 +423,7 @@
         if self._failed_endpoints.get(name) == registration:
             return False
         try:
-            encode(_make_roster([registration]))
+            encode(_make_roster([Endpoint(registration, 0)]))
         except Exception as error:
             self._failed_endpoints[name] = registration
             report_error(f"record of endpoint {name}", error)
@@ -477,16 +492,28 @@
     return _encode_bounded(msgspec.structs.replace(progress, tasks=tasks))
 
 
-def _make_roster(registrations: Iterable[Registration]) -> RosterRecord:
+def _make_roster(endpoints: Iterable[Endpoint]) -> RosterRecord:
     """Return the record of endpoints that may have runs."""
+    rows = list(endpoints)
+    registrations = [row.registration for row in rows]
     return RosterRecord(
         tuple(
             (row.endpoint, row.started_at_ms, row.address, row.instance, row.pool)
             for row in registrations
-        )
+        ),
+        tuple(row.name for row in rows if row.has_restarted),
     )
 
 
+def _list_starts(endpoints: Iterable[Endpoint]) -> dict[str, int]:
+    """Return the start times in Unix ms of endpoints that have restarted."""
+    return {
+        row.name: row.registration.started_at_ms
+        for row in endpoints
+        if row.has_restarted
+    }
+
+
 def _decode_or_report(item: Item, kind: type[T]) -> T | None:
     """Return the decoded record, or report it and return None if it is unreadable."""
     try:
--- a/packages/briarshed-workloads/src/briarshed_workloads/planning.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/planning.py
@@ -228,16 +228,18 @@
     or gone, or its run lease has expired. It may have succeeded at an endpoint that
     responds and has not listed all ends.
     """
-    is_lease_valid = now < engine.earlier_runs_until
-    if not is_lease_valid and not engine.partly_listed:
+    if not engine.may_have_earlier_runs(now) and not engine.partly_listed:
         return False
-    if is_lease_valid and engine.is_roster_unreadable:
+    if now < engine.earlier_runs_until and engine.is_roster_unreadable:
         return True
     return any(
         endpoint.fenced_counter == 0
         and not endpoint.is_gone
         and endpoint.registration.pool in (pool, "")
-        and (is_lease_valid or _may_list_more_ends(engine, endpoint, now))
+        and (
+            now < engine.find_earlier_runs_end(endpoint)
+            or _may_list_more_ends(engine, endpoint, now)
+        )
         for endpoint in engine.endpoints.values()
     )
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/polling.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/polling.py
@@ -333,7 +333,7 @@
         if self._engine.drop_expired_runs(now):
             self._note_changed()
         is_expired = not endpoint.runs and now > max(
-            self._engine.earlier_runs_until, endpoint.find_lease_expiry()
+            self._engine.find_earlier_runs_end(endpoint), endpoint.find_lease_expiry()
         )
         is_needed = endpoint.is_listed or self._is_contested(endpoint)
         if is_expired and not is_needed:
--- a/packages/briarshed-workloads/src/briarshed_workloads/records.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/records.py
@@ -114,10 +114,13 @@
 class RosterRecord(msgspec.Struct, array_like=True, frozen=True):
     """Endpoints that may have runs.
 
-    Rows of endpoint, start time in Unix ms, address, instance and pool.
+    Rows of endpoint, start time in Unix ms, address, instance and pool. ``restarted``
+    names those that had another incarnation before; records of earlier versions have
+    none.
     """
 
     rows: tuple[tuple[str, int, str, str, str], ...]
+    restarted: tuple[str, ...] = ()
 
 
 class SizesRecord(msgspec.Struct, array_like=True, frozen=True):
