Let withdrawals and their requests end with their retention

A withdrawal that was forgotten before it could be recorded, in an outage of the store longer than the retention, would make each later write fail with a KeyError, and its request wait until the end of the term. And the first response to a poll could shorten the time for which calls to an earlier incarnation are expected, before a poll with a higher token had been answered.

Change: a withdrawal is forgotten as a whole, and its request ends then; the time is only ever extended there.

--- a/features/workloads/steps/withdrawn_job_steps.py
+++ b/features/workloads/steps/withdrawn_job_steps.py
@@ -1,6 +1,7 @@
 """Steps for ids that are cancelled before their jobs are submitted, in virtual time."""
 
 import asyncio
+import time
 
 from behave import given, then, when
 from virtual_fleet import STEPS, Fleet
@@ -183,6 +184,39 @@
     await asyncio.sleep(2 * CLEANUP_INTERVAL_S)
 
 
+@when(
+    "an unknown id is cancelled, and its retention ends during an outage of the store"
+)
+def step_outage(context):
+    async def run():
+        async with Fleet(context.names) as fleet:
+            leader = await settle(fleet)
+            controller = leader.controller
+            for client in fleet.clients.values():
+                client.is_cut = True
+            request = asyncio.create_task(controller.cancel(JOB))
+            await asyncio.sleep(SETTLE_S)
+            assert not request.done()
+            engine, now = controller.engine, time.time()
+            # Only the boot clock is virtual.
+            engine.withdrawn[JOB] -= RETENTION_S
+            controller.persistence.forget_withdrawn(now)
+            await asyncio.sleep(SETTLE_S)
+            context.is_done = request.done()
+            fleet.reconnect_store()
+            await asyncio.sleep(WATCH_S)
+            await settle(fleet)
+            context.answer = await cancel(fleet, "b" * 16)
+
+    run_virtually(run())
+
+
+@then('the request has ended, and the next cancel is answered with "{outcome}"')
+def step_ended(context, outcome):
+    assert context.is_done
+    assert context.answer == outcome, context.answer
+
+
 def list_records(fleet):
     """Return the keys of the records of withdrawn ids."""
     return [key for key in fleet.store.items if key.startswith(WITHDRAWN)]
--- a/features/workloads/withdrawn_jobs.feature
+++ b/features/workloads/withdrawn_jobs.feature
@@ -43,6 +43,13 @@
     When 100 unknown ids are cancelled, and 150 s pass
     Then no leader and no record knows them
 
+  Scenario: Withdrawals that outlive their retention before they are recorded
+    # Guards against a loop of writes that fails for good, and against requests that never
+    # end, after an outage of the store that is longer than the retention.
+    Given 3 entries
+    When an unknown id is cancelled, and its retention ends during an outage of the store
+    Then the request has ended, and the next cancel is answered with "missing"
+
   Scenario: Cancels of unknown ids beyond a number are not acknowledged
     # Guards against memory that callers can fill.
     Given 3 entries, whose leader has withdrawn 10000 ids
--- a/packages/briarshed-workloads/src/briarshed_workloads/controller.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/controller.py
@@ -391,9 +391,12 @@
         return "missing" if await self._wait_for_withdrawal(job_id) else "unknown"
 
     async def _wait_for_withdrawal(self, job_id: str) -> bool:
-        """Wait until a withdrawal is durable; return False if the term ends before."""
+        """Wait until a withdrawal is durable.
+
+        Returns False if the term ends before, or the retention of the withdrawal.
+        """
         while not self.persistence.is_withdrawal_recorded(job_id):
-            if self.term.lost.is_set():
+            if self.term.lost.is_set() or job_id not in self.engine.withdrawn:
                 return False
             await asyncio.sleep(DURABILITY_CHECK_S)
         return True
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -762,7 +762,9 @@
         if not endpoint.fenced_counter:
             endpoint.note_earlier_deadline(self.lease_times.max_run_lease)
             if self._may_have_late_deadline(endpoint, response.clock_ms):
-                endpoint.earlier_deadlines_until = now + self._longest_lease
+                endpoint.earlier_deadlines_until = max(
+                    endpoint.earlier_deadlines_until, now + self._longest_lease
+                )
         if response.may_have_more_ends:
             self.partly_listed.add(endpoint)
         else:
--- a/packages/briarshed-workloads/src/briarshed_workloads/persistence.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/persistence.py
@@ -282,7 +282,7 @@
                 ]
             )
             for job_id in batch:
-                del self._unsaved_withdrawn[job_id]
+                self._unsaved_withdrawn.pop(job_id, None)
 
     def _choose_batch(self, job_ids: Iterable[str]) -> list[str]:
         """Return the jobs of the next write, those with pending acceptance first."""
@@ -434,17 +434,33 @@
         """Remove expired records at intervals; runs until cancelled."""
         while True:
             await asyncio.sleep(CLEANUP_INTERVAL_S)
-            kept = self._status_retention + CLEANUP_INTERVAL_S
-            old = self._engine.forget_ended(time.time(), kept)
+            old = self._engine.forget_ended(time.time(), self._kept_s)
             for job_id in old:
                 self.outcomes.pop(job_id, None)
-            withdrawn = self._engine.forget_withdrawn(time.time(), kept)
             keys = [JOBS + job_id for job_id in old]
-            keys += [WITHDRAWN + job_id for job_id in withdrawn]
+            keys += self.forget_withdrawn(time.time())
             for start in range(0, len(keys), MAX_TRANSACTION_WRITES):
                 part = keys[start : start + MAX_TRANSACTION_WRITES]
                 await self._term.fenced_writer.commit([], part)
 
+    @property
+    def _kept_s(self) -> float:
+        """Seconds for which outcomes and withdrawals are kept."""
+        return self._status_retention + CLEANUP_INTERVAL_S
+
+    def forget_withdrawn(self, unix_now: float) -> list[str]:
+        """Forget the withdrawals that have outlived their retention period.
+
+        Returns
+        -------
+        list of str
+            Keys of their records.
+        """
+        old = self._engine.forget_withdrawn(unix_now, self._kept_s)
+        for job_id in old:
+            self._unsaved_withdrawn.pop(job_id, None)
+        return [WITHDRAWN + job_id for job_id in old]
+
     def note_sizes(self, record: SizesRecord) -> None:
         """Record the pool sizes and the latest moves with the next write."""
         self._sizes = record
