Separate the sending of orders from the controller

`orders.OrderSender` sends starts, stops and paces, a few at a time to each endpoint; the controller decides when. Behaviour is unchanged: the code was moved, and tests call it under its new names, the row of unexpected_errors.feature for the start included.

--- a/features/workloads/steps/large_job_steps.py
+++ b/features/workloads/steps/large_job_steps.py
@@ -249,7 +249,7 @@
                 for order in orders:
                     now = clock.now()
                     engine.note_started(order.run, int(now * 1000), now)
-                    controller._watch_start(order.run)
+                    controller.orders.watch_start(order.run)
             assert len(endpoint.runs) == context.count
             await asyncio.sleep(seconds)
             context.polls = fake.polls
--- a/features/workloads/steps/lost_order_steps.py
+++ b/features/workloads/steps/lost_order_steps.py
@@ -421,7 +421,7 @@
             for order in list_pacing(engine, clock.now()):
                 order.run.paced_at = clock.now()
                 context.orders.append(order.percent)
-                await controller._pace(order)
+                await controller.orders.send_pace(order)
             serving.load = 10
             await asyncio.sleep(1.0)
         context.answers, context.pace = answers, filler.pace
--- a/features/workloads/steps/permission_steps.py
+++ b/features/workloads/steps/permission_steps.py
@@ -173,7 +173,7 @@
             await controller.poller.poll(endpoint)
             submit(controller.engine, JOB, (Step(1, NEED, 1.0),), clock.now())
             (order,) = plan_starts(controller.engine, clock.now())
-            await controller._start(order)
+            await controller.orders.send_start(order)
         return endpoints.orders
 
     ((context.now_ms, context.order),) = run_virtually(run())
--- a/features/workloads/steps/unneeded_start_steps.py
+++ b/features/workloads/steps/unneeded_start_steps.py
@@ -35,7 +35,7 @@
             await asyncio.sleep(context.seconds)
             job = submit(engine, JOB, (Step(1, NEED, 1.0),), clock.now())
             (order,) = plan_starts(engine, clock.now())
-            start = asyncio.create_task(controller._start(order))
+            start = asyncio.create_task(controller.orders.send_start(order))
             await asyncio.sleep(0)
             engine.cancel(job, clock.now())
             await start
--- a/features/workloads/unexpected_errors.feature
+++ b/features/workloads/unexpected_errors.feature
@@ -17,7 +17,7 @@
       | planning.choose_endpoint              |
       | planning.plan_copies                  |
       | controller._issue_orders              |
-      | controller._start                     |
+      | orders.send_start                     |
       | controller._plan                      |
       | controller._refresh_endpoints         |
       | persistence._save_once                |
--- a/packages/briarshed-workloads/src/briarshed_workloads/controller.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/controller.py
@@ -1,9 +1,8 @@
-"""The leader's loops: poll endpoints, start and stop runs, and write records."""
+"""The leader's loops: observe endpoints, plan orders, and write records."""
 
 from __future__ import annotations
 
 import asyncio
-import functools
 import time
 from collections.abc import Awaitable, Coroutine
 from types import TracebackType
@@ -19,29 +18,21 @@
 from briarshed_workloads.engine import Engine, LeaseTimes
 from briarshed_workloads.fenced_writer import LeadershipLostError
 from briarshed_workloads.fleet import (
-    STOPPING,
-    Endpoint,
-    PaceOrder,
-    Run,
-    StartOrder,
     StopOrder,
 )
 from briarshed_workloads.interfaces import (
-    Accepted,
     Directory,
     Endpoints,
     Instances,
     NotExecutedError,
     OutcomeUnknownError,
-    PermitExpiredError,
-    Refused,
     Store,
 )
 from briarshed_workloads.jobs import FINAL_STATES
 from briarshed_workloads.leadership import LeaderTerm
 from briarshed_workloads.maintenance import Maintenance
 from briarshed_workloads.options import EntryOptions
-from briarshed_workloads.order_slots import OrderSlots
+from briarshed_workloads.orders import OrderSender
 from briarshed_workloads.outliers import list_stalled_runs
 from briarshed_workloads.persistence import Persistence
 from briarshed_workloads.planning import MAX_STARTS_PER_PLAN, plan_copies, plan_starts
@@ -56,7 +47,6 @@
 )
 from briarshed_workloads.waiting import list_waiting
 from briarshed_workloads.workloads import (
-    StartRequest,
     Submission,
 )
 
@@ -74,12 +64,6 @@
 PLAN_PAUSE_S = 0.008
 """Pause between two plans, so that a plan covers several events."""
 
-START_LEASE_MARGIN_S = 0.5
-"""Added to the remaining authority in the lease of a start: clocks of endpoints are
-known to a fraction of this, and the poll that extends the lease needs some time."""
-
-REFUSED_PAUSE_S = 0.3
-"""Time without new starts at an endpoint that refused one for lack of capacity."""
 
 RECONCILE_INTERVAL_S = 1.0
 """Interval of correcting contradictions in the state; a task that nothing runs must not
@@ -145,12 +129,9 @@
             telemetry.report,
         )
         self._store = store
-        self._endpoints = endpoints
         self._directory = directory
         self._tasks: set[asyncio.Task[None]] = set()
         self._changed = asyncio.Event()
-        self._starts = OrderSlots(self._changed.set)
-        self._stops = OrderSlots(self._changed.set)
         self._failures: dict[str, FailureCounter] = {}
         self._loops = LoopSupervisor(
             RESTART_PAUSE_S, self._note_error, self._note_failure
@@ -171,6 +152,14 @@
             self.persistence.request_save,
             self._changed.set,
         )
+        self.orders = OrderSender(
+            term,
+            self.engine,
+            endpoints,
+            self.poller,
+            self.spawn,
+            self._changed.set,
+        )
         self.maintenance = Maintenance(
             options,
             term,
@@ -457,15 +446,12 @@
         with contain_errors("pace orders", self._note_failure):
             for pace in list_pacing(engine, now):
                 pace.run.paced_at = now
-                self.spawn(self._pace(pace), "pace")
+                self.spawn(self.orders.send_pace(pace), "pace")
         for plan in (plan_starts, plan_copies):
             with contain_errors(plan.__name__, self._note_failure):
                 orders = plan(engine, now)
                 for order in orders:
-                    name = order.run.endpoint.name
-                    send = functools.partial(self._start, order)
-                    self.spawn(self._starts.queue(name, send), "start")
-                    self.poller.wake(name)
+                    self.orders.order_start(order)
                 if len(orders) >= MAX_STARTS_PER_PLAN:
                     # Further tasks may be left for the next plan.
                     self._changed.set()
@@ -479,184 +465,11 @@
         stops += list_evictions(engine, now, self.maintenance.is_urgent)
         for stall in list_stalled_runs(engine.endpoints.values(), now):
             run = stall.run
-            if self._stops.is_full(run.endpoint.name):
+            if not self.orders.may_order_stop(run):
                 continue
             engine.note_task_failure(run.endpoint, run.step.image or run.task.job, now)
             reason = f"no progress for {stall.seconds:.1f} s"
             stops.append(StopOrder(run, reason))
         for stop in stops:
-            if not self._stops.is_full(stop.run.endpoint.name):
-                self._order_stop(stop, now)
-
-    async def _start(self, order: StartOrder) -> None:
-        run = order.run
-        # The run may be handed over to the endpoint's next incarnation meanwhile.
-        endpoint = run.endpoint
-        is_silent = endpoint.failing_since > 0
-        if is_silent or not await self.poller.read_clock(endpoint):
-            self._log_start(order, "not sent: no recent response")
-            self.engine.drop(run, "not sent")
-            self._changed.set()
-            return
-        endpoint = run.endpoint
-        now = clock.now()
-        run.token = endpoint.token
-        start = StartRequest(
-            run.task,
-            run.number,
-            order.spec,
-            run.token,
-            endpoint.choose_deadline(now, self._choose_start_lease()),
-            order.checkpoint,
-        )
-        try:
-            response = await self._endpoints.start(
-                endpoint.name,
-                endpoint.registration.address,
-                start,
-                lambda: self.term.has_authority() and self.engine.is_wanted(run),
-            )
-        except OutcomeUnknownError as error:
-            self.engine.note_outcome_unknown(run, clock.now())
-            self._log_start(order, f"no answer: {error}")
-            # The poll that is waiting for an end was sent with a lower token, so that
-            # its response cannot show whether the start took effect.
-            if not run.endpoint.is_gone:
-                await self.poller.poll(run.endpoint)
-            return
-        except PermitExpiredError as error:
-            self._log_start(order, f"not sent: {error}")
-            self.engine.drop(run, "not sent")
-            return
-        except NotExecutedError as error:
-            self._log_start(order, f"not sent: {error}")
-            self.engine.drop(run, "not sent")
-            self.poller.note_unresponsive(endpoint, str(error))
-            return
-        answered_at = clock.now()
-        telemetry.observe_seconds("start", answered_at - now)
-        if isinstance(response, Accepted):
-            self.engine.note_started(run, response.clock_ms, answered_at)
-            self.poller.wake(endpoint.name)
-            self._log_start(order, "started")
-            self._watch_start(run)
-            return
-        self._log_start(order, response.reason)
-        self._note_refused_start(run, endpoint, response.reason)
-        self._changed.set()
-
-    def _watch_start(self, run: Run) -> None:
-        """Poll the endpoint of an accepted start sooner where its fate matters."""
-        if self.engine.was_in_crash(run.task):
-            self.spawn(self.poller.check_survival(run), "survival")
-        if run.step.long_running and not run.step.best_effort:
-            self.spawn(self.poller.watch_start_up(run.endpoint), "start-up")
-
-    def _choose_start_lease(self) -> float:
-        """Return the run lease of a start order, in seconds.
-
-        The endpoint refuses an order that arrives after it. A leader that is paused
-        before the order is sent may have lost its authority by then. The poll that
-        follows extends the lease.
-        """
-        authority_left = self.term.measure_authority() + START_LEASE_MARGIN_S
-        return min(self.engine.lease_times.run_lease, authority_left)
-
-    def _log_start(self, order: StartOrder, outcome: str) -> None:
-        run = order.run
-        telemetry.count("starts", outcome.partition(":")[0])
-        log_event(
-            events.RUN_ORDERED,
-            job_id=run.task.job,
-            task=run.task[1:],
-            run=run.number,
-            epoch=self.term.epoch,
-            endpoint=run.endpoint.name,
-            data_centre=run.endpoint.registration.data_centre,
-            free_cpu=run.endpoint.find_free().cpu,
-            looked_ago=round(clock.now() - run.endpoint.answered_at, 3),
-            ordered_at=round(run.ordered_at, 3),
-            is_tracked=self.engine.is_tracked(run),
-            outcome=outcome,
-        )
-
-    def _note_refused_start(self, run: Run, endpoint: Endpoint, reason: str) -> None:
-        now = clock.now()
-        self.engine.drop(run, f"refused: {reason}")
-        if reason == "replaced":
-            self.poller.note_unresponsive(endpoint, "another endpoint responds")
-        elif reason == "fenced" and run.token >= run.endpoint.token:
-            self.poller.note_fenced(run.endpoint, "start")
-        elif reason != "old":
-            endpoint.full_until = now + REFUSED_PAUSE_S
-
-    def _order_stop(self, stop: StopOrder, now: float) -> None:
-        stop.run.stop_requested_at = now
-        stop.run.state = STOPPING
-        self.engine.add_stop_candidate(stop.run)
-        send = functools.partial(self._stop, stop)
-        self.spawn(self._stops.queue(stop.run.endpoint.name, send), "stop")
-
-    async def _stop(self, stop: StopOrder) -> None:
-        run, endpoint = stop.run, stop.run.endpoint
-        outcome = "asked"
-        try:
-            response = await self._endpoints.stop(
-                endpoint.name,
-                endpoint.registration.address,
-                run.task,
-                run.number,
-                endpoint.token,
-                self.term.has_authority,
-            )
-            if isinstance(response, Refused):
-                outcome = response.reason
-        except (OutcomeUnknownError, NotExecutedError) as error:
-            outcome = f"no answer: {error}"
-        log_event(
-            events.RUN_STOPPED,
-            job_id=run.task.job,
-            task=run.task[1:],
-            run=run.number,
-            epoch=self.term.epoch,
-            endpoint=endpoint.name,
-            reason=stop.reason,
-            outcome=outcome,
-        )
-        self.poller.wake(endpoint.name)
-
-    async def _pace(self, order: PaceOrder) -> None:
-        run, endpoint = order.run, order.run.endpoint
-        try:
-            response = await self._endpoints.pace(
-                endpoint.name,
-                endpoint.registration.address,
-                run.task,
-                run.number,
-                order.percent,
-                endpoint.token,
-                self.term.has_authority,
-            )
-        except (OutcomeUnknownError, NotExecutedError) as error:
-            # It may be carried out later, after the next order too.
-            run.is_pace_unknown |= isinstance(error, OutcomeUnknownError)
-            log_event(
-                events.RUN_PACED,
-                job_id=run.task.job,
-                endpoint=endpoint.name,
-                before=run.pace,
-                after=order.percent,
-                outcome=str(error),
-            )
-            return
-        if isinstance(response, Accepted):
-            log_event(
-                events.RUN_PACED,
-                job_id=run.task.job,
-                endpoint=endpoint.name,
-                before=run.pace,
-                after=order.percent,
-                outcome="done",
-            )
-            run.pace = order.percent
-            run.is_pace_unknown = False
+            if self.orders.may_order_stop(stop.run):
+                self.orders.order_stop(stop, now)
