--- a/features/workloads/steps/authority_basis_steps.py
+++ b/features/workloads/steps/authority_basis_steps.py
@@ -8,11 +8,11 @@
 from virtual_time import run_virtually
 
 from briarshed.events import AUTHORITY_CHANGED, RUN_ORDERED
-from briarshed_workloads import controller, leadership
+from briarshed_workloads import controller, leadership, orders
 
 START_UP_S = 3.0
 REST_S = 5.0
-MODULES = (controller, leadership)
+MODULES = (controller, leadership, orders)
 
 
 def note_lines(lines):
@@ -74,8 +74,8 @@
 
 @then("each order names the epoch of its leader and the data centre of the endpoint")
 def step_orders(context):
-    orders = [fields for event, fields in context.lines if event is RUN_ORDERED]
-    assert orders
-    for fields in orders:
+    ordered = [fields for event, fields in context.lines if event is RUN_ORDERED]
+    assert ordered
+    for fields in ordered:
         assert fields["run"] >> 24 == fields["epoch"], fields
         assert fields["data_centre"] == "d", fields
