--- a/features/workloads/steps/unexpected_error_steps.py
+++ b/features/workloads/steps/unexpected_error_steps.py
@@ -18,6 +18,7 @@
 from briarshed_workloads import (
     controller,
     leadership,
+    orders,
     persistence,
     supervision,
 )
@@ -36,7 +37,7 @@
 NESTED = b"\x91" * 5_000 + b"\xc0"
 MAX_SHORT_ARRAY = 0x9F
 EMPTY_RECORD = b"\x90"
-MODULES = (controller, entry_module, leadership, persistence, supervision)
+MODULES = (controller, entry_module, leadership, orders, persistence, supervision)
 NOT_CONTAINED = {
     # The containment itself.
     "supervision.report_error",
