Record starts without a response for leaders that come later

Cause: the endpoint carried out a start for its earlier incarnation, and kept the run for the longest lease. The leader that had sent it knew that it had no response; the next one counted 4 s, since the endpoint was listed as before.

Change: such a start is recorded with its task's progress. The next leader tracks it as a doubtful run, which polls, later incarnations and leases settle as in the term of its sender. A later run of the task that is listed settles it too.

Why it works: what a restarted endpoint runs unseen are starts without a response, since its other runs ended with the incarnation before, and nobody starts at an endpoint that has not been polled.

Ruled out: waiting for the longest lease at each silent endpoint (tasks that last would be away for 15 s where it is lost for good); recording every start (92 writes a second).

--- a/features/workloads/run_leases.feature
+++ b/features/workloads/run_leases.feature
@@ -55,6 +55,25 @@
       | goes on                    |
       | has restarted 60 s before  |
 
+  Scenario Outline: A start without a response may be carried out by a restarted endpoint
+    # Guards against a task that runs twice (TWICE, issue 52): an endpoint that was cut off
+    # before it registered again carried out a start for its earlier incarnation, which the
+    # next leader did not know of, or kept the run for longer than the leader expected.
+    Given three entries, and an endpoint "a" that was idle for 20 s
+    When "a" is silent for <silent> s, and restarts unseen
+    And it carries out a start <late> s after that was sent, although it is cut off
+    And the leader is killed <kills> after the restart
+    Then the task is started elsewhere, and not before "a" has ended the late run
+    And the task is started elsewhere at most <most> s after the last kill
+
+    Examples:
+      | silent | late | kills               | most |
+      | 0.6    | 0.8  | after 1.4 s         | 16   |
+      | 0.6    | 2.5  | after 1.4 s         | 16   |
+      | 0.6    | 2.5  | after 0.1 s         | 16   |
+      | 0.6    | 2.5  | after 0.1 and 4.0 s | 16   |
+      | 3.0    | 3.2  | after 0.5 s         | 16   |
+
   Scenario Outline: A leader waits for a start that a restarted endpoint may carry out
     # Guards against a task that runs twice (TWICE, issue 52): the leader counted the longest
     # run lease from when it sent the start, which the endpoint carried out seconds later.
--- a/features/workloads/unexpected_errors.feature
+++ b/features/workloads/unexpected_errors.feature
@@ -36,7 +36,7 @@
       | engine.note_poll                      |
       | engine._note_end                      |
       | engine._note_success                  |
-      | engine._track                         |
+      | engine.track                          |
       | engine.drop                           |
       | engine.activate                       |
       | fleet.add_run                         |
@@ -52,6 +52,7 @@
       | maintenance.run_once                  |
       | maintenance._advance                  |
       | reconciliation.correct_state          |
+      | takeover.restore_unanswered           |
       | forwarding.submit_locally             |
       | fenced_writer.commit                  |
       | leadership._renew                     |
--- a/packages/briarshed-workloads/src/briarshed_workloads/controller.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/controller.py
@@ -45,6 +45,7 @@
     LoopSupervisor,
     contain_errors,
 )
+from briarshed_workloads.takeover import restore_unanswered
 from briarshed_workloads.waiting import list_waiting
 from briarshed_workloads.workloads import (
     Submission,
@@ -158,6 +159,7 @@
             endpoints,
             self.poller,
             self.spawn,
+            self.persistence.request_save,
             self._changed.set,
         )
         self.maintenance = Maintenance(
@@ -248,6 +250,7 @@
         engine.note_earlier_term_end(self.term.vacant_at)
         engine.note_registrations(await self._directory.read_endpoints(), clock.now())
         await self.persistence.load_roster()
+        restore_unanswered(engine)
         await self.persistence.load_waves(self.maintenance)
         engine.note_earlier_leader(self.term.earlier_leader_until)
         self.is_loaded = True
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -37,6 +37,7 @@
 from briarshed_workloads.records import JobRecord, ProgressRecord
 from briarshed_workloads.shares import Shares
 from briarshed_workloads.supervision import report_error
+from briarshed_workloads.takeover import drop_superseded
 from briarshed_workloads.workloads import (
     NO_RESOURCES,
     Description,
@@ -140,6 +141,9 @@
         list a limited number at a time.
     crashes : deque
         Crashes of endpoints, in the order in which they became known.
+    earlier_term_ended_at : float
+        Latest time at which the previous leader's term can have ended, in seconds of
+        the boot clock.
     earlier_runs_until : float
         Time until which runs ordered by earlier leaders may continue at endpoints that
         have not been polled yet, in seconds of the boot clock.
@@ -162,7 +166,7 @@
         self.usage = Usage()
         self.unsaved_jobs: dict[str, None] = {}
         self.earlier_runs_until = 0.0
-        self._earlier_term_ended_at = 0.0
+        self.earlier_term_ended_at = 0.0
         self._latest_earlier_run = 0.0
         self.contested_until = 0.0
         self._uncontested_pools: set[str] = set()
@@ -298,12 +302,13 @@
         number = (self.epoch << RUN_SEQUENCE_BITS) | self._sequence
         run = Run(task, number, endpoint, step, find_need(step), team, now)
         run.is_copy = bool(self.runs.get(task))
-        self._track(run)
+        self.track(run)
         endpoint.last_ordered_at = now
         self.jobs[task.job].note_ordered(task)
         return run
 
-    def _track(self, run: Run) -> None:
+    def track(self, run: Run) -> None:
+        """Add a run and reserve its resources."""
         run.endpoint.add_run(run)
         self.index_run(run)
         self.usage.charge(run.team, run.need)
@@ -355,11 +360,18 @@
         self.unindex_run(run)
         job = self.jobs.get(run.task.job)
         if job is not None:
+            job.settle_start(run.task, run.number)
             if run.checkpoint:
                 self._note_checkpoint(job, run.task, run.checkpoint)
             if run.task not in self.runs:
                 job.requeue(run.task)
-        self._report_run("RUN_DROPPED", run, reason)
+        self.report_run("RUN_DROPPED", run, reason)
+
+    def _settle_start(self, run: Run) -> None:
+        """Note that it is known whether the start of a run was executed."""
+        job = self.jobs.get(run.task.job)
+        if job is not None:
+            job.settle_start(run.task, run.number)
 
     def _note_checkpoint(self, job: Job, task: TaskId, checkpoint: str) -> None:
         step = job.find_step(task)
@@ -391,13 +403,18 @@
             self._note_response(run.endpoint, clock_ms, now)
 
     def note_outcome_unknown(self, run: Run, now: float) -> None:
-        """Note that an order got no response.
+        """Note that a start got no response.
 
-        A poll with a higher token, sent from now on, decides whether the order was
-        executed.
+        A poll with a higher token, sent from now on, decides whether it was executed.
+        The next leader must know of it: if the endpoint restarts and is cut off, it may
+        carry the start out unseen.
         """
         run.state = DOUBTFUL
         run.unknown_at = now
+        job = self.jobs.get(run.task.job)
+        if job is not None and job.is_open and run.token:
+            job.note_unanswered(run.task, run.number, run.endpoint.name)
+            self.unsaved_jobs[job.job_id] = None
         endpoint = run.endpoint
         if endpoint.token <= run.token or not endpoint.needs_fence:
             endpoint.require_fence()
@@ -410,7 +427,7 @@
         Runs that it ordered may go on at endpoints that have not been polled yet, until
         the longest run lease has expired.
         """
-        self._earlier_term_ended_at = ended_at
+        self.earlier_term_ended_at = ended_at
         self.earlier_runs_until = ended_at + self._longest_run_lease
 
     def note_recorded(
@@ -430,7 +447,7 @@
         is_young = age < LATE_CALL_S + CLOCK_DOUBT_S + self._longest_lease
         if not endpoint.is_listed or (endpoint.has_restarted and is_young):
             endpoint.earlier_runs_until = self._find_late_runs_end(
-                self._earlier_term_ended_at
+                self.earlier_term_ended_at
             )
             self._latest_earlier_run = max(
                 self._latest_earlier_run, endpoint.earlier_runs_until
@@ -618,7 +635,7 @@
                 run.unknown_at = now
             # It is not known whether the next incarnation runs it.
             run.is_start_confirmed = False
-            self._report_run("ORDER_KEPT", run, reason)
+            self.report_run("ORDER_KEPT", run, reason)
 
     @property
     def _longest_lease(self) -> float:
@@ -641,7 +658,8 @@
         """
         return sent_at + CALL_DELAY_S + self._longest_lease
 
-    def _report_run(self, event: str, run: Run, reason: str) -> None:
+    def report_run(self, event: str, run: Run, reason: str) -> None:
+        """Report an event of a run."""
         self.report(
             event,
             job_id=run.task.job,
@@ -871,6 +889,7 @@
         if run.is_unsettled:
             run.state = STOPPING if run.stop_requested_at else PRESENT
             run.confirmed_at = now
+            self._settle_start(run)
         run.is_listed = True
         if row.percent != run.percent:
             run.progressed_at = now
@@ -903,6 +922,7 @@
         run.confirmed_at = now
         run.is_adopted = True
         run.has_unknown_need = not is_known
+        drop_superseded(self, run)
         wanted = (
             job is not None
             and job.is_open
@@ -910,7 +930,7 @@
             and not job.has_succeeded(row.task)
             and not self.runs.get(row.task)
         )
-        self._track(run)
+        self.track(run)
         if wanted:
             run.state = PRESENT
             job.note_ordered(row.task)
--- a/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
@@ -97,6 +97,7 @@
         "succeeded",
         "suspected_at",
         "team",
+        "unanswered",
         "waiting",
     )
 
@@ -129,6 +130,7 @@
         self.crashes: dict[TaskId, dict[int, int]] = {}
         self.suspected_at: dict[TaskId, float] = {}
         self.held_until: dict[TaskId, float] = {}
+        self.unanswered: dict[TaskId, dict[int, str]] = {}
         self.checkpoints: dict[TaskId, str] = {}
         self.waiting = WaitingTasks()
         self.opened_steps: set[tuple[int, int]] = set()
@@ -340,6 +342,7 @@
             self.failed_runs,
             self.held_until,
             self.suspected_at,
+            self.unanswered,
         ):
             for task in [row for row in state if row.occurrence == occurrence]:
                 del state[task]
@@ -389,6 +392,17 @@
             del self.crashes[task]
         return True
 
+    def note_unanswered(self, task: TaskId, run: int, endpoint: str) -> None:
+        """Record that the start of a run had no response."""
+        self.unanswered.setdefault(task, {})[run] = endpoint
+
+    def settle_start(self, task: TaskId, run: int) -> None:
+        """Note that it is known whether a start had an effect, or has one no more."""
+        starts = self.unanswered.get(task, {})
+        starts.pop(run, None)
+        if not starts:
+            self.unanswered.pop(task, None)
+
     def give_up(self, unix_now: float) -> None:
         """Fail the job, one of whose tasks crashes the endpoints that start it."""
         self._finish("fail", unix_now)
@@ -451,7 +465,12 @@
         )
         names = [
             task
-            for task in {*self.failed_runs, *self.checkpoints, *self.crashes}
+            for task in {
+                *self.failed_runs,
+                *self.checkpoints,
+                *self.crashes,
+                *self.unanswered,
+            }
             if not self.has_succeeded(task)
         ]
         tasks = tuple(
@@ -462,6 +481,7 @@
                 tuple(sorted(self.failed_runs.get(task, ()))),
                 self.checkpoints.get(task, ""),
                 tuple(self.crashes.get(task, {}).items()),
+                tuple(self.unanswered.get(task, {}).items()),
             )
             for task in names
         )
@@ -487,10 +507,13 @@
                     self.checkpoints[task] = row.checkpoint
                 if row.crashes:
                     self.crashes[task] = dict(row.crashes)
+                if row.unanswered:
+                    self.unanswered[task] = dict(row.unanswered)
             self.next_occurrence = progress.next_occurrence
             self.open_occurrences = dict.fromkeys(progress.open_occurrences)
             has_completed = self.next_occurrence > len(self.open_occurrences)
-            if progress.succeeded or progress.tasks or has_completed:
+            has_begun = self.failed_runs or self.checkpoints or self.crashes
+            if progress.succeeded or has_begun or has_completed:
                 self.note_begun()
         for occurrence in list(self.open_occurrences):
             self.open_ready_steps(occurrence)
--- a/packages/briarshed-workloads/src/briarshed_workloads/orders.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/orders.py
@@ -57,6 +57,8 @@
         Polls an endpoint whose response to an order is lost.
     spawn : callable
         Runs a coroutine in the background under a name.
+    request_save : callable
+        Called when there are changes to be written.
     note_changed : callable
         Called when the state of the fleet has changed and must be planned again.
     """
@@ -68,6 +70,7 @@
         endpoints: Endpoints,
         poller: EndpointPoller,
         spawn: Spawn,
+        request_save: Callable[[], None],
         note_changed: Callable[[], None],
     ) -> None:
         self._term = term
@@ -75,6 +78,7 @@
         self._endpoints = endpoints
         self._poller = poller
         self._spawn = spawn
+        self._request_save = request_save
         self._note_changed = note_changed
         self._starts = OrderSlots(note_changed)
         self._stops = OrderSlots(note_changed)
@@ -121,6 +125,7 @@
             )
         except OutcomeUnknownError as error:
             self._engine.note_outcome_unknown(run, clock.now())
+            self._request_save()
             self._log_start(order, f"no answer: {error}")
             # The poll that is waiting for an end was sent with a lower token, so that
             # its response cannot show whether the start took effect.
--- a/packages/briarshed-workloads/src/briarshed_workloads/persistence.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/persistence.py
@@ -503,7 +503,7 @@
     tasks = tuple(
         msgspec.structs.replace(row, checkpoint="")
         for row in progress.tasks
-        if row.failed_runs or row.crashes
+        if row.failed_runs or row.crashes or row.unanswered
     )
     return _encode_bounded(msgspec.structs.replace(progress, tasks=tasks))
 
