Start nothing at a restarted endpoint before its restart is recorded

Cause: the next leader learns of a restart from the roster or from the registration. A start required that the roster names the endpoint, of whatever incarnation, and a restart that a poll showed requested no write of the roster.

Change: a restarted endpoint leaves the set of recorded ones until the record of its new incarnation is durable, also if it restarts during a write; a poll of an endpoint that is not recorded requests one.

Ruled out: writing before the first poll is sent, which would delay the fence.

Three set-ups of engine tests add the record that the writer would have made; the step of engine.feature also asserts that nothing starts without it.

--- a/features/workloads/engine.feature
+++ b/features/workloads/engine.feature
@@ -56,7 +56,7 @@
     And the task runs at "a"
     When "a" answers a poll as a later incarnation
     Then the task waits
-    And "a" gets no runs until it is fenced again
+    And "a" gets no runs until it is fenced and recorded again
 
   Scenario: A run of an unknown job is stopped and keeps its capacity until then
     # Guards against overbooked endpoints (LIMIT 11, trouble-2 of rncm-briarshed-grown,
--- a/features/workloads/steps/crashing_task_steps.py
+++ b/features/workloads/steps/crashing_task_steps.py
@@ -279,6 +279,7 @@
     context.engine.endpoints["a"].is_end_ordered = True
     for _ in range(2):  # the second poll fences the new incarnation
         poll_endpoint(context.engine, "a", NOW + 0.01, started_at_ms=2)
+    context.engine.roster.add("a")
 
 
 @given('"a" lists the run with 100 percent after a crash of another endpoint')
--- a/features/workloads/steps/engine_steps.py
+++ b/features/workloads/steps/engine_steps.py
@@ -206,11 +206,13 @@
     poll_endpoint(context.engine, "a", NOW + 1, started_at_ms=2)
 
 
-@then('"a" gets no runs until it is fenced again')
+@then('"a" gets no runs until it is fenced and recorded again')
 def step_not_usable(context):
     context.engine.endpoints["b"].full_until = NOW + 9
     assert not plan_starts(context.engine, NOW + 1)
     poll_endpoint(context.engine, "a", NOW + 2, started_at_ms=2)
+    assert not plan_starts(context.engine, NOW + 2)
+    context.engine.roster.add("a")
     assert plan_starts(context.engine, NOW + 2)
 
 
--- a/features/workloads/steps/restarting_endpoint_steps.py
+++ b/features/workloads/steps/restarting_endpoint_steps.py
@@ -130,6 +130,7 @@
     engine.endpoints["b"].full_until = NOW + 1
     for offset in (0.1, 0.2):
         poll_endpoint(engine, "a", NOW + offset, started_at_ms=context.started_at_ms)
+    engine.roster.add("a")
     (order,) = plan_starts(engine, NOW + 0.3)
     order.run.token = order.run.endpoint.token
     engine.note_started(order.run, int(NOW * 1000), NOW + 0.3)
--- a/features/workloads/steps/unknown_state_steps.py
+++ b/features/workloads/steps/unknown_state_steps.py
@@ -364,6 +364,26 @@
 
 @when('"b" is registered again while the record without it is being written')
 def step_registered_meanwhile(context):
+    record_meanwhile(context, "b")
+
+
+@given(
+    'a leader with endpoints "a" and "b", of which "b" has joined and "a" is recorded'
+)
+def step_joined(context):
+    context.engine = make_engine(3, ("a", "b"))
+    for name in "ab":
+        poll_endpoint(context.engine, name, NOW)
+    context.engine.roster = {"a"}
+
+
+@when('"b" restarts {evidence} while the record with it is being written')
+def step_restarts_meanwhile(context, evidence):
+    record_meanwhile(context, "b", started_at_ms=2, polls=evidence == "unregistered")
+
+
+def record_meanwhile(context, name, started_at_ms=1, polls=False):
+    """Let an endpoint appear, or restart, while the roster is being written."""
     engine = context.engine
     context.starts = []
 
@@ -377,15 +397,21 @@
             job_id = f"{len(context.starts):016x}"
             submit(engine, job_id, (Step(8, NEED, 1.0),), NOW)
             starts = [order.run.endpoint.name for order in plan_starts(engine, now)]
-            context.starts.append("b" in starts)
+            context.starts.append(name in starts)
 
         term = SimpleNamespace(fenced_writer=SimpleNamespace(commit=commit))
         persistence = Persistence(term, engine, None, None, 1.0, lambda name: None)
         saving = asyncio.create_task(persistence._save_roster())
         await asyncio.sleep(0)
-        rows = [make_registration(name) for name in "ab"]
-        engine.note_registrations(rows, NOW + 0.2)
-        poll_endpoint(engine, "b", NOW + 0.3)
+        if polls:
+            poll_endpoint(engine, name, NOW + 0.2, started_at_ms=started_at_ms)
+        else:
+            rows = [
+                make_registration("a"),
+                make_registration("b", started_at_ms),
+            ]
+            engine.note_registrations(rows, NOW + 0.2)
+        poll_endpoint(engine, name, NOW + 0.3, started_at_ms=started_at_ms)
         list_starts(NOW + 0.4)
         gate.set()
         await saving
--- a/features/workloads/unknown_state.feature
+++ b/features/workloads/unknown_state.feature
@@ -120,3 +120,16 @@
     Given a leader with endpoints "a" and "b", of which "b" is not registered any more
     When "b" is registered again while the record without it is being written
     Then no task starts at "b" before a record with it is written
+
+  Scenario Outline: No task starts at an endpoint before its restart is recorded
+    # Guards against a task that runs twice after a change of the leader (TWICE, issue 52): the
+    # endpoint had restarted under its name and kept runs for the longest lease, and the next
+    # leader did not learn that it had restarted.
+    Given a leader with endpoints "a" and "b", of which "b" has joined and "a" is recorded
+    When "b" restarts <evidence> while the record with it is being written
+    Then no task starts at "b" before a record with it is written
+
+    Examples:
+      | evidence     |
+      | registered   |
+      | unregistered |
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -129,6 +129,9 @@
     open_size : int
         Size of all open jobs; those that have ended since the last correction of the
         state still count.
+    roster : set
+        Endpoints whose present incarnation is recorded, so that they may get runs: the
+        next leader must know of each that may have some.
     is_roster_unreadable : bool
         Whether the record of endpoints that may have runs could not be decoded.
     step_runs : dict
@@ -575,6 +578,7 @@
         endpoint.counter = last + 1
         endpoint.has_restarted = last > 0
         self.endpoints[name] = endpoint
+        self.roster.discard(name)
         return endpoint
 
     def _note_earlier_incarnations(self, now: float) -> None:
@@ -845,6 +849,7 @@
             started_at_ms=started_at_ms
         )
         endpoint.has_restarted = True
+        self.roster.discard(endpoint.name)
         self._report_endpoint("ENDPOINT_RESTARTED", endpoint.registration)
         endpoint.is_end_ordered = False
         endpoint.require_fence()
--- a/packages/briarshed-workloads/src/briarshed_workloads/persistence.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/persistence.py
@@ -378,7 +378,7 @@
         self._note_saved("")
 
     async def _save_roster(self) -> None:
-        """Record new endpoints before the first order to them.
+        """Record new incarnations of endpoints before the first order to them.
 
         Endpoints that are gone are left out, so that the next leader does not wait for
         them.
@@ -399,11 +399,20 @@
         if self._is_recorded(rows):
             return
         starts = _list_starts(rows.values())
+        incarnations = {
+            name: row.registration.started_at_ms for name, row in rows.items()
+        }
         record = _make_roster(rows.values())
         # The write may be done at any time from now on, whatever its outcome.
         engine.roster &= rows.keys()
         await self._term.fenced_writer.commit([Put(ROSTER, encode(record))])
-        engine.roster = set(rows)
+        # An endpoint that has restarted since the write began is not recorded yet.
+        engine.roster = {
+            name
+            for name, started_at_ms in incarnations.items()
+            if name not in engine.endpoints
+            or engine.endpoints[name].registration.started_at_ms == started_at_ms
+        }
         self._recorded_starts = starts
         self._note_saved("")
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/polling.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/polling.py
@@ -282,7 +282,8 @@
                 runs=len(endpoint.runs),
                 ends=len(response.ended),
             )
-        if endpoint.has_unsaved_ends or engine.unsaved_jobs:
+        is_recorded = endpoint.name in engine.roster
+        if endpoint.has_unsaved_ends or engine.unsaved_jobs or not is_recorded:
             self._request_save()
         self._note_changed()
         if endpoint.last_listed_end > known or endpoint.is_acknowledgement_held:
