Let an endpoint refuse a pace that arrives after a later one

Cause: both orders had the same fencing token.

Change: after a pace without a response, all orders to that endpoint have a higher token, so that it does nothing for the late one. The rule stands in one function, `Endpoint.raise_token`, which the two other places call too.

Ruled out: ordering the pace again after 12 s, the longest delay; the task would be slow until then.

Measured: "A pace that is carried out late does not replace a later one" failed on (both tokens equal) and passes.

--- a/features/workloads/lost_orders.feature
+++ b/features/workloads/lost_orders.feature
@@ -71,6 +71,14 @@
     When its neighbours are below their target again
     Then its pace is ordered again, until an order is answered
 
+  Scenario: A pace that is carried out late does not replace a later one
+    # Guards against best-effort tasks that stay slow for good (LOST, issue 52): the leader
+    # takes the pace that was answered for the present one.
+    Given a best-effort task whose pace of 40 % was ordered without a response
+    When its neighbours are below their target again
+    And the order of 40 % is carried out then
+    Then the endpoint has refused it
+
   Scenario: Endpoints are not retired without a pool to move them to
     # Guards against endpoints without work (LOST) after a change of the configuration.
     Given a retiring endpoint, and a configuration that has no standby pool any more
--- a/features/workloads/steps/lost_order_steps.py
+++ b/features/workloads/steps/lost_order_steps.py
@@ -393,9 +393,10 @@
 @given("a best-effort task whose pace of 40 % was ordered without a response")
 def step_paced(context):
     async def run():
-        answers = []
+        answers, context.tokens = [], []
 
-        async def pace(*arguments):
+        async def pace(name, address, task, number, percent, token, permit):
+            context.tokens.append((percent, token))
             if len(answers) < 2:
                 answers.append("lost")
                 raise OutcomeUnknownError("no response")
@@ -441,6 +442,18 @@
     assert context.pace == 100
 
 
+@when("the order of 40 % is carried out then")
+def step_late_pace(context):
+    context.late_token = next(token for percent, token in context.tokens)
+
+
+@then("the endpoint has refused it")
+def step_refused(context):
+    # An endpoint does nothing for a lower token than the highest that it has seen.
+    assert context.tokens[0][0] == 40 and context.answers[-1] == "done"
+    assert context.late_token < context.tokens[-1][1], context.tokens
+
+
 @given("a retiring endpoint, and a configuration that has no standby pool any more")
 def step_retiring(context):
     context.engine = make_engine(configuration=make_configuration())
--- a/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
@@ -396,7 +396,7 @@
         it refuses that poll, whose number is one of the earlier incarnation.
         """
         if acknowledged > self.forgotten:
-            self.counter += 1
+            self.raise_token()
         self.forgotten = max(self.forgotten, acknowledged)
 
     def note_listed_end(self, number: int) -> None:
@@ -422,9 +422,13 @@
     def require_fence(self) -> None:
         """Order no more starts until a poll with a higher token has been answered."""
         self.needs_fence = True
-        self.counter += 1
+        self.raise_token()
         self.fence_counter = self.counter
 
+    def raise_token(self) -> None:
+        """Let all later orders have a higher token than those before."""
+        self.counter += 1
+
     def add_run(self, run: Run) -> None:
         """Add a run and reserve its resources."""
         self.runs[run.task, run.number] = run
--- a/packages/briarshed-workloads/src/briarshed_workloads/orders.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/orders.py
@@ -248,8 +248,10 @@
                 self._term.has_authority,
             )
         except (OutcomeUnknownError, NotExecutedError) as error:
-            # It may be carried out later, after the next order too.
-            run.is_pace_unknown |= isinstance(error, OutcomeUnknownError)
+            if isinstance(error, OutcomeUnknownError):
+                # After the next order, which has a higher token, it is refused.
+                run.is_pace_unknown = True
+                endpoint.raise_token()
             log_event(
                 events.RUN_PACED,
                 job_id=run.task.job,
