Separate leases and what earlier leaders have left from the engine

Change: `leases` holds LeaseTimes with the times that follow from it; `takeover` holds EarlierLeaders (what the last term, the roster and consent tell of earlier leaders) and the two questions that plans ask of a pool. No behaviour is changed.

Ruled out: splitting off registrations as well, which share more state with the engine.

Steps follow the new names; one set-up that replaces the lease times renews the state as well.

--- a/bench/_emulator.py
+++ b/bench/_emulator.py
@@ -21,9 +21,10 @@
     QueueRules,
     RequestLimits,
 )
-from briarshed_workloads.engine import Engine, LeaseTimes
+from briarshed_workloads.engine import Engine
 from briarshed_workloads.fleet import Run
 from briarshed_workloads.jobs import COMPLETED, FAILED, find_objective
+from briarshed_workloads.leases import LeaseTimes
 from briarshed_workloads.planning import plan_starts
 from briarshed_workloads.sizing import ArrivalRate, plan_moves
 from briarshed_workloads.workloads import (
--- a/features/workloads/steps/election_steps.py
+++ b/features/workloads/steps/election_steps.py
@@ -13,10 +13,11 @@
 from briarshed_entry import clock
 from briarshed_platform.directory import PlatformDirectory
 from briarshed_workloads.consent import PeerView, choose_members
-from briarshed_workloads.engine import Engine, LeaseTimes
+from briarshed_workloads.engine import Engine
 from briarshed_workloads.entry import Entry, LeaderView
 from briarshed_workloads.interfaces import Committed, Conflicted, Item
 from briarshed_workloads.leadership import LeaderTerm, acquire
+from briarshed_workloads.leases import LeaseTimes
 from briarshed_workloads.records import (
     LEADER,
     MEMBERS,
@@ -198,8 +199,8 @@
     engine = Engine(
         2, LeaseTimes(RUN_LEASE_S, RUN_LEASE_S, RUN_LEASE_S), lambda *_, **__: None
     )
-    engine.note_earlier_term_end(context.term.vacant_at)
-    until = engine.earlier_runs_until - context.found_at
+    engine.earlier.note_term_end(context.term.vacant_at)
+    until = engine.earlier.runs_until - context.found_at
     assert abs(until - seconds) < 0.4, until
 
 
--- a/features/workloads/steps/engine_steps.py
+++ b/features/workloads/steps/engine_steps.py
@@ -12,9 +12,10 @@
     RequestLimits,
     TeamRules,
 )
-from briarshed_workloads.engine import Engine, LeaseTimes
+from briarshed_workloads.engine import Engine
 from briarshed_workloads.fleet import STOPPING, is_within
 from briarshed_workloads.jobs import FAILED
+from briarshed_workloads.leases import LeaseTimes
 from briarshed_workloads.planning import plan_starts
 from briarshed_workloads.workloads import (
     NO_RESOURCES,
@@ -97,7 +98,7 @@
 def step_restored(context):
     job = submit(context.engine, JOB, (Step(1, NEED, 1.0),), NOW)
     job.is_restored = True
-    context.engine.earlier_runs_until = NOW + RUN_LEASE_S + 1.5
+    context.engine.earlier.runs_until = NOW + RUN_LEASE_S + 1.5
 
 
 @given('endpoint "a" lists a run of epoch 1 of that task')
--- a/features/workloads/steps/heavy_days_steps.py
+++ b/features/workloads/steps/heavy_days_steps.py
@@ -20,7 +20,8 @@
     TeamRules,
 )
 from briarshed_workloads.disruption import choose_pace, list_evictions
-from briarshed_workloads.engine import Engine, LeaseTimes
+from briarshed_workloads.engine import Engine
+from briarshed_workloads.leases import LeaseTimes
 from briarshed_workloads.outliers import (
     EndpointReputation,
     find_slow,
@@ -482,7 +483,7 @@
     }
     step = context.engine.jobs[JOB].description.steps[0]
     engine = context.engine = make_engine(epoch=3, names=tuple(context.listed))
-    engine.earlier_runs_until = context.now + 5.0
+    engine.earlier.runs_until = context.now + 5.0
     submit(engine, JOB, (step,), NOW).is_restored = True
     for name in ("a", "d"):
         poll_endpoint(engine, name, context.now, context.listed[name])
--- a/features/workloads/steps/replaced_entry_steps.py
+++ b/features/workloads/steps/replaced_entry_steps.py
@@ -21,6 +21,7 @@
 from briarshed_entry import clock
 from briarshed_workloads.planning import plan_starts
 from briarshed_workloads.records import MEMBERS, MembersRecord, decode
+from briarshed_workloads.takeover import EarlierLeaders, is_contested
 from briarshed_workloads.workloads import (
     EndedRun,
     ListedRun,
@@ -150,8 +151,9 @@
     submit(engine, JOB, (Step(1, NEED, 1.0),), NOW).is_restored = True
     submit(engine, NEW_JOB, (Step(1, NEED, 1.0),), NOW)
     engine.lease_times = engine.lease_times._replace(max_run_lease=RUN_LEASE_S)
-    engine.note_earlier_term_end(NOW)
-    engine.note_earlier_leader(NOW + s)
+    engine.earlier = EarlierLeaders(engine.lease_times)
+    engine.earlier.note_term_end(NOW)
+    engine.earlier.note_leader(NOW + s)
 
 
 @when("one endpoint of their pool has answered, and the other has not")
@@ -163,8 +165,8 @@
 def step_waits(context, seconds):
     engine = context.engine
     assert not plan_starts(engine, NOW + seconds - 0.1)
-    assert engine.is_contested("pool", NOW + seconds - 0.1)
-    assert not engine.is_contested("pool", NOW + seconds + 0.1)
+    assert is_contested(engine, "pool", NOW + seconds - 0.1)
+    assert not is_contested(engine, "pool", NOW + seconds + 0.1)
 
 
 @when("the other endpoint has answered too")
@@ -181,7 +183,7 @@
 def step_restart(context):
     engine = context.engine
     engine.note_registrations([make_registration("a", 2), make_registration("b")], NOW)
-    assert not engine.is_contested("pool", NOW)
+    assert not is_contested(engine, "pool", NOW)
 
 
 class PolledEndpoints:
@@ -211,7 +213,7 @@
             SimpleNamespace(commit=commit), endpoints=context.fake
         )
         engine = controller.engine
-        engine.note_earlier_leader(clock.now() + 63.0)
+        engine.earlier.note_leader(clock.now() + 63.0)
         engine.note_registrations(
             [make_registration("a"), make_registration("b")], clock.now()
         )
--- a/features/workloads/steps/takeover_steps.py
+++ b/features/workloads/steps/takeover_steps.py
@@ -123,7 +123,7 @@
     )
     endpoint = engine.endpoints["c"]
     endpoint.registration = endpoint.registration._replace(pool="other")
-    engine.earlier_runs_until = NOW + RUN_LEASE_S + 1.5
+    engine.earlier.runs_until = NOW + RUN_LEASE_S + 1.5
     poll_endpoint(engine, "b", NOW)
     poll_endpoint(engine, "c", NOW)
     submit(engine, JOB, TWO_TASKS, NOW).is_restored = True
--- a/features/workloads/steps/unanswered_start_steps.py
+++ b/features/workloads/steps/unanswered_start_steps.py
@@ -27,7 +27,7 @@
     step = Step(1, NEED, 1.0)
     job = JobRecord("q", "pool", "team", NOW, "", 0.0, Description("", (step,)))
     row = TaskRecord(0, 0, 0, (), "", (), ((RUN, name.strip('"')),))
-    engine.note_earlier_term_end(NOW)
+    engine.earlier.note_term_end(NOW)
     engine.restore(JOB, job, ProgressRecord(False, (), (row,), 1, (0,)), NOW)
     restore_unanswered(engine)
     context.job = engine.jobs[JOB]
--- a/features/workloads/steps/unknown_state_steps.py
+++ b/features/workloads/steps/unknown_state_steps.py
@@ -65,7 +65,7 @@
     if leader == "a new leader":
         records = job.encode_job(), job.encode_progress()
         engine = make_engine(3, ("a",))
-        engine.earlier_runs_until = NOW + RUN_LEASE_S
+        engine.earlier.runs_until = NOW + RUN_LEASE_S
         engine.restore(JOB, *records, NOW)
     context.engine = engine
     context.ends = [
@@ -150,7 +150,7 @@
 @given('a leader of epoch 3 and a team whose runs at "b" use its whole limit')
 def step_team(context):
     context.engine = engine = make_engine(3, configuration=make_configuration(CAPACITY))
-    engine.earlier_runs_until = NOW + RUN_LEASE_S
+    engine.earlier.runs_until = NOW + RUN_LEASE_S
     job = submit(engine, JOB, (Step(4, NEED, 1.0),), NOW)
     job.is_restored = True
     context.runs = [
@@ -324,7 +324,7 @@
     context.engine = make_engine(3, ())
     job = submit(context.engine, JOB, (Step(1, NEED, 1.0),), NOW)
     job.is_restored = True
-    context.engine.note_earlier_term_end(NOW)
+    context.engine.earlier.note_term_end(NOW)
     context.record = RosterRecord((("a", 1, "own", "m", "pool"),))
 
 
--- a/features/workloads/steps/wave_takeover_steps.py
+++ b/features/workloads/steps/wave_takeover_steps.py
@@ -188,7 +188,7 @@
 def step_not_polled(context):
     row = context.calls.rows["m2"]
     context.calls.rows["m2"] = row._replace(endpoint="a")
-    context.engine.earlier_runs_until = clock.now() + 60.0
+    context.engine.earlier.runs_until = clock.now() + 60.0
 
 
 @when('the endpoint on "m2" has listed no runs')
--- a/packages/briarshed-workloads/src/briarshed_workloads/controller.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/controller.py
@@ -15,7 +15,7 @@
 from briarshed_workloads import telemetry
 from briarshed_workloads.configuration import Configuration
 from briarshed_workloads.disruption import list_evictions, list_pacing
-from briarshed_workloads.engine import Engine, LeaseTimes
+from briarshed_workloads.engine import Engine
 from briarshed_workloads.fenced_writer import LeadershipLostError
 from briarshed_workloads.fleet import (
     StopOrder,
@@ -30,6 +30,7 @@
 )
 from briarshed_workloads.jobs import FINAL_STATES
 from briarshed_workloads.leadership import LeaderTerm
+from briarshed_workloads.leases import LeaseTimes
 from briarshed_workloads.maintenance import Maintenance
 from briarshed_workloads.options import EntryOptions
 from briarshed_workloads.orders import OrderSender
@@ -247,12 +248,12 @@
         engine.unix_offset = time.time() - now
         await self.persistence.load_jobs()
         await self.persistence.load_withdrawn()
-        engine.note_earlier_term_end(self.term.vacant_at)
+        engine.earlier.note_term_end(self.term.vacant_at)
         engine.note_registrations(await self._directory.read_endpoints(), clock.now())
         await self.persistence.load_roster()
         restore_unanswered(engine)
         await self.persistence.load_waves(self.maintenance)
-        engine.note_earlier_leader(self.term.earlier_leader_until)
+        engine.earlier.note_leader(self.term.earlier_leader_until)
         self.is_loaded = True
         log_event(
             events.TERM_LOADED,
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -4,7 +4,6 @@
 
 from collections import deque
 from collections.abc import Callable, Iterable
-from typing import NamedTuple
 
 from briarshed_workloads.configuration import UNLIMITED_TEAM, Configuration, QueueRules
 from briarshed_workloads.crashes import (
@@ -15,8 +14,6 @@
 from briarshed_workloads.evidence import Crash
 from briarshed_workloads.fleet import (
     DOUBTFUL,
-    EXPIRY_MARGIN_S,
-    MIN_CLOCK_RATE,
     MS_PER_S,
     ORDERED,
     PRESENT,
@@ -33,11 +30,12 @@
     Job,
     find_need,
 )
+from briarshed_workloads.leases import LeaseTimes
 from briarshed_workloads.outliers import SLOW_FACTOR, project_ratio
 from briarshed_workloads.records import JobRecord, ProgressRecord
 from briarshed_workloads.shares import Shares
 from briarshed_workloads.supervision import report_error
-from briarshed_workloads.takeover import drop_superseded
+from briarshed_workloads.takeover import EarlierLeaders, drop_superseded
 from briarshed_workloads.workloads import (
     NO_RESOURCES,
     Description,
@@ -62,18 +60,6 @@
 """Time after which an order whose outcome was not noted counts as without a response;
 a start has timed out before."""
 
-CALL_DELAY_S = 3.0
-"""Delay after which a call without a response is expected to have been carried out, if
-ever. One that is later still is refused, unless the endpoint has restarted meanwhile
-and no leader has reached it since."""
-
-LATE_CALL_S = 10.0
-"""Time after the start of an endpoint within which it may carry out a call to its
-earlier incarnation: calls may be seconds late, and sent before the start is known."""
-
-CLOCK_DOUBT_S = 10.0
-"""Difference that the clocks of entries and endpoints may have; they may jump."""
-
 MAX_KNOWN_CRASHES = 1_000
 """Crashes that are kept; more than a fleet has within `RECENT_CRASH_S`."""
 
@@ -88,25 +74,6 @@
 """Description of ended jobs, whose steps are not recorded."""
 
 
-class LeaseTimes(NamedTuple):
-    """Run leases in seconds.
-
-    Attributes
-    ----------
-    run_lease : float
-        Time for which endpoints keep runs without a poll.
-    max_run_lease : float
-        Longest run lease that any leader grants.
-    max_accepted_lease : float
-        Longest run lease that endpoints accept; they shorten longer ones. An endpoint
-        that has restarted takes deadlines of its earlier clock for longer ones.
-    """
-
-    run_lease: float
-    max_run_lease: float
-    max_accepted_lease: float
-
-
 class Engine:
     """State of the jobs, endpoints, runs and team usage of one leader.
 
@@ -132,24 +99,15 @@
     roster : set
         Endpoints whose present incarnation is recorded, so that they may get runs: the
         next leader must know of each that may have some.
-    is_roster_unreadable : bool
-        Whether the record of endpoints that may have runs could not be decoded.
     step_runs : dict
         Runs by the first three fields of their task: job, occurrence and step.
-    contested_until : float
-        Time until which a pool may be contested, in seconds of the boot clock; see
-        `briarshed_workloads.consent`.
     partly_listed : set
         Endpoints that may have ends besides those in their last response, since they
         list a limited number at a time.
     crashes : deque
         Crashes of endpoints, in the order in which they became known.
-    earlier_term_ended_at : float
-        Latest time at which the previous leader's term can have ended, in seconds of
-        the boot clock.
-    earlier_runs_until : float
-        Time until which runs ordered by earlier leaders may continue at endpoints that
-        have not been polled yet, in seconds of the boot clock.
+    earlier : EarlierLeaders
+        What earlier leaders may still do or have running.
     """
 
     def __init__(
@@ -168,13 +126,8 @@
         self.step_runs: dict[StepKey, dict[Run, None]] = {}
         self.usage = Usage()
         self.unsaved_jobs: dict[str, None] = {}
-        self.earlier_runs_until = 0.0
-        self.earlier_term_ended_at = 0.0
-        self._latest_earlier_run = 0.0
-        self.contested_until = 0.0
-        self._uncontested_pools: set[str] = set()
+        self.earlier = EarlierLeaders(lease_times)
         self.roster: set[str] = set()
-        self.is_roster_unreadable = False
         self.partly_listed: set[Endpoint] = set()
         self.run_times: dict[str, float] = {}
         self.crashes: deque[Crash] = deque(maxlen=MAX_KNOWN_CRASHES)
@@ -424,76 +377,6 @@
 
     # Endpoints
 
-    def note_earlier_term_end(self, ended_at: float) -> None:
-        """Note the latest time at which the previous leader's term can have ended.
-
-        Runs that it ordered may go on at endpoints that have not been polled yet, until
-        the longest run lease has expired.
-        """
-        self.earlier_term_ended_at = ended_at
-        self.earlier_runs_until = ended_at + self._longest_run_lease
-
-    def note_recorded(
-        self, name: str, started_at_ms: int, has_restarted: bool, unix_now: float
-    ) -> None:
-        """Note what the roster tells of an endpoint that earlier leaders have used.
-
-        It may have carried out a late call for its earlier incarnation, with a deadline
-        that is far ahead on its clock, and keep runs for the longest lease that it
-        accepts. This holds if it has restarted lately. One that is not registered may
-        have restarted unseen.
-        """
-        endpoint = self.endpoints[name]
-        registered_at_ms = endpoint.registration.started_at_ms
-        endpoint.has_restarted |= has_restarted or registered_at_ms != started_at_ms
-        age = unix_now - max(registered_at_ms, started_at_ms) / MS_PER_S
-        is_young = age < LATE_CALL_S + CLOCK_DOUBT_S + self._longest_lease
-        if not endpoint.is_listed or (endpoint.has_restarted and is_young):
-            endpoint.earlier_runs_until = self._find_late_runs_end(
-                self.earlier_term_ended_at
-            )
-            self._latest_earlier_run = max(
-                self._latest_earlier_run, endpoint.earlier_runs_until
-            )
-
-    def find_earlier_runs_end(self, endpoint: Endpoint) -> float:
-        """Return until when unknown runs of earlier leaders may go on at an endpoint.
-
-        This holds unless it has answered a poll of this leader.
-        """
-        return max(self.earlier_runs_until, endpoint.earlier_runs_until)
-
-    def may_have_earlier_runs(self, now: float) -> bool:
-        """Return whether unknown runs of earlier leaders may go on anywhere."""
-        return now < max(self.earlier_runs_until, self._latest_earlier_run)
-
-    @property
-    def _longest_run_lease(self) -> float:
-        """Longest time in seconds for which the runs of an earlier leader may go on."""
-        return self.lease_times.max_run_lease / MIN_CLOCK_RATE + EXPIRY_MARGIN_S
-
-    def note_earlier_leader(self, until: float) -> None:
-        """Note that an earlier leader may have authority until a time."""
-        self.contested_until = until + self._longest_run_lease
-
-    def is_contested(self, pool: str, now: float) -> bool:
-        """Return whether an earlier leader may start tasks in a pool.
-
-        It cannot any more once all endpoints of the pool have answered a poll.
-        """
-        if now >= self.contested_until or pool in self._uncontested_pools:
-            return False
-        if self.is_roster_unreadable or any(
-            not endpoint.polled_at
-            and not endpoint.is_gone
-            and endpoint.registration.pool in (pool, "")
-            for endpoint in self.endpoints.values()
-        ):
-            return True
-        self._uncontested_pools.add(pool)
-        self.report("POOL_TAKEN_OVER", pool=pool, epoch=self.epoch)
-        return False
-
     def note_registrations(self, listing: Iterable[Registration], now: float) -> None:
         """Apply a new list of registered endpoints."""
         registered: set[str] = set()
@@ -641,26 +524,12 @@
             run.is_start_confirmed = False
             self.report_run("ORDER_KEPT", run, reason)
 
-    @property
-    def _longest_lease(self) -> float:
-        """Longest time in seconds for which an endpoint keeps runs without a call."""
-        return self.lease_times.max_accepted_lease / MIN_CLOCK_RATE + EXPIRY_MARGIN_S
-
     def _note_earlier_deadlines(self, endpoint: Endpoint, now: float) -> None:
         """Note that calls for an endpoint's earlier incarnation may reach the next one.
 
         Their deadlines are far ahead on its new clock.
         """
-        endpoint.earlier_deadlines_until = self._find_late_runs_end(now)
-
-    def _find_late_runs_end(self, sent_at: float) -> float:
-        """Return when an endpoint that has restarted has ended its earlier runs.
-
-        These are runs that calls of an earlier leader or for an earlier incarnation
-        began or extended. They were sent until ``sent_at``, and may be carried out
-        later.
-        """
-        return sent_at + CALL_DELAY_S + self._longest_lease
+        endpoint.earlier_deadlines_until = self.lease_times.find_late_runs_end(now)
 
     def report_run(self, event: str, run: Run, reason: str) -> None:
         """Report an event of a run."""
@@ -733,7 +602,7 @@
         expiry = endpoint.find_lease_expiry()
         if run.may_be_at_next_incarnation:
             sent_at = max(endpoint.deadline_sent_at, run.ordered_at)
-            expiry = max(expiry, self._find_late_runs_end(sent_at))
+            expiry = max(expiry, self.lease_times.find_late_runs_end(sent_at))
         return expiry
 
     def _note_response(self, endpoint: Endpoint, clock_ms: int, now: float) -> None:
@@ -797,11 +666,12 @@
         endpoint.seen_at = now
         self._note_response(endpoint, response.clock_ms, now)
         endpoint.polled_at = now
+        longest_until = now + self.lease_times.longest_accepted
         if not endpoint.fenced_counter:
             endpoint.note_earlier_deadline(self.lease_times.max_run_lease)
             if self._may_have_late_deadline(endpoint, response.clock_ms):
                 endpoint.earlier_deadlines_until = max(
-                    endpoint.earlier_deadlines_until, now + self._longest_lease
+                    endpoint.earlier_deadlines_until, longest_until
                 )
         if response.may_have_more_ends:
             self.partly_listed.add(endpoint)
@@ -814,7 +684,7 @@
                 endpoint.needs_fence = False
                 # Earlier calls, with their deadlines, are rejected from now on.
                 endpoint.earlier_deadlines_until = min(
-                    endpoint.earlier_deadlines_until, now + self._longest_lease
+                    endpoint.earlier_deadlines_until, longest_until
                 )
             endpoint.fenced_counter = max(endpoint.fenced_counter, counter)
         for ended in response.ended:
@@ -834,7 +704,7 @@
 
         The clock of an incarnation starts anew.
         """
-        longest = LATE_CALL_S + self._longest_lease
+        longest = self.lease_times.longest_late_deadline
         return endpoint.has_restarted and clock_ms < longest * MS_PER_S
 
     def _note_restart(self, endpoint: Endpoint, started_at_ms: int, now: float) -> None:
--- a/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
@@ -553,10 +553,10 @@
         and one that has more ends to list may have successes that nobody has noted.
         """
         if row.endpoint is None:
-            may_have_earlier_runs = self._engine.may_have_earlier_runs(now)
+            may_have_earlier_runs = self._engine.earlier.may_have_runs(now)
             return not row.instance.endpoint or not may_have_earlier_runs
         if (
-            now < self._engine.find_earlier_runs_end(row.endpoint)
+            now < self._engine.earlier.find_runs_end(row.endpoint)
             and not row.endpoint.fenced_counter
         ):
             return False
--- a/packages/briarshed-workloads/src/briarshed_workloads/persistence.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/persistence.py
@@ -183,7 +183,7 @@
         record = _decode_or_report(item, RosterRecord)
         if record is None:
             # Any endpoint may have runs: restored jobs wait until those have expired.
-            self._engine.is_roster_unreadable = True
+            self._engine.earlier.is_roster_unreadable = True
             return
         for name, started_at_ms, address, instance, pool in record.rows:
             if name not in self._engine.endpoints:
@@ -200,7 +200,9 @@
                 )
                 self._engine.add_endpoint(lost).is_listed = False
             has_restarted = name in record.restarted
-            self._engine.note_recorded(name, started_at_ms, has_restarted, time.time())
+            self._engine.earlier.note_recorded(
+                self._engine.endpoints[name], started_at_ms, has_restarted, time.time()
+            )
 
     async def load_waves(self, maintenance: Maintenance) -> None:
         """Load the progress of waves and the sizes of pools."""
--- a/packages/briarshed-workloads/src/briarshed_workloads/planning.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/planning.py
@@ -19,6 +19,7 @@
 from briarshed_workloads.order_slots import MAX_PENDING_ORDERS
 from briarshed_workloads.outliers import find_slow, project_ratio
 from briarshed_workloads.supervision import report_error
+from briarshed_workloads.takeover import is_contested, may_have_earlier_runs
 from briarshed_workloads.workloads import (
     NO_RESOURCES,
     Resources,
@@ -86,7 +87,7 @@
 
 def _plan_pool(engine: Engine, pool: str, now: float, orders: list[StartOrder]) -> None:
     """Reserve runs for the waiting tasks of a pool and add their start orders."""
-    if engine.is_contested(pool, now):
+    if is_contested(engine, pool, now):
         return
     jobs = [job for job in engine.list_open(pool).values() if job.waiting]
     if may_have_earlier_runs(engine, pool, now):
@@ -138,7 +139,7 @@
     orders: list[StartOrder] = []
     engine.usage.unknown = measure_unknown_usage(engine, now)
     for pool in list(engine.open_jobs):
-        if engine.is_contested(pool, now):
+        if is_contested(engine, pool, now):
             continue
         overdue = [
             (job, runs[0])
@@ -221,35 +222,6 @@
     return any(endpoint.find_free().cpu >= least for endpoint in eligible)
 
 
-def may_have_earlier_runs(engine: Engine, pool: str, now: float) -> bool:
-    """Return whether an endpoint of a pool may have unknown runs of an earlier leader.
-
-    A waiting task of a restored job may be running there until each endpoint is fenced
-    or gone, or its run lease has expired. It may have succeeded at an endpoint that
-    responds and has not listed all ends.
-    """
-    if not engine.may_have_earlier_runs(now) and not engine.partly_listed:
-        return False
-    if now < engine.earlier_runs_until and engine.is_roster_unreadable:
-        return True
-    return any(
-        endpoint.fenced_counter == 0
-        and not endpoint.is_gone
-        and endpoint.registration.pool in (pool, "")
-        and (
-            now < engine.find_earlier_runs_end(endpoint)
-            or _may_list_more_ends(engine, endpoint, now)
-        )
-        for endpoint in engine.endpoints.values()
-    )
-
-
-def _may_list_more_ends(engine: Engine, endpoint: Endpoint, now: float) -> bool:
-    """Return whether an endpoint has ends to list, which its lease does not void."""
-    is_silent = endpoint.failing_since > 0 and now > endpoint.find_lease_expiry()
-    return endpoint in engine.partly_listed and not is_silent
-
-
 def measure_unknown_usage(engine: Engine, now: float) -> dict[str, Resources]:
     """Return what unknown runs of an earlier leader may use of the teams' limits.
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/polling.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/polling.py
@@ -24,6 +24,7 @@
 from briarshed_workloads.leadership import LeaderTerm
 from briarshed_workloads.outliers import STARTUP_TIMEOUT_S
 from briarshed_workloads.supervision import report_error
+from briarshed_workloads.takeover import is_contested
 
 POLL_WAIT_S = 1.2
 """How long a poll waits for an end; less than a third of the run lease."""
@@ -149,7 +150,7 @@
 
     def _is_contested(self, endpoint: Endpoint) -> bool:
         """Tell whether an earlier leader may start tasks in the endpoint's pool."""
-        return self._engine.is_contested(endpoint.registration.pool, clock.now())
+        return is_contested(self._engine, endpoint.registration.pool, clock.now())
 
     async def _wait_to_acknowledge(
         self, endpoint: Endpoint, wake_event: asyncio.Event
@@ -334,7 +335,7 @@
         if self._engine.drop_expired_runs(now):
             self._note_changed()
         is_expired = not endpoint.runs and now > max(
-            self._engine.find_earlier_runs_end(endpoint), endpoint.find_lease_expiry()
+            self._engine.earlier.find_runs_end(endpoint), endpoint.find_lease_expiry()
         )
         is_needed = endpoint.is_listed or self._is_contested(endpoint)
         if is_expired and not is_needed:
--- a/packages/briarshed-workloads/src/briarshed_workloads/waiting.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/waiting.py
@@ -9,7 +9,7 @@
 from briarshed_workloads.engine import Engine
 from briarshed_workloads.fleet import Endpoint, is_within
 from briarshed_workloads.jobs import PENDING, Job, find_need
-from briarshed_workloads.planning import may_have_earlier_runs
+from briarshed_workloads.takeover import is_contested, may_have_earlier_runs
 
 MILLICORES = 1000
 
@@ -98,7 +98,7 @@
 
 def _find_reason(engine: Engine, job: Job, may_run_already: bool, now: float) -> str:
     """Return why the first waiting task of a job waits."""
-    if engine.is_contested(job.pool, now):
+    if is_contested(engine, job.pool, now):
         return "earlier leader"
     if may_run_already and job.is_restored:
         return "earlier leader's runs"
