Record starts that an unknown incarnation may have answered

Cause: the response does not tell the incarnation. The leader sees from the clock that it may be another one and allows for the longest lease; the next leader did not know, and counted 4 s.

Change: such a start is recorded like one without a response until a poll lists it.

Ruled out: asking with a poll before the start counts as confirmed; the leader can be killed before the response.

--- a/features/workloads/run_leases.feature
+++ b/features/workloads/run_leases.feature
@@ -74,6 +74,23 @@
       | 0.6    | 2.5  | after 0.1 and 4.0 s | 16   |
       | 3.0    | 3.2  | after 0.5 s         | 16   |
 
+  Scenario Outline: A start may have been answered by a restarted endpoint
+    # Guards against a task that runs twice (TWICE, issue 52): a restarted endpoint answered a
+    # start for its earlier incarnation and was cut off before a poll. The next leader
+    # did not know that its lease is longer.
+    Given three entries, and an endpoint "a" that was idle for 20 s
+    When "a" is silent for <silent> s, and restarts unseen
+    And it answers a start <late> s after that was sent, and is cut off
+    And the leader is killed <kills> after the restart
+    Then the task is started elsewhere, and not before "a" has ended the run
+    And the task is started elsewhere at most <most> s after the last kill
+
+    Examples:
+      | silent | late | kills       | most |
+      | 0.1    | 0.2  | after 0.5 s | 16   |
+      | 0.2    | 0.3  | after 0.3 s | 16   |
+      | 0.2    | 0.3  | after 1.5 s | 16   |
+
   Scenario Outline: A leader waits for a start that a restarted endpoint may carry out
     # Guards against a task that runs twice (TWICE, issue 52): the leader counted the longest
     # run lease from when it sent the start, which the endpoint carried out seconds later.
--- a/features/workloads/steps/run_lease_steps.py
+++ b/features/workloads/steps/run_lease_steps.py
@@ -204,12 +204,12 @@
     def __init__(self, idle_s, silent_s):
         super().__init__(idle_s)
         self.silent_s = silent_s
-        self.carried_out_s = 0.0
+        self.start_fate = ("late", 0.0)
 
     def choose_fate(self, name, kind):
         """Return what becomes of a call."""
         if name == "a" and self.is_mute and kind == "start":
-            return "late", self.carried_out_s
+            return self.start_fate
         if name == "a" and (self.is_mute or self.is_silent):
             return "lost", 0.0
         return "", 0.0
@@ -290,7 +290,12 @@
     "it carries out a start {seconds:g} s after that was sent, although it is cut off"
 )
 def step_carries_out(context, seconds):
-    context.play.carried_out_s = seconds
+    context.play.start_fate = ("late", seconds)
+
+
+@when("it answers a start {seconds:g} s after that was sent, and is cut off")
+def step_answers(context, seconds):
+    context.play.start_fate = ("", seconds)
 
 
 @when("the leader goes on")
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -323,11 +323,16 @@
                 job.requeue(run.task)
         self.report_run("RUN_DROPPED", run, reason)
 
-    def _settle_start(self, run: Run) -> None:
-        """Note that it is known whether the start of a run was executed."""
+    def _record_start(self, run: Run) -> None:
+        """Record that the next incarnation of an endpoint may run a start unseen.
+
+        The next leader must know of it: if the endpoint has restarted and is cut off,
+        it may keep the run for the longest lease that it accepts.
+        """
         job = self.jobs.get(run.task.job)
-        if job is not None:
-            job.settle_start(run.task, run.number)
+        if job is not None and job.is_open and run.token:
+            job.note_unanswered(run.task, run.number, run.endpoint.name)
+            self.unsaved_jobs[job.job_id] = None
 
     def _note_checkpoint(self, job: Job, task: TaskId, checkpoint: str) -> None:
         step = job.find_step(task)
@@ -350,6 +355,8 @@
         run.confirmed_at = now
         run.progressed_at = now
         run.is_start_confirmed = run.endpoint.has_clock(clock_ms, run.ordered_at, now)
+        if not run.is_start_confirmed:
+            self._record_start(run)
         job = self.jobs.get(run.task.job)
         if job is not None:
             job.note_begun()
@@ -362,15 +369,10 @@
         """Note that a start got no response.
 
         A poll with a higher token, sent from now on, decides whether it was executed.
-        The next leader must know of it: if the endpoint restarts and is cut off, it may
-        carry the start out unseen.
         """
         run.state = DOUBTFUL
         run.unknown_at = now
-        job = self.jobs.get(run.task.job)
-        if job is not None and job.is_open and run.token:
-            job.note_unanswered(run.task, run.number, run.endpoint.name)
-            self.unsaved_jobs[job.job_id] = None
+        self._record_start(run)
         endpoint = run.endpoint
         if endpoint.token <= run.token or not endpoint.needs_fence:
             endpoint.require_fence()
@@ -764,7 +766,6 @@
         if run.is_unsettled:
             run.state = STOPPING if run.stop_requested_at else PRESENT
             run.confirmed_at = now
-            self._settle_start(run)
         run.is_listed = True
         if row.percent != run.percent:
             run.progressed_at = now
@@ -777,6 +778,7 @@
         if job is None:
             return
         job.note_begun()
+        job.settle_start(row.task, row.run)
         if job.withdraw_crash(row.task, row.run):
             self.unsaved_jobs[job.job_id] = None
         is_settled = run.step.long_running and run.is_serving
--- a/packages/briarshed-workloads/src/briarshed_workloads/orders.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/orders.py
@@ -145,6 +145,8 @@
         telemetry.observe_seconds("start", answered_at - now)
         if isinstance(response, Accepted):
             self._engine.note_started(run, response.clock_ms, answered_at)
+            if self._engine.unsaved_jobs:
+                self._request_save()
             self._poller.wake(endpoint.name)
             self._log_start(order, "started")
             self.watch_start(run)
