Call recorded starts unsettled, whether they had a response or not

The record holds starts without a response and starts that an unknown incarnation may have answered. `unanswered` named the first kind only, and Run.is_unsettled exists already. No behaviour is changed.

--- a/features/workloads/steps/unanswered_start_steps.py
+++ b/features/workloads/steps/unsettled_start_steps.py
@@ -14,7 +14,7 @@
 from briarshed_workloads.jobs import PENDING
 from briarshed_workloads.planning import plan_starts
 from briarshed_workloads.records import JobRecord, ProgressRecord, TaskRecord
-from briarshed_workloads.takeover import restore_unanswered
+from briarshed_workloads.takeover import restore_unsettled
 from briarshed_workloads.workloads import Description, ListedRun, Step
 
 RUN, LATER_RUN = 1 << 24 | 7, 1 << 24 | 9
@@ -29,7 +29,7 @@
     row = TaskRecord(0, 0, 0, (), "", (), ((RUN, name.strip('"')),))
     engine.earlier.note_term_end(NOW)
     engine.restore(JOB, job, ProgressRecord(False, (), (row,), 1, (0,)), NOW)
-    restore_unanswered(engine)
+    restore_unsettled(engine)
     context.job = engine.jobs[JOB]
     context.now = NOW + SETTLED_S
 
@@ -94,7 +94,7 @@
 def list_recorded(context):
     """Return the recorded starts without a response."""
     progress = context.engine.jobs[JOB].encode_progress()
-    return [start for row in progress.tasks for start in row.unanswered]
+    return [start for row in progress.tasks for start in row.unsettled]
 
 
 @then("the start is recorded")
--- a/features/workloads/unexpected_errors.feature
+++ b/features/workloads/unexpected_errors.feature
@@ -52,7 +52,7 @@
       | maintenance.run_once                  |
       | maintenance._advance                  |
       | reconciliation.correct_state          |
-      | takeover.restore_unanswered           |
+      | takeover.restore_unsettled           |
       | forwarding.submit_locally             |
       | fenced_writer.commit                  |
       | leadership._renew                     |
--- a/features/workloads/unanswered_starts.feature
+++ b/features/workloads/unsettled_starts.feature
@@ -1,4 +1,4 @@
-Feature: Starts without a response that a new leader takes over
+Feature: Unsettled starts that a new leader takes over
 
   Scenario Outline: A recorded start is settled like one of the present leader
     # Guards against a task that runs twice (TWICE, issue 52), and against one that waits, or
--- a/packages/briarshed-workloads/src/briarshed_workloads/controller.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/controller.py
@@ -46,7 +46,7 @@
     LoopSupervisor,
     contain_errors,
 )
-from briarshed_workloads.takeover import restore_unanswered
+from briarshed_workloads.takeover import restore_unsettled
 from briarshed_workloads.waiting import list_waiting
 from briarshed_workloads.workloads import (
     Submission,
@@ -251,7 +251,7 @@
         engine.earlier.note_term_end(self.term.vacant_at)
         engine.note_registrations(await self._directory.read_endpoints(), clock.now())
         await self.persistence.load_roster()
-        restore_unanswered(engine)
+        restore_unsettled(engine)
         await self.persistence.load_waves(self.maintenance)
         engine.earlier.note_leader(self.term.earlier_leader_until)
         self.is_loaded = True
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -331,7 +331,7 @@
         """
         job = self.jobs.get(run.task.job)
         if job is not None and job.is_open and run.token:
-            job.note_unanswered(run.task, run.number, run.endpoint.name)
+            job.note_unsettled(run.task, run.number, run.endpoint.name)
             self.unsaved_jobs[job.job_id] = None
 
     def _note_checkpoint(self, job: Job, task: TaskId, checkpoint: str) -> None:
--- a/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
@@ -97,7 +97,7 @@
         "succeeded",
         "suspected_at",
         "team",
-        "unanswered",
+        "unsettled_starts",
         "waiting",
     )
 
@@ -130,7 +130,7 @@
         self.crashes: dict[TaskId, dict[int, int]] = {}
         self.suspected_at: dict[TaskId, float] = {}
         self.held_until: dict[TaskId, float] = {}
-        self.unanswered: dict[TaskId, dict[int, str]] = {}
+        self.unsettled_starts: dict[TaskId, dict[int, str]] = {}
         self.checkpoints: dict[TaskId, str] = {}
         self.waiting = WaitingTasks()
         self.opened_steps: set[tuple[int, int]] = set()
@@ -342,7 +342,7 @@
             self.failed_runs,
             self.held_until,
             self.suspected_at,
-            self.unanswered,
+            self.unsettled_starts,
         ):
             for task in [row for row in state if row.occurrence == occurrence]:
                 del state[task]
@@ -392,16 +392,16 @@
             del self.crashes[task]
         return True
 
-    def note_unanswered(self, task: TaskId, run: int, endpoint: str) -> None:
-        """Record that the start of a run had no response."""
-        self.unanswered.setdefault(task, {})[run] = endpoint
+    def note_unsettled(self, task: TaskId, run: int, endpoint: str) -> None:
+        """Note that the next incarnation of an endpoint may run a start unseen."""
+        self.unsettled_starts.setdefault(task, {})[run] = endpoint
 
     def settle_start(self, task: TaskId, run: int) -> None:
-        """Note that it is known whether a start had an effect, or has one no more."""
-        starts = self.unanswered.get(task, {})
+        """Note that a poll or the end of its endpoint has settled a start."""
+        starts = self.unsettled_starts.get(task, {})
         starts.pop(run, None)
         if not starts:
-            self.unanswered.pop(task, None)
+            self.unsettled_starts.pop(task, None)
 
     def give_up(self, unix_now: float) -> None:
         """Fail the job, one of whose tasks crashes the endpoints that start it."""
@@ -469,7 +469,7 @@
                 *self.failed_runs,
                 *self.checkpoints,
                 *self.crashes,
-                *self.unanswered,
+                *self.unsettled_starts,
             }
             if not self.has_succeeded(task)
         ]
@@ -481,7 +481,7 @@
                 tuple(sorted(self.failed_runs.get(task, ()))),
                 self.checkpoints.get(task, ""),
                 tuple(self.crashes.get(task, {}).items()),
-                tuple(self.unanswered.get(task, {}).items()),
+                tuple(self.unsettled_starts.get(task, {}).items()),
             )
             for task in names
         )
@@ -507,8 +507,8 @@
                     self.checkpoints[task] = row.checkpoint
                 if row.crashes:
                     self.crashes[task] = dict(row.crashes)
-                if row.unanswered:
-                    self.unanswered[task] = dict(row.unanswered)
+                if row.unsettled:
+                    self.unsettled_starts[task] = dict(row.unsettled)
             self.next_occurrence = progress.next_occurrence
             self.open_occurrences = dict.fromkeys(progress.open_occurrences)
             has_completed = self.next_occurrence > len(self.open_occurrences)
--- a/packages/briarshed-workloads/src/briarshed_workloads/persistence.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/persistence.py
@@ -514,7 +514,7 @@
     tasks = tuple(
         msgspec.structs.replace(row, checkpoint="")
         for row in progress.tasks
-        if row.failed_runs or row.crashes or row.unanswered
+        if row.failed_runs or row.crashes or row.unsettled
     )
     return _encode_bounded(msgspec.structs.replace(progress, tasks=tasks))
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/records.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/records.py
@@ -48,8 +48,9 @@
     ``failed_runs`` lists the numbers of failed runs, so that an end that is listed
     again after a change of leader is counted once. ``crashes`` holds rows of the number
     of a run whose endpoint has crashed, and the evidence against the run.
-    ``unanswered`` holds rows of the number of a run whose start had no response, and
-    its endpoint; some may be settled. Records of earlier versions have none.
+    ``unsettled`` holds rows of the number of a run and its endpoint, for starts of
+    which it was not known whether, or in which incarnation, the endpoint runs them;
+    some may be settled since. Records of earlier versions have none.
     """
 
     occurrence: int
@@ -58,7 +59,7 @@
     failed_runs: tuple[int, ...]
     checkpoint: str
     crashes: tuple[tuple[int, int], ...] = ()
-    unanswered: tuple[tuple[int, str], ...] = ()
+    unsettled: tuple[tuple[int, str], ...] = ()
 
 
 class ProgressRecord(msgspec.Struct, array_like=True, frozen=True):
--- a/packages/briarshed-workloads/src/briarshed_workloads/takeover.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/takeover.py
@@ -149,8 +149,8 @@
     return endpoint in engine.partly_listed and not is_silent
 
 
-def restore_unanswered(engine: Engine) -> None:
-    """Track the recorded starts whose outcome no earlier leader has learned.
+def restore_unsettled(engine: Engine) -> None:
+    """Track the recorded starts that no earlier leader has settled.
 
     Their tasks wait until the endpoint has answered a poll or its run lease has
     expired. An endpoint that is not known any more has certainly ended its runs.
@@ -164,7 +164,7 @@
 
 
 def _restore_starts(engine: Engine, job: Job) -> None:
-    for task, starts in list(job.unanswered.items()):
+    for task, starts in list(job.unsettled_starts.items()):
         for number, name in list(starts.items()):
             endpoint = engine.endpoints.get(name)
             if endpoint is None or not job.has_task(task) or job.has_succeeded(task):
@@ -186,7 +186,7 @@
     run.is_copy = bool(engine.runs.get(task))
     engine.track(run)
     job.note_ordered(task)
-    engine.report_run("ORDER_KEPT", run, "no response to an earlier leader")
+    engine.report_run("ORDER_KEPT", run, "not settled by an earlier leader")
 
 
 def drop_superseded(engine: Engine, found: Run) -> None:
