Let the list of instances tell a new leader which endpoints have ended

Cause: a pool was contested until each endpoint had answered, or for 67.6 s.

Change: an endpoint that this leader has never reached, and that its instance does not run according to the platform's list, does not keep its pool contested. Restored tasks wait for it until late calls to its next incarnation are over, 3 s after the earlier term.

--- a/features/workloads/replaced_entries.feature
+++ b/features/workloads/replaced_entries.feature
@@ -17,6 +17,36 @@
       | 2     | 2     |
       | 3     | 0.3   |
 
+  Scenario Outline: An endpoint that is lost with all members does not keep others from work
+    # Guards against tasks that do not run for a minute (LOST, issue 52, a neighbour of review/7):
+    # a pool was contested until the lost endpoint had answered.
+    Given 3 entries and 4 endpoints, and a job each 0.3 s
+    When all entries and an endpoint are lost, its instance is <state>, and new ones start
+    Then each time a new entry leads within 5 s of its start
+    And no task has run twice
+    And all jobs are completed
+
+    Examples:
+      | state             |
+      | down              |
+      | moving            |
+      | missing           |
+      | in use by another |
+
+  Scenario Outline: The list of instances proves no end of an endpoint that may run
+    # Guards against two runs at a time (TWICE): an endpoint that the earlier leader reaches
+    # counted as ended.
+    Given a leader beside an earlier one that may go on for 63 s, and two jobs
+    When one endpoint of their pool has answered, and the other has not
+    And the list of instances <shows>
+    Then no job starts until 67.6 s have passed
+
+    Examples:
+      | shows                                                       |
+      | shows that the other is up                                  |
+      | was requested before the other was known, and shows it down |
+      | has lacked the instance of the other for 1 s                |
+
   Scenario Outline: A new entry leads beside a leader that goes on by consent
     # Guards against two runs at a time (TWICE): all members are cut off from the store, so
     # that their leader goes on while an entry that is no member leads.
--- a/features/workloads/steps/replaced_entry_steps.py
+++ b/features/workloads/steps/replaced_entry_steps.py
@@ -15,7 +15,7 @@
 )
 from partition_steps import REST_S, WARM_UP_S, submit_jobs
 from slow_store_steps import make_controller
-from virtual_fleet import TASK_S, Fleet, find_overlap
+from virtual_fleet import TASK_S, Fleet, Instances, find_overlap
 from virtual_time import run_virtually
 
 from briarshed_entry import clock
@@ -31,6 +31,7 @@
 )
 
 LOST_AGAIN_S = 12.0
+NEVER_S = 10_000.0
 WATCH_S = 0.05
 ENTRIES = ("e0", "e1", "e2")
 NEW_JOB = "00000000000000bb"
@@ -95,6 +96,59 @@
     run_virtually(run())
 
 
+@when(
+    "all entries and an endpoint are lost, its instance is {state}, and new ones start"
+)
+def step_lost_endpoint(context, state):
+    async def run():
+        async with Fleet(ENTRIES, context.endpoints) as fleet:
+            await fleet.wait_for_leader()
+            submitting = asyncio.create_task(submit_jobs(fleet, context.interval))
+            await asyncio.sleep(WARM_UP_S)
+            lost = fleet.endpoints.by_name[context.endpoints[0]]
+            lost.reboot_s = NEVER_S
+            crash = asyncio.create_task(lost.crash("silent"))
+            instances, name = fleet.instances.rows, f"m-{lost.name}"
+            if state == "missing":
+                del instances[name]
+            elif state == "in use by another":
+                instances[name] = instances[name]._replace(endpoint="other")
+            else:
+                instances[name] = instances[name]._replace(state=state, endpoint="")
+            started_at = await replace_entries(fleet, 0, 2.0)
+            await wait_for_takeover(context, fleet, started_at)
+            await finish(context, fleet, submitting)
+            crash.cancel()
+
+    run_virtually(run())
+
+
+@when("the list of instances {shows}")
+def step_list(context, shows):
+    engine = context.engine
+    endpoint = engine.endpoints["b"]
+    endpoint.registration = endpoint.registration._replace(instance="m-b")
+    instances = Instances("ab")
+    controller, _ = make_controller(SimpleNamespace(commit_count=0))
+    maintenance = controller.maintenance
+    maintenance._engine, maintenance._api = engine, instances
+    is_late = shows.startswith("was requested before")
+    if is_late:
+        row = instances.rows["m-b"]
+        instances.rows["m-b"] = row._replace(state="down", endpoint="")
+    elif shows.startswith("has lacked"):
+        del instances.rows["m-b"]
+
+    async def read():
+        endpoint.known_since = clock.now() if is_late else clock.now() - 1.0
+        await maintenance._read_instances()
+        if not is_late:
+            await asyncio.sleep(1.0)
+            await maintenance._read_instances()
+
+    run_virtually(read())
+
+
 @when(
     "all entries and {inside:d} endpoints are cut off for {seconds:g} s, and a new"
     " entry starts"
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -671,6 +671,7 @@
         endpoint.seen_at = now
         self._note_response(endpoint, response.clock_ms, now)
         endpoint.polled_at = now
+        endpoint.has_ended = False
         longest_until = now + self.lease_times.longest_accepted
         if not endpoint.fenced_counter:
             endpoint.note_earlier_deadline(self.lease_times.max_run_lease)
--- a/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
@@ -186,7 +186,8 @@
     because of deadlines that were chosen by the clock of its earlier incarnation, and
     ``earlier_runs_until`` the time until which it may keep runs that only an earlier
     leader knows, besides that for all endpoints. ``has_restarted`` is set if it had
-    another incarnation before.
+    another incarnation before, and ``has_ended`` if the list of instances has shown
+    that it had ended before it ever answered a poll of this leader.
     ``fence_counter`` is the least counter of a poll that settles earlier orders.
     ``earlier_starts`` holds when its earlier incarnations started, in Unix ms, and
     ``seen_at`` is when the present one was last known from the response to a poll, and
@@ -214,6 +215,7 @@
         "fenced_counter",
         "forgotten",
         "full_until",
+        "has_ended",
         "has_restarted",
         "is_end_ordered",
         "is_gone",
@@ -259,6 +261,7 @@
         self.earlier_deadlines_until = 0.0
         self.earlier_runs_until = 0.0
         self.earlier_starts: frozenset[int] = frozenset()
+        self.has_ended = False
         self.has_restarted = False
         self.seen_at = 0.0
         self.known_since = 0.0
--- a/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
@@ -30,6 +30,7 @@
     measure_surplus,
     plan_moves,
 )
+from briarshed_workloads.takeover import note_ended
 from briarshed_workloads.workloads import Instance, WaveOrder
 
 STEP_INTERVAL_S = 0.15
@@ -449,20 +450,40 @@
         return (self._term.epoch << TOKEN_COUNTER_BITS) | self._counter
 
     async def _read_instances(self) -> None:
+        sent_at = clock.now()
         rows = await self._api.read_instances()
         self._listed_at = clock.now()
         self.instances = {row.instance: row for row in rows}
         for name in self.instances.keys() & self._missing_since.keys():
             del self._missing_since[name]
+        self._note_ended_endpoints(sent_at)
 
-    def _is_gone(self, name: str) -> bool:
-        """Return whether an instance is known to exist no longer."""
+    def _note_ended_endpoints(self, sent_at: float) -> None:
+        """Note the endpoints without an instance that runs them.
+
+        The list tells nothing of one that was not known when it was requested.
+        """
+        for endpoint in self._engine.endpoints.values():
+            name = endpoint.registration.instance
+            if not name or endpoint.known_since >= sent_at:
+                continue
+            row = self.instances.get(name)
+            if row is None and self._is_missing(name):
+                note_ended(self._engine, endpoint, "missing")
+            elif row is not None and row.endpoint != endpoint.name:
+                state = "in use by another" if row.state == "up" else row.state
+                note_ended(self._engine, endpoint, state)
+
+    def _is_missing(self, name: str) -> bool:
+        """Return whether all lists of the last seconds lack an instance."""
         if name in self.instances:
             return False
         missing_since = self._missing_since.setdefault(name, self._listed_at)
-        if self._listed_at - missing_since < GONE_AFTER_S:
-            return False
-        return not any(
+        return self._listed_at - missing_since >= GONE_AFTER_S
+
+    def _is_gone(self, name: str) -> bool:
+        """Return whether an instance is known to exist no longer."""
+        return self._is_missing(name) and not any(
             endpoint.registration.instance == name
             and endpoint.is_listed
             and not endpoint.is_gone
--- a/packages/briarshed-workloads/src/briarshed_workloads/takeover.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/takeover.py
@@ -6,7 +6,7 @@
 
 from briarshed_workloads.fleet import DOUBTFUL, MS_PER_S, TOKEN_COUNTER_BITS, Run
 from briarshed_workloads.jobs import find_need
-from briarshed_workloads.leases import CLOCK_DOUBT_S
+from briarshed_workloads.leases import CALL_DELAY_S, CLOCK_DOUBT_S
 from briarshed_workloads.supervision import report_error
 
 if TYPE_CHECKING:
@@ -109,8 +109,11 @@
     def find_runs_end(self, endpoint: Endpoint) -> float:
         """Return until when unknown runs of theirs may go on at an endpoint.
 
-        This holds unless it has answered a poll of this leader.
+        This holds unless it has answered a poll of this leader. One that has ended has
+        none, but its next incarnation may carry out late calls until then.
         """
+        if endpoint.has_ended:
+            return self.term_ended_at + CALL_DELAY_S
         return max(self.runs_until, endpoint.earlier_runs_until)
 
     def may_have_runs(self, now: float) -> bool:
@@ -121,7 +124,7 @@
 def is_contested(engine: Engine, pool: str, now: float) -> bool:
     """Return whether an earlier leader may start tasks in a pool.
 
-    It cannot any more once all endpoints of the pool have answered a poll.
+    It cannot any more once all endpoints of the pool have answered a poll or ended.
     """
     earlier = engine.earlier
     if now >= earlier.contested_until or pool in earlier.pools_taken_over:
@@ -129,6 +132,7 @@
     if earlier.is_roster_unreadable or any(
         not endpoint.polled_at
         and not endpoint.is_gone
+        and not endpoint.has_ended
         and endpoint.registration.pool in (pool, "")
         for endpoint in engine.endpoints.values()
     ):
@@ -168,6 +172,21 @@
     return endpoint in engine.partly_listed and not is_silent
 
 
+def note_ended(engine: Engine, endpoint: Endpoint, state: str) -> None:
+    """Note that an endpoint that this leader has never reached has certainly ended.
+
+    Its runs have ended with it, and no leader can start any there. Late calls may still
+    be carried out by its next incarnation.
+    """
+    if endpoint.has_ended or endpoint.polled_at or endpoint.is_gone:
+        return
+    endpoint.has_ended = True
+    instance = endpoint.registration.instance
+    engine.report(
+        "ENDPOINT_ENDED", endpoint=endpoint.name, instance=instance, state=state
+    )
+
+
 def restore_unsettled(engine: Engine) -> None:
     """Track the recorded starts that no earlier leader has settled.
 
--- a/packages/briarshed/src/briarshed/events.py
+++ b/packages/briarshed/src/briarshed/events.py
@@ -179,6 +179,9 @@
 ENDPOINT_CRASHED = Event(
     870, "WARNING", "endpoint {endpoint} crashed with {runs} runs; suspects {suspects}"
 )
+ENDPOINT_ENDED = Event(
+    871, "INFO", "endpoint {endpoint} has ended: its instance {instance} is {state}"
+)
 ENTRY_UNREADABLE = Event(869, "WARNING", "store key {key} is unreadable: {error}")
 
 
