--- a/features/workloads/steps/run_lease_steps.py
+++ b/features/workloads/steps/run_lease_steps.py
@@ -126,8 +126,8 @@
         self.cut_s = 0.0
         self.kills = []
 
-    async def run(self):
-        """Return the records of all runs, and when a leader was last killed."""
+    def make_fleet(self, make_directory):
+        """Return a fleet of three entries whose endpoints accept long leases."""
         fleet = Fleet(("e1", "e2", "e3"), ("a", "b"))
         fleet.limits = SiteLimits(max_run_lease=LONGEST_LEASE_S)
         fleet.endpoints = ContractEndpoints(
@@ -140,8 +140,12 @@
         for row in fleet.endpoints.by_name.values():
             row.max_accepted_lease_s = LONGEST_LEASE_S
             row.started_at_ms = int(time.time() * 1000)
-        fleet.directory = Directory(fleet.endpoints, self)
-        async with fleet:
+        fleet.directory = make_directory(fleet.endpoints, self)
+        return fleet
+
+    async def run(self):
+        """Return the records of all runs, and when a leader was last killed."""
+        async with self.make_fleet(Directory) as fleet:
             row = fleet.endpoints.by_name["a"]
             leader = await fleet.wait_for_leader()
             if self.is_restarted_early:
@@ -219,21 +223,8 @@
 
     async def run(self):
         """Return the records of all runs, and when a leader was last killed."""
-        fleet = Fleet(("e1", "e2", "e3"), ("a", "b"))
-        fleet.limits = SiteLimits(max_run_lease=LONGEST_LEASE_S)
-        fleet.endpoints = ContractEndpoints(
-            ("a", "b"),
-            lambda task: VERY_LONG_TASK_S,
-            lambda name: 1.0,
-            CAPACITY,
-            self.choose_fate,
-        )
-        row = fleet.endpoints.by_name["a"]
-        for each in fleet.endpoints.by_name.values():
-            each.max_accepted_lease_s = LONGEST_LEASE_S
-            each.started_at_ms = int(time.time() * 1000)
-        fleet.directory = StaleDirectory(fleet.endpoints, self)
-        async with fleet:
+        async with self.make_fleet(StaleDirectory) as fleet:
+            row = fleet.endpoints.by_name["a"]
             leader = await fleet.wait_for_leader()
             await asyncio.sleep(self.idle_s)
             controller = leader.controller
