Separate order, placement and copies of tasks from planning

planning.py (645 lines) held four jobs: the order of jobs, the choice of endpoints, copies, and the plan itself. Each has a module of its own now; no decision changes. Names that other modules use lost their underscore. The table of unexpected errors follows the renames.

--- a/bench/plans.py
+++ b/bench/plans.py
@@ -14,9 +14,10 @@
     QueueRules,
     RequestLimits,
 )
+from briarshed_workloads.copies import plan_copies
 from briarshed_workloads.engine import Engine
 from briarshed_workloads.leases import LeaseTimes
-from briarshed_workloads.planning import plan_copies, plan_starts
+from briarshed_workloads.planning import plan_starts
 from briarshed_workloads.reconciliation import correct_state
 from briarshed_workloads.workloads import (
     Description,
--- a/features/workloads/steps/heavy_days_steps.py
+++ b/features/workloads/steps/heavy_days_steps.py
@@ -19,6 +19,7 @@
     RequestLimits,
     TeamRules,
 )
+from briarshed_workloads.copies import plan_copies
 from briarshed_workloads.disruption import choose_pace, list_evictions
 from briarshed_workloads.engine import Engine
 from briarshed_workloads.leases import LeaseTimes
@@ -27,7 +28,7 @@
     find_slow,
     list_stalled_runs,
 )
-from briarshed_workloads.planning import plan_copies, plan_starts
+from briarshed_workloads.planning import plan_starts
 from briarshed_workloads.sizing import plan_moves
 from briarshed_workloads.workloads import (
     NO_RESOURCES,
--- a/features/workloads/steps/large_job_steps.py
+++ b/features/workloads/steps/large_job_steps.py
@@ -14,10 +14,11 @@
 from briarshed_entry import clock
 from briarshed_workloads import reconciliation
 from briarshed_workloads.configuration import PoolRules
+from briarshed_workloads.copies import plan_copies
 from briarshed_workloads.disruption import list_evictions
 from briarshed_workloads.fleet import ORDERED, PRESENT
 from briarshed_workloads.order_slots import OrderSlots
-from briarshed_workloads.planning import plan_copies, plan_starts
+from briarshed_workloads.planning import plan_starts
 from briarshed_workloads.workloads import PollResponse, Resources, Step
 
 NEED = Resources(10, 10, 0)
--- a/features/workloads/steps/lost_order_steps.py
+++ b/features/workloads/steps/lost_order_steps.py
@@ -37,7 +37,8 @@
     WaveView,
 )
 from briarshed_workloads.options import SiteLimits
-from briarshed_workloads.planning import list_available, plan_starts
+from briarshed_workloads.placement import list_available
+from briarshed_workloads.planning import plan_starts
 from briarshed_workloads.sizing import Move, plan_moves
 from briarshed_workloads.workloads import Instance, PollResponse, Step, WaveOrder
 
--- a/features/workloads/steps/records_steps.py
+++ b/features/workloads/steps/records_steps.py
@@ -16,7 +16,7 @@
 )
 
 from briarshed_workloads.persistence import Persistence
-from briarshed_workloads.planning import list_available
+from briarshed_workloads.placement import list_available
 from briarshed_workloads.records import (
     JOBS,
     PROGRESS,
--- a/features/workloads/steps/silent_endpoint_steps.py
+++ b/features/workloads/steps/silent_endpoint_steps.py
@@ -21,7 +21,7 @@
     NotExecutedError,
     OutcomeUnknownError,
 )
-from briarshed_workloads.planning import list_eligible
+from briarshed_workloads.placement import list_eligible
 from briarshed_workloads.workloads import (
     EndedRun,
     ListedRun,
--- a/features/workloads/steps/takeover_steps.py
+++ b/features/workloads/steps/takeover_steps.py
@@ -15,7 +15,8 @@
 )
 
 from briarshed_workloads.configuration import PoolRules, TeamRules
-from briarshed_workloads.planning import plan_copies, plan_starts
+from briarshed_workloads.copies import plan_copies
+from briarshed_workloads.planning import plan_starts
 from briarshed_workloads.workloads import (
     NO_RESOURCES,
     Description,
--- a/features/workloads/unexpected_errors.feature
+++ b/features/workloads/unexpected_errors.feature
@@ -12,10 +12,10 @@
     Examples:
       | function                              |
       | planning.plan_starts                  |
-      | planning.rank_job                     |
-      | planning._reserve                     |
-      | planning.choose_endpoint              |
-      | planning.plan_copies                  |
+      | ordering.rank_job                     |
+      | planning.reserve_run                  |
+      | placement.choose_endpoint             |
+      | copies.plan_copies                    |
       | controller._issue_orders              |
       | orders.send_start                     |
       | controller._plan                      |
--- a/packages/briarshed-workloads/src/briarshed_workloads/controller.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/controller.py
@@ -14,6 +14,7 @@
 from briarshed_entry.logs import log_event
 from briarshed_workloads import telemetry
 from briarshed_workloads.configuration import Configuration
+from briarshed_workloads.copies import plan_copies
 from briarshed_workloads.disruption import list_evictions, list_pacing
 from briarshed_workloads.engine import Engine
 from briarshed_workloads.fenced_writer import LeadershipLostError
@@ -36,7 +37,7 @@
 from briarshed_workloads.orders import OrderSender
 from briarshed_workloads.outliers import list_stalled_runs
 from briarshed_workloads.persistence import Persistence
-from briarshed_workloads.planning import MAX_STARTS_PER_PLAN, plan_copies, plan_starts
+from briarshed_workloads.planning import MAX_STARTS_PER_PLAN, plan_starts
 from briarshed_workloads.polling import EndpointPoller
 from briarshed_workloads.reconciliation import correct_state
 from briarshed_workloads.slices import WorkSlice
--- /dev/null
+++ b/packages/briarshed-workloads/src/briarshed_workloads/placement.py
@@ -0,0 +1,202 @@
+"""Placement: where a task starts, from the engine's state of the endpoints."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Collection, Iterable, Sequence
+from typing import NamedTuple
+
+from briarshed_workloads.crashes import is_new
+from briarshed_workloads.engine import Engine
+from briarshed_workloads.fleet import Endpoint
+from briarshed_workloads.jobs import Job, find_need
+from briarshed_workloads.order_slots import MAX_PENDING_ORDERS
+from briarshed_workloads.workloads import Resources, Step, TaskId, fits
+
+
+class EligibleEndpoints(NamedTuple):
+    """The endpoints that may get new runs, and the names of the slow ones.
+
+    ``starts_left`` holds, by name, how many more starts each may get now.
+    """
+
+    endpoints: Sequence[Endpoint]
+    slow: Collection[str]
+    starts_left: dict[str, int]
+
+
+PlaceCounts = dict[str, int]
+"""Number of runs by the name of an endpoint, and by ``rack`` and the name of a rack."""
+
+
+def count_starts_left(endpoints: Iterable[Endpoint]) -> dict[str, int]:
+    """Return how many more starts each endpoint may get before some are answered."""
+    return {
+        row.name: MAX_PENDING_ORDERS - row.count_pending_starts() for row in endpoints
+    }
+
+
+def list_eligible(engine: Engine, pool: str, now: float) -> list[Endpoint]:
+    """Return the endpoints of a pool that may get new runs of any task."""
+    return [
+        endpoint
+        for endpoint in list_available(engine, pool, now)
+        if not endpoint.is_isolated(now)
+    ]
+
+
+def list_available(engine: Engine, pool: str, now: float) -> list[Endpoint]:
+    """Return the endpoints of a pool that may get new runs, isolated ones included."""
+    # waiting.find_endpoint_state names the reason for each endpoint that is left out.
+    return [
+        endpoint
+        for endpoint in engine.endpoints.values()
+        if endpoint.registration.pool == pool
+        and endpoint.is_listed
+        and not endpoint.is_gone
+        and endpoint.is_fenced
+        and not endpoint.registration.draining
+        and not endpoint.evicting
+        and not endpoint.retiring
+        and not endpoint.failing_since
+        and endpoint.reputation.ejected_until <= now
+        and endpoint.full_until <= now
+        and endpoint.name in engine.roster
+        and endpoint.has_known_capacity
+    ]
+
+
+def choose_gang(
+    engine: Engine, step: Step, eligible: Sequence[Endpoint]
+) -> list[Endpoint] | None:
+    """Return an endpoint for each member, or None if they do not all fit.
+
+    A gang that is slower across racks is placed in one rack if possible.
+    """
+    candidates = [row for row in eligible if _has_label(step, row)]
+    racks = {row.registration.rack for row in candidates}
+    groups = [
+        [row for row in candidates if row.registration.rack == rack]
+        for rack in sorted(racks, key=lambda rack: rack != step.rack)
+    ]
+    if not step.same_rack:
+        groups.append(candidates)
+    for group in groups:
+        chosen = _pack(step, group)
+        if chosen is not None:
+            return chosen
+    return _pack(step, candidates)
+
+
+def _pack(step: Step, group: Iterable[Endpoint]) -> list[Endpoint] | None:
+    chosen: list[Endpoint] = []
+    need = find_need(step)
+    for endpoint in group:
+        count = _count_fitting(need, endpoint.find_free())
+        if step.per_endpoint:
+            count = min(count, step.per_endpoint)
+        chosen += [endpoint] * min(count, step.count - len(chosen))
+        if len(chosen) == step.count:
+            return chosen
+    return None
+
+
+def _count_fitting(need: Resources, free: Resources) -> int:
+    parts = [
+        max(0, have) // part for have, part in zip(free, need, strict=True) if part
+    ]
+    return min(parts, default=1_000)
+
+
+def choose_endpoint(
+    engine: Engine,
+    job: Job,
+    task: TaskId,
+    need: Resources,
+    candidates: EligibleEndpoints,
+    counts: PlaceCounts,
+    now: float,
+) -> Endpoint | None:
+    """Return the best endpoint with capacity for the task, or None.
+
+    Long-running tasks of a step are spread over racks, so that the loss of a rack
+    affects few. Best-effort tasks go to the endpoint with the fewest best-effort and
+    serving tasks, and other tasks to the one with the largest share of free CPU. The
+    rack that holds the data is preferred. An endpoint that is slow, or where the task
+    has failed, comes last.
+
+    Parameters
+    ----------
+    counts : dict
+        Where the runs of the task's step and occurrence are, see `count_places`.
+    """
+    step = job.find_step(task)
+    failed_endpoints = job.failed_endpoints.get(task, ())
+    was_in_crash = engine.was_in_crash(task)
+    best: Endpoint | None = None
+    best_score: tuple = (math.inf,)
+    for endpoint in candidates.endpoints:
+        if not candidates.starts_left.get(endpoint.name, 0) > 0:
+            continue
+        if not can_start(step, need, endpoint, counts):
+            continue
+        if was_in_crash and is_new(engine, endpoint, now):
+            continue
+        here = counts.get(endpoint.name, 0)
+        is_last_choice = (
+            endpoint.name in failed_endpoints or endpoint.name in candidates.slow
+        )
+        score = (is_last_choice, *_score(step, endpoint, counts, here))
+        if score < best_score:
+            best, best_score = endpoint, score
+    return best
+
+
+def can_start(
+    step: Step, need: Resources, endpoint: Endpoint, counts: PlaceCounts
+) -> bool:
+    """Return whether an endpoint has capacity and label for a task of a step."""
+    if not fits(need, endpoint.find_free()) or not _has_label(step, endpoint):
+        return False
+    return not step.per_endpoint or counts.get(endpoint.name, 0) < step.per_endpoint
+
+
+def _has_label(step: Step, endpoint: Endpoint) -> bool:
+    return not step.label or step.label in endpoint.registration.labels
+
+
+def count_places(engine: Engine, task: TaskId, step: Step) -> PlaceCounts:
+    """Return the runs of the task's step and occurrence by endpoint and by rack.
+
+    They are only counted for steps whose placement depends on them.
+    """
+    counts: PlaceCounts = {}
+    if step.per_endpoint or step.long_running:
+        for run in engine.step_runs.get(task[:3], ()):
+            add_place(counts, run.endpoint)
+    return counts
+
+
+def add_place(counts: PlaceCounts, endpoint: Endpoint) -> None:
+    """Count a run at an endpoint and in its rack."""
+    registration = endpoint.registration
+    for place in (registration.endpoint, f"rack {registration.rack}"):
+        counts[place] = counts.get(place, 0) + 1
+
+
+def _score(
+    step: Step, endpoint: Endpoint, counts: PlaceCounts, here: int
+) -> tuple[float, ...]:
+    registration = endpoint.registration
+    free = endpoint.find_free()
+    share = free.cpu / max(1, registration.capacity.cpu)
+    off_rack = 1.0 if step.rack and registration.rack != step.rack else 0.0
+    if step.best_effort:
+        serving = sum(
+            run.step.tail_latency_target > 0 for run in endpoint.runs.values()
+        )
+        best_effort_runs = sum(run.step.best_effort for run in endpoint.runs.values())
+        return (off_rack, best_effort_runs + serving, here, -share)
+    if step.long_running:
+        return (off_rack, here, counts.get(f"rack {registration.rack}", 0), -share)
+    return (off_rack, -share)
--- a/packages/briarshed-workloads/src/briarshed_workloads/sizing.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/sizing.py
@@ -15,7 +15,7 @@
 from briarshed_workloads.engine import Engine
 from briarshed_workloads.fleet import Endpoint
 from briarshed_workloads.jobs import Job, find_need, find_objective
-from briarshed_workloads.planning import estimate_remaining_time, estimate_task
+from briarshed_workloads.ordering import estimate_remaining_time, estimate_task
 from briarshed_workloads.workloads import NO_RESOURCES, Instance, Resources, add
 
 MEAN_RATE_TIME_S = 1.2
