Count on no long-running task that an earlier leader may have stopped

An endpoint lists a run as serving until it has ended, also while it stops it, and a stop is known to the leader alone that sent it. The next leader counted such a task as serving and stopped two others beside it.

An outage budget now counts a task as serving only if its endpoint has listed its runs twice to this leader, the stop grace apart, and lately. Endpoints that shut down are evicted first, so that what is stopped beyond the budget leaves less of it for others. An instance no longer moves because the endpoint of an earlier list has no runs.

Ruled out: orders that are carried out late; they carry a token that the endpoint refuses after the new leader's first poll.

The scenario "A new leader evicts nothing beside tasks that it does not know yet" got one more check: right after the first lists nothing is stopped, since the previous leader's stops may still take effect. The eviction that it expected then comes after the second list.

The new scenarios fail without the change.

--- a/features/workloads/heavy_days.feature
+++ b/features/workloads/heavy_days.feature
@@ -23,6 +23,15 @@
     When nothing waits in "p0"
     Then 4 instances of "p0" get no new runs and move back to the reserve
 
+  Scenario: An instance does not move by what its earlier endpoint had
+    # Guards against an outage beyond the budget (AVAIL): a list of instances that was
+    # read before a restart names the earlier endpoint, which has no runs any more.
+    Given pools "p0" and "p1" of 4 instances each and 4 in reserve
+    And the 4 in reserve have been moved to "p0"
+    When nothing waits in "p0"
+    And the next endpoint runs on one of its retired instances
+    Then that instance does not move
+
   Scenario: Late jobs keep the capacity to finish
     # Guards against lost jobs: trial on trouble-1 (Msasani, grown), LOST. The pool gave
     # its instances back with 15 s of late jobs waiting, and the last job had not
@@ -143,8 +152,39 @@
     When a new leader has polled 1 of the 3 endpoints, which are due for maintenance
     Then no task is stopped or started
     When the new leader has polled all 3 endpoints
+    Then no task is stopped or started
+    When the endpoints have listed their tasks again 1 s later
     Then 1 task is stopped
 
+  Scenario: A new leader counts on no task that the previous one has stopped
+    # Guards against an outage beyond the budget (AVAIL): trouble-1 (Msasani, shifted).
+    # A task that is being stopped is listed as serving until it ends, up to 0.9 s later,
+    # and nothing tells the new leader of the stop.
+    Given a long-running step of 3 tasks with a budget of 1, one on each endpoint
+    And the leader has just stopped the task at "a"
+    When a new leader has polled all 3 endpoints, which are due for maintenance
+    Then no task is stopped
+    When the task at "a" has ended and the others are listed 1 s later
+    Then no task is stopped
+    When the task of "a" serves again at "d"
+    Then 1 task is stopped
+
+  Scenario: An eviction counts on no task that was not listed lately
+    # Guards against an outage beyond the budget (AVAIL): a task may have ended since
+    # its endpoint last listed it, while a poll takes long and has not failed.
+    Given a long-running step of 3 tasks with a budget of 1, one on each endpoint
+    When all endpoints but "b" have listed their tasks again 3 s later
+    And all 3 endpoints are due for maintenance
+    Then no task is stopped, except for that at "b"
+
+  Scenario: Tasks at endpoints that shut down count against the outage budget first
+    # Guards against an outage beyond the budget (AVAIL): tasks at endpoints that shut
+    # down are stopped beyond the budget, after others had been stopped within it.
+    Given a long-running step of 3 tasks with a budget of 1, one on each endpoint
+    And the endpoint "c" shuts down
+    When all 3 endpoints are due for maintenance
+    Then only the task at "c" is stopped
+
   Scenario Outline: Best-effort runs are slowed before a tail latency exceeds its target
     Given a best-effort run at <pace> percent beside one at <ratio> of its tail target
     Then the pace of the best-effort run becomes <after> percent
--- a/features/workloads/steps/heavy_days_steps.py
+++ b/features/workloads/steps/heavy_days_steps.py
@@ -45,6 +45,7 @@
 
 SIZE = Resources(8_000, 16_000, 0)
 POOLS = ("p0", "p1")
+STOP_GRACE_S = 0.9
 
 
 def submit_for_team(engine, number, team):
@@ -193,6 +194,22 @@
     assert sum(row.retiring for row in rows) == 4
 
 
+@when("the next endpoint runs on one of its retired instances")
+def step_next_endpoint(context):
+    pools = context.pools
+    context.moved = min(instance for instance, _ in pools.move())
+    before = pools.engine.endpoints[pools.instances[context.moved].endpoint]
+    later = before.registration._replace(endpoint="later", started_at_ms=2)
+    pools.registrations.append(later)
+    pools.engine.note_registrations(pools.registrations, NOW)
+
+
+@then("that instance does not move")
+def step_stays(context):
+    moved = [instance for instance, _ in context.pools.move()]
+    assert moved and context.moved not in moved, moved
+
+
 @then('4 instances of "p0" are moved to "p1"')
 def step_shift(context):
     moves = context.pools.move()
@@ -415,9 +432,10 @@
     serve_all(context)
 
 
-def serve_all(context):
-    """Let all runs list that they serve."""
-    for endpoint in context.engine.endpoints.values():
+def serve_all(context, names=("a", "b", "c", "d")):
+    """Let endpoints list that all their runs serve."""
+    for name in names:
+        endpoint = context.engine.endpoints[name]
         listed = [
             ListedRun(run.task, run.number, "", 100, 0)
             for run in endpoint.runs.values()
@@ -427,7 +445,7 @@
 
 def list_stops(context):
     """Return the stop orders that drain the endpoints that are due."""
-    return list_evictions(context.engine, context.now, lambda _: False)
+    return list_evictions(context.engine, context.now, lambda _: False, STOP_GRACE_S)
 
 
 @when("all 3 endpoints are due for maintenance")
@@ -478,6 +496,16 @@
 
 @when("a new leader has polled 1 of the 3 endpoints, which are due for maintenance")
 def step_polled_one(context):
+    replace_leader(context, ("a", "d"))
+
+
+@when("a new leader has polled all 3 endpoints, which are due for maintenance")
+def step_new_leader_polled(context):
+    replace_leader(context, ("a", "b", "c", "d"))
+
+
+def replace_leader(context, polled):
+    """Let a new leader poll some endpoints; all but "d" are due for maintenance."""
     context.listed = {
         name: [ListedRun(run.task, run.number, "", 100, 0) for run in row.runs.values()]
         for name, row in context.engine.endpoints.items()
@@ -486,12 +514,70 @@
     engine = context.engine = make_engine(epoch=3, names=tuple(context.listed))
     engine.earlier.runs_until = context.now + 5.0
     submit(engine, JOB, (step,), NOW).is_restored = True
-    for name in ("a", "d"):
+    for name in polled:
         poll_endpoint(engine, name, context.now, context.listed[name])
     for name in ("a", "b", "c"):
         engine.endpoints[name].evicting = True
 
 
+@given('the leader has just stopped the task at "a"')
+def step_just_stopped(context):
+    (run,) = context.engine.endpoints["a"].runs.values()
+    context.stopped = run
+
+
+@then("no task is stopped")
+def step_no_stop(context):
+    assert not list_stops(context), list_stops(context)
+
+
+@when('the task at "a" has ended and the others are listed 1 s later')
+def step_ended(context):
+    context.now += 1
+    for name, listed in context.listed.items():
+        poll_endpoint(context.engine, name, context.now, listed if name != "a" else ())
+    assert not context.engine.endpoints["a"].runs
+
+
+@when('the task of "a" serves again at "d"')
+def step_again(context):
+    (order,) = plan_starts(context.engine, context.now)
+    assert order.run.endpoint.name == "d"
+    context.engine.note_started(order.run, int(context.now * 1000), context.now)
+    context.now += 1
+    serve_all(context)
+    context.stops = list_stops(context)
+
+
+@when("the endpoints have listed their tasks again 1 s later")
+def step_listed_again(context):
+    context.now += 1
+    serve_all(context)
+    context.stops = list_stops(context)
+
+
+@when('all endpoints but "b" have listed their tasks again 3 s later')
+def step_all_but_b(context):
+    context.now += 3
+    serve_all(context, {"a", "c", "d"})
+
+
+@then('no task is stopped, except for that at "b"')
+def step_none_but_b(context):
+    assert {stop.run.endpoint.name for stop in context.stops} <= {"b"}, context.stops
+
+
+@given('the endpoint "c" shuts down')
+def step_shuts_down(context):
+    endpoint = context.engine.endpoints["c"]
+    endpoint.registration = endpoint.registration._replace(draining=True)
+
+
+@then('only the task at "c" is stopped')
+def step_only_c(context):
+    assert [stop.run.endpoint.name for stop in context.stops] == ["c"], context.stops
+
+
 @then("no task is stopped or started")
 def step_none_stopped(context):
     assert not list_stops(context)
--- a/packages/briarshed-workloads/src/briarshed_workloads/controller.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/controller.py
@@ -467,7 +467,12 @@
     def _issue_stops(self, now: float) -> None:
         engine = self.engine
         stops = engine.list_due_stop_orders(now)
-        stops += list_evictions(engine, now, self.maintenance.is_urgent)
+        stops += list_evictions(
+            engine,
+            now,
+            self.maintenance.is_urgent,
+            self.options.site_limits.stop_grace,
+        )
         for stall in list_stalled_runs(engine.endpoints.values(), now):
             run = stall.run
             if not self.orders.may_order_stop(run):
--- a/packages/briarshed-workloads/src/briarshed_workloads/disruption.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/disruption.py
@@ -13,7 +13,10 @@
     StopOrder,
 )
 from briarshed_workloads.jobs import Job
-from briarshed_workloads.workloads import TaskId
+
+MAX_LIST_AGE_S = 2.6
+"""Age from which on a list of runs tells nothing of what serves: two polls and some
+slack. A run without polls ends after the run lease of 4 s."""
 
 TAIL_LATENCY_HIGH = 0.85
 """Share of a tail latency target from which best-effort runs beside it are slowed."""
@@ -32,20 +35,37 @@
 
 
 def list_evictions(
-    engine: Engine, now: float, is_urgent: Callable[[Endpoint], bool]
+    engine: Engine,
+    now: float,
+    is_urgent: Callable[[Endpoint], bool],
+    stop_grace: float,
 ) -> list[StopOrder]:
     """Return the runs to stop on endpoints that are drained.
 
     Long-running tasks are evicted within the outage budget of their step, and tasks
     with checkpoints at once. Others may finish, unless the endpoint is urgent.
+
+    Parameters
+    ----------
+    now : float
+        Seconds of the boot clock.
+    is_urgent : callable
+        Returns whether an endpoint must not wait for its runs to end.
+    stop_grace : float
+        Longest time in seconds that an endpoint takes to stop a run.
     """
     orders: list[StopOrder] = []
     unavailable: dict[StepKey, int] = {}
     stopped: dict[StepKey, int] = {}
-    for endpoint in engine.endpoints.values():
-        is_draining = endpoint.registration.draining
-        if not (is_draining or endpoint.evicting):
-            continue
+    drained = [
+        endpoint
+        for endpoint in engine.endpoints.values()
+        if endpoint.registration.draining or endpoint.evicting
+    ]
+    # Endpoints that shut down come first: their tasks are stopped beyond the budget
+    # too, which leaves less of it for the others.
+    drained.sort(key=lambda endpoint: not endpoint.registration.draining)
+    for endpoint in drained:
         for run in endpoint.runs.values():
             if run.state != PRESENT or run.stop_requested_at:
                 continue
@@ -55,31 +75,52 @@
             key = run.task[:3]
             if run.step.long_running:
                 if key not in unavailable:
-                    unavailable[key] = count_unavailable(engine, job, key)
-                others = unavailable[key] - (not _is_serving(engine, run.task))
-                others += stopped.get(key, 0)
+                    unavailable[key] = count_unavailable(
+                        engine, job, key, now, stop_grace
+                    )
+                is_serving = any(
+                    is_certain_to_serve(other, now, stop_grace)
+                    for other in engine.runs.get(run.task, ())
+                )
+                others = unavailable[key] - (not is_serving) + stopped.get(key, 0)
                 budget = run.step.outage_budget
+                is_draining = endpoint.registration.draining
                 if is_draining or budget < 0 or others < budget:
-                    stopped[key] = stopped.get(key, 0) + 1
+                    # A task that does not serve counts as unavailable already.
+                    stopped[key] = stopped.get(key, 0) + is_serving
                     orders.append(StopOrder(run, "endpoint is drained"))
             elif run.step.checkpointing or is_urgent(endpoint):
                 orders.append(StopOrder(run, "endpoint is drained"))
     return orders
 
 
-def count_unavailable(engine: Engine, job: Job, key: StepKey) -> int:
-    """Return how many tasks of a long-running step do not serve."""
-    serving = {run.task.index for run in engine.step_runs.get(key, ()) if _serves(run)}
+def count_unavailable(
+    engine: Engine, job: Job, key: StepKey, now: float, stop_grace: float
+) -> int:
+    """Return how many tasks of a long-running step may not serve."""
+    serving = {
+        run.task.index
+        for run in engine.step_runs.get(key, ())
+        if is_certain_to_serve(run, now, stop_grace)
+    }
     return job.description.steps[key[2]].count - len(serving)
 
 
-def _is_serving(engine: Engine, task: TaskId) -> bool:
-    return any(_serves(run) for run in engine.runs.get(task, ()))
+def is_certain_to_serve(run: Run, now: float, stop_grace: float) -> bool:
+    """Return whether a run serves, as recently listed, and nothing is about to end it.
 
-
-def _serves(run: Run) -> bool:
-    is_stopping = run.stop_requested_at > 0
-    return run.is_serving and not is_stopping and not run.endpoint.failing_since
+    An outage budget counts every other task as unavailable: a new leader does not know
+    which runs the one before it has asked to stop, and a run that has not been listed
+    for long may have ended.
+    """
+    endpoint = run.endpoint
+    return (
+        run.is_serving
+        and not run.stop_requested_at
+        and not endpoint.failing_since
+        and now - endpoint.polled_at < MAX_LIST_AGE_S
+        and endpoint.has_settled_stops(stop_grace)
+    )
 
 
 def list_pacing(engine: Engine, now: float) -> list[PaceOrder]:
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -683,7 +683,7 @@
             self.partly_listed.add(endpoint)
         else:
             self.partly_listed.discard(endpoint)
-        if not response.may_have_more_ends:
+            endpoint.note_listed(response.clock_ms)
             # Until all ends are listed, a task of an earlier leader's run that is not
             # listed may have succeeded, so that it must not start again.
             if counter >= endpoint.fence_counter:
@@ -727,15 +727,8 @@
         endpoint.has_restarted = True
         self.roster.discard(endpoint.name)
         self._report_endpoint("ENDPOINT_RESTARTED", endpoint.registration)
-        endpoint.is_end_ordered = False
-        endpoint.require_fence()
-        endpoint.fenced_counter = 0
+        endpoint.reset_incarnation()
         self.partly_listed.discard(endpoint)
-        endpoint.acknowledged = 0
-        endpoint.forgotten = 0
-        endpoint.last_listed_end = 0
-        endpoint.clock_sample_ms = 0
-        endpoint.last_deadline_ms = 0
 
     def _drop_missing(
         self,
--- a/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
@@ -192,7 +192,8 @@
     ``earlier_starts`` holds when its earlier incarnations started, in Unix ms, and
     ``seen_at`` is when the present one was last known from the response to a poll, and
     ``known_since`` when it became known to this leader. ``deadline_sent_at`` is when
-    the last call with a deadline was sent.
+    the last call with a deadline was sent. ``first_listed_ms`` and ``listed_ms`` are
+    when it first and last listed its runs to this leader, by its own clock.
     """
 
     __slots__ = (
@@ -213,6 +214,7 @@
         "failing_since",
         "fence_counter",
         "fenced_counter",
+        "first_listed_ms",
         "forgotten",
         "full_until",
         "has_ended",
@@ -225,6 +227,7 @@
         "last_deadline_ms",
         "last_listed_end",
         "last_ordered_at",
+        "listed_ms",
         "lost_runs",
         "needs_fence",
         "polled_at",
@@ -249,6 +252,8 @@
         self.acknowledged = 0
         self.forgotten = 0
         self.last_listed_end = 0
+        self.first_listed_ms = 0
+        self.listed_ms = 0
         self.clock_sample_ms = 0
         self.clock_sampled_at = 0.0
         self.answered_at = 0.0
@@ -406,6 +411,21 @@
         """Note that an end is listed, so that it must be acknowledged again."""
         self.forgotten = min(self.forgotten, number - 1)
 
+    def note_listed(self, clock_ms: int) -> None:
+        """Note that the endpoint has listed its runs at a time of its clock."""
+        self.first_listed_ms = self.first_listed_ms or clock_ms
+        self.listed_ms = max(self.listed_ms, clock_ms)
+
+    def has_settled_stops(self, stop_grace: float) -> bool:
+        """Return whether no listed run is being stopped for an earlier leader.
+
+        It has refused their stops since it first answered this leader. A run that was
+        asked to stop before is listed as usual until it ends, at most ``stop_grace``
+        seconds later.
+        """
+        elapsed = self.listed_ms - self.first_listed_ms
+        return elapsed >= stop_grace * MS_PER_S + CLOCK_RESOLUTION_MS
+
     def note_earlier_deadline(self, run_lease: float) -> None:
         """Assume that an earlier leader has just set a deadline."""
         earlier = self.clock_sample_ms + int(run_lease * MS_PER_S)
@@ -428,6 +448,19 @@
         self.raise_token()
         self.fence_counter = self.counter
 
+    def reset_incarnation(self) -> None:
+        """Forget what only its earlier incarnation has responded."""
+        self.is_end_ordered = False
+        self.require_fence()
+        self.fenced_counter = 0
+        self.acknowledged = 0
+        self.forgotten = 0
+        self.last_listed_end = 0
+        self.first_listed_ms = 0
+        self.listed_ms = 0
+        self.clock_sample_ms = 0
+        self.last_deadline_ms = 0
+
     def raise_token(self) -> None:
         """Let all later orders have a higher token than those before."""
         self.counter += 1
--- a/packages/briarshed-workloads/src/briarshed_workloads/sizing.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/sizing.py
@@ -352,6 +352,7 @@
     endpoint = engine.endpoints.get(instance.endpoint)
     return (
         endpoint is not None
+        and not endpoint.is_gone
         and endpoint.retiring
         and endpoint.is_fenced
         and not endpoint.runs
