--- a/packages/briarshed-workloads/src/briarshed_workloads/configuration.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/configuration.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
 from briarshed_workloads.workloads import NO_RESOURCES, Resources
@@ -73,6 +73,36 @@
     idle_timeout: float = 15.0
 
 
+class KeyRules(NamedTuple):
+    """An API key, and the index of the team that it belongs to."""
+
+    key: str
+    team: int
+
+
+class Rules(NamedTuple):
+    """The objects of a configuration in the order in which they are written.
+
+    Attributes
+    ----------
+    version : int
+        Number of the configuration.
+    queues, pools, teams : sequence
+        Rules; names may be repeated.
+    keys : sequence of KeyRules
+        API keys of the teams.
+    limits : RequestLimits
+        Limits on callers' requests.
+    """
+
+    version: int
+    queues: Sequence[QueueRules]
+    pools: Sequence[PoolRules]
+    teams: Sequence[TeamRules]
+    keys: Sequence[KeyRules]
+    limits: RequestLimits
+
+
 class Configuration(NamedTuple):
     """One version of the operator's configuration.
 
