Resend a write as soon as the store is back, and refuse at once what was never sent

Cause: a write sent to a silent store waits for its time-out of 1 s after the store's return, and submissions queued behind it were kept until their callers' deadlines, although nothing of them had been sent.

Change: an attempt that was sent to a silent store is given up when a later call is answered (the lease is renewed at short intervals); the store counts as unavailable once the first attempt has failed and no call sent meanwhile has been answered; submissions of which nothing was sent are refused then. The time of the last answered call does not go back when a watch ends.

Ruled out: shorter time-outs of writes, which a slow store would never meet.

Tests: outages.feature in virtual time; its first scenario fails before this change (every job of the outage had an unknown outcome).

--- /dev/null
+++ b/features/workloads/steps/outage_steps.py
@@ -0,0 +1,198 @@
+"""Steps for outages of the store, with entries on fakes in virtual time."""
+
+import asyncio
+import inspect
+import itertools
+from typing import NamedTuple
+
+from behave import given, then, when
+from virtual_fleet import LATENCY_S, STEPS, Fleet
+from virtual_time import run_virtually
+
+from briarshed_entry import clock
+from briarshed_workloads.interfaces import NotExecutedError, OutcomeUnknownError
+from briarshed_workloads.records import JOBS
+from briarshed_workloads.workloads import Description, Submission
+
+WARM_UP_S = 3.0
+REST_S = 4.0
+TIMEOUT_S = 2.8
+CALL_TIMEOUT_S = 1.0
+
+
+class Answer(NamedTuple):
+    """What the caller of a job was told, and when."""
+
+    job: str
+    sent_at: float
+    answered_at: float
+    outcome: str
+
+
+@given("{count:d} entries, and a job handed in once each {interval:g} s")
+def step_entries(context, count, interval):
+    context.names = [f"e{number}" for number in range(count)]
+    context.interval = interval
+
+
+@when("the store is {how} for {seconds:g} s")
+def step_outage(context, how, seconds):
+    def refuse(function):
+        raise NotExecutedError("store: status 503")
+
+    play(context, seconds, fail=refuse if how == "refusing" else None)
+
+
+@when("only the leader loses the store for {seconds:g} s")
+def step_leader(context, seconds):
+    play(context, seconds, fail=None, only_leader=True)
+
+
+@when("the store loses each {number:d}th response to a write for {seconds:g} s")
+def step_lost(context, number, seconds):
+    counter = itertools.count(1)
+
+    async def lose(client, call, function):
+        result = await call(function)
+        if "commit" in function.__qualname__ and next(counter) % number == 0:
+            await asyncio.sleep(0.5)
+            raise OutcomeUnknownError("store: response lost")
+        return result
+
+    play(context, seconds, wrap=lose)
+
+
+@when("the store takes {latency:g} s for an answer for {seconds:g} s")
+def step_slow(context, latency, seconds):
+    async def wait(client, call, function):
+        await asyncio.sleep(latency - 2 * LATENCY_S)
+        return await call(function)
+
+    play(context, seconds, wrap=wait)
+
+
+def play(context, seconds, fail=None, wrap=None, only_leader=False):
+    """Let the store fail for a time, and collect what callers were told."""
+
+    async def run():
+        async with Fleet(context.names) as fleet:
+            leader = (await fleet.wait_for_leader()).options.name
+            context.answers = []
+            submitting = asyncio.create_task(submit_jobs(fleet, context))
+            await asyncio.sleep(WARM_UP_S)
+            names = [leader] if only_leader else context.names
+            context.failed_at = clock.now()
+            restore = [spoil(fleet.clients[name], fail, wrap) for name in names]
+            await asyncio.sleep(seconds)
+            context.returned_at = clock.now()
+            for function in restore:
+                function()
+            await asyncio.sleep(REST_S)
+            submitting.cancel()
+            await asyncio.sleep(TIMEOUT_S + 1.0)
+            context.recorded = {
+                key.removeprefix(JOBS)
+                for key in fleet.store.items
+                if key.startswith(JOBS)
+            }
+
+    run_virtually(run())
+
+
+def spoil(client, fail, wrap):
+    """Let the calls of a client fail; return a function that ends this."""
+    names = ("_call", "commit", "fail_if_cut", "is_cut")
+    originals = {name: getattr(client, name) for name in names}
+    call = client._call
+    if fail is not None:
+        client._call = client.fail_if_cut = _refuse_calls(fail)
+    elif wrap is not None:
+        client._call = lambda function: wrap(client, call, function)
+    else:
+        client.is_cut, client.commit = True, _ignore_commits
+
+    def restore():
+        for name, value in originals.items():
+            setattr(client, name, value)
+
+    return restore
+
+
+def _refuse_calls(fail):
+    async def refuse(call):
+        if inspect.isawaitable(call):
+            await call
+        await asyncio.sleep(LATENCY_S)
+        fail(call)
+
+    return refuse
+
+
+async def _ignore_commits(conditions, puts, removals=(), timeout=CALL_TIMEOUT_S):
+    await asyncio.sleep(timeout)
+    raise OutcomeUnknownError("store: time-out")
+
+
+async def submit_jobs(fleet, context):
+    """Submit a job at each interval, each at one entry and once."""
+    tasks = []
+    for number in itertools.count(1):
+        tasks.append(asyncio.create_task(submit(fleet, context, number)))
+        await asyncio.sleep(context.interval)
+
+
+async def submit(fleet, context, number):
+    """Submit one job and note the answer."""
+    job = f"{number:016x}"
+    sent_at = clock.now()
+    entry = fleet.entries[context.names[number % len(context.names)]]
+    submission = Submission(job, "q", "pool", "team", sent_at, Description("", STEPS))
+    reply = await entry.forwarder.submit(submission, TIMEOUT_S)
+    context.answers.append(Answer(job, sent_at, clock.now(), reply.outcome))
+
+
+def list_during(context):
+    """Return the answers to jobs that were handed in during the outage."""
+    return [
+        row
+        for row in context.answers
+        if context.failed_at <= row.sent_at < context.returned_at
+    ]
+
+
+@then("at most {most:d} jobs that were handed in meanwhile have an unknown outcome")
+def step_unknown(context, most):
+    rows = [row for row in list_during(context) if row.outcome == "unknown"]
+    assert len(rows) <= most, rows
+
+
+@then("each refusal came within {bound:g} s")
+def step_refusals(context, bound):
+    refused = [row for row in context.answers if row.outcome == "refused"]
+    late = [row for row in refused if row.answered_at - row.sent_at > bound]
+    assert refused, "no job was refused"
+    assert not late, late
+
+
+@then("no refused job is recorded")
+def step_not_recorded(context):
+    refused = {row.job for row in context.answers if row.outcome == "refused"}
+    assert not refused & context.recorded, refused & context.recorded
+
+
+@then("the first job is accepted within {bound:g} s of the store's return")
+def step_return(context, bound):
+    accepted = [
+        row.answered_at
+        for row in context.answers
+        if row.outcome == "accepted" and row.answered_at > context.returned_at
+    ]
+    assert min(accepted) - context.returned_at <= bound, (
+        min(accepted) - context.returned_at
+    )
+
+
+@then("no job is refused, and none has an unknown outcome")
+def step_none(context):
+    rows = [row for row in context.answers if row.outcome != "accepted"]
+    assert not rows, rows
--- a/features/workloads/steps/slow_store_steps.py
+++ b/features/workloads/steps/slow_store_steps.py
@@ -165,6 +165,7 @@
         self.revision = 1
         self.value = b""
         self.calls = 0
+        self.answered_at = clock.now()
 
     async def commit(self, conditions, puts, removals=(), timeout=1.0):
         """Replace the term item if the condition holds."""
@@ -208,10 +209,13 @@
 )
 def step_failing(context, seconds, renewed):
     async def run():
-        fenced_writer = FencedWriter(None, TermRecord(1, "e/i", 0), 1)
+        is_failing = renewed != "renewed"
+        # A lease that was renewed meanwhile shows that the store answers other calls.
+        answered_at = clock.now() - (1.0 if is_failing else 0.1)
+        store = SimpleNamespace(answered_at=answered_at)
+        fenced_writer = FencedWriter(store, TermRecord(1, "e/i", 0), 1)
         if seconds:
             fenced_writer.failing_since = clock.now() - seconds
-        is_failing = renewed != "renewed"
         controller, _ = make_controller(fenced_writer, is_store_failing=is_failing)
         return controller.can_accept()
 
--- a/features/workloads/virtual_fleet.py
+++ b/features/workloads/virtual_fleet.py
@@ -142,7 +142,7 @@
         if self.is_cut:
             await asyncio.sleep(1.0)
             raise OutcomeUnknownError("store: time-out")
-        self.answered_at = sent_at
+        self.answered_at = max(self.answered_at, sent_at)
         return result
 
     async def _call(self, function):
@@ -154,7 +154,7 @@
         self._store.expire()
         result = function()
         await asyncio.sleep(LATENCY_S)
-        self.answered_at = sent_at
+        self.answered_at = max(self.answered_at, sent_at)
         return result
 
     async def read(self, key):
--- a/packages/briarshed-workloads/src/briarshed_workloads/controller.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/controller.py
@@ -89,6 +89,9 @@
 MAX_WITHDRAWN = 10_000
 """Ids cancelled without a job that are kept; each costs a record in the store."""
 
+OUTAGE_CHECK_S = 0.05
+"""Interval of checking whether submissions wait although the store is unavailable."""
+
 DURABILITY_CHECK_S = 0.02
 """Interval of checking whether a change is durable; a write takes 4 ms and more."""
 
@@ -273,6 +276,7 @@
             "maintain": self.maintenance.run,
             "reconcile": self._reconcile,
             "report": self._report_waiting,
+            "refuse": self._refuse_unsent,
         }
         for name, loop in loops.items():
             self._loops.start(loop, name)
@@ -320,8 +324,18 @@
             waiting = asyncio.get_running_loop().create_future()
             self.persistence.pending_acceptances[job.job_id] = waiting
             self.persistence.request_save()
-        is_saved = await asyncio.shield(waiting)
-        return SubmitResult("accepted" if is_saved else "unknown")
+        outcome = await asyncio.shield(waiting)
+        retry_after = RETRY_AFTER_S if outcome == "refused" else 0.0
+        return SubmitResult(outcome, retry_after)
+
+    async def _refuse_unsent(self) -> None:
+        """Refuse waiting submissions at once while nothing can be made durable."""
+        while True:
+            await asyncio.sleep(OUTAGE_CHECK_S)
+            if self.persistence.pending_acceptances and not self.can_accept():
+                refused = self.persistence.refuse_unsent()
+                if refused:
+                    log_event(events.SUBMISSIONS_REFUSED, count=len(refused))
 
     def can_accept(self) -> bool:
         """Tell whether a new job can be made durable now."""
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -176,6 +176,13 @@
         self.unsaved_jobs[job.job_id] = None
         return job
 
+    def remove_unrecorded(self, job_id: str) -> None:
+        """Remove a job that was accepted and never recorded nor activated."""
+        self.unsaved_jobs.pop(job_id, None)
+        job = self.jobs.pop(job_id, None)
+        if job is not None:
+            self.open_size -= job.size
+
     def has_room(self) -> bool:
         """Return whether one more job can be accepted."""
         return self.open_size < MAX_OPEN_SIZE
--- a/packages/briarshed-workloads/src/briarshed_workloads/fenced_writer.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/fenced_writer.py
@@ -10,7 +10,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Coroutine, Sequence
+from typing import Any
 
 from msgspec.structs import replace
 
@@ -45,7 +46,17 @@
 UNAVAILABLE_AFTER_S = 1.2
 """Time from the start of the first failed attempt after which the store counts as
 unavailable, unless an attempt succeeds. The second attempt has half of it to respond,
-since a lost response may be chance."""
+since a lost response may be chance. If no other call that was sent meanwhile has been
+answered either, the store counts as unavailable at once."""
+
+SILENCE_S = 0.5
+"""Time without an answer to any call after which the store counts as silent. The lease
+is renewed at half of this interval."""
+
+RETURN_CHECK_S = 0.05
+"""Interval of checking whether a silent store answers again while an attempt waits."""
+
+CommitResult = Committed | Conflicted | LeaseEnded
 
 
 class LeadershipLostError(BriarshedError):
@@ -102,12 +113,14 @@
         """Tell whether the store cannot be written to or has failed for some time.
 
         A single lost response may be chance, whereas an attempt that was certainly not
-        executed shows that nothing can be written now.
+        executed, or a time in which no call was answered, shows that nothing can be
+        written now.
         """
         if not self.is_failing:
             return False
         return (
             self.last_attempt_not_executed
+            or self._store.answered_at < self.failing_since
             or now - self.failing_since > UNAVAILABLE_AFTER_S
         )
 
@@ -142,8 +155,10 @@
         while True:
             sent_at = clock.now()
             try:
-                outcome = await self._store.commit(
-                    [(TERM, self.revision)], all_puts, removals, timeout
+                outcome = await self._await_attempt(
+                    self._store.commit(
+                        [(TERM, self.revision)], all_puts, removals, timeout
+                    )
                 )
             except NotExecutedError:
                 # Logged by the store client.
@@ -156,7 +171,8 @@
                 self.last_attempt_not_executed = False
                 timeout = COMMIT_TIMEOUT_S
                 log_event(STORE_ANSWER_LOST, writes=self.term.writes, error=str(error))
-                await asyncio.sleep(RETRY_PAUSE_S)
+                if not self._has_answered_since(sent_at):
+                    await asyncio.sleep(RETRY_PAUSE_S)
                 continue
             self.failing_since = 0.0
             self.last_attempt_not_executed = False
@@ -173,6 +189,38 @@
                 raise LeadershipLostError("the store holds the term of another leader")
             # A transaction that was given up had been executed.
 
+    async def _await_attempt(
+        self, commit: Coroutine[Any, Any, CommitResult]
+    ) -> CommitResult:
+        """Return the outcome of an attempt, or give it up once the store is back.
+
+        An attempt that was sent to a silent store gets no response, and its time-out
+        would delay the next one after the store's return. The next one shows whether
+        it was executed.
+
+        Raises
+        ------
+        OutcomeUnknownError
+            If the store was silent when it was sent and answers later calls.
+        """
+        sent_at = clock.now()
+        if sent_at - self._store.answered_at < SILENCE_S:
+            return await commit
+        attempt = asyncio.ensure_future(commit)
+        try:
+            while not attempt.done():
+                await asyncio.wait({attempt}, timeout=RETURN_CHECK_S)
+                if not attempt.done() and self._has_answered_since(sent_at):
+                    raise OutcomeUnknownError("the store answers later calls")
+            return attempt.result()
+        finally:
+            attempt.cancel()
+            await asyncio.gather(attempt, return_exceptions=True)
+
+    def _has_answered_since(self, sent_at: float) -> bool:
+        """Return whether the store has answered a call that was sent later."""
+        return self._store.answered_at > sent_at
+
     def _find_own_write(self, outcome: Conflicted) -> int | None:
         """Return the number of this leader's last executed transaction.
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/interfaces.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/interfaces.py
@@ -100,7 +100,8 @@
     Attributes
     ----------
     answered_at : float
-        Time at which the last answered call was sent, in seconds of the boot clock.
+        Time at which the latest of the answered calls was sent, in seconds of the boot
+        clock.
     """
 
     answered_at: float
--- a/packages/briarshed-workloads/src/briarshed_workloads/persistence.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/persistence.py
@@ -78,7 +78,8 @@
     Attributes
     ----------
     pending_acceptances : dict
-        Futures of submissions that are not durable yet, by job.
+        Futures of submissions that are not durable yet, by job: ``accepted``,
+        ``refused`` (nothing of the job was sent to the store) or ``unknown``.
     outcomes : dict
         Durable outcomes of ended jobs.
     unreadable_jobs : set
@@ -95,7 +96,8 @@
         status_retention: float,
         note_saved: Callable[[str], None],
     ) -> None:
-        self.pending_acceptances: dict[str, asyncio.Future[bool]] = {}
+        self.pending_acceptances: dict[str, asyncio.Future[str]] = {}
+        self._sent_jobs: set[str] = set()
         self.outcomes: dict[str, str] = {}
         self.unreadable_jobs: set[str] = set()
         self._unsaved_withdrawn: dict[str, None] = {}
@@ -117,10 +119,36 @@
         self._unsaved.set()
 
     def fail_pending_acceptances(self) -> None:
-        """Resolve all pending acceptances as not saved: their outcome is unknown."""
+        """Resolve all pending acceptances when the term ends.
+
+        The outcome of those that were sent to the store is unknown.
+        """
+        self.refuse_unsent()
         for future in self.pending_acceptances.values():
             if not future.done():
-                future.set_result(False)
+                future.set_result("unknown")
+
+    def refuse_unsent(self) -> list[str]:
+        """Refuse the new jobs of which nothing was sent to the store.
+
+        They are removed, so that no later write holds them.
+
+        Returns
+        -------
+        list of str
+            Ids of these jobs.
+        """
+        refused = [
+            job_id
+            for job_id in self.pending_acceptances
+            if job_id not in self._sent_jobs
+        ]
+        for job_id in refused:
+            self._engine.remove_unrecorded(job_id)
+            waiting = self.pending_acceptances.pop(job_id)
+            if not waiting.done():
+                waiting.set_result("refused")
+        return refused
 
     async def load_jobs(self) -> None:
         """Load all recorded jobs into the engine."""
@@ -322,6 +350,7 @@
         if sizes is not None:
             puts.append(Put(SIZES, encode(sizes)))
         if puts:
+            self._sent_jobs.update(self.pending_acceptances.keys() & set(job_ids))
             try:
                 await self._term.fenced_writer.commit(puts, removals)
             except BaseException:
@@ -350,7 +379,7 @@
         if waiting is not None:
             self._engine.jobs.pop(job_id, None)
             if not waiting.done():
-                waiting.set_result(False)
+                waiting.set_result("unknown")
             return
         attempts = self._failed_attempts.get(job_id, 0) + 1
         self._failed_attempts[job_id] = attempts
@@ -361,11 +390,12 @@
 
     def _confirm_acceptance(self, job_id: str) -> None:
         waiting = self.pending_acceptances.pop(job_id, None)
+        self._sent_jobs.discard(job_id)
         job = self._engine.jobs.get(job_id)
         if waiting is None or job is None:
             return
         if not waiting.done():
-            waiting.set_result(True)
+            waiting.set_result("accepted")
         if job.is_open:
             self._engine.activate(job, time.time())
         log_event(
--- a/packages/briarshed/src/briarshed/events.py
+++ b/packages/briarshed/src/briarshed/events.py
@@ -182,6 +182,9 @@
 ENDPOINT_ENDED = Event(
     871, "INFO", "endpoint {endpoint} has ended: its instance {instance} is {state}"
 )
+SUBMISSIONS_REFUSED = Event(
+    920, "WARNING", "{count} waiting submissions refused: the store is unavailable"
+)
 ENTRY_UNREADABLE = Event(869, "WARNING", "store key {key} is unreadable: {error}")
 
 
