Confirm a job only by the write that records it, and pause between attempts

Change: only jobs whose record is in the transaction are confirmed by it; the next attempt is sent 0.1 s after the last one at the earliest; the cancel records the id as withdrawn; one attempt of a write may be given up. The fakes of outages.feature tell the time of the last answered call as the client does, and a slow store answers writes later than other calls.

--- a/features/workloads/outages.feature
+++ b/features/workloads/outages.feature
@@ -16,6 +16,15 @@
       | silent   |
       | refusing |
 
+  Scenario: Refused jobs that are handed in again while writes are catching up
+    # Guards against a job that is reported as accepted and in no record: a write that
+    # was planned before its refusal left it out and confirmed it all the same.
+    Given 4 entries, and a job handed in once each 0.01 s
+    When the store is silent for 3 s
+    Then no job is recorded whose last answer was a refusal
+    And each accepted job is recorded
+    And the first job is accepted within 0.5 s of the store's return
+
   Scenario: Lost responses are no outage
     # Guards against refusals, and copies of jobs, because of a store that answers most
     # calls: the next attempt of a write shows whether it was executed.
@@ -27,7 +36,7 @@
     # Guards against writes that a slow store could never finish, since each attempt
     # would be given up when a later call is answered.
     Given 4 entries, and a job handed in once each 0.1 s
-    When the store takes 0.24 s for an answer for 3 s
+    When the store takes 0.29 s for a write and 0.2 s for others, for 3 s
     Then no job is refused, and none has an unknown outcome
 
   Scenario: A leader that is parted from the store while others are not
--- a/features/workloads/slow_store.feature
+++ b/features/workloads/slow_store.feature
@@ -47,3 +47,17 @@
     When a job is submitted after the first write has begun
     Then it is in the second write
     And every write is full but the last, and none has over 30 entries
+
+  Scenario: A job that is handed in again during a write that left it out
+    # Guards against a job that is reported as accepted and in no record: it was refused
+    # while it waited for the second write, which holds nothing of it, and handed in
+    # again before that write ended.
+    Given 40 new jobs, of which the first write holds 30
+    When the others are refused, and one is handed in again during the second write
+    Then it is accepted by the write that records it, not before
+
+  Scenario: A store that answers every write with an error
+    # Guards against a loop of attempts without a pause.
+    Given a store that answers each write at once with an error
+    When a write has failed for 1 s
+    Then at most 11 attempts were made
--- a/features/workloads/steps/outage_steps.py
+++ b/features/workloads/steps/outage_steps.py
@@ -18,6 +18,8 @@
 REST_S = 4.0
 TIMEOUT_S = 2.8
 CALL_TIMEOUT_S = 1.0
+RETRY_AFTER_S = 1.0
+DENSE_INTERVAL_S = 0.05
 
 
 class Answer(NamedTuple):
@@ -74,8 +76,10 @@
     counter = itertools.count(1)
 
     async def lose(client, call, function):
+        answered_at = client.answered_at
         result = await call(function)
         if "commit" in function.__qualname__ and next(counter) % number == 0:
+            client.answered_at = answered_at
             await asyncio.sleep(0.5)
             raise OutcomeUnknownError("store: response lost")
         return result
@@ -83,18 +87,23 @@
     play(context, seconds, wrap=lose)
 
 
-@when("the store takes {latency:g} s for an answer for {seconds:g} s")
-def step_slow(context, latency, seconds):
+@when("the store takes {write:g} s for a write and {read:g} s for others, for 3 s")
+def step_slow(context, write, read):
     async def wait(client, call, function):
-        await asyncio.sleep(latency - 2 * LATENCY_S)
-        return await call(function)
+        sent_at, answered_at = clock.now(), client.answered_at
+        is_write = "commit" in function.__qualname__
+        await asyncio.sleep((write if is_write else read) - 2 * LATENCY_S)
+        result = await call(function)
+        client.answered_at = max(answered_at, sent_at)
+        return result
 
-    play(context, seconds, wrap=wait)
+    play(context, 3.0, wrap=wait)
 
 
 def play(context, seconds, fail=None, wrap=None, only_leader=False, meanwhile=None):
     """Let the store fail for a time, and collect what callers were told."""
     context.parted = ""
+    context.resubmits = context.interval < DENSE_INTERVAL_S
 
     async def run():
         async with Fleet(context.names) as fleet:
@@ -181,6 +190,9 @@
     submission = Submission(job, "q", "pool", "team", sent_at, Description("", STEPS))
     reply = await entry.forwarder.submit(submission, TIMEOUT_S)
     context.answers.append(Answer(job, sent_at, clock.now(), reply.outcome))
+    if reply.outcome == "refused" and context.resubmits:
+        await asyncio.sleep(RETRY_AFTER_S)
+        await submit(fleet, context, number)
 
 
 def list_during(context):
@@ -212,6 +224,20 @@
     assert not refused & context.recorded, refused & context.recorded
 
 
+@then("no job is recorded whose last answer was a refusal")
+def step_last_refused(context):
+    last = {row.job: row.outcome for row in context.answers}
+    refused = {job for job, outcome in last.items() if outcome == "refused"}
+    assert refused or context.answers
+    assert not refused & context.recorded, refused & context.recorded
+
+
+@then("each accepted job is recorded")
+def step_accepted(context):
+    accepted = {row.job for row in context.answers if row.outcome == "accepted"}
+    assert accepted <= context.recorded, accepted - context.recorded
+
+
 @then("the first job is accepted within {bound:g} s of the store's return")
 def step_return(context, bound):
     accepted = [
--- a/features/workloads/steps/slow_store_steps.py
+++ b/features/workloads/steps/slow_store_steps.py
@@ -1,6 +1,7 @@
 """Steps for a leader whose store is slow or unavailable, with fakes."""
 
 import asyncio
+import contextlib
 from types import SimpleNamespace
 
 from behave import given, then, when
@@ -14,6 +15,7 @@
     poll_endpoint,
     submit,
 )
+from virtual_time import run_virtually
 from wave_takeover_steps import OPTIONS
 
 from briarshed_entry import clock
@@ -291,3 +293,101 @@
     sizes = [len(row) for row in context.writes]
     assert set(sizes[:-1]) == {MAX_TRANSACTION_WRITES}, sizes
     assert sizes[-1] <= MAX_TRANSACTION_WRITES, sizes
+
+
+@given("40 new jobs, of which the first write holds 30")
+def step_new_jobs(context):
+    context.engine = make_engine()
+
+
+@when("the others are refused, and one is handed in again during the second write")
+def step_handed_in_again(context):
+    engine, written, begun = context.engine, [], asyncio.Queue()
+
+    async def commit(puts, removals=()):
+        gate = asyncio.Event()
+        await begun.put(gate)
+        await gate.wait()
+        written.append([put.key for put in puts])
+
+    async def run():
+        fenced_writer = SimpleNamespace(commit=commit, commit_count=0)
+        term = SimpleNamespace(fenced_writer=fenced_writer, epoch=2)
+        persistence = Persistence(term, engine, None, None, 120.0, lambda _: None)
+        engine.endpoints.clear()
+
+        def hand_in(job):
+            steps = Description("", (STEP,))
+            engine.accept(Submission(job, "q", "pool", "team", NOW, steps), NOW)
+            future = asyncio.get_running_loop().create_future()
+            persistence.pending_acceptances[job] = future
+            persistence.request_save()
+            return future
+
+        async def wait_for_write():
+            async with asyncio.timeout(20):
+                return await begun.get()
+
+        for number in range(40):
+            hand_in(f"{number:016x}")
+        saving = asyncio.create_task(persistence.save())
+        first = await wait_for_write()
+        refused = persistence.refuse_unsent()
+        hand_in(NEWEST)
+        first.set()
+        second = await wait_for_write()
+        again = hand_in(refused[0])
+        second.set()
+        third = await wait_for_write()
+        context.is_early = again.done()
+        third.set()
+        async with asyncio.timeout(20):
+            context.outcome = await again
+        context.is_recorded = JOBS + refused[0] in written[2]
+        saving.cancel()
+        await asyncio.gather(saving, return_exceptions=True)
+
+    asyncio.run(run())
+
+
+@then("it is accepted by the write that records it, not before")
+def step_recorded_first(context):
+    assert not context.is_early
+    assert context.outcome == "accepted"
+    assert context.is_recorded
+
+
+class FailingStore:
+    """Answers each write with an error that tells nothing of its outcome."""
+
+    def __init__(self):
+        self.answered_at = clock.now()
+        self.calls = 0
+
+    async def commit(self, conditions, puts, removals=(), timeout=1.0):
+        """Fail at once."""
+        self.calls += 1
+        self.answered_at = clock.now()
+        raise OutcomeUnknownError("store: unexpected status 500")
+
+
+@given("a store that answers each write at once with an error")
+def step_errors(context):
+    context.make_store = FailingStore
+
+
+@when("a write has failed for 1 s")
+def step_failed(context):
+    async def run():
+        context.store = context.make_store()
+        fenced_writer = FencedWriter(context.store, TermRecord(1, "e/i", 0), 1)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(1.0):
+                await fenced_writer.commit([Put("k", b"v")])
+
+    run_virtually(run())
+
+
+@then("at most {most:d} attempts were made")
+def step_attempts(context, most):
+    assert context.store.calls <= most, context.store.calls
--- a/packages/briarshed-workloads/src/briarshed_workloads/controller.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/controller.py
@@ -380,6 +380,9 @@
         while job_id not in self.persistence.outcomes:
             if self.term.lost.is_set():
                 return "unknown"
+            if self.engine.jobs.get(job_id) is not job:
+                # Its submission was refused meanwhile.
+                return await self._cancel_unknown(job_id)
             await asyncio.sleep(DURABILITY_CHECK_S)
         return "cancelled"
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/fenced_writer.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/fenced_writer.py
@@ -49,9 +49,9 @@
 since a lost response may be chance. If no other call that was sent meanwhile has been
 answered either, the store counts as unavailable at once."""
 
-SILENCE_S = 0.5
-"""Time without an answer to any call after which the store counts as silent. The lease
-is renewed at half of this interval."""
+SILENCE_S = 0.6
+"""Time without an answer to any call after which the store counts as silent: the
+interval of renewals, the answer of a slow store, and a margin."""
 
 RETURN_CHECK_S = 0.05
 """Interval of checking whether a silent store answers again while an attempt waits."""
@@ -152,14 +152,19 @@
     async def _write(self, puts: Sequence[Put], removals: Sequence[str]) -> None:
         all_puts = [Put(TERM, encode(self.term)), *puts]
         timeout = FIRST_ATTEMPT_TIMEOUT_S
+        has_given_up = False
         while True:
             sent_at = clock.now()
+            commit = self._store.commit(
+                [(TERM, self.revision)], all_puts, removals, timeout
+            )
+            is_silent = sent_at - self._store.answered_at >= SILENCE_S
             try:
-                outcome = await self._await_attempt(
-                    self._store.commit(
-                        [(TERM, self.revision)], all_puts, removals, timeout
-                    )
-                )
+                # Given up once only, so that a slow store can finish the next attempt.
+                if is_silent and not has_given_up:
+                    outcome = await self._await_return(commit)
+                else:
+                    outcome = await commit
             except NotExecutedError:
                 # Logged by the store client.
                 self._note_failing(sent_at)
@@ -170,9 +175,9 @@
                 self._note_failing(sent_at)
                 self.last_attempt_not_executed = False
                 timeout = COMMIT_TIMEOUT_S
+                has_given_up = has_given_up or self._store.answered_at > sent_at
                 log_event(STORE_ANSWER_LOST, writes=self.term.writes, error=str(error))
-                if not self._has_answered_since(sent_at):
-                    await asyncio.sleep(RETRY_PAUSE_S)
+                await asyncio.sleep(sent_at + RETRY_PAUSE_S - clock.now())
                 continue
             self.failing_since = 0.0
             self.last_attempt_not_executed = False
@@ -189,7 +194,7 @@
                 raise LeadershipLostError("the store holds the term of another leader")
             # A transaction that was given up had been executed.
 
-    async def _await_attempt(
+    async def _await_return(
         self, commit: Coroutine[Any, Any, CommitResult]
     ) -> CommitResult:
         """Return the outcome of an attempt, or give it up once the store is back.
@@ -201,26 +206,20 @@
         Raises
         ------
         OutcomeUnknownError
-            If the store was silent when it was sent and answers later calls.
+            If the store answers calls that were sent later.
         """
         sent_at = clock.now()
-        if sent_at - self._store.answered_at < SILENCE_S:
-            return await commit
         attempt = asyncio.ensure_future(commit)
         try:
             while not attempt.done():
                 await asyncio.wait({attempt}, timeout=RETURN_CHECK_S)
-                if not attempt.done() and self._has_answered_since(sent_at):
+                if not attempt.done() and self._store.answered_at > sent_at:
                     raise OutcomeUnknownError("the store answers later calls")
             return attempt.result()
         finally:
             attempt.cancel()
             await asyncio.gather(attempt, return_exceptions=True)
 
-    def _has_answered_since(self, sent_at: float) -> bool:
-        """Return whether the store has answered a call that was sent later."""
-        return self._store.answered_at > sent_at
-
     def _find_own_write(self, outcome: Conflicted) -> int | None:
         """Return the number of this leader's last executed transaction.
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/persistence.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/persistence.py
@@ -333,6 +333,7 @@
         puts: list[Put] = []
         removals: list[str] = []
         states: dict[str, str] = {}
+        new_jobs: list[Job] = []
         for job_id in job_ids:
             job = self._engine.jobs.get(job_id)
             if job is None:
@@ -343,6 +344,8 @@
                 report_error(f"record of job {job_id}", error)
                 self._note_failed_record(job_id)
                 continue
+            if job_id in self.pending_acceptances:
+                new_jobs.append(job)
             if not job.is_open:
                 removals.append(PROGRESS + job_id)
                 states[job_id] = job.state
@@ -350,15 +353,15 @@
         if sizes is not None:
             puts.append(Put(SIZES, encode(sizes)))
         if puts:
-            self._sent_jobs.update(self.pending_acceptances.keys() & set(job_ids))
+            self._sent_jobs.update(job.job_id for job in new_jobs)
             try:
                 await self._term.fenced_writer.commit(puts, removals)
             except BaseException:
                 self._sizes = self._sizes or sizes
                 raise
         self.outcomes.update(states)
-        for job_id in job_ids:
-            self._confirm_acceptance(job_id)
+        for job in new_jobs:
+            self._confirm_acceptance(job)
 
     def _encode_records(self, job: Job) -> list[Put]:
         """Return the records that a change of a job replaces."""
@@ -377,9 +380,10 @@
         """
         waiting = self.pending_acceptances.pop(job_id, None)
         if waiting is not None:
-            self._engine.jobs.pop(job_id, None)
+            self._engine.remove_unrecorded(job_id)
             if not waiting.done():
-                waiting.set_result("unknown")
+                is_sent = job_id in self._sent_jobs
+                waiting.set_result("unknown" if is_sent else "refused")
             return
         attempts = self._failed_attempts.get(job_id, 0) + 1
         self._failed_attempts[job_id] = attempts
@@ -388,11 +392,14 @@
         else:
             self._set_aside(job_id)
 
-    def _confirm_acceptance(self, job_id: str) -> None:
-        waiting = self.pending_acceptances.pop(job_id, None)
+    def _confirm_acceptance(self, job: Job) -> None:
+        """Note that a new job is recorded, unless it was set aside meanwhile."""
+        job_id = job.job_id
         self._sent_jobs.discard(job_id)
-        job = self._engine.jobs.get(job_id)
-        if waiting is None or job is None:
+        if self._engine.jobs.get(job_id) is not job:
+            return
+        waiting = self.pending_acceptances.pop(job_id, None)
+        if waiting is None:
             return
         if not waiting.done():
             waiting.set_result("accepted")
--- a/packages/briarshed/src/briarshed/events.py
+++ b/packages/briarshed/src/briarshed/events.py
@@ -183,7 +183,7 @@
     871, "INFO", "endpoint {endpoint} has ended: its instance {instance} is {state}"
 )
 SUBMISSIONS_REFUSED = Event(
-    920, "WARNING", "{count} waiting submissions refused: the store is unavailable"
+    920, "WARNING", "{count} waiting submissions refused: they cannot be recorded now"
 )
 ENTRY_UNREADABLE = Event(869, "WARNING", "store key {key} is unreadable: {error}")
 
