--- a/packages/briarshed-workloads/src/briarshed_workloads/fenced_writer.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/fenced_writer.py
@@ -10,7 +10,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Coroutine, Sequence
+from typing import Any
 
 from msgspec.structs import replace
 
@@ -45,7 +46,17 @@
 UNAVAILABLE_AFTER_S = 1.2
 """Time from the start of the first failed attempt after which the store counts as
 unavailable, unless an attempt succeeds. The second attempt has half of it to respond,
-since a lost response may be chance."""
+since a lost response may be chance. If no other call that was sent meanwhile has been
+answered either, the store counts as unavailable at once."""
+
+SILENCE_S = 0.6
+"""Time without an answer to any call after which the store counts as silent: the
+interval of renewals, the answer of a slow store, and a margin."""
+
+RETURN_CHECK_S = 0.05
+"""Interval of checking whether a silent store answers again while an attempt waits."""
+
+CommitResult = Committed | Conflicted | LeaseEnded
 
 
 class LeadershipLostError(BriarshedError):
@@ -102,12 +113,14 @@
         """Tell whether the store cannot be written to or has failed for some time.
 
         A single lost response may be chance, whereas an attempt that was certainly not
-        executed shows that nothing can be written now.
+        executed, or a time in which no call was answered, shows that nothing can be
+        written now.
         """
         if not self.is_failing:
             return False
         return (
             self.last_attempt_not_executed
+            or self._store.answered_at < self.failing_since
             or now - self.failing_since > UNAVAILABLE_AFTER_S
         )
 
@@ -139,12 +152,19 @@
     async def _write(self, puts: Sequence[Put], removals: Sequence[str]) -> None:
         all_puts = [Put(TERM, encode(self.term)), *puts]
         timeout = FIRST_ATTEMPT_TIMEOUT_S
+        has_given_up = False
         while True:
             sent_at = clock.now()
+            commit = self._store.commit(
+                [(TERM, self.revision)], all_puts, removals, timeout
+            )
+            is_silent = sent_at - self._store.answered_at >= SILENCE_S
             try:
-                outcome = await self._store.commit(
-                    [(TERM, self.revision)], all_puts, removals, timeout
-                )
+                # Given up once only, so that a slow store can finish the next attempt.
+                if is_silent and not has_given_up:
+                    outcome = await self._await_return(commit)
+                else:
+                    outcome = await commit
             except NotExecutedError:
                 # Logged by the store client.
                 self._note_failing(sent_at)
@@ -155,8 +175,9 @@
                 self._note_failing(sent_at)
                 self.last_attempt_not_executed = False
                 timeout = COMMIT_TIMEOUT_S
+                has_given_up = has_given_up or self._store.answered_at > sent_at
                 log_event(STORE_ANSWER_LOST, writes=self.term.writes, error=str(error))
-                await asyncio.sleep(RETRY_PAUSE_S)
+                await asyncio.sleep(sent_at + RETRY_PAUSE_S - clock.now())
                 continue
             self.failing_since = 0.0
             self.last_attempt_not_executed = False
@@ -173,6 +194,32 @@
                 raise LeadershipLostError("the store holds the term of another leader")
             # A transaction that was given up had been executed.
 
+    async def _await_return(
+        self, commit: Coroutine[Any, Any, CommitResult]
+    ) -> CommitResult:
+        """Return the outcome of an attempt, or give it up once the store is back.
+
+        An attempt that was sent to a silent store gets no response, and its time-out
+        would delay the next one after the store's return. The next one shows whether
+        it was executed.
+
+        Raises
+        ------
+        OutcomeUnknownError
+            If the store answers calls that were sent later.
+        """
+        sent_at = clock.now()
+        attempt = asyncio.ensure_future(commit)
+        try:
+            while not attempt.done():
+                await asyncio.wait({attempt}, timeout=RETURN_CHECK_S)
+                if not attempt.done() and self._store.answered_at > sent_at:
+                    raise OutcomeUnknownError("the store answers later calls")
+            return attempt.result()
+        finally:
+            attempt.cancel()
+            await asyncio.gather(attempt, return_exceptions=True)
+
     def _find_own_write(self, outcome: Conflicted) -> int | None:
         """Return the number of this leader's last executed transaction.
 
