--- a/packages/briarshed-workloads/src/briarshed_workloads/persistence.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/persistence.py
@@ -78,7 +78,8 @@
     Attributes
     ----------
     pending_acceptances : dict
-        Futures of submissions that are not durable yet, by job.
+        Futures of submissions that are not durable yet, by job: ``accepted``,
+        ``refused`` (nothing of the job was sent to the store) or ``unknown``.
     outcomes : dict
         Durable outcomes of ended jobs.
     unreadable_jobs : set
@@ -95,7 +96,8 @@
         status_retention: float,
         note_saved: Callable[[str], None],
     ) -> None:
-        self.pending_acceptances: dict[str, asyncio.Future[bool]] = {}
+        self.pending_acceptances: dict[str, asyncio.Future[str]] = {}
+        self._sent_jobs: set[str] = set()
         self.outcomes: dict[str, str] = {}
         self.unreadable_jobs: set[str] = set()
         self._unsaved_withdrawn: dict[str, None] = {}
@@ -117,10 +119,36 @@
         self._unsaved.set()
 
     def fail_pending_acceptances(self) -> None:
-        """Resolve all pending acceptances as not saved: their outcome is unknown."""
+        """Resolve all pending acceptances when the term ends.
+
+        The outcome of those that were sent to the store is unknown.
+        """
+        self.refuse_unsent()
         for future in self.pending_acceptances.values():
             if not future.done():
-                future.set_result(False)
+                future.set_result("unknown")
+
+    def refuse_unsent(self) -> list[str]:
+        """Refuse the new jobs of which nothing was sent to the store.
+
+        They are removed, so that no later write holds them.
+
+        Returns
+        -------
+        list of str
+            Ids of these jobs.
+        """
+        refused = [
+            job_id
+            for job_id in self.pending_acceptances
+            if job_id not in self._sent_jobs
+        ]
+        for job_id in refused:
+            self._engine.remove_unrecorded(job_id)
+            waiting = self.pending_acceptances.pop(job_id)
+            if not waiting.done():
+                waiting.set_result("refused")
+        return refused
 
     async def load_jobs(self) -> None:
         """Load all recorded jobs into the engine."""
@@ -305,6 +333,7 @@
         puts: list[Put] = []
         removals: list[str] = []
         states: dict[str, str] = {}
+        new_jobs: list[Job] = []
         for job_id in job_ids:
             job = self._engine.jobs.get(job_id)
             if job is None:
@@ -315,6 +344,8 @@
                 report_error(f"record of job {job_id}", error)
                 self._note_failed_record(job_id)
                 continue
+            if job_id in self.pending_acceptances:
+                new_jobs.append(job)
             if not job.is_open:
                 removals.append(PROGRESS + job_id)
                 states[job_id] = job.state
@@ -322,14 +353,15 @@
         if sizes is not None:
             puts.append(Put(SIZES, encode(sizes)))
         if puts:
+            self._sent_jobs.update(job.job_id for job in new_jobs)
             try:
                 await self._term.fenced_writer.commit(puts, removals)
             except BaseException:
                 self._sizes = self._sizes or sizes
                 raise
         self.outcomes.update(states)
-        for job_id in job_ids:
-            self._confirm_acceptance(job_id)
+        for job in new_jobs:
+            self._confirm_acceptance(job)
 
     def _encode_records(self, job: Job) -> list[Put]:
         """Return the records that a change of a job replaces."""
@@ -348,9 +380,10 @@
         """
         waiting = self.pending_acceptances.pop(job_id, None)
         if waiting is not None:
-            self._engine.jobs.pop(job_id, None)
+            self._engine.remove_unrecorded(job_id)
             if not waiting.done():
-                waiting.set_result(False)
+                is_sent = job_id in self._sent_jobs
+                waiting.set_result("unknown" if is_sent else "refused")
             return
         attempts = self._failed_attempts.get(job_id, 0) + 1
         self._failed_attempts[job_id] = attempts
@@ -359,13 +392,17 @@
         else:
             self._set_aside(job_id)
 
-    def _confirm_acceptance(self, job_id: str) -> None:
+    def _confirm_acceptance(self, job: Job) -> None:
+        """Note that a new job is recorded, unless it was set aside meanwhile."""
+        job_id = job.job_id
+        self._sent_jobs.discard(job_id)
+        if self._engine.jobs.get(job_id) is not job:
+            return
         waiting = self.pending_acceptances.pop(job_id, None)
-        job = self._engine.jobs.get(job_id)
-        if waiting is None or job is None:
+        if waiting is None:
             return
         if not waiting.done():
-            waiting.set_result(True)
+            waiting.set_result("accepted")
         if job.is_open:
             self._engine.activate(job, time.time())
         log_event(
