Print differences of a configuration in the operator's words

From the review: differences had the product's names and units, their order was not that of the file, places were found by the text of a name, standby pools and empty prefixes gave false findings, and a task size for an unknown queue passed. A time-out below the objective stays a finding, as asked for.

Nothing measured.

--- a/features/platform/configuration_check.feature
+++ b/features/platform/configuration_check.feature
@@ -30,11 +30,23 @@
     # Guards against a change that does more than its writer meant.
     Given the configuration "routes.1.priority = 3"
     When it is checked
-    Then the exit code is 0, and a line holds "changed routes slow" and "priority 0 to 3"
+    Then the exit code is 0, and a line holds "changed route slow" and "priority 0 to 3"
 
   Scenario: A key that is withdrawn
     # Guards against keys in the output of a check.
     Given the configuration "tenants.1.api-keys = ["secret"]"
     When it is checked
-    Then the exit code is 0, and a line holds "removed key" and "team two"
+    Then the exit code is 0, and a line holds "removed key" and "of team two"
     And no line holds "secret"
+
+  Scenario: Names and units of what differs
+    # Guards against output in words that its reader did not write.
+    Given the configuration "routes.1.timeout-ms = 2500"
+    When it is checked
+    Then the exit code is 0, and a line holds "changed route slow" and "timeout-ms 3000 to 2500"
+
+  Scenario: A name that is also that of a list
+    # Guards against places that are found by their text.
+    Given the configuration "tenants.1.name = "routes""
+    When it is checked
+    Then the exit code is 0, and a line holds "added tenant" and "routes"
--- a/packages/briarshed-workloads/src/briarshed_workloads/configuration_check.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/configuration_check.py
@@ -12,7 +12,7 @@
 from briarshed_workloads.workloads import NO_RESOURCES, Resources, fits
 
 ERROR, UNREACHABLE, CONTRADICTION = "error", "never matches", "contradiction"
-"""Kinds of findings. Only errors make a configuration unfit to be sent."""
+"""Kinds of findings: wrong, without effect, and limits that exclude each other."""
 
 DIGEST_DIGITS = 8
 """Digits of the hash that stands for a key, whose text is never printed."""
@@ -21,13 +21,7 @@
 """Kind of object (`QUEUES`, `POOLS`, `TEAMS` or `LIMITS`), its index and the field."""
 
 QUEUES, POOLS, TEAMS, LIMITS = "queues", "pools", "teams", "limits"
-
-
-class Endpoints(NamedTuple):
-    """What is registered: endpoints by pool, and their largest capacity."""
-
-    count: int
-    largest: Resources
+KEYS = "keys"
 
 
 class ConfigurationFinding(NamedTuple):
@@ -52,27 +46,37 @@
 class Difference(NamedTuple):
     """A difference from the configuration in force.
 
-    ``change`` is ``added``, ``removed`` or ``changed``; ``name`` names the object, and
-    ``detail`` the fields that differ with both values.
+    Attributes
+    ----------
+    change : str
+        ``added``, ``removed`` or ``changed``.
+    kind, name : str
+        The object: `QUEUES`, `POOLS`, `TEAMS`, `LIMITS` or `KEYS`, and its name. A key
+        is named by its hash and its team.
+    fields : tuple
+        Name, value in force and new value of each field that differs.
     """
 
     change: str
     kind: str
     name: str
-    detail: str = ""
+    fields: tuple[tuple[str, Any, Any], ...] = ()
 
 
 def check_rules(
     rules: Rules,
-    endpoints: Mapping[str, Endpoints] | None = None,
+    capacities: Mapping[str, Resources] | None = None,
     tasks: Mapping[str, Resources] | None = None,
 ) -> list[ConfigurationFinding]:
     """Return all findings of a configuration.
 
     Parameters
     ----------
-    endpoints : mapping, optional
-        What is registered, by pool. Without it, pools are not compared with endpoints.
+    rules : Rules
+        The configuration.
+    capacities : mapping, optional
+        Largest endpoint of each pool that has one. Without it, pools are not compared
+        with endpoints.
     tasks : mapping, optional
         The largest task of a queue, by its name. A configuration does not tell it.
     """
@@ -87,9 +91,9 @@
     )
     for check in checks:
         findings += check(rules)
-    if endpoints is not None:
-        findings += _check_endpoints(rules, endpoints)
-    findings += _check_tasks(rules, tasks or {}, endpoints or {})
+    if capacities is not None:
+        findings += _check_endpoints(rules, capacities)
+    findings += _check_tasks(rules, tasks or {}, capacities or {})
     return findings
 
 
@@ -132,10 +136,10 @@
     seen: dict[tuple[str, str], int] = {}
     for index, queue in enumerate(rules.queues):
         place = (QUEUES, index, "prefix")
-        if not queue.prefix.startswith("/"):
+        if queue.prefix and not queue.prefix.startswith("/"):
             message = f"no path begins with {queue.prefix!r}"
             yield ConfigurationFinding(UNREACHABLE, place, message, "begin with '/'")
-        first = seen.setdefault((queue.host.lower(), queue.prefix), index)
+        first = seen.setdefault((queue.host, queue.prefix), index)
         if first != index:
             message = (
                 f"queue {rules.queues[first].name!r} has the same host and prefix,"
@@ -178,7 +182,7 @@
         }
         for field, (value, is_valid) in values.items():
             if not is_valid:
-                message = f"{field} {value:g} of queue {queue.name!r} is too small"
+                message = f"{value:g} is too small for queue {queue.name!r}"
                 yield ConfigurationFinding(ERROR, (QUEUES, index, field), message)
     for index, team in enumerate(rules.teams):
         if team.weight <= 0:
@@ -186,7 +190,7 @@
             yield ConfigurationFinding(ERROR, (TEAMS, index, "weight"), message)
     for field, value in rules.limits._asdict().items():
         if value <= 0:
-            message = f"{field} {value:g} is not above 0"
+            message = f"{value:g} is not above 0"
             yield ConfigurationFinding(ERROR, (LIMITS, 0, field), message)
 
 
@@ -210,10 +214,10 @@
 
 
 def _check_endpoints(
-    rules: Rules, endpoints: Mapping[str, Endpoints]
+    rules: Rules, capacities: Mapping[str, Resources]
 ) -> Iterable[ConfigurationFinding]:
     for index, pool in enumerate(rules.pools):
-        if pool.name not in endpoints:
+        if pool.name not in capacities and not pool.standby:
             message = f"pool {pool.name!r} has no endpoint"
             yield ConfigurationFinding(UNREACHABLE, (POOLS, index, "name"), message)
 
@@ -221,16 +225,21 @@
 def _check_tasks(
     rules: Rules,
     tasks: Mapping[str, Resources],
-    endpoints: Mapping[str, Endpoints],
+    capacities: Mapping[str, Resources],
 ) -> Iterable[ConfigurationFinding]:
     for index, queue in enumerate(rules.queues):
         need = tasks.get(queue.name, NO_RESOURCES)
-        pool = endpoints.get(queue.pool)
-        if pool is not None and not fits(need, pool.largest):
+        largest = capacities.get(queue.pool)
+        if largest is not None and not fits(need, largest):
             message = (
                 f"no endpoint of pool {queue.pool!r} can run a task of {queue.name!r}"
             )
             yield ConfigurationFinding(UNREACHABLE, (QUEUES, index, "pool"), message)
+    names = {queue.name for queue in rules.queues}
+    for name in tasks.keys() - names:
+        message = f"there is no queue {name!r}, whose largest task is given"
+        hint = suggest_name(name, names)
+        yield ConfigurationFinding(ERROR, (QUEUES, -1, "name"), message, hint)
     for index, team in enumerate(rules.teams):
         for queue_name, need in tasks.items():
             if not is_within(NO_RESOURCES, need, team.maximum):
@@ -251,18 +260,18 @@
         found += _compare(kind, new, old)
     new_keys, old_keys = _name_keys(rules), _name_keys(in_force)
     found += [
-        Difference("added", "key", _hash_key(key), f"team {new_keys[key]}")
+        Difference("added", KEYS, f"{_hash_key(key)} of team {new_keys[key]}")
         for key in new_keys
         if old_keys.get(key) != new_keys[key]
     ]
     found += [
-        Difference("removed", "key", _hash_key(key), f"team {old_keys[key]}")
+        Difference("removed", KEYS, f"{_hash_key(key)} of team {old_keys[key]}")
         for key in old_keys
         if new_keys.get(key) != old_keys[key]
     ]
-    detail = _list_changes(rules.limits, in_force.limits)
-    if detail:
-        found.append(Difference("changed", LIMITS, "limits", detail))
+    fields = _list_changes(rules.limits, in_force.limits)
+    if fields:
+        found.append(Difference("changed", LIMITS, "", fields))
     return found
 
 
@@ -275,15 +284,15 @@
         if name not in before:
             yield Difference("added", kind, name)
         elif row != before[name]:
-            detail = _list_changes(row, before[name])
-            yield Difference("changed", kind, name, detail)
-    for name in before.keys() - after.keys():
-        yield Difference("removed", kind, name)
+            yield Difference("changed", kind, name, _list_changes(row, before[name]))
+    for name in before:
+        if name not in after:
+            yield Difference("removed", kind, name)
 
 
-def _list_changes(after: Any, before: Any) -> str:
-    return ", ".join(
-        f"{field} {old!r} to {new!r}"
+def _list_changes(after: Any, before: Any) -> tuple[tuple[str, Any, Any], ...]:
+    return tuple(
+        (field, old, new)
         for field, new, old in zip(after._fields, after, before, strict=True)
         if new != old
     )
