Let no order for an instance follow one that may still be delivered

Found by reading and mended: an order was repeated 0.5 s after one without a response; one failed order of several let the next step start while others were on their way; a move was recorded only after it was ordered; the record of a completed wave did not name the instances ordered just before. The first and third depend on SiteLimits.refuses_old_orders (bounds.enforce-fencing); the others hold everywhere.

InstanceOrders takes tokens and rests out of maintenance.py.

Ruled out: endpoints; they refuse old tokens in every deployment.

--- a/features/platform/input.feature
+++ b/features/platform/input.feature
@@ -196,6 +196,18 @@
     When a settings file lacks "node-name" and has a string for "limits.cores"
     Then the findings name both
 
+  Scenario Outline: Whether the platform refuses old orders is a truth value
+    # Guards against a number or text that is taken for "it refuses them".
+    When a settings file has <value> for "bounds.enforce-fencing"
+    Then <result>
+
+    Examples:
+      | value | result                                       |
+      | false | old orders count as carried out              |
+      | true  | old orders count as refused                  |
+      | 0     | an error names "bounds.enforce-fencing"      |
+      | "no"  | an error names "bounds.enforce-fencing"      |
+
   Scenario: Unknown settings are ignored
     When a settings file has a field "colour"
     Then it has no findings
--- a/features/platform/steps/input_steps.py
+++ b/features/platform/steps/input_steps.py
@@ -370,6 +370,24 @@
     return []
 
 
+@when('a settings file has {value} for "bounds.enforce-fencing"')
+def step_fencing(context, value):
+    bounds = {"enforce-fencing": json.loads(value)}
+    context.content = {**SETTINGS, "bounds": bounds}
+
+
+@then("old orders count as {result}")
+def step_old_orders(context, result):
+    limits = decode_options(context.content, "boot.toml").site_limits
+    assert limits.refuses_old_orders == (result == "refused")
+
+
+@then('an error names "bounds.enforce-fencing"')
+def step_fencing_finding(context):
+    (message,) = find_findings(context.content)
+    assert "bounds.enforce-fencing" in message
+
+
 @when('a settings file lacks "node-name" and has a string for "limits.cores"')
 def step_two_findings(context):
     content = {key: SETTINGS[key] for key in SETTINGS if key != "node-name"}
--- a/packages/briarshed-workloads/src/briarshed_workloads/controller.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/controller.py
@@ -171,6 +171,7 @@
             instances,
             self.persistence.save_wave,
             self.persistence.note_sizes,
+            self.persistence.save_sizes,
         )
 
     async def __aenter__(self) -> Self:
--- a/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
@@ -14,7 +14,12 @@
 from briarshed_entry.logs import log_event
 from briarshed_workloads import telemetry
 from briarshed_workloads.engine import Engine
-from briarshed_workloads.fleet import TOKEN_COUNTER_BITS, Endpoint
+from briarshed_workloads.fleet import Endpoint
+from briarshed_workloads.instance_orders import (
+    FIRST_EPOCH,
+    InstanceOrders,
+    complete_all,
+)
 from briarshed_workloads.interfaces import (
     Instances,
     NotExecutedError,
@@ -49,8 +54,6 @@
 WARM_UP_S = 6.0
 """Time before instances move in the first term, when the demand is not known yet."""
 
-FIRST_EPOCH = 1
-
 URGENT_SHARE = 0.2
 """Share of a wave's time limit; in this last part, tasks without checkpoints are
 evicted too."""
@@ -217,7 +220,25 @@
 
 
 class Maintenance:
-    """Carries out maintenance waves and moves of instances during one term."""
+    """Carries out maintenance waves and moves of instances during one term.
+
+    Parameters
+    ----------
+    options : EntryOptions
+        Settings of this entry.
+    term : LeaderTerm
+        Term in which the orders are given.
+    engine : Engine
+        State of the endpoints and their runs.
+    instances : Instances
+        Calls to the platform.
+    save : callable
+        Records the progress of a wave and returns once it is durable.
+    note_sizes : callable
+        Records the sizes of the pools and the last moves with the next write.
+    save_sizes : callable, optional
+        Records the same and returns once it is durable.
+    """
 
     def __init__(
         self,
@@ -227,13 +248,12 @@
         instances: Instances,
         save: Callable[[int, WaveRecord], Awaitable[None]],
         note_sizes: Callable[[SizesRecord], None],
+        save_sizes: Callable[[SizesRecord], Awaitable[None]] | None = None,
     ) -> None:
         self.waves: dict[int, WaveView] = {}
         self.closed: set[int] = set()
         self.sizes: dict[str, int] = {}
         self._restored: dict[int, WaveRecord] = {}
-        self._earlier_orders: set[str] = set()
-        self._has_unreadable_orders = False
         self.instances: dict[str, Instance] = {}
         self._options = options
         self._term = term
@@ -241,23 +261,21 @@
         self._api = instances
         self._save = save
         self._note_sizes = note_sizes
+        self._save_sizes = save_sizes
         self._instance_list = telemetry.Dependency("instance list")
         self._listed_at = -math.inf
         self._missing_since: dict[str, float] = {}
-        self._counter = 0
         self._moved_at: dict[str, float] = {}
         self._rejected_at: dict[tuple[str, str], float] = {}
         self._rates: dict[str, ArrivalRate] = {}
-        # A deposed leader may have given orders until just now, and the platform
-        # counts it as an error if two holders order one instance within the lease.
-        first = term.epoch == FIRST_EPOCH
-        self._moves_from = clock.now() + (WARM_UP_S if first else 0.0)
-        self._orders_from = clock.now() + (0.0 if first else options.site_limits.lease)
+        now = clock.now()
+        self._moves_from = now + (WARM_UP_S if term.epoch == FIRST_EPOCH else 0.0)
+        self._orders = InstanceOrders(term.epoch, options.site_limits, now)
 
     def restore(self, wave: int, record: WaveRecord) -> None:
         """Restore the progress of a wave under earlier leaders."""
         self._restored[wave] = record
-        self._earlier_orders.update(record.ordered)
+        self._orders.restore(record.ordered)
         if record.is_completed:
             self.closed.add(wave)
             self.waves.pop(wave, None)
@@ -267,18 +285,15 @@
     def restore_sizes(self, record: SizesRecord) -> None:
         """Restore the sizes of the pools and the last moves of an earlier leader."""
         self.sizes = record.sizes
-        self._earlier_orders.update(record.moved)
+        self._orders.restore(record.moved)
 
     def note_unreadable_orders(self) -> None:
         """Note that any instance may have been ordered by an earlier leader."""
-        self._has_unreadable_orders = True
+        self._orders.note_unreadable()
 
     def _list_held(self, now: float) -> set[str]:
-        """Return the instances that an earlier leader may have ordered just now."""
-        if now >= self._orders_from:
-            return set()
-        unknown = self.instances.keys() if self._has_unreadable_orders else ()
-        return self._earlier_orders.union(unknown)
+        """Return the instances that must not be ordered yet."""
+        return self._orders.list_held(self.instances, now)
 
     def _find_seen_at(self, order: WaveOrder) -> float:
         """Return when a leader first read a wave, in seconds of the boot clock."""
@@ -387,21 +402,31 @@
             >= REJECTED_MOVE_RETRY_S
         ]
         if moves:
-            self._record_moves(moves, now)
-            await asyncio.gather(*(self._move(move) for move in moves))
+            await self._record_moves(moves, now)
+            moves = [move for move in moves if self._may_still_move(move)]
+            await complete_all(self._move(move) for move in moves)
+
+    def _may_still_move(self, move: Move) -> bool:
+        """Return whether nothing runs on an instance since its move was planned."""
+        endpoint = self._find_endpoint(move.instance)
+        return endpoint is None or not endpoint.runs
 
-    def _record_moves(self, moves: Sequence[Move], now: float) -> None:
-        """Record moves with the next write, so that the next leader waits with them.
+    async def _record_moves(self, moves: Sequence[Move], now: float) -> None:
+        """Record moves, so that the next leader waits with them.
 
-        The moves do not wait for the write, so that a slow store does not delay them. A
-        leader that is cut off from the store before the write cannot reach the platform
-        either.
+        Where the platform refuses old orders, the moves do not wait for the write, so
+        that a slow store does not delay them. A leader that is cut off from the store
+        before the write cannot reach the platform either.
         """
         self._moved_at.update({move.instance: now for move in moves})
-        lease = self._options.site_limits.lease
-        recent = [name for name, at in self._moved_at.items() if now - at < lease]
-        recent += self._list_held(now)
-        self._note_sizes(SizesRecord(self.sizes, tuple(recent)))
+        recent = self._list_held(now).union(
+            self._orders.list_recent(self._moved_at, now)
+        )
+        record = SizesRecord(self.sizes, tuple(sorted(recent)))
+        if self._orders.are_old_refused or self._save_sizes is None:
+            self._note_sizes(record)
+        else:
+            await self._save_sizes(record)
 
     async def _move(self, move: Move) -> None:
         row = self.instances[move.instance]
@@ -410,14 +435,18 @@
             # No run may start there between the decision and its effect.
             endpoint.require_fence()
             endpoint.note_end_ordered(clock.now())
-        token = self._next_token()
-        outcome = await self._api.move(
-            move.instance,
-            move.pool,
-            self._options.name,
-            token,
-            self._term.has_authority,
-        )
+        token = self._orders.next_token()
+        try:
+            outcome = await self._api.move(
+                move.instance,
+                move.pool,
+                self._options.name,
+                token,
+                self._term.has_authority,
+            )
+        except OutcomeUnknownError:
+            self._orders.note_unanswered(move.instance, clock.now())
+            raise
         done = isinstance(outcome, Ordered)
         log_event(
             events.INSTANCE_MOVED,
@@ -445,10 +474,6 @@
         surplus = measure_surplus(self._engine, self.instances, self._rates, now)
         return {pool for pool, rest in surplus.items() if rest < 0}
 
-    def _next_token(self) -> int:
-        self._counter += 1
-        return (self._term.epoch << TOKEN_COUNTER_BITS) | self._counter
-
     async def _read_instances(self) -> None:
         sent_at = clock.now()
         rows = await self._api.read_instances()
@@ -539,7 +564,7 @@
         # Recorded first, since the next leader waits the lease time only for these.
         view.ordered_at.update({row.instance.instance: now for row in due})
         await self._save_progress(view)
-        await asyncio.gather(*(self._order(view, row) for row in due))
+        await complete_all(self._order(view, row) for row in due)
         await self._save_progress(view)
 
     def _list_repeatable(self, view: WaveView, now: float) -> list[Candidate]:
@@ -610,7 +635,7 @@
 
     async def _order(self, view: WaveView, row: Candidate) -> None:
         name = row.instance.instance
-        token = self._next_token()
+        token = self._orders.next_token()
         is_repeated = name in view.unanswered
         view.unanswered.add(name)
         if row.endpoint is not None:
@@ -627,6 +652,9 @@
             if not is_repeated:
                 view.unanswered.discard(name)
             raise
+        except OutcomeUnknownError:
+            self._orders.note_unanswered(name, clock.now())
+            raise
         done = isinstance(outcome, Ordered)
         if done or not (is_repeated and outcome.reason == "busy"):
             # Otherwise the order without a response may be why the instance is busy.
@@ -655,7 +683,9 @@
 
     async def _close(self, view: WaveView) -> None:
         wave = view.order.wave
-        await self._save(wave, WaveRecord(tuple(view.begun), True))
+        # The next leader may have another order for an instance of this wave.
+        recent = self._orders.list_recent(view.ordered_at, clock.now())
+        await self._save(wave, WaveRecord(tuple(view.begun), True, recent))
         del self.waves[wave]
         self.closed.add(wave)
         log_event(events.WAVE_DONE, wave=wave)
--- a/packages/briarshed-workloads/src/briarshed_workloads/options.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/options.py
@@ -28,6 +28,9 @@
         Downtime of an instance that is moved.
     lease : float
         Time within which calls for one instance must not alternate between two holders.
+    refuses_old_orders : bool
+        Whether the platform refuses an order for an instance after one with a higher
+        token.
     """
 
     grace: float = 6.0
@@ -39,6 +42,7 @@
     maintenance: float = 2.0
     move: float = 1.5
     lease: float = 3.0
+    refuses_old_orders: bool = True
 
 
 class EntryOptions(NamedTuple):
--- a/packages/briarshed-workloads/src/briarshed_workloads/persistence.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/persistence.py
@@ -477,6 +477,11 @@
         self._sizes = record
         self.request_save()
 
+    async def save_sizes(self, record: SizesRecord) -> None:
+        """Record the pool sizes and the latest moves now."""
+        self._sizes = None
+        await self._term.fenced_writer.commit([Put(SIZES, encode(record))])
+
     async def save_wave(self, wave: int, record: WaveRecord) -> None:
         """Record the progress of a wave and report it to the operator."""
         status = self._directory.encode_wave_status(wave, record.is_completed)
