Evacuate a data centre: state, placement, permit of starts and relocation

Endpoints that are cold come after warm ones. A removed item of the operator no longer lets each watch return at once.

--- a/features/workloads/virtual_fleet.py
+++ b/features/workloads/virtual_fleet.py
@@ -500,6 +500,11 @@
         await asyncio.sleep(wait)
         return Orders(None, self.waves, after)
 
+    async def read_evacuations(self):
+        """Return no evacuations."""
+        await asyncio.sleep(LATENCY_S)
+        return Orders(None, (), 1, (), 1)
+
     def decode_configuration(self, data):
         """Return the configuration."""
         return make_configuration()
--- a/packages/briarshed-workloads/src/briarshed_workloads/controller.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/controller.py
@@ -17,6 +17,7 @@
 from briarshed_workloads.copies import plan_copies
 from briarshed_workloads.disruption import list_evictions, list_pacing
 from briarshed_workloads.engine import Engine
+from briarshed_workloads.evacuation import count_runs, find_confined_step
 from briarshed_workloads.fenced_writer import LeadershipLostError
 from briarshed_workloads.fleet import (
     StopOrder,
@@ -81,6 +82,10 @@
 FULL_RETRY_AFTER_S = 10.0
 """Retry delay for callers whose job is refused because too much work is open."""
 
+EVACUATED_RETRY_AFTER_S = 5.0
+"""Retry delay for callers whose job only evacuated data centres could run; it is up to
+an operator when they return."""
+
 RETRY_AFTER_S = 1.0
 """Retry delay for callers whose job cannot be accepted now; the store is retried more
 often."""
@@ -188,6 +193,7 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         self.persistence.fail_pending_acceptances()
+        telemetry.set_evacuated_runs({})
 
     def spawn(
         self, coroutine: Coroutine[Any, Any, Any], name: str
@@ -225,6 +231,12 @@
             await asyncio.sleep(WAITING_REPORT_INTERVAL_S)
             for row in list_waiting(self.engine, clock.now()):
                 log_event(events.TASKS_WAITING, **row._asdict())
+            left = count_runs(self.engine)
+            telemetry.set_evacuated_runs(left)
+            for data_centre, runs in left.items():
+                log_event(
+                    events.EVACUATION_PROGRESS, data_centre=data_centre, runs=runs
+                )
 
     async def _reconcile(self) -> None:
         """Correct contradictions in the state at intervals."""
@@ -315,6 +327,8 @@
                     size=self.engine.open_size,
                 )
                 return SubmitResult("full", FULL_RETRY_AFTER_S)
+            if self._is_confined(submission):
+                return SubmitResult("full", EVACUATED_RETRY_AFTER_S)
             job = self.engine.accept(submission, time.time())
             self.maintenance.note_submitted_work(job.pool, job.core_seconds)
             waiting = asyncio.get_running_loop().create_future()
@@ -323,6 +337,23 @@
         is_saved = await asyncio.shield(waiting)
         return SubmitResult("accepted" if is_saved else "unknown")
 
+    def _is_confined(self, submission: Submission) -> bool:
+        """Return whether only endpoints in evacuated data centres could run a step."""
+        step = find_confined_step(
+            self.engine,
+            submission.description,
+            submission.pool,
+            self.maintenance.instances,
+        )
+        if step is not None:
+            log_event(
+                events.SUBMISSION_CONFINED,
+                job_id=submission.job,
+                pool=submission.pool,
+                label=step.label,
+            )
+        return step is not None
+
     def can_accept(self) -> bool:
         """Tell whether a new job can be made durable now."""
         fenced_writer = self.term.fenced_writer
--- a/packages/briarshed-workloads/src/briarshed_workloads/disruption.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/disruption.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from briarshed_workloads.engine import Engine, StepKey
+from briarshed_workloads.evacuation import is_evacuated
 from briarshed_workloads.fleet import (
     PRESENT,
     Endpoint,
@@ -13,6 +14,7 @@
     StopOrder,
 )
 from briarshed_workloads.jobs import Job
+from briarshed_workloads.relocation import limit_relocations
 from briarshed_workloads.workloads import TaskId
 
 TAIL_LATENCY_HIGH = 0.85
@@ -34,17 +36,20 @@
 def list_evictions(
     engine: Engine, now: float, is_urgent: Callable[[Endpoint], bool]
 ) -> list[StopOrder]:
-    """Return the runs to stop on endpoints that are drained.
+    """Return the runs to stop on endpoints that are drained or evacuated.
 
     Long-running tasks are evicted within the outage budget of their step, and tasks
-    with checkpoints at once. Others may finish, unless the endpoint is urgent.
+    with checkpoints at once. Others may finish, unless the endpoint is urgent. Of an
+    evacuated endpoint, only long-running tasks are evicted, see `limit_relocations`.
     """
+    may_relocate = limit_relocations(engine, now)
     orders: list[StopOrder] = []
     unavailable: dict[StepKey, int] = {}
     stopped: dict[StepKey, int] = {}
     for endpoint in engine.endpoints.values():
         is_draining = endpoint.registration.draining
-        if not (is_draining or endpoint.evicting):
+        must_drain = is_draining or endpoint.evicting
+        if not (must_drain or is_evacuated(engine, endpoint)):
             continue
         for run in endpoint.runs.values():
             if run.state != PRESENT or run.stop_requested_at:
@@ -59,10 +64,12 @@
                 others = unavailable[key] - (not _is_serving(engine, run.task))
                 others += stopped.get(key, 0)
                 budget = run.step.outage_budget
-                if is_draining or budget < 0 or others < budget:
+                if (is_draining or budget < 0 or others < budget) and (
+                    must_drain or may_relocate(run)
+                ):
                     stopped[key] = stopped.get(key, 0) + 1
                     orders.append(StopOrder(run, "endpoint is drained"))
-            elif run.step.checkpointing or is_urgent(endpoint):
+            elif must_drain and (run.step.checkpointing or is_urgent(endpoint)):
                 orders.append(StopOrder(run, "endpoint is drained"))
     return orders
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -11,6 +11,7 @@
     note_silence,
     withdraw_evidence,
 )
+from briarshed_workloads.evacuation import Evacuations
 from briarshed_workloads.evidence import Crash
 from briarshed_workloads.fleet import (
     DOUBTFUL,
@@ -108,6 +109,8 @@
         Crashes of endpoints, in the order in which they became known.
     earlier : EarlierLeaders
         What earlier leaders may still do or have running.
+    evacuated : Evacuations
+        The evacuated data centres; the entry replaces it by what it knows.
     """
 
     def __init__(
@@ -132,6 +135,7 @@
         self.run_times: dict[str, float] = {}
         self.crashes: deque[Crash] = deque(maxlen=MAX_KNOWN_CRASHES)
         self.shares = Shares()
+        self.evacuated = Evacuations()
         self._sequence = 0
         self._last_counters: dict[str, int] = {}
         # Endpoints, by place, that were removed without a proof that they have crashed.
@@ -223,24 +227,6 @@
         self.unsaved_jobs[job.job_id] = None
         self.add_stop_candidates(job)
 
-    def forget_ended(self, unix_now: float, keep: float) -> list[str]:
-        """Remove jobs that ended over ``keep`` seconds ago; return their ids."""
-        old = [
-            job.job_id
-            for job in self.jobs.values()
-            if not job.is_open and 0 < job.ended_at < unix_now - keep
-        ]
-        for job_id in old:
-            del self.jobs[job_id]
-        return old
-
-    def forget_withdrawn(self, unix_now: float, keep: float) -> list[str]:
-        """Remove ids that were withdrawn over ``keep`` seconds ago, and return them."""
-        old = [job_id for job_id, at in self.withdrawn.items() if at < unix_now - keep]
-        for job_id in old:
-            del self.withdrawn[job_id]
-        return old
-
     def list_open(self, pool: str) -> dict[str, Job]:
         """Return the open jobs of a pool, after removing those that have ended."""
         jobs = self.open_jobs.setdefault(pool, {})
@@ -955,4 +941,4 @@
             return job.state
         if job.has_succeeded(run.task):
             return "task has succeeded"
-        return "already to be stopped" if run.state == STOPPING else ""
+        return "already to be stopped" if run.state == STOPPING else run.stop_reason
--- a/packages/briarshed-workloads/src/briarshed_workloads/entry.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/entry.py
@@ -28,7 +28,6 @@
 from briarshed_workloads.interfaces import (
     Directory,
     Endpoints,
-    HistoryLostError,
     Instances,
     NotExecutedError,
     Orders,
@@ -40,9 +39,11 @@
     LeaderTerm,
     Vacancy,
     acquire,
+    find_election_delay,
     read_leader,
 )
 from briarshed_workloads.options import EntryOptions
+from briarshed_workloads.order_watch import OrderWatch
 from briarshed_workloads.records import (
     ENTRIES,
     EntryRecord,
@@ -78,21 +79,6 @@
 ELECTION_INTERVAL_S = 0.15
 """Interval of reading the store while there is no leader."""
 
-ELECTION_DELAY_S = 0.6
-"""Longest time that an entry with few resources leaves a vacant leadership to others;
-an entry with enough takes it within `ELECTION_INTERVAL_S` and four store calls."""
-
-FULL_STRENGTH_CORES = 2.0
-FULL_STRENGTH_LINK_MBPS = 100.0
-"""An entry with these resources can lead a fleet of four times the current size."""
-
-WATCH_WAIT_S = 0.7
-"""How long a watch of the operator's orders waits. A watch can hang or miss changes,
-and a configuration must be in force in all entries within 2 s."""
-
-LEADER_CHECK_S = 0.1
-"""Interval of checking whether the leader still sends this entry updates."""
-
 OUTDATED_TIMEOUT_S = 0.4
 """Time with a version older than the leader's after which an entry reads the store."""
 
@@ -141,16 +127,6 @@
     received_at: float
 
 
-def find_election_delay(options: EntryOptions) -> float:
-    """Return how long an entry leaves the leadership to larger ones, in seconds."""
-    strength = min(
-        options.cores / FULL_STRENGTH_CORES,
-        options.link_mbps / FULL_STRENGTH_LINK_MBPS,
-        1.0,
-    )
-    return ELECTION_DELAY_S * (1.0 - strength)
-
-
 class Entry:
     """An entry process; a context manager that owns its tasks.
 
@@ -182,6 +158,12 @@
         self._store = store
         self._external_systems = (store, endpoints, instances, directory)
         self._directory = directory
+        self._order_watch = OrderWatch(
+            directory,
+            options.data_centres,
+            self._is_updated_by_leader,
+            self._apply_orders,
+        )
         self._waves: dict[int, object] = {}
         self._peers: dict[str, PeerView] = {}
         self._pending_replies = PendingReplies()
@@ -209,7 +191,8 @@
             data_centre=self.options.data_centre,
             incarnation=self.incarnation,
         )
-        for loop in (self._follow_orders, self._elect, self._keep_contact):
+        self._loops.start(self._order_watch.follow, "follow_orders")
+        for loop in (self._elect, self._keep_contact):
             self._loops.start(loop, loop.__name__.lstrip("_"))
         return self
 
@@ -235,26 +218,6 @@
 
     # The operator's orders
 
-    async def _follow_orders(self) -> None:
-        while True:
-            if self._is_updated_by_leader():
-                # The leader sends the changes. A watch would transfer them a second
-                # time, and a large configuration saturates a small instance's link.
-                await asyncio.sleep(LEADER_CHECK_S)
-                continue
-            orders = await self._directory.read_orders()
-            self._apply_orders(orders)
-            while not self._is_updated_by_leader():
-                try:
-                    # A watch may miss a change and still respond, so the next one
-                    # starts after the last change that was received.
-                    orders = await self._directory.watch_orders(
-                        orders.revision, WATCH_WAIT_S
-                    )
-                except HistoryLostError:
-                    break
-                self._apply_orders(orders)
-
     def _is_updated_by_leader(self) -> bool:
         """Tell whether the leader sends this entry configuration updates in time."""
         leader = self.leader
@@ -414,6 +377,7 @@
             LoopSupervisor(RESTART_PAUSE_S, self._note_error) as loops,
             Controller(self.options, term, *self._external_systems) as controller,
         ):
+            controller.engine.evacuated = self._order_watch.evacuations
             self.controller = controller
             loops.start(term.renew_until_lost, "renewals")
             loops.start(lambda: self._send_leader_heartbeats(term), "leader heartbeats")
@@ -435,7 +399,7 @@
         while not term.lost.is_set():
             try:
                 await self._load_peers()
-                self._apply_orders(await self._directory.read_orders())
+                await self._order_watch.read()
                 await controller.load(self.configuration)
                 break
             except (NotExecutedError, OutcomeUnknownError):
@@ -487,6 +451,7 @@
             clock.now(),
             is_loaded,
             {queue: row.oldest_at for queue, row in waiting.items()},
+            evacuated=self._order_watch.evacuations.to_report(),
         )
         self.leader = LeaderView(self.options.peers, heartbeat, clock.now())
         now = clock.now()
@@ -646,6 +611,7 @@
                 self.term.note_event("lose", f"{heartbeat.leader} leads")
             return
         self.leader = LeaderView(sender, heartbeat, clock.now())
+        self._order_watch.note_reported(heartbeat.evacuated)
         self.forwarder.note_leader_heartbeat(heartbeat, heartbeat.echoed_at)
         if not heartbeat.echoed_at:
             # The leader's next heartbeat then tells the age of its counts.
--- a/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
@@ -75,6 +75,7 @@
         "progressed_at",
         "state",
         "step",
+        "stop_reason",
         "stop_requested_at",
         "task",
         "team",
@@ -108,6 +109,7 @@
         self.pace = 100
         self.paced_at = 0.0
         self.checkpoint = ""
+        self.stop_reason = ""
         self.stop_requested_at = 0.0
         self.unknown_at = 0.0
         self.is_copy = False
--- a/packages/briarshed-workloads/src/briarshed_workloads/interfaces.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/interfaces.py
@@ -7,6 +7,7 @@
 
 from briarshed.exceptions import BriarshedError
 from briarshed_workloads.configuration import Configuration
+from briarshed_workloads.evacuation import EvacuationChange
 from briarshed_workloads.workloads import (
     Instance,
     PollResponse,
@@ -56,14 +57,18 @@
     revision: int
 
 
-class Events(NamedTuple):
-    """Changes under a prefix.
+class Removal(NamedTuple):
+    """An item that was removed at a revision."""
 
-    ``removed`` holds keys. The next watch continues after ``revision``.
-    """
+    key: str
+    revision: int
+
+
+class Events(NamedTuple):
+    """Changes under a prefix; the next watch continues after ``revision``."""
 
     changed: tuple[Item, ...]
-    removed: tuple[str, ...]
+    removed: tuple[Removal, ...]
     revision: int
 
 
@@ -237,11 +242,26 @@
 
 
 class Orders(NamedTuple):
-    """Configuration (encoded, or None) and waves that the operator has written."""
+    """Orders that the operator has written.
+
+    Attributes
+    ----------
+    configuration : bytes or None
+        The encoded configuration.
+    waves : tuple of WaveOrder
+    revision : int
+        Revision of the last of them, after which a watch goes on.
+    evacuations : tuple of EvacuationChange
+        Data centres that were evacuated or returned.
+    evacuations_at : int
+        Revision as of which these are all evacuations; 0 if they are changes.
+    """
 
     configuration: bytes | None
     waves: tuple[WaveOrder, ...]
     revision: int
+    evacuations: tuple[EvacuationChange, ...] = ()
+    evacuations_at: int = 0
 
 
 class Directory(Protocol):
@@ -256,6 +276,9 @@
     async def watch_orders(self, after: int, wait: float) -> Orders:
         """Return orders changed after a revision, or none after ``wait`` seconds."""
 
+    async def read_evacuations(self) -> Orders:
+        """Return all evacuations that stand, and no other orders."""
+
     def decode_configuration(self, data: bytes) -> Configuration:
         """Return the configuration; raise DocumentError if it cannot be decoded."""
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/leadership.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/leadership.py
@@ -37,6 +37,7 @@
     Put,
     Store,
 )
+from briarshed_workloads.options import EntryOptions
 from briarshed_workloads.records import (
     LEADER,
     MEMBERS,
@@ -49,6 +50,14 @@
 )
 from briarshed_workloads.supervision import report_error
 
+ELECTION_DELAY_S = 0.6
+"""Longest time that an entry with few resources leaves a vacant leadership to others;
+an entry with enough takes it within `ELECTION_INTERVAL_S` and four store calls."""
+
+FULL_STRENGTH_CORES = 2.0
+FULL_STRENGTH_LINK_MBPS = 100.0
+"""An entry with these resources can lead a fleet of four times the current size."""
+
 LEASE_TTL_S = 1.2
 """Time to live of the leader's lease; after a crash nobody can lead before it ends."""
 
@@ -68,6 +77,16 @@
 """What gives a leader its authority."""
 
 
+def find_election_delay(options: EntryOptions) -> float:
+    """Return how long an entry leaves the leadership to larger ones, in seconds."""
+    strength = min(
+        options.cores / FULL_STRENGTH_CORES,
+        options.link_mbps / FULL_STRENGTH_LINK_MBPS,
+        1.0,
+    )
+    return ELECTION_DELAY_S * (1.0 - strength)
+
+
 class Authority(NamedTuple):
     """What gives a leader its authority, and for how many seconds."""
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/orders.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/orders.py
@@ -11,6 +11,7 @@
 from briarshed_entry.logs import log_event
 from briarshed_workloads import telemetry
 from briarshed_workloads.engine import Engine
+from briarshed_workloads.evacuation import is_evacuated
 from briarshed_workloads.fleet import (
     STOPPING,
     Endpoint,
@@ -19,6 +20,7 @@
     StartOrder,
     StopOrder,
 )
+from briarshed_workloads.gangs import is_whole, stop_others
 from briarshed_workloads.interfaces import (
     Accepted,
     Endpoints,
@@ -121,7 +123,7 @@
                 endpoint.name,
                 endpoint.registration.address,
                 start,
-                lambda: self._term.has_authority() and self._engine.is_wanted(run),
+                lambda: self._may_send(run),
             )
         except OutcomeUnknownError as error:
             self._engine.note_outcome_unknown(run, clock.now())
@@ -135,6 +137,7 @@
         except PermitExpiredError as error:
             self._log_start(order, f"not sent: {error}")
             self._engine.drop(run, "not sent")
+            stop_others(self._engine, run, "its gang is incomplete")
             return
         except NotExecutedError as error:
             self._log_start(order, f"not sent: {error}")
@@ -155,6 +158,15 @@
         self._note_refused_start(run, endpoint, response.reason)
         self._note_changed()
 
+    def _may_send(self, run: Run) -> bool:
+        """Return whether a start that was planned earlier may still be sent."""
+        return (
+            self._term.has_authority()
+            and self._engine.is_wanted(run)
+            and is_whole(self._engine, run)
+            and not is_evacuated(self._engine, run.endpoint)
+        )
+
     def watch_start(self, run: Run) -> None:
         """Poll the endpoint of an accepted start sooner where its fate matters."""
         if self._engine.was_in_crash(run.task):
--- a/packages/briarshed-workloads/src/briarshed_workloads/persistence.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/persistence.py
@@ -39,6 +39,7 @@
     decode,
     encode,
 )
+from briarshed_workloads.retention import forget_ended, forget_withdrawn
 from briarshed_workloads.slices import WorkSlice
 from briarshed_workloads.supervision import report_error
 from briarshed_workloads.workloads import NO_RESOURCES, Registration
@@ -445,7 +446,7 @@
         """Remove expired records at intervals; runs until cancelled."""
         while True:
             await asyncio.sleep(CLEANUP_INTERVAL_S)
-            old = self._engine.forget_ended(time.time(), self._kept_s)
+            old = forget_ended(self._engine, time.time(), self._kept_s)
             for job_id in old:
                 self.outcomes.pop(job_id, None)
             keys = [JOBS + job_id for job_id in old]
@@ -467,7 +468,7 @@
         list of str
             Keys of their records.
         """
-        old = self._engine.forget_withdrawn(unix_now, self._kept_s)
+        old = forget_withdrawn(self._engine, unix_now, self._kept_s)
         for job_id in old:
             self._unsaved_withdrawn.pop(job_id, None)
         return [WITHDRAWN + job_id for job_id in old]
--- a/packages/briarshed-workloads/src/briarshed_workloads/placement.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/placement.py
@@ -8,6 +8,7 @@
 
 from briarshed_workloads.crashes import is_new
 from briarshed_workloads.engine import Engine
+from briarshed_workloads.evacuation import is_evacuated
 from briarshed_workloads.fleet import Endpoint
 from briarshed_workloads.jobs import Job, find_need
 from briarshed_workloads.order_slots import MAX_PENDING_ORDERS
@@ -63,6 +64,7 @@
         and endpoint.full_until <= now
         and endpoint.name in engine.roster
         and endpoint.has_known_capacity
+        and not is_evacuated(engine, endpoint)
     ]
 
 
@@ -122,8 +124,9 @@
     Long-running tasks of a step are spread over racks, so that the loss of a rack
     affects few. Best-effort tasks go to the endpoint with the fewest best-effort and
     serving tasks, and other tasks to the one with the largest share of free CPU. The
-    rack that holds the data is preferred. An endpoint that is slow, or where the task
-    has failed, comes last.
+    rack that holds the data is preferred. An endpoint that is still cold after its
+    start comes after warm ones. One that is slow, or where the task has failed, comes
+    last.
 
     Parameters
     ----------
@@ -146,7 +149,8 @@
         is_last_choice = (
             endpoint.name in failed_endpoints or endpoint.name in candidates.slow
         )
-        score = (is_last_choice, *_score(step, endpoint, counts, here))
+        is_cold = endpoint.registration.cold_remaining > 0
+        score = (is_last_choice, is_cold, *_score(step, endpoint, counts, here))
         if score < best_score:
             best, best_score = endpoint, score
     return best
--- a/packages/briarshed-workloads/src/briarshed_workloads/sizing.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/sizing.py
@@ -13,6 +13,7 @@
 from typing import NamedTuple
 
 from briarshed_workloads.engine import Engine
+from briarshed_workloads.evacuation import is_evacuated
 from briarshed_workloads.fleet import Endpoint
 from briarshed_workloads.jobs import Job, find_need, find_objective
 from briarshed_workloads.ordering import estimate_remaining_time, estimate_task
@@ -161,7 +162,8 @@
     fixed = NO_RESOURCES
     for endpoint in engine.endpoints.values():
         if endpoint.registration.pool == pool and is_available(endpoint):
-            capacities.append(endpoint.registration.capacity)
+            if not is_evacuated(engine, endpoint):
+                capacities.append(endpoint.registration.capacity)
             for run in endpoint.runs.values():
                 if run.step.long_running:
                     fixed = add(fixed, run.need)
@@ -247,7 +249,9 @@
         incoming = [
             row.capacity
             for row in instances.values()
-            if row.pool == pool and row.state == "moving"
+            if row.pool == pool
+            and row.state == "moving"
+            and not engine.evacuated.is_evacuated(row.data_centre)
         ]
         demands[pool] = measure_pool(engine, pool, rate, incoming, now)
     return demands
@@ -308,6 +312,7 @@
         for row in instances.values()
         if row.state == "up"
         and row.instance not in pinned
+        and not engine.evacuated.is_evacuated(row.data_centre)
         and (row.pool in standby or _has_retired(engine, row))
     ]
     # Instances of other pools come first, since they are billed already.
@@ -326,7 +331,9 @@
     rows = [
         row
         for row in engine.endpoints.values()
-        if row.registration.pool == pool and row.registration.instance not in pinned
+        if row.registration.pool == pool
+        and row.registration.instance not in pinned
+        and not is_evacuated(engine, row)
     ]
     if surplus[pool] < 0:
         for row in rows:
--- a/packages/briarshed-workloads/src/briarshed_workloads/telemetry.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/telemetry.py
@@ -2,9 +2,16 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import Any
 
-from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
 
 from briarshed import events
 from briarshed_entry import clock
@@ -31,6 +38,18 @@
     buckets=BUCKETS_S,
     registry=REGISTRY,
 )
+_EVACUATED = Gauge(
+    "briarshed_evacuated_since_seconds",
+    "Unix time at which a data centre was evacuated",
+    ["data_centre"],
+    registry=REGISTRY,
+)
+_EVACUATED_RUNS = Gauge(
+    "briarshed_evacuated_runs",
+    "Runs left in an evacuated data centre, at the leader",
+    ["data_centre"],
+    registry=REGISTRY,
+)
 
 
 def count(what: str, outcome: str) -> None:
@@ -48,6 +67,22 @@
     _SECONDS.labels(what).observe(seconds)
 
 
+def set_evacuated(since: Mapping[str, float]) -> None:
+    """Set the evacuated data centres, with the Unix time of each request."""
+    _replace(_EVACUATED, since)
+
+
+def set_evacuated_runs(counts: Mapping[str, int]) -> None:
+    """Set how many runs are left in each evacuated data centre."""
+    _replace(_EVACUATED_RUNS, counts)
+
+
+def _replace(gauge: Gauge, values: Mapping[str, float]) -> None:
+    gauge.clear()
+    for name, value in values.items():
+        gauge.labels(name).set(value)
+
+
 def format_metrics() -> bytes:
     """Return the metrics page."""
     return generate_latest(REGISTRY)
--- a/packages/briarshed-workloads/src/briarshed_workloads/transport.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/transport.py
@@ -59,6 +59,7 @@
     because of unexpected errors. ``sent_at`` is a time of the leader's boot clock in
     seconds, and ``echoed_at`` the time, by the receiver's clock, at which the receiver
     sent the last heartbeat that the leader has received; 0 if there was none.
+    ``evacuated`` holds the evacuated data centres, and since when, in Unix seconds.
     """
 
     leader: str
@@ -73,6 +74,7 @@
     is_loaded: bool = True
     oldest_waiting_at: dict[str, float] = {}
     echoed_at: float = 0.0
+    evacuated: dict[str, float] = {}
 
 
 class EntryHeartbeat(msgspec.Struct, tag="h", array_like=True, frozen=True):
--- a/packages/briarshed-workloads/src/briarshed_workloads/waiting.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/waiting.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from briarshed_workloads.engine import Engine
+from briarshed_workloads.evacuation import is_evacuated
 from briarshed_workloads.fleet import Endpoint, is_within
 from briarshed_workloads.jobs import PENDING, Job, find_need
 from briarshed_workloads.takeover import is_contested, may_have_earlier_runs
@@ -122,6 +123,7 @@
         "not registered": not endpoint.is_listed,
         "unresponsive": endpoint.failing_since > 0,
         "draining": endpoint.registration.draining,
+        "evacuated": is_evacuated(engine, endpoint),
         "in maintenance": endpoint.evicting,
         "moving": endpoint.retiring,
         "not fenced": not endpoint.is_fenced,
--- a/packages/briarshed-workloads/src/briarshed_workloads/workloads.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/workloads.py
@@ -240,6 +240,8 @@
         Minimum time in seconds until it shuts down.
     instance : str
         Instance that it runs on; empty if it did not report one.
+    cold_remaining : float
+        Time in seconds for which it is still slow after its start.
     """
 
     endpoint: str
@@ -253,6 +255,7 @@
     draining: bool = False
     drain_remaining: float = 0.0
     instance: str = ""
+    cold_remaining: float = 0.0
 
 
 class Instance(NamedTuple):
--- a/packages/briarshed/src/briarshed/events.py
+++ b/packages/briarshed/src/briarshed/events.py
@@ -183,6 +183,29 @@
     871, "INFO", "endpoint {endpoint} has ended: its instance {instance} is {state}"
 )
 ENTRY_UNREADABLE = Event(869, "WARNING", "store key {key} is unreadable: {error}")
+DATA_CENTRE_EVACUATED = Event(
+    880, "WARNING", "data centre {data_centre} is evacuated, says the {source}"
+)
+DATA_CENTRE_RETURNED = Event(
+    881, "WARNING", "data centre {data_centre} is in use again, says the {source}"
+)
+EVACUATION_UNKNOWN = Event(
+    882,
+    "WARNING",
+    "evacuated data centre {data_centre} is not in the settings, which name {known}",
+)
+EVERYTHING_EVACUATED = Event(
+    883, "ERROR", "all {count} data centres are evacuated: no task starts"
+)
+EVACUATION_PROGRESS = Event(
+    884, "INFO", "evacuated data centre {data_centre} has {runs} runs left"
+)
+SUBMISSION_CONFINED = Event(
+    885,
+    "WARNING",
+    "job {job_id} is refused: only evacuated endpoints of pool {pool} could run a step "
+    "that requires label '{label}'",
+)
 
 
 def list_events() -> dict[str, Event]:
