--- a/features/workloads/virtual_fleet.py
+++ b/features/workloads/virtual_fleet.py
@@ -21,6 +21,7 @@
     TeamRules,
 )
 from briarshed_workloads.entry import Entry
+from briarshed_workloads.evacuation import EvacuationChange
 from briarshed_workloads.interfaces import (
     Accepted,
     Committed,
@@ -464,10 +465,19 @@
 
 
 class Directory:
-    """Registrations and orders."""
+    """Registrations and orders.
+
+    ``data_centres`` holds those of endpoints by name; others are in "d". While
+    ``misses`` is set, watches miss what is changed.
+    """
 
     def __init__(self, endpoints, partition):
         self.waves = ()
+        self.data_centres = {}
+        self.misses = False
+        self._revision = 1
+        self._requests = {}
+        self._history = []
         self._endpoints = endpoints
         self._partition = partition
 
@@ -480,7 +490,7 @@
                 row.started_at_ms,
                 name,
                 "pool",
-                "d",
+                self.data_centres.get(name, "d"),
                 row.rack,
                 (),
                 row.capacity,
@@ -490,20 +500,40 @@
             if not row.down and name not in self._partition.list_unregistered()
         )
 
+    def evacuate(self, data_centre):
+        """Request an evacuation, as an operator does."""
+        self._revision += 1
+        row = EvacuationChange(data_centre, True, self._revision)
+        self._requests[data_centre] = row
+        self._note(row)
+
+    def return_to_use(self, data_centre):
+        """Take an evacuation back."""
+        self._revision += 1
+        del self._requests[data_centre]
+        self._note(EvacuationChange(data_centre, False, self._revision))
+
+    def _note(self, change):
+        if not self.misses:
+            self._history.append(change)
+
     async def read_orders(self):
-        """Return the configuration and waves."""
-        await asyncio.sleep(LATENCY_S)
-        return Orders(CONFIGURATION, self.waves, 1)
+        """Return the configuration, waves and evacuations."""
+        orders = await self.read_evacuations()
+        return orders._replace(configuration=CONFIGURATION, waves=self.waves)
 
     async def watch_orders(self, after, wait):
-        """Return the waves after a wait."""
+        """Return the waves and changes of evacuations after a wait."""
         await asyncio.sleep(wait)
-        return Orders(None, self.waves, after)
+        rows = tuple(row for row in self._history if row.revision > after)
+        last = max((row.revision for row in rows), default=after)
+        return Orders(None, self.waves, last, rows)
 
     async def read_evacuations(self):
-        """Return no evacuations."""
+        """Return the evacuations."""
         await asyncio.sleep(LATENCY_S)
-        return Orders(None, (), 1, (), 1)
+        rows = tuple(self._requests.values())
+        return Orders(None, (), self._revision, rows, self._revision)
 
     def decode_configuration(self, data):
         """Return the configuration."""
@@ -590,6 +620,10 @@
         """Return the waves after a wait."""
         return await self._client.fail_if_cut(self._directory.watch_orders(after, wait))
 
+    async def read_evacuations(self):
+        """Return the evacuations."""
+        return await self._client.fail_if_cut(self._directory.read_evacuations())
+
 
 class Network:
     """Passes messages between entries.
