--- a/features/operators/language.feature
+++ b/features/operators/language.feature
@@ -23,6 +23,7 @@
       | add instance i-1 address 10.0.0.1       | 26     | expected an address such as 127.0.0.1:9001 |
       | add instance i-1 rack r1                | 25     | also needs 'pool', 'data-centre', 'address' |
       | rotate key k-1 overlap 60               | 24     | expected a duration                      |
+      | evacuate rack r1                        | 10     | expected 'data-centre'                   |
       | take out racks r1                       | 10     | did you mean 'rack'?                     |
       | start wave w pool a                     | 14     | did you mean 'pools'?                    |
       | show job                                | 6      | did you mean 'jobs'?                     |
@@ -97,6 +98,8 @@
       | start wave w-2 pools reserve                 | 22     | these pools have no instance                  |
       | resume wave w-1                              | 13     | wave 'w-1' is running                         |
       | take out rack r7                             | 15     | no instance is in rack 'r7'                   |
+      | evacuate data-centre dc9                     | 22     | no instance is in data centre 'dc9' (did you mean |
+      | return data-centre dc1                       | 20     | unknown evacuated data centre 'dc1'           |
       | forget member entry-7                        | 15     | unknown member 'entry-7'                      |
       | if version = 1                               | 14     | the configuration is at version 7             |
       | if fleet version = 1                         | 20     | the fleet is at version 3                     |
--- a/features/operators/operators.feature
+++ b/features/operators/operators.feature
@@ -202,6 +202,19 @@
     And no result has a key
     And nothing has changed
 
+  Scenario: An operator evacuates and returns a data centre
+    # Guards against an evacuation without a trace, and one that cannot be taken back.
+    When maria sends "evacuate data-centre dc1"
+    Then the server answers 200, accepted, in force
+    When maria sends "show data-centres where evacuated-by = maria"
+    Then the response has 1 rows
+    When maria sends "evacuate data-centre dc1"
+    Then the server answers 400 saying "already evacuated"
+    When maria sends "return data-centre dc1"
+    Then the server answers 200, accepted, in force
+    When maria sends "show data-centres where evacuated-since = none"
+    Then the response has 2 rows
+
   Scenario: Every accepted change has an audit record with its author and effect
     # Guards against a change of a document that the audit trail does not explain.
     When 40 generated scripts are sent by maria and joao
--- a/features/serving/queues.feature
+++ b/features/serving/queues.feature
@@ -54,6 +54,11 @@
     When 12 jobs of 0.3 s run with another instance in "dc2"
     Then every job is answered with 200, and the other instance got at least 4
 
+  Scenario: An evacuated data centre gets no job, also when the other one is full
+    # Guards against placement that does not know of an evacuation.
+    When 12 jobs of 0.3 s run with another instance in "dc2", which is evacuated
+    Then the other instance gets no job
+
   Scenario: An instance that starts to leave gets no further job and loses none
     When an instance starts to leave while 30 jobs run
     Then every job is answered with 200, and the leaving instance got no later job
--- a/features/serving/steps/load_steps.py
+++ b/features/serving/steps/load_steps.py
@@ -260,17 +260,28 @@
     assert context.seconds < seconds, context.seconds
 
 
-async def run_beside(context, count, state, data_centre, run_time):
+async def run_beside(context, count, state, data_centre, run_time, evacuated=()):
     other = FakeEndpoint(run_time=run_time)
     context.other = other
     context.fakes = {"i-1": FakeEndpoint(run_time=run_time)}
     async with open_entry(context.fakes) as entry, other:
         entry.scheduler.seed(1)
         entry.replica.add_instance("i-2", "proofs", other.address, state, data_centre)
+        entry.replica.fleet["evacuated"] = {name: {} for name in evacuated}
         entry.replica.publish()
         context.answers = await submit_many(entry, count, count)
 
 
+@when(
+    "{count:d} jobs of {seconds:g} s run with another instance in"
+    ' "{data_centre}", which is evacuated'
+)
+def step_evacuated(context, count, seconds, data_centre):
+    asyncio.run(
+        run_beside(context, count, "serving", data_centre, seconds, (data_centre,))
+    )
+
+
 @when('{count:d} jobs run with another instance in state "{state}" in "{data_centre}"')
 def step_state(context, count, state, data_centre):
     workers = 5 if data_centre == "dc2" else count
--- a/packages/briarshed-entry/src/briarshed_entry/_operator_queries.py
+++ b/packages/briarshed-entry/src/briarshed_entry/_operator_queries.py
@@ -7,6 +7,7 @@
 
 from briarshed.commands import Show
 from briarshed.documents import Change
+from briarshed.evacuations import list_data_centres
 from briarshed.exceptions import StoreUnavailableError
 from briarshed.queries import (
     DISTRIBUTED_SUBJECTS,
@@ -172,6 +173,8 @@
                 return list_keys(configuration)
             case "waves":
                 return list_waves(fleet)
+            case "data-centres":
+                return list_data_centres(fleet)
             case "members":
                 return list_members(self._replica.members)
             case _:
--- a/packages/briarshed-entry/src/briarshed_entry/scheduler.py
+++ b/packages/briarshed-entry/src/briarshed_entry/scheduler.py
@@ -19,6 +19,7 @@
     Instance,
     Pool,
 )
+from briarshed.evacuations import is_evacuated
 from briarshed.events import ENDPOINT_EJECTED, ENDPOINT_READMITTED
 from briarshed.exceptions import ResponseLostError
 from briarshed.fairness import FairQueue, Flow
@@ -689,6 +690,8 @@
         infos: defaultdict[str, dict[str, EndpointInfo]] = defaultdict(dict)
         for name, instance in self._replica.fleet["instances"].items():
             pool = pools.get(instance["pool"])
+            if is_evacuated(self._replica.fleet, instance):
+                continue
             if pool is not None and instance["state"] in ("serving", "returning"):
                 info = self._make_endpoint_info(instance, pool)
                 infos[instance["pool"]][name] = info
--- a/packages/briarshed/src/briarshed/changes.py
+++ b/packages/briarshed/src/briarshed/changes.py
@@ -25,6 +25,7 @@
     Members,
     encode_document,
 )
+from briarshed.evacuations import evacuate_data_centre, return_data_centre
 from briarshed.findings import Finding, suggest_name
 from briarshed.keys import NewKey
 from briarshed.membership import remove_member
@@ -38,7 +39,7 @@
 
 _SECTIONS: dict[Target, tuple[str, ...]] = {
     "configuration": ("pools", "teams", "queues", "keys"),
-    "fleet": ("instances", "waves"),
+    "fleet": ("instances", "waves", "evacuated"),
     "members": ("members",),
 }
 _MINIMUMS = {
@@ -58,6 +59,13 @@
     "instances": "instance",
     "waves": "wave",
     "members": "member",
+    "evacuated": "evacuated data centre",
+}
+
+_CONFLICT_FIELDS = {
+    "instances": ("pool", "target_pool"),
+    "waves": ("state",),
+    "evacuated": ("since",),
 }
 
 Row = dict[str, Any]
@@ -190,7 +198,7 @@
 
 
 def _copy_sections(target: Target, document: Any) -> Any:
-    copied = {name: copy.deepcopy(document[name]) for name in _SECTIONS[target]}
+    copied = {name: copy.deepcopy(document.get(name, {})) for name in _SECTIONS[target]}
     return {**document, **copied}
 
 
@@ -321,11 +329,10 @@
 
 def _find_conflict_fields(document: Any, name: str) -> Any:
     section, _, key = name.partition(".")
-    found = document[section].get(key)
+    found = document.get(section, {}).get(key)
     if found is None or section not in _SECTIONS["fleet"]:
         return found
-    fields = ("pool", "target_pool") if section == "instances" else ("state",)
-    return tuple(found[field] for field in fields)
+    return tuple(found[field] for field in _CONFLICT_FIELDS[section])
 
 
 def _is_chosen(statement: Statement, targets: Collection[Target]) -> bool:
@@ -358,7 +365,7 @@
     changed = getattr(transaction, target)
     changed_objects = {}
     for section in _SECTIONS[target]:
-        before, after = original[section], changed[section]
+        before, after = original.get(section, {}), changed[section]
         for name in {**before, **after}:
             change = ObjectChange(before.get(name), after.get(name))
             if change.before != change.after:
@@ -853,6 +860,8 @@
     commands.StopWave: _stop_wave,
     commands.TakeOutRack: _take_out_rack,
     commands.TakeOutDataCentre: _take_out_data_centre,
+    commands.EvacuateDataCentre: evacuate_data_centre,
+    commands.ReturnDataCentre: return_data_centre,
     commands.ForgetMember: _forget_member,
     commands.RequireVersion: _require_version,
 }
--- a/packages/briarshed/src/briarshed/commands.py
+++ b/packages/briarshed/src/briarshed/commands.py
@@ -172,6 +172,18 @@
     name: str
 
 
+class EvacuateDataCentre(NamedTuple):
+    """``evacuate data-centre``: no job starts there until it is returned."""
+
+    name: str
+
+
+class ReturnDataCentre(NamedTuple):
+    """``return data-centre``."""
+
+    name: str
+
+
 class ForgetMember(NamedTuple):
     """``forget member``: the operator asserts that the process has ended."""
 
@@ -226,6 +238,8 @@
     | StopWave
     | TakeOutRack
     | TakeOutDataCentre
+    | EvacuateDataCentre
+    | ReturnDataCentre
     | ForgetMember
     | RequireVersion
     | Show
@@ -241,6 +255,8 @@
     StopWave,
     TakeOutRack,
     TakeOutDataCentre,
+    EvacuateDataCentre,
+    ReturnDataCentre,
 )
 
 
--- a/packages/briarshed/src/briarshed/documents.py
+++ b/packages/briarshed/src/briarshed/documents.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any, Literal, NamedTuple, TypedDict
+from typing import Any, Literal, NamedTuple, NotRequired, TypedDict
 
 import msgspec
 
@@ -111,13 +111,24 @@
     reason: str
 
 
+class Evacuation(TypedDict):
+    """Evacuation of a data centre, by whom and since when in Unix seconds."""
+
+    since: float
+    who: str
+
+
 class Fleet(TypedDict):
-    """Pool and lifecycle state of every instance, and the waves."""
+    """Pool and lifecycle state of every instance, waves and evacuations.
+
+    ``evacuated`` is absent from documents of earlier versions.
+    """
 
     version: int
     changes: list[Change]
     instances: dict[str, Instance]
     waves: dict[str, Wave]
+    evacuated: NotRequired[dict[str, Evacuation]]
 
 
 class Grants(TypedDict):
--- a/packages/briarshed/src/briarshed/queries.py
+++ b/packages/briarshed/src/briarshed/queries.py
@@ -60,6 +60,13 @@
     "queues": ("queue", "pool", "open", "teams", "max_jobs", "max_bytes"),
     "keys": ("key_id", "team", "expires_at"),
     "waves": ("wave", "state", "pending", "stopped", "done", "reason"),
+    "data-centres": (
+        "data_centre",
+        "instances",
+        "serving",
+        "evacuated_since",
+        "evacuated_by",
+    ),
     "members": ("member", "incarnation", "data_centre", "address", "operators"),
     "measures": ("measure", "subject", "value", "unit"),
     "changes": (
