--- a/features/workloads/steps/large_job_steps.py
+++ b/features/workloads/steps/large_job_steps.py
@@ -86,6 +86,9 @@
     return most
 
 
+STOP_GRACE_S = 0.2
+
+
 @given("steps of {small:d} and of {large:d} tasks {kind}")
 def step_steps(context, small, large, kind):
     context.sizes, context.kind = (small, large), kind
@@ -362,7 +365,9 @@
         engine.endpoints["e0"].evicting = True
         context.calls.append(
             count_calls(
-                lambda leader=engine: list_evictions(leader, NOW, lambda _: False)
+                lambda leader=engine: list_evictions(
+                    leader, NOW, lambda _: False, STOP_GRACE_S
+                )
             )
         )
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/disruption.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/disruption.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from briarshed_workloads.engine import Engine, StepKey
+from briarshed_workloads.evacuation import is_evacuated
 from briarshed_workloads.fleet import (
     PRESENT,
     Endpoint,
@@ -13,6 +14,7 @@
     StopOrder,
 )
 from briarshed_workloads.jobs import Job
+from briarshed_workloads.relocation import limit_relocations
 
 MAX_LIST_AGE_S = 2.6
 """Age from which on a list of runs tells nothing of what serves: two polls and some
@@ -40,10 +42,11 @@
     is_urgent: Callable[[Endpoint], bool],
     stop_grace: float,
 ) -> list[StopOrder]:
-    """Return the runs to stop on endpoints that are drained.
+    """Return the runs to stop on endpoints that are drained or evacuated.
 
     Long-running tasks are evicted within the outage budget of their step, and tasks
-    with checkpoints at once. Others may finish, unless the endpoint is urgent.
+    with checkpoints at once. Others may finish, unless the endpoint is urgent. Of an
+    evacuated endpoint, only long-running tasks are evicted, see `limit_relocations`.
 
     Parameters
     ----------
@@ -54,18 +57,23 @@
     stop_grace : float
         Longest time in seconds that an endpoint takes to stop a run.
     """
+    may_relocate = limit_relocations(engine, now)
     orders: list[StopOrder] = []
     unavailable: dict[StepKey, int] = {}
     stopped: dict[StepKey, int] = {}
-    drained = [
+    vacated = [
         endpoint
         for endpoint in engine.endpoints.values()
-        if endpoint.registration.draining or endpoint.evicting
+        if endpoint.registration.draining
+        or endpoint.evicting
+        or is_evacuated(engine, endpoint)
     ]
     # Endpoints that shut down come first: their tasks are stopped beyond the budget
     # too, which leaves less of it for the others.
-    drained.sort(key=lambda endpoint: not endpoint.registration.draining)
-    for endpoint in drained:
+    vacated.sort(key=lambda endpoint: not endpoint.registration.draining)
+    for endpoint in vacated:
+        is_draining = endpoint.registration.draining
+        must_drain = is_draining or endpoint.evicting
         for run in endpoint.runs.values():
             if run.state != PRESENT or run.stop_requested_at:
                 continue
@@ -84,12 +92,13 @@
                 )
                 others = unavailable[key] - (not is_serving) + stopped.get(key, 0)
                 budget = run.step.outage_budget
-                is_draining = endpoint.registration.draining
-                if is_draining or budget < 0 or others < budget:
+                if (is_draining or budget < 0 or others < budget) and (
+                    must_drain or may_relocate(run)
+                ):
                     # A task that does not serve counts as unavailable already.
                     stopped[key] = stopped.get(key, 0) + is_serving
                     orders.append(StopOrder(run, "endpoint is drained"))
-            elif run.step.checkpointing or is_urgent(endpoint):
+            elif must_drain and (run.step.checkpointing or is_urgent(endpoint)):
                 orders.append(StopOrder(run, "endpoint is drained"))
     return orders
 
