--- a/packages/briarshed-workloads/src/briarshed_workloads/placement.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/placement.py
@@ -76,6 +76,8 @@
     A gang that is slower across racks is placed in one rack if possible.
     """
     candidates = [row for row in eligible if _has_label(step, row)]
+    # A cold member would hold up the others.
+    candidates.sort(key=_is_cold)
     racks = {row.registration.rack for row in candidates}
     groups = [
         [row for row in candidates if row.registration.rack == rack]
@@ -149,8 +151,11 @@
         is_last_choice = (
             endpoint.name in failed_endpoints or endpoint.name in candidates.slow
         )
-        is_cold = endpoint.registration.cold_remaining > 0
-        score = (is_last_choice, is_cold, *_score(step, endpoint, counts, here))
+        score = (
+            is_last_choice,
+            _is_cold(endpoint),
+            *_score(step, endpoint, counts, here),
+        )
         if score < best_score:
             best, best_score = endpoint, score
     return best
@@ -165,6 +170,11 @@
     return not step.per_endpoint or counts.get(endpoint.name, 0) < step.per_endpoint
 
 
+def _is_cold(endpoint: Endpoint) -> bool:
+    """Return whether an endpoint is still slow after its start, as it reports."""
+    return endpoint.registration.cold_remaining > 0
+
+
 def _has_label(step: Step, endpoint: Endpoint) -> bool:
     return not step.label or step.label in endpoint.registration.labels
 
