--- a/features/workloads/steps/large_job_steps.py
+++ b/features/workloads/steps/large_job_steps.py
@@ -362,7 +362,7 @@
         engine.endpoints["e0"].evicting = True
         context.calls.append(
             count_calls(
-                lambda leader=engine: list_evictions(leader, NOW, lambda _: False)
+                lambda leader=engine: list_evictions(leader, NOW, lambda _: False, 0.2)
             )
         )
 
