Place tasks by what endpoints and images have shown

Cause: moving averages let one task of the long tail make its endpoint slow and its image's jobs late, a slow endpoint or one away from a task's rack was used at once however soon a better one became free, and copies took all idle room.

- run_times: expected times by image or by the caller's estimate, whichever has predicted better; one run counts for a factor of two.
- reputation (out of outliers, which ends the circle fleet/outliers): speeds from an endpoint's own runs, in progress and ended, for 10 s, forgotten at a restart.
- placement: endpoints that take longer or have failed get less; a task waits for a better one while it ends sooner there (room_forecast), 1 s in all.
SiteLimits.spread_factor is the cost of another rack.
The projection uses the progress as of the last poll.

Tests of heavy_days follow the new names and signatures; their checks are unchanged.

--- a/features/workloads/steps/heavy_days_steps.py
+++ b/features/workloads/steps/heavy_days_steps.py
@@ -24,11 +24,12 @@
 from briarshed_workloads.engine import Engine
 from briarshed_workloads.leases import LeaseTimes
 from briarshed_workloads.outliers import (
-    EndpointReputation,
-    find_slow,
+    list_slow,
     list_stalled_runs,
+    measure_slowness,
 )
 from briarshed_workloads.planning import plan_starts
+from briarshed_workloads.reputation import EndpointReputation
 from briarshed_workloads.sizing import plan_moves
 from briarshed_workloads.workloads import (
     NO_RESOURCES,
@@ -322,7 +323,7 @@
     for number, endpoint in enumerate(context.engine.endpoints.values()):
         poll_endpoint(context.engine, endpoint.name, NOW)
         for _ in range(12):
-            endpoint.reputation.note_speed(5.0 if number < count else 1.0)
+            endpoint.reputation.note_speed(5.0 if number < count else 1.0, NOW)
 
 
 @then("a task goes to one of the others, even if the slow one is empty")
@@ -335,7 +336,7 @@
 
 @then("none counts as slow")
 def step_none_slow(context):
-    assert not find_slow(context.engine.endpoints.values())
+    assert not list_slow(measure_slowness(context.engine.endpoints.values(), NOW))
 
 
 @given("an accepted job with 1 speculative task")
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -26,13 +26,13 @@
 )
 from briarshed_workloads.jobs import (
     COMPLETED,
-    RUN_TIME_WEIGHT,
     Job,
     find_need,
 )
 from briarshed_workloads.leases import LeaseTimes
-from briarshed_workloads.outliers import SLOW_FACTOR, project_ratio
+from briarshed_workloads.outliers import list_projected, note_run_time
 from briarshed_workloads.records import JobRecord, ProgressRecord
+from briarshed_workloads.run_times import RunTimes
 from briarshed_workloads.shares import Shares
 from briarshed_workloads.supervision import report_error
 from briarshed_workloads.takeover import EarlierLeaders, drop_superseded
@@ -106,6 +106,10 @@
         list a limited number at a time.
     crashes : deque
         Crashes of endpoints, in the order in which they became known.
+    run_times : RunTimes
+        Expected run times of tasks.
+    spread_factor : float
+        Factor on the run time of a task away from the rack that holds its data.
     earlier : EarlierLeaders
         What earlier leaders may still do or have running.
     """
@@ -129,7 +133,8 @@
         self.earlier = EarlierLeaders(lease_times)
         self.roster: set[str] = set()
         self.partly_listed: set[Endpoint] = set()
-        self.run_times: dict[str, float] = {}
+        self.run_times = RunTimes()
+        self.spread_factor = 2.0
         self.crashes: deque[Crash] = deque(maxlen=MAX_KNOWN_CRASHES)
         self.shares = Shares()
         self._sequence = 0
@@ -702,6 +707,9 @@
         listed_runs = {(row.task, row.run) for row in response.running}
         for row in response.running:
             self._note_running(endpoint, row, now)
+        endpoint.reputation.note_projected(
+            list_projected(endpoint, self.run_times, now)
+        )
         if not response.may_have_more_ends:
             self._drop_missing(endpoint, listed_runs, counter, sent_at)
 
@@ -767,9 +775,6 @@
         if row.percent != run.percent:
             run.progressed_at = now
         run.percent = row.percent
-        ratio = project_ratio(run, now)
-        if ratio is not None and ratio > SLOW_FACTOR:
-            endpoint.reputation.note_speed(ratio)
         run.load = row.load
         job = self.jobs.get(row.task.job)
         if job is None:
@@ -855,13 +860,8 @@
         if not job.is_open:
             return
         endpoint.reputation.note_success()
-        step = job.find_step(ended.task)
         if run is not None and run.confirmed_at and not run.checkpoint:
-            seconds = now - run.confirmed_at
-            if step.image:
-                self._note_run_time(step.image, seconds)
-            if step.estimate:
-                endpoint.reputation.note_speed(seconds / step.estimate)
+            note_run_time(endpoint, run, self.run_times, now)
         was_open = job.is_open
         if job.note_succeeded(ended.task, self.to_unix_time(now)):
             self.unsaved_jobs[job.job_id] = None
@@ -881,13 +881,6 @@
         if seconds:
             self.report("ENDPOINT_AVOIDED", endpoint=endpoint.name, seconds=seconds)
 
-    def _note_run_time(self, image: str, seconds: float) -> None:
-        known = self.run_times.get(image)
-        if known is None:
-            self.run_times[image] = seconds
-        else:
-            self.run_times[image] = known + RUN_TIME_WEIGHT * (seconds - known)
-
     def _note_failure(
         self, endpoint: Endpoint, job: Job, ended: EndedRun, now: float
     ) -> None:
--- a/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from briarshed_workloads import outliers
+from briarshed_workloads.reputation import EndpointReputation
 from briarshed_workloads.workloads import (
     NO_RESOURCES,
     Registration,
@@ -279,7 +279,7 @@
         self.lost_runs: list[Run] = []
         self.evicting = False
         self.retiring = False
-        self.reputation = outliers.EndpointReputation()
+        self.reputation = EndpointReputation()
 
     @property
     def name(self) -> str:
@@ -460,6 +460,7 @@
         self.listed_ms = 0
         self.clock_sample_ms = 0
         self.last_deadline_ms = 0
+        self.reputation.forget_speed()
 
     def raise_token(self) -> None:
         """Let all later orders have a higher token than those before."""
--- a/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
@@ -32,9 +32,6 @@
 occurrence is opened. A job with many overdue occurrences then needs little more time
 and memory than others; each occurrence is opened when there is room for it."""
 
-RUN_TIME_WEIGHT = 0.3
-"""Weight of a new run time in the moving average of an image's run times."""
-
 
 class Job:
     """An accepted job and the progress of its tasks.
@@ -66,6 +63,9 @@
         Earlier occurrences that are not completed, in ascending order; all others
         before ``next_occurrence`` are. Only these have a state in memory and in the
         records, besides successes that were noted before an occurrence was opened.
+    waits_since : dict
+        By occurrence and step, since when tasks wait for a better endpoint although
+        there is room at another one, in seconds of the boot clock.
     """
 
     __slots__ = (
@@ -99,6 +99,7 @@
         "team",
         "unsettled_starts",
         "waiting",
+        "waits_since",
     )
 
     def __init__(
@@ -133,6 +134,7 @@
         self.unsettled_starts: dict[TaskId, dict[int, str]] = {}
         self.checkpoints: dict[TaskId, str] = {}
         self.waiting = WaitingTasks()
+        self.waits_since: dict[tuple[int, int], float] = {}
         self.opened_steps: set[tuple[int, int]] = set()
         self.next_occurrence = 0
         self.open_occurrences: dict[int, None] = {}
--- a/packages/briarshed-workloads/src/briarshed_workloads/options.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/options.py
@@ -31,6 +31,8 @@
     refuses_old_orders : bool
         Whether the platform refuses an order for an instance after one with a higher
         token.
+    spread_factor : float
+        Factor on the run time of a task away from the rack that holds its data.
     """
 
     grace: float = 6.0
@@ -43,6 +45,7 @@
     move: float = 1.5
     lease: float = 3.0
     refuses_old_orders: bool = True
+    spread_factor: float = 2.0
 
 
 class EntryOptions(NamedTuple):
--- a/packages/briarshed-workloads/src/briarshed_workloads/ordering.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/ordering.py
@@ -68,5 +68,5 @@
 
 
 def estimate_task(engine: Engine, step: Step) -> float:
-    """Return a task's run time in seconds: the mean of its image, else the estimate."""
-    return engine.run_times.get(step.image, step.estimate)
+    """Return a task's expected run time in seconds."""
+    return engine.run_times.expect(step)
--- a/packages/briarshed-workloads/src/briarshed_workloads/placement.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/placement.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 from briarshed_workloads.crashes import is_new
@@ -11,18 +11,53 @@
 from briarshed_workloads.fleet import Endpoint
 from briarshed_workloads.jobs import Job, find_need
 from briarshed_workloads.order_slots import MAX_PENDING_ORDERS
+from briarshed_workloads.ordering import estimate_task
+from briarshed_workloads.outliers import SLOW_FACTOR, measure_slowness
+from briarshed_workloads.room_forecast import HORIZON_S, RoomForecast
 from briarshed_workloads.workloads import Resources, Step, TaskId, fits
 
 
 class EligibleEndpoints(NamedTuple):
-    """The endpoints that may get new runs, and the names of the slow ones.
+    """The endpoints that may get new runs, and what a plan knows of them.
 
-    ``starts_left`` holds, by name, how many more starts each may get now.
+    Attributes
+    ----------
+    endpoints : sequence of Endpoint
+        Endpoints that may get new runs.
+    slowness : dict
+        By name, how many times as long as others an endpoint takes; 1 if not given.
+    starts_left : dict
+        By name, how many more starts each may get now.
+    forecast : RoomForecast, optional
+        Room that is about to be freed; tasks wait for none without it.
     """
 
     endpoints: Sequence[Endpoint]
-    slow: Collection[str]
+    slowness: Mapping[str, float]
     starts_left: dict[str, int]
+    forecast: RoomForecast | None = None
+
+
+def gather_candidates(
+    engine: Engine, eligible: Sequence[Endpoint], now: float
+) -> EligibleEndpoints:
+    """Return what a plan knows of the endpoints that may get new runs."""
+    slowness = measure_slowness(eligible, now)
+    for endpoint in eligible:
+        factor = slowness[endpoint.name]
+        if endpoint.reputation.is_slow != (factor > SLOW_FACTOR):
+            endpoint.reputation.is_slow = not endpoint.reputation.is_slow
+            engine.report(
+                "ENDPOINT_SPEED_CHANGED",
+                endpoint=endpoint.name,
+                factor=round(factor, 1),
+            )
+    return EligibleEndpoints(
+        eligible,
+        slowness,
+        count_starts_left(eligible),
+        RoomForecast(engine, eligible, now),
+    )
 
 
 PlaceCounts = dict[str, int]
@@ -121,9 +156,10 @@
 
     Long-running tasks of a step are spread over racks, so that the loss of a rack
     affects few. Best-effort tasks go to the endpoint with the fewest best-effort and
-    serving tasks, and other tasks to the one with the largest share of free CPU. The
-    rack that holds the data is preferred. An endpoint that is slow, or where the task
-    has failed, comes last.
+    serving tasks, and other tasks to the one with the largest share of free CPU. An
+    endpoint that takes longer, since it is slow or not in the rack that holds the data,
+    comes later; the task waits instead while it would end sooner at a better one. One
+    where the task has failed comes last.
 
     Parameters
     ----------
@@ -142,16 +178,77 @@
             continue
         if was_in_crash and is_new(engine, endpoint, now):
             continue
-        here = counts.get(endpoint.name, 0)
-        is_last_choice = (
-            endpoint.name in failed_endpoints or endpoint.name in candidates.slow
+        score = (
+            endpoint.name in failed_endpoints,
+            _measure_time_factor(engine, step, endpoint, candidates.slowness),
+            *_score(step, endpoint, counts, candidates.slowness),
         )
-        score = (is_last_choice, *_score(step, endpoint, counts, here))
         if score < best_score:
             best, best_score = endpoint, score
+    if best is None or best_score[1] <= 1.0 or step.long_running:
+        return best
+    if not best_score[0] and _is_better_to_wait(
+        engine, job, task, need, candidates, counts, best, now
+    ):
+        return None
     return best
 
 
+def _measure_time_factor(
+    engine: Engine, step: Step, endpoint: Endpoint, slowness: Mapping[str, float]
+) -> float:
+    """Return how many times as long a task takes at an endpoint as at the best ones.
+
+    Small differences do not count, since the endpoints with most room come first.
+    """
+    factor = slowness.get(endpoint.name, 1.0)
+    factor = factor if factor > SLOW_FACTOR else 1.0
+    is_off_rack = step.rack and endpoint.registration.rack != step.rack
+    return factor * engine.spread_factor if is_off_rack else factor
+
+
+def _is_better_to_wait(
+    engine: Engine,
+    job: Job,
+    task: TaskId,
+    need: Resources,
+    candidates: EligibleEndpoints,
+    counts: PlaceCounts,
+    best: Endpoint,
+    now: float,
+) -> bool:
+    """Return whether a task would end sooner if it waited for a better endpoint.
+
+    ``best`` is the best endpoint that has room for it now.
+
+    A step waits for `HORIZON_S` in all, in case that no room is freed as expected.
+    """
+    if candidates.forecast is None:
+        return False
+    step = job.find_step(task)
+    key = task[1:3]
+    if now - job.waits_since.get(key, now) >= HORIZON_S:
+        return False
+
+    factor = _measure_time_factor(engine, step, best, candidates.slowness)
+
+    def is_suitable(endpoint: Endpoint) -> bool:
+        if not _has_label(step, endpoint):
+            return False
+        if step.per_endpoint and counts.get(endpoint.name, 0) >= step.per_endpoint:
+            return False
+        own = _measure_time_factor(engine, step, endpoint, candidates.slowness)
+        return own < factor
+
+    limit = (factor - 1.0) * estimate_task(engine, step)
+    if not candidates.forecast.wait_for(need, is_suitable, limit):
+        return False
+    if key not in job.waits_since:
+        job.waits_since[key] = now
+        engine.report("TASK_WAITS", job_id=job.job_id, step=key, endpoint=best.name)
+    return True
+
+
 def can_start(
     step: Step, need: Resources, endpoint: Endpoint, counts: PlaceCounts
 ) -> bool:
@@ -185,18 +282,23 @@
 
 
 def _score(
-    step: Step, endpoint: Endpoint, counts: PlaceCounts, here: int
+    step: Step,
+    endpoint: Endpoint,
+    counts: PlaceCounts,
+    slowness: Mapping[str, float],
 ) -> tuple[float, ...]:
     registration = endpoint.registration
     free = endpoint.find_free()
     share = free.cpu / max(1, registration.capacity.cpu)
-    off_rack = 1.0 if step.rack and registration.rack != step.rack else 0.0
+    # An endpoint that takes longer, or where tasks have failed lately, gets less.
+    share /= slowness.get(endpoint.name, 1.0) * (1 + endpoint.reputation.failures)
+    here = counts.get(endpoint.name, 0)
     if step.best_effort:
         serving = sum(
             run.step.tail_latency_target > 0 for run in endpoint.runs.values()
         )
         best_effort_runs = sum(run.step.best_effort for run in endpoint.runs.values())
-        return (off_rack, best_effort_runs + serving, here, -share)
+        return (best_effort_runs + serving, here, -share)
     if step.long_running:
-        return (off_rack, here, counts.get(f"rack {registration.rack}", 0), -share)
-    return (off_rack, -share)
+        return (here, counts.get(f"rack {registration.rack}", 0), -share)
+    return (-share,)
--- a/packages/briarshed-workloads/src/briarshed_workloads/planning.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/planning.py
@@ -15,7 +15,6 @@
 from briarshed_workloads.fleet import Endpoint, Isolation, StartOrder, is_within
 from briarshed_workloads.jobs import Job, find_need
 from briarshed_workloads.ordering import rank_job
-from briarshed_workloads.outliers import find_slow
 from briarshed_workloads.placement import (
     EligibleEndpoints,
     PlaceCounts,
@@ -24,7 +23,7 @@
     choose_endpoint,
     choose_gang,
     count_places,
-    count_starts_left,
+    gather_candidates,
     list_available,
     list_eligible,
 )
@@ -81,9 +80,7 @@
         except Exception as error:
             report_error(f"rank of job {job.job_id}", error)
     ranked.sort(key=lambda row: row[0])
-    candidates = EligibleEndpoints(
-        eligible, find_slow(eligible), count_starts_left(eligible)
-    )
+    candidates = gather_candidates(engine, eligible, now)
     limit = len(orders) + MAX_STARTS_PER_PLAN
     for _, job in ranked:
         if len(orders) >= limit:
--- /dev/null
+++ b/packages/briarshed-workloads/src/briarshed_workloads/room_forecast.py
@@ -0,0 +1,93 @@
+"""When the running tasks of a pool are expected to free room for a waiting one."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+from briarshed_workloads.engine import Engine
+from briarshed_workloads.fleet import Endpoint, Run
+from briarshed_workloads.ordering import estimate_task
+from briarshed_workloads.workloads import Resources, add, fits, subtract
+
+HORIZON_S = 1.0
+"""Longest time for which a task waits for a better endpoint, also if the expected ends
+are wrong: a task whose turn has come must start within 3 s."""
+
+MAX_FORECASTS = 50
+"""Tasks of one plan that may wait for a better endpoint; later ones would wait behind
+them."""
+
+
+class RoomForecast:
+    """Expected ends of the runs at some endpoints, and who waits for their room.
+
+    Parameters
+    ----------
+    engine : Engine
+        State of the runs.
+    endpoints : iterable of Endpoint
+        Endpoints that may get new runs.
+    now : float
+        Seconds of the boot clock.
+    """
+
+    def __init__(
+        self, engine: Engine, endpoints: Iterable[Endpoint], now: float
+    ) -> None:
+        self._engine = engine
+        self._endpoints = endpoints
+        self._now = now
+        self._ends: list[tuple[float, Endpoint, Resources]] | None = None
+        self._promised: dict[str, Resources] = {}
+        self._left = MAX_FORECASTS
+
+    def wait_for(
+        self, need: Resources, is_suitable: Callable[[Endpoint], bool], limit: float
+    ) -> bool:
+        """Let a task wait if a suitable endpoint will have room for it soon enough.
+
+        The room counts as taken for the tasks that come after it.
+
+        Parameters
+        ----------
+        limit : float
+            Longest time that is worth waiting, in seconds.
+        """
+        if self._left <= 0:
+            return False
+        self._left -= 1
+        if self._ends is None:
+            self._ends = self._list_ends()
+        freed: dict[str, Resources] = {}
+        for seconds, endpoint, room in self._ends:
+            if seconds >= limit:
+                return False
+            if not is_suitable(endpoint):
+                continue
+            name = endpoint.name
+            total = add(freed.get(name, endpoint.find_free()), room)
+            freed[name] = total
+            promised = self._promised.get(name)
+            left = subtract(total, promised) if promised else total
+            if fits(need, left):
+                self._promised[name] = add(promised, need) if promised else need
+                return True
+        return False
+
+    def _list_ends(self) -> list[tuple[float, Endpoint, Resources]]:
+        ends = [
+            (seconds, endpoint, run.need)
+            for endpoint in self._endpoints
+            for run in endpoint.runs.values()
+            if (seconds := self._find_end(run)) is not None
+        ]
+        return sorted(ends, key=lambda row: row[0])
+
+    def _find_end(self, run: Run) -> float | None:
+        """Return in how many seconds a run ends, or None if that is not known."""
+        if run.step.long_running or not run.is_present or not run.confirmed_at:
+            return None
+        slowness = run.endpoint.reputation.measure_slowness(self._now)
+        expected = estimate_task(self._engine, run.step) * max(1.0, slowness)
+        left = expected - (self._now - run.started_at)
+        return left if 0 <= left < HORIZON_S else None
--- a/packages/briarshed/src/briarshed/events.py
+++ b/packages/briarshed/src/briarshed/events.py
@@ -182,6 +182,16 @@
 ENDPOINT_ENDED = Event(
     871, "INFO", "endpoint {endpoint} has ended: its instance {instance} is {state}"
 )
+ENDPOINT_SPEED_CHANGED = Event(
+    930,
+    "INFO",
+    "endpoint {endpoint} takes {factor} times as long as others of its pool",
+)
+TASK_WAITS = Event(
+    931,
+    "INFO",
+    "step {step} of job {job_id} waits for a better endpoint than {endpoint}",
+)
 ENTRY_UNREADABLE = Event(869, "WARNING", "store key {key} is unreadable: {error}")
 
 
