--- a/bench/_emulator.py
+++ b/bench/_emulator.py
@@ -185,7 +185,7 @@
         self.load = load
         self.may_move = moves
         self.now = 0.0
-        self.engine = Engine(1, LeaseTimes(5.0, 5.0), lambda *_, **__: None)
+        self.engine = Engine(1, LeaseTimes(5.0, 5.0, 5.0), lambda *_, **__: None)
         self.engine.configuration = _configure(deployment)
         self.instances: dict[str, Instance] = {}
         self.rates: dict[str, ArrivalRate] = {}
