Separate the moves of instances from maintenance

No change of behaviour intended; one step of lost_orders calls the move at its new place, with the same check. Not measured.

--- a/bench/_emulator.py
+++ b/bench/_emulator.py
@@ -14,7 +14,7 @@
 from functools import partial
 from typing import NamedTuple
 
-from briarshed_workloads import maintenance
+from briarshed_workloads import maintenance, moves_control
 from briarshed_workloads.configuration import (
     Configuration,
     PoolRules,
@@ -371,7 +371,7 @@
         held = {
             name
             for name, at in self.moved_at.items()
-            if self.now - at < maintenance.MOVE_COOLDOWN_S
+            if self.now - at < moves_control.MOVE_COOLDOWN_S
         }
         sizes = {
             profile.pool: self.deployment.instances
--- a/features/workloads/steps/lost_order_steps.py
+++ b/features/workloads/steps/lost_order_steps.py
@@ -377,7 +377,9 @@
                     instance = maintenance.instances["m-a"]
                     await maintenance._order(view, Candidate(instance, endpoint))
                 else:
-                    await maintenance._move(Move("m-a", "other", "test"))
+                    await maintenance.moves.carry_out(
+                        engine, maintenance.instances, Move("m-a", "other", "test")
+                    )
             context.was_fenced = endpoint.is_fenced
             await asyncio.sleep(1.0)
             context.available_now = list_available(engine, "pool", clock.now())
--- a/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
@@ -22,14 +22,9 @@
     OutcomeUnknownError,
 )
 from briarshed_workloads.leadership import LeaderTerm
+from briarshed_workloads.moves_control import FIRST_EPOCH, InstanceMoves
 from briarshed_workloads.options import EntryOptions
 from briarshed_workloads.records import SizesRecord, WaveRecord
-from briarshed_workloads.sizing import (
-    ArrivalRate,
-    Move,
-    measure_surplus,
-    plan_moves,
-)
 from briarshed_workloads.takeover import note_ended
 from briarshed_workloads.workloads import Instance, WaveOrder
 
@@ -43,14 +38,6 @@
 """Time for which all lists must lack an instance until it counts as gone. The pages of
 a list are no snapshot, so that one list may lack an instance that exists."""
 
-MOVE_COOLDOWN_S = 2.5
-"""Time for which a moved instance gets no order; a move is visible after 1.5 s."""
-
-WARM_UP_S = 6.0
-"""Time before instances move in the first term, when the demand is not known yet."""
-
-FIRST_EPOCH = 1
-
 URGENT_SHARE = 0.2
 """Share of a wave's time limit; in this last part, tasks without checkpoints are
 evicted too."""
@@ -70,10 +57,6 @@
 """Age of the instance list from which on only endpoints whose order may be on its way
 are kept drained: no further instance can be ordered."""
 
-REJECTED_MOVE_RETRY_S = 30.0
-"""Time after which a move that the platform has rejected as invalid is tried again; the
-configuration may have changed."""
-
 
 class WaveView(NamedTuple):
     """An open wave: its order and its progress.
@@ -230,7 +213,6 @@
     ) -> None:
         self.waves: dict[int, WaveView] = {}
         self.closed: set[int] = set()
-        self.sizes: dict[str, int] = {}
         self._restored: dict[int, WaveRecord] = {}
         self._earlier_orders: set[str] = set()
         self._has_unreadable_orders = False
@@ -240,18 +222,16 @@
         self._engine = engine
         self._api = instances
         self._save = save
-        self._note_sizes = note_sizes
+        self.moves = InstanceMoves(
+            options, term, instances, note_sizes, self._next_token
+        )
         self._instance_list = telemetry.Dependency("instance list")
         self._listed_at = -math.inf
         self._missing_since: dict[str, float] = {}
         self._counter = 0
-        self._moved_at: dict[str, float] = {}
-        self._rejected_at: dict[tuple[str, str], float] = {}
-        self._rates: dict[str, ArrivalRate] = {}
         # A deposed leader may have given orders until just now, and the platform
         # counts it as an error if two holders order one instance within the lease.
         first = term.epoch == FIRST_EPOCH
-        self._moves_from = clock.now() + (WARM_UP_S if first else 0.0)
         self._orders_from = clock.now() + (0.0 if first else options.site_limits.lease)
 
     def restore(self, wave: int, record: WaveRecord) -> None:
@@ -266,7 +246,7 @@
 
     def restore_sizes(self, record: SizesRecord) -> None:
         """Restore the sizes of the pools and the last moves of an earlier leader."""
-        self.sizes = record.sizes
+        self.moves.sizes = record.sizes
         self._earlier_orders.update(record.moved)
 
     def note_unreadable_orders(self) -> None:
@@ -318,7 +298,7 @@
 
     def note_submitted_work(self, pool: str, core_seconds: float) -> None:
         """Count core-seconds of work submitted to a pool."""
-        self._rates.setdefault(pool, ArrivalRate()).add(core_seconds, clock.now())
+        self.moves.note_submitted_work(pool, core_seconds)
 
     async def run(self) -> None:
         """Carry out waves and moves until the term ends."""
@@ -356,94 +336,18 @@
         )
         for number, rows in chosen.items():
             await self._advance(self.waves[number], rows, now)
-        if now >= self._moves_from:
-            await self._move_instances(now)
-
-    async def _move_instances(self, now: float) -> None:
-        if not self.sizes:
-            self.sizes = dict(Counter(row.pool for row in self.instances.values()))
         due = {
             name
             for view in self.waves.values()
             for name in view.order.instances
             if name not in view.begun
         }
-        recent = {
-            name for name, at in self._moved_at.items() if now - at < MOVE_COOLDOWN_S
-        }
-        recent |= self._list_held(now)
-        moves = plan_moves(
-            self._engine,
-            self.instances,
-            self._rates,
-            due | recent,
-            self.sizes,
-            now,
-        )
-        moves = [
-            move
-            for move in moves
-            if now - self._rejected_at.get((move.instance, move.pool), -math.inf)
-            >= REJECTED_MOVE_RETRY_S
-        ]
-        if moves:
-            self._record_moves(moves, now)
-            await asyncio.gather(*(self._move(move) for move in moves))
-
-    def _record_moves(self, moves: Sequence[Move], now: float) -> None:
-        """Record moves with the next write, so that the next leader waits with them.
-
-        The moves do not wait for the write, so that a slow store does not delay them. A
-        leader that is cut off from the store before the write cannot reach the platform
-        either.
-        """
-        self._moved_at.update({move.instance: now for move in moves})
-        lease = self._options.site_limits.lease
-        recent = [name for name, at in self._moved_at.items() if now - at < lease]
-        recent += self._list_held(now)
-        self._note_sizes(SizesRecord(self.sizes, tuple(recent)))
-
-    async def _move(self, move: Move) -> None:
-        row = self.instances[move.instance]
-        endpoint = self._engine.endpoints.get(row.endpoint)
-        if endpoint is not None:
-            # No run may start there between the decision and its effect.
-            endpoint.require_fence()
-            endpoint.note_end_ordered(clock.now())
-        token = self._next_token()
-        outcome = await self._api.move(
-            move.instance,
-            move.pool,
-            self._options.name,
-            token,
-            self._term.has_authority,
-        )
-        done = isinstance(outcome, Ordered)
-        log_event(
-            events.INSTANCE_MOVED,
-            instance=move.instance,
-            before=row.pool,
-            after=move.pool,
-            reason=move.reason,
-            token=token,
-            outcome="begun" if done else outcome.reason,
-        )
-        if done:
-            if endpoint is not None:
-                self._engine.note_replaced(endpoint, "moved")
-            self.instances[move.instance] = row._replace(
-                pool=move.pool, state="moving", endpoint=""
-            )
-            return
-        if endpoint is not None:
-            endpoint.is_end_ordered = False
-        if outcome.reason == "invalid":
-            self._rejected_at[move.instance, move.pool] = clock.now()
+        held = self._list_held(now)
+        await self.moves.run_once(self._engine, self.instances, due, held, now)
 
     def _list_short_pools(self, now: float) -> set[str]:
         """Return the pools that are short of capacity."""
-        surplus = measure_surplus(self._engine, self.instances, self._rates, now)
-        return {pool for pool, rest in surplus.items() if rest < 0}
+        return self.moves.list_short_pools(self._engine, self.instances, now)
 
     def _next_token(self) -> int:
         self._counter += 1
@@ -564,8 +468,8 @@
             return False
         if name in self._list_held(now):
             return False
-        moved_at = self._moved_at.get(name, -math.inf)
-        return now - moved_at >= MOVE_COOLDOWN_S and self._is_known_drained(row, now)
+        has_moved = self.moves.has_moved_recently(name, now)
+        return not has_moved and self._is_known_drained(row, now)
 
     def _is_known_drained(self, row: Candidate, now: float) -> bool:
         """Return whether an instance is known to have no runs.
--- /dev/null
+++ b/packages/briarshed-workloads/src/briarshed_workloads/moves_control.py
@@ -0,0 +1,172 @@
+"""Carries out moves of instances between pools during one term."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections import Counter
+from collections.abc import Callable, Collection, Mapping, Sequence
+
+from briarshed import events
+from briarshed_entry import clock
+from briarshed_entry.logs import log_event
+from briarshed_workloads.engine import Engine
+from briarshed_workloads.interfaces import Instances, Ordered
+from briarshed_workloads.leadership import LeaderTerm
+from briarshed_workloads.options import EntryOptions
+from briarshed_workloads.records import SizesRecord
+from briarshed_workloads.sizing import ArrivalRate, Move, measure_surplus, plan_moves
+from briarshed_workloads.workloads import Instance
+
+MOVE_COOLDOWN_S = 2.5
+"""Time for which a moved instance gets no order; a move is visible after 1.5 s."""
+
+WARM_UP_S = 6.0
+"""Time before instances move in the first term, when the demand is not known yet."""
+
+FIRST_EPOCH = 1
+
+REJECTED_MOVE_RETRY_S = 30.0
+"""Time after which a move that the platform has rejected as invalid is tried again; the
+configuration may have changed."""
+
+
+class InstanceMoves:
+    """Decides on moves and orders them.
+
+    Parameters
+    ----------
+    note_sizes : callable
+        Records the sizes of the pools and the last moves with the next write.
+    make_token : callable
+        Returns the fencing token of the next order.
+    """
+
+    def __init__(
+        self,
+        options: EntryOptions,
+        term: LeaderTerm,
+        instances: Instances,
+        note_sizes: Callable[[SizesRecord], None],
+        make_token: Callable[[], int],
+    ) -> None:
+        self.sizes: dict[str, int] = {}
+        self._options = options
+        self._term = term
+        self._api = instances
+        self._note_sizes = note_sizes
+        self._make_token = make_token
+        self._moved_at: dict[str, float] = {}
+        self._rejected_at: dict[tuple[str, str], float] = {}
+        self._rates: dict[str, ArrivalRate] = {}
+        first = term.epoch == FIRST_EPOCH
+        self._moves_from = clock.now() + (WARM_UP_S if first else 0.0)
+
+    def note_submitted_work(self, pool: str, core_seconds: float) -> None:
+        """Count core-seconds of work submitted to a pool."""
+        self._rates.setdefault(pool, ArrivalRate()).add(core_seconds, clock.now())
+
+    def has_moved_recently(self, instance: str, now: float) -> bool:
+        """Return whether an instance was moved so recently that it gets no order."""
+        return now - self._moved_at.get(instance, -math.inf) < MOVE_COOLDOWN_S
+
+    def list_short_pools(
+        self, engine: Engine, instances: Mapping[str, Instance], now: float
+    ) -> set[str]:
+        """Return the pools that are short of capacity."""
+        surplus = measure_surplus(engine, instances, self._rates, now)
+        return {pool for pool, rest in surplus.items() if rest < 0}
+
+    async def run_once(
+        self,
+        engine: Engine,
+        instances: dict[str, Instance],
+        due: Collection[str],
+        held: Collection[str],
+        now: float,
+    ) -> None:
+        """Order the moves that are due.
+
+        Parameters
+        ----------
+        due : collection of str
+            Instances that are due for maintenance.
+        held : collection of str
+            Instances that an earlier leader may have ordered just now.
+        """
+        if now < self._moves_from:
+            return
+        if not self.sizes:
+            self.sizes = dict(Counter(row.pool for row in instances.values()))
+        recent = {name for name in self._moved_at if self.has_moved_recently(name, now)}
+        moves = plan_moves(
+            engine,
+            instances,
+            self._rates,
+            recent.union(due, held),
+            self.sizes,
+            now,
+        )
+        moves = [
+            move
+            for move in moves
+            if now - self._rejected_at.get((move.instance, move.pool), -math.inf)
+            >= REJECTED_MOVE_RETRY_S
+        ]
+        if moves:
+            self._record(moves, held, now)
+            await asyncio.gather(
+                *(self.carry_out(engine, instances, move) for move in moves)
+            )
+
+    def _record(self, moves: Sequence[Move], held: Collection[str], now: float) -> None:
+        """Record moves with the next write, so that the next leader waits with them.
+
+        The moves do not wait for the write, so that a slow store does not delay them. A
+        leader that is cut off from the store before the write cannot reach the platform
+        either.
+        """
+        self._moved_at.update({move.instance: now for move in moves})
+        lease = self._options.site_limits.lease
+        recent = [name for name, at in self._moved_at.items() if now - at < lease]
+        self._note_sizes(SizesRecord(self.sizes, (*recent, *held)))
+
+    async def carry_out(
+        self, engine: Engine, instances: dict[str, Instance], move: Move
+    ) -> None:
+        """Order a move, and note its outcome."""
+        row = instances[move.instance]
+        endpoint = engine.endpoints.get(row.endpoint)
+        if endpoint is not None:
+            # No run may start there between the decision and its effect.
+            endpoint.require_fence()
+            endpoint.note_end_ordered(clock.now())
+        token = self._make_token()
+        outcome = await self._api.move(
+            move.instance,
+            move.pool,
+            self._options.name,
+            token,
+            self._term.has_authority,
+        )
+        done = isinstance(outcome, Ordered)
+        log_event(
+            events.INSTANCE_MOVED,
+            instance=move.instance,
+            before=row.pool,
+            after=move.pool,
+            reason=move.reason,
+            token=token,
+            outcome="begun" if done else outcome.reason,
+        )
+        if done:
+            if endpoint is not None:
+                engine.note_replaced(endpoint, "moved")
+            instances[move.instance] = row._replace(
+                pool=move.pool, state="moving", endpoint=""
+            )
+            return
+        if endpoint is not None:
+            endpoint.is_end_ordered = False
+        if outcome.reason == "invalid":
+            self._rejected_at[move.instance, move.pool] = clock.now()
