Let idle instances of a pool stand by or help another pool

Cause: the own instances of a pool never left it, so that they idle (and are billed) after its spell of demand, while another pool is short. Pools are measured with one pass over the endpoints instead of one for each pool.

--- a/packages/briarshed-workloads/src/briarshed_workloads/moves_control.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/moves_control.py
@@ -10,12 +10,20 @@
 from briarshed import events
 from briarshed_entry import clock
 from briarshed_entry.logs import log_event
+from briarshed_workloads import telemetry
 from briarshed_workloads.engine import Engine
 from briarshed_workloads.interfaces import Instances, Ordered
 from briarshed_workloads.leadership import LeaderTerm
 from briarshed_workloads.options import EntryOptions
 from briarshed_workloads.records import SizesRecord
-from briarshed_workloads.sizing import ArrivalRate, Move, measure_surplus, plan_moves
+from briarshed_workloads.sizing import (
+    ArrivalRate,
+    Move,
+    PoolDemand,
+    measure_surplus,
+    plan_moves,
+)
+from briarshed_workloads.standing_by import StandingBy
 from briarshed_workloads.workloads import Instance
 
 MOVE_COOLDOWN_S = 2.5
@@ -59,6 +67,8 @@
         self._moved_at: dict[str, float] = {}
         self._rejected_at: dict[tuple[str, str], float] = {}
         self._rates: dict[str, ArrivalRate] = {}
+        self._standing_by = StandingBy(clock.now(), options.site_limits.move)
+        self._releasing: set[str] = set()
         first = term.epoch == FIRST_EPOCH
         self._moves_from = clock.now() + (WARM_UP_S if first else 0.0)
 
@@ -106,6 +116,7 @@
             recent.union(due, held),
             self.sizes,
             now,
+            self._choose_floors,
         )
         moves = [
             move
@@ -119,6 +130,26 @@
                 *(self.carry_out(engine, instances, move) for move in moves)
             )
 
+    def _choose_floors(
+        self, demands: Mapping[str, PoolDemand], sizes: Mapping[str, int], now: float
+    ) -> dict[str, int]:
+        """Return the number of instances that each pool has to have, and log changes."""
+        floors = self._standing_by.choose_floors(demands, sizes, now)
+        releasing = {pool for pool in floors if floors[pool] < sizes.get(pool, 0)}
+        for pool in releasing - self._releasing:
+            log_event(
+                events.INSTANCES_RELEASED,
+                pool=pool,
+                floor=floors[pool],
+                size=sizes[pool],
+            )
+            telemetry.count("own instances", "released")
+        for pool in self._releasing - releasing:
+            log_event(events.INSTANCES_RECALLED, pool=pool, size=sizes.get(pool, 0))
+            telemetry.count("own instances", "recalled")
+        self._releasing = releasing
+        return floors
+
     def _record(self, moves: Sequence[Move], held: Collection[str], now: float) -> None:
         """Record moves with the next write, so that the next leader waits with them.
 
@@ -159,6 +190,7 @@
             token=token,
             outcome="begun" if done else outcome.reason,
         )
+        telemetry.count("moves", move.reason if done else outcome.reason)
         if done:
             if endpoint is not None:
                 engine.note_replaced(endpoint, "moved")
--- a/packages/briarshed-workloads/src/briarshed_workloads/sizing.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/sizing.py
@@ -9,7 +9,8 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Collection, Iterable, Mapping
+from collections import Counter, defaultdict
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 from briarshed_workloads.engine import Engine
@@ -49,6 +50,11 @@
 """Maximum number of moves in a step; its effect should show before the next one."""
 
 
+ChooseFloors = Callable[
+    [Mapping[str, "PoolDemand"], Mapping[str, int], float], Mapping[str, int]
+]
+
+
 class Move(NamedTuple):
     """An instance to move to another pool, and the reason."""
 
@@ -122,7 +128,9 @@
     count : int
         Number of instances with that capacity.
     min_instances : int
-        Minimum number of instances, given the tasks that may share one.
+        Minimum number of instances, given the long-running tasks that may share one.
+    widest : int
+        Instances over which the tasks of an open job have to be spread at most.
     """
 
     demand: float
@@ -130,6 +138,15 @@
     capacity: Resources
     count: int
     min_instances: int
+    widest: int = 0
+
+    def find_need(self) -> float:
+        """Return the need of the pool in instances."""
+        return self.count - self.find_surplus()
+
+    def find_load(self) -> float:
+        """Return the need of jobs without long-running tasks in instances."""
+        return self.demand * self.count / max(1, self.capacity.cpu)
 
     def find_surplus(self) -> float:
         """Return the surplus of the pool in instances; negative for a shortage."""
@@ -146,21 +163,28 @@
 
 
 def measure_pool(
-    engine: Engine, pool: str, rate: float, incoming: list[Resources], now: float
+    engine: Engine,
+    pool: str,
+    endpoints: Iterable[Endpoint],
+    rate: float,
+    incoming: Iterable[Resources],
+    now: float,
 ) -> PoolDemand:
     """Return the demand and the capacity of a pool.
 
     Parameters
     ----------
+    endpoints : iterable of Endpoint
+        The endpoints of the pool.
     rate : float
         Core-seconds submitted per second.
-    incoming : list of Resources
+    incoming : iterable of Resources
         Capacities of the instances that move in.
     """
     capacities = list(incoming)
     fixed = NO_RESOURCES
-    for endpoint in engine.endpoints.values():
-        if endpoint.registration.pool == pool and is_available(endpoint):
+    for endpoint in endpoints:
+        if is_available(endpoint):
             capacities.append(endpoint.registration.capacity)
             for run in endpoint.runs.values():
                 if run.step.long_running:
@@ -168,7 +192,9 @@
     unix_now = engine.to_unix_time(now)
     backlog = late = 0.0
     min_instances = MIN_INSTANCES
+    widest = 0
     for job in engine.list_open(pool).values():
+        widest = max(widest, _count_min_instances(job))
         if job.is_long_running:
             min_instances = max(min_instances, _count_min_instances(job))
             for key in job.waiting.list_steps():
@@ -180,7 +206,9 @@
         else:
             late += find_remaining_work(engine, job)
     demand = (max(rate, backlog / BACKLOG_CLEAR_S) + late / LATE_BACKLOG_CLEAR_S) * 1000
-    return PoolDemand(demand, fixed, _sum(capacities), len(capacities), min_instances)
+    return PoolDemand(
+        demand, fixed, _sum(capacities), len(capacities), min_instances, widest
+    )
 
 
 def _sum(capacities: Iterable[Resources]) -> Resources:
@@ -239,17 +267,21 @@
     """Return demand and capacity of each pool except the standby pools."""
     configuration = engine.configuration
     assert configuration is not None
+    endpoints: dict[str, list[Endpoint]] = defaultdict(list)
+    for endpoint in engine.endpoints.values():
+        endpoints[endpoint.registration.pool].append(endpoint)
+    incoming: dict[str, list[Resources]] = defaultdict(list)
+    for row in instances.values():
+        if row.state == "moving":
+            incoming[row.pool].append(row.capacity)
     demands = {}
     for pool, rules in configuration.pools.items():
         if rules.standby:
             continue
         rate = rates[pool].read(now) if pool in rates else 0.0
-        incoming = [
-            row.capacity
-            for row in instances.values()
-            if row.pool == pool and row.state == "moving"
-        ]
-        demands[pool] = measure_pool(engine, pool, rate, incoming, now)
+        demands[pool] = measure_pool(
+            engine, pool, endpoints[pool], rate, incoming[pool], now
+        )
     return demands
 
 
@@ -271,12 +303,14 @@
     pinned: Collection[str],
     sizes: Mapping[str, int],
     now: float,
+    choose_floors: ChooseFloors | None = None,
 ) -> list[Move]:
     """Return the moves that match capacity to demand.
 
-    A pool releases only instances beyond the size that the operator set, since its
-    demand can return faster than an instance could. A surplus instance is retired
-    first: it gets no new runs, and moves once it has none.
+    A pool releases only instances beyond its floor, since its demand can return faster
+    than an instance could. A surplus instance is retired first: it gets no new runs,
+    and moves once it has none. Pools that are short come before those that are below
+    their floor.
 
     Parameters
     ----------
@@ -288,6 +322,9 @@
         Instances that must not move: due for maintenance, or moved recently.
     sizes : mapping
         Number of instances that the operator assigned to each pool.
+    choose_floors : callable, optional
+        Returns the number of instances that have to be in each pool, given the demands,
+        the sizes and the time in seconds; by default the sizes.
     """
     configuration = engine.configuration
     assert configuration is not None
@@ -297,12 +334,29 @@
         for endpoint in engine.endpoints.values():
             endpoint.retiring = False
         return []
-    surplus: dict[str, float] = {}
-    for pool, pool_demand in measure_demands(engine, instances, rates, now).items():
-        surplus[pool] = pool_demand.find_surplus()
-        _choose_retiring(
-            engine, pool, pool_demand.count - sizes.get(pool, 0), surplus, pinned
-        )
+    demands = measure_demands(engine, instances, rates, now)
+    floors = choose_floors(demands, sizes, now) if choose_floors else sizes
+    surplus = {pool: demand.find_surplus() for pool, demand in demands.items()}
+    assigned = Counter(row.pool for row in instances.values())
+    missing = {
+        pool: floors.get(pool, 0) - assigned[pool] if choose_floors else 0
+        for pool in demands
+    }
+    claims = count_claims(surplus, assigned, sizes) if choose_floors else {}
+    in_standby = sum(
+        row.pool in standby and row.state == "up" and row.instance not in pinned
+        for row in instances.values()
+    )
+    owed = sum(claims.values()) - in_standby
+    for pool, pool_demand in demands.items():
+        rows = [
+            row
+            for row in engine.endpoints.values()
+            if row.registration.pool == pool and row.registration.instance not in pinned
+        ]
+        count, size = pool_demand.count, sizes.get(pool, 0)
+        owed = _withdraw(rows, count - size, surplus, pool, owed)
+        _choose_retiring(rows, count - floors.get(pool, 0), surplus, pool)
     free = [
         row
         for row in instances.values()
@@ -312,27 +366,82 @@
     ]
     # Instances of other pools come first, since they are billed already.
     free.sort(key=lambda row: row.pool in standby)
-    return _assign(surplus, free, standby)[:MAX_MOVES_PER_STEP]
+    return _assign(surplus, claims, missing, free, standby)[:MAX_MOVES_PER_STEP]
 
 
-def _choose_retiring(
-    engine: Engine,
-    pool: str,
+def count_claims(
+    surplus: Mapping[str, float], assigned: Mapping[str, int], sizes: Mapping[str, int]
+) -> dict[str, int]:
+    """Return how many instances each pool is short of up to its own size.
+
+    Parameters
+    ----------
+    surplus : mapping
+        Surplus of each pool in instances; negative for a shortage.
+    assigned : mapping
+        Instances that are in each pool or move there, in whatever state.
+    sizes : mapping
+        Number of instances that the operator assigned to each pool.
+    """
+    return {
+        pool: max(0, min(math.ceil(-rest), sizes.get(pool, 0) - assigned.get(pool, 0)))
+        for pool, rest in surplus.items()
+        if rest <= -MIN_SHORTAGE
+    }
+
+
+def _withdraw(
+    rows: Sequence[Endpoint],
     borrowed: int,
     surplus: dict[str, float],
-    pinned: Collection[str],
+    pool: str,
+    owed: int,
+) -> int:
+    """Retire borrowed instances that their own pools claim, the least used ones first.
+
+    Those that retire already are counted, and stay so only if they are owed.
+
+    Parameters
+    ----------
+    borrowed : int
+        Instances of the pool beyond its size that do not retire.
+    owed : int
+        Instances that other pools claim and that are not in standby.
+
+    Returns
+    -------
+    int
+        Instances that are still owed.
+    """
+    for row in rows:
+        if not row.retiring:
+            continue
+        if surplus[pool] < 0 and (borrowed < 0 or owed <= 0):
+            row.retiring = False
+            surplus[pool] += 1
+            borrowed += 1
+        else:
+            owed -= 1
+    for row in _list_candidates(rows)[: max(0, min(borrowed, owed))]:
+        row.retiring = True
+        surplus[pool] -= 1
+        owed -= 1
+    return owed
+
+
+def _choose_retiring(
+    rows: Sequence[Endpoint], borrowed: int, surplus: dict[str, float], pool: str
 ) -> None:
     """Retire the least used instances of a pool as long as it has a surplus."""
-    rows = [
-        row
-        for row in engine.endpoints.values()
-        if row.registration.pool == pool and row.registration.instance not in pinned
-    ]
-    if surplus[pool] < 0:
-        for row in rows:
-            if row.retiring:
-                row.retiring = False
-                surplus[pool] += 1
+    for row in _list_candidates(rows)[: max(0, borrowed)]:
+        if surplus[pool] < 1 + MIN_SURPLUS:
+            return
+        row.retiring = True
+        surplus[pool] -= 1
+
+
+def _list_candidates(rows: Iterable[Endpoint]) -> list[Endpoint]:
+    """Return the endpoints that may retire, the least used ones first."""
     candidates = [
         row
         for row in rows
@@ -341,11 +450,7 @@
         and not any(run.step.long_running for run in row.runs.values())
     ]
     candidates.sort(key=lambda row: row.used.cpu)
-    for row in candidates[: max(0, borrowed)]:
-        if surplus[pool] < 1 + MIN_SURPLUS:
-            return
-        row.retiring = True
-        surplus[pool] -= 1
+    return candidates
 
 
 def _has_retired(engine: Engine, instance: Instance) -> bool:
@@ -359,15 +464,35 @@
 
 
 def _assign(
-    surplus: dict[str, float], free: list[Instance], standby: list[str]
+    surplus: dict[str, float],
+    claims: dict[str, int],
+    missing: dict[str, int],
+    free: Sequence[Instance],
+    standby: Sequence[str],
 ) -> list[Move]:
-    """Move free instances to the pools with the largest shortage, others to standby."""
+    """Move free instances to the pools that lack most, others to standby.
+
+    Pools that are short of their own instances come first.
+    """
     moves: list[Move] = []
     for row in free:
-        neediest = min(surplus, key=lambda pool: surplus[pool])
-        if surplus[neediest] <= -MIN_SHORTAGE and row.pool != neediest:
-            moves.append(Move(row.instance, neediest, "demand"))
-            surplus[neediest] += 1
+        others = [pool for pool in surplus if pool != row.pool]
+        short = [pool for pool in others if surplus[pool] <= -MIN_SHORTAGE]
+        claiming = [pool for pool in short if claims.get(pool, 0) > 0]
+        below = [pool for pool in others if missing[pool] > 0]
+        if short:
+            pool = min(claiming or short, key=lambda name: surplus[name])
+            reason = "demand"
+        elif below:
+            pool = max(below, key=lambda name: missing[name])
+            reason = "expected demand"
         elif row.pool not in standby:
-            moves.append(Move(row.instance, standby[0], "not needed"))
+            pool, reason = standby[0], "not needed"
+        else:
+            continue
+        moves.append(Move(row.instance, pool, reason))
+        if pool in surplus:
+            surplus[pool] += 1
+            missing[pool] -= 1
+            claims[pool] = claims.get(pool, 0) - 1
     return moves
--- a/packages/briarshed/src/briarshed/events.py
+++ b/packages/briarshed/src/briarshed/events.py
@@ -183,6 +183,14 @@
     871, "INFO", "endpoint {endpoint} has ended: its instance {instance} is {state}"
 )
 ENTRY_UNREADABLE = Event(869, "WARNING", "store key {key} is unreadable: {error}")
+INSTANCES_RELEASED = Event(
+    910,
+    "INFO",
+    "pool {pool} needs {floor} of its {size} instances; the others may leave",
+)
+INSTANCES_RECALLED = Event(
+    911, "INFO", "pool {pool} gets its {size} instances back as far as they are free"
+)
 
 
 def list_events() -> dict[str, Event]:
