--- a/features/workloads/steps/instance_order_steps.py
+++ b/features/workloads/steps/instance_order_steps.py
@@ -224,7 +224,8 @@
 
 @when("the lease time has passed since")
 def step_lease_over(context):
-    decide_at(context, 1.2 + context.limits.lease)
+    # Sums of times are rounded.
+    decide_at(context, 1.2 + context.limits.lease + 0.001)
 
 
 @then('it orders "m1" in another wave')
--- a/features/workloads/steps/lost_order_steps.py
+++ b/features/workloads/steps/lost_order_steps.py
@@ -24,6 +24,7 @@
 from briarshed_workloads.crashes import note_crash
 from briarshed_workloads.disruption import list_pacing
 from briarshed_workloads.fleet import PRESENT
+from briarshed_workloads.instance_orders import FIRST_EPOCH
 from briarshed_workloads.interfaces import (
     Accepted,
     Ordered,
@@ -31,7 +32,6 @@
     Rejected,
 )
 from briarshed_workloads.maintenance import (
-    FIRST_EPOCH,
     Candidate,
     Maintenance,
     WaveView,
@@ -377,7 +377,9 @@
                     instance = maintenance.instances["m-a"]
                     await maintenance._order(view, Candidate(instance, endpoint))
                 else:
-                    await maintenance._move(Move("m-a", "other", "test"))
+                    await maintenance.moves.carry_out(
+                        engine, maintenance.instances, Move("m-a", "other", "test")
+                    )
             context.was_fenced = endpoint.is_fenced
             await asyncio.sleep(1.0)
             context.available_now = list_available(engine, "pool", clock.now())
--- a/packages/briarshed/src/briarshed/events.py
+++ b/packages/briarshed/src/briarshed/events.py
@@ -219,6 +219,14 @@
     "job {job_id} is refused: only evacuated endpoints of pool {pool} could run a step "
     "that requires label '{label}'",
 )
+INSTANCES_RELEASED = Event(
+    910,
+    "INFO",
+    "pool {pool} needs {floor} of its {size} instances; the others may leave",
+)
+INSTANCES_RECALLED = Event(
+    911, "INFO", "pool {pool} gets its {size} instances back as far as they are free"
+)
 
 
 def list_events() -> dict[str, Event]:
