Bound what clients of the platform's ports keep in memory

Cause: the HTTP server buffers heads, chunks and bodies of any number of connections before a handler runs, and max-header-bytes, header-timeout-ms and idle-timeout-ms were used by nothing.

Change: connections stand before the parser. It gets one complete head at a time, at most max-header-bytes, and nothing behind a request that is not answered. Bodies, heads and what JSON becomes when it is decoded count against a budget of the process; connections that made no progress for longest are closed first.

Ruled out: the library's own limits (per line, not per head; nothing is shared between connections).

The product's own interface is not changed yet.

--- a/features/connections/crowd.py
+++ b/features/connections/crowd.py
@@ -87,7 +87,8 @@
 
 async def _send(host: str, port: int, kind: str, head: bytes, open_: list) -> None:
     try:
-        _, writer = await asyncio.open_connection(host, port, limit=1)
+        async with asyncio.timeout(STALL_S):
+            _, writer = await asyncio.open_connection(host, port, limit=1)
         open_.append(writer)
         for part in KINDS[kind](head):
             writer.write(part)
--- a/packages/briarshed/src/briarshed/events.py
+++ b/packages/briarshed/src/briarshed/events.py
@@ -182,6 +182,12 @@
 ENDPOINT_ENDED = Event(
     871, "INFO", "endpoint {endpoint} has ended: its instance {instance} is {state}"
 )
+CLIENTS_LIMITED = Event(
+    890,
+    "WARNING",
+    "limits of clients applied: {closed}; {connections} connections are open, and"
+    " {held} of {size} bytes are held for requests",
+)
 ENTRY_UNREADABLE = Event(869, "WARNING", "store key {key} is unreadable: {error}")
 
 
--- a/packages/briarshed/src/briarshed/exceptions.py
+++ b/packages/briarshed/src/briarshed/exceptions.py
@@ -71,3 +71,19 @@
 
 class ResponseLostError(BriarshedError):
     """The request may have reached the endpoint, but no response arrived."""
+
+
+class RequestBodyError(BriarshedError):
+    """The body of a client's request was not read; nothing came of the request."""
+
+
+class BodyTooLargeError(RequestBodyError):
+    """The body exceeds the limit."""
+
+
+class BodyTimeoutError(RequestBodyError):
+    """The body did not arrive in time."""
+
+
+class NoRoomError(RequestBodyError):
+    """The process has no memory for the request."""
