Bound what clients of the product's own interface keep in memory

The callers' and the operators' ports use the bounded connections that the platform's ports use, with settings 'connections' for the memory and the descriptors of the process, heads and times. A body that finds no room gets 503 overloaded, and the job has not run. 100 Continue is sent by the reader of the body, after the checks of the head.

The limit of 64 MB for the budget is gone, since queues may hold more.

--- a/features/serving/serving_fakes.py
+++ b/features/serving/serving_fakes.py
@@ -15,6 +15,7 @@
 from briarshed.settings import check_settings
 from briarshed_entry import callers
 from briarshed_entry.endpoints import Endpoints
+from briarshed_entry.main import make_connections
 from briarshed_entry.scheduler import Scheduler
 
 MIB = 1_048_576
@@ -419,7 +420,10 @@
         application = callers.make_application(
             entry.settings, entry.replica, entry.coordinator, entry.scheduler
         )
-        port = callers.CallerServer(entry.settings, application)
+        connections = make_connections(entry.settings, lambda reason: None)
+        await stack.enter_async_context(connections)
+        door = connections.open_door("callers")
+        port = callers.CallerServer(entry.settings, application, door)
         await stack.enter_async_context(port)
         entry.url = f"http://{port.address}"
         yield entry
--- a/packages/briarshed-entry/src/briarshed_entry/callers.py
+++ b/packages/briarshed-entry/src/briarshed_entry/callers.py
@@ -16,25 +16,19 @@
 from aiohttp import StreamReader, web
 
 from briarshed.events import CALLER_LEFT, JOB_REFUSED, JOB_UNKNOWN, LOOP_FAILED
-from briarshed.exceptions import BriarshedError
+from briarshed.exceptions import BodyTooLargeError, BriarshedError, NoRoomError
 from briarshed.keys import KeyOwner, find_key
 from briarshed.settings import Settings
 from briarshed_entry import clock
+from briarshed_entry.bounded_protocol import BoundedConnection
+from briarshed_entry.connections import Door
 from briarshed_entry.dispatch import Job, Outcome, refuse
 from briarshed_entry.logs import log_event
+from briarshed_entry.request_bodies import check_body, defer_continue, invite_body
 
 JOB_ID_BYTES = 12
 JOB_ID_PATTERN = re.compile(r"[!-~]{1,128}")
 DEADLINE_PATTERN = re.compile(r"[0-9]{1,9}")
-BACKLOG = 1024
-"""Length of the queue of connections that have not been accepted yet."""
-
-LINGERING_S = 2.0
-"""Time for which the rest of a refused body is read.
-
-If the connection were closed at once, the caller might not receive the response.
-"""
-
 EOF_GRACE_S = 0.05
 """Time for which a connection without a request stays open after its caller's EOF."""
 
@@ -102,7 +96,9 @@
     application = web.Application(
         middlewares=[_refuse_in_json], client_max_size=settings.callers.max_body_bytes
     )
-    application.router.add_post("/queues/{queue}/jobs", submit)
+    application.router.add_post(
+        "/queues/{queue}/jobs", submit, expect_handler=defer_continue
+    )
     application.router.add_get("/healthz", report_health)
     application.router.add_get("/readyz", report_readiness)
     return application
@@ -117,7 +113,10 @@
         Address on which it listens, with the actual port if port 0 was given.
     """
 
-    def __init__(self, settings: Settings, application: web.Application) -> None:
+    def __init__(
+        self, settings: Settings, application: web.Application, door: Door
+    ) -> None:
+        self._door = door
         self.address = settings.callers.address
         self._tls = settings.callers.tls
         # A handler is cancelled when its caller disconnects.
@@ -133,7 +132,11 @@
             context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
             context.load_cert_chain(self._tls.certificate, self._tls.key)
         self._server = await asyncio.get_running_loop().create_server(
-            self._make_protocol, host, int(port), ssl=context, backlog=BACKLOG
+            self._make_protocol,
+            host,
+            int(port),
+            ssl=context,
+            backlog=self._door.backlog,
         )
         bound = self._server.sockets[0].getsockname()[1]
         self.address = f"[{host}]:{bound}" if ":" in host else f"{host}:{bound}"
@@ -154,14 +157,13 @@
         # Bodies are opaque, so they are not decompressed.
         return _CallerConnection(
             self._runner.server,
+            self._door,
             loop=asyncio.get_running_loop(),
-            access_log=None,
             auto_decompress=False,
-            lingering_time=LINGERING_S,
         )
 
 
-class _CallerConnection(web.RequestHandler):
+class _CallerConnection(BoundedConnection):
     """Connection of a caller.
 
     A caller that closes its sending side within a body gets a 400 response; after the
@@ -179,8 +181,8 @@
         Whether it did so before the end of a body.
     """
 
-    def __init__(self, manager: web.Server, **options: Any) -> None:
-        super().__init__(manager, **options)
+    def __init__(self, manager: web.Server, door: Door, **options: Any) -> None:
+        super().__init__(manager, door, **options)
         self.body: StreamReader | None = None
         self.is_running = False
         self.has_ended = False
@@ -356,12 +358,19 @@
         if request.content.is_eof():
             # A short body has arrived with its headers; a timer would cost more.
             body += request.content.read_nowait()
+            check_body(request, body, len(body), limit)
         else:
+            invite_body(request)
             async with asyncio.timeout(settings.callers.body_timeout_ms / 1000):
                 async for part in request.content.iter_any():
                     body += part
-                    if len(body) > limit:
-                        raise _make_too_large(limit)
+                    check_body(request, part, len(body), limit)
+    except BodyTooLargeError as error:
+        raise _make_too_large(limit) from error
+    except NoRoomError as error:
+        raise _make_refusal(
+            HTTPStatus.SERVICE_UNAVAILABLE, "overloaded", str(error)
+        ) from error
     except TimeoutError as error:
         raise _make_refusal(
             HTTPStatus.REQUEST_TIMEOUT,
@@ -375,8 +384,6 @@
         connection.is_running = True
     if connection.is_truncated:
         raise _make_truncated(len(body), declared)
-    if len(body) > limit:
-        raise _make_too_large(limit)
     if connection.has_ended and request.transport is not None:
         # The caller disconnected after its request; closing cancels this handler.
         request.transport.close()
--- a/packages/briarshed-entry/src/briarshed_entry/main.py
+++ b/packages/briarshed-entry/src/briarshed_entry/main.py
@@ -15,6 +15,7 @@
 from aiohttp import web
 from returns.pipeline import is_successful
 
+from briarshed.byte_admission import RequestBounds, size_share
 from briarshed.events import (
     ENTRY_NOT_READY,
     ENTRY_READY,
@@ -25,6 +26,8 @@
 from briarshed.exceptions import BriarshedError, SettingsError
 from briarshed.settings import Settings, load_settings
 from briarshed_entry import callers, operators
+from briarshed_entry.bounded_protocol import BoundedConnection
+from briarshed_entry.connections import Connections, Door
 from briarshed_entry.coordinator import Coordinator
 from briarshed_entry.endpoints import Endpoints
 from briarshed_entry.logs import configure_logs, log_event
@@ -37,6 +40,8 @@
 
 MS_PER_S = 1_000
 READINESS_CHECK_S = 0.5
+OPERATORS_DOOR = 8
+"""Part of the callers' connections, of which operators have as many more."""
 
 application = typer.Typer(add_completion=False)
 
@@ -103,9 +108,18 @@
         operator_application = operators.make_application(
             settings, replica, coordinator, scheduler, store.read_prefix
         )
-        caller_server = await enter(callers.CallerServer(settings, caller_application))
+        connections = await enter(make_connections(settings, metrics.count))
+        caller_server = await enter(
+            callers.CallerServer(
+                settings, caller_application, connections.open_door("callers")
+            )
+        )
         operators_address = await enter(
-            _serve_application(operator_application, settings.operators.address)
+            _serve_application(
+                operator_application,
+                settings.operators.address,
+                connections.open_door("operators", OPERATORS_DOOR),
+            )
         )
         log_event(ENTRY_STARTED, name=settings.name, data_centre=settings.data_centre)
         # Read by a launcher that lets the system choose the ports.
@@ -121,6 +135,22 @@
         await _stop(settings, coordinator, scheduler)
 
 
+def make_connections(settings: Settings, count: Callable[[str], None]) -> Connections:
+    """Return the owner of all connections of callers and operators."""
+    chosen = settings.connections
+    bounds = RequestBounds(
+        chosen.max_header_bytes,
+        chosen.header_timeout_ms / MS_PER_S,
+        chosen.idle_timeout_ms / MS_PER_S,
+    )
+    has_tls = settings.callers.tls is not None
+    return Connections(
+        size_share(chosen.memory_mb, chosen.max_descriptors, has_tls),
+        lambda: bounds,
+        lambda reason: count(f"clients.limited.{reason.replace(' ', '_')}"),
+    )
+
+
 def _make_check(
     settings: Settings, endpoints: Endpoints
 ) -> Callable[[str], Awaitable[bool]]:
@@ -160,16 +190,25 @@
 
 @asynccontextmanager
 async def _serve_application(
-    served: web.Application, address: str
+    served: web.Application, address: str, door: Door
 ) -> AsyncIterator[str]:
     host, _, port = address.rpartition(":")
-    runner = web.AppRunner(served, access_log=None)
+    runner = web.AppRunner(served)
     await runner.setup()
-    await web.TCPSite(runner, host.strip("[]"), int(port)).start()
+    loop = asyncio.get_running_loop()
+
+    def make_protocol() -> BoundedConnection:
+        assert runner.server is not None
+        return BoundedConnection(runner.server, door, loop=loop)
+
+    server = await loop.create_server(
+        make_protocol, host.strip("[]"), int(port), backlog=door.backlog
+    )
     try:
-        bound = runner.addresses[0]
+        bound = server.sockets[0].getsockname()
         yield f"{bound[0]}:{bound[1]}"
     finally:
+        server.close()
         await runner.cleanup()
 
 
--- a/packages/briarshed-entry/src/briarshed_entry/operators.py
+++ b/packages/briarshed-entry/src/briarshed_entry/operators.py
@@ -15,6 +15,7 @@
 
 from briarshed.commands import Show, Target, changes_document
 from briarshed.events import CHANGE_REFUSED, LOOP_FAILED, OPERATOR_REJECTED
+from briarshed.exceptions import BodyTimeoutError, BodyTooLargeError, NoRoomError
 from briarshed.findings import Finding, format_finding
 from briarshed.keys import find_operator
 from briarshed.language import parse_script
@@ -29,6 +30,7 @@
 )
 from briarshed_entry._operator_queries import QueryHandler
 from briarshed_entry.logs import log_event
+from briarshed_entry.request_bodies import defer_continue, read_body
 
 if TYPE_CHECKING:
     from briarshed_entry.coordinator import Coordinator
@@ -38,6 +40,7 @@
 CHANGE_ID_HEADER = "Briarshed-Change-Id"
 DRY_RUN_HEADER = "Briarshed-Dry-Run"
 MAX_SCRIPT_BYTES = 256 * 1024
+SCRIPT_TIMEOUT_S = 10.0
 MAX_CHANGE_ID_LENGTH = 64
 CLOSE_TIMEOUT_S = 15.0
 """Two changes of documents take at most 5 s each; the rest is a margin."""
@@ -67,7 +70,9 @@
     coordinator.set_query_handler(queries.evaluate_for_peer)
     api = _OperatorApi(settings, replica, queries, changes)
     application = web.Application(client_max_size=MAX_SCRIPT_BYTES)
-    application.router.add_post("/operator/commands", api.handle)
+    application.router.add_post(
+        "/operator/commands", api.handle, expect_handler=defer_continue
+    )
 
     async def close(_application: web.Application) -> None:
         await api.close()
@@ -213,12 +218,17 @@
         )
         return Failure(Refused(400, reason))
     try:
-        return Success((await request.read()).decode())
+        body = await read_body(request, MAX_SCRIPT_BYTES, SCRIPT_TIMEOUT_S)
+        return Success(body.decode())
     except UnicodeDecodeError:
         return Failure(Refused(400, "the script is not UTF-8 text"))
-    except web.HTTPRequestEntityTooLarge:
+    except BodyTooLargeError:
         reason = f"a script has at most {MAX_SCRIPT_BYTES} bytes"
         return Failure(Refused(413, reason))
+    except BodyTimeoutError as error:
+        return Failure(Refused(408, str(error)))
+    except NoRoomError as error:
+        return Failure(Refused(503, str(error)))
 
 
 def _is_change_id(text: str) -> bool:
--- a/packages/briarshed/src/briarshed/byte_admission.py
+++ b/packages/briarshed/src/briarshed/byte_admission.py
@@ -17,7 +17,6 @@
 """A quarter of the remaining memory holds bytes that are not handled yet, another one
 the connections themselves; the rest is that of the jobs."""
 
-MAX_BUFFERED_BYTES = 64 * MB
 MIN_BUFFERED_BYTES = 2 * MB
 MIN_CONNECTIONS = 16
 
@@ -90,7 +89,7 @@
     spare = max(0, int(memory_mb * MB) - PROCESS_BYTES) // SPARE_SHARE
     each = CONNECTION_BYTES + (TLS_BYTES if has_tls else 0)
     return ProcessShare(
-        max(MIN_BUFFERED_BYTES, min(MAX_BUFFERED_BYTES, spare)),
+        max(MIN_BUFFERED_BYTES, spare),
         max(MIN_CONNECTIONS, min(max_descriptors // DUTIES_SHARE, spare // each)),
     )
 
