--- a/packages/briarshed/src/briarshed/events.py
+++ b/packages/briarshed/src/briarshed/events.py
@@ -195,6 +195,12 @@
 SUBMISSIONS_REFUSED = Event(
     920, "WARNING", "{count} waiting submissions refused: they cannot be recorded now"
 )
+CLIENTS_LIMITED = Event(
+    890,
+    "WARNING",
+    "limits of clients applied: {closed}; {connections} connections are open, and"
+    " {held} of {size} bytes are held for requests",
+)
 ENTRY_UNREADABLE = Event(869, "WARNING", "store key {key} is unreadable: {error}")
 DATA_CENTRE_EVACUATED = Event(
     880, "WARNING", "data centre {data_centre} is evacuated, says the {source}"
