Let the tasks of a step wait one by one, and tell speeds without racks

RoomForecast names the waiting tasks; RunTimes knows the spread factor and expects times by rack. Each new scenario fails without its change.

--- a/features/workloads/steps/uneven_load_steps.py
+++ b/features/workloads/steps/uneven_load_steps.py
@@ -69,6 +69,24 @@
     context.now = NOW + 1
 
 
+@when('endpoint "a" has 4 best-effort runs that took 4 times as long')
+def step_best_effort(context):
+    end_slow_runs(context, SECOND._replace(best_effort=True))
+
+
+@when('endpoint "a" has 4 off-rack runs that took 4 times as long')
+def step_away(context):
+    context.engine.run_times.spread_factor = 4.0
+    end_slow_runs(context, SECOND._replace(rack="another"))
+
+
+def end_slow_runs(context, step):
+    """Let four runs of a step end at "a" after four times the expected time."""
+    runs = start(context, "a", step, 4, context.now)
+    context.now += 4
+    end(context, "a", runs, context.now)
+
+
 @given("4 endpoints that have run nothing")
 def step_fresh(context):
     context.engine = make_engine(names=NAMES)
@@ -164,9 +182,9 @@
             "twice as long": 2.0 * step.estimate,
             "2 s": 2.0,
         }.get(times, step.estimate)
-        context.run_times.note(step, seconds)
+        context.run_times.note(step, "", seconds)
     if times.endswith("7 s"):
-        context.run_times.note(SECOND, 7.0)
+        context.run_times.note(SECOND, "", 7.0)
 
 
 @then("a task with an estimate of 1 s is expected to take {least:g} to {most:g} s")
@@ -200,7 +218,7 @@
 
 @given('the task takes {factor:g} times as long at "b", since it is off rack')
 def step_off_rack(context, factor):
-    context.engine.spread_factor = factor
+    context.engine.run_times.spread_factor = factor
 
 
 @given('the task takes 4 times as long at "b", since it is slow')
@@ -210,9 +228,15 @@
         context.engine.endpoints["b"].reputation.note_speed(4.0, NOW)
 
 
-def submit_task(context, job_id):
+@when("the turns of 2 tasks of one such job come")
+def step_two_tasks(context):
+    submit_task(context, JOB, count=2)
+    context.started = list_started(context)
+
+
+def submit_task(context, job_id, count=1):
     """Submit a job whose data lies in a rack."""
-    step = Step(1, Resources(3_000, 1_000, 0), 1.0, rack=context.rack)
+    step = Step(count, Resources(3_000, 1_000, 0), 1.0, rack=context.rack)
     submit(context.engine, job_id, (step,), context.now)
 
 
--- a/features/workloads/uneven_load.feature
+++ b/features/workloads/uneven_load.feature
@@ -9,12 +9,14 @@
     Then it <verdict> as slow
 
     Examples:
-      | runs                                           | verdict      |
+      | runs                                           | verdict       |
       | 1 ended run that took 7 times as long          | doesn't count |
       | 2 ended runs that took 7 times as long         | doesn't count |
-      | 4 ended runs that took 4 times as long         | counts       |
+      | 4 ended runs that took 4 times as long         | counts        |
       | 1 run in progress at a seventh of the pace     | doesn't count |
-      | 3 runs in progress at a quarter of the pace    | counts       |
+      | 3 runs in progress at a quarter of the pace    | counts        |
+      | 4 best-effort runs that took 4 times as long   | doesn't count |
+      | 4 off-rack runs that took 4 times as long      | doesn't count |
 
   Scenario Outline: Few runs tell little of an endpoint's speed
     # Patterns: srv_slow with few tasks at each endpoint, a long tail. Guards against an
@@ -80,6 +82,13 @@
       | 1.5     | 3      | off rack | starts at "b"  |
       | 0.8     | 4      | slow     | waits for "a"  |
 
+  Scenario: The tasks of a step wait one by one
+    # Guards against a step of which all tasks wait since the first one does.
+    Given a step of 1 s whose data lies in the rack of "a", which is full for 0.2 s
+    And the task takes 1.5 times as long at "b", since it is off rack
+    When the turns of 2 tasks of one such job come
+    Then one task waits for "a" and the other starts at "b"
+
   Scenario: Tasks do not wait for the same room
     # Guards against a crowd that waits for one endpoint of a hot rack.
     Given a step of 1 s whose data lies in the rack of "a", which is full for 0.2 s
--- a/packages/briarshed-workloads/src/briarshed_workloads/controller.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/controller.py
@@ -131,7 +131,7 @@
             LeaseTimes(run_lease, run_lease, options.site_limits.max_run_lease),
             telemetry.report,
         )
-        self.engine.spread_factor = options.site_limits.spread_factor
+        self.engine.run_times.spread_factor = options.site_limits.spread_factor
         self._store = store
         self._directory = directory
         self._tasks: set[asyncio.Task[None]] = set()
--- a/packages/briarshed-workloads/src/briarshed_workloads/copies.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/copies.py
@@ -7,7 +7,6 @@
 from briarshed_workloads.engine import Engine
 from briarshed_workloads.fleet import Endpoint, Run, StartOrder, is_within
 from briarshed_workloads.jobs import Job, find_need
-from briarshed_workloads.ordering import estimate_task
 from briarshed_workloads.outliers import list_slow, measure_slowness, project_ratio
 from briarshed_workloads.placement import (
     EligibleEndpoints,
@@ -17,6 +16,7 @@
     list_eligible,
 )
 from briarshed_workloads.planning import measure_unknown_usage, reserve_run
+from briarshed_workloads.room_forecast import RoomForecast
 from briarshed_workloads.takeover import is_contested
 
 OVERDUE_FACTOR = 2.0
@@ -73,7 +73,10 @@
             if not is_within(engine.usage.estimate(job.team), need, maximum):
                 continue
             starts_left = count_starts_left(others)
-            candidates = EligibleEndpoints(others, {}, starts_left)
+            # A copy is late already, so that it waits for no better endpoint.
+            candidates = EligibleEndpoints(
+                others, {}, starts_left, RoomForecast(engine, (), now)
+            )
             counts = count_places(engine, run.task, run.step)
             endpoint = choose_endpoint(
                 engine, job, run.task, need, candidates, counts, now
@@ -123,7 +126,8 @@
         return now - silent_since > SILENT_ENDPOINT_S
     if not run.is_present or not run.confirmed_at:
         return False
-    expected = max(estimate_task(engine, run.step), MIN_EXPECTED_S)
+    rack = run.endpoint.registration.rack
+    expected = max(engine.run_times.expect_in(run.step, rack), MIN_EXPECTED_S)
     passed = now - run.confirmed_at
     ratio = project_ratio(run)
     projected = 0.0 if ratio is None else ratio * run.step.estimate
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -108,8 +108,6 @@
         Crashes of endpoints, in the order in which they became known.
     run_times : RunTimes
         Expected run times of tasks.
-    spread_factor : float
-        Factor on the run time of a task away from the rack that holds its data.
     earlier : EarlierLeaders
         What earlier leaders may still do or have running.
     """
@@ -134,7 +132,6 @@
         self.roster: set[str] = set()
         self.partly_listed: set[Endpoint] = set()
         self.run_times = RunTimes()
-        self.spread_factor = 2.0
         self.crashes: deque[Crash] = deque(maxlen=MAX_KNOWN_CRASHES)
         self.shares = Shares()
         self._sequence = 0
--- a/packages/briarshed-workloads/src/briarshed_workloads/outliers.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/outliers.py
@@ -10,6 +10,7 @@
 
 from briarshed_workloads.fleet import Endpoint, Run
 from briarshed_workloads.run_times import RunTimes
+from briarshed_workloads.workloads import Step
 
 STALL_TIMEOUT_S = 2.6
 """Time without progress after which a run is stalled: two polls and some slack."""
@@ -55,9 +56,9 @@
     """
     ratios = []
     for run in endpoint.runs.values():
-        if run.step.long_running or not run.is_present or not run.confirmed_at:
+        if not _tells_speed(run.step) or not run.is_present or not run.confirmed_at:
             continue
-        expected = run_times.expect(run.step)
+        expected = run_times.expect_in(run.step, endpoint.registration.rack)
         if not expected or run.checkpoint or run.stop_requested_at:
             continue
         passed = (now - run.confirmed_at) / expected
@@ -74,10 +75,19 @@
 ) -> None:
     """Note the time of a run that has just succeeded."""
     seconds = now - run.confirmed_at
-    expected = run_times.expect(run.step)
-    if expected:
+    rack = endpoint.registration.rack
+    expected = run_times.expect_in(run.step, rack)
+    if expected and _tells_speed(run.step):
         endpoint.reputation.note_speed(seconds / expected, now)
-    run_times.note(run.step, seconds)
+    run_times.note(run.step, rack, seconds)
+
+
+def _tells_speed(step: Step) -> bool:
+    """Return whether run times of a step depend on little besides the endpoint.
+
+    Best-effort tasks get what others leave, and members of a gang wait for each other.
+    """
+    return not (step.long_running or step.best_effort or step.gang)
 
 
 def list_stalled_runs(endpoints: Iterable[Endpoint], now: float) -> list[StalledRun]:
--- a/packages/briarshed-workloads/src/briarshed_workloads/placement.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/placement.py
@@ -28,14 +28,14 @@
         By name, how many times as long as others an endpoint takes; 1 if not given.
     starts_left : dict
         By name, how many more starts each may get now.
-    forecast : RoomForecast, optional
-        Room that is about to be freed; tasks wait for none without it.
+    forecast : RoomForecast
+        Room that is about to be freed, and the tasks that wait for it.
     """
 
     endpoints: Sequence[Endpoint]
     slowness: Mapping[str, float]
     starts_left: dict[str, int]
-    forecast: RoomForecast | None = None
+    forecast: RoomForecast
 
 
 def gather_candidates(
@@ -203,8 +203,7 @@
     """
     factor = slowness.get(endpoint.name, 1.0)
     factor = factor if factor > SLOW_FACTOR else 1.0
-    is_off_rack = step.rack and endpoint.registration.rack != step.rack
-    return factor * engine.spread_factor if is_off_rack else factor
+    return factor * engine.run_times.find_spread(step, endpoint.registration.rack)
 
 
 def _is_better_to_wait(
@@ -219,17 +218,13 @@
 ) -> bool:
     """Return whether a task would end sooner if it waited for a better endpoint.
 
-    ``best`` is the best endpoint that has room for it now.
-
-    A step waits for `HORIZON_S` in all, in case that no room is freed as expected.
+    ``best`` is the best endpoint that has room for it now. A step waits for `HORIZON_S`
+    in all, in case that no room is freed as expected.
     """
-    if candidates.forecast is None:
-        return False
     step = job.find_step(task)
     key = task[1:3]
     if now - job.waits_since.get(key, now) >= HORIZON_S:
         return False
-
     factor = _measure_time_factor(engine, step, best, candidates.slowness)
 
     def is_suitable(endpoint: Endpoint) -> bool:
@@ -241,7 +236,7 @@
         return own < factor
 
     limit = (factor - 1.0) * estimate_task(engine, step)
-    if not candidates.forecast.wait_for(need, is_suitable, limit):
+    if not candidates.forecast.wait_for(task, need, is_suitable, limit):
         return False
     if key not in job.waits_since:
         job.waits_since[key] = now
--- a/packages/briarshed-workloads/src/briarshed_workloads/planning.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/planning.py
@@ -198,6 +198,8 @@
         if counts is None:
             counts = count_places(engine, task, step)
         endpoint = choose_endpoint(engine, job, task, need, candidates, counts, now)
+        if endpoint is None and task in candidates.forecast.waiting:
+            continue
         if endpoint is None:
             return
         orders.append(reserve_run(engine, job, task, step, endpoint, now))
--- a/packages/briarshed-workloads/src/briarshed_workloads/room_forecast.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/room_forecast.py
@@ -6,8 +6,7 @@
 
 from briarshed_workloads.engine import Engine
 from briarshed_workloads.fleet import Endpoint, Run
-from briarshed_workloads.ordering import estimate_task
-from briarshed_workloads.workloads import Resources, add, fits, subtract
+from briarshed_workloads.workloads import Resources, TaskId, add, fits, subtract
 
 HORIZON_S = 1.0
 """Longest time for which a task waits for a better endpoint, also if the expected ends
@@ -29,6 +28,11 @@
         Endpoints that may get new runs.
     now : float
         Seconds of the boot clock.
+
+    Attributes
+    ----------
+    waiting : set
+        Tasks that wait for room.
     """
 
     def __init__(
@@ -40,9 +44,14 @@
         self._ends: list[tuple[float, Endpoint, Resources]] | None = None
         self._promised: dict[str, Resources] = {}
         self._left = MAX_FORECASTS
+        self.waiting: set[TaskId] = set()
 
     def wait_for(
-        self, need: Resources, is_suitable: Callable[[Endpoint], bool], limit: float
+        self,
+        task: TaskId,
+        need: Resources,
+        is_suitable: Callable[[Endpoint], bool],
+        limit: float,
     ) -> bool:
         """Let a task wait if a suitable endpoint will have room for it soon enough.
 
@@ -71,6 +80,7 @@
             left = subtract(total, promised) if promised else total
             if fits(need, left):
                 self._promised[name] = add(promised, need) if promised else need
+                self.waiting.add(task)
                 return True
         return False
 
@@ -87,7 +97,10 @@
         """Return in how many seconds a run ends, or None if that is not known."""
         if run.step.long_running or not run.is_present or not run.confirmed_at:
             return None
-        slowness = run.endpoint.reputation.measure_slowness(self._now)
-        expected = estimate_task(self._engine, run.step) * max(1.0, slowness)
+        endpoint = run.endpoint
+        expected = self._engine.run_times.expect_in(
+            run.step, endpoint.registration.rack
+        )
+        expected *= max(1.0, endpoint.reputation.measure_slowness(self._now))
         left = expected - (self._now - run.started_at)
         return left if 0 <= left < HORIZON_S else None
--- a/packages/briarshed-workloads/src/briarshed_workloads/run_times.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/run_times.py
@@ -34,16 +34,27 @@
 
     Callers state an estimate for each step. Where runs of an image differ and the
     estimates tell how, the expected time is the estimate times the usual ratio.
+
+    Attributes
+    ----------
+    spread_factor : float
+        Factor on the run time of a task away from the rack that holds its data.
     """
 
     def __init__(self) -> None:
+        self.spread_factor = 2.0
         self._images: dict[str, _Image] = {}
 
-    def note(self, step: Step, seconds: float) -> None:
-        """Note the time of a run that has succeeded, in seconds.
+    def find_spread(self, step: Step, rack: str) -> float:
+        """Return the factor on the run time of a step's tasks in a rack."""
+        return self.spread_factor if step.rack and step.rack != rack else 1.0
+
+    def note(self, step: Step, rack: str, seconds: float) -> None:
+        """Note the time of a run in a rack that has succeeded, in seconds.
 
         The estimate of the first step of an image counts like a run.
         """
+        seconds /= self.find_spread(step, rack)
         if not step.image or seconds <= 0:
             return
         time = math.log(seconds)
@@ -61,6 +72,10 @@
             known.ratio_error + weight * (abs(off_ratio) - known.ratio_error),
         )
 
+    def expect_in(self, step: Step, rack: str) -> float:
+        """Return the expected run time of a task of a step in a rack in seconds."""
+        return self.expect(step) * self.find_spread(step, rack)
+
     def expect(self, step: Step) -> float:
         """Return the expected run time of a task of a step in seconds."""
         known = self._images.get(step.image)
