Serve what loses most for its work first in a shortage

Cause: jobs were served by their objective alone until they were late. Where a pool has too little room, each job then gets its room just as it becomes late, and has used the room of one that could have been in time.

Change: each plan asks, job by job in the order of service, whether the work before it leaves it in time. If not, the job that loses least for the work that is left of it gives way, within the same priority and share (the rule of Moore and Hodgson, with losses). Nothing changes where all jobs can be done in time. A started job has less work left and so is kept. Late jobs of a team beyond its weight come after the other late ones.

--- a/packages/briarshed-workloads/src/briarshed_workloads/copies.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/copies.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from briarshed_workloads.engine import Engine
+from briarshed_workloads.estimates import estimate_task
 from briarshed_workloads.fleet import Run, StartOrder, is_within
 from briarshed_workloads.jobs import Job, find_need
-from briarshed_workloads.ordering import estimate_task
 from briarshed_workloads.outliers import find_slow, project_ratio
 from briarshed_workloads.placement import (
     EligibleEndpoints,
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -29,6 +29,7 @@
     RUN_TIME_WEIGHT,
     Job,
     find_need,
+    find_objective,
 )
 from briarshed_workloads.leases import LeaseTimes
 from briarshed_workloads.outliers import SLOW_FACTOR, project_ratio
@@ -144,6 +145,10 @@
         """Return the current rules of the job's queue, or None if it was removed."""
         return self.configuration.queues.get(job.queue) if self.configuration else None
 
+    def find_objective(self, job: Job) -> float:
+        """Return the time in seconds after which the job loses value."""
+        return find_objective(job, self.find_queue(job))
+
     def find_team_limit(self, team: str) -> Resources:
         """Return the team's limit; removed teams are unlimited.
 
--- /dev/null
+++ b/packages/briarshed-workloads/src/briarshed_workloads/expected_wait.py
@@ -0,0 +1,86 @@
+"""Expected wait: which jobs of a pool can be done in time, given the work before them.
+
+Nothing here knows the engine. Work is measured in seconds of the whole pool, so that
+the work before a job is also the time that it waits.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Iterable
+from typing import NamedTuple
+
+MIN_WORK_S = 1e-6
+"""Least work by which a loss is divided."""
+
+
+class Claim(NamedTuple):
+    """What a job asks of its pool.
+
+    Attributes
+    ----------
+    job_id : str
+    tier : tuple of int
+        Jobs of a lower tier are served before those of a higher one.
+    due_in : float
+        Seconds until the job loses value.
+    path : float
+        Seconds that it takes at the least, from the start of its next task.
+    work : float
+        Seconds for which its tasks that have not started occupy the whole pool.
+    loss : float
+        What the caller loses if the job is not done by then, in the same unit as the
+        work, so that both can be compared.
+    """
+
+    job_id: str
+    tier: tuple[int, ...]
+    due_in: float
+    path: float
+    work: float
+    loss: float
+
+
+class Outlook(NamedTuple):
+    """Which jobs can be done in time.
+
+    Attributes
+    ----------
+    deferred : list of str
+        Jobs that should give way.
+    work : float
+        Seconds of the whole pool until the others have started.
+    """
+
+    deferred: list[str]
+    work: float
+
+
+def find_deferred(claims: Iterable[Claim], ahead: float = 0.0) -> Outlook:
+    """Choose the jobs that give way so that the others are done in time.
+
+    The jobs are taken by tier and due time. Where one would not be done in time, those
+    give way that lose the least for the work that they take, of the highest tier first.
+    That is the rule of Moore and Hodgson, with losses.
+
+    Parameters
+    ----------
+    claims : iterable of Claim
+        The jobs; each could be done in time if it started now.
+    ahead : float
+        Work in seconds that is served before all of them.
+    """
+    deferred: list[str] = []
+    served: list[tuple[tuple[int, ...], float, str, float]] = []
+    for claim in sorted(claims, key=lambda row: (row.tier, row.due_in, row.job_id)):
+        tier = tuple(-part for part in claim.tier)
+        loss = claim.loss / max(claim.work, MIN_WORK_S)
+        heapq.heappush(served, (tier, loss, claim.job_id, claim.work))
+        ahead += claim.work
+        while ahead + claim.path > claim.due_in and served:
+            _, _, job_id, work = heapq.heappop(served)
+            deferred.append(job_id)
+            ahead -= work
+            if job_id == claim.job_id:
+                break
+    return Outlook(deferred, ahead)
--- a/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
@@ -71,6 +71,7 @@
     __slots__ = (
         "accepted_at",
         "cached_remaining",
+        "cached_work",
         "cancelled",
         "checkpoints",
         "core_seconds",
@@ -125,6 +126,7 @@
         self.is_within_share = True
         self.failed_endpoints: dict[TaskId, set[str]] = {}
         self.cached_remaining: tuple[float, float] | None = None
+        self.cached_work: tuple[float, tuple] | None = None
         self.succeeded: dict[tuple[int, int], set[int]] = {}
         self.failed_runs: dict[TaskId, set[int]] = {}
         self.crashes: dict[TaskId, dict[int, int]] = {}
@@ -321,6 +323,7 @@
 
     def _close_step(self, occurrence: int, unix_now: float) -> None:
         self.cached_remaining = None
+        self.cached_work = None
         if occurrence not in self.open_occurrences:
             # It was started under an earlier leader whose clock was ahead.
             return
--- a/packages/briarshed-workloads/src/briarshed_workloads/ordering.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/ordering.py
@@ -1,72 +1,66 @@
-"""Order of jobs: which waiting job is served first."""
+"""Order of jobs: which waiting job of a pool is served first."""
 
 from __future__ import annotations
 
-from briarshed_workloads.engine import Engine
-from briarshed_workloads.jobs import Job, find_objective
-from briarshed_workloads.workloads import Step
-
-LONG_RUNNING, ON_TIME, BEYOND_SHARE, LATE = 0, 1, 2, 3
-"""Ranks of jobs: those that run until cancelled, those that can still meet their
-objective, those beyond the share of their team, and late ones, which get the rest."""
-
-REMAINING_TIME_CACHE_S = 0.25
-"""Time for which the estimate of a job's remaining time is cached."""
-
+from collections.abc import Iterable, Sequence
 
-def rank_job(engine: Engine, job: Job, unix_now: float) -> tuple:
-    """Return the sort key of a job: rank, priority, objective.
-
-    Jobs that miss their objective come last, in the order of their objectives.
+from briarshed_workloads.engine import Engine
+from briarshed_workloads.estimates import estimate_remaining_time
+from briarshed_workloads.fleet import Endpoint
+from briarshed_workloads.jobs import Job
+from briarshed_workloads.shortage import (
+    BEYOND_SHARE,
+    LATE_RANKS,
+    LONG_RUNNING,
+    ON_TIME,
+    Rank,
+    defer_jobs,
+    measure_capacity,
+)
+from briarshed_workloads.supervision import report_error
+
+
+def sort_jobs(
+    engine: Engine, jobs: Iterable[Job], endpoints: Sequence[Endpoint], now: float
+) -> list[Job]:
+    """Return the jobs of a pool in the order in which they are served.
+
+    They are sorted by `rank_job`. Where the pool cannot serve all in time, those whose
+    callers lose least give way, see `defer_jobs`.
+
+    Parameters
+    ----------
+    endpoints : sequence of Endpoint
+        Endpoints that may get new runs.
+    now : float
+        Seconds of the boot clock.
     """
+    unix_now = engine.to_unix_time(now)
+    ranks: dict[str, Rank] = {}
+    known: dict[str, Job] = {}
+    for job in jobs:
+        try:
+            ranks[job.job_id] = rank_job(engine, job, unix_now)
+            known[job.job_id] = job
+        except Exception as error:
+            report_error(f"rank of job {job.job_id}", error)
+    try:
+        defer_jobs(engine, known, ranks, measure_capacity(endpoints), unix_now)
+    except Exception as error:
+        report_error("choice of jobs that give way", error)
+    return sorted(known.values(), key=lambda job: ranks[job.job_id])
+
+
+def rank_job(engine: Engine, job: Job, unix_now: float) -> Rank:
+    """Return the sort key of a job as if it were alone in its pool."""
     if job.is_long_running:
-        return (LONG_RUNNING, 0, job.accepted_at, job.job_id)
+        return Rank(LONG_RUNNING, 0, job.accepted_at, job.job_id)
     queue = engine.find_queue(job)
     due = job.accepted_at
     if job.description.schedule:
         due = max(due, job.find_due(min(job.waiting.list_steps()).occurrence))
-    objective = due + find_objective(job, queue)
+    objective = due + engine.find_objective(job)
     rank = ON_TIME if job.is_within_share else BEYOND_SHARE
     if unix_now + estimate_remaining_time(engine, job, unix_now) > objective:
-        rank = LATE
-    priority = queue.priority if queue else 0
-    return (rank, priority, objective, job.job_id)
-
-
-def estimate_remaining_time(engine: Engine, job: Job, unix_now: float) -> float:
-    """Return the estimated length of the critical path left of a job in seconds.
-
-    Of a scheduled job, it is that of the first open occurrence. It is cached for
-    `REMAINING_TIME_CACHE_S`, since every plan needs it.
-    """
-    if (
-        job.cached_remaining is not None
-        and unix_now - job.cached_remaining[0] < REMAINING_TIME_CACHE_S
-    ):
-        return job.cached_remaining[1]
-    remaining = _measure_remaining_time(engine, job)
-    job.cached_remaining = unix_now, remaining
-    return remaining
-
-
-def _measure_remaining_time(engine: Engine, job: Job) -> float:
-    lengths: dict[int, float] = {}
-    steps = job.description.steps
-    occurrence = next(iter(job.open_occurrences), 0)
-
-    def measure(number: int) -> float:
-        if number not in lengths:
-            lengths[number] = 0.0
-            step = steps[number]
-            before = max((measure(other) for other in step.after), default=0.0)
-            done = job.succeeded.get((occurrence, number), ())
-            own = 0.0 if len(done) >= step.count else estimate_task(engine, step)
-            lengths[number] = before + own
-        return lengths[number]
-
-    return max((measure(number) for number in range(len(steps))), default=0.0)
-
-
-def estimate_task(engine: Engine, step: Step) -> float:
-    """Return a task's run time in seconds: the mean of its image, else the estimate."""
-    return engine.run_times.get(step.image, step.estimate)
+        rank = LATE_RANKS[rank]
+    return Rank(rank, queue.priority if queue else 0, objective, job.job_id)
--- a/packages/briarshed-workloads/src/briarshed_workloads/planning.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/planning.py
@@ -14,7 +14,7 @@
 from briarshed_workloads.evidence import ISOLATION_S, SUSPICION_WINDOW_S
 from briarshed_workloads.fleet import Endpoint, Isolation, StartOrder, is_within
 from briarshed_workloads.jobs import Job, find_need
-from briarshed_workloads.ordering import rank_job
+from briarshed_workloads.ordering import sort_jobs
 from briarshed_workloads.outliers import find_slow
 from briarshed_workloads.placement import (
     EligibleEndpoints,
@@ -73,19 +73,11 @@
     eligible = list_eligible(engine, pool, now)
     if not jobs or not eligible or not _has_capacity(jobs, eligible):
         return
-    unix_now = engine.to_unix_time(now)
-    ranked: list[tuple[tuple, Job]] = []
-    for job in jobs:
-        try:
-            ranked.append((rank_job(engine, job, unix_now), job))
-        except Exception as error:
-            report_error(f"rank of job {job.job_id}", error)
-    ranked.sort(key=lambda row: row[0])
     candidates = EligibleEndpoints(
         eligible, find_slow(eligible), count_starts_left(eligible)
     )
     limit = len(orders) + MAX_STARTS_PER_PLAN
-    for _, job in ranked:
+    for job in sort_jobs(engine, jobs, eligible, now):
         if len(orders) >= limit:
             return
         try:
--- a/packages/briarshed-workloads/src/briarshed_workloads/sizing.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/sizing.py
@@ -13,9 +13,9 @@
 from typing import NamedTuple
 
 from briarshed_workloads.engine import Engine
+from briarshed_workloads.estimates import estimate_remaining_time, estimate_task
 from briarshed_workloads.fleet import Endpoint
 from briarshed_workloads.jobs import Job, find_need, find_objective
-from briarshed_workloads.ordering import estimate_remaining_time, estimate_task
 from briarshed_workloads.workloads import NO_RESOURCES, Instance, Resources, add
 
 MEAN_RATE_TIME_S = 1.2
