--- a/bench/_emulator.py
+++ b/bench/_emulator.py
@@ -15,19 +15,24 @@
 from typing import NamedTuple
 
 from briarshed_workloads import maintenance
+from briarshed_workloads.admission import find_retry_delay
 from briarshed_workloads.configuration import (
     Configuration,
     PoolRules,
     QueueRules,
     RequestLimits,
+    TeamRules,
 )
 from briarshed_workloads.engine import Engine
 from briarshed_workloads.fleet import Run
-from briarshed_workloads.jobs import COMPLETED, FAILED, find_objective
+from briarshed_workloads.jobs import COMPLETED, FAILED, find_objective, make_job
 from briarshed_workloads.leases import LeaseTimes
 from briarshed_workloads.planning import plan_starts
+from briarshed_workloads.shares import Shares
+from briarshed_workloads.shortage import measure_incoming
 from briarshed_workloads.sizing import ArrivalRate, plan_moves
 from briarshed_workloads.workloads import (
+    NO_RESOURCES,
     Description,
     EndedRun,
     Instance,
@@ -47,6 +52,15 @@
 BEFORE_ALL_STARTS = -1.0
 """Time of a poll sent before all starts: runs that it does not list may exist."""
 
+MAX_RETRIES = 4
+"""How often a caller submits a refused job again."""
+
+HOT_TEAM, HOT_FROM, HOT_UNTIL = 3, 0.25, 0.5
+"""The team whose demand rises, and the part of the time for which it does."""
+
+WEIGHT_FACTOR = 1.9
+"""A team's weight as a multiple of its usual jobs per second."""
+
 MOVE_S = 1.5
 LATE_FACTOR = 3.0
 LATE_VALUE = 0.07
@@ -81,6 +95,7 @@
     long_running_demand: Resources
     profiles: tuple[JobProfile, ...]
     burst_s: float
+    teams: int = 1
 
 
 MOLDURAS = Deployment(
@@ -151,12 +166,35 @@
     4.0,
 )
 
+COMPETING = Deployment(
+    "competing",
+    36,
+    29,
+    Resources(64_000, 262_144, 0),
+    1,
+    24,
+    Resources(6_000, 20_000, 0),
+    (
+        JobProfile("p0", 9.15, 1.6, 8, 0.8, 6_200, 23_000, 0.2, 0, 2, 0.01),
+        JobProfile("p1", 2.42, 2.0, 8, 1.3, 13_000, 49_000, 0.2, 1, 4, 0.03),
+        JobProfile("p2", 11.5, 1.6, 8, 0.8, 6_200, 23_000, 0.2, 0, 2, 0.01),
+        JobProfile("p3", 2.95, 2.0, 8, 1.3, 13_000, 49_000, 0.2, 1, 4, 0.03),
+    ),
+    4.0,
+    20,
+)
+
 DEPLOYMENTS = {
     deployment.name: deployment
-    for deployment in (MOLDURAS, MSASANI, LARGE_MOLDURAS, LARGE_MSASANI)
+    for deployment in (MOLDURAS, MSASANI, LARGE_MOLDURAS, LARGE_MSASANI, COMPETING)
 }
 
 
+def list_usage(teams: int) -> list[float]:
+    """Return the usual demand of each team; a few are large."""
+    return [1 / (number + 1) ** 1.2 for number in range(teams)]
+
+
 class Result(NamedTuple):
     """Result of a run; values are relative to the value of all jobs."""
 
@@ -166,6 +204,8 @@
     worst_kind: float
     instance_seconds: float
     moves: int
+    served: float
+    refusals: float
 
 
 class Emulation:
@@ -178,14 +218,17 @@
         load: float,
         moves: bool,
         length: float = 34.0,
+        may_refuse: bool = True,
+        hot: float = 5.0,
     ) -> None:
         self.deployment = deployment
         self.random = random.Random(seed)
+        self.run_random = random.Random(seed + 1_000)
         self.length = length
         self.load = load
         self.may_move = moves
         self.now = 0.0
-        self.engine = Engine(1, LeaseTimes(5.0, 5.0), lambda *_, **__: None)
+        self.engine = Engine(1, LeaseTimes(5.0, 5.0, 5.0), lambda *_, **__: None)
         self.engine.configuration = _configure(deployment)
         self.instances: dict[str, Instance] = {}
         self.rates: dict[str, ArrivalRate] = {}
@@ -200,6 +243,13 @@
         self._durations: dict[str, list[float]] = {}
         self._profile_numbers: dict[str, int] = {}
         self._failing_jobs: set[str] = set()
+        self._sent_at: dict[str, float] = {}
+        self._sizes: dict[str, float] = {}
+        self._unowed: set[str] = set()
+        self._owed = Shares()
+        self.may_refuse = may_refuse
+        self.refusals = 0
+        self.hot = hot
 
     def at(self, time: float, action: Callable[[], None]) -> None:
         """Schedule an action."""
@@ -318,14 +368,49 @@
         self._profile_numbers[job_id] = number
         if self.random.random() < profile.failing_part:
             self._failing_jobs.add(job_id)
-        self._accept(job_id, f"q-{profile.pool}", profile.pool, tuple(steps))
+        team = self._draw_team()
+        rules = self.engine.configuration.teams.get(team)
+        if rules and not self._owed.take(team, rules.weight, self.now):
+            self._unowed.add(job_id)
+        queue = f"q-{profile.pool}"
+        self._sizes[job_id] = sum(
+            step.count * step.need.cpu / 1000 * step.estimate for step in steps
+        )
+        self._accept(job_id, queue, profile.pool, tuple(steps), team)
+
+    def _draw_team(self) -> str:
+        """Return the team of the next job; one is hot for a quarter of the time."""
+        count = self.deployment.teams
+        if count < 2:
+            return ""
+        usage = list_usage(count)
+        if HOT_FROM <= self.now / self.length < HOT_UNTIL:
+            usage[HOT_TEAM] *= self.hot
+        return f"t{self.random.choices(range(count), usage)[0]}"
 
     def _accept(
-        self, job_id: str, queue: str, pool: str, steps: tuple[Step, ...]
+        self,
+        job_id: str,
+        queue: str,
+        pool: str,
+        steps: tuple[Step, ...],
+        team: str = "",
+        tries: int = 0,
     ) -> None:
+        self._sent_at.setdefault(job_id, self.now)
         submission = Submission(
-            job_id, queue, pool, "", self.now, Description("", steps)
+            job_id, queue, pool, team, self._sent_at[job_id], Description("", steps)
         )
+        if self.may_refuse:
+            queue_rules = self.engine.configuration.queues[queue]
+            job = make_job(submission, queue_rules)
+            delay = find_retry_delay(self.engine, job, self._sent_at[job_id], self.now)
+            if delay is not None:
+                self.refusals += 1
+                if tries < MAX_RETRIES:
+                    again = (job_id, queue, pool, steps, team, tries + 1)
+                    self.at(self.now + delay, partial(self._accept, *again))
+                return
         job = self.engine.accept(submission, self.now)
         self.engine.activate(job, self.now)
         self.rates.setdefault(pool, ArrivalRate()).add(job.core_seconds, self.now)
@@ -340,7 +425,7 @@
             run.percent = 100
             return
         seconds = self._durations[run.task.job][run.task.step]
-        seconds *= self.random.uniform(0.85, 1.15)
+        seconds *= self.run_random.uniform(0.85, 1.15)
         self.at(self.now + seconds + END_DELAY_S, partial(self._end, run))
 
     def _end(self, run: Run) -> None:
@@ -377,6 +462,7 @@
             profile.pool: self.deployment.instances
             for profile in self.deployment.profiles
         }
+        self.engine.incoming = measure_incoming(self.instances.values())
         moves = plan_moves(
             self.engine,
             self.instances,
@@ -408,28 +494,39 @@
         means: dict[int, float] = {}
         for number in range(len(self.deployment.profiles)):
             job_sizes = [
-                engine.jobs[job].core_seconds
+                self._sizes[job]
                 for job, profile in self._profile_numbers.items()
                 if profile == number
             ]
             means[number] = sum(job_sizes) / max(1, len(job_sizes))
         for job_id, number in self._profile_numbers.items():
-            job = engine.jobs[job_id]
-            job_value = min(4.0, 0.3 + 0.7 * job.core_seconds / means[number])
+            if job_id in self._unowed:
+                continue
+            job_value = min(4.0, 0.3 + 0.7 * self._sizes[job_id] / means[number])
+            size = self._sizes[job_id] / means[number]
+            job = engine.jobs.get(job_id)
+            if job is None:
+                rows.append((number, job_value, 0.0, size))
+                continue
             objective = find_objective(job, engine.find_queue(job))
-            took = job.ended_at - job.accepted_at if job.ended_at else math.inf
+            took = math.inf
+            if job.ended_at:
+                took = job.ended_at - self._sent_at[job_id]
             done = job.state == (FAILED if job_id in self._failing_jobs else COMPLETED)
             part = 0.0
             if done and took <= objective:
                 part = 1.0
             elif done and took <= LATE_FACTOR * objective:
                 part = LATE_VALUE
-            rows.append((number, job_value, part, job.core_seconds / means[number]))
-        return _summarize(rows, self.instance_seconds, self.move_count)
+            rows.append((number, job_value, part, size))
+        return _summarize(rows, self.instance_seconds, self.move_count, self.refusals)
 
 
 def _summarize(
-    rows: list[tuple[int, float, float, float]], seconds: float, moves: int
+    rows: list[tuple[int, float, float, float]],
+    seconds: float,
+    moves: int,
+    refusals: int,
 ) -> Result:
     def share(part: list[tuple[int, float, float, float]]) -> float:
         owed = sum(row[1] for row in part)
@@ -448,6 +545,8 @@
         min(share(part) for part in by_profile),
         seconds,
         moves,
+        sum(row[2] > 0 for row in rows) / max(1, len(rows)),
+        refusals,
     )
 
 
@@ -476,4 +575,14 @@
         for profile in deployment.profiles
     }
     pools["standby"] = PoolRules("standby", False, True)
-    return Configuration(1, queues, pools, {}, {}, RequestLimits(), {})
+    usage = list_usage(deployment.teams)
+    rate = sum(profile.arrivals_per_s for profile in deployment.profiles)
+    teams = {
+        f"t{number}": TeamRules(
+            f"t{number}",
+            max(1.0, WEIGHT_FACTOR * rate * part / sum(usage)),
+            NO_RESOURCES,
+        )
+        for number, part in enumerate(usage)
+    }
+    return Configuration(1, queues, pools, teams, {}, RequestLimits(), {})
--- /dev/null
+++ b/features/workloads/shortage.feature
@@ -0,0 +1,98 @@
+Feature: Too little room: which jobs are delayed or refused
+
+  Scenario Outline: A pool gets more work than it can do in time
+    # Pattern: turns of demand. Guards against jobs that each get room as they become
+    # late: then none is in time.
+    Given 6 jobs that each take the whole pool for 1 s and are due in <due> s
+    When it is decided which of them give way
+    Then <count> give way
+
+    Examples:
+      | due | count |
+      | 6   | 0     |
+      | 3   | 3     |
+      | 0.5 | 6     |
+
+  Scenario Outline: Which job gives way
+    # Guards against room that is taken by what loses less for it. Two jobs are due in
+    # 2 s, and the pool can do one of them.
+    Given a job that loses <loss> for <work> s of work, of tier <tier>
+    And another that loses 1.5 for 1.5 s of work, of tier 1
+    When it is decided which of them give way
+    Then the <first or other> one gives way
+
+    Examples:
+      | loss | work | tier | first or other | why                                      |
+      | 1.4  | 1.5  | 1    | first          | it loses less                            |
+      | 1.5  | 0.6  | 1    | other          | the first has started: less work is left |
+      | 0.1  | 1.5  | 0    | other          | the first has a higher priority          |
+      | 9.0  | 1.5  | 2    | first          | it is beyond the share of its team       |
+
+  Scenario: Large jobs are not always those that give way
+    # Guards against a largest tenth of the jobs that is never in time.
+    Given a pool with room for 4 of 8 tasks, and a started job of 4 tasks
+    And 2 jobs of 1 task that arrived later
+    When waiting tasks are placed in a shortage
+    Then the started job goes on first
+
+  Scenario: Jobs of one team beyond its weight in a shortage
+    # Pattern: hot team. Guards against late jobs of the crowd before late ones of others.
+    Given a pool that is late, with 6 jobs of a team of weight 1 and 2 of another after it
+    When the order of the jobs is asked
+    Then the jobs of the other team come before those beyond the weight of the first
+
+  Scenario Outline: A job arrives while others are late
+    # Guards against callers who wait for a result that is worth nothing (pattern: burst),
+    # and against refusals that help nobody.
+    Given a pool with <backlog> s of work that waits, planned <age> s ago
+    When a job of 1 s arrives that its caller asked for <waited> s ago
+    Then it is <decision>
+
+    Examples:
+      | backlog | age | waited | decision |
+      | 0       | 0.1 | 0      | accepted |
+      | 1       | 0.1 | 0      | accepted |
+      | 4       | 0.1 | 0      | accepted |
+      | 20      | 0.1 | 0      | refused  |
+      | 20      | 2   | 0      | accepted |
+      | 0       | 0.1 | 60     | accepted |
+
+  Scenario: An urgent job arrives while others are late
+    # Pattern: burst of urgent jobs. Guards against a refusal because of work that is
+    # served after it.
+    Given a pool with 20 s of work that waits, planned 0.1 s ago
+    When a job of 1 s arrives in a queue of a higher priority
+    Then it is accepted
+
+  Scenario Outline: A refused job that was sent twice
+    # Guards against a refusal that does not remain true (REFUSED).
+    Given 3 entries, and a job that the leader has refused
+    When <message> arrives <seconds> s later, and there is room again
+    Then the job is <result>
+
+    Examples:
+      | message                                  | seconds | result       |
+      | the same request                         | 0.5     | not accepted |
+      | an earlier request of its caller         | 0.5     | not accepted |
+      | an earlier request of its caller         | 70      | not accepted |
+      | a new request of its caller              | 1       | accepted     |
+      | a request for another leader             | 0.5     | not accepted |
+
+  Scenario: The leader changes in a shortage
+    # Guards against a refusal by a leader that does not know of an acceptance, and
+    # against one that is taken as final although a later leader may have accepted.
+    Given 3 entries, and a job that the leader has refused
+    When another entry leads, and its caller submits it again
+    Then the job is accepted
+
+  Scenario: The crowd of one team when the leader changes
+    # Guards against a crowd that delays others once another entry leads.
+    Given a pool that is late, with 6 jobs of a team of weight 1 and 2 of another after it
+    When the next leader has restored the jobs, and their order is asked
+    Then the jobs of the other team come before those beyond the weight of the first
+
+  Scenario: The store is slow in a shortage
+    # Guards against the refusal of a job whose acceptance is being written.
+    Given 3 entries, and a job whose acceptance waits for the store
+    When there is no more room, and the job is sent again
+    Then both requests are answered with "accepted" once the store responds
--- /dev/null
+++ b/features/workloads/steps/shortage_steps.py
@@ -0,0 +1,301 @@
+"""Steps for decisions in a shortage, and for refusals in virtual time."""
+
+import asyncio
+
+from behave import given, then, when
+from engine_steps import (
+    NEED,
+    NOW,
+    make_configuration,
+    make_engine,
+    poll_endpoint,
+)
+from heavy_days_steps import submit_for_team
+from virtual_fleet import Fleet
+from virtual_time import run_virtually
+from withdrawn_job_steps import JOB, cause, list_jobs_run, make_submission, settle
+
+from briarshed_entry import clock
+from briarshed_workloads.admission import find_retry_delay
+from briarshed_workloads.configuration import TeamRules
+from briarshed_workloads.engine import MAX_OPEN_SIZE
+from briarshed_workloads.expected_wait import Claim, find_deferred
+from briarshed_workloads.jobs import make_job
+from briarshed_workloads.ordering import sort_jobs
+from briarshed_workloads.planning import plan_starts
+from briarshed_workloads.refusals import number_attempt
+from briarshed_workloads.shares import restore_shares
+from briarshed_workloads.transport import SubmitRequest
+from briarshed_workloads.workloads import (
+    NO_RESOURCES,
+    Description,
+    Step,
+    Submission,
+)
+
+TIMEOUT_S = 2.8
+EARLIER_S = 0.3
+
+
+@given("6 jobs that each take the whole pool for 1 s and are due in {due:g} s")
+def step_claims(context, due):
+    context.claims = [Claim(f"{n}", (1,), due, 0.0, 1.0, 1.0) for n in range(6)]
+
+
+@given("a job that loses {loss:g} for {work:g} s of work, of tier {tier:d}")
+def step_first(context, loss, work, tier):
+    context.claims = [Claim("first", (tier,), 2.0, 0.0, work, loss)]
+
+
+@given("another that loses 1.5 for 1.5 s of work, of tier 1")
+def step_other(context):
+    context.claims.append(Claim("other", (1,), 2.0, 0.0, 1.5, 1.5))
+
+
+@when("it is decided which of them give way")
+def step_decide(context):
+    context.deferred = find_deferred(context.claims).deferred
+
+
+@then("{count:d} give way")
+def step_count(context, count):
+    assert len(context.deferred) == count, context.deferred
+
+
+@then("the {which} one gives way")
+def step_which(context, which):
+    assert context.deferred == [which], context.deferred
+
+
+def make_pool(endpoints=("a",)):
+    """Return an engine with endpoints for 4 tasks each, and two queues."""
+    plain = make_configuration()
+    queue = plain.queues["q"]
+    rules = {name: TeamRules(name, 1.0, NO_RESOURCES) for name in ("hot", "calm")}
+    queues = {
+        "q": queue._replace(priority=1),
+        "urgent": queue._replace(name="urgent", priority=0),
+    }
+    configuration = plain._replace(teams=rules, queues=queues)
+    engine = make_engine(names=endpoints, configuration=configuration)
+    for name in endpoints:
+        poll_endpoint(engine, name, NOW)
+    return engine
+
+
+def submit_job(engine, number, count, team="", queue="q"):
+    """Accept a job of tasks of 1 s."""
+    description = Description("", (Step(count, NEED, 1.0),))
+    submission = Submission(f"{number:016x}", queue, "pool", team, NOW, description)
+    job = engine.accept(submission, NOW)
+    engine.activate(job, NOW)
+    return job
+
+
+@given("a pool with room for 4 of 8 tasks, and a started job of 4 tasks")
+def step_started(context):
+    context.engine = make_pool()
+    context.large = submit_job(context.engine, 1, 8)
+    context.orders = plan_starts(context.engine, NOW)
+    assert len(context.orders) == 4, context.orders
+
+
+@given("2 jobs of 1 task that arrived later")
+def step_small(context):
+    for number in (2, 3):
+        submit_job(context.engine, number, 1)
+
+
+@when("waiting tasks are placed in a shortage")
+def step_place(context):
+    for order in context.orders[:2]:
+        context.engine.drop(order.run, "ended")
+        context.large.note_succeeded(order.run.task, NOW)
+    context.orders = plan_starts(context.engine, NOW + 1.0)
+
+
+@then("the started job goes on first")
+def step_goes_on(context):
+    jobs = {order.run.task.job for order in context.orders}
+    assert jobs == {context.large.job_id}, jobs
+
+
+@given(
+    "a pool that is late, with 6 jobs of a team of weight 1 and 2 of another after it"
+)
+def step_hot(context):
+    context.engine = make_pool()
+    for number in range(6):
+        submit_for_team(context.engine, number, "hot")
+    for number in range(6, 8):
+        submit_for_team(context.engine, number, "calm")
+
+
+@when("the order of the jobs is asked")
+def step_order(context):
+    engine = context.engine
+    jobs = list(engine.list_open("pool").values())
+    context.order = sort_jobs(engine, "pool", jobs, NOW + 3.0)
+
+
+@when("the next leader has restored the jobs, and their order is asked")
+def step_restored(context):
+    before = context.engine
+    context.engine = make_pool()
+    for job_id, job in before.jobs.items():
+        context.engine.restore(job_id, job.encode_job(), None, NOW)
+    jobs = context.engine.jobs.values()
+    restore_shares(context.engine.shares, jobs, before.configuration)
+    step_order(context)
+
+
+@then("the jobs of the other team come before those beyond the weight of the first")
+def step_beyond(context):
+    assert context.engine.outlooks["pool"].late
+    beyond = [job.is_within_share for job in context.order]
+    assert beyond == sorted(beyond, reverse=True), beyond
+    assert beyond.count(False) == 4, beyond
+
+
+@given("a pool with {backlog:g} s of work that waits, planned {age:g} s ago")
+def step_backlog(context, backlog, age):
+    context.engine = make_pool()
+    for number in range(int(backlog)):
+        submit_job(context.engine, number, 4)
+    jobs = list(context.engine.list_open("pool").values())
+    sort_jobs(context.engine, "pool", jobs, NOW)
+    context.now = NOW + age
+
+
+def ask(context, waited, queue):
+    """Ask whether a job of 4 tasks is accepted."""
+    description = Description("", (Step(4, NEED, 1.0),))
+    submission = Submission(JOB, queue, "pool", "", 0.0, description)
+    rules = context.engine.configuration.queues[queue]
+    job = make_job(submission, rules)
+    now = context.now
+    context.delay = find_retry_delay(context.engine, job, now - waited, now)
+
+
+@when("a job of 1 s arrives that its caller asked for {waited:g} s ago")
+def step_arrives(context, waited):
+    ask(context, waited, "q")
+
+
+@when("a job of 1 s arrives in a queue of a higher priority")
+def step_urgent(context):
+    ask(context, 0.0, "urgent")
+
+
+@then("it is accepted")
+def step_accepted(context):
+    assert context.delay is None, context.delay
+
+
+@then("it is refused")
+def step_refused(context):
+    assert context.delay >= 1.0, context.delay
+
+
+def fill(leader, is_full):
+    """Let the leader have no room for jobs, or room again."""
+    leader.controller.engine.open_size = MAX_OPEN_SIZE if is_full else 0
+
+
+@given("3 entries, and a job that the leader has refused")
+def step_refused_job(context):
+    context.names = ["e0", "e1", "e2"]
+
+
+@when("{message} arrives {seconds:g} s later, and there is room again")
+def step_message(context, message, seconds):
+    async def run():
+        async with Fleet(context.names) as fleet:
+            leader = await settle(fleet)
+            other = next(row for row in fleet.entries.values() if row is not leader)
+            fill(leader, True)
+            submission = make_submission()
+            read_at = clock.now()
+            reply = await other.forwarder.submit(submission, TIMEOUT_S)
+            assert reply.outcome == "refused", reply
+            await asyncio.sleep(seconds)
+            fill(leader, False)
+            epoch = leader.term.epoch
+            if message == "a new request of its caller":
+                reply = await other.forwarder.submit(submission, TIMEOUT_S)
+            else:
+                if message.startswith("an earlier"):
+                    read_at -= EARLIER_S
+                if message == "a request for another leader":
+                    epoch, read_at = epoch + 1, clock.now()
+                attempt = number_attempt(read_at, read_at, read_at)
+                request = SubmitRequest(1, submission, attempt, epoch)
+                reply = await leader.forwarder.submit_locally(request)
+            context.outcome = reply.outcome
+            await asyncio.sleep(2.0)
+            context.has_run = JOB in list_jobs_run(fleet)
+
+    run_virtually(run())
+
+
+@then("the job is not accepted")
+def step_not_accepted(context):
+    assert context.outcome in ("full", "refused", "not leader"), context.outcome
+    assert not context.has_run
+
+
+@then("the job is accepted")
+def step_job_accepted(context):
+    assert context.outcome == "accepted", context.outcome
+    assert context.has_run
+
+
+@when("another entry leads, and its caller submits it again")
+def step_leader_changes(context):
+    async def run():
+        async with Fleet(context.names) as fleet:
+            leader = await settle(fleet)
+            fill(leader, True)
+            submission = make_submission()
+            reply = await leader.forwarder.submit(submission, TIMEOUT_S)
+            assert reply.outcome == "refused", reply
+            await cause(fleet, "the leader is killed")
+            leader = await settle(fleet)
+            reply = await leader.forwarder.submit(submission, TIMEOUT_S)
+            context.outcome = reply.outcome
+            await asyncio.sleep(2.0)
+            context.has_run = JOB in list_jobs_run(fleet)
+
+    run_virtually(run())
+
+
+@given("3 entries, and a job whose acceptance waits for the store")
+def step_slow_store(context):
+    context.names = ["e0", "e1", "e2"]
+
+
+@when("there is no more room, and the job is sent again")
+def step_sent_again(context):
+    async def run():
+        async with Fleet(context.names) as fleet:
+            leader = await settle(fleet)
+            submission = make_submission()
+            for client in fleet.clients.values():
+                client.is_cut = True
+            controller = leader.controller
+            first = asyncio.create_task(controller.submit(submission, 1_000_000))
+            await asyncio.sleep(0.1)
+            fill(leader, True)
+            second = asyncio.create_task(controller.submit(submission, 1_000_001))
+            await asyncio.sleep(0.1)
+            fleet.reconnect_store()
+            context.outcomes = [
+                row.outcome for row in await asyncio.gather(first, second)
+            ]
+
+    run_virtually(run())
+
+
+@then('both requests are answered with "{outcome}" once the store responds')
+def step_both(context, outcome):
+    assert context.outcomes == [outcome] * 2, context.outcomes
--- a/packages/briarshed-workloads/src/briarshed_workloads/configuration.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/configuration.py
@@ -108,3 +108,8 @@
     """Return the queue that matches the host and path of a request, or None."""
     rows = configuration.queues_by_host.get(host.partition(":")[0].lower(), ())
     return next((row for row in rows if path.startswith(row.prefix)), None)
+
+
+def find_weight(configuration: Configuration, team: str) -> float:
+    """Return the weight of a team in jobs per second."""
+    return configuration.teams.get(team, UNLIMITED_TEAM).weight
--- a/packages/briarshed-workloads/src/briarshed_workloads/controller.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/controller.py
@@ -13,6 +13,7 @@
 from briarshed_entry import clock
 from briarshed_entry.logs import log_event
 from briarshed_workloads import telemetry
+from briarshed_workloads.admission import find_retry_delay
 from briarshed_workloads.configuration import Configuration
 from briarshed_workloads.copies import plan_copies
 from briarshed_workloads.disruption import list_evictions, list_pacing
@@ -29,7 +30,7 @@
     OutcomeUnknownError,
     Store,
 )
-from briarshed_workloads.jobs import FINAL_STATES
+from briarshed_workloads.jobs import FINAL_STATES, make_job
 from briarshed_workloads.leadership import LeaderTerm
 from briarshed_workloads.leases import LeaseTimes
 from briarshed_workloads.maintenance import Maintenance
@@ -40,6 +41,9 @@
 from briarshed_workloads.planning import MAX_STARTS_PER_PLAN, plan_starts
 from briarshed_workloads.polling import EndpointPoller
 from briarshed_workloads.reconciliation import correct_state
+from briarshed_workloads.refusals import Refusals
+from briarshed_workloads.shares import restore_shares
+from briarshed_workloads.shortage import list_shortages
 from briarshed_workloads.slices import WorkSlice
 from briarshed_workloads.supervision import (
     RESTART_PAUSE_S,
@@ -136,6 +140,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._changed = asyncio.Event()
         self._failures: dict[str, FailureCounter] = {}
+        self.refusals = Refusals()
         self._loops = LoopSupervisor(
             RESTART_PAUSE_S, self._note_error, self._note_failure
         )
@@ -225,6 +230,8 @@
             await asyncio.sleep(WAITING_REPORT_INTERVAL_S)
             for row in list_waiting(self.engine, clock.now()):
                 log_event(events.TASKS_WAITING, **row._asdict())
+            for fields in list_shortages(self.engine):
+                log_event(events.JOBS_GIVE_WAY, **fields)
 
     async def _reconcile(self) -> None:
         """Correct contradictions in the state at intervals."""
@@ -248,6 +255,7 @@
         engine.configuration = configuration
         engine.unix_offset = time.time() - now
         await self.persistence.load_jobs()
+        restore_shares(engine.shares, engine.jobs.values(), configuration)
         await self.persistence.load_withdrawn()
         engine.earlier.note_term_end(self.term.vacant_at)
         engine.note_registrations(await self._directory.read_endpoints(), clock.now())
@@ -289,9 +297,14 @@
 
     # Callers
 
-    async def submit(self, submission: Submission) -> SubmitResult:
+    async def submit(self, submission: Submission, attempt: int = 0) -> SubmitResult:
         """Accept a job durably.
 
+        Parameters
+        ----------
+        attempt : int
+            Number of the caller's request, see `briarshed_workloads.refusals`.
+
         Returns
         -------
         SubmitResult
@@ -306,15 +319,16 @@
         if waiting is None:
             if submission.job in self.engine.jobs:
                 return SubmitResult("accepted")
-            if not self.can_accept():
+            if not self.can_accept() or self.refusals.is_outdated(attempt, clock.now()):
                 return SubmitResult("refused", RETRY_AFTER_S)
-            if not self.engine.has_room():
-                log_event(
-                    events.WORK_LIMIT_REACHED,
-                    job_id=submission.job,
-                    size=self.engine.open_size,
-                )
-                return SubmitResult("full", FULL_RETRY_AFTER_S)
+            now = clock.now()
+            waited = now - self.refusals.find_first(submission.job, now)
+            retry_after = self._find_retry_delay(submission, attempt, waited)
+            if retry_after is not None:
+                return SubmitResult("full", retry_after)
+            # The caller has waited since it was refused first.
+            submitted_at = submission.submitted_at - waited
+            submission = submission._replace(submitted_at=submitted_at)
             job = self.engine.accept(submission, time.time())
             self.maintenance.note_submitted_work(job.pool, job.core_seconds)
             waiting = asyncio.get_running_loop().create_future()
@@ -323,6 +337,48 @@
         is_saved = await asyncio.shield(waiting)
         return SubmitResult("accepted" if is_saved else "unknown")
 
+    def _find_retry_delay(
+        self, submission: Submission, attempt: int, waited: float
+    ) -> float | None:
+        """Return after how many seconds to submit a job again; None to accept it now.
+
+        A refusal is kept, so that it also holds for the same attempt if it was sent
+        twice, and for earlier attempts that arrive later.
+
+        Parameters
+        ----------
+        waited : float
+            Seconds since its caller was first refused.
+        """
+        now = clock.now()
+        if self.refusals.covers(submission.job, attempt, now):
+            return RETRY_AFTER_S
+        if not self.engine.has_room():
+            log_event(
+                events.WORK_LIMIT_REACHED,
+                job_id=submission.job,
+                size=self.engine.open_size,
+            )
+            self.refusals.note(submission.job, now)
+            return FULL_RETRY_AFTER_S
+        queue = self.engine.configuration.queues.get(submission.queue)
+        job = make_job(submission, queue)
+        unix_now = self.engine.to_unix_time(now)
+        retry_after = find_retry_delay(self.engine, job, unix_now - waited, unix_now)
+        if retry_after is None:
+            return None
+        if not self.refusals.note(submission.job, now):
+            return None
+        telemetry.count("refused jobs", job.pool)
+        log_event(
+            events.SHORTAGE_REFUSED,
+            job_id=job.job_id,
+            pool=job.pool,
+            team=job.team,
+            retry_after=round(retry_after, 2),
+        )
+        return retry_after
+
     def can_accept(self) -> bool:
         """Tell whether a new job can be made durable now."""
         fenced_writer = self.term.fenced_writer
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -4,13 +4,20 @@
 
 from collections import deque
 from collections.abc import Callable, Iterable
+from typing import TYPE_CHECKING
 
-from briarshed_workloads.configuration import UNLIMITED_TEAM, Configuration, QueueRules
+from briarshed_workloads.configuration import (
+    UNLIMITED_TEAM,
+    Configuration,
+    QueueRules,
+    find_weight,
+)
 from briarshed_workloads.crashes import (
     note_crash,
     note_silence,
     withdraw_evidence,
 )
+from briarshed_workloads.estimates import note_run_time
 from briarshed_workloads.evidence import Crash
 from briarshed_workloads.fleet import (
     DOUBTFUL,
@@ -26,10 +33,9 @@
 )
 from briarshed_workloads.jobs import (
     COMPLETED,
-    RUN_TIME_WEIGHT,
     Job,
     find_need,
-    find_objective,
+    make_job,
 )
 from briarshed_workloads.leases import LeaseTimes
 from briarshed_workloads.outliers import SLOW_FACTOR, project_ratio
@@ -50,6 +56,9 @@
     TaskId,
 )
 
+if TYPE_CHECKING:
+    from briarshed_workloads.shortage import PoolOutlook
+
 MAX_OPEN_SIZE = 200_000
 """Size of the open jobs from which on no job is accepted. This leader and the next one
 plan so many within their leases."""
@@ -107,6 +116,10 @@
         list a limited number at a time.
     crashes : deque
         Crashes of endpoints, in the order in which they became known.
+    outlooks : dict
+        What the last plan of each pool expects, see `briarshed_workloads.shortage`.
+    incoming : dict
+        Capacity of the instances that move into each pool.
     earlier : EarlierLeaders
         What earlier leaders may still do or have running.
     """
@@ -133,6 +146,8 @@
         self.run_times: dict[str, float] = {}
         self.crashes: deque[Crash] = deque(maxlen=MAX_KNOWN_CRASHES)
         self.shares = Shares()
+        self.outlooks: dict[str, PoolOutlook] = {}
+        self.incoming: dict[str, Resources] = {}
         self._sequence = 0
         self._last_counters: dict[str, int] = {}
         # Endpoints, by place, that were removed without a proof that they have crashed.
@@ -145,10 +160,6 @@
         """Return the current rules of the job's queue, or None if it was removed."""
         return self.configuration.queues.get(job.queue) if self.configuration else None
 
-    def find_objective(self, job: Job) -> float:
-        """Return the time in seconds after which the job loses value."""
-        return find_objective(job, self.find_queue(job))
-
     def find_team_limit(self, team: str) -> Resources:
         """Return the team's limit; removed teams are unlimited.
 
@@ -163,19 +174,9 @@
         known = self.jobs.get(submission.job)
         if known is not None:
             return known
-        queue = self.configuration.queues.get(submission.queue)
-        job = Job(
-            submission.job,
-            submission.queue,
-            submission.pool,
-            submission.team,
-            submission.submitted_at,
-            submission.description,
-            queue.max_attempts if queue else 1,
-        )
-        if job.team and self.configuration is not None:
-            rules = self.configuration.teams.get(job.team, UNLIMITED_TEAM)
-            job.is_within_share = self.shares.take(job.team, rules.weight, unix_now)
+        job = make_job(submission, self.configuration.queues.get(submission.queue))
+        weight = find_weight(self.configuration, job.team)
+        job.is_within_share = self.shares.take(job.team, weight, unix_now)
         self.jobs[job.job_id] = job
         self.open_size += job.size
         self.unsaved_jobs[job.job_id] = None
@@ -871,7 +872,7 @@
         if run is not None and run.confirmed_at and not run.checkpoint:
             seconds = now - run.confirmed_at
             if step.image:
-                self._note_run_time(step.image, seconds)
+                note_run_time(self.run_times, step.image, seconds)
             if step.estimate:
                 endpoint.reputation.note_speed(seconds / step.estimate)
         was_open = job.is_open
@@ -893,13 +894,6 @@
         if seconds:
             self.report("ENDPOINT_AVOIDED", endpoint=endpoint.name, seconds=seconds)
 
-    def _note_run_time(self, image: str, seconds: float) -> None:
-        known = self.run_times.get(image)
-        if known is None:
-            self.run_times[image] = seconds
-        else:
-            self.run_times[image] = known + RUN_TIME_WEIGHT * (seconds - known)
-
     def _note_failure(
         self, endpoint: Endpoint, job: Job, ended: EndedRun, now: float
     ) -> None:
--- a/packages/briarshed-workloads/src/briarshed_workloads/entry.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/entry.py
@@ -658,7 +658,7 @@
         reply = Reply(message.id, "unknown")
         with contain_errors("request of a peer"):
             if isinstance(message, SubmitRequest):
-                reply = await forwarder.submit_locally(message.id, message.submission)
+                reply = await forwarder.submit_locally(message)
             else:
                 reply = await forwarder.query_locally(
                     message.id, message.job, message.cancel
--- a/packages/briarshed-workloads/src/briarshed_workloads/estimates.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/estimates.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
-from briarshed_workloads.engine import Engine
-from briarshed_workloads.jobs import Job
+from typing import TYPE_CHECKING
+
+from briarshed_workloads.jobs import RUN_TIME_WEIGHT, Job
 from briarshed_workloads.workloads import Step
 
+if TYPE_CHECKING:
+    from briarshed_workloads.engine import Engine
+
 REMAINING_TIME_CACHE_S = 0.25
 """Time for which the estimate of a job's remaining time is cached."""
 
@@ -47,3 +51,9 @@
 def estimate_task(engine: Engine, step: Step) -> float:
     """Return a task's run time in seconds: the mean of its image, else the estimate."""
     return engine.run_times.get(step.image, step.estimate)
+
+
+def note_run_time(run_times: dict[str, float], image: str, seconds: float) -> None:
+    """Add a run time in seconds to the moving average of its image."""
+    known = run_times.get(image, seconds)
+    run_times[image] = known + RUN_TIME_WEIGHT * (seconds - known)
--- a/packages/briarshed-workloads/src/briarshed_workloads/expected_wait.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/expected_wait.py
@@ -60,8 +60,9 @@
     """Choose the jobs that give way so that the others are done in time.
 
     The jobs are taken by tier and due time. Where one would not be done in time, those
-    give way that lose the least for the work that they take, of the highest tier first.
-    That is the rule of Moore and Hodgson, with losses.
+    give way that lose the least for the work that they take, of the highest tier first,
+    and of equal ones those that are due last. That is the rule of Moore and Hodgson,
+    with losses.
 
     Parameters
     ----------
@@ -71,16 +72,22 @@
         Work in seconds that is served before all of them.
     """
     deferred: list[str] = []
-    served: list[tuple[tuple[int, ...], float, str, float]] = []
+    served: list[tuple[tuple[int, ...], float, float, str, float]] = []
     for claim in sorted(claims, key=lambda row: (row.tier, row.due_in, row.job_id)):
         tier = tuple(-part for part in claim.tier)
         loss = claim.loss / max(claim.work, MIN_WORK_S)
-        heapq.heappush(served, (tier, loss, claim.job_id, claim.work))
+        row = (tier, loss, -claim.due_in, claim.job_id, claim.work)
+        heapq.heappush(served, row)
         ahead += claim.work
         while ahead + claim.path > claim.due_in and served:
-            _, _, job_id, work = heapq.heappop(served)
+            *_, job_id, work = heapq.heappop(served)
             deferred.append(job_id)
             ahead -= work
             if job_id == claim.job_id:
                 break
     return Outlook(deferred, ahead)
+
+
+def sum_work(claims: Iterable[Claim]) -> float:
+    """Return the work of claims, in seconds of the whole pool."""
+    return sum(claim.work for claim in claims)
--- a/packages/briarshed-workloads/src/briarshed_workloads/forwarding.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/forwarding.py
@@ -7,12 +7,15 @@
 from collections.abc import Mapping
 from typing import TYPE_CHECKING, NamedTuple
 
+from msgspec.structs import replace
+
 from briarshed import events
 from briarshed_entry import clock
 from briarshed_entry.logs import log_event
 from briarshed_workloads import telemetry
 from briarshed_workloads.interfaces import NotExecutedError, OutcomeUnknownError, Store
 from briarshed_workloads.records import JOBS, JobRecord, decode
+from briarshed_workloads.refusals import number_attempt
 from briarshed_workloads.transport import (
     JobRequest,
     LeaderHeartbeat,
@@ -106,12 +109,17 @@
         self._pending_replies = pending_replies
         self._waiting_report: WaitingReport | None = None
 
-    async def submit_locally(self, id: int, submission: Submission) -> Reply:
-        """Submit a job to the controller of this process, if it leads."""
-        if self._entry.controller is None:
-            return Reply(id, "not leader", RETRY_AFTER_S)
-        result = await self._entry.controller.submit(submission)
-        return Reply(id, result.outcome, result.retry_after)
+    async def submit_locally(self, request: SubmitRequest) -> Reply:
+        """Submit a job to the controller of this process, if it leads.
+
+        A request that is meant for the leader of another epoch may have been held up
+        until this one has answered the caller otherwise.
+        """
+        controller = self._entry.controller
+        if controller is None or request.epoch not in (0, controller.term.epoch):
+            return Reply(request.id, "not leader", RETRY_AFTER_S)
+        result = await controller.submit(request.submission, request.attempt)
+        return Reply(request.id, result.outcome, result.retry_after)
 
     async def query_locally(self, id: int, job: str, cancel: bool) -> Reply:
         """Query or cancel a job at the controller of this process, if it leads."""
@@ -125,26 +133,33 @@
         """Submit a job to the leader and return its reply.
 
         The job is sent again if the leader does not reply or changes; submitting is
-        idempotent. The outcome is ``refused`` only if this submission will certainly
-        not run, and none before it is recorded as far as the store responds. It is
+        idempotent, and a leader that has refused it refuses what was sent before, too.
+        The outcome is ``refused`` only if this submission will certainly not run, and
+        none before it is recorded as far as the store responds. It is
         ``unknown`` if the job was sent and no reply came within ``timeout`` seconds.
         """
         started_at = clock.now()
         was_sent = False
+        last_epoch = 0
         while True:
             left = started_at + timeout - clock.now()
             reply = None
-            if self._entry.term is not None or self._entry.is_leader_alive():
+            request = self._make_request(submission, started_at)
+            if request is not None:
                 reply = await self._send_submission(
-                    submission, min(left, ATTEMPT_TIMEOUT_S)
+                    request, min(left, ATTEMPT_TIMEOUT_S)
                 )
             if reply is not None and reply.outcome == "accepted":
                 return reply
-            if reply is not None and reply.outcome == "full" and not was_sent:
-                return Reply(0, "refused", reply.retry_after)
             if reply is not None and reply.outcome == "withdrawn":
                 return Reply(0, "refused", reply.retry_after)
-            was_sent = was_sent or (reply is not None and reply.outcome == "unknown")
+            is_full = reply is not None and reply.outcome == "full"
+            if is_full and request.epoch >= last_epoch:
+                # What was sent to this leader or an earlier one is refused too.
+                return Reply(0, "refused", reply.retry_after)
+            if reply is not None and reply.outcome == "unknown":
+                was_sent = True
+                last_epoch = max(last_epoch, request.epoch)
             waited = clock.now() - started_at
             if was_sent and waited + RESEND_PAUSE_S > timeout:
                 return Reply(0, "unknown", RETRY_AFTER_S)
@@ -178,12 +193,26 @@
             return NO_STORE_TIMEOUT_S
         return NO_LEADER_TIMEOUT_S
 
-    async def _send_submission(self, submission: Submission, timeout: float) -> Reply:
+    def _make_request(
+        self, submission: Submission, read_at: float
+    ) -> SubmitRequest | None:
+        """Return a request to the present leader, or None if there is none."""
+        term, view = self._entry.term, self._entry.leader
+        if term is not None:
+            attempt = number_attempt(read_at, read_at, read_at)
+            return SubmitRequest(0, submission, attempt, term.epoch)
+        if view is None or not self._entry.is_leader_alive():
+            return None
+        heartbeat = view.heartbeat
+        attempt = number_attempt(read_at, heartbeat.sent_at, view.received_at)
+        return SubmitRequest(0, submission, attempt, heartbeat.epoch)
+
+    async def _send_submission(self, request: SubmitRequest, timeout: float) -> Reply:
         if self._entry.term is not None:
-            return await self._await_reply(self.submit_locally(0, submission), timeout)
+            return await self._await_reply(self.submit_locally(request), timeout)
         assert self._entry.leader is not None
         id, future = self._pending_replies.open()
-        self._transport.send(self._entry.leader.address, SubmitRequest(id, submission))
+        self._transport.send(self._entry.leader.address, replace(request, id=id))
         reply = await self._await_reply(future, timeout)
         self._pending_replies.close(id)
         return reply
--- a/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
@@ -14,7 +14,13 @@
 )
 from briarshed_workloads.records import JobRecord, ProgressRecord, TaskRecord
 from briarshed_workloads.waiting_tasks import WaitingTasks
-from briarshed_workloads.workloads import Description, Resources, Step, TaskId
+from briarshed_workloads.workloads import (
+    Description,
+    Resources,
+    Step,
+    Submission,
+    TaskId,
+)
 
 PENDING, RUNNING = "pending", "running"
 COMPLETED, FAILED, CANCELLED = "completed", "failed", "cancelled"
@@ -523,6 +529,19 @@
         self.open_due(unix_now)
 
 
+def make_job(submission: Submission, queue: QueueRules | None) -> Job:
+    """Return the job of a submission; it is not accepted by that."""
+    return Job(
+        submission.job,
+        submission.queue,
+        submission.pool,
+        submission.team,
+        submission.submitted_at,
+        submission.description,
+        queue.max_attempts if queue else 1,
+    )
+
+
 def find_critical_path(description: Description) -> float:
     """Return the estimated length of the critical path of the steps in seconds."""
     return max(iterate_critical_paths(description), default=0.0)
--- a/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
@@ -24,6 +24,7 @@
 from briarshed_workloads.leadership import LeaderTerm
 from briarshed_workloads.options import EntryOptions
 from briarshed_workloads.records import SizesRecord, WaveRecord
+from briarshed_workloads.shortage import measure_incoming
 from briarshed_workloads.sizing import (
     ArrivalRate,
     Move,
@@ -360,6 +361,7 @@
             await self._move_instances(now)
 
     async def _move_instances(self, now: float) -> None:
+        self._engine.incoming = measure_incoming(self.instances.values())
         if not self.sizes:
             self.sizes = dict(Counter(row.pool for row in self.instances.values()))
         due = {
--- a/packages/briarshed-workloads/src/briarshed_workloads/ordering.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/ordering.py
@@ -2,17 +2,17 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 
 from briarshed_workloads.engine import Engine
 from briarshed_workloads.estimates import estimate_remaining_time
-from briarshed_workloads.fleet import Endpoint
-from briarshed_workloads.jobs import Job
+from briarshed_workloads.jobs import Job, find_objective
 from briarshed_workloads.shortage import (
     BEYOND_SHARE,
     LATE_RANKS,
     LONG_RUNNING,
     ON_TIME,
+    OUTLOOK_CACHE_S,
     Rank,
     defer_jobs,
     measure_capacity,
@@ -20,9 +20,7 @@
 from briarshed_workloads.supervision import report_error
 
 
-def sort_jobs(
-    engine: Engine, jobs: Iterable[Job], endpoints: Sequence[Endpoint], now: float
-) -> list[Job]:
+def sort_jobs(engine: Engine, pool: str, jobs: Iterable[Job], now: float) -> list[Job]:
     """Return the jobs of a pool in the order in which they are served.
 
     They are sorted by `rank_job`. Where the pool cannot serve all in time, those whose
@@ -30,8 +28,6 @@
 
     Parameters
     ----------
-    endpoints : sequence of Endpoint
-        Endpoints that may get new runs.
     now : float
         Seconds of the boot clock.
     """
@@ -45,7 +41,15 @@
         except Exception as error:
             report_error(f"rank of job {job.job_id}", error)
     try:
-        defer_jobs(engine, known, ranks, measure_capacity(endpoints), unix_now)
+        outlook = engine.outlooks.get(pool)
+        if outlook and 0 <= unix_now - outlook.planned_at < OUTLOOK_CACHE_S:
+            for job_id in outlook.lowered.keys() & ranks.keys():
+                rank = max(ranks[job_id].rank, outlook.lowered[job_id])
+                ranks[job_id] = ranks[job_id]._replace(rank=rank)
+        else:
+            capacity = measure_capacity(engine, pool)
+            outlook = defer_jobs(engine, known, ranks, capacity, unix_now)
+            engine.outlooks[pool] = outlook
     except Exception as error:
         report_error("choice of jobs that give way", error)
     return sorted(known.values(), key=lambda job: ranks[job.job_id])
@@ -59,7 +63,7 @@
     due = job.accepted_at
     if job.description.schedule:
         due = max(due, job.find_due(min(job.waiting.list_steps()).occurrence))
-    objective = due + engine.find_objective(job)
+    objective = due + find_objective(job, queue)
     rank = ON_TIME if job.is_within_share else BEYOND_SHARE
     if unix_now + estimate_remaining_time(engine, job, unix_now) > objective:
         rank = LATE_RANKS[rank]
--- a/packages/briarshed-workloads/src/briarshed_workloads/planning.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/planning.py
@@ -67,6 +67,7 @@
             give_up_tasks(engine, job, now)
     jobs = [job for job in jobs if job.is_open]
     if not jobs:
+        engine.outlooks.pop(pool, None)
         return
     _start_suspects(engine, pool, jobs, now, orders)
     jobs = [job for job in jobs if job.waiting]
@@ -77,7 +78,7 @@
         eligible, find_slow(eligible), count_starts_left(eligible)
     )
     limit = len(orders) + MAX_STARTS_PER_PLAN
-    for job in sort_jobs(engine, jobs, eligible, now):
+    for job in sort_jobs(engine, pool, jobs, now):
         if len(orders) >= limit:
             return
         try:
--- a/packages/briarshed-workloads/src/briarshed_workloads/shortage.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/shortage.py
@@ -2,15 +2,22 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from typing import NamedTuple
 
 from briarshed_workloads.engine import Engine
 from briarshed_workloads.estimates import estimate_remaining_time, estimate_task
-from briarshed_workloads.expected_wait import Claim, find_deferred
-from briarshed_workloads.fleet import Endpoint
-from briarshed_workloads.jobs import Job, find_need
-from briarshed_workloads.workloads import NO_RESOURCES, Resources, Step, add, subtract
+from briarshed_workloads.expected_wait import Claim, find_deferred, sum_work
+from briarshed_workloads.jobs import Job, find_need, find_objective
+from briarshed_workloads.sizing import is_available
+from briarshed_workloads.workloads import (
+    NO_RESOURCES,
+    Instance,
+    Resources,
+    Step,
+    add,
+    subtract,
+)
 
 LONG_RUNNING, ON_TIME, BEYOND_SHARE, LATE, LATE_BEYOND_SHARE, EXPIRED = range(6)
 """Ranks of jobs: those that run until cancelled, those that can meet their objective,
@@ -27,6 +34,10 @@
 """Part of the loss that is the same for each job of a queue. The rest is proportional
 to its work, so that large jobs are not always those that give way."""
 
+OUTLOOK_CACHE_S = 0.05
+"""Time for which the choice of the jobs that give way stands, since plans are frequent
+and each choice takes all jobs of the pool."""
+
 WORK_CACHE_S = 0.1
 """Time for which a job's work is cached, since every plan needs it."""
 
@@ -51,6 +62,37 @@
     job_id: str
 
 
+class PoolOutlook(NamedTuple):
+    """What a plan expects of the jobs of a pool.
+
+    Attributes
+    ----------
+    planned_at : float
+        Time of the plan in Unix seconds.
+    capacity : Resources
+        What the pool has for jobs that end.
+    means : dict
+        Mean work of a job of each queue, in seconds of the whole pool.
+    in_time : dict
+        Claims of the jobs that are done by their objective, by id.
+    late : dict
+        Claims of those that are done later, while their result has a value.
+    lowered : dict
+        Ranks of the jobs that give way, by id.
+    """
+
+    planned_at: float
+    capacity: Resources
+    means: dict[str, float]
+    in_time: dict[str, Claim]
+    late: dict[str, Claim]
+    lowered: dict[str, int]
+
+    def count_expired(self) -> int:
+        """Return the number of jobs whose result will be worth nothing."""
+        return sum(rank == EXPIRED for rank in self.lowered.values())
+
+
 class JobWork(NamedTuple):
     """Work of a job in seconds of the whole pool: all of it, and what waits."""
 
@@ -58,10 +100,16 @@
     waiting: float
 
 
-def measure_capacity(endpoints: Iterable[Endpoint]) -> Resources:
-    """Return what endpoints have for jobs that end."""
-    total = NO_RESOURCES
-    for endpoint in endpoints:
+def measure_capacity(engine: Engine, pool: str) -> Resources:
+    """Return what a pool has for jobs that end, instances that move in included.
+
+    Endpoints that are not polled yet count, so that a new leader does not take its lack
+    of knowledge for a shortage.
+    """
+    total = engine.incoming.get(pool, NO_RESOURCES)
+    for endpoint in engine.endpoints.values():
+        if endpoint.registration.pool != pool or not is_available(endpoint):
+            continue
         total = add(total, endpoint.registration.capacity)
         for run in endpoint.runs.values():
             if run.step.long_running:
@@ -69,6 +117,15 @@
     return total
 
 
+def measure_incoming(instances: Iterable[Instance]) -> dict[str, Resources]:
+    """Return the capacity that moves into each pool."""
+    incoming: dict[str, Resources] = {}
+    for row in instances:
+        if row.state == "moving":
+            incoming[row.pool] = add(incoming.get(row.pool, NO_RESOURCES), row.capacity)
+    return incoming
+
+
 def measure_work(
     engine: Engine, job: Job, capacity: Resources, unix_now: float
 ) -> JobWork:
@@ -108,17 +165,24 @@
     ranks: dict[str, Rank],
     capacity: Resources,
     unix_now: float,
-) -> None:
+) -> PoolOutlook:
     """Lower the ranks of jobs that would make others late.
 
     Nothing changes where the pool can serve all of them in time.
 
     Parameters
     ----------
+    jobs : mapping
+        Jobs of one pool by id.
     ranks : dict
         Ranks by the id of the job; they are changed.
     capacity : Resources
         What the pool has for jobs that end.
+
+    Returns
+    -------
+    PoolOutlook
+        What is expected of the jobs then.
     """
     work = {
         job_id: measure_work(engine, jobs[job_id], capacity, unix_now)
@@ -129,30 +193,69 @@
 
     def claim(row: Rank, factor: float) -> Claim:
         job = jobs[row.job_id]
-        whole, waiting = work[row.job_id]
-        late_by = (factor - 1.0) * engine.find_objective(job)
-        return Claim(
-            row.job_id,
-            (row.rank, row.priority),
-            row.due_at + late_by - unix_now,
-            estimate_remaining_time(engine, job, unix_now),
-            waiting,
-            FIXED_PART * means[job.queue] + (1 - FIXED_PART) * whole,
-        )
-
-    outlook = find_deferred(
-        claim(row, 1.0) for row in ranks.values() if row.rank in LATE_RANKS
-    )
+        mean = means[job.queue]
+        return make_claim(engine, job, row, work[row.job_id], mean, factor, unix_now)
+
+    in_time = {
+        row.job_id: claim(row, 1.0) for row in ranks.values() if row.rank in LATE_RANKS
+    }
+    outlook = find_deferred(in_time.values())
     for job_id in outlook.deferred:
         row = ranks[job_id]
         ranks[job_id] = row._replace(rank=LATE_RANKS[row.rank])
-    late = [
-        claim(row, LATE_FACTOR)
+        del in_time[job_id]
+    late = {
+        row.job_id: claim(row, LATE_FACTOR)
         for row in ranks.values()
         if row.rank in LATE_RANKS.values()
-    ]
-    for job_id in find_deferred(late, outlook.work).deferred:
+    }
+    expired = find_deferred(late.values(), outlook.work).deferred
+    for job_id in expired:
         ranks[job_id] = ranks[job_id]._replace(rank=EXPIRED)
+        del late[job_id]
+    lowered = {job_id: ranks[job_id].rank for job_id in (*outlook.deferred, *expired)}
+    return PoolOutlook(unix_now, capacity, means, in_time, late, lowered)
+
+
+def make_claim(
+    engine: Engine,
+    job: Job,
+    row: Rank,
+    work: JobWork,
+    mean: float,
+    factor: float,
+    unix_now: float,
+) -> Claim:
+    """Return what a job asks, to be done within a multiple of its objective.
+
+    Parameters
+    ----------
+    mean : float
+        Mean work of a job of its queue.
+    """
+    late_by = (factor - 1.0) * find_objective(job, engine.find_queue(job))
+    return Claim(
+        job.job_id,
+        (row.rank, row.priority),
+        row.due_at + late_by - unix_now,
+        estimate_remaining_time(engine, job, unix_now),
+        work.waiting,
+        FIXED_PART * mean + (1 - FIXED_PART) * work.whole,
+    )
+
+
+def list_shortages(engine: Engine) -> Iterator[dict[str, object]]:
+    """Yield, for the log, the pools that cannot do all their jobs in time."""
+    for pool, outlook in engine.outlooks.items():
+        expired = outlook.count_expired()
+        if outlook.late or expired:
+            yield {
+                "pool": pool,
+                "in_time": len(outlook.in_time),
+                "work": round(sum_work(outlook.in_time.values()), 2),
+                "late": len(outlook.late),
+                "expired": expired,
+            }
 
 
 def _find_mean_work(
--- a/packages/briarshed-workloads/src/briarshed_workloads/transport.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/transport.py
@@ -102,10 +102,17 @@
 
 
 class SubmitRequest(msgspec.Struct, tag="s", array_like=True, frozen=True):
-    """A job that is submitted to the leader."""
+    """A job that is submitted to the leader.
+
+    ``attempt`` is the number of the caller's request, see
+    `briarshed_workloads.refusals`. ``epoch`` is that of the leader it is meant for; 0
+    if it may be any.
+    """
 
     id: int
     submission: Submission
+    attempt: int = 0
+    epoch: int = 0
 
 
 class JobRequest(msgspec.Struct, tag="a", array_like=True, frozen=True):
--- a/packages/briarshed/src/briarshed/events.py
+++ b/packages/briarshed/src/briarshed/events.py
@@ -183,6 +183,16 @@
     871, "INFO", "endpoint {endpoint} has ended: its instance {instance} is {state}"
 )
 ENTRY_UNREADABLE = Event(869, "WARNING", "store key {key} is unreadable: {error}")
+SHORTAGE_REFUSED = Event(
+    900,
+    "INFO",
+    "job {job_id} refused: no room in pool {pool}; again in {retry_after} s",
+)
+JOBS_GIVE_WAY = Event(
+    901,
+    "WARNING",
+    "pool {pool}: {in_time} jobs in time for {work} s, {late} late, {expired} too late",
+)
 
 
 def list_events() -> dict[str, Event]:
