--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -4,8 +4,14 @@
 
 from collections import deque
 from collections.abc import Callable, Iterable
+from typing import TYPE_CHECKING
 
-from briarshed_workloads.configuration import UNLIMITED_TEAM, Configuration, QueueRules
+from briarshed_workloads.configuration import (
+    UNLIMITED_TEAM,
+    Configuration,
+    QueueRules,
+    find_weight,
+)
 from briarshed_workloads.crashes import (
     note_crash,
     note_silence,
@@ -29,6 +35,7 @@
     COMPLETED,
     Job,
     find_need,
+    make_job,
 )
 from briarshed_workloads.leases import LeaseTimes
 from briarshed_workloads.outliers import list_projected, note_run_time
@@ -50,6 +57,9 @@
     TaskId,
 )
 
+if TYPE_CHECKING:
+    from briarshed_workloads.shortage import PoolOutlook
+
 MAX_OPEN_SIZE = 200_000
 """Size of the open jobs from which on no job is accepted. This leader and the next one
 plan so many within their leases."""
@@ -109,6 +119,10 @@
         Crashes of endpoints, in the order in which they became known.
     run_times : RunTimes
         Expected run times of tasks.
+    outlooks : dict
+        What the last plan of each pool expects, see `briarshed_workloads.shortage`.
+    incoming : dict
+        Capacity of the instances that move into each pool.
     earlier : EarlierLeaders
         What earlier leaders may still do or have running.
     evacuated : Evacuations
@@ -138,6 +152,8 @@
         self.crashes: deque[Crash] = deque(maxlen=MAX_KNOWN_CRASHES)
         self.shares = Shares()
         self.evacuated = Evacuations()
+        self.outlooks: dict[str, PoolOutlook] = {}
+        self.incoming: dict[str, Resources] = {}
         self._sequence = 0
         self._last_counters: dict[str, int] = {}
         # Endpoints, by place, that were removed without a proof that they have crashed.
@@ -164,19 +180,9 @@
         known = self.jobs.get(submission.job)
         if known is not None:
             return known
-        queue = self.configuration.queues.get(submission.queue)
-        job = Job(
-            submission.job,
-            submission.queue,
-            submission.pool,
-            submission.team,
-            submission.submitted_at,
-            submission.description,
-            queue.max_attempts if queue else 1,
-        )
-        if job.team and self.configuration is not None:
-            rules = self.configuration.teams.get(job.team, UNLIMITED_TEAM)
-            job.is_within_share = self.shares.take(job.team, rules.weight, unix_now)
+        job = make_job(submission, self.configuration.queues.get(submission.queue))
+        weight = find_weight(self.configuration, job.team)
+        job.is_within_share = self.shares.take(job.team, weight, unix_now)
         self.jobs[job.job_id] = job
         self.open_size += job.size
         self.unsaved_jobs[job.job_id] = None
--- a/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
@@ -14,7 +14,13 @@
 )
 from briarshed_workloads.records import JobRecord, ProgressRecord, TaskRecord
 from briarshed_workloads.waiting_tasks import WaitingTasks
-from briarshed_workloads.workloads import Description, Resources, Step, TaskId
+from briarshed_workloads.workloads import (
+    Description,
+    Resources,
+    Step,
+    Submission,
+    TaskId,
+)
 
 PENDING, RUNNING = "pending", "running"
 COMPLETED, FAILED, CANCELLED = "completed", "failed", "cancelled"
@@ -74,6 +80,7 @@
     __slots__ = (
         "accepted_at",
         "cached_remaining",
+        "cached_work",
         "cancelled",
         "checkpoints",
         "core_seconds",
@@ -129,6 +136,7 @@
         self.is_within_share = True
         self.failed_endpoints: dict[TaskId, set[str]] = {}
         self.cached_remaining: tuple[float, float] | None = None
+        self.cached_work: tuple[float, tuple] | None = None
         self.succeeded: dict[tuple[int, int], set[int]] = {}
         self.failed_runs: dict[TaskId, set[int]] = {}
         self.crashes: dict[TaskId, dict[int, int]] = {}
@@ -326,6 +334,7 @@
 
     def _close_step(self, occurrence: int, unix_now: float) -> None:
         self.cached_remaining = None
+        self.cached_work = None
         if occurrence not in self.open_occurrences:
             # It was started under an earlier leader whose clock was ahead.
             return
@@ -525,6 +534,19 @@
         self.open_due(unix_now)
 
 
+def make_job(submission: Submission, queue: QueueRules | None) -> Job:
+    """Return the job of a submission; it is not accepted by that."""
+    return Job(
+        submission.job,
+        submission.queue,
+        submission.pool,
+        submission.team,
+        submission.submitted_at,
+        submission.description,
+        queue.max_attempts if queue else 1,
+    )
+
+
 def find_critical_path(description: Description) -> float:
     """Return the estimated length of the critical path of the steps in seconds."""
     return max(iterate_critical_paths(description), default=0.0)
--- a/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
@@ -29,6 +29,7 @@
 from briarshed_workloads.moves_control import InstanceMoves
 from briarshed_workloads.options import EntryOptions
 from briarshed_workloads.records import SizesRecord, WaveRecord
+from briarshed_workloads.shortage import measure_incoming
 from briarshed_workloads.takeover import note_ended
 from briarshed_workloads.workloads import Instance, WaveOrder
 
@@ -350,6 +351,12 @@
         )
         for number, rows in chosen.items():
             await self._advance(self.waves[number], rows, now)
+        evacuated = self._engine.evacuated
+        self._engine.incoming = measure_incoming(
+            row
+            for row in self.instances.values()
+            if not evacuated.is_evacuated(row.data_centre)
+        )
         due = {
             name
             for view in self.waves.values()
--- a/packages/briarshed-workloads/src/briarshed_workloads/placement.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/placement.py
@@ -8,11 +8,11 @@
 
 from briarshed_workloads.crashes import is_new
 from briarshed_workloads.engine import Engine
+from briarshed_workloads.estimates import estimate_task
 from briarshed_workloads.evacuation import is_evacuated
 from briarshed_workloads.fleet import Endpoint
 from briarshed_workloads.jobs import Job, find_need
 from briarshed_workloads.order_slots import MAX_PENDING_ORDERS
-from briarshed_workloads.ordering import estimate_task
 from briarshed_workloads.outliers import SLOW_FACTOR, measure_slowness
 from briarshed_workloads.room_forecast import HORIZON_S, RoomForecast
 from briarshed_workloads.workloads import Resources, Step, TaskId, fits
--- a/packages/briarshed/src/briarshed/events.py
+++ b/packages/briarshed/src/briarshed/events.py
@@ -233,6 +233,16 @@
 INSTANCES_RECALLED = Event(
     911, "INFO", "pool {pool} gets its {size} instances back as far as they are free"
 )
+SHORTAGE_REFUSED = Event(
+    900,
+    "INFO",
+    "job {job_id} refused: no room in pool {pool}; again in {retry_after} s",
+)
+JOBS_GIVE_WAY = Event(
+    901,
+    "WARNING",
+    "pool {pool}: {in_time} jobs in time for {work} s, {late} late, {expired} too late",
+)
 
 
 def list_events() -> dict[str, Event]:
