--- a/packages/briarshed-workloads/src/briarshed_workloads/shortage.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/shortage.py
@@ -7,6 +7,7 @@
 
 from briarshed_workloads.engine import Engine
 from briarshed_workloads.estimates import estimate_remaining_time, estimate_task
+from briarshed_workloads.evacuation import is_evacuated
 from briarshed_workloads.expected_wait import Claim, find_deferred, sum_work
 from briarshed_workloads.jobs import Job, find_need, find_objective
 from briarshed_workloads.sizing import is_available
