Give up a body that the parser rejects

Cause: after an invalid chunk the parser reports an error for each further part as a request of its own, and the reader of the body is not told: 2,987 of them waited on one connection while its handler waited for the body. Found by sending 1,500 sequences of requests with random changes (a trial, not a feature).

Change: the body fails with the first error, and nothing more is passed on. A client that closes its connection within a body is counted, not logged as an error.

--- a/features/connections/limits_of_requests.feature
+++ b/features/connections/limits_of_requests.feature
@@ -31,6 +31,7 @@
       | only the head of a body with an unknown key         | 401    |
       | only the head of a body with the method PUT         | 405    |
       | a head that expects 100, with an unknown key        | 401    |
+      | many invalid chunks                                 | 400    |
 
   Scenario Outline: Requests at the limits of the product's own interface
     Given the door "product callers" with 200 MB and 1000 descriptors
--- a/features/connections/steps/request_steps.py
+++ b/features/connections/steps/request_steps.py
@@ -110,6 +110,13 @@
         step_steps(context, count)
 
 
+@when("a client sends many invalid chunks")
+def step_invalid(context):
+    head = make_head(context) + b"Transfer-Encoding: chunked\r\n\r\n"
+    parts = [head + b"2\r\n  \r\n" + b"zz\r\n\r\n" * 2_000]
+    context.statuses = exchange(context.door.address, parts, 1)
+
+
 @when("a client sends two requests at once")
 def step_two(context):
     requests = [make_head(context, 100) + make_job(100) for _ in range(2)]
--- a/packages/briarshed-entry/src/briarshed_entry/bounded_protocol.py
+++ b/packages/briarshed-entry/src/briarshed_entry/bounded_protocol.py
@@ -71,6 +71,7 @@
 
     __slots__ = (
         "_bounds_body",
+        "_count",
         "_discarded",
         "_door",
         "_has_answered",
@@ -112,6 +113,7 @@
         self._own_transport: asyncio.Transport | None = None
         self._pending = b""
         self._left: int | None = 0
+        self._count = 0
         self._bounds_body: StreamReader | None = None
         self._is_held_up = False
         self._is_handling = False
@@ -267,6 +269,7 @@
             self._enter("handling")
             return
         self._enter("body")
+        self._count = self._request_count
         self._bounds_body = body
         self._left = None
         if not message.chunked:
@@ -305,8 +308,12 @@
             return
         if body.is_eof():
             self._end_body()
-        elif body.exception() is not None:
-            # The parser has failed; nothing after this can be told apart.
+        elif body.exception() is not None or self._request_count != self._count:
+            # The parser has failed, and reports that as a further request; nothing
+            # after this can be told apart.
+            if body.exception() is None:
+                body.set_exception(web.RequestPayloadError("invalid body"))
+            self._bounds_body = None
             self._enter("handling")
 
     def _end_body(self) -> None:
@@ -397,9 +404,11 @@
         """Return the response to invalid HTTP, or to an unexpected error."""
         if isinstance(exc, web.RequestPayloadError):
             status, message = 400, str(exc) or "invalid body"
-        if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+        is_unexpected = not isinstance(exc, ConnectionError)
+        if status >= HTTPStatus.INTERNAL_SERVER_ERROR and is_unexpected:
             log_event(events.LOOP_FAILED, task=self._door.name, error=repr(exc))
-        self._door.owner.note_excess(f"status {status}")
+        reason = f"status {status}" if is_unexpected else "left during a body"
+        self._door.owner.note_excess(reason)
         reason = (message or "internal error").splitlines()[0]
         response = web.Response(
             status=status,
