--- a/bench/plans.py
+++ b/bench/plans.py
@@ -1,4 +1,7 @@
-"""Processor time of a plan by the tasks of one job that run and that wait."""
+"""Processor time of a plan by the tasks of one job that run and that wait.
+
+Besides, the time for the order of waiting jobs in a shortage, by their number.
+"""
 
 from __future__ import annotations
 
@@ -17,6 +20,7 @@
 from briarshed_workloads.copies import plan_copies
 from briarshed_workloads.engine import Engine
 from briarshed_workloads.leases import LeaseTimes
+from briarshed_workloads.ordering import sort_jobs
 from briarshed_workloads.planning import plan_starts
 from briarshed_workloads.reconciliation import correct_state
 from briarshed_workloads.workloads import (
@@ -34,6 +38,8 @@
 CAPACITY = Resources(64_000, 1_000_000, 0)
 NEED = Resources(10, 10, 0)
 NOW = 100.0
+WAITING_JOBS = (30, 300, 1_000, 3_000)
+ORDERS, ORDER_INTERVAL_S = 100, 0.01
 PLANS = 5
 KINDS: Mapping[str, Mapping[str, object]] = {
     "plain": {},
@@ -105,11 +111,32 @@
     return [opening * 1e3, longest * 1e3, measure_correction(engine) * 1e3]
 
 
+def measure_order(count: int) -> list[float]:
+    """Return times in ms for the order of jobs: most, and the median of all."""
+    engine = make_engine()
+    step = Step(8, Resources(6_000, 6_000, 0), 1.0)
+    for number in range(count):
+        submission = Submission(
+            f"{number}", "q", "pool", "", NOW, Description("", (step,))
+        )
+        engine.activate(engine.accept(submission, NOW), NOW)
+    jobs = list(engine.list_open("pool").values())
+    times = []
+    for number in range(ORDERS):
+        started = time.process_time_ns()
+        sort_jobs(engine, "pool", jobs, NOW + number * ORDER_INTERVAL_S)
+        times.append((time.process_time_ns() - started) / 1e6)
+    return [max(times), sorted(times)[ORDERS // 2]]
+
+
 def main() -> None:
     """Print a row for each size, number of running tasks and kind of step."""
     argparse.ArgumentParser(description=__doc__).parse_args()
     print(f"version {find_version()}, {ENDPOINTS} endpoints; longest, in ms")
     print(f"{'kind':14}{'tasks':>8}{'running':>8}{'open':>9}{'plan':>9}{'correct':>9}")
+    for count in WAITING_JOBS:
+        longest, median = measure_order(count)
+        print(f"order of {count:5} jobs{longest:9.2f}, median {median:.2f}", flush=True)
     for kind in KINDS:
         for size in SIZES:
             for running in RUNNING:
