Bring own instances back from standby only as far as they are not lent

Change: pools below their floor get instances from standby while fewer are in use than the floors sum up to.

--- a/packages/briarshed-workloads/src/briarshed_workloads/moves_control.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/moves_control.py
@@ -133,7 +133,7 @@
     def _choose_floors(
         self, demands: Mapping[str, PoolDemand], sizes: Mapping[str, int], now: float
     ) -> dict[str, int]:
-        """Return the number of instances that each pool has to have, and log changes."""
+        """Return how many instances each pool has to have, and log changes."""
         floors = self._standing_by.choose_floors(demands, sizes, now)
         releasing = {pool for pool in floors if floors[pool] < sizes.get(pool, 0)}
         for pool in releasing - self._releasing:
--- a/packages/briarshed-workloads/src/briarshed_workloads/sizing.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/sizing.py
@@ -472,9 +472,11 @@
 ) -> list[Move]:
     """Move free instances to the pools that lack most, others to standby.
 
-    Pools that are short of their own instances come first.
+    Pools that are short of their own instances come first. Those below their floor
+    whose instances are lent to others get no further ones from standby.
     """
     moves: list[Move] = []
+    balance = sum(missing.values())
     for row in free:
         others = [pool for pool in surplus if pool != row.pool]
         short = [pool for pool in others if surplus[pool] <= -MIN_SHORTAGE]
@@ -483,7 +485,7 @@
         if short:
             pool = min(claiming or short, key=lambda name: surplus[name])
             reason = "demand"
-        elif below:
+        elif below and (balance > 0 or row.pool not in standby):
             pool = max(below, key=lambda name: missing[name])
             reason = "expected demand"
         elif row.pool not in standby:
@@ -491,6 +493,7 @@
         else:
             continue
         moves.append(Move(row.instance, pool, reason))
+        balance += (pool in standby) - (row.pool in standby)
         if pool in surplus:
             surplus[pool] += 1
             missing[pool] -= 1
