Bring a pool's instances back for what only they can run; refuse no caller for good

Found by the review, each shown by a script: - a job that requires a label, an accelerator or a gang could wait for ever when the instances that it needs stood by: while such a job is open, all own instances have to be in the pool, and they come back first; - a caller that was refused once and waited as told was refused again as long as any job of the pool was late: it is accepted if a new job would be in time; - jobs gave way to one that is late whatever gives way; - the time in which a leader learns the demand began before it had loaded.

Open, from the review: no outlook is made while a pool is full for over a second, so that nothing is refused then; the attempt is numbered after the body was read.

Tests: three scenarios that fail before.

--- a/features/workloads/shortage.feature
+++ b/features/workloads/shortage.feature
@@ -64,6 +64,20 @@
     When a job of 1 s arrives in a queue of a higher priority
     Then it is accepted
 
+  Scenario: A caller that comes back after the crowd has gone
+    # Guards against a caller who was refused once and is refused for as long as any job
+    # of the pool is late, with a delay that says that there is room by then.
+    Given a pool with 0 s of work that waits, planned 0.1 s ago
+    And one of its jobs is late
+    When a job of 1 s arrives that its caller asked for 20 s ago
+    Then it is accepted
+
+  Scenario: A job that is late whatever gives way
+    # Guards against jobs that give way to one that is late all the same.
+    Given jobs that could all be done in time, and one larger that cannot
+    When those that give way are chosen
+    Then the larger one gives way, and no other
+
   Scenario Outline: A refused job that was sent twice
     # Guards against a refusal that does not remain true (REFUSED).
     Given 3 entries, and a job that the leader has refused
--- a/features/workloads/standing_by.feature
+++ b/features/workloads/standing_by.feature
@@ -45,6 +45,17 @@
     Given a pool of 8 instances after a spell, and an open job over 7 of them
     Then 7 have to be in it
 
+  Scenario Outline: A job that needs all instances of its pool
+    # Guards against a job that waits for ever: what it needs has left the pool.
+    Given a pool, and an open job with <step>
+    Then all instances of the pool have to be in it
+
+    Examples:
+      | step              |
+      | a required label  |
+      | a gang            |
+      | an accelerator    |
+
   Scenario: Demand returns early while the instances help another pool
     # Guards against a borrower that keeps what the pool needs itself: trial on quiet-1
     # (gtd), 0.34 of the worst kind of request; 6 s of its turn had passed before.
--- a/features/workloads/steps/shortage_steps.py
+++ b/features/workloads/steps/shortage_steps.py
@@ -167,6 +167,28 @@
     context.now = NOW + age
 
 
+@given("one of its jobs is late")
+def step_one_late(context):
+    outlook = context.engine.outlooks["pool"]
+    outlook.lowered["0" * 16] = 3
+
+
+@given("jobs that could all be done in time, and one larger that cannot")
+def step_one_cannot(context):
+    small = [Claim(f"s{number}", (0,), 5.0, 0.2, 0.1, 1.0) for number in range(10)]
+    context.claims = [*small, Claim("large", (0,), 6.0, 4.0, 5.0, 100.0)]
+
+
+@when("those that give way are chosen")
+def step_choose(context):
+    context.deferred = find_deferred(context.claims).deferred
+
+
+@then("the larger one gives way, and no other")
+def step_large_only(context):
+    assert context.deferred == ["large"], context.deferred
+
+
 def ask(context, waited, queue):
     """Ask whether a job of 4 tasks is accepted."""
     description = Description("", (Step(4, NEED, 1.0),))
--- a/features/workloads/steps/standing_by_steps.py
+++ b/features/workloads/steps/standing_by_steps.py
@@ -4,15 +4,21 @@
 import json
 
 from behave import given, then, when
-from engine_steps import NOW
+from engine_steps import JOB, NEED, NOW, make_engine, submit
 from wave_takeover_steps import run_maintenance
 
 from briarshed_workloads.demand_forecast import Spell, forecast_spell
 from briarshed_workloads.interfaces import OutcomeUnknownError
 from briarshed_workloads.records import SizesRecord
-from briarshed_workloads.sizing import MIN_INSTANCES, PoolDemand, plan_moves
+from briarshed_workloads.sizing import (
+    ALL_INSTANCES,
+    MIN_INSTANCES,
+    PoolDemand,
+    measure_demands,
+    plan_moves,
+)
 from briarshed_workloads.standing_by import StandingBy
-from briarshed_workloads.workloads import Resources
+from briarshed_workloads.workloads import Resources, Step
 
 SIZE, STEP_S, MOVE_S = 8, 0.15, 1.5
 
@@ -94,6 +100,23 @@
     assert find_floor(context, 19) == 7
 
 
+@given("a pool, and an open job with {what}")
+def step_whole(context, what):
+    context.engine = make_engine()
+    step = {
+        "a required label": Step(1, NEED, 1.0, label="x"),
+        "a gang": Step(2, NEED, 1.0, gang=True),
+        "an accelerator": Step(1, Resources(10, 10, 1), 1.0),
+    }[what]
+    submit(context.engine, JOB, (step,), NOW)
+
+
+@then("all instances of the pool have to be in it")
+def step_all(context):
+    demand = measure_demands(context.engine, {}, {}, NOW)["pool"]
+    assert demand.widest >= ALL_INSTANCES, demand
+
+
 @given('the 4 in reserve and 2 of "p0" have been moved to "p1"')
 def step_lent(context):
     for number in range(4):
--- a/packages/briarshed-workloads/src/briarshed_workloads/admission.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/admission.py
@@ -63,7 +63,9 @@
     mean = outlook.means.get(job.queue, work.whole)
     claim = make_claim(engine, job, rank, work, mean, 1.0, outlook.planned_at)
     before = sum_work(outlook.in_time.values()) + claim.work
-    if not has_shortage or before + claim.path <= claim.due_in:
+    # A caller that has come back is not refused while a new one would be in time.
+    limit = max(claim.due_in, objective)
+    if not has_shortage or before + claim.path <= limit:
         outlook.in_time[job.job_id] = claim
         return None
     found = find_deferred([*outlook.in_time.values(), claim])
--- a/packages/briarshed-workloads/src/briarshed_workloads/expected_wait.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/expected_wait.py
@@ -67,13 +67,20 @@
     Parameters
     ----------
     claims : iterable of Claim
-        The jobs; each could be done in time if it started now.
+        The jobs.
     ahead : float
         Work in seconds that is served before all of them.
     """
     deferred: list[str] = []
     served: list[tuple[tuple[int, ...], float, float, str, float]] = []
+    base, base_tier = ahead, None
     for claim in sorted(claims, key=lambda row: (row.tier, row.due_in, row.job_id)):
+        if claim.tier != base_tier:
+            base, base_tier = ahead, claim.tier
+        if base + claim.work + claim.path > claim.due_in:
+            # Late even if all others of its tier gave way.
+            deferred.append(claim.job_id)
+            continue
         tier = tuple(-part for part in claim.tier)
         loss = claim.loss / max(claim.work, MIN_WORK_S)
         row = (tier, loss, -claim.due_in, claim.job_id, claim.work)
--- a/packages/briarshed-workloads/src/briarshed_workloads/moves_control.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/moves_control.py
@@ -74,7 +74,7 @@
         self._moved_at: dict[str, float] = {}
         self._rejected_at: dict[tuple[str, str], float] = {}
         self._rates: dict[str, ArrivalRate] = {}
-        self._standing_by = StandingBy(clock.now(), options.site_limits.move)
+        self._standing_by: StandingBy | None = None
         self._releasing: set[str] = set()
         first = term.epoch == FIRST_EPOCH
         self._moves_from = clock.now() + (WARM_UP_S if first else 0.0)
@@ -147,6 +147,9 @@
         self, demands: Mapping[str, PoolDemand], sizes: Mapping[str, int], now: float
     ) -> dict[str, int]:
         """Return how many instances each pool has to have, and log changes."""
+        if self._standing_by is None:
+            # Nothing is known of the demand while the records are loaded.
+            self._standing_by = StandingBy(now, self._options.site_limits.move)
         floors = self._standing_by.choose_floors(demands, sizes, now)
         releasing = {pool for pool in floors if floors[pool] < sizes.get(pool, 0)}
         for pool in releasing - self._releasing:
--- a/packages/briarshed-workloads/src/briarshed_workloads/sizing.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/sizing.py
@@ -56,6 +56,10 @@
 ]
 
 
+ALL_INSTANCES = 1_000_000
+"""More instances than a pool has."""
+
+
 class Move(NamedTuple):
     """An instance to move to another pool, and the reason."""
 
@@ -196,7 +200,7 @@
     min_instances = MIN_INSTANCES
     widest = 0
     for job in engine.list_open(pool).values():
-        widest = max(widest, _count_min_instances(job))
+        widest = max(widest, _count_widest(job))
         if job.is_long_running:
             min_instances = max(min_instances, _count_min_instances(job))
             for key in job.waiting.list_steps():
@@ -227,6 +231,18 @@
     )
 
 
+def _count_widest(job: Job) -> int:
+    """Return how many instances a job may need at the same time.
+
+    That may be all of the pool for a gang, and for a step that only some instances
+    can run.
+    """
+    for step in job.description.steps:
+        if step.gang or step.label or step.need.accelerators:
+            return ALL_INSTANCES
+    return _count_min_instances(job)
+
+
 def is_available(endpoint: Endpoint) -> bool:
     """Return whether an endpoint counts towards the capacity of its pool."""
     return (
@@ -346,6 +362,11 @@
         for pool in demands
     }
     claims = count_claims(surplus, assigned, sizes) if choose_floors else {}
+    widths = {
+        pool: min(sizes.get(pool, 0), demand.widest) - assigned[pool]
+        for pool, demand in demands.items()
+        if choose_floors
+    }
     in_standby = sum(
         row.pool in standby
         and row.state == "up"
@@ -375,7 +396,7 @@
     ]
     # Instances of other pools come first, since they are billed already.
     free.sort(key=lambda row: row.pool in standby)
-    return _assign(surplus, claims, missing, free, standby)[:MAX_MOVES_PER_STEP]
+    return _assign(surplus, claims, missing, widths, free, standby)[:MAX_MOVES_PER_STEP]
 
 
 def count_claims(
@@ -477,12 +498,14 @@
     surplus: dict[str, float],
     claims: dict[str, int],
     missing: dict[str, int],
+    widths: dict[str, int],
     free: Sequence[Instance],
     standby: Sequence[str],
 ) -> list[Move]:
     """Move free instances to the pools that lack most, others to standby.
 
-    Pools that are short of their own instances come first. Those below their floor
+    Pools that are short of their own instances come first, then those with a job that
+    needs more instances at the same time, see ``widths``. Those below their floor
     whose instances are lent to others get no further ones from standby.
     """
     moves: list[Move] = []
@@ -491,10 +514,13 @@
         others = [pool for pool in surplus if pool != row.pool]
         short = [pool for pool in others if surplus[pool] <= -MIN_SHORTAGE]
         claiming = [pool for pool in short if claims.get(pool, 0) > 0]
+        wide = [pool for pool in others if widths.get(pool, 0) > 0]
         below = [pool for pool in others if missing[pool] > 0]
         if short:
             pool = min(claiming or short, key=lambda name: surplus[name])
             reason = "demand"
+        elif wide:
+            pool, reason = max(wide, key=lambda name: widths[name]), "demand"
         elif below and (balance > 0 or row.pool not in standby):
             pool = max(below, key=lambda name: missing[name])
             reason = "expected demand"
@@ -508,4 +534,5 @@
             surplus[pool] += 1
             missing[pool] -= 1
             claims[pool] = claims.get(pool, 0) - 1
+            widths[pool] = widths.get(pool, 0) - 1
     return moves
