Keep the limit of open work for jobs of few steps

Change: only steps beyond what a job counts for itself add to its size. An evicted connection returns the bytes of its incomplete body at once; before, all stalled ones were closed for one request. A connection with a complete request is not closed for the further bytes that it sends.

--- a/packages/briarshed-entry/src/briarshed_entry/bounded_protocol.py
+++ b/packages/briarshed-entry/src/briarshed_entry/bounded_protocol.py
@@ -148,7 +148,8 @@
         # Closing alone would wait for a client that does not read.
         if self._own_transport is not None:
             self._own_transport.abort()
-        if not self._is_handling:
+        if not self._is_handling or self._phase == "body":
+            # The handler drops the part of a body that it has read, and fails.
             self._release()
 
     @property
@@ -202,7 +203,7 @@
         self._received += len(data)
         if self._received - self._progress >= MIN_PROGRESS_BYTES:
             self._progress = self._received
-            if not self._is_handling or self._phase == "body":
+            if self._phase in ("idle", "head", "body"):
                 self._door.note_progress(self)
         if self._pending:
             data, self._pending = self._pending + data, b""
--- a/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
@@ -139,7 +139,9 @@
         self.opened_steps: set[tuple[int, int]] = set()
         self.next_occurrence = 0
         self.open_occurrences: dict[int, None] = {}
-        self.size = JOB_SIZE + sum(step.count + STEP_SIZE for step in description.steps)
+        steps = description.steps
+        self.size = max(JOB_SIZE, STEP_SIZE * len(steps))
+        self.size += sum(step.count for step in steps)
         if description.schedule:
             self.size += MAX_WAITING_TASKS
         self.is_long_running = any(step.long_running for step in description.steps)
