Close uploads only for a request that then fits; keep health checks apart from callers

Open, from the review: a submission over 1 MB waits while a query is unanswered; one long-running task that can start nowhere keeps the others of its pool from relocating; the age of what a leader knows of evacuations is not bounded.

Tests: five scenarios without a network; those of the first two fail before.

--- a/features/connections/byte_admission.feature
+++ b/features/connections/byte_admission.feature
@@ -35,3 +35,24 @@
     Given a budget of 100 bytes
     Then a request may reserve 80 and then 500 bytes, and another one none
     And after their return another one may reserve 100 bytes
+
+  Scenario Outline: Which uploads are closed for another request
+    # Guards against ordinary uploads that are all closed for a request that finds no room
+    # all the same, or for which one of them would have been enough.
+    Given a budget of <size> bytes, and 5 uploads that hold 150 bytes each
+    When a further request asks for <amount> bytes
+    Then <closed> uploads are closed, and it is <verdict>
+
+    Examples:
+      | size | amount | closed | verdict  |
+      | 1000 | 200    | 0      | admitted |
+      | 1000 | 400    | 1      | admitted |
+      | 1000 | 600    | 3      | admitted |
+      | 1000 | 2000   | 0      | refused  |
+
+  Scenario: Callers cannot keep health checks out
+    # Guards against an entry that leaves the rotation, or cannot be operated, because
+    # its callers have used up the memory for requests.
+    Given a budget of 1000 bytes, and 5 uploads that hold 150 bytes each
+    When a request at a listen address with a part of the connections asks for 900 bytes
+    Then 0 uploads are closed, and it is admitted
--- a/features/connections/steps/admission_steps.py
+++ b/features/connections/steps/admission_steps.py
@@ -9,6 +9,7 @@
     find_excess,
     size_share,
 )
+from briarshed_entry.connections import Connections
 
 
 @when("a process has {memory:d} MB and {descriptors:d} descriptors")
@@ -54,3 +55,52 @@
 def step_return(context, amount):
     context.budget.release(context.budget.held)
     assert context.budget.reserve(amount)
+
+
+class Upload:
+    """A connection that has sent a part of a body."""
+
+    def __init__(self, door, held):
+        self.door = door
+        self.held = held
+        self.is_closed = False
+
+    def abort(self, reason):
+        """Close it and return what it holds."""
+        self.is_closed = True
+        self.door.budget.release(self.held)
+        self.held = 0
+        self.door.remove(self)
+
+
+@given(
+    "a budget of {size:d} bytes, and {count:d} uploads that hold {held:d} bytes each"
+)
+def step_uploads(context, size, count, held):
+    context.connections = Connections(ProcessShare(size, 64), RequestBounds)
+    context.callers = context.connections.open_door("callers")
+    context.uploads = [Upload(context.callers, held) for _ in range(count)]
+    for upload in context.uploads:
+        context.callers.add(upload)
+        assert context.callers.budget.reserve(held)
+
+
+@when("a further request asks for {amount:d} bytes")
+def step_further(context, amount):
+    asking = Upload(context.callers, 0)
+    context.is_admitted = context.connections.make_room(amount, asking)
+
+
+@when(
+    "a request at a listen address with a part of the connections asks for {amount:d}"
+    " bytes"
+)
+def step_small_door(context, amount):
+    asking = Upload(context.connections.open_door("readiness", 16), 0)
+    context.is_admitted = context.connections.make_room(amount, asking)
+
+
+@then("{count:d} uploads are closed, and it is {verdict}")
+def step_closed(context, count, verdict):
+    assert sum(row.is_closed for row in context.uploads) == count
+    assert context.is_admitted == (verdict == "admitted")
--- a/packages/briarshed-entry/src/briarshed_entry/bounded_protocol.py
+++ b/packages/briarshed-entry/src/briarshed_entry/bounded_protocol.py
@@ -51,11 +51,11 @@
 
     def __init__(self, handler: Handle, door: Door) -> None:
         super().__init__(handler, access_log=None)
-        self._door = door
+        self.door = door
 
     def __call__(self) -> web.RequestHandler:
         """Return the protocol of a new connection."""
-        return BoundedConnection(self, self._door, loop=asyncio.get_running_loop())
+        return BoundedConnection(self, self.door, loop=asyncio.get_running_loop())
 
 
 class BoundedConnection(web.RequestHandler):
@@ -63,6 +63,8 @@
 
     Attributes
     ----------
+    door : Door
+        The connections that it belongs to.
     held : int
         Bytes of the budget that it has reserved.
     has_delivered : bool
@@ -73,7 +75,6 @@
         "_bounds_body",
         "_count",
         "_discarded",
-        "_door",
         "_has_answered",
         "_is_handling",
         "_is_held_up",
@@ -86,6 +87,7 @@
         "_raw_handler",
         "_received",
         "_since",
+        "door",
         "has_delivered",
         "held",
     )
@@ -102,7 +104,7 @@
             read_bufsize=BODY_BUFFER_BYTES,
             **settings,
         )
-        self._door = door
+        self.door = door
         self._raw_handler = self._request_handler
         self._request_handler = self._handle
         self._phase: Phase = "idle"
@@ -128,21 +130,21 @@
         transport.max_size = READ_BYTES  # type: ignore[attr-defined]
         self._own_transport = transport
         super().connection_made(transport)
-        self._door.add(self)
+        self.door.add(self)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Return what the connection holds, unless its request is still handled."""
         self._is_lost = True
         self._pending = b""
-        self._door.remove(self)
+        self.door.remove(self)
         super().connection_lost(exc)
         if not self._is_handling:
             self._release()
 
     def abort(self, reason: str) -> None:
         """Close the connection at once, without a response."""
-        self._door.owner.note_excess(reason)
-        self._door.remove(self)
+        self.door.owner.note_excess(reason)
+        self.door.remove(self)
         self._pending = b""
         self.force_close()
         # Closing alone would wait for a client that does not read.
@@ -159,7 +161,9 @@
 
     def admit(self, amount: int) -> bool:
         """Reserve bytes of the budget until the request has been handled."""
-        if not self._door.owner.make_room(amount, self):
+        if self._is_lost or self.transport is None:
+            return False
+        if not self.door.owner.make_room(amount, self):
             return False
         self.held += amount
         return True
@@ -185,7 +189,7 @@
         self._received = self._progress = 0
 
     def _release(self) -> None:
-        self._door.owner.budget.release(self.held)
+        self.door.budget.release(self.held)
         self.held = 0
 
     # Bytes from the client
@@ -204,7 +208,7 @@
         if self._received - self._progress >= MIN_PROGRESS_BYTES:
             self._progress = self._received
             if self._phase in ("idle", "head", "body"):
-                self._door.note_progress(self)
+                self.door.note_progress(self)
         if self._pending:
             data, self._pending = self._pending + data, b""
         self._feed(data)
@@ -231,7 +235,7 @@
             received = self._received
             self._enter("head")
             self._received = received
-        limit = self._door.owner.read_bounds().header_bytes
+        limit = self.door.owner.read_bounds().header_bytes
         end = data.find(HEAD_END, 0, limit)
         if end < 0:
             if len(data) >= limit:
@@ -249,7 +253,11 @@
         self._has_answered = False
         super().data_received(head)
         self._find_body()
-        return data[len(head) :]
+        rest = data[len(head) :]
+        if self._phase == "body":
+            # What has come with the head counts for the rate of the body.
+            self._received = len(rest)
+        return rest
 
     def _skip_blank(self, data: bytes) -> bytes:
         if data[0] not in HEAD_END:
@@ -264,7 +272,7 @@
     def _find_body(self) -> None:
         """Learn from the parser whether a body follows the head."""
         message, body = self._messages[-1] if self._messages else (None, EMPTY_PAYLOAD)
-        self._door.note_handling(self)
+        self.door.note_handling(self)
         self._discarded = 0
         if body is EMPTY_PAYLOAD or body.is_eof():
             self._enter("handling")
@@ -275,7 +283,7 @@
         self._left = None
         if not message.chunked:
             self._left = int(message.headers.get("Content-Length", 0))
-        self._door.note_progress(self)
+        self.door.note_progress(self)
 
     def _feed_body(self, data: bytes) -> bytes:
         """Give the parser the next part of a body and return the bytes behind it."""
@@ -319,7 +327,7 @@
 
     def _end_body(self) -> None:
         self._bounds_body = None
-        self._door.note_handling(self)
+        self.door.note_handling(self)
         self._enter("handling")
         if self._has_answered:
             self._begin_next()
@@ -343,7 +351,7 @@
 
     def _refuse_head(self) -> None:
         """Answer 431, and read on for a while so that the response arrives."""
-        self._door.owner.note_excess("head too large")
+        self.door.owner.note_excess("head too large")
         self._release()
         transport = self.transport
         assert transport is not None
@@ -388,7 +396,7 @@
         self._release()
         self.has_delivered = True
         self._enter("idle")
-        self._door.note_progress(self)
+        self.door.note_progress(self)
         data, self._pending = self._pending, b""
         self._is_held_up = False
         self._feed(data)
@@ -407,9 +415,9 @@
             status, message = 400, str(exc) or "invalid body"
         is_unexpected = not isinstance(exc, ConnectionError)
         if status >= HTTPStatus.INTERNAL_SERVER_ERROR and is_unexpected:
-            log_event(events.LOOP_FAILED, task=self._door.name, error=repr(exc))
+            log_event(events.LOOP_FAILED, task=self.door.name, error=repr(exc))
         reason = f"status {status}" if is_unexpected else "left during a body"
-        self._door.owner.note_excess(reason)
+        self.door.owner.note_excess(reason)
         reason = (message or "internal error").splitlines()[0]
         response = web.Response(
             status=status,
--- a/packages/briarshed-entry/src/briarshed_entry/connections.py
+++ b/packages/briarshed-entry/src/briarshed_entry/connections.py
@@ -4,12 +4,17 @@
 
 import asyncio
 import itertools
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from types import TracebackType
 from typing import TYPE_CHECKING, Self
 
 from briarshed import events
-from briarshed.byte_admission import ByteBudget, ProcessShare, RequestBounds
+from briarshed.byte_admission import (
+    MIN_BUFFERED_BYTES,
+    ByteBudget,
+    ProcessShare,
+    RequestBounds,
+)
 from briarshed_entry.logs import log_event
 
 if TYPE_CHECKING:
@@ -62,8 +67,13 @@
         await asyncio.gather(self._task, return_exceptions=True)
 
     def open_door(self, name: str, share: int = 1) -> Door:
-        """Return a door that has a share of the connections, for one listen address."""
-        door = Door(name, self, max(8, self.share.connections // share))
+        """Return a door that has a share of the connections, for one listen address.
+
+        A door with a part of them has a budget of its own, so that callers cannot keep
+        health checks, metrics or operators out.
+        """
+        budget = self.budget if share == 1 else ByteBudget(MIN_BUFFERED_BYTES)
+        door = Door(name, self, max(8, self.share.connections // share), budget)
         self._doors.append(door)
         return door
 
@@ -77,19 +87,36 @@
         self._count(reason)
 
     def make_room(self, amount: int, asking: BoundedConnection) -> bool:
-        """Reserve bytes; close connections that hold some and make no progress."""
-        if self.budget.reserve(amount, asking.held):
+        """Reserve bytes; close connections that hold some and make no progress.
+
+        None is closed if that would not make room enough.
+        """
+        budget = asking.door.budget
+        if budget.reserve(amount, asking.held):
             return True
-        for door in self._doors:
-            for connection in door.list_waiting():
-                if connection is asking or not connection.held:
-                    continue
+        missing = budget.held + amount - budget.size
+        victims = []
+        for connection in self._list_holding(asking):
+            victims.append(connection)
+            missing -= connection.held
+            if missing <= 0:
+                break
+        if missing <= 0:
+            for connection in victims:
                 connection.abort("no room")
-                if self.budget.reserve(amount, asking.held):
-                    return True
+            if budget.reserve(amount, asking.held):
+                return True
         self.note_excess("no room")
         return False
 
+    def _list_holding(self, asking: BoundedConnection) -> Iterator[BoundedConnection]:
+        """Yield the connections that may be closed for another one, the first first."""
+        for door in self._doors:
+            if door.budget is asking.door.budget:
+                for connection in door.list_waiting():
+                    if connection is not asking and connection.held:
+                        yield connection
+
     async def _sweep(self) -> None:
         loop = asyncio.get_running_loop()
         reported_at = swept_at = loop.time()
@@ -124,10 +151,15 @@
         All of them.
     capacity : int
         Most of them at a time.
+    budget : ByteBudget
+        Memory for what they have sent.
     """
 
-    def __init__(self, name: str, owner: Connections, capacity: int) -> None:
+    def __init__(
+        self, name: str, owner: Connections, capacity: int, budget: ByteBudget
+    ) -> None:
         self.name = name
+        self.budget = budget
         self.owner = owner
         self.capacity = capacity
         self.connections: dict[BoundedConnection, None] = {}
--- a/packages/briarshed-workloads/src/briarshed_workloads/controller.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/controller.py
@@ -341,9 +341,9 @@
                 return SubmitResult("refused", RETRY_AFTER_S)
             now = clock.now()
             waited = now - self.refusals.find_first(submission.job, now)
-            retry_after = self._find_retry_delay(submission, attempt, waited)
-            if retry_after is not None:
-                return SubmitResult("full", retry_after)
+            refusal = self._find_refusal(submission, attempt, waited)
+            if refusal is not None:
+                return refusal
             # The caller has waited since it was refused first.
             submitted_at = submission.submitted_at - waited
             submission = submission._replace(submitted_at=submitted_at)
@@ -382,10 +382,15 @@
             )
         return step is not None
 
-    def _find_retry_delay(
+    def _refuse(self, submission: Submission, retry_after: float) -> SubmitResult:
+        """Return a refusal, which is final only if it can be kept."""
+        is_kept = self.refusals.note(submission.job, clock.now())
+        return SubmitResult("full" if is_kept else "refused", retry_after)
+
+    def _find_refusal(
         self, submission: Submission, attempt: int, waited: float
-    ) -> float | None:
-        """Return after how many seconds to submit a job again; None to accept it now.
+    ) -> SubmitResult | None:
+        """Return why a job is not accepted now; None to accept it.
 
         A refusal is kept, so that it also holds for the same attempt if it was sent
         twice, and for earlier attempts that arrive later.
@@ -397,18 +402,16 @@
         """
         now = clock.now()
         if self.refusals.covers(submission.job, attempt, now):
-            return RETRY_AFTER_S
+            return SubmitResult("full", RETRY_AFTER_S)
         if not self.engine.has_room():
             log_event(
                 events.WORK_LIMIT_REACHED,
                 job_id=submission.job,
                 size=self.engine.open_size,
             )
-            self.refusals.note(submission.job, now)
-            return FULL_RETRY_AFTER_S
+            return self._refuse(submission, FULL_RETRY_AFTER_S)
         if self._is_confined(submission):
-            self.refusals.note(submission.job, now)
-            return EVACUATED_RETRY_AFTER_S
+            return self._refuse(submission, EVACUATED_RETRY_AFTER_S)
         queue = self.engine.configuration.queues.get(submission.queue)
         job = make_job(submission, queue)
         unix_now = self.engine.to_unix_time(now)
@@ -425,7 +428,7 @@
             team=job.team,
             retry_after=round(retry_after, 2),
         )
-        return retry_after
+        return SubmitResult("full", retry_after)
 
     def can_accept(self) -> bool:
         """Tell whether a new job can be made durable now."""
--- a/packages/briarshed-workloads/src/briarshed_workloads/order_watch.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/order_watch.py
@@ -72,6 +72,8 @@
                 self._publish(self.evacuations.reported)
                 await asyncio.sleep(LEADER_CHECK_S)
                 continue
+            # Read first and by itself: a large configuration may not arrive in time.
+            self.apply(await self._directory.read_evacuations())
             orders = await self.read()
             read_at = clock.now()
             while not self._is_updated_by_leader():
