--- a/packages/briarshed-entry/src/briarshed_entry/connections.py
+++ b/packages/briarshed-entry/src/briarshed_entry/connections.py
@@ -138,8 +138,12 @@
 
     @property
     def backlog(self) -> int:
-        """Return the number of connections that may wait to be accepted at a time."""
-        return max(8, min(BACKLOG, self.capacity // 2))
+        """Return the number of connections that are accepted at a time.
+
+        They are open before another one can be closed for them, for a few turns of
+        the event loop, so that there may be four times as many beyond the capacity.
+        """
+        return max(8, min(BACKLOG, self.capacity // 8))
 
     def list_waiting(self) -> list[BoundedConnection]:
         """Return the connections that may be closed for others, the first one first."""
