--- a/features/workloads/steps/outage_steps.py
+++ b/features/workloads/steps/outage_steps.py
@@ -23,7 +23,7 @@
 
 
 class Answer(NamedTuple):
-    """What the caller of a job was told, and when."""
+    """The answer that the caller of a job got, and when."""
 
     job: str
     sent_at: float
@@ -101,7 +101,7 @@
 
 
 def play(context, seconds, fail=None, wrap=None, only_leader=False, meanwhile=None):
-    """Let the store fail for a time, and collect what callers were told."""
+    """Let the store fail for a time, and collect the answers to callers."""
     context.parted = ""
     context.resubmits = context.interval < DENSE_INTERVAL_S
 
--- a/packages/briarshed-entry/src/briarshed_entry/bounded_protocol.py
+++ b/packages/briarshed-entry/src/briarshed_entry/bounded_protocol.py
@@ -319,7 +319,7 @@
             self._end_body()
         elif body.exception() is not None or self._request_count != self._count:
             # The parser has failed, and reports that as a further request; nothing
-            # after this can be told apart.
+            # after this can be distinguished.
             if body.exception() is None:
                 body.set_exception(web.RequestPayloadError("invalid body"))
             self._bounds_body = None
--- a/packages/briarshed-workloads/src/briarshed_workloads/reputation.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/reputation.py
@@ -36,7 +36,7 @@
 """Runs at the usual speed that fewer runs are averaged with."""
 
 MIN_RATIO = 0.1
-"""Least ratio of run time to expected time that is told from 0."""
+"""Least ratio of run time to expected time; lower ones count as this."""
 
 
 class EndpointReputation:
