Await the lease before a request after a freeze is judged

Cause: an entry that was frozen for longer than its lease answers a job with 503 "not accepted" and Retry-After until it has renewed the lease, as an entry that does not lead must. The step wanted 200 from a single request right after the freeze.

Change, in the steps only: a request is repeated while its answer is 503 "not accepted", for 30 s at most. Every other answer is final as before, so that a refusal for want of memory ("no memory for ..."), a 504, a closed connection and a time-out fail at once. The crowds hold no valid job, so the limit of open work, which has the same text, cannot be reached there.

Ruled out: memory over the bound (above), and a readiness check before the request: an entry is ready as soon as the store answers, before it has renewed its lease, and refuses jobs after 0.3 s of waiting.

--- a/features/connections/crowds.feature
+++ b/features/connections/crowds.feature
@@ -56,6 +56,7 @@
       | the process is frozen while a second crowd comes    |
       | a configuration lowers the limits                   |
       | the entry that leads is lost                        |
+      | the process is frozen for longer than its lease     |
 
   @alone
   Scenario Outline: Jobs of many steps, sent to <where>
--- a/features/connections/doors.py
+++ b/features/connections/doors.py
@@ -22,11 +22,12 @@
 from briarshed_platform_standins.store import StoreStandin
 from briarshed_standins.fleet import Fleet
 from briarshed_standins.plans import Plan, PoolPlan, QueuePlan, TeamPlan
-from briarshed_standins.processes import Ports, Process, wait_until
+from briarshed_standins.processes import POLL_S, Ports, Process, wait_until
 
 HOST, QUEUE, KEY = "h.example", "/q/", "key-1"
 CROWD = Path(__file__).with_name("crowd.py")
 TIMEOUT_S = 30.0
+NO_LEADER = b'{"error":"not accepted"}'
 
 
 class Door(NamedTuple):
@@ -35,21 +36,45 @@
     process: Process
     address: str
     head: bytes
-    request: Callable[[], int]
+    request: Callable[[], Answer]
+
+
+class Answer(NamedTuple):
+    """Status and content of a response."""
+
+    status: int
+    content: bytes
 
 
 def call(
     address: str, method: str, path: str, headers: dict[str, str], body: bytes = b""
-) -> int:
-    """Make one request on a new connection; return its status."""
+) -> Answer:
+    """Make one request on a new connection."""
     connection = http.client.HTTPConnection(address, timeout=TIMEOUT_S)
     try:
         connection.request(method, path, body or None, headers)
-        return connection.getresponse().status
+        response = connection.getresponse()
+        return Answer(response.status, response.read())
     finally:
         connection.close()
 
 
+def await_leader(send: Callable[[], Answer]) -> Answer:
+    """Repeat a request while it is refused for want of a leader; return the answer.
+
+    An entry that was frozen, or got no processor time, for longer than its lease
+    refuses jobs until it has renewed that. Any other answer is final, and so is a
+    closed connection.
+    """
+    ends_at = time.monotonic() + TIMEOUT_S
+    while True:
+        answer = send()
+        is_refused = answer.status == 503 and NO_LEADER in answer.content
+        if not is_refused or time.monotonic() > ends_at:
+            return answer
+        time.sleep(POLL_S)
+
+
 def make_job(size: int = 0) -> bytes:
     """Return a job, padded to a size in bytes."""
     body = json.dumps({"spec": "x", "steps": [{"count": 1, "cpu": 1000}]}).encode()
@@ -136,7 +161,7 @@
         self._stack.callback(_end, process)
         wait_until(
             f"{name} ready",
-            lambda: call(addresses["readiness"], "GET", "/api/ready", {}) == 200,
+            lambda: call(addresses["readiness"], "GET", "/api/ready", {}).status == 200,
         )
         return process, addresses
 
@@ -150,13 +175,13 @@
         )
         address = addresses[door]
 
-        def request() -> int:
+        def request() -> Answer:
             if door != "callers":
                 return call(address, "GET", "/api/ready", {})
             path = QUEUE + secrets.token_hex(8)
             return call(address, "POST", path, make_headers(), make_job())
 
-        wait_until("an ordinary request is served", lambda: request() == 200)
+        wait_until("an ordinary request is served", lambda: request().status == 200)
         return Door(process, address, head, request)
 
 
