Print the failing step beside each failed scenario

Cause: the output of a feature was printed only if a scenario had the status "failed".

Change: every status but "passed" and "skipped" prints the output, and the summary names the step and the end of its error. What passes and what fails is decided as before.

Measured: a scratch feature whose step raises ValueError printed "(error)" and no output before the change; with it, the step and the output. One that asserts prints the step and the message.

--- a/features/run.py
+++ b/features/run.py
@@ -15,6 +15,7 @@
 KNOWN_FAILURES = ROOT / "KNOWN-RED.txt"
 FEATURE_TIMEOUT_S = 540
 PARALLEL_FEATURES = 4
+MAX_ERROR_CHARACTERS = 300
 
 
 class Outcome(NamedTuple):
@@ -22,6 +23,7 @@
 
     name: str
     status: str
+    failed_step: str = ""
 
 
 def run_feature(path: Path, tags: str) -> tuple[list[Outcome], str]:
@@ -58,7 +60,9 @@
     """Return the outcomes of the scenarios in a report of behave."""
     return [
         Outcome(
-            f"{path.name}: {element['name'].strip()}", element.get("status", "failed")
+            f"{path.name}: {element['name'].strip()}",
+            element.get("status", "failed"),
+            describe_failed_step(element),
         )
         for feature in content
         for element in feature.get("elements", [])
@@ -66,6 +70,17 @@
     ]
 
 
+def describe_failed_step(element: dict) -> str:
+    """Return the first step of a scenario that did not pass, and its error."""
+    for step in element.get("steps", []):
+        result = step.get("result", {})
+        if result.get("status") not in ("passed", "skipped", "untested", None):
+            lines = result.get("error_message") or ["no message"]
+            text = lines if isinstance(lines, str) else " ".join(lines)
+            return f"{step['name']}: {text[-MAX_ERROR_CHARACTERS:]}"
+    return ""
+
+
 def read_known_failures() -> list[str]:
     """Return the scenario names listed in KNOWN-RED.txt, one on each ``test:`` line."""
     lines = KNOWN_FAILURES.read_text().splitlines()
@@ -93,7 +108,9 @@
     outcomes: list[Outcome] = []
     for part, output in results:
         # Known failures are printed too, since their cause may be a new one.
-        has_failed = any(outcome.status == "failed" for outcome in part)
+        has_failed = any(
+            outcome.status not in ("passed", "skipped") for outcome in part
+        )
         if has_failed or arguments.verbose:
             print(output)
         outcomes += part
@@ -108,7 +125,7 @@
     unexpected = [outcome for outcome in failed if outcome.name not in known]
     for outcome in failed:
         label = "FAILED" if outcome in unexpected else "known failure"
-        print(f"{label}: {outcome.name} ({outcome.status})")
+        print(f"{label}: {outcome.name} ({outcome.status}) {outcome.failed_step}")
     for name in known:
         if name in {outcome.name for outcome in passed}:
             print(f"listed in KNOWN-RED.txt but passes: {name}")
