Drop a partial body at once when its client leaves

Cause: the error that a closed connection sets on its reader refers, by its traceback, to the frame that collects the body, and that to the reader. The bytes of closed connections, which no longer count, stayed until the next collection of cycles: 137 of 167 connection objects were closed ones, with 28 MB, while 8 MB were counted as held. In addition a body grew by reallocation, which left holes in the heap.

Change: the parts are collected in a list, joined once, and dropped when reading ends in any way. A scenario without network keeps the collector off: 2.1 to 2.3 MB of 2 MB were kept before, now less than 1 MB.

Ruled out: smaller reads (4 KB: 84.7 MB to 100.3 MB), one malloc arena and a trim threshold (90 MB to 99 MB), a fixed threshold for mmap (86 MB to 90 MB). The list alone: 84.9 MB to 96.3 MB.

--- a/features/connections/byte_admission.feature
+++ b/features/connections/byte_admission.feature
@@ -56,3 +56,9 @@
     Given a budget of 1000 bytes, and 5 uploads that hold 150 bytes each
     When a request at a listen address with a part of the connections asks for 900 bytes
     Then 0 uploads are closed, and it is admitted
+
+  Scenario: A body whose client has left is dropped at once
+    # Guards against bodies that stay in memory, and count no longer, until the next
+    # collection of reference cycles: a crowd of them took a process beyond its memory.
+    When 20 clients send 100000 bytes of a body each and leave
+    Then fewer than 1000000 bytes are kept
--- a/features/connections/steps/admission_steps.py
+++ b/features/connections/steps/admission_steps.py
@@ -1,5 +1,12 @@
 """Steps for decisions about clients; nothing is sent."""
 
+import asyncio
+import gc
+import tracemalloc
+from types import SimpleNamespace
+
+from aiohttp import StreamReader
+from aiohttp.base_protocol import BaseProtocol
 from behave import given, then, when
 
 from briarshed.byte_admission import (
@@ -10,6 +17,7 @@
     size_share,
 )
 from briarshed_entry.connections import Connections
+from briarshed_entry.request_bodies import read_body
 
 
 @when("a process has {memory:d} MB and {descriptors:d} descriptors")
@@ -104,3 +112,43 @@
 def step_closed(context, count, verdict):
     assert sum(row.is_closed for row in context.uploads) == count
     assert context.is_admitted == (verdict == "admitted")
+
+
+async def send_and_leave(size):
+    """Let a client send a part of a body and leave while it is read."""
+    loop = asyncio.get_running_loop()
+    protocol = BaseProtocol(loop)
+    protocol.connection_made(asyncio.Transport())
+    content = StreamReader(protocol, 65_536, loop=loop)
+    request = SimpleNamespace(
+        content=content, content_length=None, headers={}, protocol=None
+    )
+    reading = asyncio.create_task(read_body(request, 2 * size, 60.0))
+    for _ in range(10):
+        content.feed_data(bytes(size // 10))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+    content.set_exception(ConnectionResetError())
+    await asyncio.wait([reading])
+    assert isinstance(reading.exception(), ConnectionResetError), reading
+
+
+@when("{count:d} clients send {size:d} bytes of a body each and leave")
+def step_leave(context, count, size):
+    async def run():
+        for _ in range(count):
+            await send_and_leave(size)
+
+    gc.disable()
+    tracemalloc.start()
+    try:
+        asyncio.run(run())
+        context.kept, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+        gc.enable()
+
+
+@then("fewer than {size:d} bytes are kept")
+def step_kept(context, size):
+    assert context.kept < size, context.kept
--- a/features/connections/steps/request_steps.py
+++ b/features/connections/steps/request_steps.py
@@ -118,17 +118,23 @@
     context.statuses = exchange(context.door.address, parts, 1)
 
 
+def make_large_job(context, steps):
+    """Return a request with a job of that many steps, in parts."""
+    body = b'{"spec":"x","steps":[' + b",".join([b'{"count":1}'] * steps) + b"]}"
+    return [make_head(context, len(body)), body]
+
+
 @when("a client sends a job of {count:d} steps")
 def step_steps(context, count):
-    body = b'{"spec":"x","steps":[' + b",".join([b'{"count":1}'] * count) + b"]}"
-    parts = [make_head(context, len(body)), body]
+    parts = make_large_job(context, count)
     context.statuses = exchange(context.door.address, parts, 1)
 
 
 @when("a client sends {jobs:d} jobs of {count:d} steps")
 def step_jobs(context, jobs, count):
+    # Not sent again: beyond the limit of open work, 503 is right.
     for _ in range(jobs):
-        step_steps(context, count)
+        _exchange_once(context.door.address, make_large_job(context, count), 1)
 
 
 @when("a client sends many invalid chunks")
--- a/packages/briarshed-entry/src/briarshed_entry/request_bodies.py
+++ b/packages/briarshed-entry/src/briarshed_entry/request_bodies.py
@@ -59,11 +59,17 @@
 async def _collect(
     request: web.BaseRequest, content: StreamReader, limit: int
 ) -> bytes:
-    body = bytearray()
-    async for part in content.iter_any():
-        body += part
-        check_body(request, part, len(body), limit)
-    return bytes(body)
+    parts: list[bytes] = []
+    received = 0
+    try:
+        async for part in content.iter_any():
+            received += len(part)
+            check_body(request, part, received, limit)
+            parts.append(part)
+        return b"".join(parts)
+    finally:
+        # The error of a lost connection is part of a reference cycle with this frame.
+        parts.clear()
 
 
 def check_body(
