Await no reply that nobody waits for, and count no query as unread bytes

Cause: the entry of a request in PendingReplies was removed after its reply, not when its caller's handler was cancelled. A query counted as an unread request of 0 bytes, so that a submission over 1 MB, which may be sent only when nothing else is unread, waited until the query was answered, or was refused after 0.3 s.

Change: the entry is closed in a finally clause; requests of 0 bytes are not among the unread ones.

Both were shown by scenarios of forwarding.feature that failed before (a reply awaited after both callers had left; 0 of 1 jobs sent). Two more guard the bound of 1 MB itself, which no test reached: 10 of 30 jobs of 100 kB are sent to a leader that reads nothing, 20 when it has answered those or another one leads, and one of 2 MB at a time. They passed at once.

--- a/packages/briarshed-workloads/src/briarshed_workloads/forwarding.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/forwarding.py
@@ -263,10 +263,11 @@
             telemetry.count("submission not sent", "leader reads too slowly")
             return None
         id, future = self._pending_replies.open(size)
-        self._transport.send(self._entry.leader.address, replace(request, id=id))
-        reply = await self._await_reply(future, timeout)
-        self._pending_replies.close(id)
-        return reply
+        try:
+            self._transport.send(self._entry.leader.address, replace(request, id=id))
+            return await self._await_reply(future, timeout)
+        finally:
+            self._pending_replies.close(id)
 
     async def query(self, job: str, cancel: bool, timeout: float) -> Reply:
         """Return a job's state, or cancel it.
@@ -276,14 +277,15 @@
         if self._entry.term is not None:
             reply = await self._await_reply(self.query_locally(0, job, cancel), timeout)
         elif self._entry.is_leader_alive():
-            id, future = self._pending_replies.open()
             assert self._entry.leader is not None
-            self._transport.send(
-                self._entry.leader.address, JobRequest(id, job, cancel)
-            )
+            address = self._entry.leader.address
             limit = timeout if cancel else min(timeout, QUERY_TIMEOUT_S)
-            reply = await self._await_reply(future, limit)
-            self._pending_replies.close(id)
+            id, future = self._pending_replies.open()
+            try:
+                self._transport.send(address, JobRequest(id, job, cancel))
+                reply = await self._await_reply(future, limit)
+            finally:
+                self._pending_replies.close(id)
         else:
             reply = Reply(0, "unknown", RETRY_AFTER_S)
         if cancel or reply.outcome not in ("unknown", "not leader"):
--- a/packages/briarshed-workloads/src/briarshed_workloads/transport.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/transport.py
@@ -305,12 +305,19 @@
         self._unread_bytes = 0
 
     def open(self, size: int = 0) -> tuple[int, asyncio.Future[Reply]]:
-        """Return the id of a new request of this size and the future of its reply."""
+        """Return the id of a new request and the future of its reply.
+
+        Parameters
+        ----------
+        size : int
+            Its size in bytes; a request of 0 takes no room from others.
+        """
         self._last += 1
         future = asyncio.get_running_loop().create_future()
         self._waiting[self._last] = future
-        self._unread[self._last] = (size, asyncio.get_running_loop().time())
-        self._unread_bytes += size
+        if size:
+            self._unread[self._last] = (size, asyncio.get_running_loop().time())
+            self._unread_bytes += size
         return self._last, future
 
     def has_room(self, size: int) -> bool:
