Number an attempt by the arrival of its head

Cause: the number that orders a caller's requests for a job was taken after the body had been read. If the body of a first request took long, and a second request was refused meanwhile, the first counted as the later one, was not covered by the refusal, and could be accepted: a job that runs although its caller was told with 503 that it never does.

Other callers of submit are numbered as before.

--- a/features/workloads/forwarding.feature
+++ b/features/workloads/forwarding.feature
@@ -1,5 +1,13 @@
 Feature: Requests that an entry forwards to the leader
 
+  Scenario: The number of an attempt is that of the arrival of its head
+    # Guards against a job that runs although its caller was told that it never does
+    # (503): a request whose body took long counted as later than one that came after
+    # it and was refused.
+    Given an entry of a leader that refuses jobs
+    When a caller sends a head, and its body 2 s later
+    Then the attempt counts from the arrival of the head
+
   Scenario: A request that is given up waits for no reply
     # Guards against memory that each caller who leaves would take.
     Given an entry of a leader that is silent
--- a/packages/briarshed-workloads/src/briarshed_workloads/forwarding.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/forwarding.py
@@ -170,7 +170,9 @@
             return Reply(id, await self._entry.controller.cancel(job))
         return Reply(id, self._entry.controller.find_state(job))
 
-    async def submit(self, submission: Submission, timeout: float) -> Reply:
+    async def submit(
+        self, submission: Submission, timeout: float, received_at: float | None = None
+    ) -> Reply:
         """Submit a job to the leader and return its reply.
 
         The job is sent again if the leader does not reply or changes; submitting is
@@ -178,14 +180,25 @@
         The outcome is ``refused`` only if this submission will certainly not run, and
         none before it is recorded as far as the store responds. It is
         ``unknown`` if the job was sent and no reply came within ``timeout`` seconds.
+
+        Parameters
+        ----------
+        timeout : float
+            Time from now in seconds.
+        received_at : float, optional
+            When the head of the caller's request arrived, in seconds of the boot
+            clock; now by default. It orders the requests for a job: the body of an
+            earlier one may arrive after a later one has been refused.
         """
         started_at = clock.now()
+        if received_at is None:
+            received_at = started_at
         was_sent = False
         last_epoch = 0
         while True:
             left = started_at + timeout - clock.now()
             reply = None
-            request = self._make_request(submission, started_at)
+            request = self._make_request(submission, received_at)
             if request is not None:
                 reply = await self._send_submission(
                     request, min(left, ATTEMPT_TIMEOUT_S)
