Tell a caller 503 for want of memory only if the leader knows no job

Cause: a job whose body found no room in the budget was refused with 503 if the store held no such job, also when the leader was silent or there was none. An earlier request of the caller for the same job, answered with 504, may wait unread at a silent leader, which accepts it once it reads again: a job that runs although its caller was told that it never does. docs/design/connections.md promised 504 here already.

--- a/features/workloads/forwarding.feature
+++ b/features/workloads/forwarding.feature
@@ -39,3 +39,28 @@
     When 30 jobs of 100000 bytes are sent at once
     And another entry leads
     Then 20 jobs have been sent
+
+  Scenario Outline: What a caller is told if a part of its job may have been sent
+    # Guards against 503, which says that the job never runs, for one that may run, and
+    # against 504 for one that was never sent, which the caller has to ask for.
+    Given an entry of a leader that <leader>
+    And <room> for what it forwards
+    When a caller sends <what>
+    Then it is told <status>
+
+    Examples: jobs that fit
+      | leader                                     | room    | what  | status |
+      | accepts jobs                               | room    | a job | 200    |
+      | refuses jobs                               | room    | a job | 503    |
+      | does not lead any more                     | room    | a job | 503    |
+      | is silent                                  | room    | a job | 504    |
+      | is silent                                  | no room | a job | 503    |
+      | is silent and later refuses jobs           | room    | a job | 503    |
+      | is silent and later does not lead any more | room    | a job | 504    |
+
+    Examples: jobs without memory for their body
+      | leader            | room | what                         | status |
+      | knows no such job | room | a job beyond the memory      | 503    |
+      | knows the job     | room | a job beyond the memory      | 504    |
+      | is silent         | room | a job beyond the memory      | 504    |
+      | knows no such job | room | the job again, beyond memory | 504    |
--- a/packages/briarshed-workloads/src/briarshed_workloads/forwarding.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/forwarding.py
@@ -287,24 +287,30 @@
 
         Without a leader the state is read from the store.
         """
-        if self._entry.term is not None:
-            reply = await self._await_reply(self.query_locally(0, job, cancel), timeout)
-        elif self._entry.is_leader_alive():
-            assert self._entry.leader is not None
-            address = self._entry.leader.address
-            limit = timeout if cancel else min(timeout, QUERY_TIMEOUT_S)
-            id, future = self._pending_replies.open()
-            try:
-                self._transport.send(address, JobRequest(id, job, cancel))
-                reply = await self._await_reply(future, limit)
-            finally:
-                self._pending_replies.close(id)
-        else:
-            reply = Reply(0, "unknown", RETRY_AFTER_S)
+        limit = timeout if cancel else min(timeout, QUERY_TIMEOUT_S)
+        reply = await self.ask_leader(job, cancel, limit)
         if cancel or reply.outcome not in ("unknown", "not leader"):
             return reply
         return await self._read_state(job)
 
+    async def ask_leader(self, job: str, cancel: bool, timeout: float) -> Reply:
+        """Return what the leader answers about a job; ``unknown`` if it does not.
+
+        Only it knows of submissions that are not recorded yet.
+        """
+        if self._entry.term is not None:
+            return await self._await_reply(self.query_locally(0, job, cancel), timeout)
+        if not self._entry.is_leader_alive():
+            return Reply(0, "unknown", RETRY_AFTER_S)
+        assert self._entry.leader is not None
+        address = self._entry.leader.address
+        id, future = self._pending_replies.open()
+        try:
+            self._transport.send(address, JobRequest(id, job, cancel))
+            return await self._await_reply(future, timeout)
+        finally:
+            self._pending_replies.close(id)
+
     async def _await_reply(self, reply: object, timeout: float) -> Reply:
         try:
             async with asyncio.timeout(timeout):
