Withhold starts while evacuations cannot be read though the store answers

What a leader knows of evacuations could be of any age: while its reads failed it went on with what it had read last, also when its lease was renewed all the while, so that others could have a request confirmed; and a leader that was frozen and renewed its lease again started tasks before it had read anything.

The leader notes when it requested the last complete list. Where the settings say within which time a request must be in force (bounds.evacuate-ms, which was not read), nothing starts with an older list, neither when planned nor when sent. In an outage of the store, in which it goes on by the consent of all members, starts go on, and the age counts from its end. If starts are withheld for as long again, the leader yields. Events 886 and 887. Without the setting nothing changes.

Ruled out, see the design note: withholding starts in some data centres only, yielding at once, counting responses to watches.

Shown: the rows for a leader that cannot read the orders, and for what a permit says, fail without the change; the feature evacuation passes, as do input, outages, election, authority_basis, partitions, run_leases and orders. Changes to tests: OrderSender gets one argument more; the steps for bounds.enforce-fencing take the name of the bound.

--- a/features/platform/input.feature
+++ b/features/platform/input.feature
@@ -208,6 +208,18 @@
       | 0     | an error names "bounds.enforce-fencing"      |
       | "no"  | an error names "bounds.enforce-fencing"      |
 
+  Scenario Outline: Within which time an evacuation must be in force is read
+    # Guards against a deployment whose limit is ignored, and against a limit where none
+    # is set: starts would be withheld there.
+    When a settings file has <value> for "bounds.evacuate-ms"
+    Then <result>
+
+    Examples:
+      | value  | result                                    |
+      | 5000   | evacuations are in force within 5 s       |
+      | null   | evacuations are in force within 0 s       |
+      | "soon" | an error names "bounds.evacuate-ms"       |
+
   Scenario: Unknown settings are ignored
     When a settings file has a field "colour"
     Then it has no findings
--- a/features/platform/steps/input_steps.py
+++ b/features/platform/steps/input_steps.py
@@ -370,22 +370,28 @@
     return []
 
 
-@when('a settings file has {value} for "bounds.enforce-fencing"')
-def step_fencing(context, value):
-    bounds = {"enforce-fencing": json.loads(value)}
+@when('a settings file has {value} for "bounds.{name}"')
+def step_bound(context, value, name):
+    bounds = {} if value == "null" else {name: json.loads(value)}
     context.content = {**SETTINGS, "bounds": bounds}
 
 
+@then("evacuations are in force within {seconds:g} s")
+def step_evacuation_limit(context, seconds):
+    limits = decode_options(context.content, "boot.toml").site_limits
+    assert limits.evacuation == seconds
+
+
 @then("old orders count as {result}")
 def step_old_orders(context, result):
     limits = decode_options(context.content, "boot.toml").site_limits
     assert limits.refuses_old_orders == (result == "refused")
 
 
-@then('an error names "bounds.enforce-fencing"')
-def step_fencing_finding(context):
+@then('an error names "bounds.{name}"')
+def step_bound_finding(context, name):
     (message,) = find_findings(context.content)
-    assert "bounds.enforce-fencing" in message
+    assert f"bounds.{name}" in message
 
 
 @when('a settings file lacks "node-name" and has a string for "limits.cores"')
--- a/features/workloads/evacuation.feature
+++ b/features/workloads/evacuation.feature
@@ -41,6 +41,23 @@
     Then 0 tasks were sent to "d1" and 4 to "d2"
     And 8 tasks wait again
 
+  Scenario Outline: Starts wait while an evacuation may be in force that is not known
+    # Guards against starts in an evacuated data centre by a leader whose reads fail while
+    # its lease is renewed (EVAC), and against a fleet that starts nothing in an outage of
+    # the store, in which nobody can request an evacuation.
+    Given a leader with <basis> that read the evacuations <age> s ago
+    And the store was back <back> s ago
+    Then its starts are <outcome> with a limit of <limit> s
+
+    Examples:
+      | basis               | age | back | limit | outcome   |
+      | a lease             | 4.9 | 90   | 5     | permitted |
+      | a lease             | 5.1 | 90   | 5     | withheld  |
+      | a lease             | 60  | 90   | 0     | permitted |
+      | the others' consent | 60  | 90   | 5     | permitted |
+      | a lease             | 60  | 1    | 5     | permitted |
+      | a lease             | 60  | 5.1  | 5     | withheld  |
+
   Scenario: A gang of which a member is withheld does not wait in vain
     # Guards against a gang whose other members wait for one that cannot start (GANG).
     Given 2 endpoints in "d1" and 1 in "d2", each for 4 tasks
@@ -106,3 +123,4 @@
       | an entry that joins takes the leadership         | 1.5   | 1.5  |
       | "d1" is cut off from 2 s to 8 s later            | 1.5   | 4    |
       | another request overlaps                         | 1.5   | 1.5  |
+      | the leader cannot read the orders from 1 s before | 4.5  | 1.5  |
--- a/features/workloads/steps/evacuation_steps.py
+++ b/features/workloads/steps/evacuation_steps.py
@@ -1,6 +1,7 @@
 """Steps for the evacuation of a data centre, with the time as an input."""
 
 import asyncio
+from types import SimpleNamespace
 
 from behave import given, then, when
 from engine_steps import JOB, NEED, NOW, make_engine, poll_endpoint, submit
@@ -19,6 +20,7 @@
 from briarshed_workloads.orders import OrderSender
 from briarshed_workloads.planning import plan_starts
 from briarshed_workloads.sizing import plan_moves
+from briarshed_workloads.start_permit import StartPermit
 from briarshed_workloads.waiting import list_waiting
 from briarshed_workloads.workloads import (
     Description,
@@ -133,6 +135,31 @@
     assert row.endpoints["evacuated"] == 2, row
 
 
+@given("a leader with {basis} that read the evacuations {age:g} s ago")
+def step_age(context, basis, age):
+    engine = context.engine = make_engine()
+    engine.evacuated.read_at = NOW - age
+    context.term = SimpleNamespace(
+        has_lease=lambda: basis == "a lease", store_back_at=0.0
+    )
+
+
+@given("the store was back {back:g} s ago")
+def step_back(context, back):
+    context.term.store_back_at = NOW - back
+
+
+@then("its starts are {outcome} with a limit of {limit:g} s")
+def step_permit(context, outcome, limit):
+    yields = []
+    permit = StartPermit(context.term, context.engine, limit, yields.append)
+    assert permit.check(NOW) == permit.is_valid(NOW) == (outcome == "permitted")
+    permit.check(NOW + MAX_AGE_S - 1)
+    assert not yields
+    permit.check(NOW + MAX_AGE_S)
+    assert bool(yields) == (outcome == "withheld")
+
+
 class Sink:
     """Accepts the starts that are still permitted when they would be sent."""
 
@@ -180,6 +207,7 @@
         context.engine,
         sink,
         Poller(),
+        lambda now: True,
         lambda work, name: work.close(),
         lambda: None,
         lambda: None,
@@ -341,6 +369,7 @@
 EVACUATED_S = 20.0
 AFTER_S = 8.0
 AWAY_S = 3.0
+MAX_AGE_S = 5.0
 
 
 @given("4 entries, and 4 endpoints in each of two data centres, which get jobs")
@@ -351,7 +380,9 @@
 @when('"d1" is evacuated for 20 s, and {event}')
 def step_event(context, event):
     async def run():
-        async with Fleet(ENTRIES, tuple(ENDPOINTS)) as fleet:
+        fleet = Fleet(ENTRIES, tuple(ENDPOINTS))
+        fleet.limits = fleet.limits._replace(evacuation=MAX_AGE_S)
+        async with fleet:
             fleet.directory.data_centres = ENDPOINTS
             await fleet.wait_for_leader()
             submitting = asyncio.create_task(submit_jobs(fleet))
@@ -416,6 +447,10 @@
         for client in fleet.clients.values():
             client.is_cut = True
         await asyncio.sleep(AWAY_S / 2)
+    if "leader cannot read" in event and is_evacuated:
+        leader = fleet.find_leader().options.name
+        fleet.clients[leader].loses_orders = True
+        await asyncio.sleep(1.0)
     directory.misses = "watches miss" in event
     act(data_centre)
     changed_at = clock.now()
--- a/features/workloads/virtual_fleet.py
+++ b/features/workloads/virtual_fleet.py
@@ -126,12 +126,14 @@
 class StoreClient:
     """One entry's client of the store; fails while ``is_cut`` is set.
 
-    ``load_s`` is the time that reading the jobs takes besides.
+    While ``loses_orders`` is set, only reads of the operator's orders fail. ``load_s``
+    is the time that reading the jobs takes besides.
     """
 
     def __init__(self, store, entry_name):
         self.answered_at = clock.now()
         self.is_cut = False
+        self.loses_orders = False
         self.load_s = 0.0
         self._store = store
         self._name = entry_name
@@ -146,6 +148,14 @@
         self.answered_at = max(self.answered_at, sent_at)
         return result
 
+    async def read_orders(self, work):
+        """Return the result of a read of the operator's orders."""
+        result = await self.fail_if_cut(work)
+        if self.loses_orders:
+            await asyncio.sleep(1.0)
+            raise OutcomeUnknownError("store: time-out")
+        return result
+
     async def _call(self, function):
         sent_at = clock.now()
         await asyncio.sleep(LATENCY_S)
@@ -614,15 +624,15 @@
 
     async def read_orders(self):
         """Return the configuration and waves."""
-        return await self._client.fail_if_cut(self._directory.read_orders())
+        return await self._client.read_orders(self._directory.read_orders())
 
     async def watch_orders(self, after, wait):
         """Return the waves after a wait."""
-        return await self._client.fail_if_cut(self._directory.watch_orders(after, wait))
+        return await self._client.read_orders(self._directory.watch_orders(after, wait))
 
     async def read_evacuations(self):
         """Return the evacuations."""
-        return await self._client.fail_if_cut(self._directory.read_evacuations())
+        return await self._client.read_orders(self._directory.read_evacuations())
 
 
 class Network:
--- a/packages/briarshed-workloads/src/briarshed_workloads/controller.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/controller.py
@@ -20,9 +20,7 @@
 from briarshed_workloads.engine import Engine
 from briarshed_workloads.evacuation import count_runs, find_confined_step
 from briarshed_workloads.fenced_writer import LeadershipLostError
-from briarshed_workloads.fleet import (
-    StopOrder,
-)
+from briarshed_workloads.fleet import StopOrder
 from briarshed_workloads.interfaces import (
     Directory,
     Endpoints,
@@ -46,6 +44,7 @@
 from briarshed_workloads.shares import restore_shares
 from briarshed_workloads.shortage import list_shortages
 from briarshed_workloads.slices import WorkSlice
+from briarshed_workloads.start_permit import StartPermit
 from briarshed_workloads.supervision import (
     RESTART_PAUSE_S,
     FailureCounter,
@@ -54,9 +53,7 @@
 )
 from briarshed_workloads.takeover import restore_unsettled
 from briarshed_workloads.waiting import list_waiting
-from briarshed_workloads.workloads import (
-    Submission,
-)
+from briarshed_workloads.workloads import Submission
 
 RUN_LEASE_S = 4.0
 """How long endpoints keep runs without a poll. A change of the leader takes up to 2.5 s
@@ -72,7 +69,6 @@
 PLAN_PAUSE_S = 0.008
 """Pause between two plans, so that a plan covers several events."""
 
-
 RECONCILE_INTERVAL_S = 1.0
 """Interval of correcting contradictions in the state; a task that nothing runs must not
 wait for 3 s."""
@@ -170,11 +166,18 @@
             self.persistence.request_save,
             self._changed.set,
         )
+        self.start_permit = StartPermit(
+            term,
+            self.engine,
+            options.site_limits.evacuation,
+            lambda reason: self.spawn(term.yield_leadership(reason), "yield"),
+        )
         self.orders = OrderSender(
             term,
             self.engine,
             endpoints,
             self.poller,
+            self.start_permit.is_valid,
             self.spawn,
             self.persistence.request_save,
             self._changed.set,
@@ -563,7 +566,8 @@
             for pace in list_pacing(engine, now):
                 pace.run.paced_at = now
                 self.spawn(self.orders.send_pace(pace), "pace")
-        for plan in (plan_starts, plan_copies):
+        plans = (plan_starts, plan_copies) if self.start_permit.check(now) else ()
+        for plan in plans:
             with contain_errors(plan.__name__, self._note_failure):
                 orders = plan(engine, now)
                 for order in orders:
--- a/packages/briarshed-workloads/src/briarshed_workloads/evacuation.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/evacuation.py
@@ -60,10 +60,13 @@
     reported : dict
         When each data centre was evacuated that the leader has last reported, in Unix
         seconds.
+    read_at : float
+        When the last complete list was requested, in seconds of the boot clock.
     """
 
     def __init__(self) -> None:
         self.reported: dict[str, float] = {}
+        self.read_at = 0.0
         self._views: dict[str, EvacuationView] = {}
         self._last: dict[str, int] = {}
         self._complete_at = 0
--- a/packages/briarshed-workloads/src/briarshed_workloads/leadership.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/leadership.py
@@ -23,7 +23,11 @@
 from briarshed.exceptions import DocumentError
 from briarshed_entry import clock
 from briarshed_entry.logs import log_event
-from briarshed_workloads.consent import MAX_EARLIER_TERM_S, NON_MEMBER_DELAY_S
+from briarshed_workloads.consent import (
+    CONSENT_TTL_S,
+    MAX_EARLIER_TERM_S,
+    NON_MEMBER_DELAY_S,
+)
 from briarshed_workloads.fenced_writer import (
     FencedWriter,
     LeadershipLostError,
@@ -155,6 +159,9 @@
         clock.
     has_yielded : bool
         Whether it has done so.
+    store_back_at : float
+        Time, in seconds of the boot clock, before which the store was last unavailable
+        to all members, so that nobody could write to it; 0 if it never was.
     members : frozenset of str or None
         Names of all entries that may be members according to the store.
     """
@@ -189,6 +196,7 @@
         self.lost = asyncio.Event()
         self.yields_from = 0.0
         self.has_yielded = False
+        self.store_back_at = 0.0
 
     def note_event(self, event: str, reason: str) -> None:
         """Apply an event to the leadership state and log the transition."""
@@ -212,6 +220,10 @@
         """
         return self.measure_authority() > 0
 
+    def has_lease(self) -> bool:
+        """Tell whether this leader's lease is valid: the store has answered lately."""
+        return self._find_authority().basis == LEASE
+
     def measure_authority(self) -> float:
         """Return for how many seconds this leader still has authority, at least 0."""
         return self._find_authority().seconds
@@ -277,6 +289,8 @@
             return
         if sent_at is None:
             return
+        if self._find_authority().basis == CONSENT:
+            self.store_back_at = sent_at - CONSENT_TTL_S
         self._renewed_from = max(self._renewed_from, sent_at)
         self.is_store_failing = False
         until = sent_at + LEASE_TTL_S - LEASE_MARGIN_S
--- a/packages/briarshed-workloads/src/briarshed_workloads/options.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/options.py
@@ -33,6 +33,8 @@
         token.
     spread_factor : float
         Factor on the run time of a task away from the rack that holds its data.
+    evacuation : float
+        Time within which an evacuation must be in force; 0 if the site sets none.
     """
 
     grace: float = 6.0
@@ -46,6 +48,7 @@
     lease: float = 3.0
     refuses_old_orders: bool = True
     spread_factor: float = 2.0
+    evacuation: float = 0.0
 
 
 class EntryOptions(NamedTuple):
--- a/packages/briarshed-workloads/src/briarshed_workloads/order_watch.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/order_watch.py
@@ -73,13 +73,11 @@
                 await asyncio.sleep(LEADER_CHECK_S)
                 continue
             # Read first and by itself: a large configuration may not arrive in time.
-            self.apply(await self._directory.read_evacuations())
+            await self._read_evacuations()
             orders = await self.read()
-            read_at = clock.now()
             while not self._is_updated_by_leader():
-                if clock.now() - read_at >= EVACUATION_READ_S:
-                    self.apply(await self._directory.read_evacuations())
-                    read_at = clock.now()
+                if clock.now() - self.evacuations.read_at >= EVACUATION_READ_S:
+                    await self._read_evacuations()
                 try:
                     # A watch may miss a change and still respond, so the next one
                     # starts after the last change that was received.
@@ -92,10 +90,17 @@
 
     async def read(self) -> Orders:
         """Read and apply all orders that stand."""
+        sent_at = clock.now()
         orders = await self._directory.read_orders()
         self.apply(orders)
+        self.evacuations.read_at = max(self.evacuations.read_at, sent_at)
         return orders
 
+    async def _read_evacuations(self) -> None:
+        sent_at = clock.now()
+        self.apply(await self._directory.read_evacuations())
+        self.evacuations.read_at = max(self.evacuations.read_at, sent_at)
+
     def apply(self, orders: Orders) -> None:
         """Apply orders; evacuations come first, since others may fail."""
         unix_now = time.time()
--- a/packages/briarshed-workloads/src/briarshed_workloads/orders.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/orders.py
@@ -57,6 +57,8 @@
         Calls to endpoints.
     poller : EndpointPoller
         Polls an endpoint whose response to an order is lost.
+    may_start : callable
+        Tells whether tasks may start at a time of the boot clock, see `StartPermit`.
     spawn : callable
         Runs a coroutine in the background under a name.
     request_save : callable
@@ -71,6 +73,7 @@
         engine: Engine,
         endpoints: Endpoints,
         poller: EndpointPoller,
+        may_start: Callable[[float], bool],
         spawn: Spawn,
         request_save: Callable[[], None],
         note_changed: Callable[[], None],
@@ -79,6 +82,7 @@
         self._engine = engine
         self._endpoints = endpoints
         self._poller = poller
+        self._may_start = may_start
         self._spawn = spawn
         self._request_save = request_save
         self._note_changed = note_changed
@@ -165,6 +169,7 @@
             and self._engine.is_wanted(run)
             and is_whole(self._engine, run)
             and not is_evacuated(self._engine, run.endpoint)
+            and self._may_start(clock.now())
         )
 
     def watch_start(self, run: Run) -> None:
--- a/packages/briarshed/src/briarshed/events.py
+++ b/packages/briarshed/src/briarshed/events.py
@@ -225,6 +225,15 @@
     "job {job_id} is refused: only evacuated endpoints of pool {pool} could run a step "
     "that requires label '{label}'",
 )
+STARTS_WITHHELD = Event(
+    886,
+    "WARNING",
+    "no task starts: evacuations could not be read for {seconds} s, while the store "
+    "answers",
+)
+STARTS_RESUMED = Event(
+    887, "INFO", "tasks start again after {seconds} s: evacuations have been read"
+)
 INSTANCES_RELEASED = Event(
     910,
     "INFO",
