Let a long-running task that can start nowhere hold up no relocation

Long-running tasks leave an evacuated data centre one at a time in a pool, and not while one of the pool waits. A task that no endpoint elsewhere could run, because of its label, its size or its limit per endpoint, waited for as long as the evacuation lasted, and none of the others left.

Now a waiting task counts only if an available endpoint could run it once it were empty. The endpoints of a pool are listed once a plan instead of once a task.

Ruled out: to leave out what has no room now. A smaller task would relocate into the room for which a larger one waits. Left: one that waits because of its team's limit still holds up its pool, since what is stopped of that team might not start again.

--- a/features/workloads/evacuation.feature
+++ b/features/workloads/evacuation.feature
@@ -83,6 +83,24 @@
       | 4 long-running budget 2 | 4    | 0       | 0     |
       | 4 checkpointing        | 0     | 0       | 0     |
 
+  Scenario Outline: A long-running task that can start nowhere holds up no other
+    # Guards against a pool in which no task leaves an evacuated data centre, because one
+    # waits that no endpoint elsewhere could run; and against a task that relocates into
+    # the room of one that waits.
+    Given 2 endpoints in "d1" and 1 in "d2", each for 4 tasks
+    And 4 long-running budget 2 tasks run in "d1" and 0 in "d2"
+    And a long-running task that <requires> waits
+    When "d1" is evacuated, and 0 of the step's tasks have been stopped
+    Then <count> tasks are evicted
+
+    Examples:
+      | requires                    | count |
+      | needs nothing else          | 0     |
+      | requires "label d2"         | 0     |
+      | requires "label d1"         | 1     |
+      | needs 5 cores               | 1     |
+      | has its other task at "c"   | 1     |
+
   Scenario: A job that only an evacuated data centre could run is refused
     # Guards against callers who wait for work that no endpoint may start.
     Given 2 endpoints in "d1" and 1 in "d2", each for 4 tasks
--- a/features/workloads/steps/evacuation_steps.py
+++ b/features/workloads/steps/evacuation_steps.py
@@ -287,6 +287,25 @@
     assert sum(len(runs) for runs in context.engine.runs.values()) == count + other
 
 
+@given("a long-running task that {requires} waits")
+def step_waits(context, requires):
+    engine = context.engine
+    step = Step(1, NEED, 1.0, long_running=True)
+    if "label" in requires:
+        step = step._replace(label=requires.split('"')[1])
+    if "cores" in requires:
+        step = step._replace(need=NEED._replace(cpu=5_000))
+    if "other task" in requires:
+        step = step._replace(count=2, per_endpoint=1)
+    job = submit(engine, "00000000000000bb", (step,), NOW)
+    if step.count == 2:
+        task = next(job.waiting.iterate(job.waiting.list_steps()[0]))
+        rows = [ListedRun(task, (1 << 24) + 2, "", 100, 0)]
+        poll_endpoint(engine, "c", NOW + SETTLED_S, rows)
+        job.waiting.discard(task)
+    assert len(job.waiting) == 1
+
+
 @when('"d1" is evacuated, and {count:d} of the step\'s tasks have been stopped')
 def step_stopped(context, count):
     change(context.engine, "d1")
--- a/packages/briarshed-workloads/src/briarshed_workloads/placement.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/placement.py
@@ -254,7 +254,19 @@
     step: Step, need: Resources, endpoint: Endpoint, counts: PlaceCounts
 ) -> bool:
     """Return whether an endpoint has capacity and label for a task of a step."""
-    if not fits(need, endpoint.find_free()) or not _has_label(step, endpoint):
+    return fits(need, endpoint.find_free()) and _is_suitable(step, endpoint, counts)
+
+
+def could_start(
+    step: Step, need: Resources, endpoint: Endpoint, counts: PlaceCounts
+) -> bool:
+    """Return whether an endpoint could run a task of a step if it were empty."""
+    capacity = endpoint.registration.capacity
+    return fits(need, capacity) and _is_suitable(step, endpoint, counts)
+
+
+def _is_suitable(step: Step, endpoint: Endpoint, counts: PlaceCounts) -> bool:
+    if not _has_label(step, endpoint):
         return False
     return not step.per_endpoint or counts.get(endpoint.name, 0) < step.per_endpoint
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/relocation.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/relocation.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from briarshed_workloads.engine import Engine
 from briarshed_workloads.evacuation import is_evacuated
-from briarshed_workloads.fleet import STOPPING, Run
+from briarshed_workloads.fleet import STOPPING, Endpoint, Run
 from briarshed_workloads.jobs import find_need
-from briarshed_workloads.placement import can_start, count_places, list_available
+from briarshed_workloads.placement import (
+    can_start,
+    could_start,
+    count_places,
+    list_available,
+)
 
 
 def limit_relocations(engine: Engine, now: float) -> Callable[[Run], bool]:
@@ -18,32 +23,55 @@
     capacity for it: a task that must wait for capacity serves nobody. The function
     counts a task for which it has returned True.
     """
-    pools: dict[str, bool] = {}
+    available: dict[str, list[Endpoint]] = {}
+    relocating: dict[str, bool] = {}
 
     def may_relocate(run: Run) -> bool:
         pool = run.endpoint.registration.pool
-        if pool not in pools:
-            pools[pool] = _is_relocating(engine, pool)
-        if pools[pool]:
+        if pool not in relocating:
+            available[pool] = [
+                endpoint
+                for endpoint in list_available(engine, pool, now)
+                if not endpoint.is_isolated(now)
+            ]
+            relocating[pool] = _is_stopping(engine, pool) or _is_waiting(
+                engine, pool, available[pool]
+            )
+        if relocating[pool]:
             return False
         need = find_need(run.step)
         counts = count_places(engine, run.task, run.step)
-        pools[pool] = any(
-            can_start(run.step, need, endpoint, counts)
-            for endpoint in list_available(engine, pool, now)
-            if not endpoint.is_isolated(now)
+        relocating[pool] = any(
+            can_start(run.step, need, endpoint, counts) for endpoint in available[pool]
         )
-        return pools[pool]
+        return relocating[pool]
 
     return may_relocate
 
 
-def _is_relocating(engine: Engine, pool: str) -> bool:
-    """Return whether a long-running task of a pool stops or waits."""
-    if any(
-        job.is_long_running and job.waiting for job in engine.list_open(pool).values()
-    ):
-        return True
+def _is_waiting(engine: Engine, pool: str, available: Sequence[Endpoint]) -> bool:
+    """Return whether a long-running task of a pool waits for capacity.
+
+    One that no available endpoint could run if it were empty does not compete for their
+    capacity.
+    """
+    for job in engine.list_open(pool).values():
+        if not job.is_long_running:
+            continue
+        for key in job.waiting.list_steps():
+            task = next(job.waiting.iterate(key))
+            step = job.find_step(task)
+            if not step.long_running:
+                continue
+            need = find_need(step)
+            counts = count_places(engine, task, step)
+            if any(could_start(step, need, row, counts) for row in available):
+                return True
+    return False
+
+
+def _is_stopping(engine: Engine, pool: str) -> bool:
+    """Return whether a long-running task of a pool stops to relocate."""
     return any(
         run.state == STOPPING and run.step.long_running
         for endpoint in engine.endpoints.values()
