Count instances in evacuated data centres against availability budgets

They count as unavailable now, also in `show pools` and in the plan of a dry run: stops and moves elsewhere wait, and an instance elsewhere that is leaving stays in service. A stop in the evacuated data centre makes nothing less available; it is limited by the instances that are out of service, as before, so that waves go on there.

Ruled out: counting them for stops there too, which halts the waves at the best time for them and takes leaving instances back in turn.

Shown: three of the eight new rows in waves.feature fail without the change; waves, moves, operators, language, queues and decisions pass. The scenario on data centres in operators.feature got one more check.

--- a/features/maintenance/steps/waves_steps.py
+++ b/features/maintenance/steps/waves_steps.py
@@ -11,6 +11,7 @@
 from hypothesis import given as given_values
 from hypothesis import strategies as st
 
+from briarshed.budgets import check_stop
 from briarshed.charts import draw_chart, load_chart
 from briarshed.documents import CONFIGURATION_KEY, FLEET_KEY, make_empty
 from briarshed.exceptions import ChartError
@@ -80,6 +81,73 @@
     context.world = make_world(count, racks, budget, wave == "and a wave over them")
 
 
+@given('{count:d} instances of pool "a", of which {evacuated:d} are in evacuated "dc2"')
+def step_evacuated(context, count, evacuated):
+    context.world = make_world(count, 1, 1)
+    instances = list(context.world.fleet["instances"].values())
+    context.evacuated = instances[:evacuated]
+    for instance in context.evacuated:
+        instance["data_centre"] = "dc2"
+    context.world.fleet["evacuated"] = {"dc2": {"since": 0.0, "who": "maria"}}
+
+
+@given('the budget is {budget:d} and {out:d} of those in "dc2" are out of service')
+def step_out(context, budget, out):
+    pools = context.world.configuration["pools"]
+    pools["a"]["budget"] = budget
+    pools["b"] = make_pool(1)
+    for instance in context.evacuated[:out]:
+        instance["state"] = "rebooting"
+
+
+@when("a wave is due for all of them")
+def step_wave_due(context):
+    world = context.world
+    context.steps = decide_steps(
+        world.configuration, world.fleet, {}, PlanningContext(True, True)
+    )
+
+
+@then('{here:d} instances stop in "dc1" and {there:d} in "dc2"')
+def step_stopped(context, here, there):
+    instances = context.world.fleet["instances"]
+    places = [instances[step.instance]["data_centre"] for step in context.steps]
+    assert (places.count("dc1"), places.count("dc2")) == (here, there), places
+
+
+@then('a move of an instance in "dc1" is {outcome}')
+def step_check_move(context, outcome):
+    world = context.world
+    name = max(world.fleet["instances"])
+    reason = check_stop(world.configuration, world.fleet, name, "b")
+    expected = "the availability budget of pool 'a' is used up"
+    assert reason == ("" if outcome == "allowed" else expected), reason
+
+
+@when('an instance in "{data_centre}" is leaving')
+def step_leaving(context, data_centre):
+    world = context.world
+    instance = next(
+        item
+        for item in world.fleet["instances"].values()
+        if item["data_centre"] == data_centre
+    )
+    instance["state"] = "leaving"
+    context.steps = decide_steps(
+        world.configuration, world.fleet, {}, PlanningContext(True, False)
+    )
+
+
+@then("it is kept")
+def step_kept(context):
+    assert [step.event for step in context.steps] == ["keep"], context.steps
+
+
+@then("it is not kept")
+def step_not_kept(context):
+    assert not context.steps, context.steps
+
+
 @given("two entries of which the first is the planner")
 def step_entries(context):
     context.world.add_entry("entry-1")
--- a/features/maintenance/waves.feature
+++ b/features/maintenance/waves.feature
@@ -131,6 +131,37 @@
     When "no member confirms" holds while another instance fails
     Then the first instance serves and is pending again
 
+  Scenario Outline: Instances in an evacuated data centre count against the budget
+    Guards against stops elsewhere on top of an evacuation, and against a wave that does
+    not use the evacuation for the instances at which no job starts.
+    Given 4 instances of pool "a", of which <evacuated> are in evacuated "dc2"
+    And the budget is <budget> and <out> of those in "dc2" are out of service
+    When a wave is due for all of them
+    Then <here> instances stop in "dc1" and <there> in "dc2"
+    And a move of an instance in "dc1" is <move>
+
+    Examples:
+      | evacuated | budget | out | here | there | move    |
+      | 0         | 1      | 0   | 1    | 0     | allowed |
+      | 2         | 1      | 0   | 0    | 1     | refused |
+      | 2         | 2      | 0   | 0    | 2     | refused |
+      | 2         | 1      | 1   | 0    | 0     | refused |
+      | 1         | 2      | 1   | 1    | 0     | allowed |
+      | 2         | 0      | 0   | 0    | 0     | refused |
+
+  Scenario Outline: A leaving instance is kept where an evacuation uses up the budget
+    Guards against a stop on top of an evacuation, and against a stop in the evacuated
+    data centre that begins and is taken back in turn.
+    Given 4 instances of pool "a", of which 2 are in evacuated "dc2"
+    And the budget is 1 and 0 of those in "dc2" are out of service
+    When an instance in "<data_centre>" is leaving
+    Then it is <outcome>
+
+    Examples:
+      | data_centre | outcome     |
+      | dc1         | kept        |
+      | dc2         | not kept    |
+
   Scenario: A wave halts after two failed returns and resumes
     Guards against a bad image that is rolled out to the whole pool.
     Given 6 instances of pool "a" in 2 racks with budget 3 and a wave over them
--- a/features/operators/operators.feature
+++ b/features/operators/operators.feature
@@ -206,6 +206,8 @@
     # Guards against an evacuation without a trace, and one that cannot be taken back.
     When maria sends "evacuate data-centre dc1"
     Then the server answers 200, accepted, in force
+    When maria sends "show pools where unavailable = 0 and instances > 0"
+    Then the response has 0 rows
     When maria sends "show data-centres where evacuated-by = maria"
     Then the response has 1 rows
     When maria sends "evacuate data-centre dc1"
--- a/packages/briarshed/src/briarshed/budgets.py
+++ b/packages/briarshed/src/briarshed/budgets.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator, Mapping
+from typing import NamedTuple
 
 from briarshed.documents import Configuration, Fleet, Instance
+from briarshed.evacuations import is_evacuated
 
 IN_SERVICE = "serving"
 REMOVED = "gone"
@@ -30,11 +32,62 @@
     return (instance["pool"], target)
 
 
+class Outages(NamedTuple):
+    """Number of instances by pool, without zeros.
+
+    Attributes
+    ----------
+    unavailable : dict
+        Instances that are out of service, or at which no job starts since their data
+        centre is evacuated.
+    out_of_service : dict
+        Those of them that are out of service.
+    """
+
+    unavailable: dict[str, int]
+    out_of_service: dict[str, int]
+
+    def select(self, fleet: Fleet, instance: Instance) -> Mapping[str, int]:
+        """Return the counts that limit a stop of an instance.
+
+        One in an evacuated data centre is unavailable before and after it.
+        """
+        if is_evacuated(fleet, instance):
+            return self.out_of_service
+        return self.unavailable
+
+    def add(self, fleet: Fleet, instance: Instance, pool: str) -> None:
+        """Count an instance of a pool that goes out of service."""
+        self.out_of_service[pool] = self.out_of_service.get(pool, 0) + 1
+        if not is_evacuated(fleet, instance):
+            self.unavailable[pool] = self.unavailable.get(pool, 0) + 1
+
+
+def count_outages(fleet: Fleet) -> Outages:
+    """Return the number of instances that do not serve, by pool."""
+    return Outages(
+        count_unavailable(fleet),
+        _count(fleet, lambda instance: instance["state"] != IN_SERVICE),
+    )
+
+
 def count_unavailable(fleet: Fleet) -> dict[str, int]:
-    """Return the number of unavailable instances by pool, without zeros."""
+    """Return the number of unavailable instances by pool, without zeros.
+
+    Those in evacuated data centres count too, since no job starts there.
+    """
+    return _count(
+        fleet,
+        lambda instance: (
+            instance["state"] != IN_SERVICE or is_evacuated(fleet, instance)
+        ),
+    )
+
+
+def _count(fleet: Fleet, is_counted: Callable[[Instance], bool]) -> dict[str, int]:
     counts: dict[str, int] = {}
     for instance in fleet["instances"].values():
-        if instance["state"] not in (IN_SERVICE, REMOVED):
+        if instance["state"] != REMOVED and is_counted(instance):
             for pool in _list_pools(instance):
                 counts[pool] = counts.get(pool, 0) + 1
     return counts
@@ -70,19 +123,23 @@
         return f"instance '{name}' is {instance['state']}, not serving"
     if target_pool is not None and target_pool not in configuration["pools"]:
         return f"there is no pool '{target_pool}'"
-    unavailable = count_unavailable(fleet)
-    pools = [instance["pool"]] + ([target_pool] if target_pool else [])
-    for pool in pools:
-        if not has_budget(configuration, unavailable.get(pool, 0), pool):
+    outages = count_outages(fleet)
+    pools = {instance["pool"]: outages.select(fleet, instance)}
+    if target_pool:
+        pools[target_pool] = outages.unavailable
+    for pool, counts in pools.items():
+        if not has_budget(configuration, counts.get(pool, 0), pool):
             return f"the availability budget of pool '{pool}' is used up"
     return ""
 
 
-def list_exceeded_pools(configuration: Configuration, fleet: Fleet) -> list[str]:
-    """Return the pools with more unavailable instances than their budget permits."""
+def list_exceeded_pools(
+    configuration: Configuration, counts: Mapping[str, int]
+) -> list[str]:
+    """Return the pools with more instances in a count than their budget permits."""
     budgets = configuration["pools"]
     return sorted(
         pool
-        for pool, count in count_unavailable(fleet).items()
+        for pool, count in counts.items()
         if pool in budgets and count > budgets[pool]["budget"]
     )
--- a/packages/briarshed/src/briarshed/queries.py
+++ b/packages/briarshed/src/briarshed/queries.py
@@ -8,6 +8,7 @@
 from briarshed.budgets import count_serving
 from briarshed.commands import Condition, Script, Show, Statement
 from briarshed.documents import Change, Configuration, Fleet, Members
+from briarshed.evacuations import is_evacuated
 from briarshed.findings import Finding, suggest_name
 from briarshed.measures import Usage, find_entitlements, measure_buffer_cost
 
@@ -286,14 +287,19 @@
     """Return a row for each pool, with counts of its instances."""
     rows = []
     for name, pool in sorted(configuration["pools"].items()):
-        states = [
-            instance["state"]
+        instances = [
+            instance
             for instance in fleet["instances"].values()
             if instance["pool"] == name and instance["state"] != "gone"
         ]
-        serving = states.count("serving")
-        counts = {"instances": len(states), "serving": serving}
-        counts["unavailable"] = len(states) - serving
+        counts = {
+            "instances": len(instances),
+            "serving": sum(row["state"] == "serving" for row in instances),
+            "unavailable": sum(
+                row["state"] != "serving" or is_evacuated(fleet, row)
+                for row in instances
+            ),
+        }
         rows.append({"pool": name, **pool, **counts})
     return rows
 
--- a/packages/briarshed/src/briarshed/waves.py
+++ b/packages/briarshed/src/briarshed/waves.py
@@ -6,12 +6,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Collection, Iterator, Mapping, Sequence
 from typing import Any, NamedTuple
 
 from briarshed.budgets import (
     STOPPING_STATES,
-    count_unavailable,
+    Outages,
+    count_outages,
     has_budget,
     list_exceeded_pools,
 )
@@ -152,13 +153,15 @@
     observations: Observations,
     context: PlanningContext,
 ) -> Iterator[Step]:
-    exceeded = (
-        set(list_exceeded_pools(configuration, fleet)) if context.is_planner else set()
-    )
+    outages = count_outages(fleet)
     for name, instance in fleet["instances"].items():
         observation = observations.get(name)
         if observation is not None and not _is_current(observation, instance):
             observation = None
+        exceeded: Collection[str] = ()
+        if context.is_planner and instance["state"] == "leaving":
+            counts = outages.select(fleet, instance)
+            exceeded = list_exceeded_pools(configuration, counts)
         event, reason = _find_event(instance, observation, context, exceeded)
         if event:
             yield Step(name, instance["state"], event, reason, instance["wave"])
@@ -175,13 +178,16 @@
     instance: Instance,
     observation: Observation | None,
     context: PlanningContext,
-    exceeded: set[str],
+    exceeded: Collection[str],
 ) -> tuple[str, str]:
     state = instance["state"]
     failures = 0 if observation is None else observation.failures
     if state in ("serving", "leaving") and failures >= FAILURES_TO_FAIL:
         return "fail", f"{failures} consecutive health checks failed"
-    if state == "leaving" and {instance["pool"], instance["target_pool"]} & exceeded:
+    if state == "leaving" and not {
+        instance["pool"],
+        instance["target_pool"],
+    }.isdisjoint(exceeded):
         return "keep", "its pool's availability budget is exceeded"
     if observation is None:
         return "", ""
@@ -228,7 +234,7 @@
     moves: Sequence[Move],
     changed: set[str],
 ) -> Iterator[Step]:
-    unavailable = _count_unavailable_after_steps(fleet, changed)
+    outages = _count_outages_after_steps(fleet, changed)
     racks = _list_stopped_racks(fleet, changed)
     stoppable = {
         name
@@ -236,11 +242,17 @@
         if instance["state"] == "serving" and name not in changed
     }
 
-    def reserve(*pools: str) -> bool:
-        if not all(has_budget(configuration, unavailable.get(p, 0), p) for p in pools):
+    def reserve(instance: Instance, target_pool: str | None = None) -> bool:
+        pools = {instance["pool"]: outages.select(fleet, instance)}
+        if target_pool is not None:
+            pools[target_pool] = outages.unavailable
+        if not all(
+            has_budget(configuration, counts.get(pool, 0), pool)
+            for pool, counts in pools.items()
+        ):
             return False
         for pool in pools:
-            unavailable[pool] = unavailable.get(pool, 0) + 1
+            outages.add(fleet, instance, pool)
         return True
 
     for wave_name, name in _list_pending(fleet):
@@ -248,7 +260,7 @@
             continue
         instance = fleet["instances"][name]
         pool, rack = instance["pool"], _find_rack(instance)
-        if racks.get(pool, set()) <= {rack} and reserve(pool):
+        if racks.get(pool, set()) <= {rack} and reserve(instance):
             racks[pool] = {rack}
             stoppable.discard(name)
             yield Step(name, "serving", "leave", f"wave {wave_name}", wave_name)
@@ -260,21 +272,21 @@
         ):
             continue
         if move.source_pool != move.target_pool and reserve(
-            move.source_pool, move.target_pool
+            fleet["instances"][name], move.target_pool
         ):
             stoppable.discard(name)
             reason = f"move to pool {move.target_pool}"
             yield Step(name, "serving", "leave", reason, target_pool=move.target_pool)
 
 
-def _count_unavailable_after_steps(fleet: Fleet, changed: set[str]) -> dict[str, int]:
-    """Count unavailable instances, including those that fail in this round."""
-    counts = count_unavailable(fleet)
+def _count_outages_after_steps(fleet: Fleet, changed: set[str]) -> Outages:
+    """Count instances that do not serve, including those that fail in this round."""
+    outages = count_outages(fleet)
     for name in changed:
         instance = fleet["instances"][name]
         if instance["state"] == "serving":
-            counts[instance["pool"]] = counts.get(instance["pool"], 0) + 1
-    return counts
+            outages.add(fleet, instance, instance["pool"])
+    return outages
 
 
 def _list_stopped_racks(fleet: Fleet, changed: set[str]) -> dict[str, set[Rack]]:
