Record spells of demand and floors with the sizes of pools

Cause: spells of demand were only in the leader's memory. After a change of the leader, instances that stood by were moved back to their pools, and left again once the new leader had seen a spell end; a forecast needed three more spells.

Change: `briarshed/sizes` holds the last spells of each pool, in Unix seconds, and its floor. It is written with moves as before, and with the next write of the leader when a spell has begun or ended. The next leader keeps pools at the recorded floor until it has measured demand, and a spell that lasts goes on. Records of earlier versions are read as before.

Ruled out: recording needs as well. They change at each measurement, and a leader measures them anew within three moves.

--- a/features/workloads/standing_by.feature
+++ b/features/workloads/standing_by.feature
@@ -77,3 +77,32 @@
     And the response to the first move of each is lost, and has no effect
     When the lease time has passed twice
     Then it has moved both "m1" and "m2" in the end
+
+  Scenario Outline: The next leader knows the spells of demand and the floors
+    # Guards against the moves back and away again that a change of the leader cost.
+    Given a pool of 8 instances with a spell of 10 s every 40 s, seen 4 times
+    And a new leader at <at> s, for whom the pool has <count> of its instances
+    Then <floor> have to be in it at <now> s
+
+    Examples:
+      | case                                | at  | count | now | floor |
+      | demand is not known yet             | 143 | 4     | 144 | 4     |
+      | demand is low                       | 140 | 4     | 145 | 4     |
+      | ahead of the next spell             | 140 | 4     | 155 | 8     |
+      | nothing is moved by it while unsure | 143 | 6     | 144 | 6     |
+
+  Scenario: A spell that lasts while the leader changes
+    # Guards against a spell that seems to have ended and begun anew, so that the next
+    # one is no longer forecast.
+    Given a pool of 8 instances with a spell of 10 s every 40 s, seen 4 times
+    And a new leader in the middle of the next spell
+    Then it knows one spell that began at 160 s
+
+  Scenario: Spells are recorded also when nothing is moved
+    # Guards against a leader that loses what its predecessor has seen since its last
+    # move, and against times of a boot clock that another machine does not share.
+    Given a pool that is short of 2 instances, and "m1" and "m2" in reserve
+    And records of an earlier version
+    When the lease time has passed twice
+    And its demand ends
+    Then the last record has a spell that started less than 60 s ago and has ended
--- a/features/workloads/steps/standing_by_steps.py
+++ b/features/workloads/steps/standing_by_steps.py
@@ -3,13 +3,14 @@
 import asyncio
 import json
 
+import msgspec
 from behave import given, then, when
 from engine_steps import JOB, NEED, NOW, make_engine, submit
 from wave_takeover_steps import run_maintenance
 
 from briarshed_workloads.demand_forecast import Spell, forecast_spell
 from briarshed_workloads.interfaces import OutcomeUnknownError
-from briarshed_workloads.records import SizesRecord
+from briarshed_workloads.records import SizesRecord, decode, encode
 from briarshed_workloads.sizing import (
     ALL_INSTANCES,
     MIN_INSTANCES,
@@ -40,14 +41,19 @@
 
     Long-running tasks need ``need`` of its instances, also between the spells.
     """
-    standing_by, now, context.floors = StandingBy(-10.0, MOVE_S), -10.0, []
+    context.standing_by, context.floors = StandingBy(-10.0, MOVE_S), []
+    go_on(context, spells, -10.0, until, need, widest)
+
+
+def go_on(context, spells, now, until, need=1, widest=0, count=SIZE):
+    """Measure a pool from one time to another."""
     while now < until:
         is_busy = any(start <= now < end for start, end in spells)
         demand = SIZE * 1000.0 if is_busy else 0.0
         lasting = Resources(need * 1000)
-        capacity = Resources(SIZE * 1000, SIZE * 1000)
-        row = PoolDemand(demand, lasting, capacity, SIZE, MIN_INSTANCES, widest)
-        floors = standing_by.choose_floors({"p": row}, {"p": SIZE}, now)
+        capacity = Resources(count * 1000, count * 1000)
+        row = PoolDemand(demand, lasting, capacity, count, MIN_INSTANCES, widest)
+        floors = context.standing_by.choose_floors({"p": row}, {"p": SIZE}, now)
         context.floors.append((now, floors["p"]))
         now += STEP_S
 
@@ -80,6 +86,63 @@
     assert (find_floor(context, 145), find_floor(context, 155)) == (4, 8)
 
 
+def replace_leader(context, at):
+    """Let another leader take over what the first one has recorded."""
+    known = context.standing_by.list_spells()
+    floor, context.floors = find_floor(context, at), []
+    context.standing_by = StandingBy(at, MOVE_S)
+    spells = {"p": [row for row in known["p"] if row.started_at < at]}
+    context.standing_by.restore(spells, {"p": floor})
+
+
+@given("a new leader at {at:d} s, for whom the pool has {count:d} of its instances")
+def step_next_leader(context, at, count):
+    replace_leader(context, at)
+    go_on(context, [(160, 170)], at, 156, count=count)
+
+
+@then("{floor:d} have to be in it at {now:d} s")
+def step_floor_at(context, floor, now):
+    assert find_floor(context, now) == floor
+
+
+@given("a new leader in the middle of the next spell")
+def step_in_spell(context):
+    go_on(context, [(160, 170)], 160, 165)
+    replace_leader(context, 165)
+    # The new leader knows no jobs at first.
+    go_on(context, [(166, 170)], 165, 168)
+
+
+@then("it knows one spell that began at 160 s")
+def step_one_spell(context):
+    last = context.standing_by.list_spells()["p"][-1]
+    assert abs(last.started_at - 160) < STEP_S and last.ended_at is None, last
+
+
+@given("records of an earlier version")
+def step_earlier(context):
+    old = msgspec.msgpack.encode(({"pool": 1}, ()))
+    context.maintenance.restore_sizes(decode(old, SizesRecord))
+
+
+@when("its demand ends")
+def step_demand_ends(context):
+    context.engine.open_jobs.clear()
+    now = context.maintenance._listed_at + 20.0
+    for _ in range(2):
+        asyncio.run(context.maintenance.run_once(now))
+        now += 5.0
+
+
+@then("the last record has a spell that started less than 60 s ago and has ended")
+def step_spell_recorded(context):
+    record = decode(encode(context.records[-1]), SizesRecord)
+    ((start, end),) = record.spells["pool"]
+    now = context.engine.to_unix_time(context.maintenance._listed_at)
+    assert start <= end <= now + 60 and now - start < 60, (start, end, now)
+
+
 @given("a pool of 8 instances with spells of 10 s at 0, 30 and 45 s")
 def step_irregular(context):
     play(context, [(0, 10), (30, 40), (45, 55)], 95)
--- a/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
@@ -264,7 +264,7 @@
 
     def restore_sizes(self, record: SizesRecord) -> None:
         """Restore the sizes of the pools and the last moves of an earlier leader."""
-        self.moves.sizes = record.sizes
+        self.moves.restore(record)
         self._orders.restore(record.moved)
 
     def note_unreadable_orders(self) -> None:
--- a/packages/briarshed-workloads/src/briarshed_workloads/moves_control.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/moves_control.py
@@ -4,12 +4,14 @@
 
 import math
 from collections import Counter
-from collections.abc import Awaitable, Callable, Collection, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Collection, Mapping
+from functools import partial
 
 from briarshed import events
 from briarshed_entry import clock
 from briarshed_entry.logs import log_event
 from briarshed_workloads import telemetry
+from briarshed_workloads.demand_forecast import Spell
 from briarshed_workloads.engine import Engine
 from briarshed_workloads.fleet import Endpoint
 from briarshed_workloads.instance_orders import (
@@ -74,11 +76,19 @@
         self._moved_at: dict[str, float] = {}
         self._rejected_at: dict[tuple[str, str], float] = {}
         self._rates: dict[str, ArrivalRate] = {}
+        self._restored: SizesRecord | None = None
         self._standing_by: StandingBy | None = None
+        self._floors: dict[str, int] = {}
         self._releasing: set[str] = set()
+        self._is_recorded = True
         first = term.epoch == FIRST_EPOCH
         self._moves_from = clock.now() + (WARM_UP_S if first else 0.0)
 
+    def restore(self, record: SizesRecord) -> None:
+        """Restore what an earlier leader has recorded."""
+        self.sizes = record.sizes
+        self._restored = record
+
     def note_submitted_work(self, pool: str, core_seconds: float) -> None:
         """Count core-seconds of work submitted to a pool."""
         self._rates.setdefault(pool, ArrivalRate()).add(core_seconds, clock.now())
@@ -126,7 +136,7 @@
             recent.union(due, held),
             self.sizes,
             now,
-            self._choose_floors,
+            partial(self._choose_floors, engine.to_unix_time(now) - now),
         )
         moves = [
             move
@@ -135,8 +145,11 @@
             >= REJECTED_MOVE_RETRY_S
         ]
         if not moves:
+            if not self._is_recorded:
+                self._note_sizes(self._make_record(held, now, engine.to_unix_time(now)))
             return
-        await self._record(moves, held, now)
+        self._moved_at.update({move.instance: now for move in moves})
+        await self._record(self._make_record(held, now, engine.to_unix_time(now)))
         await complete_all(
             self.carry_out(engine, instances, move)
             for move in moves
@@ -144,12 +157,17 @@
         )
 
     def _choose_floors(
-        self, demands: Mapping[str, PoolDemand], sizes: Mapping[str, int], now: float
+        self,
+        unix_offset: float,
+        demands: Mapping[str, PoolDemand],
+        sizes: Mapping[str, int],
+        now: float,
     ) -> dict[str, int]:
         """Return how many instances each pool has to have, and log changes."""
         if self._standing_by is None:
             # Nothing is known of the demand while the records are loaded.
-            self._standing_by = StandingBy(now, self._options.site_limits.move)
+            self._standing_by = self._begin_standing_by(now, unix_offset)
+        before = self._standing_by.list_spells()
         floors = self._standing_by.choose_floors(demands, sizes, now)
         releasing = {pool for pool in floors if floors[pool] < sizes.get(pool, 0)}
         for pool in releasing - self._releasing:
@@ -163,21 +181,48 @@
         for pool in self._releasing - releasing:
             log_event(events.INSTANCES_RECALLED, pool=pool, size=sizes.get(pool, 0))
             telemetry.count("own instances", "recalled")
-        self._releasing = releasing
+        if releasing != self._releasing or self._standing_by.list_spells() != before:
+            self._is_recorded = False
+        self._releasing, self._floors = releasing, floors
         return floors
 
-    async def _record(
-        self, moves: Sequence[Move], held: Collection[str], now: float
-    ) -> None:
+    def _begin_standing_by(self, now: float, unix_offset: float) -> StandingBy:
+        standing_by = StandingBy(now, self._options.site_limits.move)
+        if self._restored is not None and self._restored.spells:
+            spells = {
+                pool: [_shift_spell(Spell(*row), -unix_offset) for row in rows]
+                for pool, rows in self._restored.spells.items()
+            }
+            standing_by.restore(spells, self._restored.floors)
+            known = standing_by.list_spells()
+            log_event(events.SPELLS_RESTORED, pools=len(known))
+        return standing_by
+
+    def _make_record(
+        self, held: Collection[str], now: float, unix_now: float
+    ) -> SizesRecord:
+        """Return the record of the sizes, the last moves, and the spells."""
+        recent = self._orders.list_recent(self._moved_at, now)
+        offset = unix_now - now
+        spells = self._standing_by.list_spells() if self._standing_by else {}
+        self._is_recorded = True
+        return SizesRecord(
+            self.sizes,
+            tuple(sorted({*recent, *held})),
+            {
+                pool: tuple(tuple(_shift_spell(row, offset)) for row in rows)
+                for pool, rows in spells.items()
+            },
+            self._floors,
+        )
+
+    async def _record(self, record: SizesRecord) -> None:
         """Record moves, so that the next leader waits with them.
 
         Where the platform refuses old orders, the moves do not wait for the write, so
         that a slow store does not delay them. A leader that is cut off from the store
         before the write cannot reach the platform either.
         """
-        self._moved_at.update({move.instance: now for move in moves})
-        recent = self._orders.list_recent(self._moved_at, now)
-        record = SizesRecord(self.sizes, tuple(sorted({*recent, *held})))
         if self._orders.are_old_refused or self._save_sizes is None:
             self._note_sizes(record)
         else:
@@ -229,6 +274,12 @@
             self._rejected_at[move.instance, move.pool] = clock.now()
 
 
+def _shift_spell(spell: Spell, seconds: float) -> Spell:
+    """Return a spell in the seconds of another clock."""
+    end = spell.ended_at
+    return Spell(spell.started_at + seconds, None if end is None else end + seconds)
+
+
 def _is_idle(endpoint: Endpoint | None) -> bool:
     """Return whether nothing runs at an endpoint, if there is one."""
     return endpoint is None or not endpoint.runs
--- a/packages/briarshed-workloads/src/briarshed_workloads/standing_by.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/standing_by.py
@@ -13,6 +13,8 @@
 from typing import Protocol
 
 from briarshed_workloads.demand_forecast import (
+    REMEMBERED_SPELLS,
+    SPELL_END_SHARE,
     Forecast,
     Spell,
     find_longest_gap,
@@ -58,9 +60,9 @@
 class PoolHistory:
     """Recent needs of a pool, and its spells of high demand."""
 
-    def __init__(self) -> None:
-        self.spells: tuple[Spell, ...] = ()
-        self.floor = 0
+    def __init__(self, floor: int, spells: tuple[Spell, ...] = ()) -> None:
+        self.spells = spells
+        self.floor = floor
         self._needs: deque[tuple[float, float]] = deque()
 
     def note(self, need: float, level: float, now: float) -> None:
@@ -102,6 +104,27 @@
         self._move = move
         self._pools: dict[str, PoolHistory] = {}
 
+    def restore(
+        self, spells: Mapping[str, Sequence[Spell]], floors: Mapping[str, int]
+    ) -> None:
+        """Restore the spells and the floors that an earlier leader knew.
+
+        Spells that begin or end in the future are left out, since the clocks of two
+        leaders may differ.
+        """
+        for pool, rows in spells.items():
+            known = tuple(
+                row
+                for row in rows[-REMEMBERED_SPELLS:]
+                if max(row.started_at, row.ended_at or 0.0) <= self._known_from
+            )
+            if known and pool in floors:
+                self._pools[pool] = PoolHistory(floors[pool], known)
+
+    def list_spells(self) -> dict[str, tuple[Spell, ...]]:
+        """Return the last spells of demand of each pool that has had one."""
+        return {pool: row.spells for pool, row in self._pools.items() if row.spells}
+
     def choose_floors(
         self, needs: Mapping[str, Need], sizes: Mapping[str, int], now: float
     ) -> dict[str, int]:
@@ -114,22 +137,32 @@
         sizes : mapping
             Number of instances that the operator assigned to each pool.
         """
+        is_learning = now < self._known_from + LEARNING_S
         for pool, need in needs.items():
-            history = self._pools.setdefault(pool, PoolHistory())
-            level = need.find_load() / max(1, sizes.get(pool, 0))
+            size = sizes.get(pool, 0)
+            history = self._pools.setdefault(pool, PoolHistory(size))
+            level = need.find_load() / max(1, size)
+            if is_learning and not has_ended(history.spells) and history.spells:
+                # A spell of an earlier term has not ended because nothing is known yet.
+                level = max(level, SPELL_END_SHARE)
             history.note(need.find_need(), level, now)
         spells = [spell for row in self._pools.values() for spell in row.spells]
         pays = has_long_spells(spells, MIN_SPELL_MOVES * self._move, now)
+        floors = {}
         for pool, need in needs.items():
             history, size = self._pools[pool], sizes.get(pool, 0)
-            if now < self._known_from + LEARNING_S:
-                # Demand that is not known yet does not count as none.
-                history.floor = max(size, need.count)
-            elif pays and has_ended(history.spells):
+            if is_learning:
+                # Demand that is not known yet does not count as none. Instances that
+                # an earlier leader has sent away come back if jobs call for them.
+                floor = history.floor if has_ended(history.spells) else size
+                floors[pool] = max(min(size, floor), need.count)
+                continue
+            if pays and has_ended(history.spells):
                 history.floor = self._choose_floor(history, need, size, now)
             else:
                 history.floor = size
-        return {pool: self._pools[pool].floor for pool in needs}
+            floors[pool] = history.floor
+        return floors
 
     def _choose_floor(
         self, history: PoolHistory, need: Need, size: int, now: float
@@ -142,7 +175,7 @@
         elif is_due(forecast, self._move, now):
             return size
         if now < self._known_from + wait:
-            return size
+            return min(size, history.floor)
         floor = max(
             math.ceil(history.find_peak(now - wait) + RESERVE),
             math.ceil(size * MIN_PRESENT_SHARE),
--- a/packages/briarshed/src/briarshed/events.py
+++ b/packages/briarshed/src/briarshed/events.py
@@ -233,6 +233,9 @@
 INSTANCES_RECALLED = Event(
     911, "INFO", "pool {pool} gets its {size} instances back as far as they are free"
 )
+SPELLS_RESTORED = Event(
+    912, "INFO", "spells of demand of {pools} pools are known from an earlier leader"
+)
 SHORTAGE_REFUSED = Event(
     900,
     "INFO",
