Move instances to the most urgent of several short pools first

Cause: of pools that were short, the one that lacked most got the next instance, whatever the priority of its queues. Where turns of demand overlap, urgent jobs waited for a backlog of ordinary ones.

Change: `urgency.py` splits a pool's demand by the priority of its queues. The pool that is short for the most urgent jobs that can still meet their objective comes first, until it has room for these. A pool still gets its own instances back before others get more.

Ruled out: the priority of the most urgent waiting job alone; one small job would take all instances (scenario "urgent, with little work").

--- a/bench/_emulator.py
+++ b/bench/_emulator.py
@@ -31,6 +31,7 @@
 from briarshed_workloads.shares import Shares
 from briarshed_workloads.shortage import measure_incoming
 from briarshed_workloads.sizing import ArrivalRate, plan_moves
+from briarshed_workloads.standing_by import StandingBy
 from briarshed_workloads.workloads import (
     NO_RESOURCES,
     Description,
@@ -220,6 +221,7 @@
         length: float = 34.0,
         may_refuse: bool = True,
         hot: float = 5.0,
+        may_stand_by: bool = False,
     ) -> None:
         self.deployment = deployment
         self.random = random.Random(seed)
@@ -250,6 +252,7 @@
         self.may_refuse = may_refuse
         self.refusals = 0
         self.hot = hot
+        self._standing_by = StandingBy(0.0, MOVE_S) if may_stand_by else None
 
     def at(self, time: float, action: Callable[[], None]) -> None:
         """Schedule an action."""
@@ -470,6 +473,7 @@
             held,
             sizes,
             self.now,
+            self._standing_by.choose_floors if self._standing_by else None,
         )
         for move in moves:
             row = self.instances[move.instance]
--- a/bench/turns.py
+++ b/bench/turns.py
@@ -72,6 +72,7 @@
     parser.add_argument("--refuse", action="store_true")
     parser.add_argument("--hot", type=float, default=5.0)
     parser.add_argument("--order", default="expected-wait", choices=ORDERS)
+    parser.add_argument("--stand-by", action="store_true")
     arguments = parser.parse_args()
     planning.sort_jobs = ORDERS[arguments.order]
     print(
@@ -88,6 +89,7 @@
                     arguments.seconds,
                     arguments.refuse,
                     arguments.hot,
+                    arguments.stand_by,
                 ).run()
                 for seed in range(arguments.days)
             ]
--- /dev/null
+++ b/features/workloads/steps/urgent_pools_steps.py
@@ -0,0 +1,39 @@
+"""Steps for pools that are short at the same time, without network and clock."""
+
+from behave import given, then, when
+from engine_steps import NOW
+from heavy_days_steps import POOLS
+from standing_by_steps import plan
+
+LATE_S = 60.0
+
+
+@given('the queue of "p0" has priority {first:d} and that of "p1" priority {second:d}')
+def step_priorities(context, first, second):
+    engine = context.pools.engine
+    queues = {
+        pool: engine.configuration.queues[pool]._replace(priority=priority)
+        for pool, priority in zip(POOLS, (first, second), strict=True)
+    }
+    engine.configuration = engine.configuration._replace(queues=queues)
+
+
+@when('jobs wait that take all of {load:d} in "p0" and {other} in "p1"')
+def step_wait(context, load, other):
+    context.pools.load("p0", load)
+    if other == "late":
+        context.pools.load("p1", 6, age=LATE_S)
+    else:
+        context.pools.load("p1", int(other))
+
+
+@then('{moved:d} in reserve are moved to "p1", and the others to "p0"')
+def step_moved_to(context, moved):
+    pools = [pool for _, pool in context.pools.move()]
+    assert pools.count("p1") == moved and len(pools) == 4, pools
+
+
+@then('the first 2 moves go to "p0"')
+def step_own_first(context):
+    moves = plan(context, NOW)
+    assert [move.pool for move in moves][:2] == ["p0", "p0"], moves
--- a/packages/briarshed-workloads/src/briarshed_workloads/sizing.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/sizing.py
@@ -18,6 +18,12 @@
 from briarshed_workloads.evacuation import is_evacuated
 from briarshed_workloads.fleet import Endpoint
 from briarshed_workloads.jobs import Job, find_need, find_objective
+from briarshed_workloads.urgency import (
+    DemandLevel,
+    choose_pool,
+    find_urgency,
+    split_demand,
+)
 from briarshed_workloads.workloads import NO_RESOURCES, Instance, Resources, add
 
 MEAN_RATE_TIME_S = 1.2
@@ -136,6 +142,8 @@
         Minimum number of instances, given the long-running tasks that may share one.
     widest : int
         Instances over which the tasks of an open job have to be spread at most.
+    levels : tuple of DemandLevel
+        Parts of the demand by the priority of the queues.
     """
 
     demand: float
@@ -144,6 +152,7 @@
     count: int
     min_instances: int
     widest: int = 0
+    levels: tuple[DemandLevel, ...] = ()
 
     def find_need(self) -> float:
         """Return the need of the pool in instances."""
@@ -166,6 +175,18 @@
             float(self.count - self.min_instances),
         )
 
+    def find_urgency(self, surplus: float) -> float:
+        """Return the most urgent priority for whose jobs the pool is short.
+
+        ``surplus`` is the present surplus, in instances; others may have been assigned.
+        """
+        gained = surplus - self.find_surplus()
+
+        def measure(share: float) -> float:
+            return self._replace(demand=self.demand * share).find_surplus() + gained
+
+        return find_urgency(self.levels, measure, MIN_SHORTAGE)
+
 
 def measure_pool(
     engine: Engine,
@@ -196,7 +217,8 @@
                 if run.step.long_running:
                     fixed = add(fixed, run.need)
     unix_now = engine.to_unix_time(now)
-    backlog = late = 0.0
+    backlog: dict[int, float] = defaultdict(float)
+    late = 0.0
     min_instances = MIN_INSTANCES
     widest = 0
     for job in engine.list_open(pool).values():
@@ -208,12 +230,19 @@
                 count = job.waiting.count(key)
                 fixed = add(fixed, Resources(*(part * count for part in need)))
         elif can_meet_objective(engine, job, unix_now):
-            backlog += find_remaining_work(engine, job)
+            queue = engine.find_queue(job)
+            backlog[queue.priority if queue else 0] += find_remaining_work(engine, job)
         else:
             late += find_remaining_work(engine, job)
-    demand = (max(rate, backlog / BACKLOG_CLEAR_S) + late / LATE_BACKLOG_CLEAR_S) * 1000
+    in_time = sum(backlog.values()) / BACKLOG_CLEAR_S
     return PoolDemand(
-        demand, fixed, _sum(capacities), len(capacities), min_instances, widest
+        (max(rate, in_time) + late / LATE_BACKLOG_CLEAR_S) * 1000,
+        fixed,
+        _sum(capacities),
+        len(capacities),
+        min_instances,
+        widest,
+        split_demand(backlog, late),
     )
 
 
@@ -396,7 +425,16 @@
     ]
     # Instances of other pools come first, since they are billed already.
     free.sort(key=lambda row: row.pool in standby)
-    return _assign(surplus, claims, missing, widths, free, standby)[:MAX_MOVES_PER_STEP]
+    moves = _assign(
+        surplus,
+        claims,
+        missing,
+        widths,
+        free,
+        standby,
+        lambda pool, rest: demands[pool].find_urgency(rest),
+    )
+    return moves[:MAX_MOVES_PER_STEP]
 
 
 def count_claims(
@@ -501,12 +539,14 @@
     widths: dict[str, int],
     free: Sequence[Instance],
     standby: Sequence[str],
+    find_urgency: Callable[[str, float], float],
 ) -> list[Move]:
     """Move free instances to the pools that lack most, others to standby.
 
-    Pools that are short of their own instances come first, then those with a job that
-    needs more instances at the same time, see ``widths``. Those below their floor
-    whose instances are lent to others get no further ones from standby.
+    Pools that are short of their own instances come first, the most urgent ones before
+    others (see `urgency.choose_pool`), then those with a job that needs more instances
+    at the same time, see ``widths``. Those below their floor whose instances are lent
+    to others get no further ones from standby.
     """
     moves: list[Move] = []
     balance = sum(missing.values())
@@ -517,7 +557,7 @@
         wide = [pool for pool in others if widths.get(pool, 0) > 0]
         below = [pool for pool in others if missing[pool] > 0]
         if short:
-            pool = min(claiming or short, key=lambda name: surplus[name])
+            pool = choose_pool(claiming or short, surplus, find_urgency)
             reason = "demand"
         elif wide:
             pool, reason = max(wide, key=lambda name: widths[name]), "demand"
