--- a/features/workloads/steps/urgent_pools_steps.py
+++ b/features/workloads/steps/urgent_pools_steps.py
@@ -1,10 +1,14 @@
 """Steps for pools that are short at the same time, without network and clock."""
 
+from collections import Counter
+
 from behave import given, then, when
 from engine_steps import NOW
 from heavy_days_steps import POOLS
 from standing_by_steps import plan
 
+from briarshed_workloads.sizing import plan_moves
+
 LATE_S = 60.0
 
 
@@ -27,10 +31,17 @@
         context.pools.load("p1", int(other))
 
 
-@then('{moved:d} in reserve are moved to "p1", and the others to "p0"')
+@then(
+    '{moved:d} in reserve are moved to "p1" for "urgent demand", '
+    'and the others to "p0" for "demand"'
+)
 def step_moved_to(context, moved):
-    pools = [pool for _, pool in context.pools.move()]
-    assert pools.count("p1") == moved and len(pools) == 4, pools
+    pools = context.pools
+    sizes = dict.fromkeys(POOLS, 4)
+    moves = plan_moves(pools.engine, pools.instances, {}, set(), sizes, NOW)
+    rows = Counter((move.pool, move.reason) for move in moves)
+    expected = Counter({("p1", "urgent demand"): moved, ("p0", "demand"): 4 - moved})
+    assert rows == expected, rows
 
 
 @then('the first 2 moves go to "p0"')
--- a/features/workloads/urgent_pools.feature
+++ b/features/workloads/urgent_pools.feature
@@ -7,7 +7,7 @@
     Given pools "p0" and "p1" of 4 instances each and 4 in reserve
     And the queue of "p0" has priority <first> and that of "p1" priority <second>
     When jobs wait that take all of <load> in "p0" and <other> in "p1"
-    Then <moved> in reserve are moved to "p1", and the others to "p0"
+    Then <moved> in reserve are moved to "p1" for "urgent demand", and the others to "p0" for "demand"
 
     Examples:
       | case                      | first | second | load | other | moved |
--- a/packages/briarshed-workloads/src/briarshed_workloads/sizing.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/sizing.py
@@ -558,7 +558,8 @@
         below = [pool for pool in others if missing[pool] > 0]
         if short:
             pool = choose_pool(claiming or short, surplus, find_urgency)
-            reason = "demand"
+            lacking = min(claiming or short, key=lambda name: surplus[name])
+            reason = "demand" if pool == lacking else "urgent demand"
         elif wide:
             pool, reason = max(wide, key=lambda name: widths[name]), "demand"
         elif below and (balance > 0 or row.pool not in standby):
