Apply a raised limit of heads to open connections

Cause: the parser of a connection has the limits that were in force when it was made. After the operator had raised the limit of heads, a connection that callers kept open answered 400 to a legal head of one long line.

Change: before a head is passed on, a connection whose parser has a lower limit gets a new parser; it is between two requests then. The limits of the parser stay bounded, since trailers of chunked bodies are bounded by them alone.

Ruled out: no limits in the parser at all, for that reason.

--- a/features/connections/limits_of_requests.feature
+++ b/features/connections/limits_of_requests.feature
@@ -53,3 +53,10 @@
     Given the door "platform callers" with 96 MB and 1000 descriptors
     When a client sends a job of 20000 steps
     Then it is answered with 200
+
+  Scenario: A raised limit of heads holds for open connections
+    # Guards against connections that callers keep open, and on which legal requests
+    # get 400 after the operator has raised the limit.
+    Given the door "platform callers" with 200 MB and 1000 descriptors
+    When a client sends a request, and a head of 20000 bytes when that is allowed
+    Then it is answered with 200 200
--- a/features/connections/steps/request_steps.py
+++ b/features/connections/steps/request_steps.py
@@ -189,6 +189,28 @@
     return " ".join(data[9:12].decode() for data in received)
 
 
+@when("a client sends a request, and a head of {size:d} bytes when that is allowed")
+def step_raised(context, size):
+    limits = {"max-header-bytes": 2 * size, "idle-timeout-ms": 60_000}
+    body, address = make_job(), context.door.address
+    long_ = {**make_headers(), "X-Long": "x" * size}
+    path = "/q/" + secrets.token_hex(8)
+
+    def is_allowed():
+        return call(address, "POST", path, long_, body).status == 200
+
+    host, _, port = address.rpartition(":")
+    with socket.create_connection((host, int(port)), TIMEOUT_S) as connection:
+        connection.sendall(make_head(context, len(body)) + body)
+        first = connection.recv(65_536)
+        context.entries.configure(2, limits)
+        wait_until("the limits are raised", is_allowed)
+        head = make_head(context) + b"Content-Length: %d\r\n" % len(body)
+        connection.sendall(pad_head(head, size, "one line") + body)
+        second = connection.recv(65_536)
+    context.statuses = f"{first[9:12].decode()} {second[9:12].decode()}"
+
+
 @then("it is answered with {statuses}")
 def step_statuses(context, statuses):
     assert context.statuses == statuses, context.statuses
--- a/packages/briarshed-entry/src/briarshed_entry/bounded_protocol.py
+++ b/packages/briarshed-entry/src/briarshed_entry/bounded_protocol.py
@@ -14,6 +14,7 @@
 
 import msgspec
 from aiohttp import EMPTY_PAYLOAD, StreamReader, web
+from aiohttp.http import HttpRequestParser
 
 from briarshed import events
 from briarshed.byte_admission import (
@@ -81,6 +82,7 @@
         "_is_lost",
         "_left",
         "_own_transport",
+        "_parsed_limit",
         "_pending",
         "_phase",
         "_progress",
@@ -112,6 +114,7 @@
         self._received = 0
         self._progress = 0
         self._discarded = 0
+        self._parsed_limit = limit
         self._own_transport: asyncio.Transport | None = None
         self._pending = b""
         self._left: int | None = 0
@@ -251,6 +254,7 @@
             self.abort("no room")
             return b""
         self._has_answered = False
+        self._raise_parser_limit(limit)
         super().data_received(head)
         self._find_body()
         rest = data[len(head) :]
@@ -259,6 +263,25 @@
             self._received = len(rest)
         return rest
 
+    def _raise_parser_limit(self, limit: int) -> None:
+        """Let the parser take heads that a new configuration allows.
+
+        Its limits are fixed, and it is between two requests.
+        """
+        if limit <= self._parsed_limit:
+            return
+        self._parsed_limit = limit
+        self._parser = HttpRequestParser(
+            self,
+            self._loop,
+            BODY_BUFFER_BYTES,
+            max_line_size=limit,
+            max_field_size=limit,
+            max_headers=limit,
+            payload_exception=web.RequestPayloadError,
+            max_msg_queue_size=self._max_msg_queue_size,
+        )
+
     def _skip_blank(self, data: bytes) -> bytes:
         if data[0] not in HEAD_END:
             return data
