Tell for how long starts were withheld after an attempt to yield

Event 887 counted from the last attempt to yield the leadership instead of from when starts were withheld.

The feature evacuation passes.

--- a/packages/briarshed-workloads/src/briarshed_workloads/start_permit.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/start_permit.py
@@ -54,6 +54,7 @@
         self._max_age = max_age
         self._yield_leadership = yield_leadership
         self._withheld_since = 0.0
+        self._yields_at = 0.0
 
     def is_valid(self, now: float) -> bool:
         """Return whether tasks may start.
@@ -80,7 +81,8 @@
         elif not is_valid and not self._withheld_since:
             log_event(events.STARTS_WITHHELD, seconds=self._max_age)
             self._withheld_since = now
-        elif not is_valid and now - self._withheld_since >= self._max_age:
-            self._withheld_since = now
+            self._yields_at = now + self._max_age
+        elif not is_valid and now >= self._yields_at:
+            self._yields_at = now + self._max_age
             self._yield_leadership("the evacuations cannot be read")
         return is_valid
