Read the Unix time from the clock that decisions are given

Cause: the leader's modules read time.time() themselves. In virtual time the offset between both clocks then jumped back by the virtual seconds since the last refresh, every 0.6 s: jobs were late by years, and the 50 ms of an outlook and the 100 and 250 ms of the estimates were those of the machine, so that a play depended on the load. Estimates also had no lower bound on their age: after a step back of the Unix clock they stood until it had made up for it, in the product too. Change: clock.read_unix_time() is the only source; the virtual loop provides it, and plays submit with Unix times. An estimate of a later time than now is made anew. Tests: both new scenarios fail on (other runs; 2 s of work instead of 1 s) and pass here.

--- a/features/workloads/crashing_tasks.feature
+++ b/features/workloads/crashing_tasks.feature
@@ -103,6 +103,14 @@
       | 6     | 3    |
       | 7     | 4    |
 
+  Scenario: The Unix clock of the machine decides nothing in virtual time
+    # Guards against decisions by another clock than the one that they are given: the
+    # same play started other runs beside load, and now and then gave up a sound job.
+    Given 100 jobs without such a task
+    And an endpoint that has crashed is back 0.3 s later
+    When they are submitted twice, and the Unix clock of the machine differs
+    Then both plays have the same runs
+
   Scenario Outline: A crash counts only against tasks that were at work there
     # Guards against sound jobs that fail because of crashes that met no run of theirs
     # (LOST, msasani-shed, review/5, seeds 1 and 2): an order without a response counted,
--- a/features/workloads/faulty_fleet.py
+++ b/features/workloads/faulty_fleet.py
@@ -499,7 +499,12 @@
 
     async def _submit_at(self, entry, job):
         submission = Submission(
-            job, "q", "pool", "team", clock.now(), Description("", self.steps)
+            job,
+            "q",
+            "pool",
+            "team",
+            clock.read_unix_time(),
+            Description("", self.steps),
         )
         with entry_module.contain_errors("request of a caller"):
             reply = await entry.forwarder.submit(submission, 2.8)
--- a/features/workloads/shortage.feature
+++ b/features/workloads/shortage.feature
@@ -28,6 +28,12 @@
       | 0.1  | 1.5  | 0    | other          | the first has a higher priority          |
       | 9.0  | 1.5  | 2    | first          | it is beyond the share of its team       |
 
+  Scenario: The Unix clock steps back by an hour
+    # Guards against estimates that stand until the clock has made up for the step.
+    Given a job of 8 tasks of 1 s, and 2 s of work of its pool
+    When half of its tasks succeed, and the Unix clock steps back by an hour
+    Then 1 s of work is left
+
   Scenario: Large jobs are not always those that give way
     # Guards against a largest tenth of the jobs that is never in time.
     Given a pool with room for 4 of 8 tasks, and a started job of 4 tasks
--- a/features/workloads/steps/busy_loop_steps.py
+++ b/features/workloads/steps/busy_loop_steps.py
@@ -118,7 +118,12 @@
 async def submit(entry, job):
     """Submit a job at an entry; return the reply and how long it took in seconds."""
     submission = Submission(
-        job, "q", "pool", "team", clock.now(), Description("", (Step(1, NEED, 1.0),))
+        job,
+        "q",
+        "pool",
+        "team",
+        clock.read_unix_time(),
+        Description("", (Step(1, NEED, 1.0),)),
     )
     before = clock.now()
     reply = await entry.forwarder.submit(submission, 2.8)
--- a/features/workloads/steps/crashing_task_steps.py
+++ b/features/workloads/steps/crashing_task_steps.py
@@ -20,7 +20,7 @@
     submit,
 )
 from virtual_fleet import REBOOT_S, Fleet, find_overlap
-from virtual_time import run_virtually
+from virtual_time import UNIX_START_S, run_virtually
 
 from briarshed_workloads import crashes, planning
 from briarshed_workloads.evidence import (
@@ -143,7 +143,8 @@
             await fleet.wait_for_leader()
             context.starts = crasher.starts
             context.outcomes = fleet.list_outcomes()
-            context.overlap = find_overlap(fleet.list_runs())
+            context.runs = sorted(fleet.list_runs())
+            context.overlap = find_overlap(context.runs)
 
     run_virtually(run())
 
@@ -224,6 +225,24 @@
     play(context, entries, crash)
 
 
+@when("they are submitted twice, and the Unix clock of the machine differs")
+def step_unix_clock(context):
+    context.plays = []
+    for seconds in (0.0, 1.0):
+        read = partial(random.Random(4).uniform, UNIX_START_S, UNIX_START_S + seconds)
+        with mock.patch("time.time", read):
+            step_rack_crashes(context, 2, 7, 38, 4)
+        context.plays.append(context.runs)
+
+
+@then("both plays have the same runs")
+def step_same_runs(context):
+    first, second = context.plays
+    assert first == second, next(
+        rows for rows in zip(first, second, strict=False) if rows[0] != rows[1]
+    )
+
+
 @when(
     "they are submitted to {entries:d} entries with 8 endpoints, and racks of {size:d}"
     " crash {how} in turn, {seconds:g} s apart, with seed {seed:d}"
--- a/features/workloads/steps/run_lease_steps.py
+++ b/features/workloads/steps/run_lease_steps.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import functools
-import time
 
 from behave import given, then, when
 from contract_endpoints import SLOWEST_RATE, ContractEndpoints, find_double_runs
@@ -139,7 +138,7 @@
         )
         for row in fleet.endpoints.by_name.values():
             row.max_accepted_lease_s = LONGEST_LEASE_S
-            row.started_at_ms = int(time.time() * 1000)
+            row.started_at_ms = int(clock.read_unix_time() * 1000)
         fleet.directory = make_directory(fleet.endpoints, self)
         return fleet
 
@@ -151,7 +150,6 @@
             if self.is_restarted_early:
                 await asyncio.sleep(self.idle_s)
                 row.restart()
-                # Only the boot clock is virtual.
                 row.started_at_ms -= EARLY_S * 1000
                 row.booted_at -= EARLY_S
                 row.started_at_ms = max(row.started_at_ms, 2)
--- a/features/workloads/steps/shortage_steps.py
+++ b/features/workloads/steps/shortage_steps.py
@@ -4,6 +4,7 @@
 
 from behave import given, then, when
 from engine_steps import (
+    CAPACITY,
     NEED,
     NOW,
     make_configuration,
@@ -25,6 +26,7 @@
 from briarshed_workloads.planning import plan_starts
 from briarshed_workloads.refusals import number_attempt
 from briarshed_workloads.shares import restore_shares
+from briarshed_workloads.shortage import measure_work
 from briarshed_workloads.transport import SubmitRequest
 from briarshed_workloads.workloads import (
     NO_RESOURCES,
@@ -92,6 +94,30 @@
     return job
 
 
+def measure_waiting(context, unix_now):
+    """Return the work of the job that waits, in seconds of the whole pool."""
+    return measure_work(context.engine, context.job, CAPACITY, unix_now).waiting
+
+
+@given("a job of 8 tasks of 1 s, and {seconds:g} s of work of its pool")
+def step_known_work(context, seconds):
+    context.engine = make_pool()
+    context.job = submit_job(context.engine, 1, 8)
+    assert measure_waiting(context, NOW) == seconds
+
+
+@when("half of its tasks succeed, and the Unix clock steps back by an hour")
+def step_clock_back(context):
+    for task in list(context.job.list_tasks())[:4]:
+        context.job.note_succeeded(task, NOW)
+
+
+@then("{seconds:g} s of work is left")
+def step_work_left(context, seconds):
+    left = measure_waiting(context, NOW - 3600.0)
+    assert left == seconds, left
+
+
 @given("a pool with room for 4 of 8 tasks, and a started job of 4 tasks")
 def step_started(context):
     context.engine = make_pool()
--- a/features/workloads/steps/wave_takeover_steps.py
+++ b/features/workloads/steps/wave_takeover_steps.py
@@ -3,7 +3,6 @@
 import asyncio
 import json
 import math
-import time
 from types import SimpleNamespace
 from unittest import mock
 
@@ -264,7 +263,7 @@
 @given('a wave over "m1", "m2" and "m3" that the previous leader first read 18 s ago')
 def step_old_wave(context):
     build(context, maximum=0)
-    context.record = WaveRecord((), False, (), time.time() - 18.0)
+    context.record = WaveRecord((), False, (), clock.read_unix_time() - 18.0)
 
 
 @then("the wave's age is 18 s")
@@ -307,7 +306,7 @@
     configuration = plain._replace(pools={**plain.pools, "reserve": reserve})
     context.engine = make_engine(names=("a",), configuration=configuration)
     poll_endpoint(context.engine, "a", NOW)
-    now = time.time()
+    now = clock.read_unix_time()
     submit(context.engine, JOB, (Step(40, NEED, 2.0),), now)
     context.engine.unix_offset = now - clock.now()
     term = SimpleNamespace(epoch=2, has_authority=lambda: True)
--- a/features/workloads/steps/withdrawn_job_steps.py
+++ b/features/workloads/steps/withdrawn_job_steps.py
@@ -1,7 +1,6 @@
 """Steps for ids that are cancelled before their jobs are submitted, in virtual time."""
 
 import asyncio
-import time
 
 from behave import given, then, when
 from virtual_fleet import STEPS, Fleet
@@ -24,7 +23,9 @@
 
 def make_submission(job=JOB):
     """Return a submission of two steps."""
-    return Submission(job, "q", "pool", "team", clock.now(), Description("", STEPS))
+    return Submission(
+        job, "q", "pool", "team", clock.read_unix_time(), Description("", STEPS)
+    )
 
 
 def list_jobs_run(fleet):
@@ -197,8 +198,7 @@
             request = asyncio.create_task(controller.cancel(JOB))
             await asyncio.sleep(SETTLE_S)
             assert not request.done()
-            engine, now = controller.engine, time.time()
-            # Only the boot clock is virtual.
+            engine, now = controller.engine, clock.read_unix_time()
             engine.withdrawn[JOB] -= RETENTION_S
             controller.persistence.forget_withdrawn(now)
             await asyncio.sleep(SETTLE_S)
--- a/features/workloads/virtual_fleet.py
+++ b/features/workloads/virtual_fleet.py
@@ -780,7 +780,7 @@
             names = list(self.entries)
             entry = self.entries[names[(int(job, 16) + attempt) % len(names)]]
             submission = Submission(
-                job, "q", "pool", "team", clock.now(), Description("", STEPS)
+                job, "q", "pool", "team", clock.read_unix_time(), Description("", STEPS)
             )
             with entry_module.contain_errors("request of a caller"):
                 reply = await entry.forwarder.submit(submission, 2.8)
--- a/features/workloads/virtual_time.py
+++ b/features/workloads/virtual_time.py
@@ -21,6 +21,7 @@
 T = TypeVar("T")
 
 START_S = 1_000.0
+UNIX_START_S = 1_700_000_000.0
 
 _current: ContextVar[Process | None] = ContextVar("current", default=None)
 
@@ -135,6 +136,10 @@
         now = self._virtual.now
         return now if process is None else process.to_own_time(now)
 
+    def read_unix_time(self) -> float:
+        """Return the Unix time in seconds, which is the same for all processes."""
+        return UNIX_START_S + self._virtual.now - START_S
+
     def call_at(
         self,
         when: float,
@@ -155,12 +160,12 @@
 
 @contextlib.contextmanager
 def _use_clock_of(loop: VirtualTimeLoop) -> Iterator[None]:
-    original = clock.now
-    clock.now = loop.time
+    original, original_unix = clock.now, clock.read_unix_time
+    clock.now, clock.read_unix_time = loop.time, loop.read_unix_time
     try:
         yield
     finally:
-        clock.now = original
+        clock.now, clock.read_unix_time = original, original_unix
 
 
 def run_virtually(coroutine: Coroutine[Any, Any, T]) -> T:
--- a/packages/briarshed-workloads/src/briarshed_workloads/controller.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/controller.py
@@ -270,7 +270,7 @@
         now = clock.now()
         engine = self.engine
         engine.configuration = configuration
-        engine.unix_offset = time.time() - now
+        engine.unix_offset = clock.read_unix_time() - now
         await self.persistence.load_jobs()
         restore_shares(engine.shares, engine.jobs.values(), configuration)
         await self.persistence.load_withdrawn()
@@ -347,7 +347,7 @@
             # The caller has waited since it was refused first.
             submitted_at = submission.submitted_at - waited
             submission = submission._replace(submitted_at=submitted_at)
-            job = self.engine.accept(submission, time.time())
+            job = self.engine.accept(submission, clock.read_unix_time())
             self.maintenance.note_submitted_work(job.pool, job.core_seconds)
             waiting = asyncio.get_running_loop().create_future()
             self.persistence.pending_acceptances[job.job_id] = waiting
@@ -467,7 +467,7 @@
         if job is None:
             return await self._cancel_unknown(job_id)
         if job.is_open:
-            self.engine.cancel(job, time.time())
+            self.engine.cancel(job, clock.read_unix_time())
             self._changed.set()
             self.persistence.request_save()
         while job_id not in self.persistence.outcomes:
@@ -510,7 +510,7 @@
     async def _refresh_endpoints(self) -> None:
         while True:
             await asyncio.sleep(ENDPOINT_REFRESH_S)
-            self.engine.unix_offset = time.time() - clock.now()
+            self.engine.unix_offset = clock.read_unix_time() - clock.now()
             try:
                 listing = await self._directory.read_endpoints()
             except (NotExecutedError, OutcomeUnknownError):
--- a/packages/briarshed-workloads/src/briarshed_workloads/estimates.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/estimates.py
@@ -22,7 +22,7 @@
     """
     if (
         job.cached_remaining is not None
-        and unix_now - job.cached_remaining[0] < REMAINING_TIME_CACHE_S
+        and 0 <= unix_now - job.cached_remaining[0] < REMAINING_TIME_CACHE_S
     ):
         return job.cached_remaining[1]
     remaining = _measure_remaining_time(engine, job)
--- a/packages/briarshed-workloads/src/briarshed_workloads/forwarding.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/forwarding.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Mapping
 from typing import NamedTuple, Protocol
 
@@ -350,6 +349,8 @@
             leader=report.leader,
             epoch=report.epoch,
             age=round(age, 3),
-            oldest=None if oldest_at is None else round(time.time() - oldest_at, 2),
+            oldest=None
+            if oldest_at is None
+            else round(clock.read_unix_time() - oldest_at, 2),
         )
         return count
--- a/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/maintenance.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import math
-import time
 from collections import Counter
 from collections.abc import Awaitable, Callable, Collection, Sequence
 from typing import NamedTuple
@@ -278,7 +277,7 @@
     def _find_seen_at(self, order: WaveOrder) -> float:
         """Return when a leader first read a wave, in seconds of the boot clock."""
         known = self._restored.get(order.wave)
-        age = time.time() - known.seen_at if known and known.seen_at else 0.0
+        age = clock.read_unix_time() - known.seen_at if known and known.seen_at else 0.0
         # Wall-clock time may jump and differs between entries.
         return clock.now() - min(max(0.0, age), order.duration)
 
@@ -507,7 +506,7 @@
         return not row.endpoint.runs and row.endpoint not in self._engine.partly_listed
 
     async def _save_progress(self, view: WaveView) -> None:
-        seen_at = time.time() - (clock.now() - view.seen_at)
+        seen_at = clock.read_unix_time() - (clock.now() - view.seen_at)
         record = WaveRecord(tuple(view.begun), False, tuple(view.ordered_at), seen_at)
         await self._save(view.order.wave, record)
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/order_watch.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/order_watch.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Callable, Collection, Iterable, Mapping
 
 from briarshed import events
@@ -98,7 +97,7 @@
 
     def apply(self, orders: Orders) -> None:
         """Apply orders; evacuations come first, since others may fail."""
-        unix_now = time.time()
+        unix_now = clock.read_unix_time()
         if orders.evacuations_at:
             changes = self.evacuations.note_complete(
                 orders.evacuations, orders.evacuations_at, unix_now
--- a/packages/briarshed-workloads/src/briarshed_workloads/persistence.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/persistence.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Callable, Iterable, Mapping
 from typing import TypeVar
 
@@ -15,6 +14,7 @@
 
 from briarshed import events
 from briarshed.exceptions import DocumentError
+from briarshed_entry import clock
 from briarshed_entry.logs import log_event
 from briarshed_workloads.engine import Engine
 from briarshed_workloads.fenced_writer import MAX_TRANSACTION_WRITES
@@ -166,12 +166,12 @@
         for item in (await self._store.read_all(WITHDRAWN)).items:
             record = _decode_or_report(item, WithdrawnRecord)
             # Without a time it is kept as long as one that is withdrawn now.
-            at = time.time() if record is None else record.withdrawn_at
+            at = clock.read_unix_time() if record is None else record.withdrawn_at
             self._engine.withdrawn[item.key.removeprefix(WITHDRAWN)] = at
 
     def withdraw(self, job_id: str) -> None:
         """Withdraw an id that no job has, and request the write that records it."""
-        self._engine.withdrawn[job_id] = time.time()
+        self._engine.withdrawn[job_id] = clock.read_unix_time()
         self._unsaved_withdrawn[job_id] = None
         self.request_save()
 
@@ -185,7 +185,7 @@
             record = decode(value, JobRecord)
             row = rows.get(job_id)
             progress = decode(row.value, ProgressRecord) if row else None
-            self._engine.restore(job_id, record, progress, time.time())
+            self._engine.restore(job_id, record, progress, clock.read_unix_time())
         except DocumentError as error:
             log_event(events.RECORD_UNREADABLE, key=JOBS + job_id, error=str(error))
             self._set_aside(job_id)
@@ -230,7 +230,10 @@
                 self._engine.add_endpoint(lost).is_listed = False
             has_restarted = name in record.restarted
             self._engine.earlier.note_recorded(
-                self._engine.endpoints[name], started_at_ms, has_restarted, time.time()
+                self._engine.endpoints[name],
+                started_at_ms,
+                has_restarted,
+                clock.read_unix_time(),
             )
 
     async def load_waves(self, maintenance: Maintenance) -> None:
@@ -405,7 +408,7 @@
         if not waiting.done():
             waiting.set_result("accepted")
         if job.is_open:
-            self._engine.activate(job, time.time())
+            self._engine.activate(job, clock.read_unix_time())
         log_event(
             events.JOB_ACCEPTED,
             job_id=job_id,
@@ -483,11 +486,11 @@
         """Remove expired records at intervals; runs until cancelled."""
         while True:
             await asyncio.sleep(CLEANUP_INTERVAL_S)
-            old = forget_ended(self._engine, time.time(), self._kept_s)
+            old = forget_ended(self._engine, clock.read_unix_time(), self._kept_s)
             for job_id in old:
                 self.outcomes.pop(job_id, None)
             keys = [JOBS + job_id for job_id in old]
-            keys += self.forget_withdrawn(time.time())
+            keys += self.forget_withdrawn(clock.read_unix_time())
             for start in range(0, len(keys), MAX_TRANSACTION_WRITES):
                 part = keys[start : start + MAX_TRANSACTION_WRITES]
                 await self._term.fenced_writer.commit([], part)
--- a/packages/briarshed-workloads/src/briarshed_workloads/shortage.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/shortage.py
@@ -134,7 +134,7 @@
 ) -> JobWork:
     """Return the work of a job's first open occurrence; it is cached."""
     cached = job.cached_work
-    if cached is not None and unix_now - cached[0] < WORK_CACHE_S:
+    if cached is not None and 0 <= unix_now - cached[0] < WORK_CACHE_S:
         return cached[1]
     occurrence = next(iter(job.open_occurrences), 0)
     whole = waiting = 0.0
