Record jobs in the order in which they arrived

Cause: a write took the ids of changed jobs from a set, so that jobs of one write became ready in an order by hash, and a play in virtual time differed from process to process. Change: their order is that of the changes; new jobs come first as before. Test: records.feature, the order by hash fails it on.

--- a/features/workloads/records.feature
+++ b/features/workloads/records.feature
@@ -27,6 +27,13 @@
     When the write goes through
     Then the job is reported as completed
 
+  Scenario: Jobs are recorded in the order in which they arrived
+    # Guards against jobs that become ready in an order by hash, so that the same play in
+    # virtual time differs from process to process.
+    Given a leader with 40 jobs
+    When a write begins
+    Then they are recorded in the order in which they arrived
+
   Scenario: Moves of instances are recorded with the next write of jobs
     # Guards against late moves. In trouble-2 (Msasani, grown), with a slow store, a
     # separate write for moves delayed the instances of the standby pool by 2 s.
--- a/features/workloads/steps/records_steps.py
+++ b/features/workloads/steps/records_steps.py
@@ -97,6 +97,19 @@
     )
 
 
+@given("a leader with {count:d} jobs")
+def step_jobs(context, count):
+    context.engine = make_engine()
+    for number in range(count):
+        submit(context.engine, f"{number:016x}", (Step(1, NEED, 1.0),), NOW)
+
+
+@then("they are recorded in the order in which they arrived")
+def step_in_order(context):
+    recorded = [key.removeprefix(PROGRESS) for key in context.values]
+    assert recorded == list(context.engine.jobs), recorded
+
+
 @when('a write begins, "a" {starts}, and the write goes through')
 def step_restart(context, starts):
     def restart():
--- a/packages/briarshed-workloads/src/briarshed_workloads/persistence.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/persistence.py
@@ -275,20 +275,21 @@
         ]
         await self._save_roster()
         await self._save_withdrawn()
-        unsaved = set(engine.unsaved_jobs)
+        unsaved = dict(engine.unsaved_jobs)
         engine.unsaved_jobs.clear()
         self._failed_jobs.clear()
         try:
             while unsaved or self._sizes is not None:
                 # New jobs come first, including those submitted during the last write,
                 # because their callers are waiting.
-                newest = self.pending_acceptances.keys() & engine.unsaved_jobs.keys()
-                for job_id in newest:
-                    del engine.unsaved_jobs[job_id]
-                unsaved |= newest
+                for job_id in self.pending_acceptances:
+                    if job_id in engine.unsaved_jobs:
+                        del engine.unsaved_jobs[job_id]
+                        unsaved[job_id] = None
                 batch = self._choose_batch(unsaved)
                 await self._save_jobs(batch)
-                unsaved.difference_update(batch)
+                for job_id in batch:
+                    unsaved.pop(job_id, None)
         finally:
             # The next write covers what an error has left unsaved.
             engine.unsaved_jobs.update(dict.fromkeys([*unsaved, *self._failed_jobs]))
