Let the start that decides wait for a steady endpoint

Cause: a task that was lost four times just after its start was started a fifth time where room was: at endpoints that had just crashed, since they are empty, while those that do not crash were full. Where six of eight endpoints crash twice a second, all starts of a sound task met crashes, and its job failed. Change: a start after which a crash would give the task up waits for room at an endpoint that has not crashed for 10 s, and isolates it, if there is one that could take the task; if there is none, it starts as before. Its number of starts does not change. Ruled out: a higher number of crashes, which would cost endpoints where a task is harmful; the same order of preference without the wait, since endpoints without room did not count.

--- a/features/workloads/crashing_tasks.feature
+++ b/features/workloads/crashing_tasks.feature
@@ -231,6 +231,19 @@
       | 0.6     | 4    |
       | 0.8     | 1    |
 
+  Scenario Outline: A start that decides whether a task is given up
+    # Guards against sound jobs that fail where a rack crashes again and again (LOST): only
+    # endpoints that had just crashed were empty, so that all starts of a task met crashes.
+    Given a leader with endpoints "a" to "e"
+    And all but "e" have crashed 1 s ago, and "e" has no room
+    When a task is planned that was lost <count> times just after its start
+    Then it starts <where>
+
+    Examples:
+      | count | where                   |
+      | 3     | at once                 |
+      | 4     | at "e" once it has room |
+
   Scenario: Tasks that were lost at their starts start again at different times
     # Guards against sound jobs that fail because their starts are in step with endpoints
     # that crash at regular intervals (LOST, review/5): the next start followed the proof
--- a/features/workloads/steps/crashing_task_steps.py
+++ b/features/workloads/steps/crashing_task_steps.py
@@ -500,6 +500,44 @@
     context.engine = make_engine(names=ENDPOINTS[:5])
 
 
+@given('all but "e" have crashed 1 s ago, and "e" has no room')
+def step_no_room(context):
+    engine = context.engine
+    for name in ENDPOINTS[:5]:
+        poll_endpoint(engine, name, NOW)
+    for name in ENDPOINTS[:4]:
+        crashes.note_crash(engine, engine.endpoints[name], NOW - 1.0)
+    step = Step(CAPACITY.cpu // NEED.cpu, NEED, 1.0)
+    submit(engine, name_job(1), (step,), NOW)
+    context.others = [
+        engine.reserve(task, engine.endpoints["e"], step, "", NOW)
+        for task in list(engine.jobs[name_job(1)].list_tasks())
+    ]
+
+
+@when("a task is planned that was lost {count:d} times just after its start")
+def step_plan_lost(context, count):
+    engine = context.engine
+    job = submit(engine, JOB, (Step(1, NEED, 1.0),), NOW)
+    for number in range(count):
+        job.note_crash(TASK, number, AT_START)
+    context.orders = planning.plan_starts(engine, NOW)
+
+
+@then("it starts at once")
+def step_starts_at_once(context):
+    assert len(context.orders) == 1, context.orders
+
+
+@then('it starts at "e" once it has room')
+def step_starts_at_e(context):
+    assert not context.orders, context.orders
+    context.engine.drop(context.others[0], "ended")
+    runs = [order.run for order in planning.plan_starts(context.engine, NOW + 0.3)]
+    places = [run.endpoint.name for run in runs if run.task == TASK]
+    assert places == ["e"], places
+
+
 @given(
     "a task that has been running for {seconds:g} s at each endpoint at which another"
     " one starts"
--- a/packages/briarshed-workloads/src/briarshed_workloads/evidence.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/evidence.py
@@ -230,6 +230,11 @@
     )
 
 
+def is_next_decisive(crashes: Mapping[int, int]) -> bool:
+    """Return whether a task is given up if its next start is followed by a crash."""
+    return is_given_up({**crashes, max(crashes, default=0) + 1: AT_START})
+
+
 def _list_since_survival(crashes: Mapping[int, int]) -> list[int]:
     """Return the latest evidence, after the last start that an endpoint survived."""
     latest = itertools.takewhile(
--- a/packages/briarshed-workloads/src/briarshed_workloads/placement.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/placement.py
@@ -15,7 +15,7 @@
 from briarshed_workloads.order_slots import MAX_PENDING_ORDERS
 from briarshed_workloads.outliers import SLOW_FACTOR, measure_slowness
 from briarshed_workloads.room_forecast import HORIZON_S, RoomForecast
-from briarshed_workloads.workloads import Resources, Step, TaskId, fits
+from briarshed_workloads.workloads import Resources, Step, TaskId, fits, subtract
 
 
 class EligibleEndpoints(NamedTuple):
@@ -234,9 +234,7 @@
     factor = _measure_time_factor(engine, step, best, candidates.slowness)
 
     def is_suitable(endpoint: Endpoint) -> bool:
-        if not _has_label(step, endpoint):
-            return False
-        if step.per_endpoint and counts.get(endpoint.name, 0) >= step.per_endpoint:
+        if not _is_suitable(step, endpoint, counts):
             return False
         own = _measure_time_factor(engine, step, endpoint, candidates.slowness)
         return own < factor
@@ -254,7 +252,22 @@
     step: Step, need: Resources, endpoint: Endpoint, counts: PlaceCounts
 ) -> bool:
     """Return whether an endpoint has capacity and label for a task of a step."""
-    if not fits(need, endpoint.find_free()) or not _has_label(step, endpoint):
+    return fits(need, endpoint.find_free()) and _is_suitable(step, endpoint, counts)
+
+
+def could_start(
+    step: Step, need: Resources, endpoint: Endpoint, counts: PlaceCounts
+) -> bool:
+    """Return whether `can_start` holds once the runs that will end have ended."""
+    room = endpoint.registration.capacity
+    for run in endpoint.runs.values():
+        if run.step.long_running:
+            room = subtract(room, run.need)
+    return fits(need, room) and _is_suitable(step, endpoint, counts)
+
+
+def _is_suitable(step: Step, endpoint: Endpoint, counts: PlaceCounts) -> bool:
+    if not _has_label(step, endpoint):
         return False
     return not step.per_endpoint or counts.get(endpoint.name, 0) < step.per_endpoint
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/planning.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/planning.py
@@ -11,7 +11,11 @@
     settle_evidence,
 )
 from briarshed_workloads.engine import Engine
-from briarshed_workloads.evidence import ISOLATION_S, SUSPICION_WINDOW_S
+from briarshed_workloads.evidence import (
+    ISOLATION_S,
+    SUSPICION_WINDOW_S,
+    is_next_decisive,
+)
 from briarshed_workloads.fleet import Endpoint, Isolation, StartOrder, is_within
 from briarshed_workloads.jobs import Job, find_need
 from briarshed_workloads.ordering import sort_jobs
@@ -22,6 +26,7 @@
     can_start,
     choose_endpoint,
     choose_gang,
+    could_start,
     count_places,
     gather_candidates,
     list_available,
@@ -29,7 +34,14 @@
 )
 from briarshed_workloads.supervision import report_error
 from briarshed_workloads.takeover import is_contested, may_have_earlier_runs
-from briarshed_workloads.workloads import NO_RESOURCES, Resources, Step, TaskId, add
+from briarshed_workloads.workloads import (
+    NO_RESOURCES,
+    Resources,
+    Step,
+    TaskId,
+    add,
+    fits,
+)
 
 MAX_STARTS_PER_PLAN = 100
 """Starts in a pool from which on a plan ends, so that it takes a small part of the
@@ -206,8 +218,8 @@
     """Isolate an endpoint for each suspected task, and start the task there.
 
     Those with the most crashes come first. At most half of the endpoints are isolated
-    at a time. A task starts once nothing else has started at its endpoint for
-    `SUSPICION_WINDOW_S`.
+    at a time. A task starts once its endpoint has room, and nothing else has started
+    there for `SUSPICION_WINDOW_S`.
     """
     suspects = [
         (job, task)
@@ -228,8 +240,9 @@
         if endpoint is None:
             continue
         endpoint.isolation = Isolation(task, now + ISOLATION_S)
-        if now - endpoint.last_ordered_at >= SUSPICION_WINDOW_S:
-            step = job.find_step(task)
+        step = job.find_step(task)
+        has_room = fits(find_need(step), endpoint.find_free())
+        if has_room and now - endpoint.last_ordered_at >= SUSPICION_WINDOW_S:
             orders.append(reserve_run(engine, job, task, step, endpoint, now))
 
 
@@ -243,11 +256,17 @@
     if not is_within(engine.usage.estimate(job.team), need, maximum):
         return None
     counts = count_places(engine, task, step)
-    fitting = [
-        row
-        for row in available
-        if can_start(step, need, row, counts) and not is_new(engine, row, now)
-    ]
+    rows = [row for row in available if not is_new(engine, row, now)]
+    fitting = [row for row in rows if can_start(step, need, row, counts)]
+    if is_next_decisive(job.crashes[task]):
+        # An endpoint that has crashed may do so again whatever it runs. The others are
+        # often those that have no room now.
+        steady = [row for row in rows if not has_crashed_recently(engine, row, now)]
+        fitting = (
+            [row for row in fitting if row in steady]
+            or [row for row in steady if could_start(step, need, row, counts)]
+            or fitting
+        )
     isolated = [row for row in available if row.is_isolated(now)]
     for endpoint in fitting:
         if endpoint in isolated and endpoint.isolation.task == task:
