Group the endpoints by pool once when moves are planned

Cause: for each pool, plan_moves went over all endpoints of the fleet: 109 times 720 at the target. Change: one pass groups them. Ruled out: an index kept by the engine; the pass over the open jobs costs more now. The rest is linear in the open jobs: profile, 5,912 calls of find_remaining_work.

--- a/packages/briarshed-workloads/src/briarshed_workloads/sizing.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/sizing.py
@@ -375,14 +375,12 @@
         for row in instances.values()
     )
     owed = sum(claims.values()) - in_standby
+    by_pool: dict[str, list[Endpoint]] = defaultdict(list)
+    for row in engine.endpoints.values():
+        if row.registration.instance not in pinned and not is_evacuated(engine, row):
+            by_pool[row.registration.pool].append(row)
     for pool, pool_demand in demands.items():
-        rows = [
-            row
-            for row in engine.endpoints.values()
-            if row.registration.pool == pool
-            and row.registration.instance not in pinned
-            and not is_evacuated(engine, row)
-        ]
+        rows = by_pool[pool]
         count, size = pool_demand.count, sizes.get(pool, 0)
         owed = _withdraw(rows, count - size, surplus, pool, owed)
         _choose_retiring(rows, count - floors.get(pool, 0), surplus, pool)
