Measure the plans of a leader at the size of the fleet

bench/decisions.py knew the decisions of an entry only. It now times order, outlook, shares, waits for a better endpoint, sizing, relocation and the starts of all pools for 30, 180 and 720 endpoints with 5, 25 and 109 pools and 6, 30 and 130 teams, and for one pool with 30, 300 and 3,000 waiting jobs.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -1,4 +1,4 @@
-"""Processor time of placement, fair queueing and admission decisions by size."""
+"""Processor time of decisions by size: of an entry, and of the plans of a leader."""
 
 from __future__ import annotations
 
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Sequence
 
 from _deployments import SLOTS
+from _fleet_plans import PLANS, Fleet, FleetSize
 from _report import find_version
 
 from briarshed.admission import count_ahead, estimate_wait, find_exceeded_bound
@@ -18,6 +19,11 @@
 ENDPOINTS = (30, 180, 720)
 POOLS = (5, 25, 109)
 TEAMS = (6, 30, 130)
+FLEETS = [
+    FleetSize(*size, waiting=5) for size in zip(ENDPOINTS, POOLS, TEAMS, strict=True)
+]
+ONE_POOL = [FleetSize(6, 1, 130, waiting) for waiting in (30, 300, 3_000)]
+PLAN_REPEATS = 5
 JOBS_PER_TEAM = 4
 ROUNDS = 15
 REPEATS = 1_000
@@ -28,14 +34,14 @@
 Decision = Callable[[], object]
 
 
-def time_decision(decide: Decision) -> float:
+def time_decision(decide: Decision, repeats: int = REPEATS) -> float:
     """Return the median time of one decision over all rounds, in microseconds."""
     times = []
     for _ in range(ROUNDS):
         started = time.process_time_ns()
-        for _ in range(REPEATS):
+        for _ in range(repeats):
             decide()
-        times.append((time.process_time_ns() - started) / REPEATS / 1_000)
+        times.append((time.process_time_ns() - started) / repeats / 1_000)
     return sorted(times)[ROUNDS // 2]
 
 
@@ -132,6 +138,19 @@
     )
 
 
+def print_plans() -> None:
+    """Print the times of a leader's plans by size of the fleet, and of one pool."""
+    for plan in PLANS:
+        for label, sizes in (("endpoints", FLEETS), ("waiting jobs", ONE_POOL)):
+            times = [
+                time_decision(plan.make(Fleet(size)), PLAN_REPEATS) for size in sizes
+            ]
+            numbers = [
+                size.endpoints if sizes is FLEETS else size.waiting for size in sizes
+            ]
+            print_figures(f"{plan.label}, {label}", numbers, times)
+
+
 def main(arguments: Sequence[str] | None = None) -> None:
     """Print the figures."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -154,6 +173,7 @@
     print_figures("fair choice, start and end, teams in one queue", TEAMS, chosen)
     admitted = [time_decision(Teams(size, seed).admit) for size in TEAMS]
     print_figures("admission, teams in one queue", TEAMS, admitted)
+    print_plans()
 
 
 if __name__ == "__main__":
