Compare the cost of decisions by calls, and by processor time in turns

Cause of "the cost ... does not grow with the fleet" failing once each at load 6 to 27: the test took the real time of all rounds of the small size, and then that of the large one, so that what else ran in the second part counted as growth. Change: the bound of 3 holds for the number of function calls, which the machine cannot change, and for the processor time of rounds in which both sizes take turns. The bound is the same.

--- a/features/serving/steps/decisions_steps.py
+++ b/features/serving/steps/decisions_steps.py
@@ -1,6 +1,7 @@
 """Steps for the decision functions; Hypothesis generates cases from fixed seeds."""
 
 import random
+import sys
 import time
 from collections import Counter
 
@@ -376,6 +377,7 @@
     return lambda: health.note_failure(rng.choice(names), 0.0)
 
 
+COST_ROUNDS = 9
 COSTS = {
     "a job start among teams": prepare_starts,
     "a placement among endpoints": prepare_choices,
@@ -383,19 +385,39 @@
 }
 
 
+def count_calls(work):
+    """Return the number of functions that a piece of work calls."""
+    calls = 0
+
+    def note(_frame, event, _argument):
+        nonlocal calls
+        calls += event in ("call", "c_call")
+
+    sys.setprofile(note)
+    try:
+        work()
+    finally:
+        sys.setprofile(None)
+    return calls
+
+
 @then("{decision} at {large:d} costs less than 3 times as much as at {small:d}")
 def step_cost(context, decision, large, small):
+    def repeat(size):
+        decide = COSTS[decision](size)
+        return lambda: [decide() for _ in range(2000)]
+
     def measure(size):
-        times = []
-        for _ in range(5):
-            decide = COSTS[decision](size)
-            started_at = time.perf_counter()
-            for _ in range(2000):
-                decide()
-            times.append(time.perf_counter() - started_at)
-        return min(times)
-
-    least, most = measure(small), measure(large)
+        work = repeat(size)
+        started_at = time.process_time()
+        work()
+        return time.process_time() - started_at
+
+    fewest, most = count_calls(repeat(small)), count_calls(repeat(large))
+    assert most < 3 * fewest, (fewest, most)
+    # The sizes take turns, so that what else runs on the machine slows down both.
+    pairs = [(measure(small), measure(large)) for _ in range(COST_ROUNDS)]
+    least, most = (min(times) for times in zip(*pairs, strict=True))
     print(
         f"{decision}: {least * 500:.1f} us at {small}, {most * 500:.1f} us at {large}"
     )
