--- a/features/workloads/steps/crashing_task_steps.py
+++ b/features/workloads/steps/crashing_task_steps.py
@@ -20,7 +20,7 @@
     submit,
 )
 from virtual_fleet import REBOOT_S, Fleet, find_overlap
-from virtual_time import run_virtually
+from virtual_time import UNIX_START_S, run_virtually
 
 from briarshed_workloads import crashes, planning
 from briarshed_workloads.evidence import (
@@ -143,7 +143,8 @@
             await fleet.wait_for_leader()
             context.starts = crasher.starts
             context.outcomes = fleet.list_outcomes()
-            context.overlap = find_overlap(fleet.list_runs())
+            context.runs = sorted(fleet.list_runs())
+            context.overlap = find_overlap(context.runs)
 
     run_virtually(run())
 
@@ -224,6 +225,24 @@
     play(context, entries, crash)
 
 
+@when("they are submitted twice, and the Unix clock of the machine differs")
+def step_unix_clock(context):
+    context.plays = []
+    for seconds in (0.0, 1.0):
+        read = partial(random.Random(4).uniform, UNIX_START_S, UNIX_START_S + seconds)
+        with mock.patch("time.time", read):
+            step_rack_crashes(context, 2, 7, 38, 4)
+        context.plays.append(context.runs)
+
+
+@then("both plays have the same runs")
+def step_same_runs(context):
+    first, second = context.plays
+    assert first == second, next(
+        rows for rows in zip(first, second, strict=False) if rows[0] != rows[1]
+    )
+
+
 @when(
     "they are submitted to {entries:d} entries with 8 endpoints, and racks of {size:d}"
     " crash {how} in turn, {seconds:g} s apart, with seed {seed:d}"
@@ -481,6 +500,44 @@
     context.engine = make_engine(names=ENDPOINTS[:5])
 
 
+@given('all but "e" have crashed 1 s ago, and "e" has no room')
+def step_no_room(context):
+    engine = context.engine
+    for name in ENDPOINTS[:5]:
+        poll_endpoint(engine, name, NOW)
+    for name in ENDPOINTS[:4]:
+        crashes.note_crash(engine, engine.endpoints[name], NOW - 1.0)
+    step = Step(CAPACITY.cpu // NEED.cpu, NEED, 1.0)
+    submit(engine, name_job(1), (step,), NOW)
+    context.others = [
+        engine.reserve(task, engine.endpoints["e"], step, "", NOW)
+        for task in list(engine.jobs[name_job(1)].list_tasks())
+    ]
+
+
+@when("a task is planned that was lost {count:d} times just after its start")
+def step_plan_lost(context, count):
+    engine = context.engine
+    job = submit(engine, JOB, (Step(1, NEED, 1.0),), NOW)
+    for number in range(count):
+        job.note_crash(TASK, number, AT_START)
+    context.orders = planning.plan_starts(engine, NOW)
+
+
+@then("it starts at once")
+def step_starts_at_once(context):
+    assert len(context.orders) == 1, context.orders
+
+
+@then('it starts at "e" once it has room')
+def step_starts_at_e(context):
+    assert not context.orders, context.orders
+    context.engine.drop(context.others[0], "ended")
+    runs = [order.run for order in planning.plan_starts(context.engine, NOW + 0.3)]
+    places = [run.endpoint.name for run in runs if run.task == TASK]
+    assert places == ["e"], places
+
+
 @given(
     "a task that has been running for {seconds:g} s at each endpoint at which another"
     " one starts"
--- a/features/workloads/steps/shortage_steps.py
+++ b/features/workloads/steps/shortage_steps.py
@@ -1,9 +1,11 @@
 """Steps for decisions in a shortage, and for refusals in virtual time."""
 
 import asyncio
+from unittest import mock
 
 from behave import given, then, when
 from engine_steps import (
+    CAPACITY,
     NEED,
     NOW,
     make_configuration,
@@ -16,6 +18,7 @@
 from withdrawn_job_steps import JOB, cause, list_jobs_run, make_submission, settle
 
 from briarshed_entry import clock
+from briarshed_workloads import ordering
 from briarshed_workloads.admission import find_retry_delay
 from briarshed_workloads.configuration import TeamRules
 from briarshed_workloads.engine import MAX_OPEN_SIZE
@@ -25,6 +28,7 @@
 from briarshed_workloads.planning import plan_starts
 from briarshed_workloads.refusals import number_attempt
 from briarshed_workloads.shares import restore_shares
+from briarshed_workloads.shortage import measure_work
 from briarshed_workloads.transport import SubmitRequest
 from briarshed_workloads.workloads import (
     NO_RESOURCES,
@@ -92,6 +96,55 @@
     return job
 
 
+@given("a pool with {count:d} waiting jobs")
+def step_waiting(context, count):
+    context.engine = make_pool()
+    context.jobs = [submit_job(context.engine, row, 1) for row in range(count)]
+
+
+@when(
+    "their order is asked for every {interval:g} s for {seconds:g} s, and one job"
+    " arrives each time"
+)
+def step_orders(context, interval, seconds):
+    with mock.patch.object(ordering, "rank_job", wraps=ordering.rank_job) as rank:
+        for number in range(round(seconds / interval)):
+            context.jobs.append(submit_job(context.engine, len(context.jobs), 1))
+            now = NOW + number * interval
+            order = sort_jobs(context.engine, "pool", context.jobs, now)
+            assert len(order) == len(context.jobs)
+    context.ranked = rank.call_count
+
+
+@then("at most {most:d} jobs are ranked")
+def step_ranked(context, most):
+    assert context.ranked <= most, context.ranked
+
+
+def measure_waiting(context, unix_now):
+    """Return the work of the job that waits, in seconds of the whole pool."""
+    return measure_work(context.engine, context.job, CAPACITY, unix_now).waiting
+
+
+@given("a job of 8 tasks of 1 s, and {seconds:g} s of work of its pool")
+def step_known_work(context, seconds):
+    context.engine = make_pool()
+    context.job = submit_job(context.engine, 1, 8)
+    assert measure_waiting(context, NOW) == seconds
+
+
+@when("half of its tasks succeed, and the Unix clock steps back by an hour")
+def step_clock_back(context):
+    for task in list(context.job.list_tasks())[:4]:
+        context.job.note_succeeded(task, NOW)
+
+
+@then("{seconds:g} s of work is left")
+def step_work_left(context, seconds):
+    left = measure_waiting(context, NOW - 3600.0)
+    assert left == seconds, left
+
+
 @given("a pool with room for 4 of 8 tasks, and a started job of 4 tasks")
 def step_started(context):
     context.engine = make_pool()
--- a/features/workloads/virtual_fleet.py
+++ b/features/workloads/virtual_fleet.py
@@ -64,6 +64,8 @@
 REGISTRATION_TIMEOUT_S = 4.5
 RESTART_S = 0.5
 SILENT_CALL_S = 0.5
+LONG_RETENTION = SiteLimits(status_retention=3_600.0)
+"""Limits for plays at whose end the outcome of each job has to be known."""
 
 
 class Store:
@@ -692,7 +694,7 @@
 class Fleet:
     """Entries on fakes; a context manager that owns them."""
 
-    def __init__(self, names=("e1", "e2"), endpoint_names=NAMES):
+    def __init__(self, names=("e1", "e2"), endpoint_names=NAMES, limits=None):
         self.store = Store()
         self.endpoints = Endpoints(endpoint_names)
         self.instances = Instances(endpoint_names)
@@ -702,7 +704,7 @@
         self.clients = {}
         self.entries = {}
         self.replies = {}
-        self.limits = SiteLimits()
+        self.limits = limits or SiteLimits()
         self._names = names
         self._stack = contextlib.AsyncExitStack()
         self._tasks = []
@@ -790,7 +792,7 @@
             names = list(self.entries)
             entry = self.entries[names[(int(job, 16) + attempt) % len(names)]]
             submission = Submission(
-                job, "q", "pool", "team", clock.now(), Description("", STEPS)
+                job, "q", "pool", "team", clock.read_unix_time(), Description("", STEPS)
             )
             with entry_module.contain_errors("request of a caller"):
                 reply = await entry.forwarder.submit(submission, 2.8)
--- a/packages/briarshed-workloads/src/briarshed_workloads/placement.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/placement.py
@@ -15,7 +15,7 @@
 from briarshed_workloads.order_slots import MAX_PENDING_ORDERS
 from briarshed_workloads.outliers import SLOW_FACTOR, measure_slowness
 from briarshed_workloads.room_forecast import HORIZON_S, RoomForecast
-from briarshed_workloads.workloads import Resources, Step, TaskId, fits
+from briarshed_workloads.workloads import Resources, Step, TaskId, fits, subtract
 
 
 class EligibleEndpoints(NamedTuple):
@@ -234,9 +234,7 @@
     factor = _measure_time_factor(engine, step, best, candidates.slowness)
 
     def is_suitable(endpoint: Endpoint) -> bool:
-        if not _has_label(step, endpoint):
-            return False
-        if step.per_endpoint and counts.get(endpoint.name, 0) >= step.per_endpoint:
+        if not _is_suitable(step, endpoint, counts):
             return False
         own = _measure_time_factor(engine, step, endpoint, candidates.slowness)
         return own < factor
@@ -260,7 +258,18 @@
 def could_start(
     step: Step, need: Resources, endpoint: Endpoint, counts: PlaceCounts
 ) -> bool:
-    """Return whether an endpoint could run a task of a step if it were empty."""
+    """Return whether `can_start` holds once the runs that will end have ended."""
+    room = endpoint.registration.capacity
+    for run in endpoint.runs.values():
+        if run.step.long_running:
+            room = subtract(room, run.need)
+    return fits(need, room) and _is_suitable(step, endpoint, counts)
+
+
+def could_start_if_empty(
+    step: Step, need: Resources, endpoint: Endpoint, counts: PlaceCounts
+) -> bool:
+    """Return whether `can_start` holds once all runs of the endpoint have ended."""
     capacity = endpoint.registration.capacity
     return fits(need, capacity) and _is_suitable(step, endpoint, counts)
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/relocation.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/relocation.py
@@ -10,7 +10,7 @@
 from briarshed_workloads.jobs import find_need
 from briarshed_workloads.placement import (
     can_start,
-    could_start,
+    could_start_if_empty,
     count_places,
     list_available,
 )
@@ -65,7 +65,7 @@
                 continue
             need = find_need(step)
             counts = count_places(engine, task, step)
-            if any(could_start(step, need, row, counts) for row in available):
+            if any(could_start_if_empty(step, need, row, counts) for row in available):
                 return True
     return False
 
