--- a/bench/_emulator.py
+++ b/bench/_emulator.py
@@ -184,9 +184,35 @@
     20,
 )
 
+CROWDED = Deployment(
+    "crowded",
+    36,
+    29,
+    Resources(32_000, 131_072, 0),
+    3,
+    24,
+    Resources(4_700, 27_000, 0),
+    (
+        JobProfile("p0", 19.8, 1.6, 8, 0.64, 2_800, 8_000, 0.2, 0, 4, 0.01),
+        JobProfile("p1", 4.09, 2.0, 8, 1.3, 6_000, 12_000, 0.5, 1, 2, 0.03),
+        JobProfile("p2", 24.7, 1.6, 8, 0.64, 2_800, 8_000, 0.2, 0, 4, 0.01),
+        JobProfile("p3", 5.0, 2.0, 8, 1.3, 6_000, 12_000, 0.5, 1, 2, 0.03),
+    ),
+    4.0,
+    20,
+)
+"""Endpoints half full of tasks that last, so that few large tasks fit beside them."""
+
 DEPLOYMENTS = {
     deployment.name: deployment
-    for deployment in (MOLDURAS, MSASANI, LARGE_MOLDURAS, LARGE_MSASANI, COMPETING)
+    for deployment in (
+        MOLDURAS,
+        MSASANI,
+        LARGE_MOLDURAS,
+        LARGE_MSASANI,
+        COMPETING,
+        CROWDED,
+    )
 }
 
 
@@ -196,7 +222,12 @@
 
 
 class Result(NamedTuple):
-    """Result of a run; values are relative to the value of all jobs."""
+    """Result of a run; values are relative to the value of all jobs.
+
+    ``large_served`` is the part of the largest jobs whose result had a value, relative to
+    that part of all jobs of their queue; the lowest of all queues, of the largest tenth
+    and of the fifth below it.
+    """
 
     earned: float
     on_time: float
@@ -206,6 +237,7 @@
     moves: int
     served: float
     refusals: float
+    large_served: float
 
 
 class Emulation:
@@ -547,9 +579,30 @@
         moves,
         sum(row[2] > 0 for row in rows) / max(1, len(rows)),
         refusals,
+        min(
+            _count_served(part[first:last]) / max(1e-9, _count_served(part))
+            for part in by_profile
+            for first, last in (_find_largest(part), _find_next_largest(part))
+        ),
     )
 
 
+def _find_largest(rows: list[tuple[int, float, float, float]]) -> tuple[int, int]:
+    """Return the bounds of the largest tenth of rows in descending order of size."""
+    return 0, max(1, len(rows) // 10)
+
+
+def _find_next_largest(rows: list[tuple[int, float, float, float]]) -> tuple[int, int]:
+    """Return the bounds of the fifth below the largest tenth."""
+    start = max(1, len(rows) // 10)
+    return start, start + max(1, len(rows) // 5)
+
+
+def _count_served(rows: list[tuple[int, float, float, float]]) -> float:
+    """Return the part of rows whose result had a value."""
+    return sum(row[2] > 0 for row in rows) / max(1, len(rows))
+
+
 def _configure(deployment: Deployment) -> Configuration:
     queues = {}
     for profile in deployment.profiles:
--- a/bench/turns.py
+++ b/bench/turns.py
@@ -75,7 +75,8 @@
     arguments = parser.parse_args()
     planning.sort_jobs = ORDERS[arguments.order]
     print(
-        "site      moves  earned on_time largest worst_kind inst_s moved served refused"
+        "site      moves  earned on_time largest worst_kind inst_s moved served refused "
+        "large_served"
     )
     for deployment in (DEPLOYMENTS[name] for name in arguments.sites.split(",")):
         for moves in (False, True):
@@ -96,7 +97,7 @@
                 f"{deployment.name:9} {moves!s:6} {row.earned:.3f}  {row.on_time:.3f}  "
                 f"{row.largest:.3f}   {row.worst_kind:.3f}      "
                 f"{row.instance_seconds:6.0f} {row.moves:5.1f} "
-                f"{row.served:.3f} {row.refusals:5.0f}"
+                f"{row.served:.3f} {row.refusals:5.0f}   {row.large_served:.3f}"
             )
 
 
--- a/features/workloads/shortage.feature
+++ b/features/workloads/shortage.feature
@@ -35,6 +35,13 @@
     When waiting tasks are placed in a shortage
     Then the started job goes on first
 
+  Scenario: The largest jobs of a queue in a long shortage
+    # Pattern: turns of demand in a pool with little room. Guards against a largest tenth
+    # whose result is worth nothing, since small jobs are kept in time and late (Sizes).
+    Given a pool that can do half of the work of 40 small jobs and 4 large ones late
+    When the order of the jobs is asked
+    Then the large jobs are of use at least half as often as all jobs
+
   Scenario: Jobs of one team beyond its weight in a shortage
     # Pattern: hot team. Guards against late jobs of the crowd before late ones of others.
     Given a pool that is late, with 6 jobs of a team of weight 1 and 2 of another after it
--- a/features/workloads/steps/shortage_steps.py
+++ b/features/workloads/steps/shortage_steps.py
@@ -25,6 +25,7 @@
 from briarshed_workloads.planning import plan_starts
 from briarshed_workloads.refusals import number_attempt
 from briarshed_workloads.shares import restore_shares
+from briarshed_workloads.shortage import EXPIRED
 from briarshed_workloads.transport import SubmitRequest
 from briarshed_workloads.workloads import (
     NO_RESOURCES,
@@ -120,6 +121,25 @@
     assert jobs == {context.large.job_id}, jobs
 
 
+@given("a pool that can do half of the work of 40 small jobs and 4 large ones late")
+def step_sizes(context):
+    context.engine = make_pool()
+    for number in range(40):
+        submit_job(context.engine, number, 1)
+    for number in range(40, 44):
+        submit_job(context.engine, number, 6)
+
+
+@then("the large jobs are of use at least half as often as all jobs")
+def step_large_of_use(context):
+    jobs = context.engine.open_jobs["pool"].values()
+    lowered = context.engine.outlooks["pool"].lowered
+    of_use = [job for job in jobs if lowered.get(job.job_id) != EXPIRED]
+    assert len(of_use) < len(jobs), "no shortage"
+    large = [job for job in of_use if job.core_seconds > 1.0]
+    assert len(large) / 4 >= len(of_use) / len(jobs) / 2, (len(large), len(of_use))
+
+
 @given(
     "a pool that is late, with 6 jobs of a team of weight 1 and 2 of another after it"
 )
