Make the outlook of a pool whose endpoints are full

Cause: planning returned before the order of the jobs when nothing could start, so that after a second of that nothing was refused (found by a review).

Change: the outlook is made again each 0.25 s then. sort_jobs is unchanged.

Ruled out: making it at each plan; plans are frequent, and nothing uses the order then.

Test: fails before the change (None, accepted, for 1 s or more).

--- a/bench/_emulator.py
+++ b/bench/_emulator.py
@@ -224,9 +224,9 @@
 class Result(NamedTuple):
     """Result of a run; values are relative to the value of all jobs.
 
-    ``large_served`` is the part of the largest jobs whose result had a value, relative to
-    that part of all jobs of their queue; the lowest of all queues, of the largest tenth
-    and of the fifth below it.
+    ``large_served`` is the part of the largest jobs whose result had a value, relative
+    to that part of all jobs of their queue; the lowest of all queues, of the largest
+    tenth and of the fifth below it.
     """
 
     earned: float
--- a/bench/turns.py
+++ b/bench/turns.py
@@ -75,8 +75,8 @@
     arguments = parser.parse_args()
     planning.sort_jobs = ORDERS[arguments.order]
     print(
-        "site      moves  earned on_time largest worst_kind inst_s moved served refused "
-        "large_served"
+        "site      moves  earned on_time largest worst_kind inst_s moved served "
+        "refused large_served"
     )
     for deployment in (DEPLOYMENTS[name] for name in arguments.sites.split(",")):
         for moves in (False, True):
--- a/features/workloads/shortage.feature
+++ b/features/workloads/shortage.feature
@@ -64,6 +64,13 @@
       | 20      | 2   | 0      | accepted |
       | 0       | 0.1 | 60     | accepted |
 
+  Scenario: A job arrives while nothing can start
+    # Guards against callers who wait for nothing, since a pool that stays full for long
+    # is not planned (pattern: turns of demand).
+    Given a pool whose endpoints are full for 3 s, while 7 s of work arrive each second
+    When a job of 1 s arrives that its caller asked for 0 s ago
+    Then it is refused
+
   Scenario: An urgent job arrives while others are late
     # Pattern: burst of urgent jobs. Guards against a refusal because of work that is
     # served after it.
--- a/features/workloads/steps/shortage_steps.py
+++ b/features/workloads/steps/shortage_steps.py
@@ -84,12 +84,12 @@
     return engine
 
 
-def submit_job(engine, number, count, team="", queue="q"):
+def submit_job(engine, number, count, team="", queue="q", now=NOW):
     """Accept a job of tasks of 1 s."""
     description = Description("", (Step(count, NEED, 1.0),))
-    submission = Submission(f"{number:016x}", queue, "pool", team, NOW, description)
-    job = engine.accept(submission, NOW)
-    engine.activate(job, NOW)
+    submission = Submission(f"{number:016x}", queue, "pool", team, now, description)
+    job = engine.accept(submission, now)
+    engine.activate(job, now)
     return job
 
 
@@ -187,6 +187,17 @@
     context.now = NOW + age
 
 
+@given("a pool whose endpoints are full for 3 s, while 7 s of work arrive each second")
+def step_full(context):
+    context.engine = make_pool()
+    submit_job(context.engine, 0, 4)
+    assert len(plan_starts(context.engine, NOW)) == 4
+    for number in range(1, 21):
+        context.now = NOW + 0.15 * number
+        submit_job(context.engine, number, 4, now=context.now)
+        assert not plan_starts(context.engine, context.now)
+
+
 @given("one of its jobs is late")
 def step_one_late(context):
     outlook = context.engine.outlooks["pool"]
--- a/packages/briarshed-workloads/src/briarshed_workloads/ordering.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/ordering.py
@@ -13,6 +13,7 @@
     LONG_RUNNING,
     ON_TIME,
     OUTLOOK_CACHE_S,
+    OUTLOOK_REFRESH_S,
     Rank,
     defer_jobs,
     measure_capacity,
@@ -55,6 +56,24 @@
     return sorted(known.values(), key=lambda job: ranks[job.job_id])
 
 
+def refresh_outlook(engine: Engine, pool: str, jobs: Iterable[Job], now: float) -> None:
+    """Make the outlook of a pool whose endpoints are full, if the last one is old.
+
+    Nothing can start there, so that its order is not needed; a job that arrives is
+    refused by the outlook.
+
+    Parameters
+    ----------
+    now : float
+        Seconds of the boot clock.
+    """
+    outlook = engine.outlooks.get(pool)
+    unix_now = engine.to_unix_time(now)
+    if outlook and 0 <= unix_now - outlook.planned_at < OUTLOOK_REFRESH_S:
+        return
+    sort_jobs(engine, pool, jobs, now)
+
+
 def rank_job(engine: Engine, job: Job, unix_now: float) -> Rank:
     """Return the sort key of a job as if it were alone in its pool."""
     if job.is_long_running:
--- a/packages/briarshed-workloads/src/briarshed_workloads/planning.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/planning.py
@@ -14,7 +14,7 @@
 from briarshed_workloads.evidence import ISOLATION_S, SUSPICION_WINDOW_S
 from briarshed_workloads.fleet import Endpoint, Isolation, StartOrder, is_within
 from briarshed_workloads.jobs import Job, find_need
-from briarshed_workloads.ordering import sort_jobs
+from briarshed_workloads.ordering import refresh_outlook, sort_jobs
 from briarshed_workloads.placement import (
     EligibleEndpoints,
     PlaceCounts,
@@ -71,7 +71,10 @@
     _start_suspects(engine, pool, jobs, now, orders)
     jobs = [job for job in jobs if job.waiting]
     eligible = list_eligible(engine, pool, now)
-    if not jobs or not eligible or not _has_capacity(jobs, eligible):
+    if not jobs or not eligible:
+        return
+    if not _has_capacity(jobs, eligible):
+        refresh_outlook(engine, pool, jobs, now)
         return
     candidates = gather_candidates(engine, eligible, now)
     limit = len(orders) + MAX_STARTS_PER_PLAN
--- a/packages/briarshed-workloads/src/briarshed_workloads/shortage.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/shortage.py
@@ -37,12 +37,16 @@
 
 LATE_GROWTH = 0.5
 """Part of the loss of a late job that grows with the square of its work. The choice of
-the jobs that are in time favours small ones, so that most of the large ones are late."""
+the jobs that are in time favours small ones, so that most large ones are late."""
 
 OUTLOOK_CACHE_S = 0.05
 """Time for which the choice of the jobs that give way stands, since plans are frequent
 and each choice takes all jobs of the pool."""
 
+OUTLOOK_REFRESH_S = 0.25
+"""Age from which the outlook of a pool is made again although nothing can start there:
+a part of the age up to which jobs that arrive are refused by it."""
+
 WORK_CACHE_S = 0.1
 """Time for which a job's work is cached, since every plan needs it."""
 
