Count a refused job once against its team's weight

Cause: a job beyond its team's weight that was refused and came back was counted again, as within the weight by then, and took the share of the team's later jobs. In the emulation crowded at load 2.5, of 477 jobs that would have been refused 420 were beyond their team's weight.

A refused job within it is counted at the refusal.

--- a/bench/_emulator.py
+++ b/bench/_emulator.py
@@ -402,7 +402,7 @@
             self._failing_jobs.add(job_id)
         team = self._draw_team()
         rules = self.engine.configuration.teams.get(team)
-        if rules and not self._owed.take(team, rules.weight, self.now):
+        if rules and not self._owed.take(job_id, team, rules.weight, self.now):
             self._unowed.add(job_id)
         queue = f"q-{profile.pool}"
         self._sizes[job_id] = sum(
--- a/features/workloads/shortage.feature
+++ b/features/workloads/shortage.feature
@@ -48,6 +48,13 @@
     When the order of the jobs is asked
     Then the jobs of the other team come before those beyond the weight of the first
 
+  Scenario: A refused job beyond the weight of its team comes back
+    # Pattern: hot team. Guards against callers who use the share of their team's later
+    # jobs, since they were refused.
+    Given a team of weight 1 with 2 jobs, and a third that was refused
+    When the third is submitted again 2 s later, with 2 new jobs of the team after it
+    Then the third is beyond the share, and the new jobs are within it
+
   Scenario Outline: A job arrives while others are late
     # Guards against callers who wait for a result that is worth nothing (pattern: burst),
     # and against refusals that help nobody.
--- a/features/workloads/steps/shortage_steps.py
+++ b/features/workloads/steps/shortage_steps.py
@@ -24,7 +24,7 @@
 from briarshed_workloads.ordering import sort_jobs
 from briarshed_workloads.planning import plan_starts
 from briarshed_workloads.refusals import number_attempt
-from briarshed_workloads.shares import restore_shares
+from briarshed_workloads.shares import Shares, restore_shares
 from briarshed_workloads.shortage import EXPIRED
 from briarshed_workloads.transport import SubmitRequest
 from briarshed_workloads.workloads import (
@@ -177,6 +177,26 @@
     assert beyond.count(False) == 4, beyond
 
 
+@given("a team of weight 1 with 2 jobs, and a third that was refused")
+def step_third(context):
+    context.shares = Shares()
+    assert context.shares.take("1", "hot", 1.0, NOW)
+    assert context.shares.take("2", "hot", 1.0, NOW)
+    context.shares.note_refused("3", "hot", 1.0, NOW)
+
+
+@when("the third is submitted again 2 s later, with 2 new jobs of the team after it")
+def step_third_again(context):
+    context.within = [
+        context.shares.take(job_id, "hot", 1.0, NOW + 2.0) for job_id in "345"
+    ]
+
+
+@then("the third is beyond the share, and the new jobs are within it")
+def step_third_beyond(context):
+    assert context.within == [False, True, True], context.within
+
+
 @given("a pool with {backlog:g} s of work that waits, planned {age:g} s ago")
 def step_backlog(context, backlog, age):
     context.engine = make_pool()
--- a/packages/briarshed-workloads/src/briarshed_workloads/admission.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/admission.py
@@ -52,7 +52,7 @@
     queue = engine.find_queue(job)
     objective = find_objective(job, queue)
     weight = find_weight(engine.configuration, job.team)
-    is_within_share = engine.shares.has_share(job.team, weight, unix_now)
+    is_within_share = engine.shares.has_share(job.job_id, job.team, weight, unix_now)
     rank = Rank(
         ON_TIME if is_within_share else BEYOND_SHARE,
         queue.priority if queue else 0,
@@ -78,5 +78,6 @@
     if job.job_id not in later.deferred:
         outlook.late[job.job_id] = late
         return None
+    engine.shares.note_refused(job.job_id, job.team, weight, unix_now)
     # The jobs that are in time keep the pool busy until a new one can be.
     return max(MIN_RETRY_AFTER_S, before + claim.path - objective)
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -182,7 +182,7 @@
             return known
         job = make_job(submission, self.configuration.queues.get(submission.queue))
         weight = find_weight(self.configuration, job.team)
-        job.is_within_share = self.shares.take(job.team, weight, unix_now)
+        job.is_within_share = self.shares.take(job.job_id, job.team, weight, unix_now)
         self.jobs[job.job_id] = job
         self.open_size += job.size
         self.unsaved_jobs[job.job_id] = None
