Let callers return after an outage by priority and at a pace

Change: each entry spreads them over the next seconds, at twice the pace at which its callers' jobs were accepted before, 10 a second at least; ordinary callers may fill half of what urgent ones may, so that these return first.

Ruled out: a fixed pace of the leader; an entry does not know it, nor how many entries refuse.

--- a/packages/briarshed-workloads/src/briarshed_workloads/forwarding.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/forwarding.py
@@ -13,11 +13,13 @@
 from briarshed_entry import clock
 from briarshed_entry.logs import log_event
 from briarshed_workloads import telemetry
+from briarshed_workloads.configuration import Configuration
 from briarshed_workloads.controller import Controller
 from briarshed_workloads.interfaces import NotExecutedError, OutcomeUnknownError, Store
 from briarshed_workloads.leadership import LeaderTerm
 from briarshed_workloads.records import JOBS, JobRecord, decode
 from briarshed_workloads.refusals import number_attempt
+from briarshed_workloads.returns import Returns
 from briarshed_workloads.transport import (
     JobRequest,
     LeaderHeartbeat,
@@ -102,11 +104,14 @@
         The controller of this term.
     leader : LeaderView or None
         The last heartbeat of a leader.
+    configuration : Configuration or None
+        The configuration in force.
     """
 
     term: LeaderTerm | None
     controller: Controller | None
     leader: LeaderView | None
+    configuration: Configuration | None
 
     def is_leader_alive(self) -> bool:
         """Tell whether a heartbeat of a leader was received recently."""
@@ -149,6 +154,7 @@
         self._pending_replies = pending_replies
         self._waiting_report: WaitingReport | None = None
         self._receiver = ""
+        self._returns = Returns()
 
     async def submit_locally(self, request: SubmitRequest) -> Reply:
         """Submit a job to the controller of this process, if it leads.
@@ -191,6 +197,7 @@
                     request, min(left, ATTEMPT_TIMEOUT_S)
                 )
             if reply is not None and reply.outcome == "accepted":
+                self._returns.note_accepted(clock.now())
                 return reply
             if reply is not None and reply.outcome == "withdrawn":
                 return Reply(0, "refused", reply.retry_after)
@@ -207,9 +214,18 @@
             if not was_sent and waited > min(timeout, self._choose_timeout()):
                 if await self._is_recorded(submission.job):
                     return Reply(0, "accepted")
-                return Reply(0, "refused", RETRY_AFTER_S)
+                return Reply(0, "refused", self._choose_return(submission.queue))
             await asyncio.sleep(RESEND_PAUSE_S)
 
+    def _choose_return(self, queue: str) -> float:
+        """Return in how many seconds a caller that is refused in an outage returns."""
+        if self._entry.is_cut_off() or self._entry.configuration is None:
+            # Another entry can accept the job.
+            return RETRY_AFTER_S
+        rules = self._entry.configuration.queues.get(queue)
+        priority = rules.priority if rules is not None else 0
+        return self._returns.find_delay(priority, clock.now())
+
     async def _is_recorded(self, job: str) -> bool:
         """Return whether an earlier submission of a job is known to have been accepted.
 
