--- a/features/platform/input.feature
+++ b/features/platform/input.feature
@@ -223,3 +223,17 @@
       | 00000000000000AA   |
       | 00000000000000aa/x |
       | aa                 |
+
+  Scenario Outline: A retry delay in whole seconds
+    # Guards against a caller who is told to return before there is room, and is refused
+    # again.
+    Given a job that is refused with a delay of <delay> s
+    When the delay is written for its caller
+    Then its header is "<text>"
+
+    Examples:
+      | delay | text |
+      | 0.2   | 1    |
+      | 1     | 1    |
+      | 1.3   | 2    |
+      | 10    | 10   |
--- a/features/platform/steps/input_steps.py
+++ b/features/platform/steps/input_steps.py
@@ -11,7 +11,7 @@
 
 from briarshed.exceptions import SettingsError
 from briarshed_platform import directory as directory_module
-from briarshed_platform.callers import Call, Callers, decode_job
+from briarshed_platform.callers import Call, Callers, decode_job, encode_delay
 from briarshed_platform.directory import PlatformDirectory
 from briarshed_platform.http_client import HttpClient
 from briarshed_platform.settings import decode_options
@@ -429,3 +429,18 @@
 @then("the answer is 410, and the leader is not asked")
 def step_gone(context):
     assert context.answer.status == 410, context.answer.status
+
+
+@given("a job that is refused with a delay of {delay:g} s")
+def step_delay(context, delay):
+    context.delay = delay
+
+
+@when("the delay is written for its caller")
+def step_write_delay(context):
+    context.header = encode_delay(context.delay)
+
+
+@then('its header is "{text}"')
+def step_delay_text(context, text):
+    assert context.header == text, context.header
