--- a/features/workloads/shortage.feature
+++ b/features/workloads/shortage.feature
@@ -48,6 +48,18 @@
     When the order of the jobs is asked
     Then the jobs of the other team come before those beyond the weight of the first
 
+  Scenario Outline: A job arrives while the crowd of a team waits
+    # Pattern: hot team. Guards against refusals that hit another team than the one that
+    # asks for more than its weight.
+    Given a pool in which 20 s of work of a team of weight 1 wait
+    When a job of 1 s of the <team> arrives
+    Then it is <decision>
+
+    Examples:
+      | team         | decision |
+      | same team    | refused  |
+      | other team   | accepted |
+
   Scenario: A refused job beyond the weight of its team comes back
     # Pattern: hot team. Guards against callers who use the share of their team's later
     # jobs, since they were refused.
--- a/features/workloads/steps/shortage_steps.py
+++ b/features/workloads/steps/shortage_steps.py
@@ -240,16 +240,31 @@
     assert context.deferred == ["large"], context.deferred
 
 
-def ask(context, waited, queue):
+def ask(context, waited, queue, team=""):
     """Ask whether a job of 4 tasks is accepted."""
     description = Description("", (Step(4, NEED, 1.0),))
-    submission = Submission(JOB, queue, "pool", "", 0.0, description)
+    submission = Submission(JOB, queue, "pool", team, 0.0, description)
     rules = context.engine.configuration.queues[queue]
     job = make_job(submission, rules)
     now = context.now
     context.delay = find_retry_delay(context.engine, job, now - waited, now)
 
 
+@given("a pool in which 20 s of work of a team of weight 1 wait")
+def step_crowd(context):
+    context.engine = make_pool()
+    for number in range(20):
+        submit_job(context.engine, number, 4, "hot")
+    jobs = list(context.engine.list_open("pool").values())
+    sort_jobs(context.engine, "pool", jobs, NOW)
+    context.now = NOW + 0.1
+
+
+@when("a job of 1 s of the {team} arrives")
+def step_team_arrives(context, team):
+    ask(context, 0.0, "q", "hot" if team == "same team" else "calm")
+
+
 @when("a job of 1 s arrives that its caller asked for {waited:g} s ago")
 def step_arrives(context, waited):
     ask(context, waited, "q")
