--- a/features/workloads/shortage.feature
+++ b/features/workloads/shortage.feature
@@ -97,6 +97,13 @@
     When a job of 1 s arrives in a queue of a higher priority
     Then it is accepted
 
+  Scenario: A job arrives just after others were cancelled
+    # Guards against refusals because of jobs whose callers have given up (pattern: many
+    # jobs are cancelled).
+    Given a pool with 20 s of work that waits, planned 0.1 s ago
+    When its jobs are cancelled, and a job of 1 s arrives before the next plan
+    Then it is accepted
+
   Scenario: A caller that comes back after the crowd has gone
     # Guards against a caller who was refused once and is refused for as long as any job
     # of the pool is late, with a delay that says that there is room by then.
--- a/features/workloads/steps/shortage_steps.py
+++ b/features/workloads/steps/shortage_steps.py
@@ -270,6 +270,13 @@
     ask(context, waited, "q")
 
 
+@when("its jobs are cancelled, and a job of 1 s arrives before the next plan")
+def step_cancelled(context):
+    for job in list(context.engine.jobs.values()):
+        context.engine.cancel(job, context.now)
+    ask(context, 0.0, "q")
+
+
 @when("a job of 1 s arrives in a queue of a higher priority")
 def step_urgent(context):
     ask(context, 0.0, "urgent")
--- a/packages/briarshed-workloads/src/briarshed_workloads/admission.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/admission.py
@@ -11,6 +11,7 @@
     LATE_FACTOR,
     LATE_RANKS,
     ON_TIME,
+    PoolOutlook,
     Rank,
     make_claim,
     measure_work,
@@ -48,6 +49,7 @@
         return None
     if not 0 <= unix_now - outlook.planned_at <= MAX_OUTLOOK_AGE_S:
         return None
+    _remove_closed(engine, outlook)
     has_shortage = bool(outlook.late or outlook.lowered)
     queue = engine.find_queue(job)
     objective = find_objective(job, queue)
@@ -81,3 +83,12 @@
     engine.shares.note_refused(job.job_id, job.team, weight, unix_now)
     # The jobs that are in time keep the pool busy until a new one can be.
     return max(MIN_RETRY_AFTER_S, before + claim.path - objective)
+
+
+def _remove_closed(engine: Engine, outlook: PoolOutlook) -> None:
+    """Remove jobs that were cancelled or have ended since the plan."""
+    for claims in (outlook.in_time, outlook.late):
+        for job_id in list(claims):
+            job = engine.jobs.get(job_id)
+            if job is None or not job.is_open:
+                del claims[job_id]
