--- a/features/workloads/shortage.feature
+++ b/features/workloads/shortage.feature
@@ -54,12 +54,38 @@
     When waiting tasks are placed in a shortage
     Then the started job goes on first
 
+  Scenario: The largest jobs of a queue in a long shortage
+    # Pattern: turns of demand in a pool with little room. Guards against a largest tenth
+    # whose result is worth nothing, since small jobs are kept in time and late (Sizes).
+    Given a pool that can do half of the work of 40 small jobs and 4 large ones late
+    When the order of the jobs is asked
+    Then the large jobs are of use at least half as often as all jobs
+
   Scenario: Jobs of one team beyond its weight in a shortage
     # Pattern: hot team. Guards against late jobs of the crowd before late ones of others.
     Given a pool that is late, with 6 jobs of a team of weight 1 and 2 of another after it
     When the order of the jobs is asked
     Then the jobs of the other team come before those beyond the weight of the first
 
+  Scenario Outline: A job arrives while the crowd of a team waits
+    # Pattern: hot team. Guards against refusals that hit another team than the one that
+    # asks for more than its weight.
+    Given a pool in which 20 s of work of a team of weight 1 wait
+    When a job of 1 s of the <team> arrives
+    Then it is <decision>
+
+    Examples:
+      | team         | decision |
+      | same team    | refused  |
+      | other team   | accepted |
+
+  Scenario: A refused job beyond the weight of its team comes back
+    # Pattern: hot team. Guards against callers who use the share of their team's later
+    # jobs, since they were refused.
+    Given a team of weight 1 with 2 jobs, and a third that was refused
+    When the third is submitted again 2 s later, with 2 new jobs of the team after it
+    Then the third is beyond the share, and the new jobs are within it
+
   Scenario Outline: A job arrives while others are late
     # Guards against callers who wait for a result that is worth nothing (pattern: burst),
     # and against refusals that help nobody.
@@ -76,6 +102,13 @@
       | 20      | 2   | 0      | accepted |
       | 0       | 0.1 | 60     | accepted |
 
+  Scenario: A job arrives while nothing can start
+    # Guards against callers who wait for nothing, since a pool that stays full for long
+    # is not planned (pattern: turns of demand).
+    Given a pool whose endpoints are full for 3 s, while 7 s of work arrive each second
+    When a job of 1 s arrives that its caller asked for 0 s ago
+    Then it is refused
+
   Scenario: An urgent job arrives while others are late
     # Pattern: burst of urgent jobs. Guards against a refusal because of work that is
     # served after it.
@@ -83,6 +116,13 @@
     When a job of 1 s arrives in a queue of a higher priority
     Then it is accepted
 
+  Scenario: A job arrives just after others were cancelled
+    # Guards against refusals because of jobs whose callers have given up (pattern: many
+    # jobs are cancelled).
+    Given a pool with 20 s of work that waits, planned 0.1 s ago
+    When its jobs are cancelled, and a job of 1 s arrives before the next plan
+    Then it is accepted
+
   Scenario: A caller that comes back after the crowd has gone
     # Guards against a caller who was refused once and is refused for as long as any job
     # of the pool is late, with a delay that says that there is room by then.
--- a/features/workloads/steps/shortage_steps.py
+++ b/features/workloads/steps/shortage_steps.py
@@ -27,8 +27,8 @@
 from briarshed_workloads.ordering import sort_jobs
 from briarshed_workloads.planning import plan_starts
 from briarshed_workloads.refusals import number_attempt
-from briarshed_workloads.shares import restore_shares
-from briarshed_workloads.shortage import measure_work
+from briarshed_workloads.shares import Shares, restore_shares
+from briarshed_workloads.shortage import EXPIRED, measure_work
 from briarshed_workloads.transport import SubmitRequest
 from briarshed_workloads.workloads import (
     NO_RESOURCES,
@@ -87,12 +87,12 @@
     return engine
 
 
-def submit_job(engine, number, count, team="", queue="q"):
+def submit_job(engine, number, count, team="", queue="q", now=NOW):
     """Accept a job of tasks of 1 s."""
     description = Description("", (Step(count, NEED, 1.0),))
-    submission = Submission(f"{number:016x}", queue, "pool", team, NOW, description)
-    job = engine.accept(submission, NOW)
-    engine.activate(job, NOW)
+    submission = Submission(f"{number:016x}", queue, "pool", team, now, description)
+    job = engine.accept(submission, now)
+    engine.activate(job, now)
     return job
 
 
@@ -173,6 +173,25 @@
     assert jobs == {context.large.job_id}, jobs
 
 
+@given("a pool that can do half of the work of 40 small jobs and 4 large ones late")
+def step_sizes(context):
+    context.engine = make_pool()
+    for number in range(40):
+        submit_job(context.engine, number, 1)
+    for number in range(40, 44):
+        submit_job(context.engine, number, 6)
+
+
+@then("the large jobs are of use at least half as often as all jobs")
+def step_large_of_use(context):
+    jobs = context.engine.open_jobs["pool"].values()
+    lowered = context.engine.outlooks["pool"].lowered
+    of_use = [job for job in jobs if lowered.get(job.job_id) != EXPIRED]
+    assert len(of_use) < len(jobs), "no shortage"
+    large = [job for job in of_use if job.core_seconds > 1.0]
+    assert len(large) / 4 >= len(of_use) / len(jobs) / 2, (len(large), len(of_use))
+
+
 @given(
     "a pool that is late, with 6 jobs of a team of weight 1 and 2 of another after it"
 )
@@ -210,6 +229,26 @@
     assert beyond.count(False) == 4, beyond
 
 
+@given("a team of weight 1 with 2 jobs, and a third that was refused")
+def step_third(context):
+    context.shares = Shares()
+    assert context.shares.take("1", "hot", 1.0, NOW)
+    assert context.shares.take("2", "hot", 1.0, NOW)
+    context.shares.note_refused("3", "hot", 1.0, NOW)
+
+
+@when("the third is submitted again 2 s later, with 2 new jobs of the team after it")
+def step_third_again(context):
+    context.within = [
+        context.shares.take(job_id, "hot", 1.0, NOW + 2.0) for job_id in "345"
+    ]
+
+
+@then("the third is beyond the share, and the new jobs are within it")
+def step_third_beyond(context):
+    assert context.within == [False, True, True], context.within
+
+
 @given("a pool with {backlog:g} s of work that waits, planned {age:g} s ago")
 def step_backlog(context, backlog, age):
     context.engine = make_pool()
@@ -220,6 +259,17 @@
     context.now = NOW + age
 
 
+@given("a pool whose endpoints are full for 3 s, while 7 s of work arrive each second")
+def step_full(context):
+    context.engine = make_pool()
+    submit_job(context.engine, 0, 4)
+    assert len(plan_starts(context.engine, NOW)) == 4
+    for number in range(1, 21):
+        context.now = NOW + 0.15 * number
+        submit_job(context.engine, number, 4, now=context.now)
+        assert not plan_starts(context.engine, context.now)
+
+
 @given("one of its jobs is late")
 def step_one_late(context):
     outlook = context.engine.outlooks["pool"]
@@ -242,21 +292,43 @@
     assert context.deferred == ["large"], context.deferred
 
 
-def ask(context, waited, queue):
+def ask(context, waited, queue, team=""):
     """Ask whether a job of 4 tasks is accepted."""
     description = Description("", (Step(4, NEED, 1.0),))
-    submission = Submission(JOB, queue, "pool", "", 0.0, description)
+    submission = Submission(JOB, queue, "pool", team, 0.0, description)
     rules = context.engine.configuration.queues[queue]
     job = make_job(submission, rules)
     now = context.now
     context.delay = find_retry_delay(context.engine, job, now - waited, now)
 
 
+@given("a pool in which 20 s of work of a team of weight 1 wait")
+def step_crowd(context):
+    context.engine = make_pool()
+    for number in range(20):
+        submit_job(context.engine, number, 4, "hot")
+    jobs = list(context.engine.list_open("pool").values())
+    sort_jobs(context.engine, "pool", jobs, NOW)
+    context.now = NOW + 0.1
+
+
+@when("a job of 1 s of the {team} arrives")
+def step_team_arrives(context, team):
+    ask(context, 0.0, "q", "hot" if team == "same team" else "calm")
+
+
 @when("a job of 1 s arrives that its caller asked for {waited:g} s ago")
 def step_arrives(context, waited):
     ask(context, waited, "q")
 
 
+@when("its jobs are cancelled, and a job of 1 s arrives before the next plan")
+def step_cancelled(context):
+    for job in list(context.engine.jobs.values()):
+        context.engine.cancel(job, context.now)
+    ask(context, 0.0, "q")
+
+
 @when("a job of 1 s arrives in a queue of a higher priority")
 def step_urgent(context):
     ask(context, 0.0, "urgent")
--- a/packages/briarshed-workloads/src/briarshed_workloads/admission.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/admission.py
@@ -11,6 +11,7 @@
     LATE_FACTOR,
     LATE_RANKS,
     ON_TIME,
+    PoolOutlook,
     Rank,
     make_claim,
     measure_work,
@@ -48,11 +49,12 @@
         return None
     if not 0 <= unix_now - outlook.planned_at <= MAX_OUTLOOK_AGE_S:
         return None
+    _remove_closed(engine, outlook)
     has_shortage = bool(outlook.late or outlook.lowered)
     queue = engine.find_queue(job)
     objective = find_objective(job, queue)
     weight = find_weight(engine.configuration, job.team)
-    is_within_share = engine.shares.has_share(job.team, weight, unix_now)
+    is_within_share = engine.shares.has_share(job.job_id, job.team, weight, unix_now)
     rank = Rank(
         ON_TIME if is_within_share else BEYOND_SHARE,
         queue.priority if queue else 0,
@@ -78,5 +80,15 @@
     if job.job_id not in later.deferred:
         outlook.late[job.job_id] = late
         return None
+    engine.shares.note_refused(job.job_id, job.team, weight, unix_now)
     # The jobs that are in time keep the pool busy until a new one can be.
     return max(MIN_RETRY_AFTER_S, before + claim.path - objective)
+
+
+def _remove_closed(engine: Engine, outlook: PoolOutlook) -> None:
+    """Remove jobs that were cancelled or have ended since the plan."""
+    for claims in (outlook.in_time, outlook.late):
+        for job_id in list(claims):
+            job = engine.jobs.get(job_id)
+            if job is None or not job.is_open:
+                del claims[job_id]
--- a/packages/briarshed-workloads/src/briarshed_workloads/shortage.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/shortage.py
@@ -35,6 +35,10 @@
 """Part of the loss that is the same for each job of a queue. The rest is proportional
 to its work, so that large jobs are not always those that give way."""
 
+LATE_GROWTH = 0.5
+"""Part of the loss of a late job that grows with the square of its work. The choice of
+the jobs that are in time favours small ones, so that most large ones are late."""
+
 OUTLOOK_CACHE_S = 0.05
 """Time for which the choice of the jobs that give way stands, since plans are frequent
 and each choice takes all jobs of the pool."""
@@ -43,6 +47,10 @@
 """Number of jobs from which on a choice stands for longer, in proportion to it, and the
 longest time, so that the choices take a bounded part of the leader's time."""
 
+OUTLOOK_REFRESH_S = 0.25
+"""Age from which the outlook of a pool is made again although nothing can start there:
+a part of the age up to which jobs that arrive are refused by it."""
+
 WORK_CACHE_S = 0.1
 """Time for which a job's work is cached, since every plan needs it."""
 
@@ -255,10 +263,28 @@
         row.due_at + late_by - unix_now,
         estimate_remaining_time(engine, job, unix_now),
         work.waiting,
-        FIXED_PART * mean + (1 - FIXED_PART) * work.whole,
+        find_loss(work.whole, mean, factor),
     )
 
 
+def find_loss(work: float, mean: float, factor: float) -> float:
+    """Return what the caller of a job loses if it gives way, in the unit of its work.
+
+    For its work, a small job loses more than a large one in the choice of the jobs that
+    are in time, and less in that of the late jobs that are still of use.
+
+    Parameters
+    ----------
+    work, mean : float
+        Work of the job, and mean work of a job of its queue.
+    factor : float
+        Multiple of the objective up to which the choice is made.
+    """
+    if factor > 1.0 and mean > 0.0:
+        return work * (1 - LATE_GROWTH + LATE_GROWTH * work / mean)
+    return FIXED_PART * mean + (1 - FIXED_PART) * work
+
+
 def list_shortages(engine: Engine) -> Iterator[dict[str, object]]:
     """Yield, for the log, the pools that cannot do all their jobs in time."""
     for pool, outlook in engine.outlooks.items():
