Record the spells of demand without the floors of pools

Cause: a new leader kept pools at the floor that the last one had recorded. It often leads after an outage, when callers of all pools return at once, and the pools had half of their own instances.

Change: the record holds only the spells. A new leader brings instances in standby back, as before spells were recorded; it releases them again once the recorded spells and three moves of low demand say so.

Ruled out: nothing else was separated.

Feature standing_by (25 scenarios), records, instance_orders and wave_takeover pass.

--- a/packages/briarshed-workloads/src/briarshed_workloads/moves_control.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/moves_control.py
@@ -78,7 +78,6 @@
         self._rates: dict[str, ArrivalRate] = {}
         self._restored: SizesRecord | None = None
         self._standing_by: StandingBy | None = None
-        self._floors: dict[str, int] = {}
         self._releasing: set[str] = set()
         self._is_recorded = True
         first = term.epoch == FIRST_EPOCH
@@ -181,9 +180,9 @@
         for pool in self._releasing - releasing:
             log_event(events.INSTANCES_RECALLED, pool=pool, size=sizes.get(pool, 0))
             telemetry.count("own instances", "recalled")
-        if releasing != self._releasing or self._standing_by.list_spells() != before:
+        self._releasing = releasing
+        if self._standing_by.list_spells() != before:
             self._is_recorded = False
-        self._releasing, self._floors = releasing, floors
         return floors
 
     def _begin_standing_by(self, now: float, unix_offset: float) -> StandingBy:
@@ -193,7 +192,7 @@
                 pool: [_shift_spell(Spell(*row), -unix_offset) for row in rows]
                 for pool, rows in self._restored.spells.items()
             }
-            standing_by.restore(spells, self._restored.floors)
+            standing_by.restore(spells)
             known = standing_by.list_spells()
             log_event(events.SPELLS_RESTORED, pools=len(known))
         return standing_by
@@ -213,7 +212,6 @@
                 pool: tuple(tuple(_shift_spell(row, offset)) for row in rows)
                 for pool, rows in spells.items()
             },
-            self._floors,
         )
 
     async def _record(self, record: SizesRecord) -> None:
--- a/packages/briarshed-workloads/src/briarshed_workloads/records.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/records.py
@@ -132,14 +132,13 @@
 
     ``moved`` names the instances whose moves were decided within the last lease time.
     ``spells`` holds rows of start and end of the last spells of demand of each pool, in
-    Unix seconds, the end None while a spell lasts. ``floors`` holds the number of
-    instances that had to be in each pool. Records of earlier versions have neither.
+    Unix seconds, the end None while a spell lasts. Records of earlier versions have
+    none.
     """
 
     sizes: dict[str, int]
     moved: tuple[str, ...] = ()
     spells: dict[str, tuple[tuple[float, float | None], ...]] = {}
-    floors: dict[str, int] = {}
 
 
 class WaveRecord(msgspec.Struct, array_like=True, frozen=True):
