Show what clients hold, and their connections by phase

Cause: event 890 tells the bytes held only when something was closed or refused, and no metric told how near an entry is to that, or what its connections do.

Change: gauges of the bytes held, the budget, and the connections by phase, for each listen address: on the metrics page of the platform, read when it is served, and by statsd for the product's own interface. The reason `no room` stood for closed connections and for refusals; a refusal is `not admitted` now. The other reasons are either of them, as OPERATIONS.md has them.

The scenarios fail without the change, since the gauges do not exist.

--- a/features/connections/byte_admission.feature
+++ b/features/connections/byte_admission.feature
@@ -62,3 +62,8 @@
     # collection of reference cycles: a crowd of them took a process beyond its memory.
     When 20 clients send 100000 bytes of a body each and leave
     Then fewer than 1000000 bytes are kept
+
+  Scenario: What clients use is shown
+    # Guards against an entry that refuses callers while no metric tells what it holds.
+    Given a budget of 1000 bytes, and 5 uploads that hold 150 bytes each
+    Then the gauges show 750 of 1000 bytes held, 5 bodies and 0 idle connections
--- a/features/connections/doors.py
+++ b/features/connections/doors.py
@@ -168,6 +168,7 @@
     def open(self, name: str, door: str) -> Door:
         """Start an entry; return one of its doors."""
         process, addresses = self.start(name)
+        self.metrics = addresses["metrics"]
         head = b"POST /q/%s HTTP/1.1\r\nHost: %s\r\nX-Api-Key: %s\r\n" % (
             secrets.token_hex(8).encode(),
             HOST.encode(),
--- a/features/connections/limits_of_requests.feature
+++ b/features/connections/limits_of_requests.feature
@@ -60,3 +60,11 @@
     Given the door "platform callers" with 200 MB and 1000 descriptors
     When a client sends a request, and a head of 20000 bytes when that is allowed
     Then it is answered with 200 200
+
+  Scenario: The metrics page shows what clients use
+    # Guards against a page that keeps old figures, and against connections that no
+    # phase counts.
+    Given the door "platform callers" with 200 MB and 1000 descriptors
+    When a client sends 1000 bytes of a body of 2000 bytes and waits
+    Then the metrics page shows 1 connection with a body, and bytes held
+    And the metrics page shows 0 connections with a body when the client has left
--- a/features/connections/steps/admission_steps.py
+++ b/features/connections/steps/admission_steps.py
@@ -17,6 +17,7 @@
     size_share,
 )
 from briarshed_entry.connections import Connections
+from briarshed_entry.metrics import name_client_gauges
 from briarshed_entry.request_bodies import read_body
 
 
@@ -68,6 +69,8 @@
 class Upload:
     """A connection that has sent a part of a body."""
 
+    phase = "body"
+
     def __init__(self, door, held):
         self.door = door
         self.held = held
@@ -93,6 +96,18 @@
         assert context.callers.budget.reserve(held)
 
 
+@then(
+    "the gauges show {held:d} of {size:d} bytes held, {bodies:d} bodies and {idle:d}"
+    " idle connections"
+)
+def step_gauges(context, held, size, bodies, idle):
+    gauges = name_client_gauges(context.connections.measure())
+    assert gauges["clients.held_bytes.callers"] == held, gauges
+    assert gauges["clients.budget_bytes.callers"] == size, gauges
+    assert gauges["clients.connections.callers.body"] == bodies, gauges
+    assert gauges["clients.connections.callers.idle"] == idle, gauges
+
+
 @when("a further request asks for {amount:d} bytes")
 def step_further(context, amount):
     asking = Upload(context.callers, 0)
--- a/features/connections/steps/request_steps.py
+++ b/features/connections/steps/request_steps.py
@@ -285,3 +285,35 @@
     answer = context.door.request()
     assert answer.status in (200, 503), answer
     step_bounds(context)
+
+
+def read_metric(context, name):
+    """Return a value of the metrics page of the entry."""
+    page = call(context.entries.metrics, "GET", "/metrics", {}).content.decode()
+    line = next(row for row in page.splitlines() if row.startswith(name + " "))
+    return float(line.rpartition(" ")[2])
+
+
+BODIES = 'briarshed_client_connections{door="callers",phase="body"}'
+HELD = 'briarshed_client_held_bytes{door="callers"}'
+
+
+@when("a client sends {count:d} bytes of a body of {size:d} bytes and waits")
+def step_part(context, count, size):
+    host, _, port = context.door.address.rpartition(":")
+    context.client = socket.create_connection((host, int(port)), TIMEOUT_S)
+    context.add_cleanup(context.client.close)
+    context.client.sendall(make_head(context, size) + make_job(size)[:count])
+    wait_until("the head is read", lambda: read_metric(context, BODIES) == 1)
+
+
+@then("the metrics page shows 1 connection with a body, and bytes held")
+def step_page(context):
+    wait_until("the part is read", lambda: read_metric(context, HELD) >= 1_000)
+
+
+@then("the metrics page shows 0 connections with a body when the client has left")
+def step_page_after(context):
+    context.client.close()
+    wait_until("the client is gone", lambda: read_metric(context, BODIES) == 0)
+    wait_until("its bytes are returned", lambda: read_metric(context, HELD) == 0)
--- a/packages/briarshed-entry/src/briarshed_entry/bounded_protocol.py
+++ b/packages/briarshed-entry/src/briarshed_entry/bounded_protocol.py
@@ -162,6 +162,11 @@
         """Tell whether the client sends on, or does not read, during a request."""
         return self._is_held_up or self._phase == "writing"
 
+    @property
+    def phase(self) -> Phase:
+        """Return what the connection is doing."""
+        return self._phase
+
     def admit(self, amount: int) -> bool:
         """Reserve bytes of the budget until the request has been handled."""
         if self._is_lost or self.transport is None:
--- a/packages/briarshed-entry/src/briarshed_entry/connections.py
+++ b/packages/briarshed-entry/src/briarshed_entry/connections.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+from collections import Counter
 from collections.abc import Callable, Iterator
 from types import TracebackType
 from typing import TYPE_CHECKING, Self
@@ -11,7 +12,9 @@
 from briarshed import events
 from briarshed.byte_admission import (
     MIN_BUFFERED_BYTES,
+    PHASES,
     ByteBudget,
+    ClientsReport,
     ProcessShare,
     RequestBounds,
 )
@@ -81,6 +84,23 @@
         """Return the number of open connections."""
         return sum(len(door.connections) for door in self._doors)
 
+    def measure(self) -> ClientsReport:
+        """Return what clients use now."""
+        counts = Counter(
+            (door.name, connection.phase)
+            for door in self._doors
+            for connection in door.connections
+        )
+        return ClientsReport(
+            {door.name: door.budget.held for door in self._doors},
+            {door.name: door.budget.size for door in self._doors},
+            {
+                (door.name, phase): counts[door.name, phase]
+                for door in self._doors
+                for phase in PHASES
+            },
+        )
+
     def note_excess(self, reason: str) -> None:
         """Count a closed connection or a refusal; they are logged together."""
         self._excesses[reason] = self._excesses.get(reason, 0) + 1
@@ -106,7 +126,7 @@
                 connection.abort("no room")
             if budget.reserve(amount, asking.held):
                 return True
-        self.note_excess("no room")
+        self.note_excess("not admitted")
         return False
 
     def _list_holding(self, asking: BoundedConnection) -> Iterator[BoundedConnection]:
--- a/packages/briarshed-entry/src/briarshed_entry/main.py
+++ b/packages/briarshed-entry/src/briarshed_entry/main.py
@@ -32,7 +32,7 @@
 from briarshed_entry.endpoints import Endpoints
 from briarshed_entry.logs import configure_logs, log_event
 from briarshed_entry.maintenance import Maintenance
-from briarshed_entry.metrics import Metrics, make_middleware
+from briarshed_entry.metrics import Metrics, make_middleware, name_client_gauges
 from briarshed_entry.platform import PlatformClient
 from briarshed_entry.replica import Replica
 from briarshed_entry.scheduler import Scheduler
@@ -98,9 +98,12 @@
                 "jobs.held": float(len(scheduler.list_jobs())),
                 "configuration.version": float(replica.configuration["version"]),
                 "fleet.version": float(replica.fleet["version"]),
+                **name_client_gauges(connections.measure()),
             }
 
-        metrics = await enter(Metrics(settings.statsd, read_gauges))
+        metrics = Metrics(settings.statsd, read_gauges)
+        connections = await enter(make_connections(settings, metrics.count))
+        await enter(metrics)
         caller_application = callers.make_application(
             settings, replica, coordinator, scheduler
         )
@@ -108,7 +111,6 @@
         operator_application = operators.make_application(
             settings, replica, coordinator, scheduler, store.read_prefix
         )
-        connections = await enter(make_connections(settings, metrics.count))
         caller_server = await enter(
             callers.CallerServer(
                 settings, caller_application, connections.open_door("callers")
--- a/packages/briarshed-entry/src/briarshed_entry/metrics.py
+++ b/packages/briarshed-entry/src/briarshed_entry/metrics.py
@@ -11,6 +11,7 @@
 from aiohttp.typedefs import Handler, Middleware
 from statsd import StatsClient
 
+from briarshed.byte_admission import ClientsReport
 from briarshed.settings import StatsdSettings
 from briarshed_entry import clock
 
@@ -78,6 +79,17 @@
             await asyncio.sleep(self._settings.interval_ms / MS_PER_S)
 
 
+def name_client_gauges(report: ClientsReport) -> dict[str, float]:
+    """Return the gauges of what clients use, by name."""
+    gauges = {}
+    for door, held in report.held_bytes.items():
+        gauges[f"clients.held_bytes.{door}"] = float(held)
+        gauges[f"clients.budget_bytes.{door}"] = float(report.budget_bytes[door])
+    for (door, phase), count in report.connections.items():
+        gauges[f"clients.connections.{door}.{phase}"] = float(count)
+    return gauges
+
+
 def make_middleware(metrics: Metrics) -> Middleware:
     """Return a middleware that counts responses by status and records latency."""
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/telemetry.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/telemetry.py
@@ -14,6 +14,7 @@
 )
 
 from briarshed import events
+from briarshed.byte_admission import ClientsReport
 from briarshed_entry import clock
 from briarshed_entry.logs import log_event
 
@@ -50,6 +51,24 @@
     ["data_centre"],
     registry=REGISTRY,
 )
+_HELD_BYTES = Gauge(
+    "briarshed_client_held_bytes",
+    "Memory that requests of clients hold",
+    ["door"],
+    registry=REGISTRY,
+)
+_BUDGET_BYTES = Gauge(
+    "briarshed_client_budget_bytes",
+    "Memory that requests of clients may hold",
+    ["door"],
+    registry=REGISTRY,
+)
+_CONNECTIONS = Gauge(
+    "briarshed_client_connections",
+    "Open connections of clients",
+    ["door", "phase"],
+    registry=REGISTRY,
+)
 
 
 def count(what: str, outcome: str) -> None:
@@ -77,6 +96,14 @@
     _replace(_EVACUATED_RUNS, counts)
 
 
+def set_clients(report: ClientsReport) -> None:
+    """Set what clients use, by listen address."""
+    _replace(_HELD_BYTES, report.held_bytes)
+    _replace(_BUDGET_BYTES, report.budget_bytes)
+    for (door, phase), value in report.connections.items():
+        _CONNECTIONS.labels(door, phase).set(value)
+
+
 def _replace(gauge: Gauge, values: Mapping[str, float]) -> None:
     gauge.clear()
     for name, value in values.items():
--- a/packages/briarshed/src/briarshed/byte_admission.py
+++ b/packages/briarshed/src/briarshed/byte_admission.py
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from typing import Literal, NamedTuple
+from collections.abc import Mapping
+from typing import Literal, NamedTuple, get_args
 
 MB = 1_000_000
 
@@ -58,6 +59,8 @@
 
 Phase = Literal["idle", "head", "body", "handling", "writing", "closing", "discarding"]
 
+PHASES: tuple[str, ...] = get_args(Phase)
+
 
 class ProcessShare(NamedTuple):
     """What clients may use of a process.
@@ -74,6 +77,22 @@
     connections: int
 
 
+class ClientsReport(NamedTuple):
+    """What clients use of a process at a time, for its metrics.
+
+    Attributes
+    ----------
+    held_bytes, budget_bytes : Mapping
+        Bytes that requests hold and may hold, by listen address.
+    connections : Mapping
+        Number of connections by listen address and phase, also of those with none.
+    """
+
+    held_bytes: Mapping[str, int]
+    budget_bytes: Mapping[str, int]
+    connections: Mapping[tuple[str, str], int]
+
+
 class RequestBounds(NamedTuple):
     """Limits of each request, in bytes and seconds."""
 
