Test that a frozen process with a crowd ends within its grace

What was missing: the one scenario about SIGTERM waited 30 s, whatever the grace, and no process had been frozen before, or was when the signal came.

Change, in tests only: the entries of these features have a grace of 20 s, and the process must end within that.

--- a/features/connections/crowds.feature
+++ b/features/connections/crowds.feature
@@ -84,4 +84,4 @@
   Scenario: A crowd does not keep a process from ending
     Given the door "platform callers" with 96 MB and 1000 descriptors
     When 200 clients send "everything" and stay
-    Then the process ends on SIGTERM
+    Then the process ends on SIGTERM within its grace
--- a/features/connections/doors.py
+++ b/features/connections/doors.py
@@ -27,6 +27,7 @@
 HOST, QUEUE, KEY = "h.example", "/q/", "key-1"
 CROWD = Path(__file__).with_name("crowd.py")
 TIMEOUT_S = 30.0
+GRACE_S = 20.0
 NO_LEADER = b'{"error":"not accepted"}'
 
 
@@ -152,6 +153,7 @@
             f'ready = "{addresses["readiness"]}"\n'
             "[limits]\ncpu-share = 1.0\ncores = 1\n"
             f"memory-mb = {memory_mb}\nmax-fds = {descriptors}\n"
+            f"[bounds]\ngrace-s = {GRACE_S}\n"
             f'[platform]\naddress = "{self._store.address}"\n'
             f'[cloud-api]\naddress = "{self._instances.address}"\n'
         )
--- a/features/connections/steps/request_steps.py
+++ b/features/connections/steps/request_steps.py
@@ -8,6 +8,7 @@
 from behave import then, when
 from crowd_steps import step_bounds, step_crowd
 from doors import (
+    GRACE_S,
     TIMEOUT_S,
     Answer,
     await_leader,
@@ -255,10 +256,20 @@
     wait_until("a new leader accepts", lambda: context.door.request().status == 200)
 
 
-@then("the process ends on SIGTERM")
-def step_sigterm(context):
+@when("the process is frozen when it gets SIGTERM")
+def step_frozen_sigterm(context):
+    context.door.process.stop()
     context.door.process.terminate()
-    assert context.door.process.wait(TIMEOUT_S) == 0
+    time.sleep(FREEZE_S)
+    context.door.process.resume()
+
+
+@then("the process ends on SIGTERM within its grace")
+def step_sigterm(context):
+    process = context.door.process
+    if process.is_running():
+        process.terminate()
+    assert process.wait(GRACE_S) == 0
 
 
 @when('{count:d} clients of {where} send "{kind}" and stay')
