--- a/features/connections/steps/request_steps.py
+++ b/features/connections/steps/request_steps.py
@@ -8,6 +8,7 @@
 from behave import then, when
 from crowd_steps import step_bounds, step_crowd
 from doors import (
+    GRACE_S,
     TIMEOUT_S,
     Answer,
     await_leader,
@@ -255,10 +256,20 @@
     wait_until("a new leader accepts", lambda: context.door.request().status == 200)
 
 
-@then("the process ends on SIGTERM")
-def step_sigterm(context):
+@when("the process is frozen when it gets SIGTERM")
+def step_frozen_sigterm(context):
+    context.door.process.stop()
     context.door.process.terminate()
-    assert context.door.process.wait(TIMEOUT_S) == 0
+    time.sleep(FREEZE_S)
+    context.door.process.resume()
+
+
+@then("the process ends on SIGTERM within its grace")
+def step_sigterm(context):
+    process = context.door.process
+    if process.is_running():
+        process.terminate()
+    assert process.wait(GRACE_S) == 0
 
 
 @when('{count:d} clients of {where} send "{kind}" and stay')
@@ -285,3 +296,35 @@
     answer = context.door.request()
     assert answer.status in (200, 503), answer
     step_bounds(context)
+
+
+def read_metric(context, name):
+    """Return a value of the metrics page of the entry."""
+    page = call(context.entries.metrics, "GET", "/metrics", {}).content.decode()
+    line = next(row for row in page.splitlines() if row.startswith(name + " "))
+    return float(line.rpartition(" ")[2])
+
+
+BODIES = 'briarshed_client_connections{door="callers",phase="body"}'
+HELD = 'briarshed_client_held_bytes{door="callers"}'
+
+
+@when("a client sends {count:d} bytes of a body of {size:d} bytes and waits")
+def step_part(context, count, size):
+    host, _, port = context.door.address.rpartition(":")
+    context.client = socket.create_connection((host, int(port)), TIMEOUT_S)
+    context.add_cleanup(context.client.close)
+    context.client.sendall(make_head(context, size) + make_job(size)[:count])
+    wait_until("the head is read", lambda: read_metric(context, BODIES) == 1)
+
+
+@then("the metrics page shows 1 connection with a body, and bytes held")
+def step_page(context):
+    wait_until("the part is read", lambda: read_metric(context, HELD) >= 1_000)
+
+
+@then("the metrics page shows 0 connections with a body when the client has left")
+def step_page_after(context):
+    context.client.close()
+    wait_until("the client is gone", lambda: read_metric(context, BODIES) == 0)
+    wait_until("its bytes are returned", lambda: read_metric(context, HELD) == 0)
