End the fleet's program on SIGINT although its parent ignores it

Cause: a shell without job control lets what it starts in the background ignore SIGINT, and the program kept that: it went on after the signal. Change: the program sets its own handler for SIGINT, as it does for SIGTERM and SIGHUP.

--- a/features/standins/fleet.feature
+++ b/features/standins/fleet.feature
@@ -33,6 +33,13 @@
   Scenario: Two fleets at once never choose the same address
     Then 400 addresses of each of two fleets are all different
 
+  Scenario: All processes end with a program that a shell has started in the background
+    # Guards against a fleet that goes on after SIGINT: such a shell lets it ignore the
+    # signal, as in a run of CI in the background.
+    Given "make fleet" is running, and its parent ignores SIGINT
+    When the fleet's program gets SIGINT
+    Then none of its processes is left after 10 s
+
   Scenario Outline: All processes end with the program
     Given "make fleet" is running
     When the fleet's program gets <signal>
--- a/features/standins/steps/fleet_steps.py
+++ b/features/standins/steps/fleet_steps.py
@@ -185,6 +185,15 @@
     assert set(line["processes"].values()) <= pids, line
 
 
+@given('"make fleet" is running, and its parent ignores SIGINT')
+def step_ignoring(context):
+    original = signal.signal(signal.SIGINT, signal.SIG_IGN)
+    try:
+        step_program(context)
+    finally:
+        signal.signal(signal.SIGINT, original)
+
+
 @when("the fleet's program gets {name}")
 def step_program_signal(context, name):
     psutil.Process(context.program.pid).send_signal(getattr(signal, name))
--- a/packages/briarshed-standins/src/briarshed_standins/fleet.py
+++ b/packages/briarshed-standins/src/briarshed_standins/fleet.py
@@ -622,7 +622,11 @@
 
 
 def end_on_signals() -> None:
-    """Handle SIGTERM and SIGHUP like Ctrl-C, so that the fleet is ended too."""
+    """Handle SIGTERM and SIGHUP like Ctrl-C, so that the fleet is ended too.
+
+    SIGINT may be ignored, as a shell does for what it starts in the background.
+    """
+    signal.signal(signal.SIGINT, _raise_interrupt)
     signal.signal(signal.SIGTERM, _raise_interrupt)
     signal.signal(signal.SIGHUP, _raise_interrupt)
 
