Measure spells of demand by the jobs that arrive

Cause: a spell was measured by all demand of a pool, with what waits. Where a spell asks for more than the pool can do, one of 4 s seemed to last for 6 s or longer, so that own instances left for spells that were over by the time that they had moved.

Change: only the demand of arriving jobs starts, prolongs and ends a spell. How many instances have to stay still counts what waits.

Ruled out: urgent pools first and the rest of runs as causes; both leave the number of moves as it was in the emulation.

Feature standing_by passes; the new scenario with a spell of 4 s fails without the change.

--- a/features/workloads/standing_by.feature
+++ b/features/workloads/standing_by.feature
@@ -29,6 +29,18 @@
       | short spells              | 1    | 4     | 8     | 8     |
       | no spell                  | 1    | 0     | 8     | 8     |
 
+  Scenario Outline: Work that is left over does not prolong a spell
+    # Pattern: turns of 4 s that ask for more than the pool can do. Guards against moves
+    # for a spell that is over by the time that an instance has moved.
+    Given a pool of 8 instances with a spell of <spell> s that takes 6 s longer to work off
+    Then <floor> have to be in it <quiet> s after the spell
+
+    Examples:
+      | spell | quiet | floor |
+      | 4     | 15    | 8     |
+      | 10    | 8     | 8     |
+      | 10    | 15    | 4     |
+
   Scenario: Instances come back ahead of a spell that is forecast
     # Guards against a spell that starts with half of the pool (pattern: regular turns).
     Given a pool of 8 instances with a spell of 10 s every 40 s, seen 4 times
--- a/features/workloads/steps/standing_by_steps.py
+++ b/features/workloads/steps/standing_by_steps.py
@@ -8,12 +8,14 @@
 from engine_steps import JOB, NEED, NOW, make_engine, submit
 from wave_takeover_steps import run_maintenance
 
+from briarshed_entry import clock
 from briarshed_workloads.demand_forecast import Spell, forecast_spell
 from briarshed_workloads.interfaces import OutcomeUnknownError
 from briarshed_workloads.records import SizesRecord, decode, encode
 from briarshed_workloads.sizing import (
     ALL_INSTANCES,
     MIN_INSTANCES,
+    ArrivalRate,
     PoolDemand,
     measure_demands,
     plan_moves,
@@ -36,23 +38,35 @@
     assert found == expected, forecast
 
 
-def play(context, spells, until, need=1, widest=0):
+def play(context, spells, until, need=1, widest=0, rest=0):
     """Measure a pool until a time, and keep its floor at each time.
 
     Long-running tasks need ``need`` of its instances, also between the spells.
     """
     context.standing_by, context.floors = StandingBy(-10.0, MOVE_S), []
-    go_on(context, spells, -10.0, until, need, widest)
+    go_on(context, spells, -10.0, until, need, widest, rest=rest)
 
 
-def go_on(context, spells, now, until, need=1, widest=0, count=SIZE):
-    """Measure a pool from one time to another."""
+def go_on(context, spells, now, until, need=1, widest=0, count=SIZE, rest=0):
+    """Measure a pool from one time to another.
+
+    What has arrived in a spell takes ``rest`` seconds longer to work off.
+    """
     while now < until:
-        is_busy = any(start <= now < end for start, end in spells)
+        arriving = SIZE * 1000.0 * any(start <= now < end for start, end in spells)
+        is_busy = any(start <= now < end + rest for start, end in spells)
         demand = SIZE * 1000.0 if is_busy else 0.0
         lasting = Resources(need * 1000)
         capacity = Resources(count * 1000, count * 1000)
-        row = PoolDemand(demand, lasting, capacity, count, MIN_INSTANCES, widest)
+        row = PoolDemand(
+            demand,
+            lasting,
+            capacity,
+            count,
+            MIN_INSTANCES,
+            widest,
+            arriving=arriving,
+        )
         floors = context.standing_by.choose_floors({"p": row}, {"p": SIZE}, now)
         context.floors.append((now, floors["p"]))
         now += STEP_S
@@ -71,6 +85,15 @@
     play(context, [(0, spell)], spell + 10, need=need)
 
 
+@given(
+    "a pool of 8 instances with a spell of {spell:d} s "
+    "that takes 6 s longer to work off"
+)
+def step_rest_of_spell(context, spell):
+    context.end = spell
+    play(context, [(0, spell)], spell + 16, rest=6)
+
+
 @then("{floor:d} have to be in it {quiet:d} s after the spell")
 def step_floor(context, floor, quiet):
     assert find_floor(context, context.end + quiet) == floor
@@ -122,6 +145,9 @@
 
 @given("records of an earlier version")
 def step_earlier(context):
+    rate = ArrivalRate()
+    rate.add(1e6, clock.now() + 5.0)
+    context.maintenance.moves._rates["pool"] = rate
     old = msgspec.msgpack.encode(({"pool": 1}, ()))
     context.maintenance.restore_sizes(decode(old, SizesRecord))
 
@@ -129,7 +155,7 @@
 @when("its demand ends")
 def step_demand_ends(context):
     context.engine.open_jobs.clear()
-    now = context.maintenance._listed_at + 20.0
+    now = context.maintenance._listed_at + 40.0
     for _ in range(2):
         asyncio.run(context.maintenance.run_once(now))
         now += 5.0
--- a/packages/briarshed-workloads/src/briarshed_workloads/sizing.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/sizing.py
@@ -144,6 +144,8 @@
         Instances over which the tasks of an open job have to be spread at most.
     levels : tuple of DemandLevel
         Parts of the demand by the priority of the queues.
+    arriving : float
+        Millicores demanded by the jobs that arrive, without those that wait.
     """
 
     demand: float
@@ -153,14 +155,15 @@
     min_instances: int
     widest: int = 0
     levels: tuple[DemandLevel, ...] = ()
+    arriving: float = 0.0
 
     def find_need(self) -> float:
         """Return the need of the pool in instances."""
         return self.count - self.find_surplus()
 
     def find_load(self) -> float:
-        """Return the need of jobs without long-running tasks in instances."""
-        return self.demand * self.count / max(1, self.capacity.cpu)
+        """Return the instances that the arriving jobs need."""
+        return self.arriving * self.count / max(1, self.capacity.cpu)
 
     def find_surplus(self) -> float:
         """Return the surplus of the pool in instances; negative for a shortage."""
@@ -243,6 +246,7 @@
         min_instances,
         widest,
         split_demand(backlog, late),
+        rate * 1000,
     )
 
 
