Count spells as recorded only once they are

Cause: a write of the sizes that raised an error left spells marked as recorded, so that the next leader missed them until the next move or spell.

Change: they are marked after the write, or after it is requested.

Ruled out: marking them when the store confirms the later write; persistence repeats it until it succeeds.

No test of its own: found in review.

--- a/packages/briarshed-workloads/src/briarshed_workloads/moves_control.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/moves_control.py
@@ -143,12 +143,15 @@
             if now - self._rejected_at.get((move.instance, move.pool), -math.inf)
             >= REJECTED_MOVE_RETRY_S
         ]
+        unix_now = engine.to_unix_time(now)
         if not moves:
             if not self._is_recorded:
-                self._note_sizes(self._make_record(held, now, engine.to_unix_time(now)))
+                self._note_sizes(self._make_record(held, now, unix_now))
+                self._is_recorded = True
             return
         self._moved_at.update({move.instance: now for move in moves})
-        await self._record(self._make_record(held, now, engine.to_unix_time(now)))
+        await self._record(self._make_record(held, now, unix_now))
+        self._is_recorded = True
         await complete_all(
             self.carry_out(engine, instances, move)
             for move in moves
@@ -204,7 +207,6 @@
         recent = self._orders.list_recent(self._moved_at, now)
         offset = unix_now - now
         spells = self._standing_by.list_spells() if self._standing_by else {}
-        self._is_recorded = True
         return SizesRecord(
             self.sizes,
             tuple(sorted({*recent, *held})),
