Bound the time of TLS handshakes by that of heads

Cause: with TLS, a connection belongs to its door only once its handshake is complete. A client that sent nothing, or a part of a handshake, kept a descriptor and the buffers of the TLS layer for the library's 60 s, and no limit of clients applied to it.

The platform has no TLS.

The feature starts the callers' port with a certificate of its own, for tests only, and no other process.

--- /dev/null
+++ b/features/connections/tls.feature
@@ -0,0 +1,14 @@
+Feature: Callers' port with TLS
+  Guards against connections that take descriptors and memory before they count as
+  connections of clients: before that, they have to complete a TLS handshake.
+
+  Scenario Outline: A client that does not complete its handshake is closed
+    Given a callers' port with TLS, and a head's time of 0.5 s
+    When a client sends <what> and stays
+    Then it is closed long before the handshake time of the library
+    And an ordinary request over TLS is answered
+
+    Examples:
+      | what                      |
+      | nothing                   |
+      | the start of a handshake  |
--- a/packages/briarshed-entry/src/briarshed_entry/callers.py
+++ b/packages/briarshed-entry/src/briarshed_entry/callers.py
@@ -119,6 +119,8 @@
         self._door = door
         self.address = settings.callers.address
         self._tls = settings.callers.tls
+        # A handshake comes before the connection counts as one of a client.
+        self._handshake_timeout = settings.connections.header_timeout_ms / 1000
         # A handler is cancelled when its caller disconnects.
         self._runner = web.AppRunner(application, handler_cancellation=True)
         self._server: asyncio.Server | None = None
@@ -136,6 +138,7 @@
             host,
             int(port),
             ssl=context,
+            ssl_handshake_timeout=self._handshake_timeout if context else None,
             backlog=self._door.backlog,
         )
         bound = self._server.sockets[0].getsockname()[1]
