Test that starts go on in an outage longer than the evacuation limit

The scenario fails if the permit of starts takes no account of the consent of all members. It does not fail if the age is counted from the last list after the outage: starts are withheld for less than 2 s then.

--- a/features/workloads/evacuation.feature
+++ b/features/workloads/evacuation.feature
@@ -121,6 +121,13 @@
     When a job with 6 tasks is planned
     Then 2 tasks start in "d1" and 4 in "d2"
 
+  Scenario: Starts go on in an outage of the store that lasts longer than the limit
+    # Guards against a fleet that starts nothing in such an outage, or just after it, since
+    # its list of evacuations is old: nobody could request one.
+    Given 4 entries, and 4 endpoints in each of two data centres, which get jobs
+    When the store is away for 12 s while accepted jobs wait
+    Then tasks start every 2 s from 6 s on until 2 s after its return
+
   Scenario Outline: A fleet learns of evacuations and returns in time
     # Guards against requests and removals that are forgotten, or kept, around a change of
     # the leader, an outage of the store, a partition or a wave, and against a watch that
--- a/features/workloads/steps/evacuation_steps.py
+++ b/features/workloads/steps/evacuation_steps.py
@@ -389,6 +389,7 @@
 AFTER_S = 8.0
 AWAY_S = 3.0
 MAX_AGE_S = 5.0
+SLOW_TASK_S, WAITING_JOBS = 0.9, 200
 
 
 @given("4 entries, and 4 endpoints in each of two data centres, which get jobs")
@@ -438,6 +439,41 @@
     run_virtually(run())
 
 
+@when("the store is away for {seconds:g} s while accepted jobs wait")
+def step_outage(context, seconds):
+    async def run():
+        fleet = Fleet(ENTRIES, tuple(ENDPOINTS))
+        fleet.limits = fleet.limits._replace(evacuation=MAX_AGE_S)
+        async with fleet:
+            endpoints = fleet.endpoints.by_name.values()
+            for endpoint in endpoints:
+                endpoint.task_s = SLOW_TASK_S
+            await fleet.wait_for_leader()
+            for number in range(WAITING_JOBS):
+                fleet.submit(number)
+            await asyncio.sleep(WARM_UP_S)
+            for client in fleet.clients.values():
+                client.is_cut = True
+            context.away_at = clock.now()
+            await asyncio.sleep(seconds)
+            fleet.reconnect_store()
+            context.back_at = clock.now()
+            await asyncio.sleep(AFTER_S)
+            context.starts = [at for row in endpoints for at in list_starts(row)]
+
+    run_virtually(run())
+
+
+@then(
+    "tasks start every {pause:d} s from {first:g} s on until {last:g} s after its"
+    " return"
+)
+def step_go_on(context, pause, first, last):
+    begin, end = context.away_at + first, context.back_at + last
+    found = {int((at - begin) / pause) for at in context.starts if begin <= at < end}
+    assert found == set(range(int((end - begin) / pause))), sorted(found)
+
+
 def list_starts(endpoint):
     """Return when each run at an endpoint has started."""
     return [row[1] for row in endpoint.record] + list(endpoint.running.values())
