Tell racks of the same name in two data centres apart

Cause: an endpoint that crashed was taken as lost with its rack if another endpoint with a rack of that name was lost at the same time, in whatever data centre. Change: a rack is named with its data centre. Result: crashing_tasks.feature passes; the new row is "unrelated" before.

--- a/features/workloads/crashing_tasks.feature
+++ b/features/workloads/crashing_tasks.feature
@@ -177,6 +177,7 @@
       | 1     | its rack and another pool | 0.02    | 0.6  | a crash at its start   |
       | 1     | its rack and another pool | 0.5     | 0.02 | the only one suspected |
       | 1     | another rack              | 0.02    | 0.02 | the only one suspected |
+      | 1     | its rack's name elsewhere | 0.02    | 0.02 | the only one suspected |
       | 3     | three other racks         | 0.02    | 0.02 | a crash at its start   |
 
   Scenario: A task that is always lost with its rack is not given up
--- a/features/workloads/steps/crashing_task_steps.py
+++ b/features/workloads/steps/crashing_task_steps.py
@@ -415,6 +415,8 @@
         changes = {"pool": "another"}
         if place.startswith("its rack"):
             changes["rack"] = rack
+        if place.endswith("elsewhere"):
+            changes["data_centre"] = "another"
         endpoint.registration = endpoint.registration._replace(**changes)
 
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/crashes.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/crashes.py
@@ -117,7 +117,9 @@
     if endpoint.failing_since:
         time = CrashTime(endpoint.alive_until, endpoint.failing_since)
     registration = endpoint.registration
-    return Outage(endpoint.place, registration.rack or registration.data_centre, time)
+    # Data centres may name their racks alike.
+    rack = f"{registration.data_centre} {registration.rack}"
+    return Outage(endpoint.place, rack, time)
 
 
 def _list_outages(engine: Engine, now: float) -> list[Outage]:
--- a/packages/briarshed-workloads/src/briarshed_workloads/evidence.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/evidence.py
@@ -139,7 +139,7 @@
 class Outage(NamedTuple):
     """Time at which an endpoint on an instance stopped responding.
 
-    ``rack`` is the data centre where the rack is not known.
+    ``rack`` has the data centre and the rack in it, which may be unknown.
     """
 
     instance: str
