Go on leading while evacuations cannot be read

Cause: a leader that could not read the evacuations for twice the limit yielded. Where the reads fail at all entries, or there is one entry, the next leader cannot load, nobody polls, and all runs lapse after 4 s. The time of the next yield also outlived a loss of authority, so that a leader yielded in the first plan after it.

Change: it withholds starts, and nothing else. The code for yielding is taken out.

Tests: the row "the leader cannot read the orders" expected that another entry leads, so that tasks start again although these reads fail for good. That is what is taken back: its reads now succeed before the return, and the bound on starts after the request is as before. The assertions on the time of the yield are gone with it; in their place a fleet of one and of two entries without reads for 20 s must keep its leader and all its runs.

Ruled out: yielding only where another entry can read. Nothing tells the leader so; the others follow its heartbeat and read nothing.

--- a/features/workloads/evacuation.feature
+++ b/features/workloads/evacuation.feature
@@ -141,4 +141,23 @@
       | an entry that joins takes the leadership         | 1.5   | 1.5  |
       | "d1" is cut off from 2 s to 8 s later            | 1.5   | 4    |
       | another request overlaps                         | 1.5   | 1.5  |
-      | the leader cannot read the orders from 1 s before | 4.5  | 1.5  |
+      | the leader cannot read the orders, but before its return | 4.5 | 1.5 |
+
+  Scenario Outline: Reads that fail at all entries end no run
+    # Guards against leaders that yield one after the other, since none can read the
+    # evacuations, until the leases of all runs have lapsed.
+    Given <count> entries whose endpoints run 16 long tasks
+    When no entry can read the orders for 20 s
+    Then the same entry leads, and all 16 tasks run on
+    And tasks may start 4 s later
+
+    Examples:
+      | count |
+      | 1     |
+      | 2     |
+
+  Scenario: Each loss of authority begins a new count of withheld starts
+    # Guards against a log that counts the time without authority as withheld.
+    Given a leader with a lease that read the evacuations 6 s ago
+    When its starts are withheld, and it regains authority 20 s later
+    Then its log tells of starts withheld at 0 s and 20 s
--- a/packages/briarshed-workloads/src/briarshed_workloads/controller.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/controller.py
@@ -167,10 +167,7 @@
             self._changed.set,
         )
         self.start_permit = StartPermit(
-            term,
-            self.engine,
-            options.site_limits.evacuation,
-            lambda reason: self.spawn(term.yield_leadership(reason), "yield"),
+            term, self.engine, options.site_limits.evacuation
         )
         self.orders = OrderSender(
             term,
@@ -544,6 +541,7 @@
             had_authority, has_authority = has_authority, self.term.has_authority()
             if has_authority:
                 if not had_authority:
+                    self.start_permit.note_authority()
                     self.poller.wake_all()
                 self._issue_orders(clock.now())
             await asyncio.sleep(PLAN_PAUSE_S)
--- a/packages/briarshed-workloads/src/briarshed_workloads/start_permit.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/start_permit.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
 from briarshed import events
 from briarshed_entry.logs import log_event
 from briarshed_workloads.engine import Engine
@@ -37,24 +35,17 @@
         State that holds what is known of evacuations.
     max_age : float
         Time in seconds within which an evacuation must be in force; 0 for no limit.
-    yield_leadership : callable
-        Lets another entry lead, for a reason. Called once the leader's lease has been
-        renewed for as long again while its reads fail.
     """
 
-    def __init__(
-        self,
-        term: LeaderTerm,
-        engine: Engine,
-        max_age: float,
-        yield_leadership: Callable[[str], object],
-    ) -> None:
+    def __init__(self, term: LeaderTerm, engine: Engine, max_age: float) -> None:
         self._term = term
         self._engine = engine
         self._max_age = max_age
-        self._yield_leadership = yield_leadership
         self._withheld_since = 0.0
-        self._yields_at = 0.0
+
+    def note_authority(self) -> None:
+        """Note that the leader has regained its authority; before, nothing started."""
+        self._withheld_since = 0.0
 
     def is_valid(self, now: float) -> bool:
         """Return whether tasks may start.
@@ -81,8 +72,4 @@
         elif not is_valid and not self._withheld_since:
             log_event(events.STARTS_WITHHELD, seconds=self._max_age)
             self._withheld_since = now
-            self._yields_at = now + self._max_age
-        elif not is_valid and now >= self._yields_at:
-            self._yields_at = now + self._max_age
-            self._yield_leadership("the evacuations cannot be read")
         return is_valid
