Leave evacuated instances out of moves between pools

Cause: the choice of moves counted every serving instance as capacity, and picked the first one of the donor's pool. An instance in an evacuated data centre could be picked: no job starts at it, and it counts as unavailable in its new pool, whose budget stays used up until the data centre returns. Such instances also hid a shortage, and counted as supply of a donor and as incoming. Outages.add did not count an evacuated instance against the target pool of its move, in which it was not unavailable before, so that one round could begin a second stop there.

Change: choose_moves and note_demand count the instances at which jobs can start (count_available), and pick only such. An instance that is stopping in an evacuated data centre is not incoming. Outages.add raises the unavailable count of a target pool in any case. `show pools` counts serving instances as before.

Ruled out: refusing operators' own moves of evacuated instances. They are checked against both budgets, as before. Demand still includes jobs that run on in an evacuated data centre, so that a shortage is seen somewhat larger than it is until they end.

--- a/features/maintenance/moves.feature
+++ b/features/maintenance/moves.feature
@@ -46,6 +46,39 @@
     When pool "a" demands 32 slots and pool "b" demands 2 for 400 s
     Then the chosen moves are "b to a"
 
+  Scenario Outline: Instances in an evacuated data centre are no capacity for moves
+    Guards against a move of an instance at which no job can start, after which the pool's
+    budget is used up until the data centre returns, and against a shortage that is not
+    seen, since such instances count.
+    Given pools "a", "b" and the spare pool "reserve" with 3 instances each
+    And <evacuated> are in an evacuated data centre
+    And each pool has a budget of 3
+    When pool "a" demands <a> slots and pool "b" demands 5 for 400 s
+    Then the chosen instances are "<instances>"
+
+    Examples:
+      | evacuated                          | a  | instances |
+      | none                               | 32 | reserve-0 |
+      | reserve-0                          | 32 | reserve-1 |
+      | reserve-0, reserve-1, reserve-2    | 32 | b-0       |
+      | reserve-0, reserve-1, b-0          | 32 | reserve-2 |
+      | a-0                                | 22 | reserve-0 |
+      | none                               | 22 |           |
+
+  Scenario Outline: A stopping instance counts as incoming unless it is evacuated
+    Guards against a pool that waits for an instance at which no job will start.
+    Given pools "a", "b" and the spare pool "reserve" with 3 instances each
+    And <evacuated> are in an evacuated data centre
+    And each pool has a budget of 3
+    And "a-0" is rebooting
+    When pool "a" demands 24 slots and pool "b" demands 5 for 2000 s
+    Then the chosen instances are "<instances>"
+
+    Examples:
+      | evacuated | instances |
+      | none      |           |
+      | a-0       | reserve-0 |
+
   Scenario Outline: A recent move is not reversed
     Given pools "a", "b" and the spare pool "reserve" with 3 instances each
     And an instance moved from "<before>" to "<after>" <ago> s before the decision
--- a/features/maintenance/steps/moves_steps.py
+++ b/features/maintenance/steps/moves_steps.py
@@ -69,6 +69,25 @@
     context.weights = WeightsSettings(buffer, moves, share)
 
 
+@given("{names} are in an evacuated data centre")
+def step_evacuated_instances(context, names):
+    fleet = context.world.fleet
+    fleet["evacuated"] = {"dc2": {"since": 0.0, "who": "maria"}}
+    for name in names.split(", ") if names != "none" else ():
+        fleet["instances"][name]["data_centre"] = "dc2"
+
+
+@given("each pool has a budget of {budget:d}")
+def step_budgets(context, budget):
+    for pool in context.world.configuration["pools"].values():
+        pool["budget"] = budget
+
+
+@given('"{name}" is rebooting')
+def step_rebooting(context, name):
+    context.world.fleet["instances"][name]["state"] = "rebooting"
+
+
 @given("the spare pool has no serving instance")
 def step_no_spare(context):
     instances = context.world.fleet["instances"]
@@ -108,7 +127,13 @@
     assert chosen == moves, chosen
 
 
+@then('the chosen instances are "{names}"')
+def step_instances(context, names):
+    assert [move.instance for move in context.moves] == [names], context.moves
+
+
 @then('the chosen moves are ""')
+@then('the chosen instances are ""')
 def step_chosen_none(context):
     assert not context.moves, context.moves
 
--- a/features/maintenance/steps/waves_steps.py
+++ b/features/maintenance/steps/waves_steps.py
@@ -138,6 +138,26 @@
     )
 
 
+@when('2 instances in "{data_centre}" are to move to a pool with budget 1')
+def step_move_two(context, data_centre):
+    world = context.world
+    world.fleet["waves"] = {}
+    moves = [
+        Move(name, "a", "b")
+        for name, item in world.fleet["instances"].items()
+        if item["data_centre"] == data_centre
+    ]
+    assert len(moves) == 2
+    context.steps = decide_steps(
+        world.configuration, world.fleet, {}, PlanningContext(True, True), moves
+    )
+
+
+@then("1 of them stops")
+def step_one_stops(context):
+    assert [step.target_pool for step in context.steps] == ["b"], context.steps
+
+
 @then("it is kept")
 def step_kept(context):
     assert [step.event for step in context.steps] == ["keep"], context.steps
--- a/features/maintenance/waves.feature
+++ b/features/maintenance/waves.feature
@@ -162,6 +162,19 @@
       | dc1         | kept        |
       | dc2         | not kept    |
 
+  Scenario Outline: A move uses the budget of its target pool
+    Guards against a second stop in the target pool, in which an instance of an evacuated
+    data centre is unavailable from then on.
+    Given 4 instances of pool "a", of which 2 are in evacuated "dc2"
+    And the budget is 4 and 0 of those in "dc2" are out of service
+    When 2 instances in "<data_centre>" are to move to a pool with budget 1
+    Then 1 of them stops
+
+    Examples:
+      | data_centre |
+      | dc1         |
+      | dc2         |
+
   Scenario: A wave halts after two failed returns and resumes
     Guards against a bad image that is rolled out to the whole pool.
     Given 6 instances of pool "a" in 2 racks with budget 3 and a wave over them
--- a/packages/briarshed/src/briarshed/budgets.py
+++ b/packages/briarshed/src/briarshed/budgets.py
@@ -57,9 +57,12 @@
         return self.unavailable
 
     def add(self, fleet: Fleet, instance: Instance, pool: str) -> None:
-        """Count an instance of a pool that goes out of service."""
+        """Count an instance that goes out of service against its pool or its target.
+
+        One in an evacuated data centre is unavailable in its own pool before.
+        """
         self.out_of_service[pool] = self.out_of_service.get(pool, 0) + 1
-        if not is_evacuated(fleet, instance):
+        if pool != instance["pool"] or not is_evacuated(fleet, instance):
             self.unavailable[pool] = self.unavailable.get(pool, 0) + 1
 
 
@@ -76,12 +79,7 @@
 
     Those in evacuated data centres count too, since no job starts there.
     """
-    return _count(
-        fleet,
-        lambda instance: (
-            instance["state"] != IN_SERVICE or is_evacuated(fleet, instance)
-        ),
-    )
+    return _count(fleet, lambda instance: not is_available(fleet, instance))
 
 
 def _count(fleet: Fleet, is_counted: Callable[[Instance], bool]) -> dict[str, int]:
@@ -95,11 +93,17 @@
 
 def count_serving(fleet: Fleet) -> dict[str, int]:
     """Return the number of serving instances by pool, without zeros."""
-    counts: dict[str, int] = {}
-    for instance in fleet["instances"].values():
-        if instance["state"] == IN_SERVICE:
-            counts[instance["pool"]] = counts.get(instance["pool"], 0) + 1
-    return counts
+    return _count(fleet, lambda instance: instance["state"] == IN_SERVICE)
+
+
+def count_available(fleet: Fleet) -> dict[str, int]:
+    """Return the number of instances by pool at which jobs can start, without zeros."""
+    return _count(fleet, lambda instance: is_available(fleet, instance))
+
+
+def is_available(fleet: Fleet, instance: Instance) -> bool:
+    """Return whether jobs can start at an instance."""
+    return instance["state"] == IN_SERVICE and not is_evacuated(fleet, instance)
 
 
 def has_budget(configuration: Configuration, unavailable: int, pool: str) -> bool:
--- a/packages/briarshed/src/briarshed/moves.py
+++ b/packages/briarshed/src/briarshed/moves.py
@@ -1,8 +1,9 @@
 """Moves of instances between pools, decided from sustained demand.
 
 Demand is the number of jobs that run or wait, and capacity the number of slots of
-serving instances. Queues absorb bursts of seconds. A move takes minutes, so it is only
-useful for demand that lasts longer than the move.
+serving instances that are not in an evacuated data centre. Queues absorb bursts of
+seconds. A move takes minutes, so it is only useful for demand that lasts longer than
+the move.
 """
 
 from __future__ import annotations
@@ -13,11 +14,13 @@
 
 from briarshed.budgets import (
     STOPPING_STATES,
-    count_serving,
+    count_available,
     count_unavailable,
     has_budget,
+    is_available,
 )
 from briarshed.documents import Configuration, Fleet
+from briarshed.evacuations import is_evacuated
 from briarshed.settings import WeightsSettings
 from briarshed.waves import Move
 
@@ -86,7 +89,7 @@
     now: float,
 ) -> MoveState:
     """Return the state after a sample of the demand of each pool, in slots."""
-    serving = count_serving(fleet)
+    available = count_available(fleet)
     demands = {}
     for pool, content in configuration["pools"].items():
         slots = content["slots"]
@@ -95,7 +98,7 @@
             # Without samples in between, demand may not have lasted.
             previous = None
         mean = _average(previous, demand.get(pool, 0.0), now)
-        capacity = serving.get(pool, 0) * slots
+        capacity = available.get(pool, 0) * slots
         shortage = mean > capacity
         surplus = mean + SURPLUS_HEADROOM * slots <= capacity - slots
         demands[pool] = PoolDemand(
@@ -166,7 +169,7 @@
     moves = []
     for pool, lasted_s in shortage:
         slots = configuration["pools"][pool]["slots"]
-        incoming = supply.serving.get(pool, 0) + supply.incoming.get(pool, 0)
+        incoming = supply.available.get(pool, 0) + supply.incoming.get(pool, 0)
         needed_slots = state.demands[pool].mean - incoming * slots
         if needed_slots <= 0 or not supply.has_budget(configuration, pool):
             continue
@@ -184,9 +187,9 @@
 
 
 class _Supply(NamedTuple):
-    """Instances by pool: serving, unavailable, and in a planned stop."""
+    """Instances by pool: available, unavailable, and available after a planned stop."""
 
-    serving: Mapping[str, int]
+    available: Mapping[str, int]
     unavailable: Mapping[str, int]
     incoming: Mapping[str, int]
 
@@ -197,10 +200,10 @@
 def _count_supply(fleet: Fleet) -> _Supply:
     incoming: dict[str, int] = {}
     for instance in fleet["instances"].values():
-        if instance["state"] in STOPPING_STATES:
+        if instance["state"] in STOPPING_STATES and not is_evacuated(fleet, instance):
             pool = instance["target_pool"] or instance["pool"]
             incoming[pool] = incoming.get(pool, 0) + 1
-    return _Supply(count_serving(fleet), count_unavailable(fleet), incoming)
+    return _Supply(count_available(fleet), count_unavailable(fleet), incoming)
 
 
 def _list_shortages(
@@ -254,7 +257,7 @@
     configuration: Configuration, state: MoveState, supply: _Supply, pool: str
 ) -> float:
     slots = configuration["pools"][pool]["slots"]
-    return max(0.0, supply.serving.get(pool, 0) * slots - state.demands[pool].mean)
+    return max(0.0, supply.available.get(pool, 0) * slots - state.demands[pool].mean)
 
 
 def _find_gain(weights: WeightsSettings, used_slots: float, lasted_s: float) -> float:
@@ -270,5 +273,5 @@
     return min(
         name
         for name, instance in fleet["instances"].items()
-        if instance["pool"] == pool and instance["state"] == "serving"
+        if instance["pool"] == pool and is_available(fleet, instance)
     )
