Count pools that are short for long-running tasks as the most urgent

Cause: the levels of a pool's demand held only the jobs that end. A pool without room for its long-running tasks had no level, counted as the least urgent, and got instances after batch work of any priority, although such tasks come first within a pool.

Change: a pool with long-running tasks has a first level, without any of the demand of other jobs. If it is short even then, it comes before others.

Ruled out: adding the long-running tasks to the level of their queue's priority, since a batch queue of a lower number would still come first.

Shown: the new row of urgent_pools.feature failed before (all 4 moves went to the batch queue); urgent_pools passes.

--- a/features/workloads/steps/urgent_pools_steps.py
+++ b/features/workloads/steps/urgent_pools_steps.py
@@ -3,11 +3,12 @@
 from collections import Counter
 
 from behave import given, then, when
-from engine_steps import NOW
-from heavy_days_steps import POOLS
+from engine_steps import JOB, NOW
+from heavy_days_steps import POOLS, SIZE
 from standing_by_steps import plan
 
 from briarshed_workloads.sizing import plan_moves
+from briarshed_workloads.workloads import Description, Resources, Step, Submission
 
 LATE_S = 60.0
 
@@ -27,6 +28,10 @@
     context.pools.load("p0", load)
     if other == "late":
         context.pools.load("p1", 6, age=LATE_S)
+    elif other == "long":
+        step = Step(6, Resources(SIZE.cpu), 0.0, long_running=True)
+        submission = Submission(JOB, "p1", "p1", "", NOW, Description("", (step,)))
+        context.pools.engine.activate(context.pools.engine.accept(submission, NOW), NOW)
     else:
         context.pools.load("p1", int(other))
 
--- a/features/workloads/urgent_pools.feature
+++ b/features/workloads/urgent_pools.feature
@@ -2,8 +2,9 @@
 
   Scenario Outline: Free instances go to the pool whose shortage is the most urgent
     # Pattern: turns of demand of several queues overlap. Guards against urgent jobs that
-    # wait since an ordinary queue lacks more, and against an ordinary queue that gets
-    # nothing although urgent jobs have the room that they need.
+    # wait since an ordinary queue lacks more, against an ordinary queue that gets
+    # nothing although urgent jobs have the room that they need, and against tasks that
+    # run until cancelled and wait since another pool has urgent jobs.
     Given pools "p0" and "p1" of 4 instances each and 4 in reserve
     And the queue of "p0" has priority <first> and that of "p1" priority <second>
     When jobs wait that take all of <load> in "p0" and <other> in "p1"
@@ -16,6 +17,7 @@
       | urgent, with little work  | 1     | 0      | 20   | 3     | 1     |
       | urgent, with room         | 1     | 0      | 20   | 1     | 0     |
       | urgent, but late          | 1     | 0      | 20   | late  | 0     |
+      | short for long-running    | 0     | 9      | 20   | long  | 2     |
 
   Scenario: A pool gets its own instances before another one gets more urgent help
     # Guards against a queue that pays for each spell of a more urgent one.
--- a/packages/briarshed-workloads/src/briarshed_workloads/sizing.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/sizing.py
@@ -245,7 +245,7 @@
         len(capacities),
         min_instances,
         widest,
-        split_demand(backlog, late),
+        split_demand(backlog, late, any(fixed)),
         rate * 1000,
     )
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/urgency.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/urgency.py
@@ -11,6 +11,10 @@
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
+MOST_URGENT = -math.inf
+"""Urgency of a pool without room for all tasks that run until cancelled. As within a
+pool, they come before jobs of any priority."""
+
 LEAST_URGENT = math.inf
 """Urgency of a pool that has room for all jobs that can meet their objective."""
 
@@ -18,12 +22,12 @@
 class DemandLevel(NamedTuple):
     """Part of a pool's demand that jobs up to a priority cause."""
 
-    priority: int
+    priority: float
     share: float
 
 
 def split_demand(
-    work: Mapping[int, float], late_work: float
+    work: Mapping[int, float], late_work: float, has_long_running: bool = False
 ) -> tuple[DemandLevel, ...]:
     """Return the levels of demand, the most urgent one first.
 
@@ -34,13 +38,17 @@
         priority of their queue; lower ones are more urgent.
     late_work : float
         Remaining core-seconds of the jobs that cannot.
+    has_long_running : bool
+        Whether the pool has tasks that run until cancelled. They are not part of the
+        demand, and remain if none of it counts.
     """
+    first = (DemandLevel(MOST_URGENT, 0.0),) if has_long_running else ()
     total = sum(work.values()) + late_work
     if not total:
-        return ()
+        return first
     priorities = sorted(work)
     sums = itertools.accumulate(work[priority] for priority in priorities)
-    return tuple(
+    return first + tuple(
         DemandLevel(priority, part / total)
         for priority, part in zip(priorities, sums, strict=True)
     )
