Forget the spells of removed pools, and time without a leader

Cause: spells of a pool that is no longer configured were kept, recorded by each leader, and counted in what decides whether instances leave any pool. A spell that lasted when the last leader ended was closed by the next one at its own time, so that the time without a leader counted as demand.

Change: only pools whose need is measured keep their history. A restored spell of which a leader sees nothing ends after the usual time of the pool's spells, or is dropped if none is known. A spell that goes on counts from the time at which this leader measures.

Ruled out: ending such a spell when the leader begins, which keeps the time without a leader, and dropping it always, which breaks the regular starts that the forecast needs.

Known limit: the record does not tell when it was last true, so the leader after the next one counts a spell that went on across the gap as a whole.

--- a/features/workloads/standing_by.feature
+++ b/features/workloads/standing_by.feature
@@ -110,6 +110,28 @@
     And a new leader in the middle of the next spell
     Then it knows one spell that began at 160 s
 
+  Scenario Outline: A spell whose end no leader has seen
+    # Guards against time without a leader that counts as demand, so that instances leave
+    # pools whose spells are short.
+    Given a pool of 8 instances with a spell of 5 s every 40 s, seen <count> times
+    And it has another at 160 s, and no leader between 162 s and 1000 s
+    Then it knows <known> spells, of 5 s each
+    And 8 have to be in it at 1010 s
+
+    Examples:
+      | count | known |
+      | 0     | 0     |
+      | 3     | 4     |
+
+  Scenario: A pool is removed during a spell
+    # Guards against spells of a removed pool that are recorded for ever, and change how
+    # many instances stay in others.
+    Given a pool of 8 instances with a spell of 5 s every 40 s, seen 3 times
+    And a pool that has been removed since, with a spell from 100 s on
+    When another leader measures the first pool from 1000 s to 1010 s
+    Then only the first pool has spells
+    And 8 have to be in it at 1010 s
+
   Scenario: Spells are recorded also when nothing is moved
     # Guards against a leader that loses what its predecessor has seen since its last
     # move, and against times of a boot clock that another machine does not share.
--- a/features/workloads/steps/standing_by_steps.py
+++ b/features/workloads/steps/standing_by_steps.py
@@ -143,6 +143,41 @@
     assert abs(last.started_at - 160) < STEP_S and last.ended_at is None, last
 
 
+@given("a pool of 8 instances with a spell of 5 s every 40 s, seen {count:d} times")
+def step_short_spells(context, count):
+    spells = [Spell(40.0 * row, 40.0 * row + 5) for row in range(1, count + 1)]
+    context.spells, context.floors = {"p": spells}, []
+
+
+@given("it has another at 160 s, and no leader between 162 s and 1000 s")
+def step_no_leader(context):
+    context.spells["p"].append(Spell(160.0))
+    step_next_measures(context)
+
+
+@given("a pool that has been removed since, with a spell from 100 s on")
+def step_removed_pool(context):
+    context.spells["removed"] = [Spell(100.0)]
+
+
+@when("another leader measures the first pool from 1000 s to 1010 s")
+def step_next_measures(context):
+    context.standing_by = StandingBy(1000.0, MOVE_S)
+    context.standing_by.restore(context.spells)
+    go_on(context, [], 1000, 1010)
+
+
+@then("only the first pool has spells")
+def step_first_only(context):
+    assert set(context.standing_by.list_spells()) == {"p"}
+
+
+@then("it knows {count:d} spells, of 5 s each")
+def step_known_spells(context, count):
+    rows = context.standing_by.list_spells().get("p", ())
+    assert [row.ended_at - row.started_at for row in rows] == [5.0] * count, rows
+
+
 @given("records of an earlier version")
 def step_earlier(context):
     rate = ArrivalRate()
--- a/packages/briarshed-workloads/src/briarshed_workloads/standing_by.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/standing_by.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import math
+import statistics
 from collections import deque
 from collections.abc import Mapping, Sequence
 from typing import Protocol
@@ -58,10 +59,15 @@
 
 
 class PoolHistory:
-    """Recent needs of a pool, and its spells of high demand."""
+    """Recent needs of a pool, and its spells of high demand.
+
+    ``is_unseen`` is set while the last spell is one that an earlier leader has seen
+    begin, and this one has not seen any of it.
+    """
 
     def __init__(self, spells: tuple[Spell, ...] = ()) -> None:
         self.spells = spells
+        self.is_unseen = bool(spells) and spells[-1].ended_at is None
         self.floor = 0
         self._needs: deque[tuple[float, float]] = deque()
 
@@ -83,6 +89,21 @@
         while self._needs[0][0] < now - MAX_WAIT_S:
             self._needs.popleft()
 
+    def end_unseen(self, known_from: float) -> None:
+        """End the last spell after the usual time, or drop it if none is known.
+
+        It has ended before ``known_from``, and nobody has seen when.
+        """
+        self.is_unseen = False
+        *earlier, last = self.spells
+        durations = [
+            row.ended_at - row.started_at for row in earlier if row.ended_at is not None
+        ]
+        self.spells = tuple(earlier)
+        if durations:
+            ended_at = last.started_at + statistics.median(durations)
+            self.spells += (last._replace(ended_at=min(ended_at, known_from)),)
+
     def find_peak(self, since: float) -> float:
         """Return the largest need since a time."""
         return next((need for at, need in self._needs if at >= since), 0.0)
@@ -136,15 +157,25 @@
             Number of instances that the operator assigned to each pool.
         """
         is_learning = now < self._known_from + LEARNING_S
+        # Pools may have been removed.
+        self._pools = {pool: self._pools.get(pool, PoolHistory()) for pool in needs}
         for pool, need in needs.items():
             size = sizes.get(pool, 0)
-            history = self._pools.setdefault(pool, PoolHistory())
+            history = self._pools[pool]
             level = need.find_load() / max(1, size)
+            if level >= SPELL_END_SHARE:
+                history.is_unseen = False
+            elif history.is_unseen and not is_learning:
+                history.end_unseen(self._known_from)
             if is_learning and not has_ended(history.spells) and history.spells:
                 # A spell of an earlier term has not ended because nothing is known yet.
                 level = max(level, SPELL_END_SHARE)
             history.note(need.find_need(), level, now)
-        spells = [spell for row in self._pools.values() for spell in row.spells]
+        spells = [
+            self._cut_unseen(spell)
+            for row in self._pools.values()
+            for spell in row.spells
+        ]
         pays = has_long_spells(spells, MIN_SPELL_MOVES * self._move, now)
         for pool, need in needs.items():
             history, size = self._pools[pool], sizes.get(pool, 0)
@@ -158,6 +189,12 @@
                 history.floor = size
         return {pool: self._pools[pool].floor for pool in needs}
 
+    def _cut_unseen(self, spell: Spell) -> Spell:
+        """Return the part of a spell that this leader has seen, if it has seen any."""
+        if spell.ended_at is not None and spell.ended_at <= self._known_from:
+            return spell
+        return spell._replace(started_at=max(spell.started_at, self._known_from))
+
     def _choose_floor(
         self, history: PoolHistory, need: Need, size: int, now: float
     ) -> int:
