End the memory of a refused job 60 s after its first refusal

Cause: each further refusal renewed the time for which it is kept whether a job was within the share of its team, so that callers who return kept it for ever. After a step back of the Unix clock nothing was removed until the clock had made up for it: the oldest entry was from the future.

Change: the time of the first refusal is kept, entries from the future are removed like old ones, and a lookup does not use an entry that is too old.

Ruled out: a monotonic clock, since buckets are filled by the times at which jobs were accepted, which are Unix times also of earlier leaders.

--- a/features/workloads/shortage.feature
+++ b/features/workloads/shortage.feature
@@ -86,6 +86,20 @@
     When the third is submitted again 2 s later, with 2 new jobs of the team after it
     Then the third is beyond the share, and the new jobs are within it
 
+  Scenario Outline: How long it is kept that a job was refused
+    # Guards against a job that keeps its place for ever as its caller returns, and against
+    # records that grow without limit after a step back of the Unix clock.
+    Given a team of weight 1 with 2 jobs that were refused within its share, and 1 beyond
+    When <what> <seconds> s later
+    Then the first is <first> and the last <last> the share
+
+    Examples:
+      | what                                | seconds | first  | last   |
+      | all come back every 10 s, up to     | 50      | within | beyond |
+      | all come back every 10 s, up to     | 70      | within | within |
+      | another job is refused              | 0       | within | beyond |
+      | another job is refused              | -3600   | beyond | beyond |
+
   Scenario Outline: A job arrives while others are late
     # Guards against callers who wait for a result that is worth nothing (pattern: burst),
     # and against refusals that help nobody.
--- a/features/workloads/steps/shortage_steps.py
+++ b/features/workloads/steps/shortage_steps.py
@@ -249,6 +249,42 @@
     assert context.within == [False, True, True], context.within
 
 
+@given(
+    "a team of weight 1 with 2 jobs that were refused within its share, and 1 beyond"
+)
+def step_refused(context):
+    context.shares = Shares()
+    for job_id in "123":
+        context.shares.note_refused(job_id, "hot", 1.0, NOW)
+
+
+@when("all come back every 10 s, up to {seconds:d} s later")
+def step_come_back(context, seconds):
+    for later in range(10, seconds + 1, 10):
+        context.now = NOW + later
+        context.found = find_within(context)
+        for job_id in "123":
+            context.shares.note_refused(job_id, "hot", 1.0, context.now)
+
+
+@when("another job is refused {seconds:d} s later")
+def step_another_refused(context, seconds):
+    context.now = NOW + seconds
+    context.shares.note_refused("4", "hot", 1.0, context.now)
+    context.found = find_within(context)
+
+
+def find_within(context):
+    """Return whether the first and the last of three refused jobs have a share."""
+    return [context.shares.has_share(row, "hot", 1.0, context.now) for row in "13"]
+
+
+@then("the first is {first} and the last {last} the share")
+def step_within(context, first, last):
+    expected = [row == "within" for row in (first, last)]
+    assert context.found == expected, context.found
+
+
 @given("a pool with {backlog:g} s of work that waits, planned {age:g} s ago")
 def step_backlog(context, backlog, age):
     context.engine = make_pool()
--- a/packages/briarshed-workloads/src/briarshed_workloads/shares.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/shares.py
@@ -15,7 +15,8 @@
 
 
 KEPT_S = 60.0
-"""Time for which it is kept whether a refused job was within the share of its team."""
+"""Time after the first refusal of a job for which it is kept whether it was within the
+share of its team."""
 
 
 class _Bucket(NamedTuple):
@@ -46,7 +47,8 @@
         """
         if not team:
             return True
-        refused = self._refused.pop(job_id, None)
+        refused = self._find_refused(job_id, now)
+        self._refused.pop(job_id, None)
         if refused is not None:
             return refused.is_within
         tokens = self._count_tokens(team, weight, now)
@@ -56,21 +58,29 @@
 
     def has_share(self, job_id: str, team: str, weight: float, now: float) -> bool:
         """Return whether a job that is not accepted yet lies within the share."""
-        if job_id in self._refused:
-            return self._refused[job_id].is_within
+        refused = self._find_refused(job_id, now)
+        if refused is not None:
+            return refused.is_within
         return not team or self._count_tokens(team, weight, now) >= 1.0
 
     def note_refused(self, job_id: str, team: str, weight: float, now: float) -> None:
         """Count a job that is refused, and keep whether it was within the share."""
         if not team:
             return
-        is_within = self.take(job_id, team, weight, now)
-        self._refused[job_id] = _RefusedJob(is_within, now)
+        # After a step back of the Unix clock, what seems to be refused later is older.
         while self._refused:
             oldest = next(iter(self._refused))
-            if self._refused[oldest].refused_at >= now - KEPT_S:
-                return
+            if 0 <= now - self._refused[oldest].refused_at <= KEPT_S:
+                break
             del self._refused[oldest]
+        if job_id not in self._refused:
+            is_within = self.take(job_id, team, weight, now)
+            self._refused[job_id] = _RefusedJob(is_within, now)
+
+    def _find_refused(self, job_id: str, now: float) -> _RefusedJob | None:
+        refused = self._refused.get(job_id)
+        is_kept = refused is not None and now - refused.refused_at <= KEPT_S
+        return refused if is_kept else None
 
     def _count_tokens(self, team: str, weight: float, now: float) -> float:
         burst = max(1.0, weight * BURST_S)
