Spread the attempts of many entries to take the leadership

Cause: entries that find the leadership vacant at the same time all try to take it at the same time, each with up to five reads and two writes.

Change: where more than 45 entries are recorded as members, they attempt it at random times, together at most 300 times a second. The first attempt comes as early as before, since the entries are many. Up to 45 nothing changes but one read more.

Ruled out: a rank by name, since the first in order may be lost as well.

Shown: the new rows for 300 and 1,000 entries fail without the spread (300 and 1,000 attempts with a write, bound 30).

--- a/features/workloads/election.feature
+++ b/features/workloads/election.feature
@@ -13,6 +13,21 @@
     When the leadership becomes vacant after 0.5 s
     Then an entry becomes leader within 2 s
 
+  Scenario Outline: Entries that find the leadership vacant at the same time
+    # Guards against a fleet without a leader for long. With 300 entries, all of which had
+    # been killed, their attempts exceeded what the store takes, and it rejected the
+    # renewals of each leader.
+    Given <entries> weak entries and 0 strong entries in an election
+    When all find at the same time that the leadership is vacant
+    Then an entry becomes leader within 1.5 s
+    And at most <attempts> of them have written to the store
+
+    Examples:
+      | entries | attempts |
+      | 40      | 40       |
+      | 300     | 30       |
+      | 1000    | 30       |
+
   Scenario Outline: Which entries report ready to the load balancer
     # Guards against callers at entries that cannot serve them. In trouble-2 (Msasani,
     # grown), a data centre was cut off together with the leader, whose heartbeats kept
--- a/features/workloads/steps/election_steps.py
+++ b/features/workloads/steps/election_steps.py
@@ -12,7 +12,7 @@
 
 from briarshed_entry import clock
 from briarshed_platform.directory import PlatformDirectory
-from briarshed_workloads.consent import PeerView, choose_members
+from briarshed_workloads.consent import PROMISE_TTL_S, PeerView, choose_members
 from briarshed_workloads.engine import Engine
 from briarshed_workloads.entry import Entry, LeaderView
 from briarshed_workloads.interfaces import Committed, Conflicted, Item
@@ -43,6 +43,7 @@
         leader = encode(EntryRecord("gone", "i", "127.0.0.1:9"))
         self.items = {LEADER: Item(LEADER, leader, 1, 1)}
         self.revision = 1
+        self.grants = 0
 
     async def read(self, key):
         """Return an item."""
@@ -52,6 +53,7 @@
     async def grant_lease(self, ttl):
         """Return a lease."""
         await asyncio.sleep(CALL_S)
+        self.grants += 1
         return 1
 
     async def commit(self, conditions, puts, removals=(), timeout=1.0):
@@ -123,6 +125,43 @@
     context.name, context.seconds = asyncio.run(run())
 
 
+@when("all find at the same time that the leadership is vacant")
+def step_vacant_for_all(context):
+    async def run():
+        store = Store()
+        names = tuple(f"weak-{number}" for number in range(context.counts[0]))
+        store.items[MEMBERS] = Item(MEMBERS, encode(MembersRecord(names)), 1, 1)
+        del store.items[LEADER]
+        entries = [make_entry(store, name, WEAK_CORES, WEAK_MBPS) for name in names]
+        taken = asyncio.get_running_loop().create_future()
+
+        async def lead(term):
+            if not taken.done():
+                taken.set_result(clock.now())
+            await asyncio.sleep(60)
+
+        # An entry that has just started may be bound by an earlier promise.
+        await asyncio.sleep(PROMISE_TTL_S)
+        vacant_at = clock.now()
+        for entry in entries:
+            entry._lead = lead
+        tasks = [asyncio.create_task(entry._elect()) for entry in entries]
+        async with asyncio.timeout(5):
+            at = await taken
+        await asyncio.sleep(1.0)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        return store.grants, at - vacant_at
+
+    context.grants, context.seconds = run_virtually(run())
+
+
+@then("at most {count:d} of them have written to the store")
+def step_attempts(context, count):
+    assert context.grants <= count, context.grants
+
+
 @then("a strong entry becomes leader within {bound:g} s")
 def step_strong(context, bound):
     assert context.name.startswith("strong"), context.name
--- a/packages/briarshed-workloads/src/briarshed_workloads/entry.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/entry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import secrets
 from types import TracebackType
 from typing import Self
@@ -38,10 +39,13 @@
     Store,
 )
 from briarshed_workloads.leadership import (
+    ELECTION_INTERVAL_S,
     LeaderTerm,
     Vacancy,
     acquire,
+    count_members,
     find_election_delay,
+    find_election_spread,
     read_leader,
 )
 from briarshed_workloads.options import EntryOptions
@@ -78,9 +82,6 @@
 LEADER_TIMEOUT_S = 1.0
 """Time without a heartbeat after which an entry reads from the store who leads."""
 
-ELECTION_INTERVAL_S = 0.15
-"""Interval of reading the store while there is no leader."""
-
 OUTDATED_TIMEOUT_S = 0.4
 """Time with a version older than the leader's after which an entry reads the store."""
 
@@ -162,6 +163,7 @@
         self._is_acquiring = False
         self._vacancy: Vacancy | None = None
         self._latest_epoch = 0
+        self._election_spread = 0.0
         self._leads_from = 0.0
         self._yields_from = 0.0
         self._outdated_since = 0.0
@@ -259,7 +261,10 @@
                 term = await self._try_to_lead()
                 if term is not None:
                     await self._lead(term)
-            await asyncio.sleep(ELECTION_INTERVAL_S)
+            # Each entry at another time: the first attempt comes as soon as with a
+            # short interval, and the store is not overloaded by the others.
+            spread = random.uniform(0.0, 2 * self._election_spread)
+            await asyncio.sleep(max(ELECTION_INTERVAL_S, spread))
 
     def _may_lead(self) -> bool:
         """Tell whether this entry should try to lead: no leader has authority."""
@@ -289,7 +294,11 @@
             # The leader controls the whole fleet, so larger entries go first. The delay
             # starts when the leadership is vacant: otherwise one of many small entries,
             # which check at different times, would lead before the few large ones.
-            await asyncio.sleep(find_election_delay(self.options))
+            self._election_spread = find_election_spread(
+                await count_members(self._store)
+            )
+            spread = random.uniform(0.0, self._election_spread)
+            await asyncio.sleep(find_election_delay(self.options) + spread)
             if not self._may_lead():
                 return None
             return await self._acquire()
--- a/packages/briarshed-workloads/src/briarshed_workloads/leadership.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/leadership.py
@@ -58,6 +58,13 @@
 """Longest time that an entry with few resources leaves a vacant leadership to others;
 an entry with enough takes it within `ELECTION_INTERVAL_S` and four store calls."""
 
+MAX_ATTEMPTS_PER_S = 300
+"""Attempts of all entries together to take a vacant leadership, in a second. An attempt
+costs the store up to five reads and two writes."""
+
+ELECTION_INTERVAL_S = 0.15
+"""Interval of reading the store while there is no leader."""
+
 FULL_STRENGTH_CORES = 2.0
 FULL_STRENGTH_LINK_MBPS = 100.0
 """An entry with these resources can lead a fleet of four times the current size."""
@@ -91,6 +98,34 @@
     return ELECTION_DELAY_S * (1.0 - strength)
 
 
+def find_election_spread(entries: int) -> float:
+    """Return the time over which the attempts of all entries to lead are spread.
+
+    Parameters
+    ----------
+    entries : int
+        Number of entries that may attempt it.
+
+    Returns
+    -------
+    float
+        Seconds; 0 if there are so few entries that each may attempt it at once.
+    """
+    spread = entries / MAX_ATTEMPTS_PER_S
+    return spread if spread > ELECTION_INTERVAL_S else 0.0
+
+
+async def count_members(store: Store) -> int:
+    """Return how many entries may take the leadership at once, 0 if not recorded.
+
+    Raises
+    ------
+    NotExecutedError, OutcomeUnknownError
+        If the store does not respond.
+    """
+    return len(_decode_members(await store.read(MEMBERS)) or ())
+
+
 class Authority(NamedTuple):
     """What gives a leader its authority, and for how many seconds."""
 
