Let the measurement of a team's share pass the job's id

Cause: Shares.take takes the id of the job first since refused jobs keep their place. bench/decisions.py still passed the team first and ended with a TypeError; no feature ran the plans that it measures.

Change: each decision takes the share of a new job.

--- a/bench/_fleet_plans.py
+++ b/bench/_fleet_plans.py
@@ -169,12 +169,14 @@
 
 
 def make_shares(fleet: Fleet) -> Decision:
-    """Return a decision whether a job of the next team lies within its share."""
+    """Return a decision whether a new job of the next team lies within its share."""
     teams = itertools.cycle(fleet.engine.configuration.teams.values())
+    numbers = itertools.count()
 
     def take() -> None:
         team = next(teams)
-        fleet.engine.shares.take(team.name, team.weight, NOW)
+        job_id = f"{next(numbers):016x}"
+        fleet.engine.shares.take(job_id, team.name, team.weight, NOW)
 
     return take
 
