Spread the times at which refused callers come back

Cause: the retry delay of a refused job counted the work of the jobs that are in time, and not the jobs that were refused just before it. 300 callers who were refused at one instant were all told the same whole second, for which there is room for a few of them.

Change: the outlook of a pool keeps the work of refused jobs by tier. A job is told to come back later by the work of those of its tier and of more urgent ones that were refused before it. The next outlook takes that over, less the time that has passed. The spread is 10 s at most: further callers are distributed over the same 10 s.

Ruled out: forgetting the refused jobs with each outlook, since it is made anew every 50 ms, so that callers who arrive within a second would be told the same times again; and a limit at which all further callers return, which only moves the crowd.

Shown: the four new scenarios of shortage.feature failed before or had no spread (300 of 300 at one second); it passes in all 43.

--- a/features/workloads/shortage.feature
+++ b/features/workloads/shortage.feature
@@ -116,6 +116,26 @@
       | 20      | 2   | 0      | accepted |
       | 0       | 0.1 | 60     | accepted |
 
+  Scenario Outline: Many callers are refused
+    # Guards against callers who all come back at the same second, for which there is room
+    # for a few of them (300 of 300 were told 1 s).
+    Given a pool with 20 s of work that waits, planned 0.1 s ago
+    When 300 jobs of <work> s arrive within <seconds> s while it is planned every 0.05 s
+    Then at most <most> of the refused are told to come back at the same second
+    And none is told to wait for more than 10 s longer than the first
+
+    Examples:
+      | work | seconds | most |
+      | 1    | 0       | 40   |
+      | 1    | 1       | 40   |
+      | 0.1  | 1       | 40   |
+
+  Scenario: An urgent job is refused after many others
+    # Guards against an urgent caller who waits for the room of less urgent ones.
+    Given a pool with 20 s of work that waits, planned 0.1 s ago
+    When jobs of 1 s in a queue of a higher priority arrive until one is refused
+    Then that one is told the same delay as after 300 refused jobs of the other queue
+
   Scenario: A job arrives while nothing can start
     # Guards against callers who wait for nothing, since a pool that stays full for long
     # is not planned (pattern: turns of demand).
--- a/features/workloads/steps/shortage_steps.py
+++ b/features/workloads/steps/shortage_steps.py
@@ -1,6 +1,8 @@
 """Steps for decisions in a shortage, and for refusals in virtual time."""
 
 import asyncio
+import math
+from collections import Counter
 from unittest import mock
 
 from behave import given, then, when
@@ -338,6 +340,76 @@
     context.delay = find_retry_delay(context.engine, job, now - waited, now)
 
 
+def offer(context, number, work=1.0, queue="q"):
+    """Return the retry delay of a new job of 4 tasks, or accept it and return None."""
+    engine = context.engine
+    steps = (Step(4, NEED, work),)
+    submission = Submission(
+        f"{number:016x}", queue, "pool", "", context.now, Description("", steps)
+    )
+    job = make_job(submission, engine.configuration.queues[queue])
+    delay = find_retry_delay(engine, job, context.now, context.now)
+    if delay is None:
+        engine.activate(engine.accept(submission, context.now), context.now)
+    return delay
+
+
+def plan_order(context):
+    """Plan the order of the pool's jobs."""
+    jobs = list(context.engine.list_open("pool").values())
+    offset = context.engine.to_unix_time(0.0)
+    sort_jobs(context.engine, "pool", jobs, context.now - offset)
+
+
+@when(
+    "{count:d} jobs of {work:g} s arrive within {seconds:g} s while it is planned every"
+    " 0.05 s"
+)
+def step_many_arrive(context, count, work, seconds):
+    context.delays, planned_at, started_at = [], context.now, context.now
+    for number in range(count):
+        context.now = started_at + seconds * number / count
+        if context.now - planned_at >= 0.05:
+            planned_at = context.now
+            plan_order(context)
+        delay = offer(context, 1_000 + number, work)
+        if delay is not None:
+            context.delays.append((context.now + delay - started_at, delay))
+
+
+@then("at most {most:d} of the refused are told to come back at the same second")
+def step_spread_delays(context, most):
+    assert len(context.delays) > 150, context.delays
+    seconds = Counter(math.ceil(at) for at, _ in context.delays)
+    assert max(seconds.values()) <= most, seconds
+
+
+@then("none is told to wait for more than {seconds:g} s longer than the first")
+def step_bounded_delays(context, seconds):
+    delays = [delay for _, delay in context.delays]
+    assert max(delays) <= delays[0] + seconds, max(delays)
+
+
+def refuse_urgent(context, others):
+    """Return the delay of the first urgent job that is refused after others."""
+    step_backlog(context, 20, 0.1)
+    assert all(offer(context, 1_000 + number) for number in range(others))
+    # Of equal jobs, the one with the lowest id gives way.
+    delays = [offer(context, 5_000 - n, queue="urgent") for n in range(100)]
+    return next(delay for delay in delays if delay is not None)
+
+
+@when("jobs of 1 s in a queue of a higher priority arrive until one is refused")
+def step_urgent_refused(context):
+    context.delay = refuse_urgent(context, 0)
+
+
+@then("that one is told the same delay as after 300 refused jobs of the other queue")
+def step_same_delay(context):
+    delay = refuse_urgent(context, 300)
+    assert context.delay == delay, (context.delay, delay)
+
+
 @given("a pool in which 20 s of work of a team of weight 1 wait")
 def step_crowd(context):
     context.engine = make_pool()
--- a/packages/briarshed-workloads/src/briarshed_workloads/admission.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/admission.py
@@ -20,6 +20,10 @@
 MIN_RETRY_AFTER_S = 1.0
 """Least retry delay; callers who return sooner meet the same shortage."""
 
+MAX_RETRY_SPREAD_S = 10.0
+"""Longest time by which the returns of refused callers are spread. Load may have ended
+by then, and a pool should not be idle while callers wait."""
+
 MAX_OUTLOOK_AGE_S = 1.0
 """Age from which an outlook tells nothing: its pool has not been planned since."""
 
@@ -81,8 +85,10 @@
         outlook.late[job.job_id] = late
         return None
     engine.shares.note_refused(job.job_id, job.team, weight, unix_now)
-    # The jobs that are in time keep the pool busy until a new one can be.
-    return max(MIN_RETRY_AFTER_S, before + claim.path - objective)
+    # The jobs that are in time keep the pool busy until a new one can be, and those
+    # that were refused earlier come back before it.
+    refused = outlook.note_refused(claim) % MAX_RETRY_SPREAD_S
+    return max(MIN_RETRY_AFTER_S, before + claim.path - objective) + refused
 
 
 def _remove_closed(engine: Engine, outlook: PoolOutlook) -> None:
--- a/packages/briarshed-workloads/src/briarshed_workloads/ordering.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/ordering.py
@@ -46,7 +46,10 @@
     try:
         if not is_current:
             capacity = measure_capacity(engine, pool)
+            earlier = outlook
             outlook = defer_jobs(engine, known, ranks, capacity, unix_now)
+            if earlier is not None:
+                outlook.carry_refused(earlier)
             engine.outlooks[pool] = outlook
     except Exception as error:
         report_error("choice of jobs that give way", error)
--- a/packages/briarshed-workloads/src/briarshed_workloads/shortage.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/shortage.py
@@ -94,6 +94,8 @@
         Ranks of the jobs that give way, by id.
     ranks : dict
         Ranks of all jobs, by id; those that arrive while the choice stands are added.
+    refused : dict
+        Work of the refused jobs whose callers have been told a later time, by tier.
     """
 
     planned_at: float
@@ -103,12 +105,31 @@
     late: dict[str, Claim]
     lowered: dict[str, int]
     ranks: dict[str, Rank]
+    refused: dict[tuple[int, ...], float]
 
     def is_current(self, unix_now: float) -> bool:
         """Return whether the choice of the jobs that give way still stands."""
         longest = OUTLOOK_CACHE_S * max(1.0, len(self.ranks) / JOBS_PER_CHOICE)
         return 0 <= unix_now - self.planned_at < min(longest, MAX_OUTLOOK_CACHE_S)
 
+    def note_refused(self, claim: Claim) -> float:
+        """Note a refused job, and return the work of those refused before it.
+
+        More urgent ones count also if they were refused later.
+        """
+        before = sum(work for tier, work in self.refused.items() if tier <= claim.tier)
+        self.refused[claim.tier] = self.refused.get(claim.tier, 0.0) + claim.work
+        return before
+
+    def carry_refused(self, earlier: PoolOutlook) -> None:
+        """Take over the refused jobs that have not been told to come back by now."""
+        done = max(0.0, self.planned_at - earlier.planned_at)
+        for tier, work in sorted(earlier.refused.items()):
+            left = max(0.0, work - done)
+            done = max(0.0, done - work)
+            if left:
+                self.refused[tier] = left
+
     def count_expired(self) -> int:
         """Return the number of jobs whose result will be worth nothing."""
         return sum(rank == EXPIRED for rank in self.lowered.values())
@@ -237,7 +258,7 @@
         ranks[job_id] = ranks[job_id]._replace(rank=EXPIRED)
         del late[job_id]
     lowered = {job_id: ranks[job_id].rank for job_id in (*outlook.deferred, *expired)}
-    return PoolOutlook(unix_now, capacity, means, in_time, late, lowered, ranks)
+    return PoolOutlook(unix_now, capacity, means, in_time, late, lowered, ranks, {})
 
 
 def make_claim(
