Look at waiting tasks before a relocation rarely

Cause: each plan, up to 120 a second, looked at every endpoint for every long-running task that waits in a pool with an evacuated data centre, before it asked whether the task that would relocate could start anywhere. Tasks that can start nowhere do not end this search.

Change: a plan first looks for a place for the task that would relocate. Endpoints are looked at once for each need and label; the limit per endpoint is compared with the runs of the step afterwards. That a task waits is kept for 0.25 s between the plans of a leader. That none waits is not kept: a task relocates then, which may wait itself.

Ruled out: keeping both results until a task or an endpoint changes. Each change of a waiting queue and of each endpoint's room would have to be noted, and changes are what causes the plans. The order alone: with a place for the run and one task that waits for room, each plan would search as before.

--- a/features/workloads/evacuation.feature
+++ b/features/workloads/evacuation.feature
@@ -101,6 +101,28 @@
       | needs 5 cores               | 1     |
       | has its other task at "c"   | 1     |
 
+  Scenario Outline: Relocations take few looks at a crowd of waiting tasks
+    # Guards against plans that look at each endpoint for each waiting task every 8 ms, and
+    # against a relocation that stays blocked when the task that waited is gone.
+    Given 30 endpoints in "d1" and 30 in "d2" that each run a long-running task
+    And 200 long-running tasks with <limits> wait that no endpoint in "d2" could run
+    And a long-running task waits that could run in "d2" when endpoints are empty
+    When "d1" is evacuated, and 30 plans are made in 0.24 s
+    Then the plans look at endpoints at most 300 times, and stop no task
+    And a task relocates within 0.3 s once no such task waits
+
+    Examples:
+      | limits                  |
+      | no limit per endpoint   |
+      | a limit per endpoint    |
+
+  Scenario: A fleet without room takes few looks at its endpoints
+    # Guards against plans that look at each endpoint for each task that could relocate.
+    Given 30 endpoints in "d1" and 30 in "d2" that each run a long-running task
+    And the endpoints in "d2" have no room
+    When "d1" is evacuated, and 30 plans are made in 0.24 s
+    Then the plans look at endpoints at most 900 times, and stop no task
+
   Scenario: A job that only an evacuated data centre could run is refused
     # Guards against callers who wait for work that no endpoint may start.
     Given 2 endpoints in "d1" and 1 in "d2", each for 4 tasks
--- a/packages/briarshed-workloads/src/briarshed_workloads/controller.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/controller.py
@@ -145,6 +145,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._changed = asyncio.Event()
         self._failures: dict[str, FailureCounter] = {}
+        self._relocation_retry_at: dict[str, float] = {}
         self.refusals = Refusals()
         self._loops = LoopSupervisor(
             RESTART_PAUSE_S, self._note_error, self._note_failure
@@ -585,6 +586,7 @@
             now,
             self.maintenance.is_urgent,
             self.options.site_limits.stop_grace,
+            self._relocation_retry_at,
         )
         for stall in list_stalled_runs(engine.endpoints.values(), now):
             run = stall.run
--- a/packages/briarshed-workloads/src/briarshed_workloads/disruption.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/disruption.py
@@ -41,6 +41,7 @@
     now: float,
     is_urgent: Callable[[Endpoint], bool],
     stop_grace: float,
+    relocation_retry_at: dict[str, float] | None = None,
 ) -> list[StopOrder]:
     """Return the runs to stop on endpoints that are drained or evacuated.
 
@@ -56,8 +57,10 @@
         Returns whether an endpoint must not wait for its runs to end.
     stop_grace : float
         Longest time in seconds that an endpoint takes to stop a run.
+    relocation_retry_at : dict, optional
+        State of `limit_relocations` between plans.
     """
-    may_relocate = limit_relocations(engine, now)
+    may_relocate = limit_relocations(engine, now, relocation_retry_at)
     orders: list[StopOrder] = []
     unavailable: dict[StepKey, int] = {}
     stopped: dict[StepKey, int] = {}
