Excuse a start in a soak only by an outage in time

Cause: the soak took no start in an outage of the store, and until 10 s after it, as a violation, however long before the evacuation was known.

Change: an outage delays when an evacuation must be known only if it begins before that. Outages in turn delay it further.

Ruled out: looking at the first outage only; one that begins while the first is being caught up with also keeps entries from reading.

--- a/features/workloads/soak.feature
+++ b/features/workloads/soak.feature
@@ -18,3 +18,18 @@
     Examples:
       | seed | seconds |
       | 2    | 7       |
+
+  Scenario Outline: When a soak expects an evacuation to be known
+    # Guards against starts that a soak excuses by an outage of the store that began long
+    # after the evacuation was known, and against a bound that ends in an outage.
+    Given outages of the store from <outages> s
+    Then an evacuation that is requested at 0 s is known by <seconds> s
+
+    Examples:
+      | outages             | seconds |
+      | 30 to 31            | 10      |
+      | 10.1 to 12          | 10      |
+      | 9.9 to 12           | 22      |
+      | 9.9 to 12, 20 to 25 | 35      |
+      | 20 to 25, 9.9 to 12 | 35      |
+      | 9.9 to 12, 23 to 25 | 22      |
--- a/features/workloads/steps/soak_steps.py
+++ b/features/workloads/steps/soak_steps.py
@@ -4,7 +4,9 @@
 import subprocess
 import sys
 
-from behave import then, when
+from behave import given, then, when
+
+from briarshed_platform_standins._soak_parts import find_known_by
 
 LIMIT_S = 120
 """Timeout of the process; the soak waits up to 30 s for the last job."""
@@ -38,3 +40,15 @@
     assert context.code == 0, context.output
     assert int(figures["faults"]) > 0, context.output
     assert int(figures["accepted"]) > 0, context.output
+
+
+@given("outages of the store from {rows} s")
+def step_outages(context, rows):
+    context.outages = [
+        tuple(float(part) for part in row.split(" to ")) for row in rows.split(", ")
+    ]
+
+
+@then("an evacuation that is requested at 0 s is known by {seconds:g} s")
+def step_known_by(context, seconds):
+    assert find_known_by(0.0, context.outages) == seconds
