Keep how bodies are read when the limit of heads is raised

Cause: the parser that takes heads of a raised limit was made without the option auto_decompress. The connections of the product's own callers take bodies as they are; after a raised limit they would be decompressed.

Change: the connection keeps the option and gives it to the new parser.

Ruled out: a request through the platform's door as a test. Its connections decompress by default, before and after, so that a body that is not what its encoding says gets 400 there in any case (trial: "200 400" with and without the change).

Shown: the new scenario fails before and passes after.

--- a/features/connections/limits_of_requests.feature
+++ b/features/connections/limits_of_requests.feature
@@ -61,6 +61,11 @@
     When a client sends a request, and a head of 20000 bytes when that is allowed
     Then it is answered with 200 200
 
+  Scenario: A raised limit of heads does not change how bodies are read
+    # Guards against opaque bodies that are decompressed after the limit was raised.
+    When the limit of a connection that takes bodies as they are is raised
+    Then its parser takes bodies as they are
+
   Scenario: The metrics page shows what clients use
     # Guards against a page that keeps old figures, and against connections that no
     # phase counts.
--- a/features/connections/steps/request_steps.py
+++ b/features/connections/steps/request_steps.py
@@ -1,10 +1,14 @@
 """Steps with single requests at their limits, and with other trouble beside a crowd."""
 
+import asyncio
 import re
 import secrets
 import socket
 import time
+from types import SimpleNamespace
+from unittest.mock import patch
 
+from aiohttp import web
 from behave import then, when
 from crowd_steps import step_bounds, step_crowd
 from doors import (
@@ -18,6 +22,8 @@
     wait_until,
 )
 
+from briarshed_entry import bounded_protocol
+
 FREEZE_S = 4.0
 
 UNKNOWN = {
@@ -304,3 +310,27 @@
     context.client.close()
     wait_until("the client is gone", lambda: read_metric(context, BODIES) == 0)
     wait_until("its bytes are returned", lambda: read_metric(context, HELD) == 0)
+
+
+@when("the limit of a connection that takes bodies as they are is raised")
+def step_raise(context):
+    bounds = SimpleNamespace(header_bytes=100)
+    door = SimpleNamespace(owner=SimpleNamespace(read_bounds=lambda: bounds))
+
+    async def run():
+        connection = bounded_protocol.BoundedConnection(
+            web.Server(None),
+            door,
+            loop=asyncio.get_running_loop(),
+            auto_decompress=False,
+        )
+        with patch.object(bounded_protocol, "HttpRequestParser") as parser:
+            connection._raise_parser_limit(200)
+        return parser.call_args.kwargs
+
+    context.options = asyncio.run(run())
+
+
+@then("its parser takes bodies as they are")
+def step_opaque(context):
+    assert context.options.get("auto_decompress") is False, context.options
--- a/packages/briarshed-entry/src/briarshed_entry/bounded_protocol.py
+++ b/packages/briarshed-entry/src/briarshed_entry/bounded_protocol.py
@@ -75,6 +75,7 @@
     __slots__ = (
         "_bounds_body",
         "_count",
+        "_decompresses",
         "_discarded",
         "_has_answered",
         "_is_handling",
@@ -115,6 +116,7 @@
         self._progress = 0
         self._discarded = 0
         self._parsed_limit = limit
+        self._decompresses = options.get("auto_decompress", True)
         self._own_transport: asyncio.Transport | None = None
         self._pending = b""
         self._left: int | None = 0
@@ -284,6 +286,7 @@
             max_field_size=limit,
             max_headers=limit,
             payload_exception=web.RequestPayloadError,
+            auto_decompress=self._decompresses,
             max_msg_queue_size=self._max_msg_queue_size,
         )
 
