Reject a bound of evacuations that calm cannot keep

Cause: with bounds.evacuate-ms below what reading takes in calm (a list of evacuations is up to 3.7 s old), starts are withheld without a fault.

Ruled out: deriving the interval of reads from the bound. Half the bound less a watch (0.7 s) and a call leaves no time for values below 2 s, and each read is a billed call.

--- a/features/platform/input.feature
+++ b/features/platform/input.feature
@@ -210,7 +210,8 @@
 
   Scenario Outline: Within which time an evacuation must be in force is read
     # Guards against a deployment whose limit is ignored, and against a limit where none
-    # is set: starts would be withheld there.
+    # is set: starts would be withheld there; and against one that is shorter than a list
+    # of evacuations takes to be replaced in calm, which withholds starts without a fault.
     When a settings file has <value> for "bounds.evacuate-ms"
     Then <result>
 
@@ -219,6 +220,11 @@
       | 5000   | evacuations are in force within 5 s       |
       | null   | evacuations are in force within 0 s       |
       | "soon" | an error names "bounds.evacuate-ms"       |
+      | 4000   | evacuations are in force within 4 s       |
+      | 0      | evacuations are in force within 0 s       |
+      | 3999   | an error names "bounds.evacuate-ms"       |
+      | 2000   | an error names "bounds.evacuate-ms"       |
+      | -1     | an error names "bounds.evacuate-ms"       |
 
   Scenario: Unknown settings are ignored
     When a settings file has a field "colour"
