Expect the ends of runs from their usual time again

Cause: expects the rest of a job and of its room from the progress of its runs, on every deployment.

Change: is taken back but for what a decisive start needs: the expected end of a run is a function of its own (find_rest).

Ruled out: a setting, since nothing shows which deployment should set it.

--- a/features/workloads/uneven_load.feature
+++ b/features/workloads/uneven_load.feature
@@ -82,38 +82,6 @@
       | 1.5     | 3      | off rack | starts at "b"  |
       | 0.8     | 4      | slow     | waits for "a"  |
 
-  Scenario Outline: The progress of a run tells when it frees its room
-    # Pattern: a long tail of run times, in a hot rack. Guards against a task that waits
-    # for room that a run in the tail holds, and against one that goes elsewhere since
-    # a run that is about to end has taken longer than expected.
-    Given a step of 1 s whose data lies in the rack of "a", which is full for <seconds> s
-    And the task takes 3 times as long at "b", since it is off rack
-    And the run at "a" has done <percent> % in its first second
-    When the task's turn comes
-    Then it <decision>
-
-    Examples:
-      | seconds | percent | decision       |
-      | 0.5     | 60      | waits for "a"  |
-      | 0.5     | 30      | starts at "b"  |
-      | -0.4    | 60      | waits for "a"  |
-      | -0.4    | 0       | starts at "b"  |
-
-  Scenario Outline: A job in progress is expected to end with its slowest run
-    # Pattern: a long tail. Guards against a job that gives way to others although it is
-    # nearly done, and against one that does not although a run that may not be copied
-    # makes it late.
-    Given a job of two steps of 1 s each, of which <runs>
-    Then it is expected to take another <seconds> s
-
-    Examples:
-      | runs                                                    | seconds |
-      | nothing has started                                     | 2       |
-      | both tasks of the first are at 80 %                     | 1.2     |
-      | one task is at 80 % and the other one waits             | 2       |
-      | one task is at 80 % and the other one at 20 %           | 4.2     |
-      | one is at 80 %, the other one at 20 % and may be copied | 2       |
-
   Scenario: The tasks of a step wait one by one
     # Guards against a step of which all tasks wait since the first one does.
     Given a step of 1 s whose data lies in the rack of "a", which is full for 0.2 s
--- a/packages/briarshed-workloads/src/briarshed_workloads/estimates.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/estimates.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 from briarshed_workloads.jobs import Job
-from briarshed_workloads.run_forecast import forecast_step
 from briarshed_workloads.workloads import Step
 
 if TYPE_CHECKING:
@@ -26,12 +25,12 @@
         and 0 <= unix_now - job.cached_remaining[0] < REMAINING_TIME_CACHE_S
     ):
         return job.cached_remaining[1]
-    remaining = _measure_remaining_time(engine, job, unix_now - engine.unix_offset)
+    remaining = _measure_remaining_time(engine, job)
     job.cached_remaining = unix_now, remaining
     return remaining
 
 
-def _measure_remaining_time(engine: Engine, job: Job, now: float) -> float:
+def _measure_remaining_time(engine: Engine, job: Job) -> float:
     lengths: dict[int, float] = {}
     steps = job.description.steps
     occurrence = next(iter(job.open_occurrences), 0)
@@ -41,16 +40,8 @@
             lengths[number] = 0.0
             step = steps[number]
             before = max((measure(other) for other in step.after), default=0.0)
-            missing = step.count - len(job.succeeded.get((occurrence, number), ()))
-            own = 0.0
-            if missing > 0:
-                own = forecast_step(
-                    engine.step_runs.get((job.job_id, occurrence, number), ()),
-                    missing,
-                    estimate_task(engine, step),
-                    engine.run_times,
-                    now,
-                )
+            done = job.succeeded.get((occurrence, number), ())
+            own = 0.0 if len(done) >= step.count else estimate_task(engine, step)
             lengths[number] = before + own
         return lengths[number]
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/room_forecast.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/room_forecast.py
@@ -6,7 +6,6 @@
 
 from briarshed_workloads.engine import Engine
 from briarshed_workloads.fleet import Endpoint, Run
-from briarshed_workloads.run_forecast import forecast_rest
 from briarshed_workloads.workloads import Resources, TaskId, add, fits, subtract
 
 HORIZON_S = 1.0
@@ -18,6 +17,19 @@
 them."""
 
 
+def find_rest(engine: Engine, run: Run, now: float) -> float | None:
+    """Return in how many seconds a run is expected to end, or None if not known.
+
+    It is negative for a run that has taken longer than expected.
+    """
+    if run.step.long_running or not run.is_present or not run.confirmed_at:
+        return None
+    endpoint = run.endpoint
+    expected = engine.run_times.expect_in(run.step, endpoint.registration.rack)
+    expected *= max(1.0, endpoint.reputation.measure_slowness(now))
+    return expected - (now - run.started_at)
+
+
 def has_room_within(
     engine: Engine, endpoint: Endpoint, need: Resources, limit: float, now: float
 ) -> bool:
@@ -26,10 +38,9 @@
     Nothing else is expected to start there. A run whose start is not confirmed yet is
     expected to take the usual time from its order on.
     """
-    slowness = endpoint.reputation.measure_slowness(now)
     room = endpoint.find_free()
     for run in endpoint.runs.values():
-        rest = forecast_rest(run, engine.run_times, slowness, now)
+        rest = find_rest(engine, run, now)
         if rest is None and not run.confirmed_at and not run.step.long_running:
             rack = endpoint.registration.rack
             rest = engine.run_times.expect_in(run.step, rack) - (now - run.ordered_at)
@@ -115,7 +126,6 @@
         return sorted(ends, key=lambda row: row[0])
 
     def _find_end(self, run: Run) -> float | None:
-        """Return in how many seconds a run ends, or None if that is not known."""
-        slowness = run.endpoint.reputation.measure_slowness(self._now)
-        rest = forecast_rest(run, self._engine.run_times, slowness, self._now)
-        return rest if rest is not None and rest < HORIZON_S else None
+        """Return in how many seconds a run ends, or None if not within `HORIZON_S`."""
+        rest = find_rest(self._engine, run, self._now)
+        return rest if rest is not None and 0 <= rest < HORIZON_S else None
