--- a/features/workloads/steps/forwarding_steps.py
+++ b/features/workloads/steps/forwarding_steps.py
@@ -63,6 +63,7 @@
 
     term = None
     address = "e1"
+    configuration = None
 
     @property
     def leader(self):
