Weigh late jobs as those in time again

Cause: lets the loss of late jobs grow with the square of their work, on every deployment. The largest are of use more often then, and small late jobs pay.

Change: the losses are those before it.

Ruled out: a setting, since no deployment is known that gains.

--- a/packages/briarshed-workloads/src/briarshed_workloads/shortage.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/shortage.py
@@ -35,10 +35,6 @@
 """Part of the loss that is the same for each job of a queue. The rest is proportional
 to its work, so that large jobs are not always those that give way."""
 
-LATE_GROWTH = 0.5
-"""Part of the loss of a late job that grows with the square of its work. The choice of
-the jobs that are in time favours small ones, so that most large ones are late."""
-
 OUTLOOK_CACHE_S = 0.05
 """Time for which the choice of the jobs that give way stands, since plans are frequent
 and each choice takes all jobs of the pool."""
@@ -284,28 +280,10 @@
         row.due_at + late_by - unix_now,
         estimate_remaining_time(engine, job, unix_now),
         work.waiting,
-        find_loss(work.whole, mean, factor),
+        FIXED_PART * mean + (1 - FIXED_PART) * work.whole,
     )
 
 
-def find_loss(work: float, mean: float, factor: float) -> float:
-    """Return what the caller of a job loses if it gives way, in the unit of its work.
-
-    For its work, a small job loses more than a large one in the choice of the jobs that
-    are in time, and less in that of the late jobs that are still of use.
-
-    Parameters
-    ----------
-    work, mean : float
-        Work of the job, and mean work of a job of its queue.
-    factor : float
-        Multiple of the objective up to which the choice is made.
-    """
-    if factor > 1.0 and mean > 0.0:
-        return work * (1 - LATE_GROWTH + LATE_GROWTH * work / mean)
-    return FIXED_PART * mean + (1 - FIXED_PART) * work
-
-
 def list_shortages(engine: Engine) -> Iterator[dict[str, object]]:
     """Yield, for the log, the pools that cannot do all their jobs in time."""
     for pool, outlook in engine.outlooks.items():
