Refuse a job that was not read at the leader

What callers saw: 503, which says that a job never runs, for a job that ran. An entry without memory for a body asked the leader whether it knows the job; an earlier request for it, held up on its way from another entry, was accepted after that answer.

Cause: the refusal was known to the refusing entry only.

Change: the entry asks the leader to refuse the job (RefuseRequest). The leader keeps the refusal as its own ones, which cover all attempts made before.

Ruled out: a record in the store, which costs a write for each body that is refused for want of memory, and cannot be written in an outage.

--- a/features/workloads/shortage.feature
+++ b/features/workloads/shortage.feature
@@ -185,6 +185,33 @@
       | a new request of its caller              | 1       | accepted     |
       | a request for another leader             | 0.5     | not accepted |
 
+  Scenario Outline: A job whose body an entry has no memory for
+    # Guards against a job that runs although its caller was told that it never does
+    # (503): an earlier request for it was held up on its way from another entry.
+    Given 3 entries, and one of them without memory
+    When it refuses a job, and <message> arrives <seconds> s later
+    Then its caller was told 503
+    And the job is <result>
+
+    Examples:
+      | message                          | seconds | result       |
+      | an earlier request of its caller | 0.5     | not accepted |
+      | an earlier request of its caller | 70      | not accepted |
+      | a new request of its caller      | 1       | accepted     |
+
+  Scenario Outline: A refusal that the leader cannot keep
+    # Guards against 503, which says that the job never runs, for one that may run.
+    Given 3 entries, and one of them without memory
+    When it refuses a job, and the leader <state>
+    Then its caller was told 504
+
+    Examples:
+      | state                            |
+      | has accepted it before           |
+      | keeps as many refusals as it can |
+      | has not read the records         |
+      | has lost its authority           |
+
   Scenario: The leader changes in a shortage
     # Guards against a refusal by a leader that does not know of an acceptance, and
     # against one that is taken as final although a later leader may have accepted.
--- a/features/workloads/steps/forwarding_steps.py
+++ b/features/workloads/steps/forwarding_steps.py
@@ -12,8 +12,10 @@
 from briarshed_platform.callers import Callers
 from briarshed_workloads.forwarding import Forwarder, LeaderView
 from briarshed_workloads.transport import (
+    JobRequest,
     LeaderHeartbeat,
     PendingReplies,
+    RefuseRequest,
     Reply,
     SubmitRequest,
 )
@@ -26,12 +28,13 @@
 SILENT_ATTEMPTS = 2
 
 ANSWERS = {
-    "accepts jobs": ("accepted", "pending"),
-    "refuses jobs": ("full", "missing"),
-    "does not lead any more": ("not leader", "not leader"),
-    "knows no such job": ("accepted", "missing"),
-    "knows the job": ("accepted", "pending"),
+    "accepts jobs": ("accepted", "pending", "unknown"),
+    "refuses jobs": ("full", "missing", "full"),
+    "does not lead any more": ("not leader", "not leader", "not leader"),
+    "knows no such job": ("accepted", "missing", "full"),
+    "knows the job": ("accepted", "pending", "unknown"),
 }
+"""Outcomes of submissions, queries and refusals of jobs that were not read."""
 
 
 class Leader:
@@ -54,7 +57,8 @@
         if len(self.submissions) > SILENT_ATTEMPTS:
             behaviour = behaviour.removeprefix("is silent and later ")
         if behaviour in ANSWERS:
-            outcome = ANSWERS[behaviour][not isinstance(message, SubmitRequest)]
+            kinds = (SubmitRequest, JobRequest, RefuseRequest)
+            outcome = ANSWERS[behaviour][kinds.index(type(message))]
             self.pending.resolve(Reply(message.id, outcome, 1.0))
 
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/controller.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/controller.py
@@ -358,6 +358,27 @@
         retry_after = RETRY_AFTER_S if outcome == "refused" else 0.0
         return SubmitResult(outcome, retry_after)
 
+    def refuse_unread(self, job_id: str) -> SubmitResult:
+        """Refuse a job that an entry cannot read, unless it may have been accepted.
+
+        The refusal also holds for requests for the job that were made before, and
+        arrive later.
+
+        Returns
+        -------
+        SubmitResult
+            ``full`` (the job will certainly not run), ``withdrawn`` (the same, for
+            longer) or ``unknown``.
+        """
+        if job_id in self.engine.withdrawn:
+            retry_after = self.options.site_limits.status_retention
+            is_recorded = self.persistence.is_withdrawal_recorded(job_id)
+            return SubmitResult("withdrawn" if is_recorded else "unknown", retry_after)
+        if self.find_state(job_id) != "missing":
+            return SubmitResult("unknown", RETRY_AFTER_S)
+        is_kept = self.refusals.note(job_id, clock.now())
+        return SubmitResult("full" if is_kept else "unknown", RETRY_AFTER_S)
+
     async def _refuse_unsent(self) -> None:
         """Refuse waiting submissions at once while nothing can be made durable."""
         while True:
--- a/packages/briarshed-workloads/src/briarshed_workloads/entry.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/entry.py
@@ -71,6 +71,7 @@
     Message,
     PeerTransport,
     PendingReplies,
+    RefuseRequest,
     Reply,
     SubmitRequest,
 )
@@ -585,13 +586,15 @@
             self._send_entry_heartbeat()
 
     async def _handle_request(
-        self, sender: str, message: SubmitRequest | JobRequest
+        self, sender: str, message: SubmitRequest | JobRequest | RefuseRequest
     ) -> None:
         forwarder = self.forwarder
         reply = Reply(message.id, "unknown")
         with contain_errors("request of a peer"):
             if isinstance(message, SubmitRequest):
                 reply = await forwarder.submit_locally(message)
+            elif isinstance(message, RefuseRequest):
+                reply = forwarder.refuse_locally(message)
             else:
                 reply = await forwarder.query_locally(
                     message.id, message.job, message.cancel
--- a/packages/briarshed-workloads/src/briarshed_workloads/forwarding.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/forwarding.py
@@ -24,6 +24,7 @@
     LeaderHeartbeat,
     PeerTransport,
     PendingReplies,
+    RefuseRequest,
     Reply,
     SubmitRequest,
 )
@@ -167,6 +168,14 @@
         result = await controller.submit(request.submission, request.attempt)
         return Reply(request.id, result.outcome, result.retry_after)
 
+    def refuse_locally(self, request: RefuseRequest) -> Reply:
+        """Refuse an unread job at the controller of this process, if it leads."""
+        controller = self._entry.controller
+        if controller is None or request.epoch not in (0, controller.term.epoch):
+            return Reply(request.id, "not leader", RETRY_AFTER_S)
+        result = controller.refuse_unread(request.job)
+        return Reply(request.id, result.outcome, result.retry_after)
+
     async def query_locally(self, id: int, job: str, cancel: bool) -> Reply:
         """Query or cancel a job at the controller of this process, if it leads."""
         if self._entry.controller is None:
@@ -303,25 +312,46 @@
         Without a leader the state is read from the store.
         """
         limit = timeout if cancel else min(timeout, QUERY_TIMEOUT_S)
-        reply = await self.ask_leader(job, cancel, limit)
+        reply = await self._ask_leader(job, cancel, limit)
         if cancel or reply.outcome not in ("unknown", "not leader"):
             return reply
         return await self._read_state(job)
 
-    async def ask_leader(self, job: str, cancel: bool, timeout: float) -> Reply:
+    async def refuse_unread(self, job: str, timeout: float) -> Reply:
+        """Refuse a job whose description this entry has not read.
+
+        Only the leader can: an earlier request for the job may be on its way to it. The
+        outcome is ``refused`` only if that one will not run either, else ``unknown``.
+        """
+        term, view = self._entry.term, self._entry.leader
+        if term is not None:
+            reply = self.refuse_locally(RefuseRequest(0, job, term.epoch))
+        elif view is not None:
+            request = RefuseRequest(0, job, view.heartbeat.epoch)
+            reply = await self._ask(request, min(timeout, QUERY_TIMEOUT_S))
+        else:
+            reply = Reply(0, "unknown", RETRY_AFTER_S)
+        is_refused = reply.outcome in ("full", "withdrawn")
+        return Reply(0, "refused" if is_refused else "unknown", reply.retry_after)
+
+    async def _ask_leader(self, job: str, cancel: bool, timeout: float) -> Reply:
         """Return what the leader answers about a job; ``unknown`` if it does not.
 
         Only it knows of submissions that are not recorded yet.
         """
         if self._entry.term is not None:
             return await self._await_reply(self.query_locally(0, job, cancel), timeout)
+        return await self._ask(JobRequest(0, job, cancel), timeout)
+
+    async def _ask(self, request: JobRequest | RefuseRequest, timeout: float) -> Reply:
+        """Return the reply of another entry that leads; ``unknown`` if none comes."""
         if not self._entry.is_leader_alive():
             return Reply(0, "unknown", RETRY_AFTER_S)
         assert self._entry.leader is not None
         address = self._entry.leader.address
         id, future = self._pending_replies.open()
         try:
-            self._transport.send(address, JobRequest(id, job, cancel))
+            self._transport.send(address, replace(request, id=id))
             return await self._await_reply(future, timeout)
         finally:
             self._pending_replies.close(id)
--- a/packages/briarshed-workloads/src/briarshed_workloads/transport.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/transport.py
@@ -137,6 +137,17 @@
     cancel: bool
 
 
+class RefuseRequest(msgspec.Struct, tag="f", array_like=True, frozen=True):
+    """Asks the leader to refuse a job whose description an entry has not read.
+
+    ``epoch`` is that of the leader it is meant for; 0 if it may be any.
+    """
+
+    id: int
+    job: str
+    epoch: int = 0
+
+
 class Reply(msgspec.Struct, tag="r", array_like=True, frozen=True):
     """The leader's reply to a request.
 
@@ -156,6 +167,7 @@
     | ConfigurationUpdate
     | SubmitRequest
     | JobRequest
+    | RefuseRequest
     | Reply
 )
 
