Admit TLS handshakes at the door of the callers' port

What operators saw: an entry with TLS grows by some 300 KB for each connection whose handshake does not end, whatever its memory, until the time for a head has passed.

Change: the port accepts plain connections. TlsHandshake belongs to the door from its accept on, and creates the layer for TLS once it is admitted. What comes with the end of a handshake is kept for the protocol that follows.

--- a/features/connections/byte_admission.feature
+++ b/features/connections/byte_admission.feature
@@ -19,6 +19,8 @@
 
     Examples:
       | phase      | elapsed | bytes | reason          |
+      | handshake  | 3       | 0     |                 |
+      | handshake  | 3.1     | 0     | slow handshake  |
       | idle       | 15      | 0     |                 |
       | idle       | 15.1    | 0     | idle            |
       | head       | 3       | 1     |                 |
--- a/features/connections/crowd.py
+++ b/features/connections/crowd.py
@@ -2,7 +2,8 @@
 
 It connects COUNT clients to HOST:PORT, lets each send what KIND names, prints ``sent``
 once all have sent it or can send no more, and keeps the connections open until its
-standard input is closed. HEAD is the start of a valid request with a body, in hex.
+standard input is closed. HEAD is the start of a valid request with a body, in hex. With
+``tls`` as a fifth argument the clients complete a TLS handshake first.
 """
 
 from __future__ import annotations
@@ -10,6 +11,7 @@
 import asyncio
 import re
 import secrets
+import ssl
 import sys
 from collections.abc import Callable, Iterator
 
@@ -76,6 +78,10 @@
     yield head + b"Content-Length: %d\r\n\r\n" % len(body) + body
 
 
+def _send_handshake(head: bytes) -> Iterator[bytes]:
+    yield b"\x16\x03\x01\x02\x00\x01\x00"
+
+
 def _send_nothing(head: bytes) -> Iterator[bytes]:
     return iter(())
 
@@ -92,13 +98,28 @@
     "requests without reading": _send_many_requests,
     "nothing": _send_nothing,
     "jobs of many steps": _send_job,
+    "starts of a handshake": _send_handshake,
 }
 
 
-async def _send(host: str, port: int, kind: str, head: bytes, open_: list) -> None:
+def _make_context() -> ssl.SSLContext:
+    context = ssl.create_default_context()
+    context.check_hostname = False
+    context.verify_mode = ssl.CERT_NONE
+    return context
+
+
+async def _send(
+    host: str,
+    port: int,
+    kind: str,
+    head: bytes,
+    open_: list,
+    context: ssl.SSLContext | None,
+) -> None:
     try:
         async with asyncio.timeout(STALL_S):
-            _, writer = await asyncio.open_connection(host, port, limit=1)
+            _, writer = await asyncio.open_connection(host, port, limit=1, ssl=context)
         open_.append(writer)
         for part in KINDS[kind](head):
             writer.write(part)
@@ -110,13 +131,14 @@
         return
 
 
-async def _run(address: str, kind: str, count: int, head: bytes) -> None:
+async def _run(address: str, kind: str, count: int, head: bytes, has_tls: bool) -> None:
     host, _, port = address.rpartition(":")
     kinds = list(KINDS)[:10] if kind == "everything" else [kind]
     open_: list[asyncio.StreamWriter] = []
+    context = _make_context() if has_tls else None
     await asyncio.gather(
         *(
-            _send(host, int(port), kinds[number % len(kinds)], head, open_)
+            _send(host, int(port), kinds[number % len(kinds)], head, open_, context)
             for number in range(count)
         )
     )
@@ -125,6 +147,5 @@
 
 
 if __name__ == "__main__":
-    asyncio.run(
-        _run(sys.argv[1], sys.argv[2], int(sys.argv[3]), bytes.fromhex(sys.argv[4]))
-    )
+    where, what, many, start, *rest = sys.argv[1:]
+    asyncio.run(_run(where, what, int(many), bytes.fromhex(start), rest == ["tls"]))
--- a/features/connections/crowds.feature
+++ b/features/connections/crowds.feature
@@ -37,6 +37,16 @@
       | product callers   | 112    | 160         | 200   | nothing                  |
       | product callers   | 112    | 1000        | 400   | everything               |
 
+    Examples: callers of the product's own interface with TLS
+      | door                | memory | descriptors | count | kind                  |
+      | product TLS callers | 112    | 1000        | 400   | nothing               |
+      | product TLS callers | 112    | 1000        | 400   | starts of a handshake |
+      | product TLS callers | 112    | 160         | 200   | nothing               |
+      | product TLS callers | 112    | 1000        | 200   | bodies in pieces      |
+      | product TLS callers | 112    | 1000        | 200   | bodies at once        |
+      | product TLS callers | 112    | 1000        | 100   | small chunks          |
+      | product TLS callers | 112    | 1000        | 200   | everything            |
+
     Examples: the other doors
       | door               | memory | descriptors | count | kind       |
       | platform readiness | 96     | 1000        | 400   | everything |
--- a/features/connections/doors.py
+++ b/features/connections/doors.py
@@ -8,6 +8,7 @@
 import json
 import os
 import secrets
+import ssl
 import subprocess
 import sys
 import tempfile
@@ -26,6 +27,8 @@
 
 HOST, QUEUE, KEY = "h.example", "/q/", "key-1"
 CROWD = Path(__file__).with_name("crowd.py")
+WITHOUT_HANDSHAKE = ("nothing", "starts of a handshake")
+TLS_FOLDER = Path(__file__).with_name("tls")
 TIMEOUT_S = 30.0
 GRACE_S = 20.0
 NO_LEADER = b'{"error":"not accepted"}'
@@ -38,6 +41,7 @@
     address: str
     head: bytes
     request: Callable[[], Answer]
+    has_tls: bool = False
 
 
 class Answer(NamedTuple):
@@ -48,10 +52,22 @@
 
 
 def call(
-    address: str, method: str, path: str, headers: dict[str, str], body: bytes = b""
+    address: str,
+    method: str,
+    path: str,
+    headers: dict[str, str],
+    body: bytes = b"",
+    has_tls: bool = False,
 ) -> Answer:
     """Make one request on a new connection."""
-    connection = http.client.HTTPConnection(address, timeout=TIMEOUT_S)
+    if has_tls:
+        context = ssl.create_default_context(cafile=TLS_FOLDER / "certificate.pem")
+        context.check_hostname = False
+        connection = http.client.HTTPSConnection(
+            address, timeout=TIMEOUT_S, context=context
+        )
+    else:
+        connection = http.client.HTTPConnection(address, timeout=TIMEOUT_S)
     try:
         connection.request(method, path, body or None, headers)
         response = connection.getresponse()
@@ -215,18 +231,43 @@
     entry = fleet.entries["entry-1"]
     url, path = entry.url, "/queues/proofing/jobs"
     key = fleet.keys["hotels"]
+    has_tls = door == "TLS callers"
     if door == "operators":
         url, path, key = entry.operators, "/operator/commands", fleet.operator_key
     address = url.removeprefix("http://")
     headers = {"Authorization": f"Bearer {key}"}
     body = b"show queues\n" if door == "operators" else b"work"
     head = f"POST {path} HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer {key}\r\n"
-    return Door(
-        fleet.processes["entry-1"],
-        address,
-        head.encode(),
-        lambda: call(address, "POST", path, headers, body),
-    )
+
+    def request() -> Answer:
+        return call(address, "POST", path, headers, body, has_tls)
+
+    if has_tls:
+        _restart_with_tls(fleet, address)
+        wait_until("an ordinary request is served", lambda: request().status == 200)
+    process = fleet.processes["entry-1"]
+    return Door(process, address, head.encode(), request, has_tls)
+
+
+def _restart_with_tls(fleet: Fleet, address: str) -> None:
+    """Restart the entry of a fleet with a certificate, and wait until it is ready."""
+    settings = fleet.read_settings("entry-1")
+    settings["callers"]["tls"] = {
+        "certificate": str(TLS_FOLDER / "certificate.pem"),
+        "key": str(TLS_FOLDER / "key.pem"),
+    }
+    fleet.entries["entry-1"].settings.write_text(json.dumps(settings))
+    fleet.terminate("entry-1")
+    fleet.wait_ended("entry-1", TIMEOUT_S)
+    fleet.restart_entry("entry-1", ready=False)
+
+    def check() -> bool:
+        try:
+            return call(address, "GET", "/readyz", {}, has_tls=True).status == 200
+        except OSError:
+            return False
+
+    wait_until("the entry serves TLS", check)
 
 
 class Watch:
@@ -264,8 +305,12 @@
 
 def start_crowd(stack: ExitStack, door: Door, kind: str, count: int) -> None:
     """Start a crowd at a door, and wait until it has sent what it can."""
+    command = [sys.executable, str(CROWD), door.address, kind, str(count)]
+    command.append(door.head.hex())
+    if door.has_tls and kind not in WITHOUT_HANDSHAKE:
+        command.append("tls")
     crowd = subprocess.Popen(
-        [sys.executable, str(CROWD), door.address, kind, str(count), door.head.hex()],
+        command,
         stdin=subprocess.PIPE,
         stdout=subprocess.PIPE,
         text=True,
--- a/features/connections/steps/tls_steps.py
+++ b/features/connections/steps/tls_steps.py
@@ -24,10 +24,7 @@
 def step_port(context, seconds):
     files = Tls(str(FOLDER / "certificate.pem"), str(FOLDER / "key.pem"))
     callers = SimpleNamespace(address="127.0.0.1:0", tls=files)
-    context.settings = SimpleNamespace(
-        callers=callers,
-        connections=SimpleNamespace(header_timeout_ms=int(1_000 * seconds)),
-    )
+    context.settings = SimpleNamespace(callers=callers)
     context.bounds = RequestBounds(header_timeout=seconds)
 
 
--- a/packages/briarshed-entry/src/briarshed_entry/callers.py
+++ b/packages/briarshed-entry/src/briarshed_entry/callers.py
@@ -25,6 +25,7 @@
 from briarshed_entry.dispatch import Job, Outcome, refuse
 from briarshed_entry.logs import log_event
 from briarshed_entry.request_bodies import check_body, defer_continue, invite_body
+from briarshed_entry.tls import TlsHandshake
 
 JOB_ID_BYTES = 12
 JOB_ID_PATTERN = re.compile(r"[!-~]{1,128}")
@@ -119,8 +120,6 @@
         self._door = door
         self.address = settings.callers.address
         self._tls = settings.callers.tls
-        # A handshake comes before the connection counts as one of a client.
-        self._handshake_timeout = settings.connections.header_timeout_ms / 1000
         # A handler is cancelled when its caller disconnects.
         self._runner = web.AppRunner(application, handler_cancellation=True)
         self._server: asyncio.Server | None = None
@@ -129,17 +128,8 @@
         await self._runner.setup()
         host, _, port = self.address.rpartition(":")
         host = host.strip("[]")
-        context = None
-        if self._tls is not None:
-            context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
-            context.load_cert_chain(self._tls.certificate, self._tls.key)
         self._server = await asyncio.get_running_loop().create_server(
-            self._make_protocol,
-            host,
-            int(port),
-            ssl=context,
-            ssl_handshake_timeout=self._handshake_timeout if context else None,
-            backlog=self._door.backlog,
+            self._choose_factory(), host, int(port), backlog=self._door.backlog
         )
         bound = self._server.sockets[0].getsockname()[1]
         self.address = f"[{host}]:{bound}" if ":" in host else f"{host}:{bound}"
@@ -153,8 +143,18 @@
     ) -> None:
         if self._server is not None:
             self._server.close()
+        for connection in list(self._door.connections):
+            if connection.phase == "handshake":
+                connection.abort("stopping")
         await self._runner.cleanup()
 
+    def _choose_factory(self) -> Callable[[], asyncio.Protocol]:
+        if self._tls is None:
+            return self._make_protocol
+        context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+        context.load_cert_chain(self._tls.certificate, self._tls.key)
+        return lambda: TlsHandshake(context, self._door, self._make_protocol)
+
     def _make_protocol(self) -> _CallerConnection:
         assert self._runner.server is not None
         # Bodies are opaque, so they are not decompressed.
--- a/packages/briarshed-entry/src/briarshed_entry/connections.py
+++ b/packages/briarshed-entry/src/briarshed_entry/connections.py
@@ -7,7 +7,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterator
 from types import TracebackType
-from typing import TYPE_CHECKING, Self
+from typing import TYPE_CHECKING, Protocol, Self
 
 from briarshed import events
 from briarshed.byte_admission import (
@@ -15,6 +15,7 @@
     PHASES,
     ByteBudget,
     ClientsReport,
+    Phase,
     ProcessShare,
     RequestBounds,
 )
@@ -28,6 +29,38 @@
 BACKLOG = 1_024
 
 
+class Client(Protocol):
+    """A connection as its door sees it.
+
+    Attributes
+    ----------
+    has_delivered : bool
+        Whether a request of it has been answered.
+    held : int
+        Bytes of the budget that it has reserved.
+    """
+
+    has_delivered: bool
+    held: int
+
+    @property
+    def is_expendable(self) -> bool:
+        """Return whether it may be closed for another one during a request."""
+
+    @property
+    def phase(self) -> Phase:
+        """Return what it is doing."""
+
+    def abort(self, reason: str) -> None:
+        """Close it at once, without a response."""
+
+    def check_time(self, now: float, bounds: RequestBounds) -> None:
+        """Close it if it has been in one phase for too long."""
+
+    def allow_time(self, seconds: float) -> None:
+        """Allow more time, since the process has not run for some."""
+
+
 class Connections:
     """All connections of clients of a process; a context manager that closes slow ones.
 
@@ -129,7 +162,7 @@
         self.note_excess("not admitted")
         return False
 
-    def _list_holding(self, asking: BoundedConnection) -> Iterator[BoundedConnection]:
+    def _list_holding(self, asking: BoundedConnection) -> Iterator[Client]:
         """Yield the connections that may be closed for another one, the first first."""
         for door in self._doors:
             if door.budget is asking.door.budget:
@@ -182,11 +215,11 @@
         self.budget = budget
         self.owner = owner
         self.capacity = capacity
-        self.connections: dict[BoundedConnection, None] = {}
+        self.connections: dict[Client, None] = {}
         # Connections without a request in progress, ordered by their last progress;
         # those that have delivered no complete request are separate.
-        self._new: dict[BoundedConnection, None] = {}
-        self._known: dict[BoundedConnection, None] = {}
+        self._new: dict[Client, None] = {}
+        self._known: dict[Client, None] = {}
 
     @property
     def backlog(self) -> int:
@@ -197,11 +230,11 @@
         """
         return max(8, min(BACKLOG, self.capacity // 8))
 
-    def list_waiting(self) -> list[BoundedConnection]:
+    def list_waiting(self) -> list[Client]:
         """Return the connections that may be closed for others, the first one first."""
         return [*self._new, *self._known]
 
-    def add(self, connection: BoundedConnection) -> None:
+    def add(self, connection: Client) -> None:
         """Add a new connection; close another one if there are too many."""
         if len(self.connections) >= self.capacity:
             victim = self._find_victim()
@@ -211,7 +244,7 @@
         self.connections[connection] = None
         self._new[connection] = None
 
-    def _find_victim(self) -> BoundedConnection | None:
+    def _find_victim(self) -> Client | None:
         """Return the connection to close for a new one.
 
         Those in the middle of a request come last, and of them only those that have
@@ -220,7 +253,7 @@
         rest = (one for one in self.connections if one.is_expendable)
         return next(itertools.chain(self._new, self._known, rest), None)
 
-    def note_progress(self, connection: BoundedConnection) -> None:
+    def note_progress(self, connection: Client) -> None:
         """Put a connection behind all others."""
         if connection not in self.connections:
             return
@@ -228,12 +261,12 @@
         waiting.pop(connection, None)
         waiting[connection] = None
 
-    def note_handling(self, connection: BoundedConnection) -> None:
+    def note_handling(self, connection: Client) -> None:
         """Keep a connection with a complete request from being closed for others."""
         self._new.pop(connection, None)
         self._known.pop(connection, None)
 
-    def remove(self, connection: BoundedConnection) -> None:
+    def remove(self, connection: Client) -> None:
         """Remove a closed connection."""
         self.connections.pop(connection, None)
         self.note_handling(connection)
--- a/packages/briarshed/src/briarshed/byte_admission.py
+++ b/packages/briarshed/src/briarshed/byte_admission.py
@@ -57,7 +57,16 @@
 MIN_PROGRESS_BYTES = 1_024
 """Bytes that count as progress; fewer do not keep a connection from being closed."""
 
-Phase = Literal["idle", "head", "body", "handling", "writing", "closing", "discarding"]
+Phase = Literal[
+    "handshake",
+    "idle",
+    "head",
+    "body",
+    "handling",
+    "writing",
+    "closing",
+    "discarding",
+]
 
 PHASES: tuple[str, ...] = get_args(Phase)
 
@@ -173,8 +182,8 @@
     """
     if phase == "idle":
         return "idle" if elapsed > bounds.idle_timeout else ""
-    if phase == "head":
-        return "slow head" if elapsed > bounds.header_timeout else ""
+    if phase in ("handshake", "head"):
+        return f"slow {phase}" if elapsed > bounds.header_timeout else ""
     if phase == "body":
         expected = (elapsed - BODY_GRACE_S) * MIN_BODY_RATE
         return "slow body" if received < expected else ""
