Ask each endpoint less often for room in a plan

Cause: a plan asks every endpoint of a pool for each waiting task whether it has room, also if none had room for a smaller one.

Change: within a plan room is only taken, so needs that found none are kept, and needs as large are not looked up again. Free room is compared without making a tuple, and what is the same for all tasks of a plan is measured once.

--- a/packages/briarshed-workloads/src/briarshed_workloads/copies.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/copies.py
@@ -12,6 +12,7 @@
     count_places,
     count_starts_left,
     list_eligible,
+    measure_handicaps,
 )
 from briarshed_workloads.planning import measure_unknown_usage, reserve_run
 from briarshed_workloads.room_forecast import RoomForecast
@@ -63,7 +64,12 @@
             starts_left = count_starts_left(others)
             # A copy is late already, so that it waits for no better endpoint.
             candidates = EligibleEndpoints(
-                others, {}, starts_left, RoomForecast(engine, (), now)
+                others,
+                {},
+                measure_handicaps(others, {}),
+                starts_left,
+                RoomForecast(engine, (), now),
+                [],
             )
             counts = count_places(engine, run.task, run.step)
             endpoint = choose_endpoint(
--- a/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
@@ -325,6 +325,16 @@
         """Return the free capacity; an upper bound without a known capacity."""
         return subtract(self.registration.capacity, self.used)
 
+    def has_room(self, need: Resources) -> bool:
+        """Return whether a need fits within the free capacity."""
+        # Plans ask this of every endpoint for every waiting task.
+        capacity, used = self.registration.capacity, self.used
+        return (
+            need.cpu <= capacity.cpu - used.cpu
+            and need.memory_mb <= capacity.memory_mb - used.memory_mb
+            and need.accelerators <= capacity.accelerators - used.accelerators
+        )
+
     def find_clock(self, now: float) -> int:
         """Return the estimated time of the endpoint's clock in ms."""
         return self.clock_sample_ms + int((now - self.clock_sampled_at) * MS_PER_S)
--- a/packages/briarshed-workloads/src/briarshed_workloads/placement.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/placement.py
@@ -27,16 +27,27 @@
         Endpoints that may get new runs.
     slowness : dict
         By name, how many times as long as others an endpoint takes; 1 if not given.
+    handicaps : dict
+        By name, by what the share of free CPU is divided that an endpoint is chosen by.
     starts_left : dict
         By name, how many more starts each may get now.
     forecast : RoomForecast
         Room that is about to be freed, and the tasks that wait for it.
+    unplaceable : list of Resources
+        Needs for which no endpoint has room. Within a plan room is only taken, so that
+        larger needs find none either.
     """
 
     endpoints: Sequence[Endpoint]
     slowness: Mapping[str, float]
+    handicaps: Mapping[str, float]
     starts_left: dict[str, int]
     forecast: RoomForecast
+    unplaceable: list[Resources]
+
+    def is_full_for(self, need: Resources) -> bool:
+        """Return whether it is known that no endpoint has room for a need."""
+        return any(fits(known, need) for known in self.unplaceable)
 
 
 def gather_candidates(
@@ -56,8 +67,10 @@
     return EligibleEndpoints(
         eligible,
         slowness,
+        measure_handicaps(eligible, slowness),
         count_starts_left(eligible),
         RoomForecast(engine, eligible, now),
+        [],
     )
 
 
@@ -65,6 +78,19 @@
 """Number of runs by the name of an endpoint, and by ``rack`` and the name of a rack."""
 
 
+def measure_handicaps(
+    endpoints: Iterable[Endpoint], slowness: Mapping[str, float]
+) -> dict[str, float]:
+    """Return by what the free share of each endpoint counts as smaller.
+
+    One that takes longer, or where tasks have failed lately, gets less.
+    """
+    return {
+        row.name: slowness.get(row.name, 1.0) * (1 + row.reputation.failures)
+        for row in endpoints
+    }
+
+
 def count_starts_left(endpoints: Iterable[Endpoint]) -> dict[str, int]:
     """Return how many more starts each endpoint may get before some are answered."""
     return {
@@ -176,21 +202,30 @@
     was_in_crash = engine.was_in_crash(task)
     best: Endpoint | None = None
     best_score: tuple = (math.inf,)
+    if candidates.is_full_for(need):
+        return None
+    has_room = False
     for endpoint in candidates.endpoints:
-        if not candidates.starts_left.get(endpoint.name, 0) > 0:
+        if not endpoint.has_room(need):
             continue
-        if not can_start(step, need, endpoint, counts):
+        name = endpoint.name
+        if candidates.starts_left.get(name, 0) <= 0:
+            continue
+        has_room = True
+        if not _is_suitable(step, endpoint, counts):
             continue
         if was_in_crash and is_new(engine, endpoint, now):
             continue
         score = (
-            endpoint.name in failed_endpoints,
+            name in failed_endpoints,
             _is_cold(endpoint),
             _measure_time_factor(engine, step, endpoint, candidates.slowness),
-            *_score(step, endpoint, counts, candidates.slowness),
+            *_score(step, endpoint, counts, candidates.handicaps[name]),
         )
         if score < best_score:
             best, best_score = endpoint, score
+    if not has_room:
+        candidates.unplaceable.append(need)
     if best is None or best_score[2] <= 1.0 or step.long_running:
         return best
     if not best_score[0] and _is_better_to_wait(
@@ -207,9 +242,12 @@
 
     Small differences do not count, since the endpoints with most room come first.
     """
-    factor = slowness.get(endpoint.name, 1.0)
+    registration = endpoint.registration
+    factor = slowness.get(registration.endpoint, 1.0)
     factor = factor if factor > SLOW_FACTOR else 1.0
-    return factor * engine.run_times.find_spread(step, endpoint.registration.rack)
+    if not step.rack:
+        return factor
+    return factor * engine.run_times.find_spread(step, registration.rack)
 
 
 def _is_better_to_wait(
@@ -252,7 +290,7 @@
     step: Step, need: Resources, endpoint: Endpoint, counts: PlaceCounts
 ) -> bool:
     """Return whether an endpoint has capacity and label for a task of a step."""
-    return fits(need, endpoint.find_free()) and _is_suitable(step, endpoint, counts)
+    return endpoint.has_room(need) and _is_suitable(step, endpoint, counts)
 
 
 def could_start(
@@ -312,13 +350,13 @@
     step: Step,
     endpoint: Endpoint,
     counts: PlaceCounts,
-    slowness: Mapping[str, float],
+    handicap: float,
 ) -> tuple[float, ...]:
     registration = endpoint.registration
-    free = endpoint.find_free()
-    share = free.cpu / max(1, registration.capacity.cpu)
-    # An endpoint that takes longer, or where tasks have failed lately, gets less.
-    share /= slowness.get(endpoint.name, 1.0) * (1 + endpoint.reputation.failures)
+    capacity = registration.capacity.cpu
+    share = (capacity - endpoint.used.cpu) / (capacity or 1) / handicap
+    if not step.best_effort and not step.long_running:
+        return (-share,)
     here = counts.get(endpoint.name, 0)
     if step.best_effort:
         serving = sum(
@@ -326,6 +364,4 @@
         )
         best_effort_runs = sum(run.step.best_effort for run in endpoint.runs.values())
         return (best_effort_runs + serving, here, -share)
-    if step.long_running:
-        return (here, counts.get(f"rack {registration.rack}", 0), -share)
-    return (-share,)
+    return (here, counts.get(f"rack {registration.rack}", 0), -share)
