Count pending starts and drop log lines only where that is needed

A third of its time is planning; of that a quarter counts the pending starts of all endpoints anew for each overdue run, most of which have no room anywhere. A tenth formats log lines, of which some 500 a second are over the rate and dropped after that.

Change: pending starts are counted where there is room, once a plan. A copy looks only at endpoints with room. A line over the rate is dropped before it is made.

--- a/packages/briarshed-entry/src/briarshed_entry/logs.py
+++ b/packages/briarshed-entry/src/briarshed_entry/logs.py
@@ -39,6 +39,8 @@
 favour of lines about individual runs.
 """
 
+URGENT_LEVELS = ("WARNING", "ERROR", "CRITICAL")
+
 _NAMES = {event.number: name for name, event in list_events().items()}
 
 
@@ -59,9 +61,10 @@
     def add(self, line: str, is_urgent: bool) -> None:
         """Buffer a line, and write the buffer if it is due."""
         now = time.monotonic()
-        if not self._is_within_rate(now, is_urgent):
+        if not self._has_rate_left(now, is_urgent):
             self.dropped += 1
             return
+        self._lines_in_second += 1
         data = line.encode() + b"\n"
         if self._size + len(data) > BUFFER_BYTES:
             self.dropped += 1
@@ -75,15 +78,19 @@
             self._flushed_at = now
             self.flush()
 
-    def _is_within_rate(self, now: float, is_urgent: bool) -> bool:
+    def drop_if_over_rate(self, is_urgent: bool) -> bool:
+        """Count a line as dropped if there is no room for it in this second."""
+        if self._has_rate_left(time.monotonic(), is_urgent):
+            return False
+        self.dropped += 1
+        return True
+
+    def _has_rate_left(self, now: float, is_urgent: bool) -> bool:
         if int(now) != self._second:
             self._second = int(now)
             self._lines_in_second = 0
         max_lines = MAX_LINES_PER_S + (MAX_WARNINGS_PER_S if is_urgent else 0)
-        if self._lines_in_second >= max_lines:
-            return False
-        self._lines_in_second += 1
-        return True
+        return self._lines_in_second < max_lines
 
     def flush(self) -> None:
         """Write buffered lines while the output accepts them."""
@@ -154,6 +161,9 @@
 
 def log_event(event: Event, **fields: Any) -> None:
     """Log an event with its fields; a key's text must never be one of them."""
+    # A line that would be dropped is not formatted either.
+    if _output is not None and _output.drop_if_over_rate(event.level in URGENT_LEVELS):
+        return
     bound = logger.bind(event=event.number, fields=fields)
     # The text is formatted here, since values may contain braces.
     bound.log(event.level, "{}", event.text.format(**fields))
--- a/packages/briarshed-workloads/src/briarshed_workloads/copies.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/copies.py
@@ -10,7 +10,6 @@
     EligibleEndpoints,
     choose_endpoint,
     count_places,
-    count_starts_left,
     list_eligible,
     measure_handicaps,
 )
@@ -51,31 +50,31 @@
             continue
         eligible = list_eligible(engine, pool, now)
         slow = list_slow(measure_slowness(eligible, now))
+        suitable = [row for row in eligible if row.name not in slow]
+        handicaps = measure_handicaps(suitable, {})
+        starts_left: dict[str, int] = {}
         for job, run in overdue:
+            need = find_need(run.step)
             others = [
                 row
-                for row in eligible
-                if row is not run.endpoint and row.name not in slow
+                for row in suitable
+                if row is not run.endpoint and row.has_room(need)
             ]
-            need = find_need(run.step)
+            if not others:
+                continue
             maximum = engine.find_team_limit(job.team)
             if not is_within(engine.usage.estimate(job.team), need, maximum):
                 continue
-            starts_left = count_starts_left(others)
             # A copy is late already, so that it waits for no better endpoint.
             candidates = EligibleEndpoints(
-                others,
-                {},
-                measure_handicaps(others, {}),
-                starts_left,
-                RoomForecast(engine, (), now),
-                [],
+                others, {}, handicaps, starts_left, RoomForecast(engine, (), now), []
             )
             counts = count_places(engine, run.task, run.step)
             endpoint = choose_endpoint(
                 engine, job, run.task, need, candidates, counts, now
             )
             if endpoint is not None:
+                candidates.note_start(endpoint)
                 orders.append(
                     reserve_run(engine, job, run.task, run.step, endpoint, now)
                 )
--- a/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/fleet.py
@@ -390,7 +390,7 @@
 
     def count_pending_starts(self) -> int:
         """Return the number of starts that are planned or have no response yet."""
-        return sum(run.state == ORDERED for run in self.runs.values())
+        return [run.state for run in self.runs.values()].count(ORDERED)
 
     def choose_acknowledged(self, is_partly_listed: bool = False) -> int:
         """Return the number of the last end to acknowledge in a poll, or 0.
--- a/packages/briarshed-workloads/src/briarshed_workloads/placement.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/placement.py
@@ -30,7 +30,7 @@
     handicaps : dict
         By name, by what the share of free CPU is divided that an endpoint is chosen by.
     starts_left : dict
-        By name, how many more starts each may get now.
+        By name, how many more starts each may get now, as far as it was asked for.
     forecast : RoomForecast
         Room that is about to be freed, and the tasks that wait for it.
     unplaceable : list of Resources
@@ -49,6 +49,18 @@
         """Return whether it is known that no endpoint has room for a need."""
         return any(fits(known, need) for known in self.unplaceable)
 
+    def may_start(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint may get a start before some are answered."""
+        left = self.starts_left.get(endpoint.name)
+        if left is None:
+            left = MAX_PENDING_ORDERS - endpoint.count_pending_starts()
+            self.starts_left[endpoint.name] = left
+        return left > 0
+
+    def note_start(self, endpoint: Endpoint) -> None:
+        """Count a start that the plan orders at an endpoint."""
+        self.starts_left[endpoint.name] -= 1
+
 
 def gather_candidates(
     engine: Engine, eligible: Sequence[Endpoint], now: float
@@ -68,7 +80,7 @@
         eligible,
         slowness,
         measure_handicaps(eligible, slowness),
-        count_starts_left(eligible),
+        {},
         RoomForecast(engine, eligible, now),
         [],
     )
@@ -91,13 +103,6 @@
     }
 
 
-def count_starts_left(endpoints: Iterable[Endpoint]) -> dict[str, int]:
-    """Return how many more starts each endpoint may get before some are answered."""
-    return {
-        row.name: MAX_PENDING_ORDERS - row.count_pending_starts() for row in endpoints
-    }
-
-
 def list_eligible(engine: Engine, pool: str, now: float) -> list[Endpoint]:
     """Return the endpoints of a pool that may get new runs of any task."""
     return [
@@ -206,11 +211,9 @@
         return None
     has_room = False
     for endpoint in candidates.endpoints:
-        if not endpoint.has_room(need):
+        if not endpoint.has_room(need) or not candidates.may_start(endpoint):
             continue
         name = endpoint.name
-        if candidates.starts_left.get(name, 0) <= 0:
-            continue
         has_room = True
         if not _is_suitable(step, endpoint, counts):
             continue
--- a/packages/briarshed-workloads/src/briarshed_workloads/planning.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/planning.py
@@ -214,7 +214,7 @@
         if endpoint is None:
             return
         orders.append(reserve_run(engine, job, task, step, endpoint, now))
-        candidates.starts_left[endpoint.name] -= 1
+        candidates.note_start(endpoint)
         add_place(counts, endpoint)
 
 
