Look for room for copies once for each need

Test: plans with 200 waiting tasks, and with 200 overdue runs, make at most twice the calls in a pool of 100 endpoints as in one of 10.

--- a/features/workloads/large_jobs.feature
+++ b/features/workloads/large_jobs.feature
@@ -14,6 +14,19 @@
       | that may be copied                  |
       | with no further requirement         |
 
+  Scenario Outline: The cost of <what> that find no room does not grow with the endpoints
+    # Guards against a leader that has no time left for anything else while a pool is
+    # full (SHORT): each plan asked every endpoint for each waiting task, and counted the
+    # pending starts of all endpoints for each run that was overdue.
+    Given pools of 10 and of 100 endpoints with room for smaller tasks only
+    When each leader plans with 200 <what>
+    Then the plan for 100 endpoints makes at most <most> times the calls of that for 10
+
+    Examples:
+      | what          | most |
+      | waiting tasks | 2    |
+      | overdue runs  | 2    |
+
   Scenario: A plan ends after a limited number of starts, and the next one goes on
     # Guards against a large job that no leader survives (LOST): thousands of starts were
     # planned and sent at once, and the lease could not be renewed meanwhile.
--- a/features/workloads/steps/large_job_steps.py
+++ b/features/workloads/steps/large_job_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import sys
+from functools import partial
 from itertools import pairwise
 from types import SimpleNamespace
 
@@ -19,7 +20,7 @@
 from briarshed_workloads.fleet import ORDERED, PRESENT
 from briarshed_workloads.order_slots import OrderSlots
 from briarshed_workloads.planning import plan_starts
-from briarshed_workloads.workloads import PollResponse, Resources, Step
+from briarshed_workloads.workloads import PollResponse, Resources, Step, add
 
 NEED = Resources(10, 10, 0)
 ROOM = Resources(10_000, 10_000, 0)
@@ -86,6 +87,55 @@
     return most
 
 
+SMALL_NEED = Resources(5, 5, 0)
+WAITED_S = 1.0
+
+
+def make_full_engine(endpoints, what, count):
+    """Return an engine whose endpoints have no room for its tasks, but for one."""
+    engine = make_large_engine(endpoints)
+    has_runs = what == "overdue runs"
+    if has_runs:
+        submit(engine, JOB, (Step(count, NEED, 0.1, speculative=True),), NOW)
+        while orders := plan_starts(engine, NOW):
+            answer(engine, orders)
+    for endpoint in engine.endpoints.values():
+        room = add(endpoint.used, SMALL_NEED)
+        endpoint.registration = endpoint.registration._replace(capacity=room)
+    if not has_runs:
+        # Of several steps, since the tasks of one are given up at the first.
+        steps = (Step(1, NEED, 0.1),) * count
+        submit(engine, JOB, steps, NOW)
+        submit(engine, OTHER_JOB, (Step(1, SMALL_NEED, 0.1),), NOW)
+    return engine
+
+
+@given("pools of {small:d} and of {large:d} endpoints with room for smaller tasks only")
+def step_full_pools(context, small, large):
+    context.sizes = small, large
+
+
+@when("each leader plans with {count:d} {what}")
+def step_full_plan(context, count, what):
+    plan = plan_copies if what == "overdue runs" else plan_starts
+    context.calls, context.orders = [], []
+    for size in context.sizes:
+        engine = make_full_engine(size, what, count)
+        work = partial(plan, engine, NOW + WAITED_S)
+        context.calls.append(
+            count_calls(lambda work=work: context.orders.append(work()))
+        )
+
+
+@then(
+    "the plan for {large:d} endpoints makes at most {most:d} times the calls of that"
+    " for {small:d}"
+)
+def step_full_calls(context, large, most, small):
+    of_small, of_large = context.calls
+    assert of_large <= most * of_small, context.calls
+
+
 STOP_GRACE_S = 0.2
 
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/copies.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/copies.py
@@ -51,27 +51,32 @@
         eligible = list_eligible(engine, pool, now)
         slow = list_slow(measure_slowness(eligible, now))
         suitable = [row for row in eligible if row.name not in slow]
-        handicaps = measure_handicaps(suitable, {})
-        starts_left: dict[str, int] = {}
+        # A copy is late already, so that it waits for no better endpoint.
+        candidates = EligibleEndpoints(
+            suitable,
+            {},
+            measure_handicaps(suitable, {}),
+            {},
+            RoomForecast(engine, (), now),
+            [],
+        )
         for job, run in overdue:
             need = find_need(run.step)
-            others = [
-                row
-                for row in suitable
-                if row is not run.endpoint and row.has_room(need)
-            ]
-            if not others:
+            if not candidates.find_room(need):
                 continue
             maximum = engine.find_team_limit(job.team)
             if not is_within(engine.usage.estimate(job.team), need, maximum):
                 continue
-            # A copy is late already, so that it waits for no better endpoint.
-            candidates = EligibleEndpoints(
-                others, {}, handicaps, starts_left, RoomForecast(engine, (), now), []
-            )
             counts = count_places(engine, run.task, run.step)
+            others = [row for row in suitable if row is not run.endpoint]
             endpoint = choose_endpoint(
-                engine, job, run.task, need, candidates, counts, now
+                engine,
+                job,
+                run.task,
+                need,
+                candidates._replace(endpoints=others, unplaceable=[]),
+                counts,
+                now,
             )
             if endpoint is not None:
                 candidates.note_start(endpoint)
--- a/packages/briarshed-workloads/src/briarshed_workloads/placement.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/placement.py
@@ -49,6 +49,15 @@
         """Return whether it is known that no endpoint has room for a need."""
         return any(fits(known, need) for known in self.unplaceable)
 
+    def find_room(self, need: Resources) -> bool:
+        """Return whether an endpoint has room for a need, and keep that none has."""
+        if self.is_full_for(need):
+            return False
+        if any(endpoint.has_room(need) for endpoint in self.endpoints):
+            return True
+        self.unplaceable.append(need)
+        return False
+
     def may_start(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint may get a start before some are answered."""
         left = self.starts_left.get(endpoint.name)
