Count only lines as dropped that would have been written

Cause: the check before a line is made did not know the level of the output.

Test: 900 events of the level of the output, and 50 below it, within a second: 600 lines are made, 300 counted as dropped.

--- a/features/settings/steps/logs_steps.py
+++ b/features/settings/steps/logs_steps.py
@@ -2,9 +2,12 @@
 
 import os
 import tempfile
+from unittest import mock
 
 from behave import given, then, when
+from loguru import logger
 
+from briarshed.events import ENTRY_READY
 from briarshed_entry import logs
 
 LINES, WARNINGS = 900, 10
@@ -38,3 +41,33 @@
     os.close(context.descriptor)
     assert text.count("warning") == WARNINGS, text[-300:]
     assert context.output.take_dropped() == LINES - logs.MAX_LINES_PER_S
+
+
+@when(
+    '{count:d} events of the level "INFO" are logged within a second, and then'
+    " {below:d} below it"
+)
+def step_events(context, count, below):
+    context.output.level = logger.level("INFO").no
+    clock = type("Clock", (), {"monotonic": staticmethod(lambda: 5.0)})
+    number = logger.add(
+        lambda message: context.output.add(message, False), level="INFO"
+    )
+    with (
+        mock.patch.object(logs, "_output", context.output),
+        mock.patch.object(logs, "time", clock),
+        mock.patch.object(context.output, "add", wraps=context.output.add) as made,
+    ):
+        for _ in range(count):
+            logs.log_event(ENTRY_READY, name="e1")
+        for _ in range(below):
+            logs.log_event(ENTRY_READY._replace(level="DEBUG"), name="e1")
+    logger.remove(number)
+    context.made = made.call_count
+
+
+@then("{made:d} of their lines have been made, and {dropped:d} are counted as dropped")
+def step_made(context, made, dropped):
+    os.close(context.descriptor)
+    assert context.made == made, context.made
+    assert context.output.take_dropped() == dropped
--- a/packages/briarshed-entry/src/briarshed_entry/logs.py
+++ b/packages/briarshed-entry/src/briarshed_entry/logs.py
@@ -39,16 +39,25 @@
 favour of lines about individual runs.
 """
 
-URGENT_LEVELS = ("WARNING", "ERROR", "CRITICAL")
+WARNING_LEVEL = logger.level("WARNING").no
 
 _NAMES = {event.number: name for name, event in list_events().items()}
 
 
 class BufferedOutput:
-    """Writes lines to a file descriptor without blocking."""
+    """Writes lines to a file descriptor without blocking.
 
-    def __init__(self, descriptor: int) -> None:
+    Parameters
+    ----------
+    descriptor : int
+        Where the lines are written.
+    level : int
+        Level from which on events are written.
+    """
+
+    def __init__(self, descriptor: int, level: int = 0) -> None:
         self.dropped = 0
+        self.level = level
         self._descriptor = descriptor
         self._lines: deque[bytes] = deque()
         self._size = 0
@@ -145,7 +154,7 @@
     """Send events at or above a level to standard output as JSON lines."""
     global _output
     logger.remove()
-    _output = BufferedOutput(sys.stdout.fileno())
+    _output = BufferedOutput(sys.stdout.fileno(), logger.level(level).no)
     logger.add(_write_json, level=level, format="{message}")
 
 
@@ -161,9 +170,11 @@
 
 def log_event(event: Event, **fields: Any) -> None:
     """Log an event with its fields; a key's text must never be one of them."""
-    # A line that would be dropped is not formatted either.
-    if _output is not None and _output.drop_if_over_rate(event.level in URGENT_LEVELS):
-        return
+    if _output is not None:
+        level = logger.level(event.level).no
+        # A line that would be dropped is not formatted either.
+        if level >= _output.level and _output.drop_if_over_rate(level >= WARNING_LEVEL):
+            return
     bound = logger.bind(event=event.number, fields=fields)
     # The text is formatted here, since values may contain braces.
     bound.log(event.level, "{}", event.text.format(**fields))
@@ -180,5 +191,5 @@
         **record["extra"].get("fields", {}),
     }
     assert _output is not None
-    is_urgent = record["level"].no >= logger.level("WARNING").no
+    is_urgent = record["level"].no >= WARNING_LEVEL
     _output.add(json.dumps(line, default=str), is_urgent)
