--- a/features/workloads/large_jobs.feature
+++ b/features/workloads/large_jobs.feature
@@ -58,6 +58,21 @@
     Then the endpoint is polled at most 10 times
     And it is not polled any more once they serve
 
+  Scenario Outline: A new leader of <count> endpoints
+    # Guards against a fleet that nobody leads for long (LOST): a new leader polled all
+    # endpoints at once, most responses came after their time-out, and their endpoints
+    # counted as silent and were polled again.
+    Given <count> endpoints, and a leader that needs 1 ms for each poll in progress
+    When it polls them for the first time, and <silent> of them do not respond
+    Then at most 400 polls are in progress at a time
+    And all others have responded once after <seconds> s
+
+    Examples:
+      | count | silent | seconds |
+      | 300   | 0      | 0.4     |
+      | 3000  | 0      | 4       |
+      | 3000  | 1000   | 6       |
+
   Scenario: Waiting orders are not sent to an endpoint that has become silent
     # Guards against tasks that wait for calls to an endpoint that does not respond.
     Given 16 starts for an endpoint that does not respond
--- a/features/workloads/steps/large_job_steps.py
+++ b/features/workloads/steps/large_job_steps.py
@@ -18,9 +18,16 @@
 from briarshed_workloads.copies import plan_copies
 from briarshed_workloads.disruption import list_evictions
 from briarshed_workloads.fleet import ORDERED, PRESENT
+from briarshed_workloads.interfaces import OutcomeUnknownError
 from briarshed_workloads.order_slots import OrderSlots
 from briarshed_workloads.planning import plan_starts
-from briarshed_workloads.workloads import PollResponse, Resources, Step, add
+from briarshed_workloads.workloads import (
+    PollResponse,
+    Registration,
+    Resources,
+    Step,
+    add,
+)
 
 NEED = Resources(10, 10, 0)
 ROOM = Resources(10_000, 10_000, 0)
@@ -136,6 +143,8 @@
     assert of_large <= most * of_small, context.calls
 
 
+POLL_COST_S = 0.001
+POLL_TIMEOUT_S = 0.5
 STOP_GRACE_S = 0.2
 
 
@@ -265,6 +274,76 @@
     assert context.left == 8, context.left
 
 
+class BusyEndpoints:
+    """Respond later the more polls are in progress, and not after the time-out."""
+
+    def __init__(self, silent):
+        self.silent = silent
+        self.in_progress = 0
+        self.most = 0
+        self.timed_out = 0
+
+    async def poll(self, name, address, token, acknowledged, deadline_ms, wait):
+        """List no runs."""
+        self.in_progress += 1
+        self.most = max(self.most, self.in_progress)
+        needed = POLL_COST_S * self.in_progress
+        try:
+            if name in self.silent or needed > POLL_TIMEOUT_S:
+                self.timed_out += name not in self.silent
+                await asyncio.sleep(POLL_TIMEOUT_S)
+                raise OutcomeUnknownError("time-out")
+            await asyncio.sleep(needed)
+        finally:
+            self.in_progress -= 1
+        return PollResponse(int(clock.now() * 1000), 1, (), ())
+
+    async def discard_connections(self, address):
+        """Keep no connections."""
+
+
+@given("{count:d} endpoints, and a leader that needs 1 ms for each poll in progress")
+def step_many_endpoints(context, count):
+    context.names = [f"e{number}" for number in range(count)]
+
+
+@when("it polls them for the first time, and {silent:d} of them do not respond")
+def step_first_polls(context, silent):
+    # The silent ones are spread among the others.
+    chosen = set(context.names[::3][:silent])
+
+    async def lead():
+        fake = BusyEndpoints(chosen)
+        controller, _ = make_controller(SimpleNamespace(commit_count=0), endpoints=fake)
+        engine = controller.engine
+        rows = [
+            Registration(name, 1, "", "pool", "d", "r", (), ROOM)
+            for name in context.names
+        ]
+        engine.note_registrations(rows, clock.now())
+        async with controller:
+            started_at = clock.now()
+            controller.poller.start_polling()
+            for endpoint in engine.endpoints.values():
+                while endpoint.name not in chosen and not endpoint.is_fenced:
+                    await asyncio.sleep(0.05)
+                    assert clock.now() < started_at + 60.0, fake.timed_out
+            context.seconds = clock.now() - started_at
+            context.most = fake.most
+
+    run_virtually(lead())
+
+
+@then("at most {most:d} polls are in progress at a time")
+def step_most_polls(context, most):
+    assert context.most <= most, context.most
+
+
+@then("all others have responded once after {seconds:g} s")
+def step_all_polled(context, seconds):
+    assert context.seconds <= seconds, context.seconds
+
+
 class StartingEndpoint:
     """Lists long-running runs that have started, or serve, at each poll."""
 
