--- a/packages/briarshed-workloads/src/briarshed_workloads/polling.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/polling.py
@@ -30,11 +30,6 @@
 POLL_WAIT_S = 1.2
 """How long a poll waits for an end; less than a third of the run lease."""
 
-MAX_FIRST_POLLS = 400
-"""Number of polls of endpoints that are not fenced yet that are in progress at a time.
-If a new leader polled thousands at once, most responses would come after the time-out
-of 0.5 s."""
-
 MIN_POLL_WAIT_S = 0.05
 """Shortest time that a poll waits for an end, so that a slow clock of an endpoint does
 not cause many polls."""
@@ -107,7 +102,6 @@
         self._wake_events: dict[str, asyncio.Event] = {}
         self._clock_reads: dict[Endpoint, asyncio.Task[None]] = {}
         self._watched: set[Endpoint] = set()
-        self._first_polls = asyncio.Semaphore(MAX_FIRST_POLLS)
 
     def start_polling(self) -> None:
         """Start a poll loop for each new endpoint."""
@@ -146,11 +140,7 @@
             await self._wait_to_acknowledge(endpoint, wake_event)
             is_polled = False
             try:
-                if endpoint.is_fenced:
-                    is_polled = await self.poll(endpoint)
-                else:
-                    async with self._first_polls:
-                        is_polled = await self.poll(endpoint)
+                is_polled = await self.poll(endpoint)
             except Exception as error:
                 report_error(f"poll of {endpoint.name}", error)
             if is_polled and self._is_contested(endpoint):
