Rename what misleads a newcomer, and log errors after a TLS handshake

"Early data" is a term of TLS 1.3 for something else (_HandshakeBuffer now); "handicap" and "Client" needed an explanation (penalty, DoorConnection).

Cause of the change in behaviour: an unexpected error between the end of a handshake and the next protocol was reported by the event loop only, and the connection stayed open.

Change: it is logged (LOOP_FAILED), and the connection closed.

--- a/features/connections/steps/tls_steps.py
+++ b/features/connections/steps/tls_steps.py
@@ -4,12 +4,14 @@
 import ssl
 from pathlib import Path
 from types import SimpleNamespace
+from unittest import mock
 
 from aiohttp import ClientSession, web
 from behave import given, then, when
 
 from briarshed.byte_admission import ProcessShare, RequestBounds
 from briarshed.settings import Tls
+from briarshed_entry import tls
 from briarshed_entry.callers import CallerServer
 from briarshed_entry.connections import Connections
 
@@ -33,6 +35,60 @@
     return web.Response()
 
 
+def make_client_context():
+    """Return what a client needs to trust the certificate."""
+    client = ssl.create_default_context(cafile=FOLDER / "certificate.pem")
+    client.check_hostname = False
+    return client
+
+
+async def ask(server):
+    """Return the status of an ordinary request over TLS."""
+    async with (
+        ClientSession() as session,
+        session.get(
+            f"https://{server.address}/", ssl=make_client_context()
+        ) as response,
+    ):
+        return response.status
+
+
+@when("the first connection cannot be served after its handshake")
+def step_error(context):
+    async def run():
+        application = web.Application()
+        application.router.add_get("/", respond)
+        owner = Connections(ProcessShare(1_000_000, 16), lambda: context.bounds)
+        async with owner as connections:
+            door = connections.open_door("callers")
+            server = CallerServer(context.settings, application, door)
+            make_protocol = server._make_protocol
+            failing = mock.Mock(side_effect=[ZeroDivisionError("injected")])
+            server._make_protocol = lambda: (
+                make_protocol() if failing.called else failing()
+            )
+            async with server:
+                host, _, port = server.address.rpartition(":")
+                reader, writer = await asyncio.open_connection(
+                    host, int(port), ssl=make_client_context()
+                )
+                async with asyncio.timeout(CLOSED_WITHIN_S):
+                    await asyncio.gather(reader.read(), return_exceptions=True)
+                writer.close()
+                return await ask(server)
+
+    with mock.patch.object(tls, "log_event") as logged:
+        context.status = asyncio.run(run())
+    context.logged = logged.call_args_list
+
+
+@then('it is closed, and "{task}" is logged as failed')
+def step_logged(context, task):
+    (call,) = context.logged
+    assert call.kwargs["task"] == task, call
+    assert "injected" in call.kwargs["error"], call
+
+
 async def stay(context, part):
     """Return whether a client is closed, and the status of an ordinary request."""
     application = web.Application()
@@ -53,13 +109,7 @@
             except TimeoutError:
                 is_closed = False
             writer.close()
-            client = ssl.create_default_context(cafile=FOLDER / "certificate.pem")
-            client.check_hostname = False
-            async with (
-                ClientSession() as session,
-                session.get(f"https://{server.address}/", ssl=client) as response,
-            ):
-                return is_closed, response.status
+            return is_closed, await ask(server)
 
 
 @when("a client sends {what} and stays")
--- a/packages/briarshed-entry/src/briarshed_entry/connections.py
+++ b/packages/briarshed-entry/src/briarshed_entry/connections.py
@@ -29,8 +29,8 @@
 BACKLOG = 1_024
 
 
-class Client(Protocol):
-    """A connection as its door sees it.
+class DoorConnection(Protocol):
+    """A connection of a door, before or after its TLS handshake.
 
     Attributes
     ----------
@@ -162,7 +162,7 @@
         self.note_excess("not admitted")
         return False
 
-    def _list_holding(self, asking: BoundedConnection) -> Iterator[Client]:
+    def _list_holding(self, asking: BoundedConnection) -> Iterator[DoorConnection]:
         """Yield the connections that may be closed for another one, the first first."""
         for door in self._doors:
             if door.budget is asking.door.budget:
@@ -215,11 +215,11 @@
         self.budget = budget
         self.owner = owner
         self.capacity = capacity
-        self.connections: dict[Client, None] = {}
+        self.connections: dict[DoorConnection, None] = {}
         # Connections without a request in progress, ordered by their last progress;
         # those that have delivered no complete request are separate.
-        self._new: dict[Client, None] = {}
-        self._known: dict[Client, None] = {}
+        self._new: dict[DoorConnection, None] = {}
+        self._known: dict[DoorConnection, None] = {}
 
     @property
     def backlog(self) -> int:
@@ -230,11 +230,11 @@
         """
         return max(8, min(BACKLOG, self.capacity // 8))
 
-    def list_waiting(self) -> list[Client]:
+    def list_waiting(self) -> list[DoorConnection]:
         """Return the connections that may be closed for others, the first one first."""
         return [*self._new, *self._known]
 
-    def add(self, connection: Client) -> None:
+    def add(self, connection: DoorConnection) -> None:
         """Add a new connection; close another one if there are too many."""
         if len(self.connections) >= self.capacity:
             victim = self._find_victim()
@@ -244,7 +244,7 @@
         self.connections[connection] = None
         self._new[connection] = None
 
-    def _find_victim(self) -> Client | None:
+    def _find_victim(self) -> DoorConnection | None:
         """Return the connection to close for a new one.
 
         Those in the middle of a request come last, and of them only those that have
@@ -253,7 +253,7 @@
         rest = (one for one in self.connections if one.is_expendable)
         return next(itertools.chain(self._new, self._known, rest), None)
 
-    def note_progress(self, connection: Client) -> None:
+    def note_progress(self, connection: DoorConnection) -> None:
         """Put a connection behind all others."""
         if connection not in self.connections:
             return
@@ -261,12 +261,12 @@
         waiting.pop(connection, None)
         waiting[connection] = None
 
-    def note_handling(self, connection: Client) -> None:
+    def note_handling(self, connection: DoorConnection) -> None:
         """Keep a connection with a complete request from being closed for others."""
         self._new.pop(connection, None)
         self._known.pop(connection, None)
 
-    def remove(self, connection: Client) -> None:
+    def remove(self, connection: DoorConnection) -> None:
         """Remove a closed connection."""
         self.connections.pop(connection, None)
         self.note_handling(connection)
--- a/packages/briarshed-entry/src/briarshed_entry/tls.py
+++ b/packages/briarshed-entry/src/briarshed_entry/tls.py
@@ -7,7 +7,9 @@
 from collections.abc import Callable
 
 from briarshed.byte_admission import Phase, RequestBounds, find_excess
+from briarshed.events import LOOP_FAILED
 from briarshed_entry.connections import Door
+from briarshed_entry.logs import log_event
 
 HANDSHAKE_TIMEOUT_S = 600.0
 """Time-out of the library, which does not know of frozen processes and changed limits;
@@ -76,28 +78,33 @@
         self._since += seconds
 
     async def _upgrade(self, transport: asyncio.Transport) -> None:
-        early = _EarlyData()
+        buffer = _HandshakeBuffer()
         try:
             secured = await self._loop.start_tls(
                 transport,
-                early,
+                buffer,
                 self._context,
                 server_side=True,
                 ssl_handshake_timeout=HANDSHAKE_TIMEOUT_S,
             )
         except OSError:
-            # Also that of the library for TLS. Counted, and logged with others.
+            # `ssl.SSLError` is one; the sweep of the connections logs their number.
             self._door.owner.note_excess("failed handshake")
             return
         finally:
             self._door.remove(self)
         # There is no transport if the connection was closed meanwhile.
-        if secured is not None and not secured.is_closing():
-            early.pass_on(secured, self._make_protocol())
+        if secured is None or secured.is_closing():
+            return
+        try:
+            buffer.pass_on(secured, self._make_protocol())
+        except Exception as error:
+            log_event(LOOP_FAILED, task="TLS handshake", error=repr(error))
+            secured.abort()
 
 
-class _EarlyData(asyncio.Protocol):
-    """Keeps what comes with the end of a handshake for the next protocol."""
+class _HandshakeBuffer(asyncio.Protocol):
+    """Buffers what arrives with the end of a handshake for the next protocol."""
 
     def __init__(self) -> None:
         self._received = bytearray()
--- a/packages/briarshed-workloads/src/briarshed_workloads/copies.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/copies.py
@@ -11,7 +11,7 @@
     choose_endpoint,
     count_places,
     list_eligible,
-    measure_handicaps,
+    measure_penalties,
 )
 from briarshed_workloads.planning import measure_unknown_usage, reserve_run
 from briarshed_workloads.room_forecast import RoomForecast
@@ -55,7 +55,7 @@
         candidates = EligibleEndpoints(
             suitable,
             {},
-            measure_handicaps(suitable, {}),
+            measure_penalties(suitable, {}),
             {},
             RoomForecast(engine, (), now),
             [],
--- a/packages/briarshed-workloads/src/briarshed_workloads/placement.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/placement.py
@@ -27,8 +27,8 @@
         Endpoints that may get new runs.
     slowness : dict
         By name, how many times as long as others an endpoint takes; 1 if not given.
-    handicaps : dict
-        By name, by what the share of free CPU is divided that an endpoint is chosen by.
+    penalties : dict
+        By name, the divisor of an endpoint's share of free CPU in the choice of one.
     starts_left : dict
         By name, how many more starts each may get now, as far as it was asked for.
     forecast : RoomForecast
@@ -40,7 +40,7 @@
 
     endpoints: Sequence[Endpoint]
     slowness: Mapping[str, float]
-    handicaps: Mapping[str, float]
+    penalties: Mapping[str, float]
     starts_left: dict[str, int]
     forecast: RoomForecast
     unplaceable: list[Resources]
@@ -88,7 +88,7 @@
     return EligibleEndpoints(
         eligible,
         slowness,
-        measure_handicaps(eligible, slowness),
+        measure_penalties(eligible, slowness),
         {},
         RoomForecast(engine, eligible, now),
         [],
@@ -99,12 +99,12 @@
 """Number of runs by the name of an endpoint, and by ``rack`` and the name of a rack."""
 
 
-def measure_handicaps(
+def measure_penalties(
     endpoints: Iterable[Endpoint], slowness: Mapping[str, float]
 ) -> dict[str, float]:
-    """Return by what the free share of each endpoint counts as smaller.
+    """Return the divisor of each endpoint's share of free CPU, by name.
 
-    One that takes longer, or where tasks have failed lately, gets less.
+    One that takes longer, or where tasks have failed lately, gets fewer tasks.
     """
     return {
         row.name: slowness.get(row.name, 1.0) * (1 + row.reputation.failures)
@@ -232,7 +232,7 @@
             name in failed_endpoints,
             _is_cold(endpoint),
             _measure_time_factor(engine, step, endpoint, candidates.slowness),
-            *_score(step, endpoint, counts, candidates.handicaps[name]),
+            *_score(step, endpoint, counts, candidates.penalties[name]),
         )
         if score < best_score:
             best, best_score = endpoint, score
@@ -362,11 +362,11 @@
     step: Step,
     endpoint: Endpoint,
     counts: PlaceCounts,
-    handicap: float,
+    penalty: float,
 ) -> tuple[float, ...]:
     registration = endpoint.registration
     capacity = registration.capacity.cpu
-    share = (capacity - endpoint.used.cpu) / (capacity or 1) / handicap
+    share = (capacity - endpoint.used.cpu) / (capacity or 1) / penalty
     if not step.best_effort and not step.long_running:
         return (-share,)
     here = counts.get(endpoint.name, 0)
