--- a/review/rig-3/platform_standins.py
+++ b/review/rig-3/platform_standins.py
@@ -346,6 +346,14 @@
                 self.store.put(f"servers/{name}", encode(row))
             await asyncio.sleep(HEARTBEAT_S)
 
+    def write_runs(self) -> None:
+        """Write what each endpoint has run, with the times of start and end."""
+        for name, endpoint in self.endpoints.items():
+            endpoint.expire_runs()
+            for row in endpoint.started:
+                times = [f"{at - self.record.started_at:.3f}" for at in row[2:4] if at]
+                self.record.write("ran", name, *row[:2], *times, *row[4:5])
+
     # The consumers
 
     async def call(
