--- a/review/rig-3/platform_standins.py
+++ b/review/rig-3/platform_standins.py
@@ -315,6 +315,10 @@
         }
         return endpoint
 
+    async def enter(self, endpoint: EndpointStandin) -> None:
+        """Let an endpoint listen until the fleet ends."""
+        await self._stack.enter_async_context(endpoint)
+
     def _make_capacity(self) -> dict[str, int]:
         return {"cpu": self.cpu, "mem-mb": 64_000, "gpus": 0}
 
