--- a/review/11/case.py
+++ b/review/11/case.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import os
 import sys
 import time
 from pathlib import Path
@@ -11,7 +12,7 @@
 REVIEW = Path(__file__).resolve().parents[1]
 sys.path.insert(0, str(REVIEW / "rig-3"))
 
-from ordinary_jobs import ask, is_lost, send_ordinary_jobs  # noqa: E402
+from ordinary_jobs import report_lost, send_ordinary_jobs  # noqa: E402
 from platform_standins import Fleet, run_case  # noqa: E402
 
 WIDE_COUNT, NARROW_COUNT = 5_000, 1
@@ -39,18 +40,7 @@
         await traffic
         fleet.record.write("end of the traffic;", len(accepted), "jobs accepted")
         await asyncio.sleep(FINISH_S)
-        open_jobs = await ask(fleet, accepted)
-        lost = [path for path in open_jobs if is_lost(fleet, path)]
-        fleet.write_runs()
-        for path in lost:
-            fleet.record.write("LOST:", path, "was accepted, and nothing of it runs")
-        for entry in fleet.entries:
-            fleet.record.write(
-                entry.name,
-                f"most memory {entry.most_mb:.0f} MB,",
-                f"killed {entry.over_memory} times for more than {fleet.memory_mb} MB",
-            )
-        return bool(lost)
+        return await report_lost(fleet, accepted)
 
 
 async def send_overdue_job(fleet: Fleet, count: int) -> None:
@@ -73,4 +63,7 @@
         raise RuntimeError("the scheduled job was not accepted")
 
 
-run_case(make_case, str(Path(__file__).parent))
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+"""Whether the disruption takes place; not with TROUBLE=0."""
+
+run_case(make_case, Path(__file__).parent, HAS_TROUBLE)
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import sys
 import time
 from pathlib import Path
@@ -111,4 +112,7 @@
     return not is_done and not active
 
 
-run_case(make_case, str(Path(__file__).parent))
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+"""Whether the disruption takes place; not with TROUBLE=0."""
+
+run_case(make_case, Path(__file__).parent, HAS_TROUBLE)
--- a/review/rig-3/ordinary_jobs.py
+++ b/review/rig-3/ordinary_jobs.py
@@ -34,6 +34,28 @@
         await asyncio.sleep(0.1)
 
 
+async def report_lost(fleet: Fleet, accepted: list[str]) -> bool:
+    """Write which accepted jobs are lost, what ran and what memory entries needed.
+
+    Returns
+    -------
+    bool
+        Whether a job is lost.
+    """
+    open_jobs = await ask(fleet, accepted)
+    lost = [path for path in open_jobs if is_lost(fleet, path)]
+    fleet.write_runs()
+    for path in lost:
+        fleet.record.write("LOST:", path, "was accepted, and nothing of it runs")
+    for entry in fleet.entries:
+        fleet.record.write(
+            entry.name,
+            f"most memory {entry.most_mb:.0f} MB,",
+            f"killed {entry.over_memory} times for more than {fleet.memory_mb} MB",
+        )
+    return bool(lost)
+
+
 async def ask(fleet: Fleet, paths: list[str]) -> list[str]:
     """Ask for the state of jobs, and return those not shown as completed."""
     left = list(paths)
--- a/review/rig-3/platform_standins.py
+++ b/review/rig-3/platform_standins.py
@@ -450,11 +450,12 @@
     return {"version": 1, "routes": routes, "backends": backends, **fields}
 
 
-def run_case(make_case: Callable[[Path, bool], Any], folder: str) -> None:
+def run_case(
+    make_case: Callable[[Path, bool], Any], folder: Path, has_trouble: bool
+) -> None:
     """Run a case and exit with 1 if the rule was broken, 0 if it held, else 2."""
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
-        is_broken = asyncio.run(make_case(Path(folder).resolve(), has_trouble))
+        is_broken = asyncio.run(make_case(folder.resolve(), has_trouble))
     except Exception as error:
         print(f"the case could not run: {error!r}", file=sys.stderr)
         sys.exit(COULD_NOT_RUN)
