Bound the memory of open occurrences, in bytes

Cause: two limits, neither in the unit of what it protects. Job.size counted the tasks of one occurrence; Job._has_room opened occurrences by the tasks that wait at that moment, although later steps add up to 100,000 tasks to each of up to 1,000 open ones. The progress records them, so that each next leader opened them again.

Change: jobs have a size in bytes, which bench/memory.py measures: 1,786 for a job (2,400 estimated), 304 a step (400), 585 an open step with a task (780), 164 a waiting task (180). A job is accepted with room for one occurrence; further ones share 16 MB. Recorded open occurrences that do not fit stay inactive, and become active when there is room. Large jobs leave 9 of 36 MB to small ones. Event 849 and briarshed_job_bytes show the bytes. The limit of busy_loop.feature (5,300 scheduled jobs are refused) still holds.

Ruled out: records (with one task in the second step the case holds), runs (the state alone, without runs, exceeds the bound of the test).

--- a/bench/run.py
+++ b/bench/run.py
@@ -20,6 +20,7 @@
     "moves": ["moves.py"],
     "decisions": ["decisions.py"],
     "plans": ["plans.py"],
+    "memory": ["memory.py"],
     "policies": ["policies.py"],
 }
 
--- a/features/workloads/steps/shortage_steps.py
+++ b/features/workloads/steps/shortage_steps.py
@@ -23,9 +23,9 @@
 from briarshed_workloads import ordering
 from briarshed_workloads.admission import find_retry_delay
 from briarshed_workloads.configuration import TeamRules
-from briarshed_workloads.engine import MAX_OPEN_SIZE
 from briarshed_workloads.expected_wait import Claim, find_deferred
 from briarshed_workloads.jobs import make_job
+from briarshed_workloads.memory import MAX_OPEN_BYTES
 from briarshed_workloads.ordering import sort_jobs
 from briarshed_workloads.planning import plan_starts
 from briarshed_workloads.refusals import number_attempt
@@ -454,7 +454,7 @@
 
 def fill(leader, is_full):
     """Let the leader have no room for jobs, or room again."""
-    leader.controller.engine.open_size = MAX_OPEN_SIZE if is_full else 0
+    leader.controller.engine.job_memory.open_size = MAX_OPEN_BYTES if is_full else 0
 
 
 @given("3 entries, and a job that the leader has refused")
--- a/packages/briarshed-workloads/src/briarshed_workloads/controller.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/controller.py
@@ -206,6 +206,7 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         self.persistence.fail_pending_acceptances()
         telemetry.set_evacuated_runs({})
+        telemetry.set_job_bytes({})
 
     def spawn(
         self, coroutine: Coroutine[Any, Any, Any], name: str
@@ -261,6 +262,7 @@
             work = WorkSlice()
             for _ in correct_state(self.engine, pending, clock.now()):
                 await work.end_if_due()
+            telemetry.set_job_bytes(self.engine.job_memory.list_parts())
             self.persistence.request_save()
             self._changed.set()
             telemetry.observe_seconds("reconcile", time.perf_counter() - started_at)
@@ -426,17 +428,18 @@
         now = clock.now()
         if self.refusals.covers(submission.job, attempt, now):
             return SubmitResult("full", RETRY_AFTER_S)
-        if not self.engine.has_room():
+        queue = self.engine.configuration.queues.get(submission.queue)
+        job = make_job(submission, queue)
+        if not self.engine.job_memory.has_room(job.size):
             log_event(
                 events.WORK_LIMIT_REACHED,
-                job_id=submission.job,
-                size=self.engine.open_size,
+                job_id=job.job_id,
+                size=job.size,
+                held=self.engine.job_memory.open_size,
             )
             return self._refuse(submission, FULL_RETRY_AFTER_S)
         if self._is_confined(submission):
             return self._refuse(submission, EVACUATED_RETRY_AFTER_S)
-        queue = self.engine.configuration.queues.get(submission.queue)
-        job = make_job(submission, queue)
         unix_now = self.engine.to_unix_time(now)
         retry_after = find_retry_delay(self.engine, job, unix_now - waited, unix_now)
         if retry_after is None:
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -38,6 +38,7 @@
     make_job,
 )
 from briarshed_workloads.leases import LeaseTimes
+from briarshed_workloads.memory import JobMemory
 from briarshed_workloads.outliers import list_projected, note_run_time
 from briarshed_workloads.records import JobRecord, ProgressRecord
 from briarshed_workloads.run_times import RunTimes
@@ -60,10 +61,6 @@
 if TYPE_CHECKING:
     from briarshed_workloads.shortage import PoolOutlook
 
-MAX_OPEN_SIZE = 200_000
-"""Size of the open jobs from which on no job is accepted. This leader and the next one
-plan so many within their leases."""
-
 RUN_SEQUENCE_BITS = 24
 """Low bits of a run number: counter of one leader; the high bits are its epoch."""
 
@@ -104,9 +101,8 @@
     withdrawn : dict
         Ids that callers have cancelled although no job had them, and when, in Unix
         seconds. A submission that arrives later must not be accepted.
-    open_size : int
-        Size of all open jobs; those that have ended since the last correction of the
-        state still count.
+    job_memory : JobMemory
+        Memory that the open jobs take.
     roster : set
         Endpoints whose present incarnation is recorded, so that they may get runs: the
         next leader must know of each that may have some.
@@ -139,7 +135,7 @@
         self.jobs: dict[str, Job] = {}
         self.open_jobs: dict[str, dict[str, Job]] = {}
         self.withdrawn: dict[str, float] = {}
-        self.open_size = 0
+        self.job_memory = JobMemory()
         self.endpoints: dict[str, Endpoint] = {}
         self.runs: dict[TaskId, list[Run]] = {}
         self.step_runs: dict[StepKey, dict[Run, None]] = {}
@@ -180,11 +176,12 @@
         known = self.jobs.get(submission.job)
         if known is not None:
             return known
-        job = make_job(submission, self.configuration.queues.get(submission.queue))
+        queue = self.configuration.queues.get(submission.queue)
+        job = make_job(submission, queue, self.job_memory.occurrences)
         weight = find_weight(self.configuration, job.team)
         job.is_within_share = self.shares.take(job.job_id, job.team, weight, unix_now)
         self.jobs[job.job_id] = job
-        self.open_size += job.size
+        self.job_memory.add(job.size)
         self.unsaved_jobs[job.job_id] = None
         return job
 
@@ -193,11 +190,7 @@
         self.unsaved_jobs.pop(job_id, None)
         job = self.jobs.pop(job_id, None)
         if job is not None:
-            self.open_size -= job.size
-
-    def has_room(self) -> bool:
-        """Return whether one more job can be accepted."""
-        return self.open_size < MAX_OPEN_SIZE
+            self.job_memory.remove(job.size)
 
     def activate(self, job: Job, unix_now: float) -> None:
         """Make an accepted job's tasks ready to start.
@@ -225,6 +218,7 @@
             record.accepted_at,
             description if description is not None else _EMPTY_DESCRIPTION,
             queue.max_attempts if queue else record.max_attempts,
+            self.job_memory.occurrences,
         )
         self.jobs[job_id] = job
         if record.outcome:
@@ -233,7 +227,7 @@
             return
         job.restore(progress, unix_now)
         if job.is_open:
-            self.open_size += job.size
+            self.job_memory.add(job.size)
             self.open_jobs.setdefault(job.pool, {})[job_id] = job
 
     def cancel(self, job: Job, unix_now: float) -> None:
--- a/packages/briarshed-workloads/src/briarshed_workloads/estimates.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/estimates.py
@@ -33,7 +33,7 @@
 def _measure_remaining_time(engine: Engine, job: Job) -> float:
     lengths: dict[int, float] = {}
     steps = job.description.steps
-    occurrence = next(iter(job.open_occurrences), 0)
+    occurrence = job.occurrences.find_first()
 
     def measure(number: int) -> float:
         if number not in lengths:
--- a/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
@@ -12,6 +12,13 @@
     is_strongly_suspected,
     is_suspected,
 )
+from briarshed_workloads.memory import (
+    JOB_BYTES,
+    TASK_BYTES,
+    measure_description,
+    measure_occurrence,
+)
+from briarshed_workloads.occurrences import OccurrenceRoom, OpenOccurrences
 from briarshed_workloads.records import JobRecord, ProgressRecord, TaskRecord
 from briarshed_workloads.waiting_tasks import WaitingTasks
 from briarshed_workloads.workloads import (
@@ -26,20 +33,13 @@
 COMPLETED, FAILED, CANCELLED = "completed", "failed", "cancelled"
 FINAL_STATES = frozenset({COMPLETED, FAILED, CANCELLED})
 
-JOB_SIZE = 20
-"""Number of tasks that cost as much memory and time as a job itself."""
-
-STEP_SIZE = 6
-"""Number of tasks that cost as much memory as a step itself."""
-
 MAX_JOB_TASKS = 100_000
 """Most tasks of one occurrence of a job. Its progress, with a number for each task that
 has succeeded, then fits into an item of the store."""
 
-MAX_OPEN_OCCURRENCES, MAX_WAITING_TASKS = 1_000, 20
-"""Numbers of open occurrences and of waiting tasks of a job from which on no further
-occurrence is opened. A job with many overdue occurrences then needs little more time
-and memory than others; each occurrence is opened when there is room for it."""
+MAX_WAITING_TASKS = 20
+"""Waiting tasks of a job from which on no further occurrence is opened. A job with many
+overdue occurrences then needs little more time than others."""
 
 
 class Job:
@@ -55,6 +55,9 @@
         Steps of the job.
     max_attempts : int
         Number of failed runs after which a task, and so the job, fails.
+    room : OccurrenceRoom or None
+        Memory that the jobs of a leader share for further occurrences; None for that
+        of a job alone.
 
     Attributes
     ----------
@@ -65,13 +68,10 @@
     is_speculative : bool
         Whether tasks of a step may have several runs.
     size : int
-        Cost of the job to an entry, in tasks: those that may wait, and `JOB_SIZE`.
-    next_occurrence : int
-        The first occurrence that has not been opened yet.
-    open_occurrences : dict
-        Earlier occurrences that are not completed, in ascending order; all others
-        before ``next_occurrence`` are. Only these have a state in memory and in the
-        records, besides successes that were noted before an occurrence was opened.
+        Estimated memory of the job with one occurrence, in bytes, and for a schedule of
+        the tasks of further ones that may wait.
+    occurrences : OpenOccurrences
+        The occurrences that have been opened and are not completed.
     waits_since : dict
         By occurrence and step, since when tasks wait for a better endpoint although
         there is room at another one, in seconds of the boot clock.
@@ -97,8 +97,7 @@
         "is_within_share",
         "job_id",
         "max_attempts",
-        "next_occurrence",
-        "open_occurrences",
+        "occurrences",
         "opened_steps",
         "pool",
         "queue",
@@ -121,6 +120,7 @@
         accepted_at: float,
         description: Description,
         max_attempts: int,
+        room: OccurrenceRoom | None = None,
     ) -> None:
         self.job_id = job_id
         self.queue = queue
@@ -147,13 +147,13 @@
         self.waiting = WaitingTasks()
         self.waits_since: dict[tuple[int, int], float] = {}
         self.opened_steps: set[tuple[int, int]] = set()
-        self.next_occurrence = 0
-        self.open_occurrences: dict[int, None] = {}
-        steps = description.steps
-        self.size = max(JOB_SIZE, STEP_SIZE * len(steps))
-        self.size += sum(step.count for step in steps)
+        occurrence_size = measure_occurrence(description)
+        self.occurrences = OpenOccurrences(
+            job_id, occurrence_size, room or OccurrenceRoom()
+        )
+        self.size = JOB_BYTES + measure_description(description) + occurrence_size
         if description.schedule:
-            self.size += MAX_WAITING_TASKS
+            self.size += MAX_WAITING_TASKS * TASK_BYTES
         self.is_long_running = any(step.long_running for step in description.steps)
         self.is_speculative = any(step.speculative for step in description.steps)
         self.critical_path = find_critical_path(description)
@@ -183,17 +183,10 @@
 
     def has_succeeded(self, task: TaskId) -> bool:
         """Return whether a run of the task has succeeded."""
-        return self.is_completed(task.occurrence) or (
+        return self.occurrences.is_completed(task.occurrence) or (
             task.index in self.succeeded.get((task.occurrence, task.step), ())
         )
 
-    def is_completed(self, occurrence: int) -> bool:
-        """Return whether all tasks of an occurrence are known to have succeeded."""
-        return (
-            occurrence < self.next_occurrence
-            and occurrence not in self.open_occurrences
-        )
-
     def count_occurrences(self) -> int:
         """Return the number of occurrences in the schedule."""
         schedule = self.description.schedule
@@ -207,30 +200,40 @@
         return schedule.first_due + occurrence * schedule.interval
 
     def open_due(self, unix_now: float) -> None:
-        """Open the occurrences that became due, as far as there is room for them."""
+        """Open the occurrences that became due, as far as there is room for them.
+
+        Those that an earlier leader has opened become active first.
+        """
         if not self.is_open or self.cancelled:
             return
+        while (occurrence := self.occurrences.find_inactive()) is not None:
+            self._activate(occurrence)
         schedule = self.description.schedule
-        while self.next_occurrence < self.count_occurrences() and self._has_room():
-            occurrence = self.next_occurrence
-            if schedule and unix_now < self.find_due(occurrence):
+        while self.occurrences.next < self.count_occurrences() and self._has_room():
+            if schedule and unix_now < self.find_due(self.occurrences.next):
                 break
-            self.open_occurrences[occurrence] = None
-            self.next_occurrence += 1
-            self.open_ready_steps(occurrence)
+            self._activate(self.occurrences.open_next())
+
+    def _activate(self, occurrence: int) -> None:
+        self.occurrences.activate(occurrence)
+        self.open_ready_steps(occurrence)
 
     def _has_room(self) -> bool:
         """Return whether a further occurrence may be opened."""
-        return (
-            len(self.open_occurrences) < MAX_OPEN_OCCURRENCES
-            and len(self.waiting) < MAX_WAITING_TASKS
-        )
+        return len(self.waiting) < MAX_WAITING_TASKS and self.occurrences.has_room()
 
     def open_ready_steps(self, occurrence: int) -> None:
-        """Open the steps of an open occurrence that became ready, or close it."""
+        """Open the steps of an active occurrence that became ready.
+
+        An open occurrence whose steps are all done is closed, active or not.
+        """
         if self._are_steps_done(occurrence):
             self._close_occurrence(occurrence)
-        elif self.is_open and not self.cancelled:
+        elif (
+            self.occurrences.is_active(occurrence)
+            and self.is_open
+            and not self.cancelled
+        ):
             self._open_steps(occurrence)
 
     def _open_steps(self, occurrence: int) -> None:
@@ -264,11 +267,11 @@
                 yield self.description.steps[number]
 
     def count_remaining_tasks(self) -> list[int]:
-        """Return the number of tasks left in open occurrences for each step."""
-        occurrences = len(self.open_occurrences)
+        """Return the number of tasks left in active occurrences for each step."""
+        occurrences = len(self.occurrences.active)
         counts = [occurrences * step.count for step in self.description.steps]
         for (occurrence, number), done in self.succeeded.items():
-            if occurrence in self.open_occurrences:
+            if self.occurrences.is_active(occurrence):
                 counts[number] -= len(done)
         return counts
 
@@ -286,7 +289,7 @@
 
         This is only necessary if the last success was noted incompletely.
         """
-        for occurrence in list(self.open_occurrences):
+        for occurrence in list(self.occurrences.open):
             self.open_ready_steps(occurrence)
         self.open_due(unix_now)
         if not self.is_open or not self._are_occurrences_completed():
@@ -295,8 +298,8 @@
         return True
 
     def _are_occurrences_completed(self) -> bool:
-        is_each_opened = self.next_occurrence >= self.count_occurrences()
-        return is_each_opened and not self.open_occurrences
+        is_each_opened = self.occurrences.next >= self.count_occurrences()
+        return is_each_opened and not self.occurrences.open
 
     def note_ordered(self, task: TaskId) -> None:
         """Remove a task from the waiting tasks after a run of it was ordered."""
@@ -317,7 +320,7 @@
 
     def note_succeeded(self, task: TaskId, unix_now: float) -> bool:
         """Record a success; return whether it is the first one of the task."""
-        if self.is_completed(task.occurrence):
+        if self.occurrences.is_completed(task.occurrence):
             return False
         done = self.succeeded.setdefault((task.occurrence, task.step), set())
         step = self.description.steps[task.step]
@@ -337,7 +340,7 @@
     def _close_step(self, occurrence: int, unix_now: float) -> None:
         self.cached_remaining = None
         self.cached_work = None
-        if occurrence not in self.open_occurrences:
+        if occurrence not in self.occurrences.open:
             # It was started under an earlier leader whose clock was ahead.
             return
         self.open_ready_steps(occurrence)
@@ -347,7 +350,7 @@
 
     def _close_occurrence(self, occurrence: int) -> None:
         """Remove the state of an occurrence whose tasks have all succeeded."""
-        del self.open_occurrences[occurrence]
+        self.occurrences.close(occurrence)
         for number in range(len(self.description.steps)):
             self.opened_steps.discard((occurrence, number))
             self.succeeded.pop((occurrence, number), None)
@@ -458,6 +461,7 @@
         # The state changes last: a job with an incomplete end is still open, so that it
         # is corrected, and one that has ended is recorded by the caller.
         self.waiting.clear()
+        self.occurrences.release()
         self.ended_at = unix_now
         self.state = advance(load_chart("job"), self.state, event)
 
@@ -507,8 +511,8 @@
             self.cancelled,
             rows,
             tasks,
-            self.next_occurrence,
-            tuple(self.open_occurrences),
+            self.occurrences.next,
+            tuple(self.occurrences.open),
         )
 
     def restore(self, progress: ProgressRecord | None, unix_now: float) -> None:
@@ -527,18 +531,23 @@
                     self.crashes[task] = dict(row.crashes)
                 if row.unsettled:
                     self.unsettled_starts[task] = dict(row.unsettled)
-            self.next_occurrence = progress.next_occurrence
-            self.open_occurrences = dict.fromkeys(progress.open_occurrences)
-            has_completed = self.next_occurrence > len(self.open_occurrences)
+            self.occurrences.restore(
+                progress.next_occurrence, progress.open_occurrences
+            )
+            has_completed = self.occurrences.next > len(self.occurrences.open)
             has_begun = self.failed_runs or self.checkpoints or self.crashes
             if progress.succeeded or has_begun or has_completed:
                 self.note_begun()
-        for occurrence in list(self.open_occurrences):
+        for occurrence in list(self.occurrences.open):
             self.open_ready_steps(occurrence)
         self.open_due(unix_now)
 
 
-def make_job(submission: Submission, queue: QueueRules | None) -> Job:
+def make_job(
+    submission: Submission,
+    queue: QueueRules | None,
+    room: OccurrenceRoom | None = None,
+) -> Job:
     """Return the job of a submission; it is not accepted by that."""
     return Job(
         submission.job,
@@ -548,6 +557,7 @@
         submission.submitted_at,
         submission.description,
         queue.max_attempts if queue else 1,
+        room,
     )
 
 
--- a/packages/briarshed-workloads/src/briarshed_workloads/reconciliation.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/reconciliation.py
@@ -33,7 +33,11 @@
     now : float
         Seconds of the boot clock.
     """
-    engine.open_size = sum(job.size for job in engine.jobs.values() if job.is_open)
+    engine.job_memory.correct(
+        (job.job_id, job.size, job.occurrences.further_bytes)
+        for job in engine.jobs.values()
+        if job.is_open
+    )
     _correct_runs(engine)
     _correct_usage(engine)
     for endpoint in engine.endpoints.values():
--- a/packages/briarshed-workloads/src/briarshed_workloads/shortage.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/shortage.py
@@ -173,7 +173,7 @@
     cached = job.cached_work
     if cached is not None and 0 <= unix_now - cached[0] < WORK_CACHE_S:
         return cached[1]
-    occurrence = next(iter(job.open_occurrences), 0)
+    occurrence = job.occurrences.find_first()
     whole = waiting = 0.0
     for number, step in enumerate(job.description.steps):
         if step.long_running:
--- a/packages/briarshed-workloads/src/briarshed_workloads/telemetry.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/telemetry.py
@@ -51,6 +51,12 @@
     ["data_centre"],
     registry=REGISTRY,
 )
+_JOB_BYTES = Gauge(
+    "briarshed_job_bytes",
+    "Estimated memory of open jobs, at the leader",
+    ["what"],
+    registry=REGISTRY,
+)
 _HELD_BYTES = Gauge(
     "briarshed_client_held_bytes",
     "Memory that requests of clients hold",
@@ -96,6 +102,11 @@
     _replace(_EVACUATED_RUNS, counts)
 
 
+def set_job_bytes(parts: Mapping[str, int]) -> None:
+    """Set the estimated memory of open jobs, by what takes it."""
+    _replace(_JOB_BYTES, parts)
+
+
 def set_clients(report: ClientsReport) -> None:
     """Set what clients use, by listen address."""
     _replace(_HELD_BYTES, report.held_bytes)
--- a/packages/briarshed/src/briarshed/events.py
+++ b/packages/briarshed/src/briarshed/events.py
@@ -159,7 +159,7 @@
 )
 
 WORK_LIMIT_REACHED = Event(
-    849, "WARNING", "job {job_id} refused: open jobs have the size {size}"
+    849, "WARNING", "job {job_id} of {size} bytes refused: open jobs hold {held} bytes"
 )
 WITHDRAWAL_LIMIT_REACHED = Event(
     850, "WARNING", "cancel of {job_id}, which no job has, is not recorded: too many"
