Limit the bytes of a transaction

Cause, found on the path of long checkpoints: a transaction took the records of 30 jobs of any size. Over a link of 5 Mbit/s, 30 records of 60 KB take some 4 s to be written, so that the store seems lost, and with it the leadership.

Change: a transaction has up to 262,144 bytes of records of jobs, or a single one; the rest follows in the next one. No end is acknowledged before all are written, as before. The encoding of records moves into its own module.

Evidence: records.feature, "Large records are written one after the other": fails before with 1,800,510 bytes in one write, and passes.

--- a/features/workloads/records.feature
+++ b/features/workloads/records.feature
@@ -56,6 +56,15 @@
       | with checkpoints | is recorded with its failed runs |
       | with failed runs | is not recorded                  |
 
+  Scenario: Large records are written one after the other
+    # Guards against a write that takes so long over a slow link that the store seems lost,
+    # and with it the leadership: 30 records of any size went into one write.
+    Given a leader with 40 jobs, each with a checkpoint of 60000 bytes
+    And another job of 1000 tasks with failed runs of 500 bytes
+    When a write begins
+    And the write goes through
+    Then all jobs are recorded, in writes of at most 262144 bytes or one record
+
   Scenario: An endpoint that cannot be recorded does not stop other writes
     # Guards against jobs that are lost (LOST, review/2): the record of all endpoints
     # could not be encoded because of one of them, and nothing else was written.
--- a/features/workloads/steps/records_steps.py
+++ b/features/workloads/steps/records_steps.py
@@ -38,6 +38,7 @@
         self.gate = asyncio.Event()
         self.commit_count = 0
         self.keys = []
+        self.sizes = []
         self.values = {}
 
     async def commit(self, puts, removals=()):
@@ -45,6 +46,7 @@
         await self.gate.wait()
         self.commit_count += 1
         self.keys.append([put.key for put in puts])
+        self.sizes.append(sum(len(put.value) for put in puts))
         self.values.update({put.key: put.value for put in puts})
 
 
@@ -67,6 +69,7 @@
         fenced_writer.gate.set()
         await asyncio.sleep(0.1)
         context.values = fenced_writer.values
+        context.writes = list(zip(fenced_writer.keys, fenced_writer.sizes, strict=True))
         context.after = (
             context.engine.endpoints["a"].acknowledged,
             dict(persistence.outcomes),
@@ -104,6 +107,22 @@
         submit(context.engine, f"{number:016x}", (Step(1, NEED, 1.0),), NOW)
 
 
+@given("a leader with {count:d} jobs, each with a checkpoint of {size:d} bytes")
+def step_large_jobs(context, count, size):
+    step_jobs(context, count)
+    for job in context.engine.jobs.values():
+        job.note_checkpoint(TaskId(job.job_id, 0, 0, 0), "x" * size)
+
+
+@then("all jobs are recorded, in writes of at most {limit:d} bytes or one record")
+def step_writes(context, limit):
+    recorded = {key.removeprefix(PROGRESS) for key in context.values}
+    assert recorded == set(context.engine.jobs), len(recorded)
+    for keys, size in context.writes:
+        assert size <= limit or len(keys) == 1, (size, len(keys))
+    assert max(size for _, size in context.writes) > limit
+
+
 @then("they are recorded in the order in which they arrived")
 def step_in_order(context):
     recorded = [key.removeprefix(PROGRESS) for key in context.values]
--- a/packages/briarshed-workloads/src/briarshed_workloads/persistence.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/persistence.py
@@ -10,8 +10,6 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import TypeVar
 
-import msgspec
-
 from briarshed import events
 from briarshed.exceptions import DocumentError
 from briarshed_entry import clock
@@ -20,6 +18,7 @@
 from briarshed_workloads.fenced_writer import MAX_TRANSACTION_WRITES
 from briarshed_workloads.fleet import Endpoint
 from briarshed_workloads.interfaces import Directory, Item, Put, Store
+from briarshed_workloads.job_records import encode_job, encode_progress
 from briarshed_workloads.jobs import Job
 from briarshed_workloads.leadership import LeaderTerm
 from briarshed_workloads.maintenance import Maintenance
@@ -49,8 +48,9 @@
 
 T = TypeVar("T")
 
-MAX_RECORD_BYTES = 1_000_000
-"""Largest record; an item of the store holds a megabyte."""
+MAX_TRANSACTION_BYTES = 262_144
+"""Bytes of records of jobs in a transaction, unless it has only one. Over a link of
+5 Mbit/s it is written within its time-outs, so that the store does not seem lost."""
 
 MAX_RECORD_ATTEMPTS = 3
 """Attempts to encode the records of a job; meanwhile no end is acknowledged."""
@@ -288,8 +288,7 @@
                         del engine.unsaved_jobs[job_id]
                         unsaved[job_id] = None
                 batch = self._choose_batch(unsaved)
-                await self._save_jobs(batch)
-                for job_id in batch:
+                for job_id in await self._save_jobs(batch):
                     unsaved.pop(job_id, None)
         finally:
             # The next write covers what an error has left unsaved.
@@ -335,21 +334,37 @@
             batch.append(job_id)
         return batch
 
-    async def _save_jobs(self, job_ids: list[str]) -> None:
+    async def _save_jobs(self, job_ids: list[str]) -> list[str]:
+        """Write the records of the first jobs that fit into a transaction.
+
+        Returns
+        -------
+        list of str
+            The jobs that need no further write: those written, set aside or unknown.
+        """
         puts: list[Put] = []
+        size = 0
+        handled: list[str] = []
         removals: list[str] = []
         states: dict[str, str] = {}
         new_jobs: list[Job] = []
         for job_id in job_ids:
             job = self._engine.jobs.get(job_id)
             if job is None:
+                handled.append(job_id)
                 continue
             try:
-                puts += self._encode_records(job)
+                records = self._encode_records(job)
             except Exception as error:
                 report_error(f"record of job {job_id}", error)
                 self._note_failed_record(job_id)
+                handled.append(job_id)
                 continue
+            size += sum(len(put.value) for put in records)
+            if puts and size > MAX_TRANSACTION_BYTES:
+                break
+            handled.append(job_id)
+            puts += records
             if job_id in self.pending_acceptances:
                 new_jobs.append(job)
             if not job.is_open:
@@ -368,15 +383,16 @@
         self.outcomes.update(states)
         for job in new_jobs:
             self._confirm_acceptance(job)
+        return handled
 
     def _encode_records(self, job: Job) -> list[Put]:
         """Return the records that a change of a job replaces."""
         puts: list[Put] = []
         is_new = job.job_id in self.pending_acceptances
         if is_new or not job.is_open:
-            puts.append(Put(JOBS + job.job_id, _encode_bounded(job.encode_job())))
+            puts.append(Put(JOBS + job.job_id, encode_job(job)))
         if job.is_open and not is_new:
-            puts.append(Put(PROGRESS + job.job_id, _encode_progress(job)))
+            puts.append(Put(PROGRESS + job.job_id, encode_progress(job)))
         return puts
 
     def _note_failed_record(self, job_id: str) -> None:
@@ -533,40 +549,6 @@
         )
 
 
-def _encode_bounded(record: msgspec.Struct) -> bytes:
-    """Return the encoding of a record.
-
-    Raises
-    ------
-    DocumentError
-        If it is too large for an item of the store. The store would refuse each attempt
-        to write it, and no other write could follow.
-    """
-    data = encode(record)
-    if len(data) > MAX_RECORD_BYTES:
-        kind = type(record).__name__
-        raise DocumentError(f"{kind} of {len(data)} bytes exceeds {MAX_RECORD_BYTES}")
-    return data
-
-
-def _encode_progress(job: Job) -> bytes:
-    """Return the progress of a job, without checkpoints if they make it too large.
-
-    Tasks without a checkpoint start from the beginning.
-    """
-    progress = job.encode_progress()
-    try:
-        return _encode_bounded(progress)
-    except DocumentError as error:
-        report_error(f"checkpoints of job {job.job_id}", error)
-    tasks = tuple(
-        msgspec.structs.replace(row, checkpoint="")
-        for row in progress.tasks
-        if row.failed_runs or row.crashes or row.unsettled
-    )
-    return _encode_bounded(msgspec.structs.replace(progress, tasks=tasks))
-
-
 def _make_roster(endpoints: Iterable[Endpoint]) -> RosterRecord:
     """Return the record of endpoints that may have runs."""
     rows = list(endpoints)
