Forget the steps and tasks of jobs that have ended

Cause: the limit counts open jobs, and ended ones kept their description and the state of their tasks for 130 s, although only their outcome is asked for.

Change: each second the leader forgets both for ended jobs without runs. They are then as those that an earlier leader has recorded, so that late runs and ends are handled in the same way. Until the next correction, ended jobs count against the room for further ones, as before.

Ruled out: requests and records, whose memory does not stay.

Evidence: without the change three scenarios of held_memory.feature fail (an ended job of 500 steps keeps 172,907 bytes once completed, 188,923 once cancelled; at most 2,400 are wanted).

--- a/features/workloads/held_memory.feature
+++ b/features/workloads/held_memory.feature
@@ -1,4 +1,4 @@
-Feature: The memory that open jobs take
+Feature: The memory that jobs take
 
   Scenario Outline: Schedules take a bounded part of the memory, whatever their later steps
     # Guards against accepted jobs that are lost (LOST, review/11): each occurrence that
@@ -48,3 +48,26 @@
     Then the second one has more active occurrences than before
     When the second of the jobs is cancelled
     Then no memory is reserved for further occurrences
+
+  Scenario Outline: A job that has ended takes little memory
+    # Guards against a leader that exceeds its memory although hardly a job is open: each
+    # job kept its steps and tasks until its state was forgotten.
+    Given 100 jobs of 500 steps that have <ended>
+    When the leader forgets what it needs no more of jobs that have ended
+    Then each job takes at most 2400 bytes more than before it was accepted
+    And each job is still reported as <ended>
+
+    Examples:
+      | ended     |
+      | completed |
+      | cancelled |
+
+  Scenario: A job that has ended is kept until its runs have ended
+    # Guards against runs whose capacity or stop is decided without their step.
+    Given a job that was cancelled while a run of it is listed
+    When the leader forgets what it needs no more of jobs that have ended
+    Then the job still has its steps, and the run is to be stopped
+    When the run has ended, and the leader forgets again
+    Then the job has no steps
+    When an endpoint lists a run of it with a checkpoint, and then its end
+    Then that run is to be stopped, and the endpoint has no runs
--- a/features/workloads/steps/held_memory_steps.py
+++ b/features/workloads/steps/held_memory_steps.py
@@ -1,10 +1,11 @@
-"""Steps for the memory that open jobs take at a leader."""
+"""Steps for the memory that jobs take at a leader."""
 
+import gc
 import tracemalloc
 from collections import Counter
 
 from behave import given, then, when
-from engine_steps import NEED, NOW, make_engine, poll_endpoint
+from engine_steps import JOB, NEED, NOW, make_engine, poll_endpoint, submit
 from large_job_steps import make_large_engine
 
 from briarshed.byte_admission import PROCESS_BYTES
@@ -17,7 +18,15 @@
     decode,
     encode,
 )
-from briarshed_workloads.workloads import Description, ListedRun, Schedule, Step, TaskId
+from briarshed_workloads.retention import retire_ended
+from briarshed_workloads.workloads import (
+    Description,
+    EndedRun,
+    ListedRun,
+    Schedule,
+    Step,
+    TaskId,
+)
 
 SMALLEST_LIMIT_BYTES = 200_000_000
 MEMORY_BYTES = (SMALLEST_LIMIT_BYTES - PROCESS_BYTES) // 2
@@ -248,3 +257,89 @@
 def step_none_reserved(context):
     held = context.engine.job_memory.occurrences.held
     assert held == 0, held
+
+
+def end_job(engine, number, steps, ended):
+    """Accept a job, start and let it end."""
+    rows = tuple(Step(1, NEED, 1.0, image=f"{number} {row}") for row in range(steps))
+    job = submit(engine, f"{number:016x}", rows, NOW)
+    if ended == "cancelled":
+        job.cancel(NOW)
+        return
+    for task in list(job.waiting):
+        job.note_ordered(task)
+        job.note_succeeded(task, NOW)
+
+
+@given("{count:d} jobs of {steps:d} steps that have {ended}")
+def step_ended_jobs(context, count, steps, ended):
+    context.engine = engine = make_engine()
+    tracemalloc.start()
+    for number in range(count):
+        end_job(engine, number, steps, ended)
+
+
+@when("the leader forgets what it needs no more of jobs that have ended")
+def step_forget(context):
+    retire_ended(context.engine, ())
+
+
+@then("each job takes at most {size:d} bytes more than before it was accepted")
+def step_each_size(context, size):
+    gc.collect()
+    taken = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    assert taken <= size * len(context.engine.jobs), taken / len(context.engine.jobs)
+
+
+@then("each job is still reported as {state}")
+def step_reported(context, state):
+    assert {job.state for job in context.engine.jobs.values()} == {state}
+
+
+@given("a job that was cancelled while a run of it is listed")
+def step_cancelled_running(context):
+    context.engine = engine = make_engine(names=("a",))
+    poll_endpoint(engine, "a", NOW)
+    context.job = submit(engine, JOB, (Step(1, NEED, 1.0),), NOW)
+    (order,) = plan_starts(engine, NOW)
+    context.run = order.run
+    engine.note_started(order.run, int(NOW * 1000), NOW)
+    engine.cancel(context.job, NOW)
+
+
+@then("the job still has its steps, and the run is to be stopped")
+def step_has_steps(context):
+    assert context.job.description.steps
+    orders = context.engine.list_due_stop_orders(NOW)
+    assert [order.run for order in orders] == [context.run], orders
+
+
+@when("the run has ended, and the leader forgets again")
+def step_run_ended(context):
+    run = context.run
+    ended = [EndedRun(1, run.task, run.number, "stopped", "c")]
+    poll_endpoint(context.engine, "a", NOW + 1, ended=ended)
+    retire_ended(context.engine, ())
+
+
+@then("the job has no steps")
+def step_no_steps(context):
+    assert not context.job.description.steps
+
+
+@when("an endpoint lists a run of it with a checkpoint, and then its end")
+def step_late_run(context):
+    task = context.run.task
+    row = ListedRun(task, 99, "c", 1, 0)
+    poll_endpoint(context.engine, "a", NOW + 2, running=[row])
+    context.orders = context.engine.list_due_stop_orders(NOW + 2)
+    retire_ended(context.engine, ())
+    ended = [EndedRun(2, task, 99, "failed", "c")]
+    poll_endpoint(context.engine, "a", NOW + 3, ended=ended)
+
+
+@then("that run is to be stopped, and the endpoint has no runs")
+def step_late_stopped(context):
+    assert [order.run.number for order in context.orders] == [99], context.orders
+    assert not context.engine.endpoints["a"].runs
--- a/packages/briarshed-workloads/src/briarshed_workloads/controller.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/controller.py
@@ -41,6 +41,7 @@
 from briarshed_workloads.polling import EndpointPoller
 from briarshed_workloads.reconciliation import correct_state
 from briarshed_workloads.refusals import Refusals
+from briarshed_workloads.retention import retire_ended
 from briarshed_workloads.shares import restore_shares
 from briarshed_workloads.shortage import list_shortages
 from briarshed_workloads.slices import WorkSlice
@@ -259,6 +260,7 @@
             await asyncio.sleep(RECONCILE_INTERVAL_S)
             started_at = time.perf_counter()
             pending = self.persistence.pending_acceptances
+            retire_ended(self.engine, pending)
             work = WorkSlice()
             for _ in correct_state(self.engine, pending, clock.now()):
                 await work.end_if_due()
--- a/packages/briarshed-workloads/src/briarshed_workloads/engine.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/engine.py
@@ -34,6 +34,7 @@
 )
 from briarshed_workloads.jobs import (
     COMPLETED,
+    EMPTY_DESCRIPTION,
     Job,
     find_need,
     make_job,
@@ -48,7 +49,6 @@
 from briarshed_workloads.takeover import EarlierLeaders, drop_superseded
 from briarshed_workloads.workloads import (
     NO_RESOURCES,
-    Description,
     EndedRun,
     ListedRun,
     PollResponse,
@@ -79,9 +79,6 @@
 StepKey = tuple[str, int, int]
 """Job, occurrence and step: the first three fields of a `TaskId`."""
 
-_EMPTY_DESCRIPTION = Description("", ())
-"""Description of ended jobs, whose steps are not recorded."""
-
 
 class Engine:
     """State of the jobs, endpoints, runs and team usage of one leader.
@@ -217,7 +214,7 @@
             record.pool,
             record.team,
             record.accepted_at,
-            description if description is not None else _EMPTY_DESCRIPTION,
+            description if description is not None else EMPTY_DESCRIPTION,
             queue.max_attempts if queue else record.max_attempts,
             self.job_memory,
         )
--- a/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
+++ b/packages/briarshed-workloads/src/briarshed_workloads/jobs.py
@@ -41,6 +41,9 @@
 """Most tasks of one occurrence of a job. Its progress, with a number for each task that
 has succeeded, then fits into an item of the store."""
 
+EMPTY_DESCRIPTION = Description("", ())
+"""Description of ended jobs, whose steps are not recorded."""
+
 MAX_WAITING_TASKS = 20
 """Waiting tasks of a job from which on no further occurrence is opened. A job with many
 overdue occurrences then needs little more time than others."""
@@ -367,14 +370,7 @@
         for number in range(len(self.description.steps)):
             self.opened_steps.discard((occurrence, number))
             self.succeeded.pop((occurrence, number), None)
-        for state in (
-            self.crashes,
-            self.failed_endpoints,
-            self.failed_runs,
-            self.held_until,
-            self.suspected_at,
-            self.unsettled_starts,
-        ):
+        for state in self._list_task_states():
             for task in [row for row in state if row.occurrence == occurrence]:
                 del state[task]
         self.checkpoints.discard(
@@ -395,14 +391,11 @@
 
     def has_used_all_attempts(self, task: TaskId) -> bool:
         """Return whether the task, or its gang, has used all its attempts."""
-        step = self.description.steps[task.step]
-        if step.long_running:
+        if self.find_step(task).long_running:
             return False
-        if not step.gang:
-            return len(self.failed_runs.get(task, ())) >= self.max_attempts
         runs: set[int] = set()
-        for index in range(step.count):
-            runs |= self.failed_runs.get(task._replace(index=index), set())
+        for member in self._list_sharing(task):
+            runs |= self.failed_runs.get(member, set())
         return len(runs) >= self.max_attempts
 
     def note_crash(self, task: TaskId, run: int, evidence: int) -> None:
@@ -481,6 +474,18 @@
         self.occurrences.release()
         self.checkpoints.clear()
 
+    def retire(self) -> None:
+        """Forget the steps and tasks of an ended job without runs."""
+        self.description = EMPTY_DESCRIPTION
+        self.opened_steps.clear()
+        self.occurrences.open.clear()
+        for state in (*self._list_task_states(), self.succeeded, self.waits_since):
+            state.clear()
+
+    def _list_task_states(self) -> tuple[dict, ...]:
+        runs = self.failed_endpoints, self.failed_runs, self.unsettled_starts
+        return (*runs, self.crashes, self.suspected_at, self.held_until)
+
     def measure(self) -> JobPart:
         """Return what the job takes of the memory of all jobs."""
         further, kept = self.occurrences.further_bytes, self.checkpoints.held
